Spread the table and the list of instances through a few pollers

Every instance polled the store and the platform's list once a second: at 14,000 nodes 14,000 reads a second against the platform's 2,000. Now three pollers of each availability zone (one for each 64 instances above that) read them; the others report to one poller and get what they lack, and the first pollers of the zones exchange versions and summaries. An instance keeps the list of its own region and three instances of each zone elsewhere.

Also: an instance that hears from neither the store nor a peer for 5 s turns unready; any instance tells which version is in force on all that report and names those that lag or are silent. The manual loop now cancels all tasks when a scenario fails, which had left warnings behind.

--- a/tarragonhinge/daemon/_instance.py
+++ b/tarragonhinge/daemon/_instance.py
@@ -12,14 +12,13 @@
 from tarragonhinge import dispatch
 from tarragonhinge import membership
 from tarragonhinge import peers
+from tarragonhinge import propagation
 from tarragonhinge import routing
 from tarragonhinge import servers
 from tarragonhinge import settings
 from tarragonhinge import shards
 from tarragonhinge import stores
 
-LIST_PERIOD_MS = 1000
-
 #: Period at which a stopping instance looks for requests in flight.
 DRAIN_POLL_MS = 10
 
@@ -73,7 +72,7 @@
             table=platform.table, committer=committer
         )
         self.poller = configuration.TablePoller(
-            store=self.store, view=self.view, clock=self.clock
+            store=self.store, view=self.view
         )
         self.me = membership.InstanceEntry(
             instance=options.name,
@@ -81,6 +80,17 @@
             region=options.region,
             zone=options.zone,
         )
+        self.propagator = propagation.Propagator(
+            me=self.me,
+            poller=self.poller,
+            view=self.view,
+            instance_list=platform.instances,
+            instances=self.instances,
+            transport=transport,
+            clock=self.clock,
+            rng=rng,
+            seeds=options.seeds,
+        )
         self.coordinator = shards.ShardCoordinator(
             me=self.me,
             incarnation=self.incarnation,
@@ -118,14 +128,14 @@
         return (
             self.state is membership.InstanceState.READY
             and self.view.current.version > 0
+            and self.propagator.is_connected()
         )
 
     async def start(self) -> None:
         """Listen for peers and start all tasks."""
         await self.transport.start()
         self._tasks = [
-            asyncio.create_task(self.poller.run()),
-            asyncio.create_task(self._follow_list()),
+            asyncio.create_task(self.propagator.run()),
         ]
         self.coordinator.start()
         self.state = membership.InstanceState.READY
@@ -169,13 +179,6 @@
         )
         return led + self.front.in_flight
 
-    async def _follow_list(self) -> None:
-        while True:
-            entries = await self._platform.instances.fetch()
-            if entries is not None:
-                self.instances.replace(entries)
-            await self.clock.sleep(LIST_PERIOD_MS)
-
     def dump(self) -> dict:
         """Return the state that decides, for operators."""
         leaders = self.coordinator.leaders
@@ -187,6 +190,8 @@
             "state": self.state.value,
             "ready": self.is_ready(),
             "table_version": self.view.current.version,
+            "poller": self.propagator.election.is_poller(),
+            "connected": self.propagator.is_connected(),
             "leads": {n: leader.dump() for n, leader in leaders.items()},
             "stands_by": sorted(self.coordinator.standbys),
             "dispatch": self.dispatcher.dump(),
--- a/tarragonhinge/membership/_list.py
+++ b/tarragonhinge/membership/_list.py
@@ -69,6 +69,10 @@
         """Take over a newly fetched list."""
         self._entries = {entry.instance: entry for entry in entries}
 
+    def list_all(self) -> list[_instance.InstanceEntry]:
+        """Return all instances, leaving ones too."""
+        return list(self._entries.values())
+
     def list_ready(
         self, region: base.RegionName | None = None
     ) -> list[_instance.InstanceEntry]:
--- /dev/null
+++ b/tarragonhinge/propagation/_election.py
@@ -0,0 +1,86 @@
+"""Which instances read the platform's services for the others."""
+
+from tarragonhinge import base
+from tarragonhinge import membership
+
+#: Fewest pollers of one availability zone.
+POLLERS_PER_ZONE = 3
+
+#: Instances that report to one poller; a larger zone has more pollers.
+REPORTS_PER_POLLER = 64
+
+
+class PollerElection:
+    """Chooses the pollers of each availability zone by rendezvous hash.
+
+    Instances whose lists differ may choose differently; then there are a
+    few more pollers for a while, which harms nothing.
+
+    Parameters
+    ----------
+    me : InstanceEntry
+        This instance.
+    instances : InstanceView
+        The list that this instance has.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: membership.InstanceEntry,
+        instances: membership.InstanceView,
+    ) -> None:
+        self._me = me
+        self._instances = instances
+
+    def is_poller(self) -> bool:
+        """Return whether this instance is a poller."""
+        chosen = self.list_pollers(self._me.zone)
+        if not chosen:
+            return True
+        return any(entry.instance == self._me.instance for entry in chosen)
+
+    def list_pollers(
+        self, zone: base.ZoneName
+    ) -> list[membership.InstanceEntry]:
+        """Return the pollers of an availability zone by preference."""
+        entries = {
+            entry.instance: entry
+            for entry in self._instances.list_ready()
+            if entry.zone == zone
+        }
+        count = max(POLLERS_PER_ZONE, -(-len(entries) // REPORTS_PER_POLLER))
+        names = membership.rank_names(f"poller/{zone}", entries)
+        return [entries[name] for name in names[:count]]
+
+    def list_preferred(
+        self, instance: base.InstanceId
+    ) -> list[membership.InstanceEntry]:
+        """Return the pollers of this zone as an instance prefers them.
+
+        An instance stays with one poller, so that it does not see lists
+        of different age in turn, and each poller knows whose reports to
+        expect.
+        """
+        pollers = {
+            entry.instance: entry
+            for entry in self.list_pollers(self._me.zone)
+            if entry.instance != instance
+        }
+        names = membership.rank_names(instance, pollers)
+        return [pollers[name] for name in names]
+
+    def list_expected(self) -> list[base.InstanceId]:
+        """Return the instances that prefer to report to this poller."""
+        pollers = {e.instance for e in self.list_pollers(self._me.zone)}
+        return [
+            entry.instance
+            for entry in self._instances.list_ready()
+            if entry.zone == self._me.zone
+            and entry.instance not in pollers
+            and self.list_preferred(entry.instance)[0] == self._me
+        ]
+
+    def list_zones(self) -> list[base.ZoneName]:
+        """Return the availability zones on the list."""
+        return sorted({entry.zone for entry in self._instances.list_ready()})
--- /dev/null
+++ b/tarragonhinge/propagation/tests/test_propagation.py
@@ -0,0 +1,198 @@
+"""Versions and lists reach every instance and never go back."""
+
+import msgspec
+import pytest
+
+from tarragonhinge import base
+from tarragonhinge import configuration
+from tarragonhinge import membership
+from tarragonhinge import propagation
+from tarragonhinge import testing
+
+#: Target of the brief: an accepted edit is in force within this time.
+IN_FORCE_MS = 12_000
+
+
+def _list_versions(nodes):
+    return [node.instance.view.current.version for node in nodes]
+
+
+async def _edit(deployment, node):
+    """Accept an edit through a node; return its version."""
+    store = node.instance.store
+    table = await store.load()
+    row = msgspec.structs.replace(table.rows[0], queue=table.rows[0].queue + 1)
+    result = await store.apply_edit([row], expected=table.version)
+    assert isinstance(result, configuration.Accepted)
+    return result.version
+
+
+async def _wait_in_force(deployment, nodes, version):
+    for _ in range(IN_FORCE_MS // 100):
+        if set(_list_versions(nodes)) == {version}:
+            return True
+        await deployment.wait(100)
+    return False
+
+
+def _list_pollers(deployment):
+    return [
+        node
+        for node in deployment.nodes
+        if node.instance.propagator.election.is_poller()
+    ]
+
+
+def test_a_few_instances_of_each_zone_read_the_store():
+    async def scenario():
+        deployment = testing.Deployment(instances=12)
+        await deployment.start()
+        pollers = _list_pollers(deployment)
+        assert len(pollers) == 2 * propagation.POLLERS_PER_ZONE
+
+    testing.run_manual(scenario())
+
+
+@pytest.mark.parametrize(
+    "fault", ["none", "half of the pollers lost", "store lost to a zone"]
+)
+def test_an_edit_comes_into_force_everywhere(fault):
+    async def scenario():
+        deployment = testing.Deployment(instances=12)
+        await deployment.start()
+        live = list(deployment.nodes)
+        if fault == "half of the pollers lost":
+            for node in _list_pollers(deployment)[::2]:
+                await node.kill()
+                live.remove(node)
+        elif fault == "store lost to a zone":
+            for node in live[::2]:
+                node.table.down = True
+        version = await _edit(deployment, live[1])
+        assert await _wait_in_force(deployment, live, version)
+
+    testing.run_manual(scenario())
+
+
+def test_an_instance_starts_in_an_outage_from_its_peers():
+    async def scenario():
+        deployment = testing.Deployment(instances=4)
+        late = deployment.nodes.pop()
+        await deployment.start()
+        for node in [*deployment.nodes, late]:
+            node.table.down = True
+        await deployment.wait(20_000)
+        entry = late.instance.me
+        deployment.instance_list.entries[entry.instance] = entry
+        await late.instance.start()
+        await deployment.wait(5000)
+        assert late.instance.view.current.version == 1
+        assert all(node.instance.is_ready() for node in deployment.nodes)
+        assert late.instance.is_ready()
+
+    testing.run_manual(scenario())
+
+
+@pytest.mark.parametrize("instances", [1, 2, 3])
+def test_an_outage_of_the_store_leaves_instances_ready(instances):
+    async def scenario():
+        deployment = testing.Deployment(instances=instances)
+        await deployment.start()
+        for node in deployment.nodes:
+            node.table.down = True
+        await deployment.wait(60_000)
+        assert all(node.instance.is_ready() for node in deployment.nodes)
+
+    testing.run_manual(scenario())
+
+
+def test_an_instance_cut_off_from_store_and_peers_turns_unready():
+    async def scenario():
+        deployment = testing.Deployment(instances=4)
+        await deployment.start()
+        cut = deployment.nodes[0]
+        cut.table.down = True
+        for node in deployment.nodes[1:]:
+            deployment.network.cut_both(cut.address, node.address)
+        await deployment.wait(propagation.CUT_OFF_MS + 3000)
+        assert not cut.instance.is_ready()
+        assert all(n.instance.is_ready() for n in deployment.nodes[1:])
+        deployment.network.heal()
+        cut.table.down = False
+        await deployment.wait(5000)
+        assert cut.instance.is_ready()
+
+    testing.run_manual(scenario())
+
+
+def test_versions_never_go_back():
+    async def scenario():
+        deployment = testing.Deployment(instances=4)
+        await deployment.start()
+        seen = {node.address: [] for node in deployment.nodes}
+        for node in deployment.nodes:
+            node.instance.view.changes.subscribe(
+                lambda table, node=node: seen[node.address].append(
+                    table.version
+                )
+            )
+        stale = deployment.nodes[0]
+        stale.clock.pause()
+        for _ in range(3):
+            await _edit(deployment, deployment.nodes[1])
+            await deployment.wait(4000)
+        stale.clock.resume()
+        await deployment.wait(8000)
+        assert set(_list_versions(deployment.nodes)) == {4}
+        for versions in seen.values():
+            assert versions == sorted(versions)
+
+    testing.run_manual(scenario())
+
+
+def test_any_instance_tells_what_is_in_force_and_who_lags():
+    async def scenario():
+        deployment = testing.Deployment(instances=8)
+        await deployment.start()
+        for node in deployment.nodes:
+            fleet = await node.instance.propagator.fetch_fleet_version()
+            assert (fleet.version, fleet.instances) == (1, 8), node.address
+        lost = next(
+            node
+            for node in deployment.nodes
+            if node not in _list_pollers(deployment)
+        )
+        await lost.kill()
+        await deployment.wait(10_000)
+        fleet = await deployment.nodes[
+            deployment.nodes.index(lost) - 1
+        ].instance.propagator.fetch_fleet_version()
+        assert fleet.silent == [lost.instance.options.name]
+
+    testing.run_manual(scenario())
+
+
+def _make_entries(regions, zones, instances):
+    return [
+        membership.InstanceEntry(
+            instance=base.InstanceId(f"i{region}-{zone}-{number}"),
+            address=base.Address(f"127.0.0.1:{number + 1}"),
+            region=base.RegionName(f"r{region}"),
+            zone=base.ZoneName(f"r{region}-{zone}"),
+        )
+        for region in range(regions)
+        for zone in range(zones)
+        for number in range(instances)
+    ]
+
+
+@pytest.mark.parametrize(
+    ("regions", "instances", "expected"),
+    [(1, 5, 15), (10, 5, 15 + 9 * 9), (10, 50, 150 + 9 * 9)],
+)
+def test_the_list_kept_grows_with_the_region_not_the_fleet(
+    regions, instances, expected
+):
+    entries = _make_entries(regions, 3, instances)
+    kept = propagation.select_entries(entries, base.RegionName("r0"))
+    assert len(kept) == expected
--- a/tarragonhinge/settings/_loader.py
+++ b/tarragonhinge/settings/_loader.py
@@ -56,6 +56,8 @@
         Where it listens.
     table, instances : Address
         Where the platform's services are.
+    seeds : tuple of Address
+        Peers to ask while the list of instances cannot be had.
     platform_timeout_ms : int
         Bound on one call to the platform.
     timing : Timing
@@ -72,6 +74,7 @@
     operators: base.Address
     table: base.Address
     instances: base.Address
+    seeds: tuple[base.Address, ...] = ()
     platform_timeout_ms: int = 1000
     timing: shards.Timing = dataclasses.field(default_factory=shards.Timing)
     notice_ms: int = 3000
@@ -186,6 +189,7 @@
         operators=values["listen", "operators"],
         table=values["platform", "table"],
         instances=values["platform", "instances"],
+        seeds=values["platform", "seeds"],
         platform_timeout_ms=values["platform", "timeout_ms"],
         timing=timing,
         notice_ms=values["stop", "notice_ms"],
@@ -202,9 +206,11 @@
             section = spec.section
             lines += ["", f"[{section}]"] if lines else [f"[{section}]"]
         lines.append(f"# {spec.help}; {spec.allowed}")
-        example = spec.default or _EXAMPLES[section, spec.name]
+        example = spec.default
+        if example is None:
+            example = _EXAMPLES[section, spec.name]
         prefix = "" if spec.default is None else "# "
-        lines.append(f"{prefix}{spec.name} = {example}")
+        lines.append(f"{prefix}{spec.name} = {example}".rstrip())
     return "\n".join(lines) + "\n"
 
 
--- a/tarragonhinge/settings/_schema.py
+++ b/tarragonhinge/settings/_schema.py
@@ -48,6 +48,23 @@
     return base.Address(text)
 
 
+def parse_addresses(text: str) -> tuple[base.Address, ...]:
+    """Return addresses that are separated by commas.
+
+    Raises
+    ------
+    ValueError
+        If one is not an address.
+
+    Examples
+    --------
+    >>> parse_addresses("127.0.0.1:80, 127.0.0.1:81")
+    ('127.0.0.1:80', '127.0.0.1:81')
+    """
+    parts = [part.strip() for part in text.split(",")]
+    return tuple(parse_address(part) for part in parts if part)
+
+
 def parse_name(text: str) -> str:
     """Return a name of letters, digits, dots, dashes and underscores.
 
@@ -145,6 +162,14 @@
         allowed=_ADDRESS,
         help="the platform's list of instances",
     ),
+    SettingSpec(
+        section="platform",
+        name="seeds",
+        parse=parse_addresses,
+        allowed="addresses IP:PORT separated by commas",
+        default="",
+        help="peers to ask while the list of instances cannot be had",
+    ),
     SettingSpec(
         section="platform",
         name="timeout_ms",
--- a/tarragonhinge/testing/_loop.py
+++ b/tarragonhinge/testing/_loop.py
@@ -56,12 +56,19 @@
     loop.set_exception_handler(collect)
     try:
         result = loop.run_until_complete(coroutine)
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
-        gc.collect()
-        if failures:
-            raise failures[0]
-        return result
     finally:
+        _cancel_all(loop)
         loop.close()
+    gc.collect()
+    if failures:
+        raise failures[0]
+    return result
+
+
+def _cancel_all(loop: ManualLoop) -> None:
+    tasks = asyncio.all_tasks(loop)
+    for task in tasks:
+        task.cancel()
+    if tasks:
+        gathered = asyncio.gather(*tasks, return_exceptions=True)
+        loop.run_until_complete(gathered)
--- a/tarragonhinge/testing/_network.py
+++ b/tarragonhinge/testing/_network.py
@@ -1,6 +1,7 @@
 """Network in memory with delays, losses, duplicates and cuts."""
 
 import asyncio
+import collections
 import random
 
 import msgspec
@@ -42,6 +43,7 @@
         self.duplication = duplication
         self.rng = random.Random(seed)
         self.transports: dict[str, MemoryTransport] = {}
+        self.bytes_sent: collections.Counter[str] = collections.Counter()
         self._cuts: set[tuple[str, str]] = set()
 
     def cut(self, source: str, target: str) -> None:
@@ -135,6 +137,7 @@
     ) -> msgspec.Struct | None:
         """Carry a message and its reply; None if either is lost."""
         await self.clock.wait_running()
+        self.network.bytes_sent[self.address] += len(kind) + len(body)
         if not await self.network.carry(self.address, address):
             return await _wait_for_ever()
         target = self.network.transports.get(address)
@@ -144,9 +147,10 @@
         message = peers.decode_message(kind, body)
         reply = await target._handlers[type(message)](message)
         await target.clock.wait_running()
-        copy = peers.decode_message(
-            peers.get_kind(reply), peers.encode_message(reply)
-        )
+        kind = peers.get_kind(reply)
+        body = peers.encode_message(reply)
+        self.network.bytes_sent[address] += len(kind) + len(body)
+        copy = peers.decode_message(kind, body)
         if not await self.network.carry(address, self.address):
             return await _wait_for_ever()
         return copy
