Let only instances with the deployment's keys talk to each other

Anybody who reached the peers' address could have claimed to lead a shard. Sockets between instances now use CURVE with keys from a file named in the settings; strangers are refused and counted. Keys are rotated by three rolling restarts, in which an instance tries the other known key of a peer that has never answered it.

--- a/tarragonhinge/cli/_main.py
+++ b/tarragonhinge/cli/_main.py
@@ -9,6 +9,7 @@
 
 from tarragonhinge import base
 from tarragonhinge.cli import _operators
+from tarragonhinge import peers
 from tarragonhinge import settings
 
 #: Exit status for wrong settings, arguments or tables.
@@ -28,11 +29,22 @@
         print(settings.format_example(), end="")
 
 
+class KeyCommands:
+    """Commands on the keys between instances."""
+
+    def generate(self) -> None:
+        """Print a file with one fresh key pair."""
+        pair = peers.make_key_pair()
+        keys = peers.PeerKeys(pairs=(pair,))
+        print(peers.format_keys(keys), end="")
+
+
 class Commands:
     """Router for servers that own their keys exclusively."""
 
     def __init__(self) -> None:
         self.settings = SettingsCommands()
+        self.keys = KeyCommands()
 
     def serve(self, settings: str) -> None:  # noqa: A002
         """Run an instance with a settings file until it is stopped."""
--- a/tarragonhinge/daemon/_serve.py
+++ b/tarragonhinge/daemon/_serve.py
@@ -17,10 +17,13 @@
 
     The first signal starts a graceful stop, the second ends it.
     """
+    keys = None
+    if options.peer_keys:
+        keys = peers.load_keys(options.peer_keys)
     instance = _instance.Instance(
         options=options,
         platform=_platform.connect_platform(options),
-        transport=peers.ZmqTransport(address=options.peers),
+        transport=peers.ZmqTransport(address=options.peers, keys=keys),
     )
     listeners = _listeners.Listeners(instance=instance)
     signals: asyncio.Queue[signal.Signals] = asyncio.Queue()
--- a/tarragonhinge/peers/__init__.py
+++ b/tarragonhinge/peers/__init__.py
@@ -1,5 +1,11 @@
 """Messages between instances and the transport that carries them."""
 
+from tarragonhinge.peers._keys import format_keys
+from tarragonhinge.peers._keys import KeyFileError
+from tarragonhinge.peers._keys import KeyPair
+from tarragonhinge.peers._keys import load_keys
+from tarragonhinge.peers._keys import make_key_pair
+from tarragonhinge.peers._keys import PeerKeys
 from tarragonhinge.peers._message import decode_message
 from tarragonhinge.peers._message import encode_message
 from tarragonhinge.peers._message import get_kind
@@ -11,11 +17,17 @@
 
 __all__ = [
     "FailureReason",
+    "KeyFileError",
+    "KeyPair",
     "PeerFailure",
+    "PeerKeys",
     "PeerTransport",
     "ZmqTransport",
     "decode_message",
     "encode_message",
+    "format_keys",
     "get_kind",
+    "load_keys",
+    "make_key_pair",
     "register_message",
 ]
--- /dev/null
+++ b/tarragonhinge/peers/_security.py
@@ -0,0 +1,90 @@
+"""CURVE on the sockets between instances."""
+
+import asyncio
+
+import zmq
+import zmq.asyncio
+import zmq.auth.asyncio
+import zmq.utils.monitor
+
+from tarragonhinge.peers import _keys
+
+_FAILURES = (
+    zmq.EVENT_HANDSHAKE_FAILED_AUTH
+    | zmq.EVENT_HANDSHAKE_FAILED_NO_DETAIL
+    | zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL
+)
+
+
+class PeerGuard:
+    """Lets only instances with the deployment's keys connect.
+
+    Parameters
+    ----------
+    context : Context
+        Context of the listening socket.
+    keys : PeerKeys
+        The deployment's keys.
+    """
+
+    def __init__(
+        self, *, context: zmq.asyncio.Context, keys: _keys.PeerKeys
+    ) -> None:
+        self.refused_count = 0
+        self._context = context
+        self._keys = keys
+        self._authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = (
+            None
+        )
+        self._task: asyncio.Task | None = None
+
+    def protect(self, socket: zmq.asyncio.Socket) -> None:
+        """Require the deployment's keys on a socket before it is bound."""
+        authenticator = zmq.auth.asyncio.AsyncioAuthenticator(self._context)
+        authenticator.start()
+        authenticator.configure_curve_callback(credentials_provider=self)
+        self._authenticator = authenticator
+        pair = self._keys.pairs[0]
+        socket.curve_secretkey = pair.secret
+        socket.curve_publickey = pair.public
+        socket.curve_server = True
+        monitor = socket.get_monitor_socket(_FAILURES)
+        self._task = asyncio.create_task(self._count_failures(monitor))
+
+    def callback(self, domain: str, key: bytes) -> bool:
+        """Return whether a peer's public key, in Z85, is accepted."""
+        return self._keys.accepts(key)
+
+    async def _count_failures(self, monitor: zmq.asyncio.Socket) -> None:
+        while True:
+            await monitor.recv_multipart()
+            self.refused_count += 1
+
+    def stop(self) -> None:
+        """Stop checking keys."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._authenticator is not None:
+            self._authenticator.stop()
+
+
+def present_keys(
+    socket: zmq.asyncio.Socket, keys: _keys.PeerKeys, attempt: int
+) -> None:
+    """Set the keys on a socket before it connects.
+
+    Parameters
+    ----------
+    socket : Socket
+        The connecting socket.
+    keys : PeerKeys
+        The deployment's keys.
+    attempt : int
+        Each attempt expects the next of the deployment's keys at the
+        peer, which may be in the middle of a rotation.
+    """
+    own = keys.pairs[0]
+    expected = keys.pairs[attempt % len(keys.pairs)]
+    socket.curve_secretkey = own.secret
+    socket.curve_publickey = own.public
+    socket.curve_serverkey = expected.public
--- a/tarragonhinge/peers/_zmq.py
+++ b/tarragonhinge/peers/_zmq.py
@@ -1,6 +1,7 @@
 """Transport over ZeroMQ: a ROUTER socket, and a DEALER for each peer."""
 
 import asyncio
+import collections
 import itertools
 import struct
 
@@ -10,7 +11,9 @@
 import zmq.asyncio
 
 from tarragonhinge import base
+from tarragonhinge.peers import _keys
 from tarragonhinge.peers import _message
+from tarragonhinge.peers import _security
 from tarragonhinge.peers import _transport
 
 _REFUSED = b"refused"
@@ -29,8 +32,17 @@
 class _Link:
     """Connection to one peer with the calls that wait on it."""
 
-    def __init__(self, *, context: zmq.asyncio.Context, address: str) -> None:
+    def __init__(
+        self,
+        *,
+        context: zmq.asyncio.Context,
+        address: str,
+        keys: _keys.PeerKeys | None,
+        attempt: int,
+    ) -> None:
         self._socket = context.socket(zmq.DEALER)
+        if keys is not None:
+            _security.present_keys(self._socket, keys, attempt)
         self._socket.setsockopt(zmq.LINGER, 0)
         # Nothing may wait for a peer that is not connected: it would
         # arrive after its sender has given up on it.
@@ -42,6 +54,7 @@
         self._sequence = itertools.count(1)
         self._waiting: dict[int, asyncio.Future] = {}
         self.stray_replies = 0
+        self.answered = False
         self._task = asyncio.create_task(self._receive())
 
     async def call(
@@ -82,9 +95,15 @@
             if future is None or future.done():
                 self.stray_replies += 1
                 continue
+            self.answered = True
             future.set_result(_read_reply(frames[1], frames[2]))
 
+    def is_idle(self) -> bool:
+        """Return whether no call waits."""
+        return not self._waiting
+
     def close(self) -> None:
+        """Close the connection."""
         self._task.cancel()
         self._socket.close(0)
 
@@ -109,11 +128,18 @@
     ----------
     address : Address
         Where to listen.
+    keys : PeerKeys or None
+        The deployment's keys; without them anybody may connect.
     """
 
-    def __init__(self, *, address: base.Address) -> None:
+    def __init__(
+        self, *, address: base.Address, keys: _keys.PeerKeys | None = None
+    ) -> None:
         super().__init__(address=address)
         self._context = zmq.asyncio.Context()
+        self._keys = keys
+        self._guard: _security.PeerGuard | None = None
+        self._attempts: collections.Counter[str] = collections.Counter()
         self._router: zmq.asyncio.Socket | None = None
         self._links: dict[str, _Link] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -125,6 +151,11 @@
         self._router = self._context.socket(zmq.ROUTER)
         self._router.setsockopt(zmq.LINGER, 200)
         self._router.setsockopt(zmq.MAXMSGSIZE, FRAME_LIMIT_BYTES)
+        if self._keys is not None:
+            self._guard = _security.PeerGuard(
+                context=self._context, keys=self._keys
+            )
+            self._guard.protect(self._router)
         self._router.bind(f"tcp://{self.address}")
         self._server = asyncio.create_task(self._accept())
 
@@ -138,9 +169,31 @@
         """Send a message and return the peer's reply."""
         link = self._links.get(address)
         if link is None:
-            link = _Link(context=self._context, address=address)
+            link = _Link(
+                context=self._context,
+                address=address,
+                keys=self._keys,
+                attempt=self._attempts[address],
+            )
             self._links[address] = link
-        return await link.call(message, timeout_ms / base.MS_PER_S)
+        reply = await link.call(message, timeout_ms / base.MS_PER_S)
+        if isinstance(reply, _transport.PeerFailure):
+            self._try_next_key(address, link)
+        return reply
+
+    def _try_next_key(self, address: base.Address, link: _Link) -> None:
+        """Expect another key at a peer that has never answered."""
+        if self._keys is None or link.answered or not link.is_idle():
+            return
+        if self._links.get(address) is link:
+            del self._links[address]
+            self._attempts[address] += 1
+            link.close()
+
+    @property
+    def refused_count(self) -> int:
+        """Return how many connections were refused for their keys."""
+        return self._guard.refused_count if self._guard else 0
 
     async def stop(self) -> None:
         """Close all connections."""
@@ -150,7 +203,10 @@
             task.cancel()
         for link in self._links.values():
             link.close()
+        if self._guard is not None:
+            self._guard.stop()
         if self._router is not None:
+            self._router.disable_monitor()
             self._router.close()
         self._context.destroy(linger=200)
 
--- a/tarragonhinge/settings/_loader.py
+++ b/tarragonhinge/settings/_loader.py
@@ -56,6 +56,8 @@
         Where it listens.
     table, instances : Address
         Where the platform's services are.
+    peer_keys : str
+        File of the keys between instances; empty for none.
     seeds : tuple of Address
         Peers to ask while the list of instances cannot be had.
     platform_timeout_ms : int
@@ -74,6 +76,7 @@
     operators: base.Address
     table: base.Address
     instances: base.Address
+    peer_keys: str = ""
     seeds: tuple[base.Address, ...] = ()
     platform_timeout_ms: int = 1000
     timing: shards.Timing = dataclasses.field(default_factory=shards.Timing)
@@ -189,6 +192,7 @@
         operators=values["listen", "operators"],
         table=values["platform", "table"],
         instances=values["platform", "instances"],
+        peer_keys=values["security", "peer_keys"],
         seeds=values["platform", "seeds"],
         platform_timeout_ms=values["platform", "timeout_ms"],
         timing=timing,
--- a/tarragonhinge/settings/_schema.py
+++ b/tarragonhinge/settings/_schema.py
@@ -148,6 +148,14 @@
         allowed=_ADDRESS,
         help="where metrics, health and state are served",
     ),
+    SettingSpec(
+        section="security",
+        name="peer_keys",
+        parse=str,
+        allowed="a file made by 'tarragonhinge keys generate', or empty",
+        default="",
+        help="keys with which instances recognise each other; empty: none",
+    ),
     SettingSpec(
         section="platform",
         name="table",
