--- /dev/null
+++ b/benchmarks/neighbours.py
@@ -0,0 +1,43 @@
+"""Stand-ins in a process of their own, so that only the instance counts.
+
+Prints the addresses as one JSON line and runs until standard input is
+closed.  Started by ``benchmarks/slopes.py``.
+"""
+
+import asyncio
+import json
+import sys
+
+from tarragonhinge import base
+from tarragonhinge import daemon
+from tarragonhinge import demo
+from tarragonhinge import standins
+
+
+async def _serve(application) -> str:
+    address = demo.find_free_address("127.0.0.1")
+    await daemon.listen(application, address, shutdown_timeout_s=0.1)
+    return address
+
+
+async def run(servers: int) -> None:
+    """Serve a platform and a number of backend servers."""
+    platform = standins.StandinPlatform()
+    names = [base.ServerId(f"s{number}") for number in range(servers)]
+    addresses = {
+        "platform": await _serve(platform.make_application()),
+        "servers": [
+            await _serve(
+                standins.StandinServer(
+                    name=name, service_ms=0, slots=1000
+                ).make_application()
+            )
+            for name in names
+        ],
+    }
+    print(json.dumps(addresses), flush=True)
+    await asyncio.to_thread(sys.stdin.read)
+
+
+if __name__ == "__main__":
+    asyncio.run(run(int(sys.argv[1])))
