--- /dev/null
+++ b/tarragonhinge/configuration/_columns.py
@@ -0,0 +1,207 @@
+"""Columns of the operators' table: the source of all checks and docs."""
+
+from collections.abc import Callable
+import dataclasses
+
+from tarragonhinge.configuration import _cells
+from tarragonhinge.configuration import _row
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ColumnSpec:
+    """One column; each is the field of `ServiceRow` of the same name.
+
+    Parameters
+    ----------
+    name : str
+        Name in the header.
+    meaning : str
+        What it sets, in one line.
+    allowed : str
+        The allowed range, for messages and docs.
+    parse : callable
+        Turns a cell's text into the value; raises ValueError.
+    format : callable
+        Turns the value into the cell's text.
+    unit : str
+        Unit of the value.
+    required : bool
+        True if an empty cell is refused; else it means the default.
+    """
+
+    name: str
+    meaning: str
+    allowed: str
+    parse: Callable[[str], object]
+    format: Callable[[object], str] = str
+    unit: str = ""
+    required: bool = False
+
+    @property
+    def default(self) -> object:
+        """Return the value that an empty cell stands for."""
+        return getattr(_DEFAULTS, self.name)
+
+
+_DEFAULTS = _row.ServiceRow(service="")
+
+_NAME = "a name of letters, digits, '.', '-' and '_', 64 at most"
+
+
+def _make_int(
+    name: str, meaning: str, low: int, high: int, unit: str = ""
+) -> ColumnSpec:
+    return ColumnSpec(
+        name=name,
+        meaning=meaning,
+        allowed=f"a whole number from {low} to {high}",
+        parse=_cells.make_int_parser(low, high),
+        unit=unit,
+    )
+
+
+def _make_float(
+    name: str, meaning: str, high: float, unit: str = ""
+) -> ColumnSpec:
+    return ColumnSpec(
+        name=name,
+        meaning=meaning,
+        allowed=f"a number from 0 to {high}, with a decimal point",
+        parse=_cells.make_float_parser(0, high),
+        format=_cells.format_number,
+        unit=unit,
+    )
+
+
+def _make_names(name: str, meaning: str, **options: bool) -> ColumnSpec:
+    return ColumnSpec(
+        name=name,
+        meaning=meaning,
+        allowed=f"names separated by '{_cells.SEPARATOR}'",
+        parse=_cells.make_list_parser(_cells.parse_name),
+        format=_cells.make_list_format(str),
+        **options,
+    )
+
+
+def _make_name(name: str, meaning: str, **options: bool) -> ColumnSpec:
+    return ColumnSpec(
+        name=name,
+        meaning=meaning,
+        allowed=_NAME,
+        parse=_cells.parse_name,
+        **options,
+    )
+
+
+COLUMNS: tuple[ColumnSpec, ...] = (
+    _make_name(
+        "service", "first segment of the path of its requests", required=True
+    ),
+    ColumnSpec(
+        name="key_source",
+        meaning="where a request carries its key; none for no keys",
+        allowed=", ".join(source.value for source in _row.KeySource),
+        parse=_cells.parse_key_source,
+        format=lambda source: source.value,
+    ),
+    _make_name(
+        "key_name",
+        "number of the path segment after the service, or name of the "
+        "header or query parameter",
+    ),
+    _make_int(
+        "partitions", "partitions of the key space; fixed in use", 1, 65536
+    ),
+    _make_names(
+        "homes",
+        "regions that hold the partitions in turn; fixed in use",
+        required=True,
+    ),
+    ColumnSpec(
+        name="servers",
+        meaning="eligible backend servers, each with its share of load "
+        "as weight",
+        allowed="NAME@IP:PORT/REGION/ZONE*WEIGHT items separated by "
+        f"'{_cells.SEPARATOR}', weight "
+        f"{_cells.format_number(_cells.WEIGHT_MIN)} to "
+        f"{_cells.format_number(_cells.WEIGHT_MAX)}",
+        parse=_cells.make_list_parser(_cells.parse_server),
+        format=_cells.make_list_format(_cells.format_server),
+        required=True,
+    ),
+    _make_names(
+        "instances", "instances that may lead its shards; empty for all"
+    ),
+    ColumnSpec(
+        name="idempotent_methods",
+        meaning="methods that may be repeated",
+        allowed=f"methods in capitals separated by '{_cells.SEPARATOR}', "
+        f"or {_cells.NOTHING}",
+        parse=_cells.make_list_parser(_cells.parse_method, tuple),
+        format=_cells.make_list_format(str, empty=_cells.NOTHING),
+    ),
+    _make_int("slots", "requests that a server runs at once", 1, 10_000),
+    _make_int("connections", "connections that a server takes", 1, 100_000),
+    _make_int("queue", "requests that may wait for a server", 0, 100_000),
+    _make_float(
+        "rate",
+        "requests that the service admits; 0 for no limit",
+        1_000_000_000,
+        "requests/s",
+    ),
+    _make_int(
+        "concurrency",
+        "requests in flight at once; 0 for no limit",
+        0,
+        1_000_000_000,
+    ),
+    _make_int("priority", "class; lower is served first", 0, 9),
+    _make_int(
+        "deadline_ms",
+        "deadline of a request that states none",
+        1,
+        3_600_000,
+        "ms",
+    ),
+    _make_int("body_limit", "largest accepted body", 0, 1 << 30, "bytes"),
+    _make_int(
+        "cross_region_bytes",
+        "traffic to other regions; 0 for no limit",
+        0,
+        10**12,
+        "bytes/s",
+    ),
+    _make_float("retry_ratio", "retries allowed for each request", 10),
+    _make_name("dialect", "grant dialect of its servers"),
+    _make_name("planner", "policy that plans moves"),
+    _make_float(
+        "churn_weight",
+        "cost of moving a partition against a unit of imbalance",
+        1_000_000,
+    ),
+)
+
+COLUMN_NAMES = tuple(column.name for column in COLUMNS)
+
+
+def format_row(row: _row.ServiceRow) -> dict[str, str]:
+    """Return the cells of a row by column name."""
+    return {c.name: c.format(getattr(row, c.name)) for c in COLUMNS}
+
+
+def format_page() -> str:
+    """Return the table of columns for ``docs/TABLE.md``."""
+    lines = [
+        "| column | meaning | unit | default | range |",
+        "|---|---|---|---|---|",
+    ]
+    for column in COLUMNS:
+        default = "required"
+        if not column.required:
+            default = column.format(column.default) or "empty"
+        lines.append(
+            f"| `{column.name}` | {column.meaning} | {column.unit or '-'} "
+            f"| {default} | {column.allowed} |"
+        )
+    return "\n".join(lines) + "\n"
