Keep every version of the table, and settle racing edits

The whole table lay in one polled row without history. Each version is now an immutable object, stored before the small row that names it and the 16 latest edits; objects chain the history further back. Exactly one of racing edits is accepted, and the others get the cells that changed. An answer lost in an outage is reported as unresolved, never as accepted. A rollback is a new version.

--- a/tarragonhinge/configuration/__init__.py
+++ b/tarragonhinge/configuration/__init__.py
@@ -8,6 +8,20 @@
 from tarragonhinge.configuration._columns import ColumnSpec
 from tarragonhinge.configuration._columns import format_page
 from tarragonhinge.configuration._columns import format_row
+from tarragonhinge.configuration._diff import CellChange
+from tarragonhinge.configuration._diff import diff_rows
+from tarragonhinge.configuration._edit import Accepted
+from tarragonhinge.configuration._edit import EditConflict
+from tarragonhinge.configuration._edit import EditIdReused
+from tarragonhinge.configuration._edit import EditNote
+from tarragonhinge.configuration._edit import EditRefused
+from tarragonhinge.configuration._edit import EditResult
+from tarragonhinge.configuration._edit import EditSummary
+from tarragonhinge.configuration._edit import EditUnresolved
+from tarragonhinge.configuration._edit import make_edit_id
+from tarragonhinge.configuration._edit import Unchanged
+from tarragonhinge.configuration._editor import TableEditor
+from tarragonhinge.configuration._editor import VersionUnknown
 from tarragonhinge.configuration._poller import TablePoller
 from tarragonhinge.configuration._problem import CellProblem
 from tarragonhinge.configuration._problem import ProblemKind
@@ -18,26 +32,29 @@
 from tarragonhinge.configuration._sheet import format_csv
 from tarragonhinge.configuration._sheet import parse_cells
 from tarragonhinge.configuration._sheet import parse_csv
-from tarragonhinge.configuration._store import Accepted
 from tarragonhinge.configuration._store import ConfigurationStore
-from tarragonhinge.configuration._store import EditConflict
-from tarragonhinge.configuration._store import EditRefused
-from tarragonhinge.configuration._store import EditResult
 from tarragonhinge.configuration._store import TABLE_KEY
 from tarragonhinge.configuration._store import TableView
 from tarragonhinge.configuration._table import OperatorsTable
+from tarragonhinge.configuration._version import TableHead
+from tarragonhinge.configuration._version import VersionRecord
 
 __all__ = [
     "Accepted",
     "COLUMNS",
     "COLUMN_NAMES",
+    "CellChange",
     "CellProblem",
     "ColumnSpec",
     "ConfigurationStore",
     "EditConflict",
     "EditFlags",
+    "EditIdReused",
+    "EditNote",
     "EditRefused",
     "EditResult",
+    "EditSummary",
+    "EditUnresolved",
     "KeySource",
     "KnownNames",
     "OperatorsTable",
@@ -45,13 +62,20 @@
     "ServerEntry",
     "ServiceRow",
     "TABLE_KEY",
+    "TableEditor",
     "TableError",
+    "TableHead",
     "TablePoller",
     "TableView",
+    "Unchanged",
+    "VersionRecord",
+    "VersionUnknown",
     "check_table",
+    "diff_rows",
     "format_csv",
     "format_page",
     "format_row",
+    "make_edit_id",
     "parse_cells",
     "parse_csv",
 ]
--- /dev/null
+++ b/tarragonhinge/configuration/_editor.py
@@ -0,0 +1,137 @@
+"""Checks operators' edits and hands them to the store."""
+
+import collections
+
+from tarragonhinge import base
+from tarragonhinge.configuration import _check
+from tarragonhinge.configuration import _edit
+from tarragonhinge.configuration import _problem
+from tarragonhinge.configuration import _row
+from tarragonhinge.configuration import _store
+from tarragonhinge import stores
+
+
+class VersionUnknown(base.TarragonhingeError):
+    """The history has no such version."""
+
+
+class TableEditor:
+    """Accepts edits that pass all checks.
+
+    Parameters
+    ----------
+    store : ConfigurationStore
+        Where the table is kept.
+    known : KnownNames
+        Names that cells may give.
+
+    Attributes
+    ----------
+    results : Counter
+        How edits ended, by the name of the result's type.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: _store.ConfigurationStore,
+        known: _check.KnownNames,
+    ) -> None:
+        self.store = store
+        self.results: collections.Counter[str] = collections.Counter()
+        self._known = known
+
+    async def apply(
+        self,
+        rows: list[_row.ServiceRow],
+        *,
+        expected: base.TableVersion,
+        note: _edit.EditNote,
+        flags: _check.EditFlags | None = None,
+    ) -> _edit.EditResult:
+        """Check rows against the stored version and store them.
+
+        Raises
+        ------
+        TableError
+            With every problem that `flags` does not cover.
+        """
+        result = await self._apply(rows, expected, note, flags)
+        self.results[type(result).__name__] += 1
+        return result
+
+    async def _apply(
+        self,
+        rows: list[_row.ServiceRow],
+        expected: base.TableVersion,
+        note: _edit.EditNote,
+        flags: _check.EditFlags | None,
+    ) -> _edit.EditResult:
+        current = await self.store.load()
+        if isinstance(current, stores.Unavailable):
+            return _edit.EditRefused(retry_after_ms=_store.RETRY_MS)
+        if current.version == expected and rows != current.rows:
+            self._check_rows(rows, current.rows, flags)
+        return await self.store.apply_edit(rows, expected=expected, note=note)
+
+    async def check(
+        self,
+        rows: list[_row.ServiceRow],
+        *,
+        flags: _check.EditFlags | None = None,
+    ) -> base.TableVersion | stores.Unavailable:
+        """Check rows against the stored version and return that version.
+
+        Raises
+        ------
+        TableError
+            With every problem that `flags` does not cover.
+        """
+        current = await self.store.load()
+        if isinstance(current, stores.Unavailable):
+            return current
+        self._check_rows(rows, current.rows, flags)
+        return current.version
+
+    def _check_rows(
+        self,
+        rows: list[_row.ServiceRow],
+        current: list[_row.ServiceRow],
+        flags: _check.EditFlags | None,
+    ) -> None:
+        try:
+            _check.check_table(
+                rows, known=self._known, current=current, flags=flags
+            )
+        except _problem.TableError:
+            self.results["TableError"] += 1
+            raise
+
+    async def rollback(
+        self,
+        version: base.TableVersion,
+        *,
+        expected: base.TableVersion,
+        note: _edit.EditNote,
+        flags: _check.EditFlags | None = None,
+    ) -> _edit.EditResult:
+        """Store the content of an earlier version as a new one.
+
+        Raises
+        ------
+        VersionUnknown
+            If there is no such version.
+        TableError
+            If the old content is no longer acceptable.
+        """
+        record = await self.store.load_version(version)
+        if isinstance(record, stores.Unavailable):
+            return _edit.EditRefused(retry_after_ms=_store.RETRY_MS)
+        if record is None:
+            raise VersionUnknown(
+                problem=f"version={version} is not in the history",
+                remedy="choose one that the history lists",
+            )
+        return await self.apply(
+            record.rows, expected=expected, note=note, flags=flags
+        )
--- a/tarragonhinge/daemon/_instance.py
+++ b/tarragonhinge/daemon/_instance.py
@@ -70,7 +70,17 @@
             table=platform.table, clock=self.clock, rng=rng
         )
         self.store = configuration.ConfigurationStore(
-            table=platform.table, committer=committer
+            table=platform.table,
+            objects=platform.objects,
+            committer=committer,
+            clock=self.clock,
+        )
+        self.editor = configuration.TableEditor(
+            store=self.store,
+            known=configuration.KnownNames(
+                planners=frozenset(shards.PLANNERS.names()),
+                dialects=frozenset(servers.DIALECTS.names()),
+            ),
         )
         self.poller = configuration.TablePoller(
             store=self.store, view=self.view, clock=self.clock
--- a/tarragonhinge/testing/_deployment.py
+++ b/tarragonhinge/testing/_deployment.py
@@ -57,6 +57,7 @@
         number: int,
         network: _network.MemoryNetwork,
         table: stores.MemoryTable,
+        objects: stores.MemoryObjects,
         instances: _stores.MemoryInstanceList,
         pool: dict[base.ServerId, _servers.MemoryServer],
         timing: shards.Timing,
@@ -80,7 +81,7 @@
             options=options,
             platform=daemon.Platform(
                 table=self.table,
-                objects=stores.MemoryObjects(),
+                objects=objects,
                 instances=instances,
             ),
             transport=_network.MemoryTransport(
@@ -128,6 +129,7 @@
         self.row = row or make_row()
         self.network = network or _network.MemoryNetwork()
         self.table = stores.MemoryTable()
+        self.objects = stores.MemoryObjects()
         self.instance_list = _stores.MemoryInstanceList()
         self.servers = {
             entry.server: _servers.MemoryServer(
@@ -141,6 +143,7 @@
                 number=number,
                 network=self.network,
                 table=self.table,
+                objects=self.objects,
                 instances=self.instance_list,
                 pool=self.servers,
                 timing=timing or shards.Timing(),
