Serve the table on the operators' address

Edits could only be made from within a process. GET and PUT /table with ETag and If-Match, check, diff, history, rollback and the version in force are served now, in CSV or JSON, with typed answers: 428 without a version, 412 with what changed, 422 with the wrong cells, 503 with Retry-After in an outage. Tokens come from the file that [operators] token_file names; it is read at each check, so tokens change without a stop. Without it the table can only be read.

--- a/tarragonhinge/configuration/__init__.py
+++ b/tarragonhinge/configuration/__init__.py
@@ -33,6 +33,7 @@
 from tarragonhinge.configuration._sheet import parse_cells
 from tarragonhinge.configuration._sheet import parse_csv
 from tarragonhinge.configuration._store import ConfigurationStore
+from tarragonhinge.configuration._store import RETRY_MS
 from tarragonhinge.configuration._store import TABLE_KEY
 from tarragonhinge.configuration._store import TableView
 from tarragonhinge.configuration._table import OperatorsTable
@@ -61,6 +62,7 @@
     "ProblemKind",
     "ServerEntry",
     "ServiceRow",
+    "RETRY_MS",
     "TABLE_KEY",
     "TableEditor",
     "TableError",
--- a/tarragonhinge/configuration/_sheet.py
+++ b/tarragonhinge/configuration/_sheet.py
@@ -86,6 +86,8 @@
     """Return the rows that hold anything, with their numbers."""
     first = text.lstrip().split("\n", 1)[0]
     delimiter = max(_DELIMITERS, key=first.count)
+    # The library's own limit cuts off a cell of some 2,000 servers.
+    csv.field_size_limit(max(csv.field_size_limit(), len(text)))
     reader = csv.reader(
         io.StringIO(text, newline=""), delimiter=delimiter, strict=True
     )
--- a/tarragonhinge/daemon/_instance.py
+++ b/tarragonhinge/daemon/_instance.py
@@ -11,6 +11,7 @@
 from tarragonhinge.daemon import _platform
 from tarragonhinge import dispatch
 from tarragonhinge import membership
+from tarragonhinge import operators
 from tarragonhinge import peers
 from tarragonhinge import routing
 from tarragonhinge import servers
@@ -82,6 +83,7 @@
                 dialects=frozenset(servers.DIALECTS.names()),
             ),
         )
+        self.tokens = operators.TokenCheck(path=options.token_file)
         self.poller = configuration.TablePoller(
             store=self.store, view=self.view, clock=self.clock
         )
--- a/tarragonhinge/daemon/_listeners.py
+++ b/tarragonhinge/daemon/_listeners.py
@@ -70,6 +70,10 @@
             dump=instance.dump,
             is_ready=instance.is_ready,
             collector=collector,
+            table=operators.TableApi(
+                editor=instance.editor, view=instance.view
+            ),
+            tokens=instance.tokens,
         )
         callers_application = instance.front.make_application()
         self._runners = [
--- a/tarragonhinge/operators/__init__.py
+++ b/tarragonhinge/operators/__init__.py
@@ -1,7 +1,29 @@
-"""What operators see of an instance: health, metrics and state."""
+"""What operators see of an instance: health, metrics, state, table."""
 
 from tarragonhinge.operators._api import make_application
+from tarragonhinge.operators._api import TABLE_LIMIT_BYTES
+from tarragonhinge.operators._messages import EditAnswer
+from tarragonhinge.operators._messages import EditKind
+from tarragonhinge.operators._messages import HistoryDocument
+from tarragonhinge.operators._messages import InForceDocument
+from tarragonhinge.operators._messages import TableBody
+from tarragonhinge.operators._messages import TableDocument
 from tarragonhinge.operators._metrics import InstanceCollector
 from tarragonhinge.operators._metrics import render_metrics
+from tarragonhinge.operators._table import TableApi
+from tarragonhinge.operators._token import TokenCheck
 
-__all__ = ["InstanceCollector", "make_application", "render_metrics"]
+__all__ = [
+    "TABLE_LIMIT_BYTES",
+    "EditAnswer",
+    "EditKind",
+    "HistoryDocument",
+    "InForceDocument",
+    "InstanceCollector",
+    "TableApi",
+    "TableBody",
+    "TableDocument",
+    "TokenCheck",
+    "make_application",
+    "render_metrics",
+]
--- a/tarragonhinge/operators/_api.py
+++ b/tarragonhinge/operators/_api.py
@@ -6,6 +6,11 @@
 import msgspec
 
 from tarragonhinge.operators import _metrics
+from tarragonhinge.operators import _table
+from tarragonhinge.operators import _token
+
+#: Largest accepted table, in bytes.
+TABLE_LIMIT_BYTES = 8 * 1024 * 1024
 
 
 def make_application(
@@ -13,6 +18,8 @@
     dump: Callable[[], dict],
     is_ready: Callable[[], bool],
     collector: _metrics.InstanceCollector,
+    table: _table.TableApi | None = None,
+    tokens: _token.TokenCheck | None = None,
 ) -> web.Application:
     """Return the application on the operators' address.
 
@@ -24,6 +31,10 @@
         Tells whether callers should be sent here.
     collector : InstanceCollector
         Source of the metrics.
+    table : TableApi or None
+        Serves the operators' table.
+    tokens : TokenCheck or None
+        Who may read and edit; without tokens nobody may edit.
     """
 
     async def show_live(request: web.Request) -> web.Response:
@@ -42,9 +53,15 @@
         body = _metrics.render_metrics(collector)
         return web.Response(body=body, content_type="text/plain")
 
-    application = web.Application()
+    check = tokens or _token.TokenCheck()
+    application = web.Application(
+        middlewares=[_token.make_middleware(check)],
+        client_max_size=TABLE_LIMIT_BYTES,
+    )
     application.router.add_get("/healthz", show_live)
     application.router.add_get("/readyz", show_ready)
     application.router.add_get("/state", show_state)
     application.router.add_get("/metrics", show_metrics)
+    if table is not None:
+        table.add_routes(application.router)
     return application
--- /dev/null
+++ b/tarragonhinge/operators/_table.py
@@ -0,0 +1,251 @@
+"""The operators' table over HTTP."""
+
+from collections.abc import Mapping
+
+from aiohttp import web
+import msgspec
+
+from tarragonhinge import base
+from tarragonhinge import configuration
+from tarragonhinge.operators import _answers
+from tarragonhinge.operators import _messages
+from tarragonhinge import stores
+
+HISTORY_LIMIT = 1000
+
+_CSV = "text/csv"
+_JSON = "application/json"
+
+_ERROR_STATUS = {
+    configuration.TableError: 422,
+    configuration.EditIdReused: 409,
+    configuration.VersionUnknown: 404,
+    base.ParameterError: 400,
+}
+
+
+class TableApi:
+    """Handlers under ``/table``.
+
+    Parameters
+    ----------
+    editor : TableEditor
+        Takes edits.
+    view : TableView
+        What is in force on this instance.
+    """
+
+    def __init__(
+        self,
+        *,
+        editor: configuration.TableEditor,
+        view: configuration.TableView,
+    ) -> None:
+        self._editor = editor
+        self._view = view
+
+    def add_routes(self, router: web.UrlDispatcher) -> None:
+        """Add the handlers to an application."""
+        router.add_get("/table", self.show)
+        router.add_put("/table", _report(self.replace))
+        router.add_post("/table/check", _report(self.check))
+        router.add_post("/table/diff", _report(self.compare))
+        router.add_post("/table/rollback", _report(self.roll_back))
+        router.add_get("/table/history", self.show_history)
+        router.add_get("/table/in-force", self.show_in_force)
+
+    # Reading -------------------------------------------------------------
+
+    async def show(self, request: web.Request) -> web.Response:
+        """Return the stored table, or the one in force in an outage."""
+        table = await self._load(request.query.get("version"))
+        if table is None:
+            return web.Response(status=404, text="no such version\n")
+        stored = not isinstance(table, stores.Unavailable)
+        if isinstance(table, stores.Unavailable):
+            table = self._view.current
+        etag = _answers.make_etag(table.version)
+        headers = {"ETag": etag, "Vary": "Accept"}
+        if request.headers.get("If-None-Match") == etag:
+            return web.Response(status=304, headers=headers)
+        if _JSON not in request.headers.get("Accept", ""):
+            text = configuration.format_csv(table.rows)
+            return web.Response(text=text, content_type=_CSV, headers=headers)
+        document = _messages.TableDocument(
+            version=table.version,
+            stored=stored,
+            columns=configuration.COLUMN_NAMES,
+            rows=[configuration.format_row(row) for row in table.rows],
+        )
+        return _answers.make_json(document, headers=headers)
+
+    async def _load(
+        self, version: str | None
+    ) -> configuration.OperatorsTable | None | stores.Unavailable:
+        store = self._editor.store
+        if version is None:
+            return await store.load()
+        if not version.isdecimal():
+            return None
+        record = await store.load_version(base.TableVersion(int(version)))
+        if isinstance(record, configuration.VersionRecord):
+            return record.make_table()
+        return record
+
+    async def show_history(self, request: web.Request) -> web.Response:
+        """Return the accepted edits, the newest first."""
+        text = request.query.get("limit", "100")
+        limit = int(text) if text.isdecimal() else 0
+        if not 1 <= limit <= HISTORY_LIMIT:
+            return web.Response(
+                status=400,
+                text=f"limit={text!r} is wrong; give 1 to {HISTORY_LIMIT}\n",
+            )
+        edits = await self._editor.store.load_history(limit=limit)
+        if isinstance(edits, stores.Unavailable):
+            return _refuse()
+        return _answers.make_json(_messages.HistoryDocument(edits=edits))
+
+    async def show_in_force(self, request: web.Request) -> web.Response:
+        """Return the versions that this instance knows."""
+        head = await self._editor.store.load_head()
+        stored = None
+        if not isinstance(head, stores.Unavailable):
+            stored = head.latest.version if head else base.TableVersion(0)
+        document = _messages.InForceDocument(
+            in_force=self._view.current.version, stored=stored
+        )
+        return _answers.make_json(document)
+
+    # Editing -------------------------------------------------------------
+
+    async def replace(self, request: web.Request) -> web.Response:
+        """Store the body as the next version."""
+        expected = _read_expected(request)
+        if expected is None:
+            return _require_version()
+        rows = await _read_rows(request)
+        note = _read_note(request.query)
+        result = await self._editor.apply(
+            rows,
+            expected=expected,
+            note=note,
+            flags=_read_flags(request.query),
+        )
+        return _answers.make_result_response(result, note.edit_id)
+
+    async def roll_back(self, request: web.Request) -> web.Response:
+        """Store the content of an earlier version as the next one."""
+        expected = _read_expected(request)
+        if expected is None:
+            return _require_version()
+        text = request.query.get("to", "")
+        if not text.isdecimal():
+            raise base.ParameterError(
+                problem=f"to={text!r} is no version",
+                remedy="give a version that /table/history lists",
+            )
+        note = _read_note(request.query)
+        result = await self._editor.rollback(
+            base.TableVersion(int(text)),
+            expected=expected,
+            note=note,
+            flags=_read_flags(request.query),
+        )
+        return _answers.make_result_response(result, note.edit_id)
+
+    async def check(self, request: web.Request) -> web.Response:
+        """Check the body as an edit, and store nothing."""
+        rows = await _read_rows(request)
+        flags = _read_flags(request.query)
+        checked = await self._editor.check(rows, flags=flags)
+        if isinstance(checked, stores.Unavailable):
+            return _refuse()
+        return await self._compare(rows)
+
+    async def compare(self, request: web.Request) -> web.Response:
+        """Return what the body changes in the stored table."""
+        return await self._compare(await _read_rows(request))
+
+    async def _compare(
+        self, rows: list[configuration.ServiceRow]
+    ) -> web.Response:
+        current = await self._editor.store.load()
+        if isinstance(current, stores.Unavailable):
+            return _refuse()
+        answer = _messages.EditAnswer(
+            kind=_messages.EditKind.CHECKED,
+            message=f"compared with version {current.version}",
+            version=current.version,
+            changes=list(configuration.diff_rows(current.rows, rows)),
+        )
+        return _answers.make_json(answer)
+
+
+def _report(handler):  # noqa: ANN001, ANN202
+    """Turn a handler's typed errors into answers."""
+
+    async def handle(request: web.Request) -> web.Response:
+        try:
+            return await handler(request)
+        except tuple(_ERROR_STATUS) as error:
+            return _answers.make_error_response(
+                error, _ERROR_STATUS[type(error)]
+            )
+
+    return handle
+
+
+async def _read_rows(
+    request: web.Request,
+) -> list[configuration.ServiceRow]:
+    body = await request.read()
+    if request.content_type != _JSON:
+        return configuration.parse_csv(body)
+    try:
+        message = msgspec.json.decode(body, type=_messages.TableBody)
+    except msgspec.DecodeError as error:
+        raise base.ParameterError(
+            problem=f"the body is no table: {error}",
+            remedy='send {"rows": [{COLUMN: TEXT}]} as GET /table gives them',
+        ) from error
+    return configuration.parse_cells(message.rows)
+
+
+def _read_expected(request: web.Request) -> base.TableVersion | None:
+    """Return the version in If-Match, or None without a usable one."""
+    text = request.headers.get("If-Match", "").strip()
+    if len(text) < 3 or text[0] != '"' or text[-1] != '"':
+        return None
+    if not text[1:-1].isdecimal() or len(text) > 20:
+        return None
+    return base.TableVersion(int(text[1:-1]))
+
+
+def _read_note(query: Mapping[str, str]) -> configuration.EditNote:
+    return configuration.EditNote(
+        edit_id=query.get("edit_id") or configuration.make_edit_id(),
+        reason=query.get("reason", ""),
+        who=query.get("who", ""),
+    )
+
+
+def _read_flags(query: Mapping[str, str]) -> configuration.EditFlags:
+    return configuration.EditFlags(
+        allow_stranding=query.get("allow_stranding") == "1",
+        allow_over_limit=query.get("allow_over_limit") == "1",
+    )
+
+
+def _require_version() -> web.Response:
+    answer = _messages.EditAnswer(
+        kind=_messages.EditKind.WRONG,
+        message="If-Match is missing or names no version; send the ETag "
+        "that GET /table gave, in quotes",
+    )
+    return _answers.make_json(answer, status=428)
+
+
+def _refuse() -> web.Response:
+    refused = configuration.EditRefused(retry_after_ms=configuration.RETRY_MS)
+    return _answers.make_result_response(refused, "")
--- a/tarragonhinge/settings/_loader.py
+++ b/tarragonhinge/settings/_loader.py
@@ -62,6 +62,8 @@
         Durations of leases and heartbeats.
     notice_ms, limit_ms : int
         Durations of a graceful stop.
+    token_file : str
+        File of operators' tokens; empty if there is none.
     """
 
     name: base.InstanceId
@@ -76,6 +78,7 @@
     timing: shards.Timing = dataclasses.field(default_factory=shards.Timing)
     notice_ms: int = 3000
     limit_ms: int = 30_000
+    token_file: str = ""
 
 
 def load_settings(path: str) -> Settings:
@@ -190,6 +193,7 @@
         timing=timing,
         notice_ms=values["stop", "notice_ms"],
         limit_ms=values["stop", "limit_ms"],
+        token_file=values["operators", "token_file"],
     )
 
 
@@ -202,9 +206,11 @@
             section = spec.section
             lines += ["", f"[{section}]"] if lines else [f"[{section}]"]
         lines.append(f"# {spec.help}; {spec.allowed}")
-        example = spec.default or _EXAMPLES[section, spec.name]
+        example = spec.default
+        if example is None:
+            example = _EXAMPLES[section, spec.name]
         prefix = "" if spec.default is None else "# "
-        lines.append(f"{prefix}{spec.name} = {example}")
+        lines.append(f"{prefix}{spec.name} = {example}".rstrip())
     return "\n".join(lines) + "\n"
 
 
--- a/tarragonhinge/settings/_schema.py
+++ b/tarragonhinge/settings/_schema.py
@@ -7,6 +7,10 @@
 from tarragonhinge import base
 
 
+#: Shortest accepted token, in characters.
+TOKEN_MIN_LENGTH = 16
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SettingSpec:
     """One entry of the file.
@@ -61,6 +65,26 @@
     return text
 
 
+def parse_token_file(text: str) -> str:
+    """Return the path of a file of tokens, or an empty one.
+
+    Raises
+    ------
+    ValueError
+        If the file is out of reach or holds a token that is too short.
+    """
+    if not text:
+        return text
+    try:
+        with open(text, encoding="utf-8") as stream:
+            tokens = stream.read().split()
+    except OSError as error:
+        raise ValueError(text) from error
+    if not tokens or min(map(len, tokens)) < TOKEN_MIN_LENGTH:
+        raise ValueError(text)
+    return text
+
+
 def make_range_parser(low: int, high: int) -> Callable[[str], int]:
     """Return a parser of whole numbers in ``[low, high]``."""
 
@@ -166,6 +190,15 @@
         30_000,
         "authority during an outage of the table service",
     ),
+    SettingSpec(
+        section="operators",
+        name="token_file",
+        parse=parse_token_file,
+        allowed="a readable file with one token a line, each of "
+        f"{TOKEN_MIN_LENGTH} characters or more; empty forbids edits",
+        default="",
+        help="tokens for the operators' address",
+    ),
     SettingSpec(
         section="stop",
         name="notice_ms",
--- a/tarragonhinge/settings/tests/test_loader.py
+++ b/tarragonhinge/settings/tests/test_loader.py
@@ -30,6 +30,14 @@
             [("# heartbeat_ms", "heartbeat_ms = 900")],
             [("timing", "heartbeat_ms")],
         ),
+        (
+            [("# token_file", "token_file = /missing/tokens")],
+            [("operators", "token_file")],
+        ),
+        (
+            [("# token_file", "token_file = /dev/null")],
+            [("operators", "token_file")],
+        ),
         ([("zone =", "zone = a\nzon = b")], [("instance", "zon")]),
         (
             [("name =", ""), ("region =", "region = a b")],
