Add the table's commands

export, check, diff, apply, history, rollback and in-force work against any instance's operators' address, with CSV on standard output and input. Exit status 2 means wrong cells or arguments, 3 a lost race, 4 an outage.

--- a/tarragonhinge/cli/_main.py
+++ b/tarragonhinge/cli/_main.py
@@ -8,12 +8,11 @@
 import fire
 
 from tarragonhinge import base
+from tarragonhinge.cli import _errors
 from tarragonhinge.cli import _operators
+from tarragonhinge.cli import _table
 from tarragonhinge import settings
 
-#: Exit status for wrong settings, arguments or tables.
-EXIT_USAGE = 2
-
 
 class SettingsCommands:
     """Commands on settings files."""
@@ -33,6 +32,7 @@
 
     def __init__(self) -> None:
         self.settings = SettingsCommands()
+        self.table = _table.TableCommands()
 
     def serve(self, settings: str) -> None:  # noqa: A002
         """Run an instance with a settings file until it is stopped."""
@@ -44,9 +44,10 @@
 
         sys.exit(asyncio.run(demo.run_demo(kill_leader=kill == "leader")))
 
-    def dump(self, address: str) -> None:
+    def dump(self, address: str, token_file: str = "") -> None:
         """Print the state of a running instance as JSON."""
-        print(asyncio.run(_operators.fetch_state(str(address))), end="")
+        state = _operators.fetch_state(str(address), str(token_file))
+        print(asyncio.run(state), end="")
 
 
 def _serve(path: str) -> None:
@@ -65,4 +66,4 @@
         fire.Fire(Commands(), name="tarragonhinge")
     except base.TarragonhingeError as error:
         print(f"tarragonhinge: {error}", file=sys.stderr)
-        sys.exit(EXIT_USAGE)
+        sys.exit(getattr(error, "exit_status", _errors.EXIT_USAGE))
--- /dev/null
+++ b/tarragonhinge/cli/_table.py
@@ -0,0 +1,238 @@
+"""Commands on the operators' table."""
+
+import asyncio
+import datetime
+import getpass
+import sys
+
+from fire import decorators
+import msgspec
+
+from tarragonhinge import base
+from tarragonhinge.cli import _errors
+from tarragonhinge.cli import _operators
+from tarragonhinge import configuration
+from tarragonhinge import operators
+
+#: Takes an argument as it stands; fire would read "a,b" as a tuple.
+_verbatim = decorators.SetParseFn(
+    str, "address", "token_file", "reason", "who", "edit_id"
+)
+
+
+class TableCommands:
+    """Commands on the operators' table; CSV comes from standard input."""
+
+    @_verbatim
+    def export(
+        self, address: str, token_file: str = "", version: str = ""
+    ) -> None:
+        """Print the stored table, or an earlier version, as CSV."""
+        query = {}
+        if version != "":
+            number = _operators.parse_version("version", version)
+            query["version"] = str(number)
+        reply = _call(address, token_file, "GET", "/table", query=query)
+        sys.stdout.buffer.write(reply.body)
+        number = reply.etag.strip('"')
+        print(
+            f"version {number}: apply edits of it with "
+            f"--expect-version={number}",
+            file=sys.stderr,
+        )
+
+    @_verbatim
+    def check(
+        self,
+        address: str,
+        token_file: str = "",
+        allow_stranding: bool = False,
+        allow_over_limit: bool = False,
+    ) -> None:
+        """Check an edited table and store nothing."""
+        query = _make_flags(allow_stranding, allow_over_limit)
+        answer = _send(
+            address, token_file, "POST", "/table/check", query=query
+        )
+        print(f"acceptable as an edit of version {answer.version}")
+
+    @_verbatim
+    def diff(self, address: str, token_file: str = "") -> None:
+        """Print what an edited table changes in the stored one."""
+        answer = _send(address, token_file, "POST", "/table/diff")
+        for change in answer.changes:
+            print(change)
+        print(f"{len(answer.changes)} cells differ", file=sys.stderr)
+
+    @_verbatim
+    def apply(
+        self,
+        address: str,
+        expect_version: int,
+        reason: str,
+        token_file: str = "",
+        who: str = "",
+        edit_id: str = "",
+        allow_stranding: bool = False,
+        allow_over_limit: bool = False,
+    ) -> None:
+        """Store an edited table as the version after the expected one."""
+        expected = _operators.parse_version("expect-version", expect_version)
+        query = _make_flags(allow_stranding, allow_over_limit)
+        query |= _make_note(reason, who, edit_id)
+        answer = _send(
+            address,
+            token_file,
+            "PUT",
+            "/table",
+            query=query,
+            headers={"If-Match": f'"{expected}"'},
+        )
+        print(answer.message)
+
+    @_verbatim
+    def rollback(
+        self,
+        address: str,
+        to: int,
+        expect_version: int,
+        reason: str,
+        token_file: str = "",
+        who: str = "",
+        edit_id: str = "",
+        allow_stranding: bool = False,
+        allow_over_limit: bool = False,
+    ) -> None:
+        """Store the content of an earlier version as a new version."""
+        expected = _operators.parse_version("expect-version", expect_version)
+        query = _make_flags(allow_stranding, allow_over_limit)
+        query |= _make_note(reason, who, edit_id)
+        query["to"] = str(_operators.parse_version("to", to))
+        answer = _send(
+            address,
+            token_file,
+            "POST",
+            "/table/rollback",
+            query=query,
+            headers={"If-Match": f'"{expected}"'},
+            body=b"",
+        )
+        print(answer.message)
+
+    @_verbatim
+    def history(
+        self, address: str, token_file: str = "", limit: int = 20
+    ) -> None:
+        """List accepted edits, the newest first."""
+        query = {"limit": str(limit)}
+        reply = _call(
+            address, token_file, "GET", "/table/history", query=query
+        )
+        document = msgspec.json.decode(
+            reply.body, type=operators.HistoryDocument
+        )
+        for edit in document.edits:
+            print(_format_edit(edit))
+
+    @_verbatim
+    def in_force(self, address: str, token_file: str = "") -> None:
+        """Print the version in force on the instance and the stored one."""
+        reply = _call(address, token_file, "GET", "/table/in-force")
+        document = msgspec.json.decode(
+            reply.body, type=operators.InForceDocument
+        )
+        stored = document.stored
+        if stored is None:
+            stored = "out of reach"
+        print(f"in force: {document.in_force}; stored: {stored}")
+
+
+def _format_edit(edit: configuration.EditSummary) -> str:
+    at = datetime.datetime.fromtimestamp(
+        edit.at_ms / base.MS_PER_S, tz=datetime.UTC
+    )
+    note = edit.note
+    return (
+        f"version={edit.version} at={at.isoformat(timespec='seconds')} "
+        f"who={note.who!r} edit_id={note.edit_id} reason={note.reason!r}"
+    )
+
+
+def _make_flags(allow_stranding: bool, allow_over_limit: bool) -> dict:
+    return {
+        "allow_stranding": str(int(bool(allow_stranding))),
+        "allow_over_limit": str(int(bool(allow_over_limit))),
+    }
+
+
+def _make_note(reason: str, who: str, edit_id: str) -> dict[str, str]:
+    edit_id = edit_id or configuration.make_edit_id()
+    print(f"edit id {edit_id}", file=sys.stderr)
+    who = who or getpass.getuser()
+    return {"reason": reason, "who": who, "edit_id": edit_id}
+
+
+def _call(
+    address: str, token_file: str, method: str, path: str, **options
+) -> _operators.Reply:
+    """Return an answer that has no problems."""
+    client = _operators.OperatorsClient(address=address, token_file=token_file)
+    reply = asyncio.run(client.call(method, path, **options))
+    if reply.status != 200:
+        _raise_problem(reply)
+    return reply
+
+
+def _send(
+    address: str,
+    token_file: str,
+    method: str,
+    path: str,
+    *,
+    body: bytes | None = None,
+    **options,
+) -> operators.EditAnswer:
+    """Send the table in standard input and return the answer."""
+    if body is None:
+        body = sys.stdin.buffer.read()
+    headers = {"Content-Type": "text/csv", **options.pop("headers", {})}
+    reply = _call(
+        address,
+        token_file,
+        method,
+        path,
+        body=body,
+        headers=headers,
+        **options,
+    )
+    return msgspec.json.decode(reply.body, type=operators.EditAnswer)
+
+
+def _raise_problem(reply: _operators.Reply) -> None:
+    try:
+        answer = msgspec.json.decode(reply.body, type=operators.EditAnswer)
+    except msgspec.DecodeError as error:
+        text = reply.body.decode(errors="replace").strip()
+        raise _errors.CallError(
+            problem=f"status {reply.status}: {text}",
+            remedy="correct the arguments",
+        ) from error
+    if answer.kind is operators.EditKind.CONFLICT:
+        changes = "\n".join(str(change) for change in answer.changes)
+        raise _errors.ConflictError(
+            problem=f"{answer.message}\n{changes}",
+            remedy="export it, make your edit again and apply it with "
+            f"--expect-version={answer.version}",
+        )
+    if answer.kind in (
+        operators.EditKind.REFUSED,
+        operators.EditKind.UNRESOLVED,
+    ):
+        raise _errors.OutageError(
+            problem=answer.message,
+            remedy="routing goes on with the version in force",
+        )
+    raise _errors.CommandError(
+        problem=answer.message or f"status {reply.status}",
+        remedy="nothing was stored",
+    )
