--- a/tarragonhinge/operators/_api.py
+++ b/tarragonhinge/operators/_api.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from tarragonhinge.operators import _metrics
+from tarragonhinge.operators import _page
 from tarragonhinge.operators import _table
 from tarragonhinge.operators import _token
 
@@ -64,4 +65,5 @@
     application.router.add_get("/metrics", show_metrics)
     if table is not None:
         table.add_routes(application.router)
+        _page.add_page(application.router)
     return application
