Give metrics a typed catalogue, with imbalance, churn and unavailable time

Samples were tuples, and no list told what there is. The state dump gives the limits in force, and a test holds it free of keys and bodies.

--- a/tarragonhinge/configuration/__init__.py
+++ b/tarragonhinge/configuration/__init__.py
@@ -6,6 +6,7 @@
 from tarragonhinge.configuration._columns import COLUMN_NAMES
 from tarragonhinge.configuration._columns import COLUMNS
 from tarragonhinge.configuration._columns import ColumnSpec
+from tarragonhinge.configuration._columns import format_limits
 from tarragonhinge.configuration._columns import format_page
 from tarragonhinge.configuration._columns import format_row
 from tarragonhinge.configuration._diff import CellChange
@@ -75,6 +76,7 @@
     "check_table",
     "diff_rows",
     "format_csv",
+    "format_limits",
     "format_page",
     "format_row",
     "make_edit_id",
--- a/tarragonhinge/configuration/_columns.py
+++ b/tarragonhinge/configuration/_columns.py
@@ -184,12 +184,32 @@
 
 COLUMN_NAMES = tuple(column.name for column in COLUMNS)
 
+#: Columns that bound the load of a service.
+LIMIT_NAMES = (
+    "slots",
+    "connections",
+    "queue",
+    "rate",
+    "concurrency",
+    "priority",
+    "deadline_ms",
+    "body_limit",
+    "cross_region_bytes",
+    "retry_ratio",
+)
+
 
 def format_row(row: _row.ServiceRow) -> dict[str, str]:
     """Return the cells of a row by column name."""
     return {c.name: c.format(getattr(row, c.name)) for c in COLUMNS}
 
 
+def format_limits(row: _row.ServiceRow) -> dict[str, str]:
+    """Return the cells of a row that bound its load."""
+    cells = format_row(row)
+    return {name: cells[name] for name in LIMIT_NAMES}
+
+
 def format_page() -> str:
     """Return the table of columns for ``docs/TABLE.md``."""
     lines = [
--- a/tarragonhinge/configuration/_editor.py
+++ b/tarragonhinge/configuration/_editor.py
@@ -31,6 +31,16 @@
         How edits ended, by the name of the result's type.
     """
 
+    #: Names that `results` may hold.
+    RESULTS = (
+        _edit.Accepted.__name__,
+        _edit.Unchanged.__name__,
+        _edit.EditConflict.__name__,
+        _edit.EditRefused.__name__,
+        _edit.EditUnresolved.__name__,
+        _problem.TableError.__name__,
+    )
+
     def __init__(
         self,
         *,
--- a/tarragonhinge/daemon/_instance.py
+++ b/tarragonhinge/daemon/_instance.py
@@ -9,6 +9,8 @@
 from tarragonhinge import base
 from tarragonhinge import configuration
 from tarragonhinge.daemon import _platform
+from tarragonhinge.daemon import _samples
+from tarragonhinge.daemon import _unserved
 from tarragonhinge import dispatch
 from tarragonhinge import membership
 from tarragonhinge import operators
@@ -105,6 +107,9 @@
             clock=self.clock,
             timing=options.timing,
         )
+        self.unserved = _unserved.UnservedMeter(
+            coordinator=self.coordinator, clock=self.clock
+        )
         self.dispatcher = dispatch.Dispatcher(
             coordinator=self.coordinator,
             transport=transport,
@@ -138,6 +143,7 @@
         self._tasks = [
             asyncio.create_task(self.poller.run()),
             asyncio.create_task(self._follow_list()),
+            asyncio.create_task(self.unserved.run()),
         ]
         self.coordinator.start()
         self.state = membership.InstanceState.READY
@@ -199,6 +205,7 @@
             "state": self.state.value,
             "ready": self.is_ready(),
             "table_version": self.view.current.version,
+            "limits": self._list_limits(),
             "leads": {n: leader.dump() for n, leader in leaders.items()},
             "stands_by": sorted(self.coordinator.standbys),
             "dispatch": self.dispatcher.dump(),
@@ -206,45 +213,17 @@
             "in_flight": self.front.in_flight,
         }
 
-    def read_samples(self) -> list:
+    def _list_limits(self) -> dict[str, dict[str, str]]:
+        """Return the limits of services that have keys in this region."""
+        return {
+            row.service: configuration.format_limits(row)
+            for row in self.view.current.rows
+            if self.options.region in row.homes
+        }
+
+    def read_samples(self) -> list[operators.Sample]:
         """Return the samples of all metrics."""
-        samples = [
-            (
-                "tarragonhinge_table_version",
-                "Version of the operators' table in force.",
-                "gauge",
-                {},
-                self.view.current.version,
-            ),
-            (
-                "tarragonhinge_redirects",
-                "Requests sent on to another leader.",
-                "counter",
-                {},
-                self.entry.counts.redirects,
-            ),
-        ]
-        for outcome, count in self.front.outcomes.items():
-            samples.append(
-                (
-                    "tarragonhinge_requests",
-                    "Requests of callers by outcome.",
-                    "counter",
-                    {"outcome": outcome},
-                    count,
-                )
-            )
-        for shard, leader in self.coordinator.leaders.items():
-            samples.append(
-                (
-                    "tarragonhinge_partitions_assigned",
-                    "Partitions that were given an owner.",
-                    "counter",
-                    {"shard": shard},
-                    leader.owners.moved_count,
-                )
-            )
-        return samples
+        return _samples.read_samples(self)
 
 
 def make_http_client(
--- /dev/null
+++ b/tarragonhinge/daemon/tests/test_samples.py
@@ -0,0 +1,106 @@
+"""The metrics that an instance gives, and what its dump keeps to itself."""
+
+import msgspec
+import pytest
+
+from tarragonhinge import base
+from tarragonhinge import operators
+from tarragonhinge import testing
+
+KEY = "certificate-4711"
+IDEMPOTENCY_KEY = "019b76da-a800-7000-8000-000000004711"
+SHARD = "balances/centro"
+
+
+def _collect(node):
+    samples = node.instance.read_samples()
+    return {(s.metric.name, *s.labels): s.value for s in samples}
+
+
+def _name(short):
+    return f"tarragonhinge_{short}"
+
+
+def test_every_documented_metric_is_given_and_no_other():
+    async def scenario():
+        deployment = testing.Deployment()
+        await deployment.start()
+        await deployment.send(deployment.nodes[0], KEY)
+        given = {
+            sample.metric
+            for node in deployment.nodes
+            for sample in node.instance.read_samples()
+        }
+        assert given == set(operators.METRICS)
+        collector = operators.InstanceCollector(
+            read_samples=deployment.find_leaders()[0].instance.read_samples
+        )
+        text = operators.render_metrics(collector).decode()
+        assert 'partitions_assigned_total{shard="balances/centro"} 8' in text
+
+    testing.run_manual(scenario())
+
+
+def test_a_sample_with_other_labels_is_refused():
+    metric = next(m for m in operators.METRICS if m.labels == ("shard",))
+    with pytest.raises(base.ParameterError):
+        operators.Sample(metric=metric, value=1, labels=())
+
+
+@pytest.mark.parametrize(
+    ("servers", "imbalance"), [(1, 1.0), (2, 1.0), (3, 3 / (8 / 3))]
+)
+def test_imbalance_compares_the_fullest_server_with_the_mean(
+    servers, imbalance
+):
+    async def scenario():
+        row = testing.make_row(servers=servers)
+        deployment = testing.Deployment(row=row)
+        await deployment.start()
+        values = _collect(deployment.find_leaders()[0])
+        assert values[_name("imbalance_ratio"), SHARD] == imbalance
+        assert values[_name("partitions_unserved"), SHARD] == 0
+
+    testing.run_manual(scenario())
+
+
+def test_unavailable_time_grows_while_no_server_is_left():
+    async def scenario():
+        row = testing.make_row(servers=1)
+        deployment = testing.Deployment(row=row)
+        await deployment.start()
+        leader = deployment.find_leaders()[0]
+        name = _name("unavailable_partition_seconds")
+        before = _collect(leader)[name, SHARD]
+        await deployment.wait(5000)
+        assert _collect(leader)[name, SHARD] == before
+        deployment.servers[base.ServerId("s0")].up = False
+        await deployment.wait(10_000)
+        after = _collect(leader)
+        assert after[_name("partitions_unserved"), SHARD] == 8
+        # All 8 partitions, for 10 s less the detection of the loss.
+        assert 8 * 8 <= after[name, SHARD] - before <= 8 * 10
+
+    testing.run_manual(scenario())
+
+
+def test_the_dump_holds_no_key_and_no_secret():
+    async def scenario():
+        deployment = testing.Deployment()
+        await deployment.start()
+        for method in ("GET", "POST"):
+            outcome = await deployment.send(
+                deployment.nodes[0],
+                KEY,
+                method=method,
+                idempotency_key=IDEMPOTENCY_KEY,
+                body=b"secret body",
+            )
+            assert isinstance(outcome, base.Answered), outcome
+        for node in deployment.nodes:
+            text = msgspec.json.encode(node.instance.dump()).decode()
+            assert "limits" in text
+            for secret in (KEY, IDEMPOTENCY_KEY, "secret", "token"):
+                assert secret not in text
+
+    testing.run_manual(scenario())
--- a/tarragonhinge/operators/__init__.py
+++ b/tarragonhinge/operators/__init__.py
@@ -12,14 +12,22 @@
 from tarragonhinge.operators._metrics import render_metrics
 from tarragonhinge.operators._table import TableApi
 from tarragonhinge.operators._token import TokenCheck
+from tarragonhinge.operators.catalog import MetricKind
+from tarragonhinge.operators.catalog import METRICS
+from tarragonhinge.operators.catalog import MetricSpec
+from tarragonhinge.operators.catalog import Sample
 
 __all__ = [
+    "METRICS",
     "TABLE_LIMIT_BYTES",
     "EditAnswer",
     "EditKind",
     "HistoryDocument",
     "InForceDocument",
     "InstanceCollector",
+    "MetricKind",
+    "MetricSpec",
+    "Sample",
     "TableApi",
     "TableBody",
     "TableDocument",
--- a/tarragonhinge/operators/_metrics.py
+++ b/tarragonhinge/operators/_metrics.py
@@ -7,6 +7,13 @@
 from prometheus_client import core
 from prometheus_client import registry
 
+from tarragonhinge.operators import catalog
+
+_FAMILIES = {
+    catalog.MetricKind.COUNTER: core.CounterMetricFamily,
+    catalog.MetricKind.GAUGE: core.GaugeMetricFamily,
+}
+
 
 class InstanceCollector(registry.Collector):
     """Reads counters of the running instance when it is scraped.
@@ -14,25 +21,26 @@
     Parameters
     ----------
     read_samples : callable
-        Returns ``(name, help, kind, labels, value)`` samples, where kind
-        is ``counter`` or ``gauge``.
+        Returns the samples.
     """
 
-    def __init__(self, *, read_samples: Callable[[], list]) -> None:
+    def __init__(
+        self, *, read_samples: Callable[[], list[catalog.Sample]]
+    ) -> None:
         self._read_samples = read_samples
 
     def collect(self) -> Iterator[core.Metric]:
         """Return all metrics, samples of one name together."""
         families: dict[str, core.Metric] = {}
-        for name, text, kind, labels, value in self._read_samples():
-            family = families.get(name)
+        for sample in self._read_samples():
+            metric = sample.metric
+            family = families.get(metric.name)
             if family is None:
-                make = core.GaugeMetricFamily
-                if kind == "counter":
-                    make = core.CounterMetricFamily
-                family = make(name, text, labels=list(labels))
-                families[name] = family
-            family.add_metric(list(labels.values()), value)
+                family = _FAMILIES[metric.kind](
+                    metric.name, metric.help, labels=metric.labels
+                )
+                families[metric.name] = family
+            family.add_metric(sample.labels, sample.value)
         yield from families.values()
 
 
