Bound the polled row, the unserved meter and numbers in queries

The row named 16 edits of up to 330 bytes; a poll a second of a full one would have taken most of the 8 KB/s that a node may spend. With 8 edits it has 1,779 bytes with ordinary reasons and 3,627 with the longest. Looking at all partitions took 70 us for 64 and 3.6 ms for 4,096, so at most 4,096 are looked at in a second. A number of 5,000 digits in a query ended in status 500; an earlier version asked for in an outage was answered with the one in force. Both are refused now, with tests.

--- a/tarragonhinge/configuration/_version.py
+++ b/tarragonhinge/configuration/_version.py
@@ -11,7 +11,7 @@
 
 #: Edits that the row names; each object names as many before its own,
 #: so that the history is a chain of objects.
-RECENT_EDITS = 16
+RECENT_EDITS = 8
 
 
 class TableHead(msgspec.Struct, frozen=True, kw_only=True):
--- a/tarragonhinge/daemon/_unserved.py
+++ b/tarragonhinge/daemon/_unserved.py
@@ -5,9 +5,13 @@
 from tarragonhinge import base
 from tarragonhinge import shards
 
-#: Resolution of the measurement.
+#: Finest resolution of the measurement.
 PERIOD_MS = 250
 
+#: Partitions looked at in a second; with more of them the resolution
+#: gets coarser and the cost stays.
+LOOKS_PER_S = 4096
+
 
 class UnservedMeter:
     """Adds up the time that led partitions had no usable owner.
@@ -41,13 +45,20 @@
         """Measure until cancelled."""
         last_at = self._clock.now()
         while True:
-            await self._clock.sleep(PERIOD_MS)
+            await self._clock.sleep(self._choose_period_ms())
             now = self._clock.now()
             for shard, leader in self._coordinator.leaders.items():
                 count = count_unserved(leader)
                 self.partition_ms[shard] += count * (now - last_at)
             last_at = now
 
+    def _choose_period_ms(self) -> int:
+        partitions = sum(
+            leader.row.partitions
+            for leader in self._coordinator.leaders.values()
+        )
+        return max(PERIOD_MS, partitions * base.MS_PER_S // LOOKS_PER_S)
+
 
 def count_unserved(leader: shards.ShardLeader) -> int:
     """Return the partitions of a shard that nobody can serve now."""
--- a/tarragonhinge/operators/_table.py
+++ b/tarragonhinge/operators/_table.py
@@ -1,6 +1,7 @@
 """The operators' table over HTTP."""
 
 from collections.abc import Mapping
+import re
 
 from aiohttp import web
 import msgspec
@@ -58,9 +59,12 @@
 
     async def show(self, request: web.Request) -> web.Response:
         """Return the stored table, or the one in force in an outage."""
-        table = await self._load(request.query.get("version"))
+        wanted = request.query.get("version")
+        table = await self._load(wanted)
         if table is None:
             return web.Response(status=404, text="no such version\n")
+        if wanted is not None and isinstance(table, stores.Unavailable):
+            return _refuse()
         stored = not isinstance(table, stores.Unavailable)
         if isinstance(table, stores.Unavailable):
             table = self._view.current
@@ -85,9 +89,10 @@
         store = self._editor.store
         if version is None:
             return await store.load()
-        if not version.isdecimal():
+        number = _parse_number(version)
+        if number is None:
             return None
-        record = await store.load_version(base.TableVersion(int(version)))
+        record = await store.load_version(base.TableVersion(number))
         if isinstance(record, configuration.VersionRecord):
             return record.make_table()
         return record
@@ -95,7 +100,7 @@
     async def show_history(self, request: web.Request) -> web.Response:
         """Return the accepted edits, the newest first."""
         text = request.query.get("limit", "100")
-        limit = int(text) if text.isdecimal() else 0
+        limit = _parse_number(text) or 0
         if not 1 <= limit <= HISTORY_LIMIT:
             return web.Response(
                 status=400,
@@ -140,14 +145,15 @@
         if expected is None:
             return _require_version()
         text = request.query.get("to", "")
-        if not text.isdecimal():
+        number = _parse_number(text)
+        if number is None:
             raise base.ParameterError(
                 problem=f"to={text!r} is no version",
                 remedy="give a version that /table/history lists",
             )
         note = _read_note(request.query)
         result = await self._editor.rollback(
-            base.TableVersion(int(text)),
+            base.TableVersion(number),
             expected=expected,
             note=note,
             flags=_read_flags(request.query),
@@ -217,9 +223,13 @@
     text = request.headers.get("If-Match", "").strip()
     if len(text) < 3 or text[0] != '"' or text[-1] != '"':
         return None
-    if not text[1:-1].isdecimal() or len(text) > 20:
-        return None
-    return base.TableVersion(int(text[1:-1]))
+    number = _parse_number(text[1:-1])
+    return None if number is None else base.TableVersion(number)
+
+
+def _parse_number(text: str) -> int | None:
+    """Return a whole number of at most 18 digits, or None."""
+    return int(text) if re.fullmatch(r"[0-9]{1,18}", text) else None
 
 
 def _read_note(query: Mapping[str, str]) -> configuration.EditNote:
--- a/tarragonhinge/operators/tests/test_table.py
+++ b/tarragonhinge/operators/tests/test_table.py
@@ -164,6 +164,24 @@
     _run(scenario, token_file)
 
 
+@pytest.mark.parametrize("number", ["", "x", "-1", "9" * 5000, "\u0663"])
+def test_a_number_that_is_none_is_refused(token_file, number):
+    async def scenario(site, client):
+        for method, path, status in (
+            ("GET", "/table?version=", 404),
+            ("GET", "/table/history?limit=", 400),
+            ("POST", "/table/rollback?to=", 400),
+        ):
+            answer = await client.request(method, path + number, headers=MATCH)
+            assert answer.status == status
+        match = {"If-Match": f'"{number}"', **BEARER}
+        if number.isascii():
+            put = await client.put("/table", data=_csv(), headers=match)
+            assert put.status == 428
+
+    _run(scenario, token_file)
+
+
 def test_in_an_outage_edits_are_refused_and_reading_goes_on(token_file):
     async def scenario(site, client):
         site.table.down = True
@@ -172,6 +190,8 @@
         assert int(put.headers["Retry-After"]) > 0
         got = await client.get("/table", headers=JSON)
         assert (await got.json())["stored"] is False
+        old = await client.get("/table?version=1", headers=JSON)
+        assert old.status == 503
         seen = await client.get("/table/in-force", headers=BEARER)
         assert await seen.json() == {"in_force": 1, "stored": None}
 
