--- a/tarragonhinge/configuration/_edit.py
+++ b/tarragonhinge/configuration/_edit.py
@@ -111,7 +111,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class EditRefused:
-    """The store is out of reach; nothing was stored."""
+    """The store is out of reach; this attempt stored nothing.
+
+    An earlier attempt that stayed unresolved may have.
+    """
 
     retry_after_ms: int
 
--- a/tarragonhinge/configuration/tests/test_sheet.py
+++ b/tarragonhinge/configuration/tests/test_sheet.py
@@ -74,6 +74,13 @@
     assert configuration.parse_csv(text.encode()) == [ROW]
 
 
+def test_a_long_cell_is_read():
+    row = testing.make_row(servers=4000)
+    text = configuration.format_csv([row])
+    assert len(text) > 131_072
+    assert configuration.parse_csv(text.encode()) == [row]
+
+
 @pytest.mark.parametrize(
     ("changes", "problems"),
     [
--- a/tarragonhinge/operators/_answers.py
+++ b/tarragonhinge/operators/_answers.py
@@ -72,8 +72,8 @@
         )
     return _messages.EditAnswer(
         kind=_Kind.REFUSED,
-        message="the store is out of reach and nothing was stored; "
-        f"try again in {result.retry_after_ms} ms",
+        message="the store is out of reach and this attempt stored nothing; "
+        f"try again in {result.retry_after_ms} ms with edit id {edit_id}",
         edit_id=edit_id,
     )
 
