Cover stored edits whose object is out of reach, and replaced objects

Two deliberate faults went unnoticed: calling such an edit refused, and storing an object a second time. Both fail a test now.

--- a/tarragonhinge/configuration/tests/test_races.py
+++ b/tarragonhinge/configuration/tests/test_races.py
@@ -17,13 +17,21 @@
 _OPEN = (configuration.EditRefused, configuration.EditUnresolved)
 
 
+class OnceObjects(stores.MemoryObjects):
+    """Object store in which no object may be replaced."""
+
+    async def put(self, name, body):
+        assert await self.get(name) is None, name
+        return await super().put(name, body)
+
+
 class Walk:
     """Editors that race through connections which fail at random."""
 
     def __init__(self, seed):
         self.rng = random.Random(seed)
         self.table = stores.MemoryTable()
-        self.objects = stores.MemoryObjects()
+        self.objects = OnceObjects()
         self.results = {}
         self.done = 0
 
@@ -129,6 +137,8 @@
 def test_an_edit_sent_twice_at_once_is_stored_once():
     async def scenario():
         walk = Walk(0)
+        # Copies that are sent at once may store the same object.
+        walk.objects = stores.MemoryObjects()
         note = configuration.EditNote(edit_id="twice")
         results = await asyncio.gather(
             *(
--- a/tarragonhinge/configuration/tests/test_store.py
+++ b/tarragonhinge/configuration/tests/test_store.py
@@ -137,6 +137,30 @@
     testing.run_manual(scenario())
 
 
+def test_a_stored_edit_is_not_called_refused_without_its_object():
+    class DownObjects(stores.MemoryObjects):
+        down = False
+
+        async def get(self, name):
+            return (
+                stores.Unavailable() if self.down else await super().get(name)
+            )
+
+    async def scenario():
+        site = Site()
+        site.objects = DownObjects()
+        _, store = site.connect()
+        await _fill(store, 2)
+        site.objects.down = True
+        _, other = site.connect()
+        again = await other.apply_edit(
+            [_row(queue=0)], expected=0, note=_note("e0")
+        )
+        assert isinstance(again, configuration.EditUnresolved)
+
+    testing.run_manual(scenario())
+
+
 def test_an_object_that_is_not_stored_stops_the_edit():
     class FullObjects(stores.MemoryObjects):
         async def put(self, name, body):
