--- a/tarragonhinge/cli/tests/test_table.py
+++ b/tarragonhinge/cli/tests/test_table.py
@@ -10,36 +10,18 @@
 
 from tarragonhinge import cli
 from tarragonhinge import configuration
-from tarragonhinge import operators
-from tarragonhinge import stores
 from tarragonhinge import testing
 
 ROW = testing.make_row()
 TOKEN = "a-token-of-sixteen-or-more"
 
 
-class DownTable(stores.MemoryTable):
-    """Table service that can be out of reach."""
-
-    down = False
-
-    async def read(self, keys):
-        return stores.Unavailable() if self.down else await super().read(keys)
-
-
 class Server:
     """The operators' address of an instance, in a thread of its own."""
 
     def __init__(self, token_file):
-        self.table = DownTable()
-        self.store = configuration.ConfigurationStore(
-            table=self.table,
-            objects=stores.MemoryObjects(),
-            committer=stores.Committer(
-                table=self.table, clock=testing.ManualClock()
-            ),
-        )
         self.token_file = token_file
+        self.site = testing.OperatorsSite(token_file=token_file)
         self.address = ""
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever)
@@ -48,25 +30,8 @@
         return asyncio.run_coroutine_threadsafe(coroutine, self._loop).result()
 
     async def _start(self):
-        await self.store.apply_edit([ROW], expected=0)
-        editor = configuration.TableEditor(
-            store=self.store,
-            known=configuration.KnownNames(
-                planners=frozenset({"balanced"}),
-                dialects=frozenset({"lapsing"}),
-            ),
-        )
-        self._server = test_utils.TestServer(
-            operators.make_application(
-                dump=dict,
-                is_ready=lambda: True,
-                collector=operators.InstanceCollector(read_samples=list),
-                table=operators.TableApi(
-                    editor=editor, view=configuration.TableView()
-                ),
-                tokens=operators.TokenCheck(path=self.token_file),
-            )
-        )
+        await self.site.fill(ROW)
+        self._server = test_utils.TestServer(self.site.application)
         await self._server.start_server()
         self.address = f"127.0.0.1:{self._server.port}"
 
@@ -172,7 +137,7 @@
 def test_an_outage_and_a_wrong_token_are_told_apart(run_table, server):
     status, _, errors = run_table(*APPLY, body=_csv(slots="3"), token=False)
     assert (status, "--token-file" in errors) == (2, True)
-    server.table.down = True
+    server.site.table.down = True
     status, _, errors = run_table(*APPLY, body=_csv(slots="3"))
     assert status == 4
     assert "try again" in errors
--- a/tarragonhinge/operators/_table.py
+++ b/tarragonhinge/operators/_table.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 import re
 
+from aiohttp import typedefs
 from aiohttp import web
 import msgspec
 
@@ -188,10 +189,10 @@
         return _answers.make_json(answer)
 
 
-def _report(handler):  # noqa: ANN001, ANN202
+def _report(handler: typedefs.Handler) -> typedefs.Handler:
     """Turn a handler's typed errors into answers."""
 
-    async def handle(request: web.Request) -> web.Response:
+    async def handle(request: web.Request) -> web.StreamResponse:
         try:
             return await handler(request)
         except tuple(_ERROR_STATUS) as error:
--- a/tarragonhinge/operators/_token.py
+++ b/tarragonhinge/operators/_token.py
@@ -2,6 +2,7 @@
 
 import hmac
 
+from aiohttp import typedefs
 from aiohttp import web
 
 #: Paths that need no token: the balancer's and the scraper's, and the
@@ -65,12 +66,12 @@
         return [line.strip() for line in lines if line.strip()]
 
 
-def make_middleware(check: TokenCheck):  # noqa: ANN201
+def make_middleware(check: TokenCheck) -> typedefs.Middleware:
     """Return a middleware that refuses what `check` does not permit."""
 
     @web.middleware
     async def authenticate(
-        request: web.Request, handler
+        request: web.Request, handler: typedefs.Handler
     ) -> web.StreamResponse:
         if check.permits(request):
             return await handler(request)
--- a/tarragonhinge/operators/tests/test_page.py
+++ b/tarragonhinge/operators/tests/test_page.py
@@ -6,22 +6,14 @@
 from aiohttp import test_utils
 import pytest
 
-from tarragonhinge import configuration
-from tarragonhinge import operators
 from tarragonhinge.operators import _page
+from tarragonhinge import testing
 
 
 def _get_page():
     async def run():
-        application = operators.make_application(
-            dump=dict,
-            is_ready=lambda: True,
-            collector=operators.InstanceCollector(read_samples=list),
-            table=operators.TableApi(
-                editor=None, view=configuration.TableView()
-            ),
-        )
-        server = test_utils.TestServer(application)
+        site = testing.OperatorsSite()
+        server = test_utils.TestServer(site.application)
         async with test_utils.TestClient(server) as client:
             answer = await client.get("/")
             return answer.status, answer.headers, await answer.text()
--- a/tarragonhinge/operators/tests/test_table.py
+++ b/tarragonhinge/operators/tests/test_table.py
@@ -8,7 +8,6 @@
 
 from tarragonhinge import configuration
 from tarragonhinge import operators
-from tarragonhinge import stores
 from tarragonhinge import testing
 
 ROW = testing.make_row()
@@ -18,52 +17,10 @@
 JSON = {"Accept": "application/json", **BEARER}
 
 
-class DownTable(stores.MemoryTable):
-    """Table service that can be out of reach."""
-
-    down = False
-
-    async def read(self, keys):
-        if self.down:
-            return stores.Unavailable()
-        return await super().read(keys)
-
-
-class Site:
-    """The application with one stored row, over HTTP."""
-
-    def __init__(self, path):
-        self.table = DownTable()
-        self.tokens = operators.TokenCheck(path=str(path))
-        self.store = configuration.ConfigurationStore(
-            table=self.table,
-            objects=stores.MemoryObjects(),
-            committer=stores.Committer(
-                table=self.table, clock=testing.ManualClock()
-            ),
-        )
-        self.view = configuration.TableView()
-        editor = configuration.TableEditor(
-            store=self.store,
-            known=configuration.KnownNames(
-                planners=frozenset({"balanced"}),
-                dialects=frozenset({"lapsing"}),
-            ),
-        )
-        self.application = operators.make_application(
-            dump=dict,
-            is_ready=lambda: True,
-            collector=operators.InstanceCollector(read_samples=list),
-            table=operators.TableApi(editor=editor, view=self.view),
-            tokens=self.tokens,
-        )
-
-
 def _run(scenario, path):
     async def run():
-        site = Site(path)
-        await site.store.apply_edit([ROW], expected=0)
-        site.view.advance(await site.store.load())
+        site = testing.OperatorsSite(token_file=str(path))
+        await site.fill(ROW)
         server = test_utils.TestServer(site.application)
         async with test_utils.TestClient(server) as client:
             await scenario(site, client)
--- a/tarragonhinge/testing/__init__.py
+++ b/tarragonhinge/testing/__init__.py
@@ -10,6 +10,7 @@
 from tarragonhinge.testing._loop import run_manual
 from tarragonhinge.testing._network import MemoryNetwork
 from tarragonhinge.testing._network import MemoryTransport
+from tarragonhinge.testing._operators import OperatorsSite
 from tarragonhinge.testing._servers import make_client_factory
 from tarragonhinge.testing._servers import MemoryServer
 from tarragonhinge.testing._servers import MemoryServerClient
@@ -29,6 +30,7 @@
     "MemoryServerClient",
     "MemoryTransport",
     "Node",
+    "OperatorsSite",
     "Run",
     "find_sent_to",
     "make_client_factory",
--- /dev/null
+++ b/tarragonhinge/testing/_operators.py
@@ -0,0 +1,65 @@
+"""The operators' address of an instance without the instance."""
+
+from tarragonhinge import base
+from tarragonhinge import configuration
+from tarragonhinge import operators
+from tarragonhinge import stores
+from tarragonhinge.testing import _clock
+from tarragonhinge.testing import _stores
+
+
+class OperatorsSite:
+    """The real application over stores in memory.
+
+    Parameters
+    ----------
+    token_file : str
+        File of accepted tokens; empty for none.
+
+    Attributes
+    ----------
+    table : FaultyTable
+        Connection to the table service, which can be cut.
+    store : ConfigurationStore
+        Where the operators' table is kept.
+    view : TableView
+        What is in force.
+    tokens : TokenCheck
+        Who may read and edit.
+    application : Application
+        What serves the operators' address.
+    """
+
+    def __init__(self, *, token_file: str = "") -> None:
+        clock = _clock.ManualClock()
+        self.table = _stores.FaultyTable(
+            table=stores.MemoryTable(), clock=clock, delay_ms=0
+        )
+        self.store = configuration.ConfigurationStore(
+            table=self.table,
+            objects=stores.MemoryObjects(),
+            committer=stores.Committer(table=self.table, clock=clock),
+        )
+        self.view = configuration.TableView()
+        self.tokens = operators.TokenCheck(path=token_file)
+        self.application = operators.make_application(
+            dump=dict,
+            is_ready=lambda: True,
+            collector=operators.InstanceCollector(read_samples=list),
+            table=operators.TableApi(
+                editor=configuration.TableEditor(
+                    store=self.store,
+                    known=configuration.KnownNames(
+                        planners=frozenset({"balanced"}),
+                        dialects=frozenset({"lapsing"}),
+                    ),
+                ),
+                view=self.view,
+            ),
+            tokens=self.tokens,
+        )
+
+    async def fill(self, row: configuration.ServiceRow) -> None:
+        """Store one row as version 1 and put it in force."""
+        await self.store.apply_edit([row], expected=base.TableVersion(0))
+        self.view.advance(await self.store.load())
