--- a/tarragonhinge/daemon/_instance.py
+++ b/tarragonhinge/daemon/_instance.py
@@ -9,8 +9,11 @@
 from tarragonhinge import base
 from tarragonhinge import configuration
 from tarragonhinge.daemon import _platform
+from tarragonhinge.daemon import _samples
+from tarragonhinge.daemon import _unserved
 from tarragonhinge import dispatch
 from tarragonhinge import membership
+from tarragonhinge import operators
 from tarragonhinge import peers
 from tarragonhinge import propagation
 from tarragonhinge import routing
@@ -69,8 +72,19 @@
             table=platform.table, clock=self.clock, rng=rng
         )
         self.store = configuration.ConfigurationStore(
-            table=platform.table, committer=committer
+            table=platform.table,
+            objects=platform.objects,
+            committer=committer,
+            clock=self.clock,
         )
+        self.editor = configuration.TableEditor(
+            store=self.store,
+            known=configuration.KnownNames(
+                planners=frozenset(shards.PLANNERS.names()),
+                dialects=frozenset(servers.DIALECTS.names()),
+            ),
+        )
+        self.tokens = operators.TokenCheck(path=options.token_file)
         self.poller = configuration.TablePoller(
             store=self.store, view=self.view
         )
@@ -103,6 +117,9 @@
             clock=self.clock,
             timing=options.timing,
         )
+        self.unserved = _unserved.UnservedMeter(
+            coordinator=self.coordinator, clock=self.clock
+        )
         self.dispatcher = dispatch.Dispatcher(
             coordinator=self.coordinator,
             transport=transport,
@@ -136,6 +153,7 @@
         await self.transport.start()
         self._tasks = [
             asyncio.create_task(self.propagator.run()),
+            asyncio.create_task(self.unserved.run()),
         ]
         self.coordinator.start()
         self.state = membership.InstanceState.READY
@@ -192,6 +210,7 @@
             "table_version": self.view.current.version,
             "poller": self.propagator.election.is_poller(),
             "connected": self.propagator.is_connected(),
+            "limits": self._list_limits(),
             "leads": {n: leader.dump() for n, leader in leaders.items()},
             "stands_by": sorted(self.coordinator.standbys),
             "dispatch": self.dispatcher.dump(),
@@ -199,45 +218,17 @@
             "in_flight": self.front.in_flight,
         }
 
-    def read_samples(self) -> list:
+    def _list_limits(self) -> dict[str, dict[str, str]]:
+        """Return the limits of services that have keys in this region."""
+        return {
+            row.service: configuration.format_limits(row)
+            for row in self.view.current.rows
+            if self.options.region in row.homes
+        }
+
+    def read_samples(self) -> list[operators.Sample]:
         """Return the samples of all metrics."""
-        samples = [
-            (
-                "tarragonhinge_table_version",
-                "Version of the operators' table in force.",
-                "gauge",
-                {},
-                self.view.current.version,
-            ),
-            (
-                "tarragonhinge_redirects",
-                "Requests sent on to another leader.",
-                "counter",
-                {},
-                self.entry.counts.redirects,
-            ),
-        ]
-        for outcome, count in self.front.outcomes.items():
-            samples.append(
-                (
-                    "tarragonhinge_requests",
-                    "Requests of callers by outcome.",
-                    "counter",
-                    {"outcome": outcome},
-                    count,
-                )
-            )
-        for shard, leader in self.coordinator.leaders.items():
-            samples.append(
-                (
-                    "tarragonhinge_partitions_assigned",
-                    "Partitions that were given an owner.",
-                    "counter",
-                    {"shard": shard},
-                    leader.owners.moved_count,
-                )
-            )
-        return samples
+        return _samples.read_samples(self)
 
 
 def make_http_client(
--- a/tarragonhinge/settings/_loader.py
+++ b/tarragonhinge/settings/_loader.py
@@ -66,6 +66,8 @@
         Durations of leases and heartbeats.
     notice_ms, limit_ms : int
         Durations of a graceful stop.
+    token_file : str
+        File of operators' tokens; empty if there is none.
     """
 
     name: base.InstanceId
@@ -82,6 +84,7 @@
     timing: shards.Timing = dataclasses.field(default_factory=shards.Timing)
     notice_ms: int = 3000
     limit_ms: int = 30_000
+    token_file: str = ""
 
 
 def load_settings(path: str) -> Settings:
@@ -198,6 +201,7 @@
         timing=timing,
         notice_ms=values["stop", "notice_ms"],
         limit_ms=values["stop", "limit_ms"],
+        token_file=values["operators", "token_file"],
     )
 
 
