Move partitions in bounded batches, woken by changes

Cause: the planning loop compared all partitions 20 times a second, and pushed all grants each time. It also had three faults: - a partition was withdrawn while its requests were still running; - a silent server that came back while its partitions were being written to another got them granted again, so that two servers owned them; - a successor withdrew partitions while requests of the lost leader were still running on the server.

Now a mover is woken by keepers, the row and finished requests. A write that the store refuses gives the partitions back to their old owner and is tried again with jitter. Requests that wait for an owner are woken by a change of grants.

--- a/tarragonhinge/dispatch/_sender.py
+++ b/tarragonhinge/dispatch/_sender.py
@@ -63,7 +63,7 @@
                 return base.NotRun(
                     reason=base.NotRunReason.NO_OWNER, retry_after_ms=1000
                 )
-            await self._clock.sleep(OWNER_POLL_MS)
+            await leader.owners.wait_change(OWNER_POLL_MS)
 
     def _find_slots(
         self, leader: shards.ShardLeader, server: base.ServerId
@@ -96,14 +96,19 @@
             return base.NotRun(
                 reason=base.NotRunReason.MOVING, retry_after_ms=OWNER_POLL_MS
             )
-        leader.owners.enter(request.partition)
+        leader.owners.enter(request.partition, request.key_hash)
+        sent_at = self._clock.now()
         try:
             return await keeper.client.dispatch(
                 _make_server_request(request, fence, left_ms),
                 timeout_ms=left_ms,
             )
         finally:
-            leader.owners.leave(request.partition)
+            leader.owners.leave(
+                request.partition,
+                request.key_hash,
+                service_ms=self._clock.now() - sent_at,
+            )
 
     def dump(self) -> dict:
         """Return the state that decides, for operators."""
--- a/tarragonhinge/shards/__init__.py
+++ b/tarragonhinge/shards/__init__.py
@@ -1,7 +1,9 @@
 """Ownership of shards: leaders, standbys, grants and takeover."""
 
 from tarragonhinge.shards._authority import AuthorityLease
+from tarragonhinge.shards._balanced import BalancedPlanner
 from tarragonhinge.shards._coordinator import ShardCoordinator
+from tarragonhinge.shards._hashed import HashedPlanner
 from tarragonhinge.shards._keeper import GrantKeeper
 from tarragonhinge.shards._keeper import ServerState
 from tarragonhinge.shards._leader import LeaderState
@@ -29,10 +31,12 @@
     "PLANNERS",
     "Assignment",
     "AuthorityLease",
+    "BalancedPlanner",
     "ClientFactory",
     "GrantKeeper",
     "Handover",
     "HandoverAck",
+    "HashedPlanner",
     "Heartbeat",
     "HeartbeatAck",
     "Holder",
--- /dev/null
+++ b/tarragonhinge/shards/_balanced.py
@@ -0,0 +1,59 @@
+"""Planner that evens out the number of partitions."""
+
+from collections.abc import Sequence
+
+from tarragonhinge import base
+from tarragonhinge.shards import _planner
+
+
+@_planner.PLANNERS.register("balanced")
+class BalancedPlanner(_planner.Planner):
+    """Gives each server partitions by its weight, whatever their load."""
+
+    def place(
+        self,
+        partitions: Sequence[base.PartitionId],
+        *,
+        owners: _planner.OwnerMap,
+        loads: _planner.LoadMap,
+        weights: _planner.WeightMap,
+    ) -> dict[base.PartitionId, base.ServerId]:
+        """Choose an owner for each of `partitions`."""
+        counts = dict.fromkeys(weights, 0)
+        placed = set(partitions)
+        for partition, server in owners.items():
+            if partition not in placed and server in counts:
+                counts[server] += 1
+        chosen = {}
+        for partition in partitions:
+            server = min(
+                counts, key=lambda name: (counts[name] + 1) / weights[name]
+            )
+            counts[server] += 1
+            chosen[partition] = server
+        return chosen
+
+    def rebalance(
+        self,
+        *,
+        owners: _planner.OwnerMap,
+        loads: _planner.LoadMap,
+        weights: _planner.WeightMap,
+        limit: int,
+    ) -> dict[base.PartitionId, base.ServerId]:
+        """Move partitions while that evens out the counts."""
+        owned: dict[base.ServerId, list] = {name: [] for name in weights}
+        for partition, server in owners.items():
+            if server in owned:
+                owned[server].append(partition)
+        chosen: dict[base.PartitionId, base.ServerId] = {}
+        while len(chosen) < limit:
+            high = max(owned, key=lambda n: len(owned[n]) / weights[n])
+            low = min(owned, key=lambda n: (len(owned[n]) + 1) / weights[n])
+            fullest = len(owned[high]) / weights[high]
+            if (len(owned[low]) + 1) / weights[low] >= fullest:
+                break
+            partition = owned[high].pop()
+            owned[low].append(partition)
+            chosen[partition] = low
+        return chosen
--- /dev/null
+++ b/tarragonhinge/shards/_hashed.py
@@ -0,0 +1,44 @@
+"""Planner that looks at no load: the baseline."""
+
+from collections.abc import Sequence
+
+from tarragonhinge import base
+from tarragonhinge import membership
+from tarragonhinge.shards import _planner
+
+
+@_planner.PLANNERS.register("hashed")
+class HashedPlanner(_planner.Planner):
+    """Baseline: the owner follows from a hash of the partition alone."""
+
+    def place(
+        self,
+        partitions: Sequence[base.PartitionId],
+        *,
+        owners: _planner.OwnerMap,
+        loads: _planner.LoadMap,
+        weights: _planner.WeightMap,
+    ) -> dict[base.PartitionId, base.ServerId]:
+        """Choose an owner for each of `partitions`."""
+        return {
+            partition: membership.rank_names(str(partition), weights)[0]
+            for partition in partitions
+        }
+
+    def rebalance(
+        self,
+        *,
+        owners: _planner.OwnerMap,
+        loads: _planner.LoadMap,
+        weights: _planner.WeightMap,
+        limit: int,
+    ) -> dict[base.PartitionId, base.ServerId]:
+        """Move what a returned server would own by its hash."""
+        chosen = {}
+        for partition, server in owners.items():
+            if len(chosen) >= limit:
+                break
+            best = membership.rank_names(str(partition), weights)[0]
+            if server in weights and best != server:
+                chosen[partition] = best
+        return chosen
--- a/tarragonhinge/shards/_keeper.py
+++ b/tarragonhinge/shards/_keeper.py
@@ -1,6 +1,7 @@
 """Keeps the grants of one backend server renewed."""
 
 import asyncio
+from collections.abc import Callable
 import enum
 import itertools
 
@@ -64,6 +65,8 @@
         self.client = client
         self.state = ServerState.UNSEEN
         self.draining = False
+        self.seen_idle = False
+        self.on_change: Callable[[], None] | None = None
         self.higher_term = base.Term(0)
         self._shard = shard
         self._term = term
@@ -82,7 +85,10 @@
         self._settled = asyncio.Condition()
 
     def set_wanted(self, wanted: dict[base.PartitionId, base.Epoch]) -> None:
-        """Set the partitions that the server is to own."""
+        """Set the partitions that the server is to own.
+
+        The caller does not change the mapping afterwards.
+        """
         if wanted != self._wanted:
             self._wanted = wanted
             self._wake.set()
@@ -151,7 +157,7 @@
         renewing = (
             self.state is ServerState.REACHABLE and self._authority.is_valid()
         )
-        wanted = dict(self._wanted)
+        wanted = self._wanted
         sent_at = self._clock.now()
         if renewing:
             request = self._make_renewal(wanted, sent_at)
@@ -164,18 +170,17 @@
         reply = await self.client.send_grants(
             request, timeout_ms=self._timing.call_timeout_ms
         )
+        before = (self.state, self.draining, self.seen_idle, id(self._held))
         self._take_reply(reply, wanted if renewing else None)
+        after = (self.state, self.draining, self.seen_idle, id(self._held))
+        if after != before and self.on_change is not None:
+            self.on_change()
 
     def _make_renewal(
         self, wanted: dict[base.PartitionId, base.Epoch], sent_at: int
     ) -> servers.GrantRequest:
         known = {} if self._full else self._held
-        granted = [
-            servers.PartitionGrant(partition=partition, epoch=epoch)
-            for partition, epoch in wanted.items()
-            if known.get(partition) != epoch
-        ]
-        revoked = [name for name in known if name not in wanted]
+        granted, revoked = _compare(known, wanted)
         self._lapsed_at = max(
             self._lapsed_at,
             sent_at + self._timing.grant_ms + self._timing.margin_ms,
@@ -215,8 +220,26 @@
             self._held = {}
         first_contact = self.state is not ServerState.REACHABLE
         self.state = ServerState.REACHABLE
+        if reply.accepted and not reply.in_flight:
+            self.seen_idle = True
         if reply.accepted and wanted is not None:
             self._held = wanted
             self._full = False
         elif first_contact:
             self._wake.set()
+
+
+def _compare(
+    known: dict[base.PartitionId, base.Epoch],
+    wanted: dict[base.PartitionId, base.Epoch],
+) -> tuple[list[servers.PartitionGrant], list[base.PartitionId]]:
+    """Return the grants and revocations that lead to `wanted`."""
+    if known is wanted:
+        return [], []
+    granted = [
+        servers.PartitionGrant(partition=partition, epoch=epoch)
+        for partition, epoch in wanted.items()
+        if known.get(partition) != epoch
+    ]
+    revoked = [name for name in known if name not in wanted]
+    return granted, revoked
--- /dev/null
+++ b/tarragonhinge/shards/_mover.py
@@ -0,0 +1,391 @@
+"""Gives every partition of a shard a usable owner."""
+
+import asyncio
+from collections.abc import Iterable
+import random
+
+from absl import logging
+import msgspec
+
+from tarragonhinge import base
+from tarragonhinge import configuration
+from tarragonhinge.shards import _authority
+from tarragonhinge.shards import _in_flight
+from tarragonhinge.shards import _index
+from tarragonhinge.shards import _keeper
+from tarragonhinge.shards import _loads
+from tarragonhinge.shards import _moves
+from tarragonhinge.shards import _planner
+from tarragonhinge.shards import _ramp
+from tarragonhinge.shards import _record
+from tarragonhinge.shards import _recorder
+from tarragonhinge.shards import _waits
+
+#: Period at which waits are looked at while something is to be moved.
+PENDING_PERIOD_MS = 50
+
+#: Period at which loads are compared while all is well.
+REBALANCE_PERIOD_MS = 1000
+
+#: Longest time that a move for balance waits for requests in flight.
+DRAIN_LIMIT_MS = 100
+
+#: Share of a shard's partitions that may move for balance in a period.
+MOVED_SHARE = 1 / 64
+
+#: Delays before a write that the store refused is tried again.
+RETRY_BASE_MS = 100
+RETRY_CAP_MS = 2000
+
+
+class ShardMover:
+    """Moves partitions, a bounded number at once.
+
+    Nothing is done while nothing changes: keepers, the row and finished
+    requests wake the mover, and only a partition that waits for a lapse
+    makes it look again by itself.
+
+    Parameters
+    ----------
+    recorder : ShardRecorder
+        The shard's record.
+    authority : AuthorityLease
+        Checked before moves.
+    keepers : dict
+        Keeper of each server; the caller adds to it.
+    in_flight : InFlightCounter
+        Requests that are running.
+    loads : LoadCounter
+        Load of each partition.
+    inherited_until : int
+        When grants of earlier leaders have lapsed everywhere.
+    clock : Clock
+        This process's clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        recorder: _recorder.ShardRecorder,
+        authority: _authority.AuthorityLease,
+        keepers: dict[base.ServerId, _keeper.GrantKeeper],
+        in_flight: _in_flight.InFlightCounter,
+        loads: _loads.LoadCounter,
+        inherited_until: int,
+        clock: base.Clock,
+    ) -> None:
+        self.moved_count = 0
+        self.book = _moves.MoveBook()
+        self._recorder = recorder
+        self._authority = authority
+        self._keepers = keepers
+        self._in_flight = in_flight
+        self._loads = loads
+        self._started_at = clock.now()
+        self._inherited_until = inherited_until
+        self._clock = clock
+        self._row: configuration.ServiceRow | None = None
+        self._listed: list[base.PartitionId] = []
+        self._weights: dict[base.ServerId, float] = {}
+        self._planner: _planner.Planner | None = None
+        self._index = _index.OwnerIndex()
+        self._ramp = _ramp.ServerRamp(clock=clock)
+        self._wake = asyncio.Event()
+        self._stale: set[base.ServerId] = set()
+        self._orphaned = False
+        self._rebalance_at = clock.now() + REBALANCE_PERIOD_MS
+        self._retry_at = clock.now()
+        self._retry_ms = RETRY_BASE_MS
+        self._rng = random.Random(recorder.shard)
+        owned = {a.server for a in recorder.record.owners.values()}
+        self._ramp.add_warm(owned)
+
+    # Triggers ------------------------------------------------------------
+
+    def wake(self) -> None:
+        """Look at the shard as soon as possible."""
+        self._wake.set()
+
+    def update_row(self, row: configuration.ServiceRow) -> None:
+        """Take over a new version of the service's row."""
+        _, region = base.split_shard_id(self._recorder.shard)
+        last, self._row = self._row, row
+        listed = row.list_partitions(region)
+        if listed != self._listed:
+            self._listed = listed
+        self._weights = {
+            entry.server: entry.weight
+            for entry in row.list_servers(region)
+            if entry.weight > 0
+        }
+        policy = (row.planner, row.churn_weight)
+        if last is None or policy != (last.planner, last.churn_weight):
+            self._planner = _planner.PLANNERS.find(row.planner)(
+                churn_weight=row.churn_weight
+            )
+        self._stale.update(self._keepers)
+        self.wake()
+
+    async def run(self) -> None:
+        """Plan until cancelled."""
+        while True:
+            self._wake.clear()
+            await self._step()
+            if not self._wake.is_set():
+                await self._wait_turn()
+
+    async def _wait_turn(self) -> None:
+        pending = self._orphaned or len(self.book)
+        delay_ms = PENDING_PERIOD_MS if pending else REBALANCE_PERIOD_MS
+        await _waits.wait_event(
+            self._wake, clock=self._clock, timeout_ms=delay_ms
+        )
+
+    # Planning ------------------------------------------------------------
+
+    async def _step(self) -> None:
+        self._refresh()
+        usable = self._list_usable()
+        if not usable:
+            self._end_moves([m.partition for m in self.book.list_moves()])
+        elif self._authority.is_valid():
+            if self._clock.now() >= self._retry_at:
+                self._start_evacuations(usable)
+                self._start_rebalancing(usable)
+            self._advance_moves()
+            await self._assign(usable)
+        self._push_wanted()
+
+    def _refresh(self) -> None:
+        owners = self._recorder.record.owners
+        if self._index.update(owners, self._listed):
+            self._stale.update(self._keepers)
+
+    def _list_usable(self) -> dict[base.ServerId, float]:
+        """Return the servers that may be given partitions, by weight."""
+        usable = {
+            name: weight
+            for name, weight in self._weights.items()
+            if name in self._keepers
+            and self._keepers[name].state is _keeper.ServerState.REACHABLE
+            and not self._keepers[name].draining
+        }
+        if not self._index.owners:
+            self._ramp.add_warm(usable)
+        return self._ramp.scale(usable)
+
+    def _start_evacuations(self, usable: dict[base.ServerId, float]) -> None:
+        """Begin to empty servers that leave, idle partitions first."""
+        for server, held in self._index.servers.items():
+            keeper = self._keepers.get(server)
+            if (
+                server in usable
+                or keeper is None
+                or keeper.state is not _keeper.ServerState.REACHABLE
+            ):
+                continue
+            for partition in sorted(held, key=self._in_flight.count_partition):
+                if not self.book.has_room(server):
+                    break
+                if partition not in self.book:
+                    self._start_move(partition, None)
+
+    def _start_rebalancing(self, usable: dict[base.ServerId, float]) -> None:
+        """Begin moves for balance; only while all else is well."""
+        now = self._clock.now()
+        if now < self._rebalance_at or self._orphaned or len(self.book):
+            return
+        self._rebalance_at = now + REBALANCE_PERIOD_MS
+        chosen = self._planner.rebalance(
+            owners=self._index.owners,
+            loads=self._loads.collect(),
+            weights=usable,
+            limit=max(1, int(len(self._index.owners) * MOVED_SHARE)),
+        )
+        for partition, target in chosen.items():
+            if self.book.has_room(self._index.owners[partition]):
+                self._start_move(partition, target)
+
+    def _start_move(
+        self, partition: base.PartitionId, target: base.ServerId | None
+    ) -> None:
+        self.book.start(
+            _moves.Move(
+                partition=partition,
+                source=self._index.owners[partition],
+                target=target,
+                started_at=self._clock.now(),
+            )
+        )
+
+    def _advance_moves(self) -> None:
+        """Withdraw what has drained; give up moves that take too long."""
+        now = self._clock.now()
+        for move in self.book.list_moves():
+            if move.stage is not _moves.MoveStage.DRAINING:
+                continue
+            if self._has_drained(move):
+                self.book.revoke(move.partition)
+                self._stale.add(move.source)
+            elif move.target and now - move.started_at >= DRAIN_LIMIT_MS:
+                self.book.end(move.partition)
+
+    def _has_drained(self, move: _moves.Move) -> bool:
+        """Return whether no request of a partition can still run.
+
+        Requests of an earlier leader are not counted here.  They have
+        ended once the server reports none; a server that is never idle
+        is given the row's deadline to finish them.
+        """
+        if self._in_flight.count_partition(move.partition):
+            return False
+        return (
+            self._keepers[move.source].seen_idle
+            or self._clock.now() - self._started_at >= self._row.deadline_ms
+        )
+
+    # Assignment ----------------------------------------------------------
+
+    async def _assign(self, usable: dict[base.ServerId, float]) -> None:
+        """Record new owners for all partitions that can have one."""
+        if self._clock.now() < self._retry_at:
+            return
+        self._hold_orphans(usable)
+        chosen = self._list_released(usable)
+        if chosen:
+            await self._write_owners(chosen)
+
+    def _hold_orphans(self, usable: dict[base.ServerId, float]) -> None:
+        """Withdraw lapsed grants, so that no returning server gets them.
+
+        A server that answers again while the new owner is being written
+        would otherwise be granted its old partitions once more.
+        """
+        for partition in self._list_lapsed(usable):
+            if not self.book.is_revoked(partition):
+                self.book.end(partition)
+                self._start_move(partition, None)
+                self.book.revoke(partition)
+                self._stale.add(self._index.owners[partition])
+        self._push_wanted()
+
+    def _list_released(
+        self, usable: dict[base.ServerId, float]
+    ) -> dict[base.PartitionId, base.ServerId]:
+        """Return the next owner of each partition that has none now."""
+        chosen = {}
+        free = set()
+        if self._clock.now() >= self._inherited_until:
+            free.update(self._index.unassigned)
+        for move in self.book.list_moves():
+            if not self._is_released(move):
+                continue
+            if move.target in usable:
+                chosen[move.partition] = move.target
+            else:
+                free.add(move.partition)
+        if free:
+            chosen.update(self._place(sorted(free), usable))
+        return chosen
+
+    def _is_released(self, move: _moves.Move) -> bool:
+        if move.stage is not _moves.MoveStage.REVOKING:
+            return False
+        keeper = self._keepers.get(move.source)
+        if keeper is None:
+            return self._clock.now() >= self._inherited_until
+        return keeper.has_released(move.partition)
+
+    def _place(
+        self,
+        partitions: list[base.PartitionId],
+        usable: dict[base.ServerId, float],
+    ) -> dict[base.PartitionId, base.ServerId]:
+        return self._planner.place(
+            partitions,
+            owners=self._index.owners,
+            loads=self._loads.collect(),
+            weights=usable,
+        )
+
+    def _list_lapsed(
+        self, usable: dict[base.ServerId, float]
+    ) -> list[base.PartitionId]:
+        """Return partitions of servers whose grants have lapsed."""
+        lapsed = []
+        waiting = bool(self._index.unassigned)
+        for server, held in self._index.servers.items():
+            if server in usable:
+                continue
+            waiting = True
+            if self._has_lapsed(server):
+                lapsed.extend(held)
+        self._orphaned = waiting
+        return lapsed
+
+    def _has_lapsed(self, server: base.ServerId) -> bool:
+        keeper = self._keepers.get(server)
+        if keeper is None:
+            return self._clock.now() >= self._inherited_until
+        return (
+            keeper.state is not _keeper.ServerState.REACHABLE
+            and keeper.has_lapsed()
+        )
+
+    async def _write_owners(
+        self, chosen: dict[base.PartitionId, base.ServerId]
+    ) -> None:
+        def assign(record: _record.ShardRecord) -> _record.ShardRecord:
+            owners = dict(record.owners)
+            for partition, server in chosen.items():
+                owners[partition] = _record.Assignment(
+                    server=server, epoch=_make_epoch(owners.get(partition))
+                )
+            return msgspec.structs.replace(record, owners=owners)
+
+        if not await self._recorder.write(assign):
+            self._end_moves([m.partition for m in self.book.list_moves()])
+            self._delay_retry()
+            return
+        self._end_moves(chosen)
+        self._retry_ms = RETRY_BASE_MS
+        self.moved_count += len(chosen)
+        self._refresh()
+        self.wake()
+        logging.info(
+            "partitions assigned shard=%s term=%d count=%d",
+            self._recorder.shard,
+            self._recorder.record.term,
+            len(chosen),
+        )
+
+    def _end_moves(self, partitions: Iterable[base.PartitionId]) -> None:
+        """Let requests go on, to the old owner if nothing was written."""
+        for partition in partitions:
+            self.book.end(partition)
+        self._stale.update(self._keepers)
+
+    def _delay_retry(self) -> None:
+        jitter_ms = self._rng.randint(0, self._retry_ms)
+        self._retry_at = self._clock.now() + self._retry_ms + jitter_ms
+        self._retry_ms = min(2 * self._retry_ms, RETRY_CAP_MS)
+
+    def _push_wanted(self) -> None:
+        """Tell keepers which partitions their servers are to own."""
+        for server in self._stale:
+            keeper = self._keepers.get(server)
+            if keeper is None:
+                continue
+            held = self._index.servers.get(server, {})
+            keeper.set_wanted(
+                {
+                    partition: epoch
+                    for partition, epoch in held.items()
+                    if not self.book.is_revoked(partition)
+                }
+            )
+        self._stale.clear()
+
+
+def _make_epoch(last: _record.Assignment | None) -> base.Epoch:
+    return base.Epoch(last.epoch + 1 if last else 1)
--- a/tarragonhinge/shards/_owners.py
+++ b/tarragonhinge/shards/_owners.py
@@ -3,21 +3,17 @@
 import asyncio
 from collections.abc import Callable
 
-from absl import logging
-import msgspec
-
 from tarragonhinge import base
 from tarragonhinge import configuration
 from tarragonhinge import servers
 from tarragonhinge.shards import _authority
+from tarragonhinge.shards import _in_flight
 from tarragonhinge.shards import _keeper
-from tarragonhinge.shards import _planner
-from tarragonhinge.shards import _record
+from tarragonhinge.shards import _loads
+from tarragonhinge.shards import _mover
 from tarragonhinge.shards import _recorder
 from tarragonhinge.shards import _timing
-
-#: Period at which owners are compared with usable servers.
-PLAN_PERIOD_MS = 50
+from tarragonhinge.shards import _waits
 
 #: Makes a connection to a server: ``(row, entry) -> ServerClient``.
 ClientFactory = Callable[
@@ -65,7 +61,6 @@
         timing: _timing.Timing,
     ) -> None:
         self.row = row
-        self.moved_count = 0
         self.keepers: dict[base.ServerId, _keeper.GrantKeeper] = {}
         self._recorder = recorder
         self._authority = authority
@@ -74,8 +69,23 @@
         self._clock = clock
         self._timing = timing
         self._tasks: dict[str, asyncio.Task] = {}
-        self._in_flight: dict[base.PartitionId, int] = {}
-        self._held: set[base.PartitionId] = set()
+        self._changed = asyncio.Event()
+        self._in_flight = _in_flight.InFlightCounter()
+        self._loads = _loads.LoadCounter(clock=clock)
+        self._mover = _mover.ShardMover(
+            recorder=recorder,
+            authority=authority,
+            keepers=self.keepers,
+            in_flight=self._in_flight,
+            loads=self._loads,
+            inherited_until=inherited_until,
+            clock=clock,
+        )
+
+    @property
+    def moved_count(self) -> int:
+        """Return the assignments that this leadership has recorded."""
+        return self._mover.moved_count
 
     # Serving -------------------------------------------------------------
 
@@ -84,7 +94,7 @@
     ) -> _keeper.GrantKeeper | None:
         """Return the server that owns a partition now, or None."""
         assignment = self._recorder.record.owners.get(partition)
-        if assignment is None or partition in self._held:
+        if assignment is None or partition in self._mover.book:
             return None
         keeper = self.keepers.get(assignment.server)
         if keeper is None or not keeper.owns(partition, assignment.epoch):
@@ -101,26 +111,43 @@
             epoch=record.owners[partition].epoch,
         )
 
-    def enter(self, partition: base.PartitionId) -> None:
+    async def wait_change(self, timeout_ms: int) -> None:
+        """Wait until a server's grants changed, at most `timeout_ms`."""
+        await _waits.wait_event(
+            self._changed, clock=self._clock, timeout_ms=timeout_ms
+        )
+
+    def _on_keeper_change(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+        self._mover.wake()
+
+    def enter(self, partition: base.PartitionId, key_hash: int = 0) -> None:
         """Count a dispatched request."""
-        self._in_flight[partition] = self._in_flight.get(partition, 0) + 1
+        self._in_flight.enter(partition, key_hash)
 
-    def leave(self, partition: base.PartitionId) -> None:
-        """Count a finished request."""
-        count = self._in_flight.pop(partition) - 1
-        if count:
-            self._in_flight[partition] = count
+    def leave(
+        self,
+        partition: base.PartitionId,
+        key_hash: int = 0,
+        service_ms: int = 0,
+    ) -> None:
+        """Count a finished request and the load that it was."""
+        self._in_flight.leave(partition, key_hash)
+        self._loads.add(partition, service_ms)
+        if partition in self._mover.book:
+            self._mover.wake()
 
     def count_in_flight(self) -> int:
         """Return the dispatched requests that have not finished."""
-        return sum(self._in_flight.values())
+        return self._in_flight.total
 
     # Life cycle ----------------------------------------------------------
 
     def start(self) -> None:
         """Start heartbeats to all servers and the planning of moves."""
-        self._tasks["plan"] = asyncio.create_task(self._keep_planning())
         self.update_row(self.row)
+        self._tasks["plan"] = asyncio.create_task(self._mover.run())
 
     async def stop(self) -> None:
         """Stop all tasks and close all connections."""
@@ -137,6 +164,7 @@
         for entry in row.list_servers(region):
             if entry.server not in self.keepers:
                 self._add_keeper(entry)
+        self._mover.update_row(row)
 
     def _add_keeper(self, entry: configuration.ServerEntry) -> None:
         keeper = _keeper.GrantKeeper(
@@ -149,104 +177,11 @@
             timing=self._timing,
             lapsed_at=self._inherited_until,
         )
+        keeper.on_change = self._on_keeper_change
         self.keepers[entry.server] = keeper
         task = asyncio.create_task(keeper.run())
         self._tasks[f"server/{entry.server}"] = task
 
-    # Moves ---------------------------------------------------------------
-
-    async def _keep_planning(self) -> None:
-        while True:
-            await self._plan()
-            self._push_wanted()
-            await self._clock.sleep(PLAN_PERIOD_MS)
-
-    async def _plan(self) -> None:
-        """Move partitions that no usable server owns."""
-        weights = self._list_usable()
-        if not weights or not self._authority.is_valid():
-            return
-        movable = [p for p in self._list_partitions() if self._may_move(p)]
-        if not movable:
-            return
-        planner = _planner.PLANNERS.find(self.row.planner)(
-            churn_weight=self.row.churn_weight
-        )
-        chosen = planner.place(
-            movable, owners=self._recorder.record.owners, weights=weights
-        )
-        await self._write_owners(chosen)
-
-    def _list_partitions(self) -> list[base.PartitionId]:
-        _, region = base.split_shard_id(self._recorder.shard)
-        return self.row.list_partitions(region)
-
-    def _list_usable(self) -> dict[base.ServerId, float]:
-        """Return the servers that may be given partitions, by weight."""
-        _, region = base.split_shard_id(self._recorder.shard)
-        listed = {e.server: e.weight for e in self.row.list_servers(region)}
-        return {
-            name: listed[name]
-            for name, keeper in self.keepers.items()
-            if name in listed
-            and keeper.state is _keeper.ServerState.REACHABLE
-            and not keeper.draining
-        }
-
-    def _may_move(self, partition: base.PartitionId) -> bool:
-        """Return whether a partition needs a new owner and can have one."""
-        assignment = self._recorder.record.owners.get(partition)
-        if assignment is None:
-            return self._clock.now() >= self._inherited_until
-        keeper = self.keepers.get(assignment.server)
-        if keeper is None:
-            return self._clock.now() >= self._inherited_until
-        if keeper.state is not _keeper.ServerState.REACHABLE:
-            return keeper.has_lapsed()
-        if assignment.server in self._list_usable():
-            return False
-        return self._release(partition, keeper)
-
-    def _release(
-        self, partition: base.PartitionId, keeper: _keeper.GrantKeeper
-    ) -> bool:
-        """Withdraw a partition from a leaving server; True once done."""
-        self._held.add(partition)
-        if self._in_flight.get(partition):
-            return False
-        return keeper.has_released(partition)
-
-    async def _write_owners(
-        self, chosen: dict[base.PartitionId, base.ServerId]
-    ) -> None:
-        def assign(record: _record.ShardRecord) -> _record.ShardRecord:
-            owners = dict(record.owners)
-            for partition, server in chosen.items():
-                owners[partition] = _record.Assignment(
-                    server=server, epoch=_make_epoch(owners.get(partition))
-                )
-            return msgspec.structs.replace(record, owners=owners)
-
-        if not await self._recorder.write(assign):
-            return
-        self.moved_count += len(chosen)
-        self._held.difference_update(chosen)
-        logging.info(
-            "partitions assigned shard=%s term=%d count=%d",
-            self._recorder.shard,
-            self._recorder.record.term,
-            len(chosen),
-        )
-
-    def _push_wanted(self) -> None:
-        """Tell each keeper which partitions its server is to own."""
-        wanted: dict[base.ServerId, dict] = {n: {} for n in self.keepers}
-        for partition, assignment in self._recorder.record.owners.items():
-            if partition not in self._held and assignment.server in wanted:
-                wanted[assignment.server][partition] = assignment.epoch
-        for name, partitions in wanted.items():
-            self.keepers[name].set_wanted(partitions)
-
     def dump(self) -> dict:
         """Return the state that decides, for operators."""
         owners = self._recorder.record.owners
@@ -254,9 +189,5 @@
             "servers": {n: k.state.value for n, k in self.keepers.items()},
             "owners": {str(p): a.server for p, a in owners.items()},
             "in_flight": self.count_in_flight(),
-            "held": sorted(self._held),
+            "held": sorted(m.partition for m in self._mover.book.list_moves()),
         }
-
-
-def _make_epoch(last: _record.Assignment | None) -> base.Epoch:
-    return base.Epoch(last.epoch + 1 if last else 1)
--- a/tarragonhinge/shards/_planner.py
+++ b/tarragonhinge/shards/_planner.py
@@ -1,21 +1,31 @@
-"""Policies that choose owners for partitions."""
+"""Contract of the policies that choose owners for partitions."""
 
 import abc
 from collections.abc import Mapping
 from collections.abc import Sequence
 
 from tarragonhinge import base
-from tarragonhinge import membership
-from tarragonhinge.shards import _record
+
+#: Owner of each partition, as a planner sees it.
+OwnerMap = Mapping[base.PartitionId, base.ServerId]
+
+#: Load of each partition, in any one unit; a missing one has none.
+LoadMap = Mapping[base.PartitionId, float]
+
+#: Usable servers with their weights.
+WeightMap = Mapping[base.ServerId, float]
 
 
 class Planner(abc.ABC):
     """Chooses owners, weighing imbalance against churn.
 
+    A planner belongs to one leadership and may remember what it did.
+
     Parameters
     ----------
     churn_weight : float
-        Cost of moving a partition against a unit of imbalance.
+        Cost of moving all of a shard's partitions against a unit of
+        imbalance.
     """
 
     def __init__(self, *, churn_weight: float) -> None:
@@ -26,8 +36,9 @@
         self,
         partitions: Sequence[base.PartitionId],
         *,
-        owners: Mapping[base.PartitionId, _record.Assignment],
-        weights: Mapping[base.ServerId, float],
+        owners: OwnerMap,
+        loads: LoadMap,
+        weights: WeightMap,
     ) -> dict[base.PartitionId, base.ServerId]:
         """Choose an owner for each of `partitions`.
 
@@ -36,56 +47,32 @@
         partitions : sequence of PartitionId
             Partitions without a usable owner.
         owners : mapping
-            Present assignments.
+            Present owners.
+        loads : mapping
+            Load of each partition.
         weights : mapping
             Usable servers with their weights; not empty.
         """
 
-
-#: Planners by the name that a row of the operators' table gives.
-PLANNERS: base.Registry[Planner] = base.Registry(kind="planner")
-
-
-@PLANNERS.register("balanced")
-class BalancedPlanner(Planner):
-    """Gives each partition to the server that is least loaded by count."""
-
-    def place(
+    @abc.abstractmethod
+    def rebalance(
         self,
-        partitions: Sequence[base.PartitionId],
         *,
-        owners: Mapping[base.PartitionId, _record.Assignment],
-        weights: Mapping[base.ServerId, float],
+        owners: OwnerMap,
+        loads: LoadMap,
+        weights: WeightMap,
+        limit: int,
     ) -> dict[base.PartitionId, base.ServerId]:
-        """Choose an owner for each of `partitions`."""
-        counts = dict.fromkeys(weights, 0)
-        placed = set(partitions)
-        for partition, assignment in owners.items():
-            if partition not in placed and assignment.server in counts:
-                counts[assignment.server] += 1
-        chosen = {}
-        for partition in partitions:
-            server = min(
-                counts, key=lambda name: (counts[name] + 1) / weights[name]
-            )
-            counts[server] += 1
-            chosen[partition] = server
-        return chosen
-
-
-@PLANNERS.register("hashed")
-class HashedPlanner(Planner):
-    """Baseline: the owner follows from a hash of the partition alone."""
+        """Choose partitions of usable servers that should move.
 
-    def place(
-        self,
-        partitions: Sequence[base.PartitionId],
-        *,
-        owners: Mapping[base.PartitionId, _record.Assignment],
-        weights: Mapping[base.ServerId, float],
-    ) -> dict[base.PartitionId, base.ServerId]:
-        """Choose an owner for each of `partitions`."""
-        return {
-            partition: membership.rank_names(str(partition), weights)[0]
-            for partition in partitions
-        }
+        Parameters
+        ----------
+        owners, loads, weights : mapping
+            As for `place`.
+        limit : int
+            Most partitions that may be chosen.
+        """
+
+
+#: Planners by the name that a row of the operators' table gives.
+PLANNERS: base.Registry[Planner] = base.Registry(kind="planner")
