Show the double grant to a server that returns during a write

The test now cuts the server off right after it answered again; with the old order (grants withdrawn only after the write) partition 0 is owned by s0 and s2 at once, with the present one by none or one.

--- a/tarragonhinge/shards/tests/test_moves.py
+++ b/tarragonhinge/shards/tests/test_moves.py
@@ -110,11 +110,16 @@
         deployment, node, leader = await _start()
         server = deployment.servers[S0]
         own = _list_owned(leader, S0)
+        keeper = leader.owners.keepers[S0]
         server.up = False
         node.table.delay_ms = 400
         while not leader.recorder._writing.locked():
             await deployment.wait(1)
         server.up = True
+        while keeper.state is not shards.ServerState.REACHABLE:
+            await deployment.wait(1)
+        await deployment.wait(10)
+        deployment.network.cut_both(node.address, S0)
         await _watch(deployment, 2500)
         owners = leader.record.owners
         assert all(owners[partition].server != S0 for partition in own)
