--- a/tarragonhinge/shards/__init__.py
+++ b/tarragonhinge/shards/__init__.py
@@ -26,6 +26,7 @@
 from tarragonhinge.shards._record import ShardRecord
 from tarragonhinge.shards._standby import ShardStandby
 from tarragonhinge.shards._timing import Timing
+from tarragonhinge.shards._weighed import WeighedPlanner
 
 __all__ = [
     "PLANNERS",
@@ -51,6 +52,7 @@
     "ShardRecord",
     "ShardStandby",
     "Timing",
+    "WeighedPlanner",
     "decode_record",
     "encode_record",
     "make_record_key",
--- a/tarragonhinge/shards/_loads.py
+++ b/tarragonhinge/shards/_loads.py
@@ -1,12 +1,16 @@
 """Load of each partition, as its leader sees it."""
 
 import dataclasses
+import math
 
 from tarragonhinge import base
 
 #: Time in which an old request loses half of its weight.
 HALF_LIFE_MS = 10_000
 
+#: Time whose requests the decayed counts stand for.
+WINDOW_MS = HALF_LIFE_MS / math.log(2)
+
 #: Load below which a partition is forgotten.
 FORGOTTEN = 0.01
 
--- a/tarragonhinge/shards/_ramp.py
+++ b/tarragonhinge/shards/_ramp.py
@@ -31,7 +31,7 @@
     def add_warm(self, names: Iterable[base.ServerId]) -> None:
         """Count servers as having had their share for long."""
         for name in names:
-            self._since.setdefault(name, self._clock.now() - RAMP_MS)
+            self._since[name] = self._clock.now() - RAMP_MS
 
     def scale(
         self, weights: Mapping[base.ServerId, float]
