Split hot keys out into partitions of their own

A split holds the key, lets its requests finish and writes the new partition on the same server, so it changes no owner; then the partition moves like any other. A merge is a move that ends with the record forgetting the partition. Numbers of split partitions are never used again. Tests: found within 10 s, kept over the loss of the leader, moved off a draining server, merged back when cold, no request failed and no key run by two servers at once.

--- a/tarragonhinge/dispatch/_sender.py
+++ b/tarragonhinge/dispatch/_sender.py
@@ -51,7 +51,8 @@
         deadline_at: int,
     ) -> shards.GrantKeeper | base.NotRun:
         while True:
-            keeper = leader.owners.find_owner(request.partition)
+            partition = _resolve(leader, request)
+            keeper = leader.owners.find_owner(partition)
             if keeper is not None:
                 return keeper
             if leader.state is not shards.LeaderState.LEADING:
@@ -89,14 +90,15 @@
         left_ms = deadline_at - self._clock.now()
         if left_ms <= 0:
             return base.NotRun(reason=base.NotRunReason.DEADLINE)
-        fence = leader.authorize(request.partition)
+        partition = _resolve(leader, request)
+        fence = leader.authorize(partition)
         if isinstance(fence, base.NotRun):
             return fence
-        if leader.owners.find_owner(request.partition) is not keeper:
+        if leader.owners.find_owner(partition) is not keeper:
             return base.NotRun(
                 reason=base.NotRunReason.MOVING, retry_after_ms=OWNER_POLL_MS
             )
-        leader.owners.enter(request.partition, request.key_hash)
+        leader.owners.enter(partition, request.key_hash)
         sent_at = self._clock.now()
         try:
             return await keeper.client.dispatch(
@@ -105,7 +107,7 @@
             )
         finally:
             leader.owners.leave(
-                request.partition,
+                partition,
                 request.key_hash,
                 service_ms=self._clock.now() - sent_at,
             )
@@ -118,6 +120,13 @@
         }
 
 
+def _resolve(
+    leader: shards.ShardLeader, request: _messages.ForwardRequest
+) -> base.PartitionId | None:
+    """Return the partition that holds the request's key now."""
+    return leader.owners.resolve(request.partition, request.key_hash)
+
+
 def _make_server_request(
     request: _messages.ForwardRequest, fence: servers.Fence, left_ms: int
 ) -> servers.ServerRequest:
--- a/tarragonhinge/shards/_leader.py
+++ b/tarragonhinge/shards/_leader.py
@@ -134,7 +134,7 @@
         return self._clock.now() + wait_ms + 2 * self._timing.margin_ms
 
     def authorize(
-        self, partition: base.PartitionId
+        self, partition: base.PartitionId | None
     ) -> servers.Fence | base.NotRun:
         """Return the fencing token of a send that happens at once.
 
--- a/tarragonhinge/shards/_mover.py
+++ b/tarragonhinge/shards/_mover.py
@@ -5,7 +5,6 @@
 import random
 
 from absl import logging
-import msgspec
 
 from tarragonhinge import base
 from tarragonhinge import configuration
@@ -16,7 +15,7 @@
 from tarragonhinge.shards import _loads
 from tarragonhinge.shards import _moves
 from tarragonhinge.shards import _planner
-from tarragonhinge.shards import _ramp
+from tarragonhinge.shards import _pool
 from tarragonhinge.shards import _record
 from tarragonhinge.shards import _recorder
 from tarragonhinge.shards import _waits
@@ -33,6 +32,9 @@
 #: Share of a shard's partitions that may move for balance in a period.
 MOVED_SHARE = 1 / 64
 
+#: Part of the servers' capacity below which loads are not compared.
+IDLE_UTILIZATION = 0.05
+
 #: Delays before a write that the store refused is tried again.
 RETRY_BASE_MS = 100
 RETRY_CAP_MS = 2000
@@ -81,15 +83,14 @@
         self._keepers = keepers
         self._in_flight = in_flight
         self._loads = loads
-        self._started_at = clock.now()
-        self._inherited_until = inherited_until
+        self._pool = _pool.ServerPool(
+            keepers=keepers, inherited_until=inherited_until, clock=clock
+        )
         self._clock = clock
         self._row: configuration.ServiceRow | None = None
         self._listed: list[base.PartitionId] = []
-        self._weights: dict[base.ServerId, float] = {}
         self._planner: _planner.Planner | None = None
         self._index = _index.OwnerIndex()
-        self._ramp = _ramp.ServerRamp(clock=clock)
         self._wake = asyncio.Event()
         self._stale: set[base.ServerId] = set()
         self._orphaned = False
@@ -98,7 +99,7 @@
         self._retry_ms = RETRY_BASE_MS
         self._rng = random.Random(recorder.shard)
         owned = {a.server for a in recorder.record.owners.values()}
-        self._ramp.add_warm(owned)
+        self._pool.ramp.add_warm(owned)
 
     # Triggers ------------------------------------------------------------
 
@@ -106,6 +107,20 @@
         """Look at the shard as soon as possible."""
         self._wake.set()
 
+    def count_usable(self) -> int:
+        """Return the number of servers that may be given partitions."""
+        return len(self._list_usable())
+
+    def request_merge(self, partition: base.PartitionId) -> None:
+        """Begin to merge a split partition back, if that is possible."""
+        self._refresh()
+        source = self._index.owners.get(partition)
+        if source is None or partition in self.book:
+            return
+        if source in self._list_usable() and self.book.has_room(source):
+            self._start_move(partition, None, merges=True)
+            self.wake()
+
     def update_row(self, row: configuration.ServiceRow) -> None:
         """Take over a new version of the service's row."""
         _, region = base.split_shard_id(self._recorder.shard)
@@ -113,11 +128,7 @@
         listed = row.list_partitions(region)
         if listed != self._listed:
             self._listed = listed
-        self._weights = {
-            entry.server: entry.weight
-            for entry in row.list_servers(region)
-            if entry.weight > 0
-        }
+        self._pool.update_row(row, region)
         policy = (row.planner, row.churn_weight)
         if last is None or policy != (last.planner, last.churn_weight):
             self._planner = _planner.PLANNERS.find(row.planner)(
@@ -162,27 +173,16 @@
             self._stale.update(self._keepers)
 
     def _list_usable(self) -> dict[base.ServerId, float]:
-        """Return the servers that may be given partitions, by weight."""
-        usable = {
-            name: weight
-            for name, weight in self._weights.items()
-            if name in self._keepers
-            and self._keepers[name].state is _keeper.ServerState.REACHABLE
-            and not self._keepers[name].draining
-        }
+        usable = self._pool.list_usable()
         if not self._index.owners:
-            self._ramp.add_warm(usable)
-        return self._ramp.scale(usable)
+            self._pool.ramp.add_warm(usable)
+            usable = self._pool.list_usable()
+        return usable
 
     def _start_evacuations(self, usable: dict[base.ServerId, float]) -> None:
         """Begin to empty servers that leave, idle partitions first."""
         for server, held in self._index.servers.items():
-            keeper = self._keepers.get(server)
-            if (
-                server in usable
-                or keeper is None
-                or keeper.state is not _keeper.ServerState.REACHABLE
-            ):
+            if server in usable or not self._pool.is_reachable(server):
                 continue
             for partition in sorted(held, key=self._in_flight.count_partition):
                 if not self.book.has_room(server):
@@ -198,7 +198,7 @@
         self._rebalance_at = now + REBALANCE_PERIOD_MS
         chosen = self._planner.rebalance(
             owners=self._index.owners,
-            loads=self._loads.collect(),
+            loads=self._collect_loads(len(usable)),
             weights=usable,
             limit=max(1, int(len(self._index.owners) * MOVED_SHARE)),
         )
@@ -206,8 +206,23 @@
             if self.book.has_room(self._index.owners[partition]):
                 self._start_move(partition, target)
 
+    def _collect_loads(self, servers: int) -> dict[base.PartitionId, float]:
+        """Return the loads; none where servers are idle all but always.
+
+        Few requests spread unevenly by chance, and moving their keys
+        would gain nothing.
+        """
+        loads = self._loads.collect()
+        capacity_ms = servers * self._row.slots * _loads.WINDOW_MS
+        if sum(loads.values()) < IDLE_UTILIZATION * capacity_ms:
+            return {}
+        return loads
+
     def _start_move(
-        self, partition: base.PartitionId, target: base.ServerId | None
+        self,
+        partition: base.PartitionId,
+        target: base.ServerId | None,
+        merges: bool = False,
     ) -> None:
         self.book.start(
             _moves.Move(
@@ -215,6 +230,7 @@
                 source=self._index.owners[partition],
                 target=target,
                 started_at=self._clock.now(),
+                merges=merges,
             )
         )
 
@@ -227,22 +243,16 @@
             if self._has_drained(move):
                 self.book.revoke(move.partition)
                 self._stale.add(move.source)
-            elif move.target and now - move.started_at >= DRAIN_LIMIT_MS:
+                continue
+            waited_ms = now - move.started_at
+            if move.is_optional() and waited_ms >= DRAIN_LIMIT_MS:
                 self.book.end(move.partition)
 
     def _has_drained(self, move: _moves.Move) -> bool:
-        """Return whether no request of a partition can still run.
-
-        Requests of an earlier leader are not counted here.  They have
-        ended once the server reports none; a server that is never idle
-        is given the row's deadline to finish them.
-        """
+        """Return whether no request of a partition can still run."""
         if self._in_flight.count_partition(move.partition):
             return False
-        return (
-            self._keepers[move.source].seen_idle
-            or self._clock.now() - self._started_at >= self._row.deadline_ms
-        )
+        return self._pool.has_ended_inherited(move.source)
 
     # Assignment ----------------------------------------------------------
 
@@ -271,16 +281,21 @@
 
     def _list_released(
         self, usable: dict[base.ServerId, float]
-    ) -> dict[base.PartitionId, base.ServerId]:
-        """Return the next owner of each partition that has none now."""
+    ) -> dict[base.PartitionId, base.ServerId | None]:
+        """Return the next owner of each partition that has none now.
+
+        None stands for a split partition that is merged back.
+        """
         chosen = {}
         free = set()
-        if self._clock.now() >= self._inherited_until:
+        if not self._pool.is_inherited():
             free.update(self._index.unassigned)
         for move in self.book.list_moves():
-            if not self._is_released(move):
+            if not self._pool.has_released(move):
                 continue
-            if move.target in usable:
+            if move.merges:
+                chosen[move.partition] = None
+            elif move.target in usable:
                 chosen[move.partition] = move.target
             else:
                 free.add(move.partition)
@@ -288,14 +303,6 @@
             chosen.update(self._place(sorted(free), usable))
         return chosen
 
-    def _is_released(self, move: _moves.Move) -> bool:
-        if move.stage is not _moves.MoveStage.REVOKING:
-            return False
-        keeper = self._keepers.get(move.source)
-        if keeper is None:
-            return self._clock.now() >= self._inherited_until
-        return keeper.has_released(move.partition)
-
     def _place(
         self,
         partitions: list[base.PartitionId],
@@ -318,30 +325,16 @@
             if server in usable:
                 continue
             waiting = True
-            if self._has_lapsed(server):
+            if self._pool.has_lapsed(server):
                 lapsed.extend(held)
         self._orphaned = waiting
         return lapsed
 
-    def _has_lapsed(self, server: base.ServerId) -> bool:
-        keeper = self._keepers.get(server)
-        if keeper is None:
-            return self._clock.now() >= self._inherited_until
-        return (
-            keeper.state is not _keeper.ServerState.REACHABLE
-            and keeper.has_lapsed()
-        )
-
     async def _write_owners(
-        self, chosen: dict[base.PartitionId, base.ServerId]
+        self, chosen: dict[base.PartitionId, base.ServerId | None]
     ) -> None:
         def assign(record: _record.ShardRecord) -> _record.ShardRecord:
-            owners = dict(record.owners)
-            for partition, server in chosen.items():
-                owners[partition] = _record.Assignment(
-                    server=server, epoch=_make_epoch(owners.get(partition))
-                )
-            return msgspec.structs.replace(record, owners=owners)
+            return _record.assign_owners(record, chosen)
 
         if not await self._recorder.write(assign):
             self._end_moves([m.partition for m in self.book.list_moves()])
@@ -385,7 +378,3 @@
                 }
             )
         self._stale.clear()
-
-
-def _make_epoch(last: _record.Assignment | None) -> base.Epoch:
-    return base.Epoch(last.epoch + 1 if last else 1)
--- a/tarragonhinge/shards/_moves.py
+++ b/tarragonhinge/shards/_moves.py
@@ -30,6 +30,9 @@
         The next owner; None leaves the choice to the planner.
     started_at : int
         When its requests began to be held.
+    merges : bool
+        True if the partition holds a hot key that goes back to its
+        former partition.
     stage : MoveStage
         Requests in flight finish before the grant is withdrawn.
     """
@@ -38,8 +41,13 @@
     source: base.ServerId
     target: base.ServerId | None
     started_at: int
+    merges: bool = False
     stage: MoveStage = MoveStage.DRAINING
 
+    def is_optional(self) -> bool:
+        """Return whether the partition could as well stay."""
+        return self.merges or self.target is not None
+
 
 class MoveBook:
     """The moves under way in a shard, a bounded number for each server.
--- a/tarragonhinge/shards/_owners.py
+++ b/tarragonhinge/shards/_owners.py
@@ -12,6 +12,7 @@
 from tarragonhinge.shards import _loads
 from tarragonhinge.shards import _mover
 from tarragonhinge.shards import _recorder
+from tarragonhinge.shards import _splitter
 from tarragonhinge.shards import _timing
 from tarragonhinge.shards import _waits
 
@@ -82,6 +83,17 @@
             clock=clock,
         )
 
+        self._splitter = _splitter.KeySplitter(
+            recorder=recorder,
+            authority=authority,
+            in_flight=self._in_flight,
+            count_servers=self._mover.count_usable,
+            request_merge=self._mover.request_merge,
+            on_written=self._wake_all,
+            partitions=row.partitions,
+            clock=clock,
+        )
+
     @property
     def moved_count(self) -> int:
         """Return the assignments that this leadership has recorded."""
@@ -89,8 +101,22 @@
 
     # Serving -------------------------------------------------------------
 
+    def resolve(
+        self, partition: base.PartitionId, key_hash: int
+    ) -> base.PartitionId | None:
+        """Return the partition that holds a key; None while it changes.
+
+        Parameters
+        ----------
+        partition : PartitionId
+            The key's partition by its hash.
+        key_hash : int
+            Hash of the key; a hot key may have its own partition.
+        """
+        return self._splitter.resolve(partition, key_hash)
+
     def find_owner(
-        self, partition: base.PartitionId
+        self, partition: base.PartitionId | None
     ) -> _keeper.GrantKeeper | None:
         """Return the server that owns a partition now, or None."""
         assignment = self._recorder.record.owners.get(partition)
@@ -117,7 +143,7 @@
             self._changed, clock=self._clock, timeout_ms=timeout_ms
         )
 
-    def _on_keeper_change(self) -> None:
+    def _wake_all(self) -> None:
         changed, self._changed = self._changed, asyncio.Event()
         changed.set()
         self._mover.wake()
@@ -125,6 +151,8 @@
     def enter(self, partition: base.PartitionId, key_hash: int = 0) -> None:
         """Count a dispatched request."""
         self._in_flight.enter(partition, key_hash)
+        if key_hash:
+            self._splitter.hot_keys.add(key_hash)
 
     def leave(
         self,
@@ -148,6 +176,7 @@
         """Start heartbeats to all servers and the planning of moves."""
         self.update_row(self.row)
         self._tasks["plan"] = asyncio.create_task(self._mover.run())
+        self._tasks["split"] = asyncio.create_task(self._splitter.run())
 
     async def stop(self) -> None:
         """Stop all tasks and close all connections."""
@@ -177,7 +206,7 @@
             timing=self._timing,
             lapsed_at=self._inherited_until,
         )
-        keeper.on_change = self._on_keeper_change
+        keeper.on_change = self._wake_all
         self.keepers[entry.server] = keeper
         task = asyncio.create_task(keeper.run())
         self._tasks[f"server/{entry.server}"] = task
@@ -188,6 +217,7 @@
         return {
             "servers": {n: k.state.value for n, k in self.keepers.items()},
             "owners": {str(p): a.server for p, a in owners.items()},
+            **self._splitter.dump(),
             "in_flight": self.count_in_flight(),
             "held": sorted(m.partition for m in self._mover.book.list_moves()),
         }
--- /dev/null
+++ b/tarragonhinge/shards/_pool.py
@@ -0,0 +1,96 @@
+"""What a leader knows of its shard's servers as owners."""
+
+from tarragonhinge import base
+from tarragonhinge import configuration
+from tarragonhinge.shards import _keeper
+from tarragonhinge.shards import _moves
+from tarragonhinge.shards import _ramp
+
+
+class ServerPool:
+    """Which servers may own partitions, and which certainly don't.
+
+    Parameters
+    ----------
+    keepers : dict
+        Keeper of each server; the caller adds to it.
+    inherited_until : int
+        When grants of earlier leaders have lapsed everywhere.
+    clock : Clock
+        This process's clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        keepers: dict[base.ServerId, _keeper.GrantKeeper],
+        inherited_until: int,
+        clock: base.Clock,
+    ) -> None:
+        self.keepers = keepers
+        self.ramp = _ramp.ServerRamp(clock=clock)
+        self._inherited_until = inherited_until
+        self._clock = clock
+        self._started_at = clock.now()
+        self._weights: dict[base.ServerId, float] = {}
+        self._deadline_ms = 0
+
+    def update_row(
+        self, row: configuration.ServiceRow, region: base.RegionName
+    ) -> None:
+        """Take over a new version of the service's row."""
+        self._deadline_ms = row.deadline_ms
+        self._weights = {
+            entry.server: entry.weight
+            for entry in row.list_servers(region)
+            if entry.weight > 0
+        }
+
+    def list_usable(self) -> dict[base.ServerId, float]:
+        """Return the servers that may be given partitions, by weight."""
+        return self.ramp.scale(
+            {
+                name: weight
+                for name, weight in self._weights.items()
+                if self.is_reachable(name) and not self.keepers[name].draining
+            }
+        )
+
+    def is_reachable(self, server: base.ServerId) -> bool:
+        """Return whether a server answers under this leader's term."""
+        keeper = self.keepers.get(server)
+        return (
+            keeper is not None
+            and keeper.state is _keeper.ServerState.REACHABLE
+        )
+
+    def is_inherited(self) -> bool:
+        """Return whether grants of earlier leaders may be valid."""
+        return self._clock.now() < self._inherited_until
+
+    def has_lapsed(self, server: base.ServerId) -> bool:
+        """Return whether a server is lost and its grants have lapsed."""
+        keeper = self.keepers.get(server)
+        if keeper is None:
+            return not self.is_inherited()
+        return not self.is_reachable(server) and keeper.has_lapsed()
+
+    def has_released(self, move: _moves.Move) -> bool:
+        """Return whether a partition certainly has no owner any more."""
+        if move.stage is not _moves.MoveStage.REVOKING:
+            return False
+        keeper = self.keepers.get(move.source)
+        if keeper is None:
+            return not self.is_inherited()
+        return keeper.has_released(move.partition)
+
+    def has_ended_inherited(self, server: base.ServerId) -> bool:
+        """Return whether requests of earlier leaders have ended there.
+
+        They have once the server reports none running; a server that is
+        never idle is given the row's deadline to finish them.
+        """
+        return (
+            self.keepers[server].seen_idle
+            or self._clock.now() - self._started_at >= self._deadline_ms
+        )
--- a/tarragonhinge/shards/_record.py
+++ b/tarragonhinge/shards/_record.py
@@ -1,5 +1,7 @@
 """The record of a shard in the platform's table."""
 
+from collections.abc import Mapping
+
 import msgspec
 
 from tarragonhinge import base
@@ -53,12 +55,19 @@
         Who may take over.
     owners : dict
         Assignment of each partition.
+    splits : dict
+        Hash of the key that each split partition holds.
+    next_split : int
+        Number of the next split partition.  Numbers are never used
+        again, so that no grant of an earlier split is valid in a later.
     """
 
     term: base.Term
     leader: Holder
     standby: Holder | None = None
     owners: dict[base.PartitionId, Assignment] = {}
+    splits: dict[base.PartitionId, int] = {}
+    next_split: int = 0
 
 
 _decoder = msgspec.json.Decoder(ShardRecord)
@@ -81,6 +90,34 @@
     )
 
 
+def assign_owners(
+    record: ShardRecord,
+    chosen: Mapping[base.PartitionId, base.ServerId | None],
+) -> ShardRecord:
+    """Return a record with new owners of some partitions.
+
+    Parameters
+    ----------
+    record : ShardRecord
+        The record before.
+    chosen : mapping
+        New owners; None merges a split partition back, so that its key
+        belongs to its former partition again.
+    """
+    owners, splits = dict(record.owners), dict(record.splits)
+    for partition, server in chosen.items():
+        if server is None:
+            owners.pop(partition, None)
+            splits.pop(partition, None)
+            continue
+        last = owners.get(partition)
+        epoch = base.Epoch(last.epoch + 1 if last else 1)
+        owners[partition] = Assignment(server=server, epoch=epoch)
+    if splits == record.splits:
+        splits = record.splits
+    return msgspec.structs.replace(record, owners=owners, splits=splits)
+
+
 def encode_record(record: ShardRecord) -> bytes:
     """Return the content of a shard's row."""
     return msgspec.json.encode(record)
--- /dev/null
+++ b/tarragonhinge/shards/tests/test_splits.py
@@ -0,0 +1,156 @@
+"""Hot keys in partitions of their own, on manual time."""
+
+import asyncio
+import itertools
+
+import pytest
+
+from tarragonhinge import base
+from tarragonhinge import routing
+from tarragonhinge.shards import _hot_keys
+from tarragonhinge import testing
+
+SHARD = base.ShardId("balances/centro")
+
+#: Target: hot keys change within minutes, so one is found in seconds.
+FOUND_MS = 10_000
+
+HOT = "district-7"
+
+
+async def _start(**changes):
+    deployment = testing.Deployment(row=testing.make_row(**changes))
+    await deployment.start()
+    return deployment, deployment.find_leaders()[0]
+
+
+async def _load(deployment, node, duration_ms, *, hot_each_ms):
+    """Send a hot key and others in turn; return what failed."""
+    failed = []
+
+    async def send(key):
+        outcome = await deployment.send(node, key, deadline_ms=1000)
+        if not isinstance(outcome, base.Answered):
+            failed.append(outcome)
+
+    tasks = []
+    for at in range(0, duration_ms, 10):
+        tasks.append(asyncio.create_task(send(f"k{at % 970}")))
+        if hot_each_ms and at % hot_each_ms == 0:
+            tasks.append(asyncio.create_task(send(HOT)))
+        await deployment.wait(10)
+    await asyncio.gather(*tasks)
+    return failed
+
+
+def _find_leader(deployment):
+    return deployment.find_leaders()[0].instance.coordinator.leaders[SHARD]
+
+
+def _assert_one_place_for_the_key(deployment):
+    """Assert that no two servers ran the key at the same time."""
+    runs = sorted(
+        (run.at_ms, server.service_ms, name)
+        for name, server in deployment.servers.items()
+        for run in server.runs
+        if run.path.endswith(HOT)
+    )
+    for (at, service_ms, name), (later, _, other) in itertools.pairwise(runs):
+        assert name == other or at + service_ms <= later, (at, name, other)
+
+
+@pytest.mark.parametrize("lost", [False, True])
+def test_a_hot_key_is_split_out_and_merged_back(lost):
+    async def scenario():
+        deployment, node = await _start()
+        failed = await _load(deployment, node, FOUND_MS, hot_each_ms=20)
+        place = routing.locate_key(deployment.row, HOT)
+        splits = _find_leader(deployment).record.splits
+        assert list(splits.values()) == [place.key_hash]
+        assert failed == []
+        if lost:
+            await node.kill()
+            node = next(n for n in deployment.nodes if n is not node)
+            await _load(deployment, node, 3000, hot_each_ms=20)
+            leader = _find_leader(deployment)
+            assert list(leader.record.splits.values()) == [place.key_hash]
+        failed = await _load(
+            deployment,
+            node,
+            _hot_keys.COLD_MS + 2 * FOUND_MS,
+            hot_each_ms=2000,
+        )
+        assert failed == []
+        record = _find_leader(deployment).record
+        assert record.splits == {}
+        assert set(record.owners) == set(range(deployment.row.partitions))
+        _assert_one_place_for_the_key(deployment)
+
+    testing.run_manual(scenario())
+
+
+def test_a_split_partition_moves_like_any_other():
+    async def scenario():
+        deployment, node = await _start()
+        await _load(deployment, node, FOUND_MS, hot_each_ms=20)
+        leader = _find_leader(deployment)
+        part = next(iter(leader.record.splits))
+        owner = leader.record.owners[part].server
+        deployment.servers[owner].draining = True
+        failed = await _load(deployment, node, 5000, hot_each_ms=20)
+        assert failed == []
+        assert leader.record.owners[part].server != owner
+        _assert_one_place_for_the_key(deployment)
+        deployment.servers[owner].draining = False
+        await _load(
+            deployment,
+            node,
+            _hot_keys.COLD_MS + 2 * FOUND_MS,
+            hot_each_ms=2000,
+        )
+        assert leader.record.splits == {}
+        _assert_one_place_for_the_key(deployment)
+
+    testing.run_manual(scenario())
+
+
+def test_a_key_of_long_requests_is_not_split_under_them():
+    async def scenario():
+        deployment, node = await _start()
+        place = routing.locate_key(deployment.row, HOT)
+        for server in deployment.servers.values():
+            server.service_ms = 400
+        leader = _find_leader(deployment)
+        hot_keys = leader.owners._splitter.hot_keys
+        running = asyncio.create_task(deployment.send(node, HOT))
+        await deployment.wait(20)
+        for _ in range(1000):
+            hot_keys.add(place.key_hash)
+        held = 0
+        while not running.done():
+            assert leader.record.splits == {}
+            held += leader.owners.resolve(place.partition, place.key_hash) is (
+                None
+            )
+            await deployment.wait(1)
+        assert held <= 120
+        for _ in range(1000):
+            hot_keys.add(place.key_hash)
+        await deployment.wait(3000)
+        assert list(leader.record.splits.values()) == [place.key_hash]
+
+    testing.run_manual(scenario())
+
+
+def test_the_number_of_split_keys_is_bounded():
+    async def scenario():
+        clock = testing.ManualClock()
+        hot = _hot_keys.HotKeys(clock=clock)
+        for key in range(50 * 100):
+            hot.add(key % 50)
+        split: dict[int, int] = {}
+        while found := hot.list_hot(servers=64, split=split):
+            split.update(dict.fromkeys(found, 0))
+        assert len(split) == _hot_keys.MAX_SPLITS
+
+    testing.run_manual(scenario())
