--- a/tarragonhinge/dispatch/_sender.py
+++ b/tarragonhinge/dispatch/_sender.py
@@ -51,7 +51,8 @@
         deadline_at: int,
     ) -> shards.GrantKeeper | base.NotRun:
         while True:
-            keeper = leader.owners.find_owner(request.partition)
+            partition = _resolve(leader, request)
+            keeper = leader.owners.find_owner(partition)
             if keeper is not None:
                 return keeper
             if leader.state is not shards.LeaderState.LEADING:
@@ -63,7 +64,7 @@
                 return base.NotRun(
                     reason=base.NotRunReason.NO_OWNER, retry_after_ms=1000
                 )
-            await self._clock.sleep(OWNER_POLL_MS)
+            await leader.owners.wait_change(OWNER_POLL_MS)
 
     def _find_slots(
         self, leader: shards.ShardLeader, server: base.ServerId
@@ -89,21 +90,27 @@
         left_ms = deadline_at - self._clock.now()
         if left_ms <= 0:
             return base.NotRun(reason=base.NotRunReason.DEADLINE)
-        fence = leader.authorize(request.partition)
+        partition = _resolve(leader, request)
+        fence = leader.authorize(partition)
         if isinstance(fence, base.NotRun):
             return fence
-        if leader.owners.find_owner(request.partition) is not keeper:
+        if leader.owners.find_owner(partition) is not keeper:
             return base.NotRun(
                 reason=base.NotRunReason.MOVING, retry_after_ms=OWNER_POLL_MS
             )
-        leader.owners.enter(request.partition)
+        leader.owners.enter(partition, request.key_hash)
+        sent_at = self._clock.now()
         try:
             return await keeper.client.dispatch(
                 _make_server_request(request, fence, left_ms),
                 timeout_ms=left_ms,
             )
         finally:
-            leader.owners.leave(request.partition)
+            leader.owners.leave(
+                partition,
+                request.key_hash,
+                service_ms=self._clock.now() - sent_at,
+            )
 
     def dump(self) -> dict:
         """Return the state that decides, for operators."""
@@ -113,6 +120,13 @@
         }
 
 
+def _resolve(
+    leader: shards.ShardLeader, request: _messages.ForwardRequest
+) -> base.PartitionId | None:
+    """Return the partition that holds the request's key now."""
+    return leader.owners.resolve(request.partition, request.key_hash)
+
+
 def _make_server_request(
     request: _messages.ForwardRequest, fence: servers.Fence, left_ms: int
 ) -> servers.ServerRequest:
