--- a/tarragonhinge/stores/_memory.py
+++ b/tarragonhinge/stores/_memory.py
@@ -1,5 +1,7 @@
 """Table and objects held in memory, for stand-ins and tests."""
 
+from collections.abc import Callable
+
 from tarragonhinge.stores import _objects
 from tarragonhinge.stores import _rows
 from tarragonhinge.stores import _table
@@ -12,6 +14,7 @@
         self._rows: dict[str, _rows.Row] = {}
         self.read_count = 0
         self.write_count = 0
+        self.on_write: Callable[[], None] | None = None
 
     async def read(self, keys: list[str]) -> _rows.ReadResult:
         """Return the rows of `keys` in order."""
@@ -32,6 +35,8 @@
                 version=self.get_row(put.key).version + 1,
                 write_id=transaction.write_id,
             )
+        if self.on_write is not None:
+            self.on_write()
         return _rows.Committed()
 
     def get_row(self, key: str) -> _rows.Row:
--- a/tarragonhinge/testing/__init__.py
+++ b/tarragonhinge/testing/__init__.py
@@ -6,8 +6,11 @@
 from tarragonhinge.testing._deployment import find_sent_to
 from tarragonhinge.testing._deployment import make_row
 from tarragonhinge.testing._deployment import Node
+from tarragonhinge.testing._faults import FaultDriver
+from tarragonhinge.testing._faults import FAULTS
 from tarragonhinge.testing._loop import ManualLoop
 from tarragonhinge.testing._loop import run_manual
+from tarragonhinge.testing._monitor import OwnershipMonitor
 from tarragonhinge.testing._network import MemoryNetwork
 from tarragonhinge.testing._network import MemoryTransport
 from tarragonhinge.testing._servers import make_client_factory
@@ -18,8 +21,10 @@
 from tarragonhinge.testing._stores import MemoryInstanceList
 
 __all__ = [
+    "FAULTS",
     "WALL_ORIGIN_MS",
     "Deployment",
+    "FaultDriver",
     "FaultyTable",
     "ManualClock",
     "ManualLoop",
@@ -29,6 +34,7 @@
     "MemoryServerClient",
     "MemoryTransport",
     "Node",
+    "OwnershipMonitor",
     "Run",
     "find_sent_to",
     "make_client_factory",
--- a/tarragonhinge/testing/_deployment.py
+++ b/tarragonhinge/testing/_deployment.py
@@ -1,6 +1,8 @@
 """A few instances and servers in memory, on manual time."""
 
 import asyncio
+from collections.abc import Sequence
+import itertools
 
 import msgspec
 
@@ -60,9 +62,10 @@
         instances: _stores.MemoryInstanceList,
         pool: dict[base.ServerId, _servers.MemoryServer],
         timing: shards.Timing,
+        rate: float = 1.0,
     ) -> None:
         self.address = base.Address(f"node-{number}")
-        self.clock = _clock.ManualClock(offset_ms=1000 * number)
+        self.clock = _clock.ManualClock(offset_ms=1000 * number, rate=rate)
         self.table = _stores.FaultyTable(table=table, clock=self.clock)
         self.network = network
         options = settings.Settings(
@@ -98,6 +101,10 @@
 
     async def kill(self) -> None:
         """Lose the process: nothing of it runs or answers any more."""
+        self.halt()
+
+    def halt(self) -> None:
+        """Lose the process, without a coroutine."""
         self.clock.pause()
         self.network.transports.pop(self.address, None)
 
@@ -115,6 +122,8 @@
         The network; a fast and faithful one by default.
     timing : Timing or None
         Durations; the defaults if None.
+    rates : sequence of float
+        Rates of the clocks of servers and then of instances, in turn.
     """
 
     def __init__(
@@ -124,7 +133,10 @@
         instances: int = 3,
         network: _network.MemoryNetwork | None = None,
         timing: shards.Timing | None = None,
+        rates: Sequence[float] = (1.0,),
     ) -> None:
+        self.timing = timing or shards.Timing()
+        self.rates = itertools.cycle(rates)
         self.row = row or make_row()
         self.network = network or _network.MemoryNetwork()
         self.table = stores.MemoryTable()
@@ -132,21 +144,34 @@
         self.servers = {
             entry.server: _servers.MemoryServer(
                 name=entry.server,
-                clock=_clock.ManualClock(offset_ms=50_000),
+                clock=_clock.ManualClock(
+                    offset_ms=50_000, rate=next(self.rates)
+                ),
             )
             for entry in self.row.servers
         }
-        self.nodes = [
-            Node(
-                number=number,
-                network=self.network,
-                table=self.table,
-                instances=self.instance_list,
-                pool=self.servers,
-                timing=timing or shards.Timing(),
-            )
-            for number in range(instances)
-        ]
+        self.nodes = [self._make_node(number) for number in range(instances)]
+
+    def _make_node(self, number: int) -> Node:
+        return Node(
+            number=number,
+            network=self.network,
+            table=self.table,
+            instances=self.instance_list,
+            pool=self.servers,
+            timing=self.timing,
+            rate=next(self.rates),
+        )
+
+    @property
+    def shard(self) -> base.ShardId:
+        """Return the only shard."""
+        return base.make_shard_id(self.row.service, REGION)
+
+    async def restart(self, number: int) -> None:
+        """Start a new process in place of a lost one."""
+        self.nodes[number] = self._make_node(number)
+        await self.nodes[number].instance.start()
 
     async def start(self, settle_ms: int = 5000) -> None:
         """Store the row, start all instances and let them settle."""
--- /dev/null
+++ b/tarragonhinge/testing/_faults.py
@@ -0,0 +1,225 @@
+"""Faults that a test applies to a deployment, one at a time."""
+
+import asyncio
+from collections.abc import Callable
+
+import uuid6
+
+from tarragonhinge import base
+from tarragonhinge.testing import _clock
+from tarragonhinge.testing import _deployment
+
+#: Keys that requests use.
+KEY_COUNT = 6
+
+#: Delay that makes messages overtake each other and answers come late.
+LATE_MS = 600
+
+Fault = Callable[["FaultDriver", int, int], None]
+
+#: Faults by name; each takes two numbers that choose its targets.
+FAULTS: base.Registry[Fault] = base.Registry(kind="fault")
+
+
+class FaultDriver:
+    """Applies faults and sends requests while they last.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What it breaks.
+    """
+
+    def __init__(self, *, deployment: _deployment.Deployment) -> None:
+        self.deployment = deployment
+        self.killed: set[int] = set()
+        self.keys: list[str] = []
+        self._tasks: list[asyncio.Task] = []
+
+    def apply(self, name: str, one: int, other: int) -> None:
+        """Apply a fault of the registry to targets chosen by numbers."""
+        FAULTS.find(name)(self, one, other)
+
+    def find_node(self, number: int) -> _deployment.Node:
+        """Return the instance that a number chooses."""
+        return self.deployment.nodes[number % len(self.deployment.nodes)]
+
+    def find_server(self, number: int):
+        """Return the server that a number chooses."""
+        servers = list(self.deployment.servers.values())
+        return servers[number % len(servers)]
+
+    def find_end(self, number: int) -> str:
+        """Return the address of the instance or server chosen."""
+        ends = [node.address for node in self.deployment.nodes]
+        ends += self.deployment.servers
+        return ends[number % len(ends)]
+
+    def spawn(self, coroutine) -> None:
+        """Run a coroutine beside the steps that follow."""
+        self._tasks.append(asyncio.create_task(coroutine))
+
+    def send(self, node_number: int, key_number: int, **options) -> None:
+        """Send a request and leave its answer to itself."""
+        key = f"k{key_number % KEY_COUNT}"
+        node = self.find_node(node_number)
+        self.spawn(self.deployment.send(node, key, **options))
+
+
+def make_key(number: int) -> str:
+    """Return the UUIDv7 that a number chooses, minted at manual time."""
+    now = _clock.ManualClock().read_wall()
+    text = uuid6.UUID(int=(now << 80) | (7 << 76) | (2 << 62) | number)
+    return str(text)
+
+
+@FAULTS.register("get")
+def _get(driver: FaultDriver, one: int, other: int) -> None:
+    driver.send(one, other)
+
+
+@FAULTS.register("post")
+def _post(driver: FaultDriver, one: int, other: int) -> None:
+    driver.keys.append(make_key(len(driver.keys)))
+    _repeat_post(driver, one, other)
+
+
+@FAULTS.register("post-again")
+def _repeat_post(driver: FaultDriver, one: int, other: int) -> None:
+    if driver.keys:
+        key = driver.keys[-1 - other % min(3, len(driver.keys))]
+        number = driver.keys.index(key)
+        driver.send(one, number, method="POST", idempotency_key=key)
+
+
+@FAULTS.register("pause")
+def _pause(driver: FaultDriver, one: int, other: int) -> None:
+    driver.find_node(one).clock.pause()
+
+
+@FAULTS.register("resume")
+def _resume(driver: FaultDriver, one: int, other: int) -> None:
+    for number, node in enumerate(driver.deployment.nodes):
+        if number not in driver.killed:
+            node.clock.resume()
+
+
+@FAULTS.register("freeze-server")
+def _freeze(driver: FaultDriver, one: int, other: int) -> None:
+    driver.find_server(one).clock.pause()
+
+
+@FAULTS.register("thaw-servers")
+def _thaw(driver: FaultDriver, one: int, other: int) -> None:
+    for server in driver.deployment.servers.values():
+        server.clock.resume()
+
+
+@FAULTS.register("lose-server")
+def _lose_server(driver: FaultDriver, one: int, other: int) -> None:
+    driver.find_server(one).up = False
+
+
+@FAULTS.register("restart-servers")
+def _restart_servers(driver: FaultDriver, one: int, other: int) -> None:
+    for server in driver.deployment.servers.values():
+        if not server.up:
+            server.restart()
+
+
+@FAULTS.register("bounce-server")
+def _bounce_server(driver: FaultDriver, one: int, other: int) -> None:
+    driver.find_server(one).restart()
+
+
+@FAULTS.register("drain-server")
+def _drain(driver: FaultDriver, one: int, other: int) -> None:
+    server = driver.find_server(one)
+    server.draining = not server.draining
+
+
+@FAULTS.register("cut")
+def _cut(driver: FaultDriver, one: int, other: int) -> None:
+    network = driver.deployment.network
+    network.cut(driver.find_end(one), driver.find_end(other))
+
+
+@FAULTS.register("cut-both")
+def _cut_both(driver: FaultDriver, one: int, other: int) -> None:
+    network = driver.deployment.network
+    network.cut_both(driver.find_end(one), driver.find_end(other))
+
+
+@FAULTS.register("heal")
+def _heal(driver: FaultDriver, one: int, other: int) -> None:
+    network = driver.deployment.network
+    network.heal()
+    network.jitter_ms = 0
+    network.loss = 0.0
+    network.duplication = 0.0
+
+
+@FAULTS.register("late")
+def _delay(driver: FaultDriver, one: int, other: int) -> None:
+    driver.deployment.network.jitter_ms = LATE_MS
+
+
+@FAULTS.register("lossy")
+def _lose(driver: FaultDriver, one: int, other: int) -> None:
+    driver.deployment.network.loss = 0.3
+
+
+@FAULTS.register("duplicate")
+def _duplicate(driver: FaultDriver, one: int, other: int) -> None:
+    driver.deployment.network.duplication = 0.5
+
+
+@FAULTS.register("store-down")
+def _lose_store(driver: FaultDriver, one: int, other: int) -> None:
+    for node in driver.deployment.nodes:
+        node.table.down = True
+
+
+@FAULTS.register("store-cut")
+def _cut_store(driver: FaultDriver, one: int, other: int) -> None:
+    driver.find_node(one).table.down = True
+
+
+@FAULTS.register("store-slow")
+def _slow_store(driver: FaultDriver, one: int, other: int) -> None:
+    driver.find_node(one).table.delay_ms = LATE_MS
+
+
+@FAULTS.register("store-answers-lost")
+def _lose_answers(driver: FaultDriver, one: int, other: int) -> None:
+    driver.find_node(one).table.lose_answers = 1 + other % 2
+
+
+@FAULTS.register("store-up")
+def _heal_store(driver: FaultDriver, one: int, other: int) -> None:
+    for node in driver.deployment.nodes:
+        node.table.down = False
+        node.table.delay_ms = 5
+
+
+@FAULTS.register("kill")
+def _kill(driver: FaultDriver, one: int, other: int) -> None:
+    number = one % len(driver.deployment.nodes)
+    if number not in driver.killed:
+        driver.killed.add(number)
+        driver.deployment.nodes[number].halt()
+
+
+@FAULTS.register("restart")
+def _restart(driver: FaultDriver, one: int, other: int) -> None:
+    for number in sorted(driver.killed):
+        driver.killed.discard(number)
+        driver.spawn(driver.deployment.restart(number))
+
+
+@FAULTS.register("hand-over")
+def _hand_over(driver: FaultDriver, one: int, other: int) -> None:
+    number = one % len(driver.deployment.nodes)
+    if number not in driver.killed:
+        driver.killed.add(number)
+        driver.spawn(driver.deployment.nodes[number].instance.stop())
--- /dev/null
+++ b/tarragonhinge/testing/_monitor.py
@@ -0,0 +1,136 @@
+"""Checks of ownership while a deployment runs."""
+
+import collections
+
+from tarragonhinge import base
+from tarragonhinge import shards
+from tarragonhinge import stores
+from tarragonhinge.testing import _servers
+
+
+class OwnershipMonitor:
+    """Raises as soon as a deployment breaks a promise of ownership.
+
+    It looks at what servers and the table hold, never at what a leader
+    believes of its own authority.
+
+    Parameters
+    ----------
+    shard : ShardId
+        The shard that is watched.
+    servers : dict
+        All servers.
+    table : MemoryTable
+        The table that all instances share.
+    timing : Timing
+        Durations in force.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard: base.ShardId,
+        servers: dict[base.ServerId, _servers.MemoryServer],
+        table: stores.MemoryTable,
+        timing: shards.Timing,
+    ) -> None:
+        self.check_count = 0
+        self.run_count = 0
+        self._shard = shard
+        self._servers = servers
+        self._table = table
+        self._timing = timing
+        self._last: shards.ShardRecord | None = None
+        self._superseded_at: dict[base.Term, int] = {}
+        self._runs: collections.Counter[str] = collections.Counter()
+        self._failures: list[str] = []
+        table.on_write = self.check_record
+        for server in servers.values():
+            server.on_grant = self.check_grants
+            server.on_run = self.check_run
+
+    def verify(self) -> None:
+        """Check now and raise the first failure seen so far.
+
+        Raises
+        ------
+        AssertionError
+            If a promise was broken since the monitor was made.
+        """
+        self.check_grants()
+        assert not self._failures, self._failures[0]
+
+    def check_grants(self) -> None:
+        """Check that no partition has two servers with a valid grant."""
+        self.check_count += 1
+        holders: dict[base.PartitionId, base.ServerId] = {}
+        for name, server in self._servers.items():
+            for partition in server.list_owned(self._shard):
+                other = holders.setdefault(partition, name)
+                if other != name:
+                    self._fail(f"{partition} owned by {other} and {name}")
+
+    def check_record(self) -> None:
+        """Check that no term, owner or epoch in the record is undone."""
+        record = self._read_record()
+        last = self._last
+        self._last = record
+        if record is None or last is None:
+            return
+        if record.term < last.term:
+            self._fail(f"term fell from {last.term} to {record.term}")
+        if record.term > last.term:
+            self._superseded_at[last.term] = _read_time()
+        for partition, old in last.owners.items():
+            new = record.owners.get(partition)
+            if new != old and (new is None or new.epoch <= old.epoch):
+                self._fail(f"{partition} fell from {old} to {new}")
+
+    def check_copy(self, copy: shards.ShardRecord) -> None:
+        """Check that what a leader acknowledged is in the table."""
+        stored = self._last
+        if stored is None or stored.term < copy.term:
+            self._fail(f"term {copy.term} was never stored")
+            return
+        for partition, mine in copy.owners.items():
+            held = stored.owners.get(partition)
+            if held is None or held.epoch < mine.epoch:
+                self._fail(f"{partition} lost its owner {mine}")
+            elif held.epoch == mine.epoch and held.server != mine.server:
+                self._fail(f"{partition} is {held}, not {mine}")
+
+    def check_run(self, name: base.ServerId, run: _servers.Run) -> None:
+        """Check that a request ran once, at its owner, under authority."""
+        self.run_count += 1
+        self.check_grants()
+        record = self._read_record()
+        owner = record.owners.get(run.fence.partition) if record else None
+        if owner is None or owner.server != name:
+            self._fail(f"{name} ran {run} owned by {owner}")
+        elif owner.epoch != run.fence.epoch:
+            self._fail(f"{name} ran {run} under an old epoch")
+        superseded_at = self._superseded_at.get(run.fence.term)
+        if superseded_at is not None:
+            late_ms = run.at_ms - superseded_at
+            if late_ms > self._bound_old_term_ms():
+                self._fail(f"{run} ran {late_ms} ms after its term")
+        if run.idempotency_key:
+            self._runs[run.idempotency_key] += 1
+            if self._runs[run.idempotency_key] > 1:
+                self._fail(f"{run} ran twice")
+
+    def _bound_old_term_ms(self) -> int:
+        """Return how long requests of a superseded term may still run."""
+        timing = self._timing
+        return timing.outage_lease_ms + timing.grant_ms + 2 * timing.margin_ms
+
+    def _read_record(self) -> shards.ShardRecord | None:
+        row = self._table.get_row(shards.make_record_key(self._shard))
+        return shards.decode_record(row.value) if row.version else None
+
+    def _fail(self, text: str) -> None:
+        self._failures.append(f"at {_read_time()} ms: {text}")
+
+
+def _read_time() -> int:
+    return base.Clock().now()
--- a/tarragonhinge/testing/_servers.py
+++ b/tarragonhinge/testing/_servers.py
@@ -1,6 +1,7 @@
 """Backend server in memory."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import itertools
 
@@ -61,6 +62,8 @@
         self.running = 0
         self.most_running = 0
         self.runs: list[Run] = []
+        self.on_grant: Callable[[], None] | None = None
+        self.on_run: Callable[[base.ServerId, Run], None] | None = None
         self._boots = itertools.count(1)
         self.grants = self._boot()
 
@@ -77,6 +80,8 @@
     def take_grants(self, request: servers.GrantRequest) -> servers.GrantReply:
         """Answer a batched heartbeat."""
         reply = self.grants.apply(request, now=self.clock.now())
+        if self.on_grant is not None:
+            self.on_grant()
         return servers.GrantReply(
             accepted=reply.accepted,
             term=reply.term,
@@ -92,14 +97,7 @@
             return base.NotRun(reason=base.NotRunReason.FENCED)
         if self.shedding:
             return base.NotRun(reason=base.NotRunReason.SERVER_SHED)
-        self.runs.append(
-            Run(
-                at_ms=int(asyncio.get_running_loop().time() * base.MS_PER_S),
-                fence=request.fence,
-                path=request.path,
-                idempotency_key=request.idempotency_key,
-            )
-        )
+        self._note_run(request)
         self.running += 1
         self.most_running = max(self.most_running, self.running)
         try:
@@ -109,6 +107,24 @@
         body = f"{self.name} {request.method} {request.path}".encode()
         return base.Answered(status=200, body=body)
 
+    def _note_run(self, request: servers.ServerRequest) -> None:
+        run = Run(
+            at_ms=base.Clock().now(),
+            fence=request.fence,
+            path=request.path,
+            idempotency_key=request.idempotency_key,
+        )
+        self.runs.append(run)
+        if self.on_run is not None:
+            self.on_run(self.name, run)
+
+    def list_owned(self, shard: base.ShardId) -> list[base.PartitionId]:
+        """Return the partitions with a valid grant here."""
+        held = self.grants.shards.get(shard)
+        if held is None:
+            return []
+        return [name for name in held.epochs if self.owns(shard, name)]
+
     def owns(
         self,
         shard: base.ShardId,
