Keep a returning server out of a move whose write is under way

Cause: the server came back while the write of its move was slow, was granted its old partitions again, and the new owner was granted them as soon as the write ended. The partitions are now held during the write.

Each of the four guards, switched off, makes a directed scenario fail.

--- a/tarragonhinge/shards/_owners.py
+++ b/tarragonhinge/shards/_owners.py
@@ -227,10 +227,16 @@
                 )
             return msgspec.structs.replace(record, owners=owners)
 
-        if not await self._recorder.write(assign):
+        # A server that comes back during the write gets no grant for them.
+        self._held.update(chosen)
+        self._push_wanted()
+        try:
+            written = await self._recorder.write(assign)
+        finally:
+            self._held.difference_update(chosen)
+        if not written:
             return
         self.moved_count += len(chosen)
-        self._held.difference_update(chosen)
         logging.info(
             "partitions assigned shard=%s term=%d count=%d",
             self._recorder.shard,
--- /dev/null
+++ b/tarragonhinge/shards/tests/test_guards.py
@@ -0,0 +1,154 @@
+"""Scenarios that each guard is needed for, with it and without it."""
+
+import pytest
+
+from tarragonhinge import base
+from tarragonhinge import shards
+from tarragonhinge import standins
+from tarragonhinge import stores
+from tarragonhinge import testing
+
+S0 = base.ServerId("s0")
+S1 = base.ServerId("s1")
+
+
+async def _start(**options):
+    deployment = testing.Deployment(row=testing.make_row(servers=2), **options)
+    monitor = deployment.watch()
+    await deployment.start()
+    return deployment, monitor
+
+
+async def _watch(deployment, monitor, duration_ms):
+    for _ in range(duration_ms // 50):
+        await deployment.wait(50)
+        monitor.verify()
+
+
+async def overtake_a_paused_writer():
+    """A leader paused in a write wakes after its standby took over."""
+    deployment, monitor = await _start()
+    old = deployment.find_leaders()[0]
+    old.table.delay_ms = 2000
+    deployment.servers[S0].draining = True
+    await deployment.wait(1000)
+    old.clock.pause()
+    await _watch(deployment, monitor, 4000)
+    assert len(deployment.find_leaders()) == 2
+    old.clock.resume()
+    await _watch(deployment, monitor, 2000)
+    return deployment
+
+
+async def replay_an_old_renewal():
+    """A full renewal of an old term reaches a drained server late."""
+    timing = shards.Timing(grant_ms=4000)
+    deployment, monitor = await _start(timing=timing)
+    old = deployment.find_leaders()[0]
+    server = deployment.servers[S0]
+    requests = []
+    take_grants = server.take_grants
+
+    def record(request):
+        requests.append(request)
+        return take_grants(request)
+
+    server.take_grants = record
+    deployment.network.cut(S0, old.address)
+    await deployment.wait(500)
+    deployment.network.heal()
+    await deployment.wait(600)
+    late = [r for r in requests if r.full and r.granted][-1]
+    server.draining = True
+    await old.kill()
+    await _watch(deployment, monitor, 2500)
+    assert not server.list_owned(deployment.shard)
+    take_grants(late)
+    await _watch(deployment, monitor, 1000)
+    return deployment
+
+
+async def cut_off_a_server():
+    """A server is cut off while it holds grants."""
+    deployment, monitor = await _start()
+    for node in deployment.nodes:
+        deployment.network.cut_both(node.address, S0)
+    await _watch(deployment, monitor, 3000)
+    assert len(deployment.servers[S1].list_owned(deployment.shard)) == 8
+    return deployment
+
+
+async def island_of_leader_and_server():
+    """A leader sees nothing but a server that its successor cannot see."""
+    deployment, monitor = await _start()
+    old = deployment.find_leaders()[0]
+    deployment.isolate(old, reaches=[S0])
+    for node in deployment.nodes:
+        if node is not old:
+            deployment.network.cut_both(node.address, S0)
+    await _watch(deployment, monitor, 5000)
+    assert len(deployment.servers[S1].list_owned(deployment.shard)) == 8
+    return deployment
+
+
+def _write_always(monkeypatch):
+    transact = stores.MemoryTable.transact
+
+    async def skip_checks(self, transaction):
+        bare = stores.Transaction(
+            write_id=transaction.write_id, puts=transaction.puts
+        )
+        return await transact(self, bare)
+
+    monkeypatch.setattr(stores.MemoryTable, "transact", skip_checks)
+
+
+def _accept_any_term(monkeypatch):
+    def is_current(self, request, held):
+        return request.server_incarnation in ("", self.incarnation)
+
+    monkeypatch.setattr(standins.GrantTable, "_is_current", is_current)
+
+
+def _never_lapse(monkeypatch):
+    store = standins.GrantTable._store
+
+    def store_for_ever(self, request, held):
+        store(self, request, held)
+        held.expires_at = 1 << 60
+
+    monkeypatch.setattr(standins.GrantTable, "_store", store_for_ever)
+
+
+def _always_act(monkeypatch):
+    monkeypatch.setattr(shards.AuthorityLease, "is_valid", lambda self: True)
+
+
+@pytest.mark.parametrize(
+    ("scenario", "remove_guard"),
+    [
+        (overtake_a_paused_writer, _write_always),
+        (replay_an_old_renewal, _accept_any_term),
+        (cut_off_a_server, _never_lapse),
+        (island_of_leader_and_server, _always_act),
+    ],
+    ids=["record", "fencing token", "grant validity", "authority lease"],
+)
+def test_each_guard_is_needed(scenario, remove_guard, monkeypatch):
+    testing.run_manual(scenario())
+    remove_guard(monkeypatch)
+    with pytest.raises(AssertionError, match=r"at \d+ ms"):
+        testing.run_manual(scenario())
+
+
+def test_a_server_that_returns_during_a_move_gets_no_grant():
+    async def scenario():
+        deployment, monitor = await _start()
+        for node in deployment.nodes:
+            node.table.delay_ms = 600
+        deployment.servers[S1].clock.pause()
+        await _watch(deployment, monitor, 1700)
+        deployment.servers[S1].clock.resume()
+        await _watch(deployment, monitor, 2000)
+
+    testing.run_manual(scenario())
--- a/tarragonhinge/shards/tests/test_property.py
+++ b/tarragonhinge/shards/tests/test_property.py
@@ -29,11 +29,21 @@
     wait_ms: int
 
 
+#: Names to choose from; requests and recoveries come often enough that
+#: faults meet a deployment that serves.
+CHOICES = (
+    *testing.FAULTS.names(),
+    *testing.REQUESTS * 5,
+    *testing.RECOVERIES,
+    *["recover"] * 5,
+)
+
+
 def _make_steps():
     numbers = strategies.integers(0, 5)
     step = strategies.builds(
         Step,
-        fault=strategies.sampled_from(testing.FAULTS.names()),
+        fault=strategies.sampled_from(CHOICES),
         one=numbers,
         other=numbers,
         wait_ms=strategies.sampled_from([0, 1, 40, 260, 700, 1300, 2600]),
@@ -46,12 +56,7 @@
     deployment = testing.Deployment(
         row=testing.make_row(servers=2), rates=RATES
     )
-    monitor = testing.OwnershipMonitor(
-        shard=deployment.shard,
-        servers=deployment.servers,
-        table=deployment.table,
-        timing=deployment.timing,
-    )
+    monitor = deployment.watch()
     driver = testing.FaultDriver(deployment=deployment)
     await deployment.start(settle_ms=3000)
     for step in steps:
--- a/tarragonhinge/testing/__init__.py
+++ b/tarragonhinge/testing/__init__.py
@@ -8,6 +8,8 @@
 from tarragonhinge.testing._deployment import Node
 from tarragonhinge.testing._faults import FaultDriver
 from tarragonhinge.testing._faults import FAULTS
+from tarragonhinge.testing._faults import RECOVERIES
+from tarragonhinge.testing._faults import REQUESTS
 from tarragonhinge.testing._loop import ManualLoop
 from tarragonhinge.testing._loop import run_manual
 from tarragonhinge.testing._monitor import OwnershipMonitor
@@ -22,6 +24,8 @@
 
 __all__ = [
     "FAULTS",
+    "RECOVERIES",
+    "REQUESTS",
     "WALL_ORIGIN_MS",
     "Deployment",
     "FaultDriver",
--- a/tarragonhinge/testing/_deployment.py
+++ b/tarragonhinge/testing/_deployment.py
@@ -15,6 +15,7 @@
 from tarragonhinge import shards
 from tarragonhinge import stores
 from tarragonhinge.testing import _clock
+from tarragonhinge.testing import _monitor
 from tarragonhinge.testing import _network
 from tarragonhinge.testing import _servers
 from tarragonhinge.testing import _stores
@@ -189,6 +190,33 @@
         """Let manual time pass."""
         await asyncio.sleep(duration_ms / base.MS_PER_S)
 
+    def watch(self) -> _monitor.OwnershipMonitor:
+        """Return a new monitor of the shard."""
+        return _monitor.OwnershipMonitor(
+            shard=self.shard,
+            servers=self.servers,
+            table=self.table,
+            timing=self.timing,
+        )
+
+    def isolate(self, node: Node, *, reaches: Sequence[str] = ()) -> None:
+        """Cut an instance from the store and from all but some ends."""
+        node.table.down = True
+        ends = [other.address for other in self.nodes if other is not node]
+        for end in [*ends, *self.servers]:
+            if end not in reaches:
+                self.network.cut_both(node.address, end)
+
+    def find_leadership(self, node: Node) -> shards.ShardLeader:
+        """Return an instance's leadership of the shard."""
+        return node.instance.coordinator.leaders[self.shard]
+
+    def find_standby(self) -> Node:
+        """Return the instance that the record names as standby."""
+        leader = self.find_leadership(self.find_leaders()[0])
+        name = leader.record.standby.instance
+        return next(n for n in self.nodes if n.instance.options.name == name)
+
     def find_leaders(self) -> list[Node]:
         """Return the nodes that believe to lead the only shard."""
         shard = base.make_shard_id(self.row.service, REGION)
--- a/tarragonhinge/testing/_faults.py
+++ b/tarragonhinge/testing/_faults.py
@@ -12,6 +12,19 @@
 #: Keys that requests use.
 KEY_COUNT = 6
 
+#: Faults that end others.
+RECOVERIES = (
+    "resume",
+    "thaw-servers",
+    "restart-servers",
+    "heal",
+    "store-up",
+    "restart",
+)
+
+#: Steps that only send requests.
+REQUESTS = ("get", "post", "post-again")
+
 #: Delay that makes messages overtake each other and answers come late.
 LATE_MS = 600
 
@@ -223,3 +236,9 @@
     if number not in driver.killed:
         driver.killed.add(number)
         driver.spawn(driver.deployment.nodes[number].instance.stop())
+
+
+@FAULTS.register("recover")
+def _recover(driver: FaultDriver, one: int, other: int) -> None:
+    for name in RECOVERIES:
+        driver.apply(name, one, other)
--- a/tarragonhinge/testing/_loop.py
+++ b/tarragonhinge/testing/_loop.py
@@ -56,12 +56,17 @@
     loop.set_exception_handler(collect)
     try:
         result = loop.run_until_complete(coroutine)
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
-        gc.collect()
-        if failures:
-            raise failures[0]
-        return result
     finally:
+        _cancel_all(loop)
         loop.close()
+    if failures:
+        raise failures[0]
+    return result
+
+
+def _cancel_all(loop: asyncio.AbstractEventLoop) -> None:
+    """End the tasks that are left, so that none outlives its loop."""
+    for task in asyncio.all_tasks(loop):
+        task.cancel()
+    loop.run_until_complete(asyncio.sleep(0))
+    gc.collect()
