Add the long lease for outages of the store

Cause: without the store a loss of the standby ended serving within a lease, and an island of leader, standby and server extended itself without bound while a stranger waited 2.3 s for it. Now standby and leader agree on a long lease bounded by their last contact with the table; the standby may take over without the table and moves nothing; a leader that may have an agreement out writes nothing and raises its term instead; strangers wait the long lease. No grant outlasts the authority it was given under, which takes grant_ms off the wait after a takeover.

Records are read in one batch for all shards of an instance, every 2 s while standbys confirm.

--- a/tarragonhinge/daemon/_instance.py
+++ b/tarragonhinge/daemon/_instance.py
@@ -92,6 +92,7 @@
             make_client=make_client or make_http_client,
             clock=self.clock,
             timing=options.timing,
+            rng=rng,
         )
         self.dispatcher = dispatch.Dispatcher(
             coordinator=self.coordinator,
--- a/tarragonhinge/shards/__init__.py
+++ b/tarragonhinge/shards/__init__.py
@@ -22,6 +22,7 @@
 from tarragonhinge.shards._record import Holder
 from tarragonhinge.shards._record import make_record_key
 from tarragonhinge.shards._record import ShardRecord
+from tarragonhinge.shards._recorder import ShardRecorder
 from tarragonhinge.shards._standby import ShardStandby
 from tarragonhinge.shards._timing import Timing
 
@@ -45,6 +46,7 @@
     "ShardLeader",
     "ShardOwners",
     "ShardRecord",
+    "ShardRecorder",
     "ShardStandby",
     "Timing",
     "decode_record",
--- a/tarragonhinge/shards/_authority.py
+++ b/tarragonhinge/shards/_authority.py
@@ -22,8 +22,11 @@
 
     def extend(self, *, sent_at: int, lease_ms: int) -> None:
         """Count a confirmation of a question sent at `sent_at`."""
-        expires_at = base.Millis(sent_at + lease_ms)
-        self._expires_at = max(self._expires_at, expires_at)
+        self.extend_until(sent_at + lease_ms)
+
+    def extend_until(self, expires_at: int) -> None:
+        """Let the lease last until `expires_at` at least."""
+        self._expires_at = max(self._expires_at, base.Millis(expires_at))
 
     def revoke(self) -> None:
         """End the lease now."""
--- a/tarragonhinge/shards/_coordinator.py
+++ b/tarragonhinge/shards/_coordinator.py
@@ -2,6 +2,8 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
+import random
 
 from absl import logging
 import msgspec
@@ -12,9 +14,11 @@
 from tarragonhinge import configuration
 from tarragonhinge import membership
 from tarragonhinge import peers
+from tarragonhinge.shards import _candidates
 from tarragonhinge.shards import _leader
 from tarragonhinge.shards import _messages
 from tarragonhinge.shards import _owners
+from tarragonhinge.shards import _reader
 from tarragonhinge.shards import _record
 from tarragonhinge.shards import _standby
 from tarragonhinge.shards import _timing
@@ -55,6 +59,8 @@
         This process's clock.
     timing : Timing
         Durations.
+    rng : random.Random or None
+        Source of jitter.
     """
 
     def __init__(
@@ -70,6 +76,7 @@
         make_client: _owners.ClientFactory,
         clock: base.Clock,
         timing: _timing.Timing,
+        rng: random.Random | None = None,
     ) -> None:
         self.leaders: dict[base.ShardId, _leader.ShardLeader] = {}
         self.standbys: dict[base.ShardId, _standby.ShardStandby] = {}
@@ -81,7 +88,13 @@
             address=me.address,
         )
         self._view = view
-        self._instances = instances
+        self._candidates = _candidates.Candidates(
+            me=me, view=view, instances=instances
+        )
+        self._reader = _reader.RecordReader(
+            table=table, clock=clock, timing=timing, rng=rng
+        )
+        self._claims: set[asyncio.Task] = set()
         self._table = table
         self._committer = committer
         self._transport = transport
@@ -108,14 +121,16 @@
         self._tasks = [
             asyncio.create_task(self._keep_claiming()),
             asyncio.create_task(self._keep_watching()),
+            asyncio.create_task(self._reader.run()),
         ]
 
     async def stop(self) -> None:
         """Stop all leaderships without a handover."""
         self._stopping = True
-        for task in self._tasks:
+        tasks = [*self._tasks, *self._claims]
+        for task in tasks:
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*tasks, return_exceptions=True)
         for leader in list(self.leaders.values()):
             await leader.stop()
 
@@ -124,6 +139,8 @@
     ) -> int:
         """Hand every leadership to its standby; return how many failed."""
         self._stopping = True
+        for leader in self.leaders.values():
+            leader.stop_dispatching()
         results = await asyncio.gather(
             *(
                 leader.hand_over(
@@ -154,15 +171,22 @@
         self, beat: _messages.Heartbeat
     ) -> _messages.HeartbeatAck:
         own = self.leaders.get(beat.shard)
+        if own is not None and own.record.term < beat.term:
+            own.depose()
         busy = beat.shard in self._claiming or self._stopping
-        if busy or (own is not None and own.record.term >= beat.term):
+        if busy or own is not None:
             return _messages.HeartbeatAck(accepted=False)
         standby = self.standbys.get(beat.shard)
         if standby is None:
             standby = _standby.ShardStandby(
-                shard=beat.shard, clock=self._clock, timing=self._timing
+                shard=beat.shard,
+                incarnation=self._holder.incarnation,
+                reader=self._reader,
+                clock=self._clock,
+                timing=self._timing,
             )
             self.standbys[beat.shard] = standby
+            self._reader.watch(beat.shard, standby)
         return standby.accept(beat)
 
     async def _on_handover(
@@ -201,16 +225,59 @@
     async def _keep_watching(self) -> None:
         """Take over from leaders that this instance stands by for."""
         while True:
-            for shard, standby in list(self.standbys.items()):
-                if standby.record is None or not standby.is_leader_silent():
-                    continue
-                if shard not in self._claiming:
-                    await self._claim(
-                        shard, standby.record, standby.row_version
-                    )
+            for standby in list(self.standbys.values()):
+                self._watch_leader(standby)
+            for leader in list(self.leaders.values()):
+                self._watch_term(leader)
             await self._reap()
             await self._clock.sleep(self._timing.heartbeat_ms // 5)
 
+    def _watch_leader(self, standby: _standby.ShardStandby) -> None:
+        """Take over if the leader is silent."""
+        shard = standby.shard
+        if standby.record is None or not standby.is_leader_silent():
+            return
+        if shard in self._claiming:
+            return
+        if standby.may_lead_without_table():
+            self._spawn(shard, self._lead_without_table(standby))
+        elif not self._reader.down:
+            self._spawn(
+                shard, self._claim(shard, standby.record, standby.row_version)
+            )
+
+    def _watch_term(self, leader: _leader.ShardLeader) -> None:
+        """Claim a shard once more if its leader needs a new term."""
+        shard = leader.shard
+        if shard in self._claiming or not leader.needs_new_term():
+            return
+        self._spawn(shard, self._claim_again(leader))
+
+    async def _claim_again(self, leader: _leader.ShardLeader) -> None:
+        """Raise the term past the one reserved for the standby."""
+        leader.recorder.closed = True
+        try:
+            await self._claim(
+                leader.shard,
+                leader.record,
+                leader.recorder.row_version,
+                passed_over=leader.record.standby,
+            )
+        finally:
+            leader.recorder.closed = False
+
+    def _spawn(self, shard: base.ShardId, claim: Coroutine) -> None:
+        """Run a claim beside the others, one at a time for each shard."""
+        self._claiming.add(shard)
+        task = asyncio.create_task(claim)
+        self._claims.add(task)
+
+        def finish(task: asyncio.Task) -> None:
+            self._claiming.discard(shard)
+            self._claims.discard(task)
+
+        task.add_done_callback(finish)
+
     async def _reap(self) -> None:
         """Close leaderships that a higher term has ended."""
         for shard, leader in list(self.leaders.items()):
@@ -227,23 +294,9 @@
                     await self._consider(shard)
             await self._clock.sleep(CLAIM_PERIOD_MS)
 
-    def _rank(self, shard: base.ShardId) -> list[membership.InstanceEntry]:
-        """Return the live instances of the region by preference."""
-        service, region = base.split_shard_id(shard)
-        row = self._view.current.find_row(service)
-        eligible = {
-            entry.instance: entry
-            for entry in self._instances.list_ready(region)
-            if row is None
-            or not row.instances
-            or entry.instance in row.instances
-        }
-        names = membership.rank_names(shard, eligible)
-        return [eligible[name] for name in names]
-
     async def _consider(self, shard: base.ShardId) -> None:
         """Claim a shard if no leader answers for it."""
-        ranked = [entry.instance for entry in self._rank(shard)]
+        ranked = [entry.instance for entry in self._candidates.rank(shard)]
         if self._me.instance not in ranked[:CANDIDATES]:
             return
         rank = ranked.index(self._me.instance)
@@ -270,7 +323,7 @@
         """Ask the candidates whether one leads the shard."""
         others = [
             entry
-            for entry in self._rank(shard)[:CANDIDATES]
+            for entry in self._candidates.rank(shard)[:CANDIDATES]
             if entry.instance != self._me.instance
         ]
         replies = await asyncio.gather(
@@ -294,64 +347,90 @@
         shard: base.ShardId,
         record: _record.ShardRecord | None,
         row_version: int,
+        *,
+        passed_over: _record.Holder | None = None,
     ) -> bool:
-        """Write this instance into the record and start leading."""
+        """Write this instance into the record and start leading.
+
+        The holder `passed_over` does not become the standby.
+        """
         service, _ = base.split_shard_id(shard)
         row = self._view.current.find_row(service)
         if row is None or self._stopping:
             return False
         self._claiming.add(shard)
         try:
-            claimed = self._make_claim(shard, record)
-            if await self._write_claim(shard, claimed, row_version):
-                await self._lead(shard, claimed, row_version + 1, row, record)
-                return True
-            return False
+            claimed = self._make_claim(shard, record, passed_over)
+            sent_at = self._clock.now()
+            if not await self._write_claim(shard, claimed, row_version):
+                return False
+            await self._lead(
+                claimed,
+                row,
+                row_version=row_version + 1,
+                inherited_until=self._bound_earlier(shard, record),
+            )
+            self.leaders[shard].take_record(claimed, sent_at)
+            return True
         finally:
             self._claiming.discard(shard)
 
     def _make_claim(
-        self, shard: base.ShardId, record: _record.ShardRecord | None
+        self,
+        shard: base.ShardId,
+        record: _record.ShardRecord | None,
+        passed_over: _record.Holder | None,
     ) -> _record.ShardRecord:
-        former = record.leader if record else None
-        standby = self._choose_standby(shard, former)
         if record is None:
             return _record.ShardRecord(
-                term=base.Term(1), leader=self._holder, standby=standby
+                term=base.Term(1),
+                leader=self._holder,
+                standby=self._candidates.choose_standby(shard, None),
             )
-        reserved = (
-            record.standby is not None
-            and record.standby.incarnation == self._holder.incarnation
-        )
+        lost = passed_over or record.leader
+        step = 1 if self._is_reserved(record) else 2
         return msgspec.structs.replace(
             record,
-            term=base.Term(record.term + (1 if reserved else 2)),
+            term=base.Term(record.term + step),
             leader=self._holder,
-            standby=standby,
+            standby=self._candidates.choose_standby(shard, lost),
+        )
+
+    def _is_reserved(self, record: _record.ShardRecord) -> bool:
+        """Return whether the next term is reserved for this process."""
+        return (
+            record.standby is not None
+            and record.standby.incarnation == self._holder.incarnation
         )
 
-    def _choose_standby(
-        self, shard: base.ShardId, former: _record.Holder | None
-    ) -> _record.Holder | None:
-        """Return the best candidate, in another availability zone if any.
+    def _bound_earlier(
+        self, shard: base.ShardId, record: _record.ShardRecord | None
+    ) -> int:
+        """Return when earlier leaders and their grants have surely ended.
 
-        The `former` holder of a role has just been lost and is passed
-        over while the platform's list still shows it.
+        The standby knows what it promised; anyone else has to assume
+        that an agreement for an outage was made just before the claim.
+        No grant outlasts the authority that it was given under.
         """
-        passed_over = (self._me.instance, former and former.instance)
-        others = [
-            entry
-            for entry in self._rank(shard)
-            if entry.instance not in passed_over
-        ]
-        others.sort(key=lambda entry: entry.zone == self._me.zone)
-        if not others:
-            return None
-        return _record.Holder(
-            instance=others[0].instance,
-            incarnation=base.IncarnationId(""),
-            address=others[0].address,
-        )
+        now = self._clock.now()
+        if record is None:
+            return now
+        lease_ms = self._timing.outage_lease_ms
+        promised_until = 0
+        if self._is_reserved(record):
+            lease_ms = self._timing.lease_ms
+            promised_until = self._get_promise(shard)
+        until = now + self._timing.add_margin(lease_ms)
+        return max(until, promised_until)
+
+    def _get_promise(self, shard: base.ShardId) -> int:
+        """Return until when this process left servers to the leader."""
+        now = self._clock.now()
+        standby = self.standbys.get(shard)
+        if standby is None or standby.promised_until <= now:
+            return 0
+        left_ms = standby.promised_until - now
+        return now + self._timing.add_margin(left_ms)
 
     async def _write_claim(
         self,
@@ -363,18 +442,43 @@
             _record.make_record_write(shard, record, row_version=row_version)
         )
         if isinstance(result, stores.Conflict):
-            self.standbys.pop(shard, None)
+            self._drop_standby(shard)
+            if shard in self.leaders:
+                self.leaders[shard].depose()
         return isinstance(result, stores.Committed)
 
+    async def _lead_without_table(
+        self, standby: _standby.ShardStandby
+    ) -> None:
+        """Take over under the reserved term while the store is down."""
+        shard = standby.shard
+        service, _ = base.split_shard_id(shard)
+        row = self._view.current.find_row(service)
+        if row is None or self._stopping or standby.record is None:
+            return
+        former = standby.record
+        claimed = self._make_claim(shard, former, None)
+        bound_ms = self._timing.add_margin(self._timing.outage_lease_ms)
+        await self._lead(
+            claimed,
+            row,
+            row_version=standby.row_version,
+            inherited_until=self._clock.now() + bound_ms,
+            authority_until=standby.get_authority_end(),
+        )
+
     async def _lead(
         self,
-        shard: base.ShardId,
         record: _record.ShardRecord,
-        row_version: int,
         row: configuration.ServiceRow,
-        former: _record.ShardRecord | None,
+        *,
+        row_version: int,
+        inherited_until: int,
+        authority_until: int | None = None,
     ) -> None:
-        self.standbys.pop(shard, None)
+        """Start a leadership; the table knows it unless it is bounded."""
+        shard = base.make_shard_id(row.service, self._me.region)
+        self._drop_standby(shard)
         old = self.leaders.pop(shard, None)
         if old is not None:
             await old.stop()
@@ -382,17 +486,25 @@
             shard=shard,
             record=record,
             row_version=row_version,
-            inherited=former is not None,
+            inherited_until=inherited_until,
+            confirmed=authority_until is None,
             row=row,
             committer=self._committer,
-            table=self._table,
+            reader=self._reader,
             transport=self._transport,
             make_client=self._make_client,
-            choose_standby=self._choose_standby,
+            choose_standby=self._candidates.choose_standby,
             clock=self._clock,
             timing=self._timing,
         )
+        if authority_until is not None:
+            leader.authority.extend_until(authority_until)
         self.leaders[shard] = leader
         leader.start()
         logging.info("leader started shard=%s term=%d", shard, record.term)
         self._leaderships.on_next(leader)
+
+    def _drop_standby(self, shard: base.ShardId) -> None:
+        standby = self.standbys.pop(shard, None)
+        if standby is not None:
+            self._reader.forget(shard, standby)
--- a/tarragonhinge/shards/_keeper.py
+++ b/tarragonhinge/shards/_keeper.py
@@ -25,8 +25,9 @@
 
     The expiry of a renewal is stated on the server's own clock, from a
     reading that the server gave earlier: a renewal that arrives late
-    extends nothing.  After an unanswered renewal only probes are sent,
-    so that the time at which the grants have surely lapsed stands still.
+    extends nothing.  No grant outlasts the authority it was given under.
+    After an unanswered renewal only probes are sent, so that the time at
+    which the grants have surely lapsed stands still.
 
     Parameters
     ----------
@@ -71,6 +72,7 @@
         self._clock = clock
         self._timing = timing
         self._lapsed_at = lapsed_at
+        self._inherited_until = lapsed_at
         self._incarnation = ""
         self._reading = 0
         self._reading_at = 0
@@ -106,6 +108,9 @@
         """Return whether the server certainly does not own a partition."""
         if self.has_lapsed():
             return True
+        if self._clock.now() < self._inherited_until:
+            # A restarted server forgets terms and may take an old one.
+            return False
         return (
             self.state is ServerState.REACHABLE
             and not self._full
@@ -113,6 +118,11 @@
             and partition not in self._wanted
         )
 
+    def extend_inherited(self, until: int) -> None:
+        """Count with grants of earlier leaders until a later time."""
+        self._inherited_until = max(self._inherited_until, until)
+        self._lapsed_at = max(self._lapsed_at, until)
+
     async def wait_settled(self, timeout_ms: int) -> None:
         """Wait for the next change of state, at most `timeout_ms`."""
         try:
@@ -148,9 +158,7 @@
             turn.cancel()
 
     async def _beat(self) -> None:
-        renewing = (
-            self.state is ServerState.REACHABLE and self._authority.is_valid()
-        )
+        renewing = self._may_renew()
         wanted = dict(self._wanted)
         sent_at = self._clock.now()
         if renewing:
@@ -166,6 +174,19 @@
         )
         self._take_reply(reply, wanted if renewing else None)
 
+    def _may_renew(self) -> bool:
+        """Return whether a grant may be sent now.
+
+        An old reading of the server's clock is not used: the error of
+        the clocks' rates has grown with its age.
+        """
+        age_ms = self._clock.now() - self._reading_at
+        return (
+            self.state is ServerState.REACHABLE
+            and age_ms <= self._timing.grant_ms
+            and self._authority.is_valid()
+        )
+
     def _make_renewal(
         self, wanted: dict[base.PartitionId, base.Epoch], sent_at: int
     ) -> servers.GrantRequest:
@@ -176,9 +197,10 @@
             if known.get(partition) != epoch
         ]
         revoked = [name for name in known if name not in wanted]
+        left_ms = self._authority.get_remaining_ms()
+        lasts_ms = min(self._timing.grant_ms, left_ms)
         self._lapsed_at = max(
-            self._lapsed_at,
-            sent_at + self._timing.grant_ms + self._timing.margin_ms,
+            self._lapsed_at, sent_at + self._timing.add_margin(lasts_ms)
         )
         elapsed_ms = sent_at - self._reading_at
         return servers.GrantRequest(
@@ -186,7 +208,7 @@
             term=self._term,
             sequence=next(self._sequence),
             server_incarnation=self._incarnation,
-            expires_at=self._reading + elapsed_ms + self._timing.grant_ms,
+            expires_at=self._reading + elapsed_ms + lasts_ms,
             granted=granted,
             revoked=revoked,
             full=self._full,
--- a/tarragonhinge/shards/_leader.py
+++ b/tarragonhinge/shards/_leader.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import enum
+import itertools
 
 from absl import logging
 import msgspec
@@ -11,9 +12,11 @@
 from tarragonhinge import configuration
 from tarragonhinge import peers
 from tarragonhinge import servers
+from tarragonhinge.shards import _agreement
 from tarragonhinge.shards import _authority
 from tarragonhinge.shards import _messages
 from tarragonhinge.shards import _owners
+from tarragonhinge.shards import _reader
 from tarragonhinge.shards import _record
 from tarragonhinge.shards import _recorder
 from tarragonhinge.shards import _timing
@@ -47,13 +50,15 @@
         The record as this instance wrote it, with its own term.
     row_version : int
         Version of the shard's row after that write.
-    inherited : bool
-        True if an earlier leader may still act or have grants out.
+    inherited_until : int
+        Until when earlier leaders may act or have grants out.
+    confirmed : bool
+        False if the table does not know of this leadership yet.
     row : ServiceRow
         The service's row of the operators' table.
     committer : Committer
         Writes the record.
-    table : TableClient
+    reader : RecordReader
         Confirms the record.
     transport : PeerTransport
         Reaches the standby.
@@ -73,10 +78,11 @@
         shard: base.ShardId,
         record: _record.ShardRecord,
         row_version: int,
-        inherited: bool,
+        inherited_until: int,
+        confirmed: bool,
         row: configuration.ServiceRow,
         committer: stores.Committer,
-        table: stores.TableClient,
+        reader: _reader.RecordReader,
         transport: peers.PeerTransport,
         make_client: _owners.ClientFactory,
         choose_standby: StandbyChooser,
@@ -86,27 +92,33 @@
         self.shard = shard
         self.state = LeaderState.LEADING
         self.authority = _authority.AuthorityLease(clock=clock)
+        self.agreement = _agreement.OutageAgreement()
+        self.contact_at = -_reader.NEVER_MS
         self.recorder = _recorder.ShardRecorder(
             shard=shard,
             record=record,
             row_version=row_version,
             committer=committer,
-            on_conflict=self._depose,
+            on_conflict=self.depose,
+            agreement=self.agreement,
+            clock=clock,
         )
-        self._table = table
+        self.recorder.confirmed = confirmed
+        self._reader = reader
         self._transport = transport
         self._choose_standby = choose_standby
         self._clock = clock
         self._timing = timing
-        self._dialect = servers.DIALECTS.find(row.dialect)()
         self._tasks: list[asyncio.Task] = []
+        self._confirming: asyncio.Task | None = None
+        self._sequence = itertools.count(1)
         self._standby_version = 0
-        self._standby_heard_at = clock.now()
+        self._standby_heard_at = clock.now() - timing.lease_ms
         self.owners = _owners.ShardOwners(
             row=row,
             recorder=self.recorder,
             authority=self.authority,
-            inherited_until=self._compute_inherited_until(inherited),
+            inherited_until=inherited_until,
             make_client=make_client,
             clock=clock,
             timing=timing,
@@ -122,17 +134,6 @@
         """Return the service's row in force."""
         return self.owners.row
 
-    def _compute_inherited_until(self, inherited: bool) -> int:
-        """Return when grants of earlier leaders have lapsed everywhere."""
-        if not inherited:
-            return self._clock.now()
-        wait_ms = self._dialect.get_takeover_wait_ms(
-            reachable=False,
-            authority_ms=self._timing.lease_ms,
-            grant_ms=self._timing.grant_ms,
-        )
-        return self._clock.now() + wait_ms + 2 * self._timing.margin_ms
-
     def authorize(
         self, partition: base.PartitionId
     ) -> servers.Fence | base.NotRun:
@@ -140,7 +141,7 @@
 
         The caller must not yield between this call and its send.
         """
-        if self.state is LeaderState.DEPOSED:
+        if self.state is not LeaderState.LEADING:
             return base.NotRun(reason=base.NotRunReason.NOT_LEADER)
         if not self.authority.is_valid():
             return base.NotRun(
@@ -159,20 +160,23 @@
     def start(self) -> None:
         """Start the tasks of this leadership."""
         self._tasks = [
-            asyncio.create_task(self._confirm_record()),
             asyncio.create_task(self._beat_standby()),
         ]
+        self._reader.watch(self.shard, self)
         self.owners.start()
 
     async def stop(self) -> None:
         """Give up the leadership and close all connections."""
-        self._depose()
+        self.depose()
+        self._reader.forget(self.shard, self)
+        if self._confirming is not None:
+            self._tasks.append(self._confirming)
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.owners.stop()
 
-    def _depose(self) -> None:
+    def depose(self) -> None:
         """End the leadership; nothing is sent under its term any more."""
         if self.state is not LeaderState.DEPOSED:
             logging.info(
@@ -183,21 +187,38 @@
 
     # Authority -----------------------------------------------------------
 
-    async def _confirm_record(self) -> None:
+    def is_urgent(self) -> bool:
+        """Return whether the table is needed in place of the standby."""
+        if not self.recorder.confirmed:
+            return True
+        silent_ms = self._clock.now() - self._standby_heard_at
+        return silent_ms >= self._timing.lease_ms // 2
+
+    def take_record(self, record: _record.ShardRecord, sent_at: int) -> None:
         """Extend the authority while the table still names this term."""
-        key = _record.make_record_key(self.shard)
-        while True:
-            sent_at = self._clock.now()
-            rows = await self._table.read([key])
-            if not isinstance(rows, stores.Unavailable):
-                record = _record.decode_record(rows[0].value)
-                if record.term != self.record.term:
-                    self._depose()
-                    return
-                self.authority.extend(
-                    sent_at=sent_at, lease_ms=self._timing.lease_ms
-                )
-            await self._clock.sleep(self._timing.lease_ms // 3)
+        if record.term > self.record.term:
+            self.depose()
+        elif record.term == self.record.term:
+            self.contact_at = max(self.contact_at, sent_at)
+            self.authority.extend(
+                sent_at=sent_at, lease_ms=self._timing.lease_ms
+            )
+        elif not self.recorder.confirmed and self._confirming is None:
+            self._confirming = asyncio.create_task(self._confirm())
+
+    async def _confirm(self) -> None:
+        """Store a leadership that began without the table."""
+        if await self.recorder.confirm():
+            now = self._clock.now()
+            self.owners.extend_inherited(
+                now + self._timing.add_margin(self._timing.lease_ms)
+            )
+            logging.info(
+                "leader confirmed shard=%s term=%d",
+                self.shard,
+                self.record.term,
+            )
+        self._confirming = None
 
     async def _beat_standby(self) -> None:
         """Extend the authority while the standby acknowledges."""
@@ -210,58 +231,128 @@
             await self._clock.sleep(self._timing.heartbeat_ms)
 
     async def _call_standby(self, standby: _record.Holder) -> None:
-        version = self.recorder.row_version
-        content = b""
-        if self._standby_version != version:
-            content = _record.encode_record(self.record)
         sent_at = self._clock.now()
+        beat = self._make_heartbeat(standby, sent_at)
         reply = await self._transport.call(
-            standby.address,
-            _messages.Heartbeat(
-                shard=self.shard,
-                term=self.record.term,
-                row_version=version,
-                record=content,
-            ),
-            timeout_ms=self._timing.call_timeout_ms,
+            standby.address, beat, timeout_ms=self._timing.call_timeout_ms
         )
         if not isinstance(reply, _messages.HeartbeatAck):
             return
         self._standby_version = reply.row_version
+        if not reply.accepted:
+            return
+        if reply.incarnation != standby.incarnation:
+            await self._appoint(
+                msgspec.structs.replace(standby, incarnation=reply.incarnation)
+            )
+            return
         self._standby_heard_at = self._clock.now()
-        if reply.accepted:
-            self.authority.extend(sent_at=sent_at, lease_ms=reply.lease_ms)
+        self._extend_by_standby(reply, sent_at)
+        if not beat.outage:
+            self.agreement.withdraw(reply.incarnation, beat.sequence)
+
+    def _make_heartbeat(
+        self, standby: _record.Holder, sent_at: int
+    ) -> _messages.Heartbeat:
+        version = self.recorder.row_version
+        content = b""
+        if self._standby_version != version:
+            content = _record.encode_record(self.record)
+        sequence = next(self._sequence)
+        outage = self._may_offer(standby)
+        if outage:
+            self.agreement.offer(standby.incarnation, sequence)
+        return _messages.Heartbeat(
+            shard=self.shard,
+            term=self.record.term,
+            row_version=version,
+            sequence=sequence,
+            record=content,
+            outage=outage,
+            store_age_ms=sent_at - self.contact_at,
+        )
+
+    def _may_offer(self, standby: _record.Holder) -> bool:
+        """Return whether the standby may be offered an outage agreement.
+
+        A write under way may still take effect, and the standby's copy
+        of the record would not show it.
+        """
+        return (
+            self._reader.down
+            and standby.incarnation != ""
+            and self.recorder.confirmed
+            and self.recorder.is_idle()
+        )
+
+    def _extend_by_standby(
+        self, reply: _messages.HeartbeatAck, sent_at: int
+    ) -> None:
+        """Count an acknowledgement, bounded by the contact with the store.
+
+        Without the bound a leader, its standby and a server that are cut
+        off together would go on while a stranger waits for their end.
+        """
+        contact_at = max(self.contact_at, sent_at - reply.store_age_ms)
+        bound_at = contact_at + self._timing.outage_lease_ms
+        self.authority.extend_until(min(sent_at + reply.lease_ms, bound_at))
 
     def _is_standby_silent(self) -> bool:
         silent_ms = self._clock.now() - self._standby_heard_at
         return silent_ms >= STANDBY_LEASES * self._timing.lease_ms
 
+    def needs_new_term(self) -> bool:
+        """Return whether this leader must claim its shard once more.
+
+        That ends an agreement with a standby that is lost, and takes
+        back servers that have accepted the standby's term.
+        """
+        age_ms = self._clock.now() - self.contact_at
+        if self.state is not LeaderState.LEADING:
+            return False
+        if age_ms > self._timing.lease_ms or not self.recorder.is_idle():
+            return False
+        refused = any(
+            keeper.higher_term > self.record.term
+            for keeper in self.owners.keepers.values()
+        )
+        stuck = self.agreement.may_be_held() and self._is_standby_silent()
+        return refused or stuck
+
     async def _replace_standby(self) -> None:
         chosen = self._choose_standby(self.shard, self.record.standby)
-        if chosen is None or chosen == self.record.standby:
-            return
+        if chosen is not None and chosen != self.record.standby:
+            await self._appoint(chosen)
+
+    async def _appoint(self, holder: _record.Holder) -> None:
+        """Record a standby; its acknowledgements count from then on."""
 
         def appoint(record: _record.ShardRecord) -> _record.ShardRecord:
-            return msgspec.structs.replace(record, standby=chosen)
+            return msgspec.structs.replace(record, standby=holder)
 
         if not await self.recorder.write(appoint):
             return
         self._standby_version = 0
         self._standby_heard_at = self._clock.now()
         logging.info(
-            "standby replaced shard=%s standby=%s",
+            "standby recorded shard=%s standby=%s",
             self.shard,
-            chosen.instance,
+            holder.instance,
         )
 
     # Handover ------------------------------------------------------------
 
+    def stop_dispatching(self) -> None:
+        """Send no more requests; what is in flight finishes."""
+        if self.state is LeaderState.LEADING:
+            self.state = LeaderState.HANDING_OVER
+
     async def hand_over(self, *, history: bytes, deadline_ms: int) -> bool:
         """Let the standby take over at once; True if it did.
 
-        From here on nothing is dispatched; requests in flight finish.
+        Requests in flight finish.
         """
-        self.state = LeaderState.HANDING_OVER
+        self.stop_dispatching()
         standby = self.record.standby
         if standby is None:
             return False
@@ -285,6 +376,8 @@
             "shard": self.shard,
             "term": self.record.term,
             "state": self.state.value,
+            "confirmed": self.recorder.confirmed,
+            "agreement": self.agreement.may_be_held(),
             "authority_left_ms": self.authority.get_remaining_ms(),
             "standby": standby.instance if standby else None,
             **self.owners.dump(),
--- a/tarragonhinge/shards/_messages.py
+++ b/tarragonhinge/shards/_messages.py
@@ -18,14 +18,23 @@
         The leader's term.
     row_version : int
         Version of the shard's row in the table.
+    sequence : int
+        Grows with each heartbeat of the term; late ones are refused.
     record : bytes
         Content of the row; empty if the standby has this version.
+    outage : bool
+        True if the leader sees the store down and offers an agreement.
+    store_age_ms : int
+        Time since the leader's last confirmed contact with the table.
     """
 
     shard: base.ShardId
     term: base.Term
     row_version: int
+    sequence: int
     record: bytes = b""
+    outage: bool = False
+    store_age_ms: int = 0
 
 
 @peers.register_message("shard.heartbeat_ack")
@@ -35,17 +44,24 @@
     Parameters
     ----------
     accepted : bool
-        False if the standby knows of a higher term.
+        False if the standby knows of a higher term or a later heartbeat.
+    incarnation : IncarnationId
+        This run of the standby's process.
     row_version : int
         Version of the row that the standby holds.
     lease_ms : int
         How long, from when the heartbeat was sent, the standby leaves
-        the leader's servers to it.
+        the leader's servers to it; `Timing.outage_lease_ms` if both
+        see the store down.
+    store_age_ms : int
+        Time since the standby's last confirmed contact with the table.
     """
 
     accepted: bool
+    incarnation: base.IncarnationId = base.IncarnationId("")
     row_version: int = 0
     lease_ms: int = 0
+    store_age_ms: int = 0
 
 
 @peers.register_message("shard.handover")
--- a/tarragonhinge/shards/_owners.py
+++ b/tarragonhinge/shards/_owners.py
@@ -77,6 +77,12 @@
         self._in_flight: dict[base.PartitionId, int] = {}
         self._held: set[base.PartitionId] = set()
 
+    def extend_inherited(self, until: int) -> None:
+        """Count with grants of earlier leaders until a later time."""
+        self._inherited_until = max(self._inherited_until, until)
+        for keeper in self.keepers.values():
+            keeper.extend_inherited(until)
+
     # Serving -------------------------------------------------------------
 
     def find_owner(
@@ -197,7 +203,7 @@
         """Return whether a partition needs a new owner and can have one."""
         assignment = self._recorder.record.owners.get(partition)
         if assignment is None:
-            return self._clock.now() >= self._inherited_until
+            return True
         keeper = self.keepers.get(assignment.server)
         if keeper is None:
             return self._clock.now() >= self._inherited_until
--- a/tarragonhinge/shards/_recorder.py
+++ b/tarragonhinge/shards/_recorder.py
@@ -4,9 +4,13 @@
 from collections.abc import Callable
 
 from tarragonhinge import base
+from tarragonhinge.shards import _agreement
 from tarragonhinge.shards import _record
 from tarragonhinge import stores
 
+#: Pause after a write that the store did not take.
+RETRY_MS = 500
+
 
 class ShardRecorder:
     """The leader's copy of its record, changed only by confirmed writes.
@@ -23,6 +27,17 @@
         Writes the row.
     on_conflict : callable
         Called when another instance has changed the row.
+    agreement : OutageAgreement
+        While a standby may hold it, nothing is written.
+    clock : Clock
+        Paces writes while the store is down.
+
+    Attributes
+    ----------
+    confirmed : bool
+        False while the table does not know of this leadership.
+    closed : bool
+        True while the instance claims the shard once more.
     """
 
     def __init__(
@@ -33,14 +48,33 @@
         row_version: int,
         committer: stores.Committer,
         on_conflict: Callable[[], None],
+        agreement: _agreement.OutageAgreement,
+        clock: base.Clock,
     ) -> None:
         self.shard = shard
         self.record = record
         self.row_version = row_version
         self._committer = committer
         self._on_conflict = on_conflict
+        self.confirmed = True
+        self.closed = False
+        self._agreement = agreement
+        self._clock = clock
+        self._retry_at = 0
         self._writing = asyncio.Lock()
 
+    def is_idle(self) -> bool:
+        """Return whether no write is under way or waits."""
+        return not self._writing.locked()
+
+    def _may_write(self) -> bool:
+        return (
+            self.confirmed
+            and not self.closed
+            and not self._agreement.may_be_held()
+            and self._clock.now() >= self._retry_at
+        )
+
     async def write(
         self,
         change: Callable[[_record.ShardRecord], _record.ShardRecord],
@@ -54,15 +88,26 @@
             record = change(self.record)
             if record == self.record:
                 return True
-            result = await self._committer.commit(
-                _record.make_record_write(
-                    self.shard, record, row_version=self.row_version
-                )
+            return self._may_write() and await self._store(record)
+
+    async def confirm(self) -> bool:
+        """Store the record of a leadership that began in an outage."""
+        async with self._writing:
+            self.confirmed = self.confirmed or await self._store(self.record)
+            return self.confirmed
+
+    async def _store(self, record: _record.ShardRecord) -> bool:
+        result = await self._committer.commit(
+            _record.make_record_write(
+                self.shard, record, row_version=self.row_version
             )
-            if isinstance(result, stores.Conflict):
-                self._on_conflict()
-            if not isinstance(result, stores.Committed):
-                return False
-            self.record = record
-            self.row_version += 1
-            return True
+        )
+        if isinstance(result, stores.Conflict):
+            self._on_conflict()
+        if isinstance(result, stores.Unavailable):
+            self._retry_at = self._clock.now() + RETRY_MS
+        if not isinstance(result, stores.Committed):
+            return False
+        self.record = record
+        self.row_version += 1
+        return True
--- a/tarragonhinge/shards/_timing.py
+++ b/tarragonhinge/shards/_timing.py
@@ -24,16 +24,34 @@
     margin_ms : int
         Added to each wait, for clocks that run at different rates.
     outage_lease_ms : int
-        Lease that a standby grants while both see the store down.
+        Longest time for which a leader and its standby may act after
+        their last contact with the store.
+    confirm_ms : int
+        Period of reads of the record while the standby confirms.
     """
 
     heartbeat_ms: int = 250
     call_timeout_ms: int = 200
     grant_ms: int = 1200
     lease_ms: int = 1000
-    silence_ms: int = 900
+    silence_ms: int = 800
     margin_ms: int = 50
     outage_lease_ms: int = 30_000
+    confirm_ms: int = 2000
+
+    def add_margin(self, duration_ms: int) -> int:
+        """Return how long to wait for a duration on another clock.
+
+        `margin_ms` is the error over one `grant_ms`; that of a longer
+        duration grows with it.
+
+        Examples
+        --------
+        >>> Timing(grant_ms=1200, margin_ms=50).add_margin(24_000)
+        25050
+        """
+        drift_ms = duration_ms * self.margin_ms // self.grant_ms
+        return duration_ms + drift_ms + self.margin_ms
 
     def __post_init__(self) -> None:
         for field in dataclasses.fields(self):
--- a/tarragonhinge/shards/tests/test_guards.py
+++ b/tarragonhinge/shards/tests/test_guards.py
@@ -121,7 +121,9 @@
 
 
 def _always_act(monkeypatch):
-    monkeypatch.setattr(shards.AuthorityLease, "is_valid", lambda self: True)
+    lease = shards.AuthorityLease
+    monkeypatch.setattr(lease, "is_valid", lambda self: True)
+    monkeypatch.setattr(lease, "get_remaining_ms", lambda self: 1 << 30)
 
 
 @pytest.mark.parametrize(
--- a/tarragonhinge/shards/tests/test_property.py
+++ b/tarragonhinge/shards/tests/test_property.py
@@ -65,7 +65,7 @@
         monitor.verify()
         for node in deployment.nodes:
             for leader in node.instance.coordinator.leaders.values():
-                monitor.check_copy(leader.record)
+                monitor.check_copy(leader.recorder)
     monitor.verify()
     return monitor
 
--- a/tarragonhinge/testing/_deployment.py
+++ b/tarragonhinge/testing/_deployment.py
@@ -171,7 +171,9 @@
 
     async def restart(self, number: int) -> None:
         """Start a new process in place of a lost one."""
+        table = self.nodes[number].table
         self.nodes[number] = self._make_node(number)
+        self.nodes[number].table.down = table.down
         await self.nodes[number].instance.start()
 
     async def start(self, settle_ms: int = 5000) -> None:
--- a/tarragonhinge/testing/_monitor.py
+++ b/tarragonhinge/testing/_monitor.py
@@ -86,12 +86,15 @@
             if new != old and (new is None or new.epoch <= old.epoch):
                 self._fail(f"{partition} fell from {old} to {new}")
 
-    def check_copy(self, copy: shards.ShardRecord) -> None:
+    def check_copy(self, recorder: shards.ShardRecorder) -> None:
         """Check that what a leader acknowledged is in the table."""
+        copy = recorder.record
         stored = self._last
-        if stored is None or stored.term < copy.term:
-            self._fail(f"term {copy.term} was never stored")
+        if stored is None:
+            self._fail(f"{copy} was never stored")
             return
+        if recorder.confirmed and stored.term < copy.term:
+            self._fail(f"term {copy.term} was never stored")
         for partition, mine in copy.owners.items():
             held = stored.owners.get(partition)
             if held is None or held.epoch < mine.epoch:
