Use the dialects of grants in takeover and moves

A server whose grants don't lapse keeps its partitions while it is out of reach, until it answers or an operator declares it lost; an unchecked one gets nothing from a new leader until the old one's authority has ended. The row's new column 'lost' names servers and instances that have stopped for sure, whose leases and grants are not waited for.

--- a/tarragonhinge/configuration/_row.py
+++ b/tarragonhinge/configuration/_row.py
@@ -87,6 +87,9 @@
         Policy that plans moves.
     churn_weight : float
         Cost of moving a partition against a unit of imbalance.
+    lost : list of str
+        Servers and instances that operators have stopped for sure; no
+        lease or grant of theirs is waited for.
     """
 
     service: base.ServiceName
@@ -110,6 +113,7 @@
     dialect: str = "lapsing"
     planner: str = "balanced"
     churn_weight: float = 1.0
+    lost: list[str] = []
 
     def list_regions(self) -> list[base.RegionName]:
         """Return the regions that hold partitions of the service."""
--- a/tarragonhinge/servers/_dialect.py
+++ b/tarragonhinge/servers/_dialect.py
@@ -6,28 +6,41 @@
 
 
 class GrantDialect(abc.ABC):
-    """What a leader may assume of a server's check of grants."""
+    """What a leader may assume of a server's check of grants.
+
+    Attributes
+    ----------
+    checks_term : bool
+        True if the server refuses a lower term than it has accepted.
+    lapses : bool
+        True if a grant lapses on the server's own clock.
+    """
 
-    #: True if the server refuses a lower term than it has accepted.
     checks_term: bool
-
-    #: True if a grant lapses on the server's own clock.
     lapses: bool
 
     @abc.abstractmethod
-    def get_takeover_wait_ms(
-        self, *, reachable: bool, authority_ms: int, grant_ms: int
-    ) -> int:
-        """Return how long a new leader waits before it uses a server.
+    def may_send(self, *, now: int, inherited_until: int) -> bool:
+        """Return whether a leader may use a server that accepted its term.
 
         Parameters
         ----------
-        reachable : bool
-            True if the server accepted the new leader's term.
-        authority_ms : int
-            Longest time for which the old leader may still act.
-        grant_ms : int
-            Longest time for which a grant may outlast that authority.
+        now : int
+            The leader's time.
+        inherited_until : int
+            When earlier leaders have surely ended.
+        """
+
+    @abc.abstractmethod
+    def may_reassign(self, *, now: int, lapsed_at: int) -> bool:
+        """Return whether partitions may leave a server out of reach.
+
+        Parameters
+        ----------
+        now : int
+            The leader's time.
+        lapsed_at : int
+            When every grant given to the server has run out.
         """
 
 
@@ -42,25 +55,34 @@
     checks_term = True
     lapses = True
 
-    def get_takeover_wait_ms(
-        self, *, reachable: bool, authority_ms: int, grant_ms: int
-    ) -> int:
-        """Wait only for a server out of reach."""
-        return 0 if reachable else authority_ms + grant_ms
+    def may_send(self, *, now: int, inherited_until: int) -> bool:
+        """Return True: the accepted term fences earlier leaders."""
+        return True
+
+    def may_reassign(self, *, now: int, lapsed_at: int) -> bool:
+        """Return whether the grants have lapsed."""
+        return now >= lapsed_at
 
 
 @DIALECTS.register("until-token")
 class UntilTokenDialect(GrantDialect):
-    """Grants last until the server sees a higher term."""
+    """Grants last until the server sees a higher term.
+
+    A server out of reach keeps its partitions until it answers or an
+    operator declares it lost: it may be frozen with a request that it
+    runs on waking.
+    """
 
     checks_term = True
     lapses = False
 
-    def get_takeover_wait_ms(
-        self, *, reachable: bool, authority_ms: int, grant_ms: int
-    ) -> int:
-        """Wait out the old leader, whose requests a server still takes."""
-        return 0 if reachable else authority_ms
+    def may_send(self, *, now: int, inherited_until: int) -> bool:
+        """Return True: the accepted term fences earlier leaders."""
+        return True
+
+    def may_reassign(self, *, now: int, lapsed_at: int) -> bool:
+        """Return False: nothing ends the grant from afar."""
+        return False
 
 
 @DIALECTS.register("unchecked")
@@ -73,8 +95,10 @@
     checks_term = False
     lapses = False
 
-    def get_takeover_wait_ms(
-        self, *, reachable: bool, authority_ms: int, grant_ms: int
-    ) -> int:
-        """Wait out the old leader's authority in every case."""
-        return authority_ms
+    def may_send(self, *, now: int, inherited_until: int) -> bool:
+        """Return whether earlier leaders can no longer send."""
+        return now >= inherited_until
+
+    def may_reassign(self, *, now: int, lapsed_at: int) -> bool:
+        """Return False: a frozen server may still run what it took."""
+        return False
--- a/tarragonhinge/shards/_coordinator.py
+++ b/tarragonhinge/shards/_coordinator.py
@@ -14,6 +14,7 @@
 from tarragonhinge import configuration
 from tarragonhinge import membership
 from tarragonhinge import peers
+from tarragonhinge import servers
 from tarragonhinge.shards import _candidates
 from tarragonhinge.shards import _leader
 from tarragonhinge.shards import _messages
@@ -196,7 +197,7 @@
             return _messages.HandoverAck(accepted=False)
         record = _record.decode_record(message.record)
         accepted = await self._claim(
-            message.shard, record, message.row_version
+            message.shard, record, message.row_version, handed_over=True
         )
         if accepted and self.on_history is not None:
             self.on_history(message.shard, message.history)
@@ -220,7 +221,7 @@
             service, _ = base.split_shard_id(shard)
             row = table.find_row(service)
             if row is not None:
-                leader.owners.update_row(row)
+                leader.update_row(row)
 
     async def _keep_watching(self) -> None:
         """Take over from leaders that this instance stands by for."""
@@ -349,6 +350,7 @@
         row_version: int,
         *,
         passed_over: _record.Holder | None = None,
+        handed_over: bool = False,
     ) -> bool:
         """Write this instance into the record and start leading.
 
@@ -368,7 +370,12 @@
                 claimed,
                 row,
                 row_version=row_version + 1,
-                inherited_until=self._bound_earlier(shard, record),
+                inherited_until=(
+                    self._clock.now()
+                    if handed_over and not _checks_term(row)
+                    else self._bound_earlier(shard, record)
+                ),
+                earlier=self._list_earlier(record),
             )
             self.leaders[shard].take_record(claimed, sent_at)
             return True
@@ -423,6 +430,21 @@
         until = now + self._timing.add_margin(lease_ms)
         return max(until, promised_until)
 
+    def _list_earlier(
+        self, record: _record.ShardRecord | None
+    ) -> frozenset[base.InstanceId]:
+        """Return the other instances that may act under a record."""
+        if record is None:
+            return frozenset()
+        holders = [record.leader]
+        if record.standby is not None:
+            holders.append(record.standby)
+        return frozenset(
+            holder.instance
+            for holder in holders
+            if holder.incarnation != self._holder.incarnation
+        )
+
     def _get_promise(self, shard: base.ShardId) -> int:
         """Return until when this process left servers to the leader."""
         now = self._clock.now()
@@ -464,6 +486,7 @@
             row,
             row_version=standby.row_version,
             inherited_until=self._clock.now() + bound_ms,
+            earlier=self._list_earlier(former),
             authority_until=standby.get_authority_end(),
         )
 
@@ -474,6 +497,7 @@
         *,
         row_version: int,
         inherited_until: int,
+        earlier: frozenset[base.InstanceId],
         authority_until: int | None = None,
     ) -> None:
         """Start a leadership; the table knows it unless it is bounded."""
@@ -487,6 +511,7 @@
             record=record,
             row_version=row_version,
             inherited_until=inherited_until,
+            earlier=earlier,
             confirmed=authority_until is None,
             row=row,
             committer=self._committer,
@@ -508,3 +533,8 @@
         standby = self.standbys.pop(shard, None)
         if standby is not None:
             self._reader.forget(shard, standby)
+
+
+def _checks_term(row: configuration.ServiceRow) -> bool:
+    """Return whether the servers of a row refuse a lower term."""
+    return servers.DIALECTS.find(row.dialect).checks_term
--- a/tarragonhinge/shards/_keeper.py
+++ b/tarragonhinge/shards/_keeper.py
@@ -45,8 +45,15 @@
         The leader's clock.
     timing : Timing
         Durations.
-    lapsed_at : int
-        When grants of earlier leaders have surely lapsed there.
+    dialect : GrantDialect
+        How the server takes grants.
+    inherited_until : int
+        When earlier leaders and their grants have surely ended.
+
+    Attributes
+    ----------
+    lost : bool
+        True if an operator vouches that the server has stopped.
     """
 
     def __init__(
@@ -59,7 +66,8 @@
         authority: _authority.AuthorityLease,
         clock: base.Clock,
         timing: _timing.Timing,
-        lapsed_at: int,
+        dialect: servers.GrantDialect,
+        inherited_until: int,
     ) -> None:
         self.entry = entry
         self.client = client
@@ -71,8 +79,10 @@
         self._authority = authority
         self._clock = clock
         self._timing = timing
-        self._lapsed_at = lapsed_at
-        self._inherited_until = lapsed_at
+        self.lost = False
+        self._dialect = dialect
+        self._lapsed_at = 0
+        self._inherited_until = inherited_until
         self._incarnation = ""
         self._reading = 0
         self._reading_at = 0
@@ -98,11 +108,19 @@
             self.state is ServerState.REACHABLE
             and self._held.get(partition) == epoch
             and self._wanted.get(partition) == epoch
+            and self._dialect.may_send(
+                now=self._clock.now(), inherited_until=self._inherited_until
+            )
         )
 
     def has_lapsed(self) -> bool:
         """Return whether no grant can be valid at the server."""
-        return self._clock.now() >= self._lapsed_at
+        if self.lost and self.state is not ServerState.REACHABLE:
+            return True
+        return self._dialect.may_reassign(
+            now=self._clock.now(),
+            lapsed_at=max(self._lapsed_at, self._inherited_until),
+        )
 
     def has_released(self, partition: base.PartitionId) -> bool:
         """Return whether the server certainly does not own a partition."""
@@ -118,10 +136,9 @@
             and partition not in self._wanted
         )
 
-    def extend_inherited(self, until: int) -> None:
-        """Count with grants of earlier leaders until a later time."""
-        self._inherited_until = max(self._inherited_until, until)
-        self._lapsed_at = max(self._lapsed_at, until)
+    def set_inherited(self, until: int) -> None:
+        """Set when earlier leaders and their grants have surely ended."""
+        self._inherited_until = until
 
     async def wait_settled(self, timeout_ms: int) -> None:
         """Wait for the next change of state, at most `timeout_ms`."""
--- a/tarragonhinge/shards/_leader.py
+++ b/tarragonhinge/shards/_leader.py
@@ -52,6 +52,8 @@
         Version of the shard's row after that write.
     inherited_until : int
         Until when earlier leaders may act or have grants out.
+    earlier : frozenset of InstanceId
+        The instances that may act until then.
     confirmed : bool
         False if the table does not know of this leadership yet.
     row : ServiceRow
@@ -79,6 +81,7 @@
         record: _record.ShardRecord,
         row_version: int,
         inherited_until: int,
+        earlier: frozenset[base.InstanceId],
         confirmed: bool,
         row: configuration.ServiceRow,
         committer: stores.Committer,
@@ -105,6 +108,7 @@
         )
         self.recorder.confirmed = confirmed
         self._reader = reader
+        self._earlier = earlier
         self._transport = transport
         self._choose_standby = choose_standby
         self._clock = clock
@@ -155,6 +159,23 @@
             )
         return self.owners.make_fence(partition)
 
+    def update_row(self, row: configuration.ServiceRow) -> None:
+        """Take over a new version of the service's row."""
+        self.owners.update_row(row)
+        self._skip_lost(row)
+
+    def _skip_lost(self, row: configuration.ServiceRow) -> None:
+        """Wait no longer for earlier leaders that have stopped for sure.
+
+        Only the grants that they gave last have to lapse.
+        """
+        if not self._earlier or not self._earlier <= set(row.lost):
+            return
+        bound_ms = self._timing.add_margin(self._timing.grant_ms)
+        until = self._clock.now() + bound_ms
+        self.owners.set_inherited(min(until, self.owners.inherited_until))
+        self._earlier = frozenset()
+
     # Life cycle ----------------------------------------------------------
 
     def start(self) -> None:
@@ -164,6 +185,7 @@
         ]
         self._reader.watch(self.shard, self)
         self.owners.start()
+        self._skip_lost(self.row)
 
     async def stop(self) -> None:
         """Give up the leadership and close all connections."""
@@ -210,9 +232,8 @@
         """Store a leadership that began without the table."""
         if await self.recorder.confirm():
             now = self._clock.now()
-            self.owners.extend_inherited(
-                now + self._timing.add_margin(self._timing.lease_ms)
-            )
+            until = now + self._timing.add_margin(self._timing.lease_ms)
+            self.owners.set_inherited(max(until, self.owners.inherited_until))
             logging.info(
                 "leader confirmed shard=%s term=%d",
                 self.shard,
--- a/tarragonhinge/shards/_owners.py
+++ b/tarragonhinge/shards/_owners.py
@@ -77,11 +77,16 @@
         self._in_flight: dict[base.PartitionId, int] = {}
         self._held: set[base.PartitionId] = set()
 
-    def extend_inherited(self, until: int) -> None:
-        """Count with grants of earlier leaders until a later time."""
-        self._inherited_until = max(self._inherited_until, until)
+    @property
+    def inherited_until(self) -> int:
+        """Return when earlier leaders have surely ended."""
+        return self._inherited_until
+
+    def set_inherited(self, until: int) -> None:
+        """Set when earlier leaders and their grants have surely ended."""
+        self._inherited_until = until
         for keeper in self.keepers.values():
-            keeper.extend_inherited(until)
+            keeper.set_inherited(until)
 
     # Serving -------------------------------------------------------------
 
@@ -143,6 +148,8 @@
         for entry in row.list_servers(region):
             if entry.server not in self.keepers:
                 self._add_keeper(entry)
+        for name, keeper in self.keepers.items():
+            keeper.lost = name in row.lost
 
     def _add_keeper(self, entry: configuration.ServerEntry) -> None:
         keeper = _keeper.GrantKeeper(
@@ -153,7 +160,8 @@
             authority=self._authority,
             clock=self._clock,
             timing=self._timing,
-            lapsed_at=self._inherited_until,
+            dialect=servers.DIALECTS.find(self.row.dialect)(),
+            inherited_until=self._inherited_until,
         )
         self.keepers[entry.server] = keeper
         task = asyncio.create_task(keeper.run())
@@ -197,6 +205,7 @@
             if name in listed
             and keeper.state is _keeper.ServerState.REACHABLE
             and not keeper.draining
+            and not keeper.lost
         }
 
     def _may_move(self, partition: base.PartitionId) -> bool:
@@ -206,13 +215,20 @@
             return True
         keeper = self.keepers.get(assignment.server)
         if keeper is None:
-            return self._clock.now() >= self._inherited_until
+            return self._has_ended(assignment.server)
         if keeper.state is not _keeper.ServerState.REACHABLE:
             return keeper.has_lapsed()
         if assignment.server in self._list_usable():
             return False
         return self._release(partition, keeper)
 
+    def _has_ended(self, server: base.ServerId) -> bool:
+        """Return whether a server that left the row holds no grant."""
+        dialect = servers.DIALECTS.find(self.row.dialect)()
+        return server in self.row.lost or dialect.may_reassign(
+            now=self._clock.now(), lapsed_at=self._inherited_until
+        )
+
     def _release(
         self, partition: base.PartitionId, keeper: _keeper.GrantKeeper
     ) -> bool:
--- a/tarragonhinge/shards/tests/test_property.py
+++ b/tarragonhinge/shards/tests/test_property.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies
 import pytest
 
+from tarragonhinge import shards
 from tarragonhinge import testing
 
 STEPS = 50
@@ -19,6 +20,10 @@
 RATES = (1.0, 1.01, 0.99)
 
 
+#: An outage lease short enough to end within a walk.
+TIMING = shards.Timing(outage_lease_ms=6000)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Step:
     """A fault, its targets, and the time until the next step."""
@@ -54,7 +59,7 @@
 async def walk(steps):
     """Drive a deployment through steps, checking after each."""
     deployment = testing.Deployment(
-        row=testing.make_row(servers=2), rates=RATES
+        row=testing.make_row(servers=2), rates=RATES, timing=TIMING
     )
     monitor = deployment.watch()
     driver = testing.FaultDriver(deployment=deployment)
--- a/tarragonhinge/standins/_grants.py
+++ b/tarragonhinge/standins/_grants.py
@@ -25,10 +25,13 @@
     ----------
     incarnation : str
         This run.
+    dialect : str
+        How this server takes grants.
     """
 
-    def __init__(self, *, incarnation: str) -> None:
+    def __init__(self, *, incarnation: str, dialect: str = "lapsing") -> None:
         self.incarnation = incarnation
+        self._dialect = servers.DIALECTS.find(dialect)
         self.shards: dict[base.ShardId, ShardGrants] = {}
 
     def apply(
@@ -53,6 +56,8 @@
     def _is_current(
         self, request: servers.GrantRequest, held: ShardGrants
     ) -> bool:
+        if not self._dialect.checks_term:
+            return True
         if request.term < held.term or request.sequence <= held.sequence:
             return False
         return request.server_incarnation in ("", self.incarnation)
@@ -69,10 +74,18 @@
 
     def owns(self, fence: servers.Fence, *, now: int) -> bool:
         """Return whether a request with a fencing token may run."""
+        if not self._dialect.checks_term:
+            return True
         held = self.shards.get(fence.shard)
         return (
             held is not None
             and held.term == fence.term
             and held.epochs.get(fence.partition) == fence.epoch
-            and now < held.expires_at
+            and self.is_valid(fence.shard, now=now)
         )
+
+    def is_valid(self, shard: base.ShardId, *, now: int) -> bool:
+        """Return whether the grants of a shard have not lapsed."""
+        if not self._dialect.lapses:
+            return True
+        return now < self.shards[shard].expires_at
--- a/tarragonhinge/testing/_deployment.py
+++ b/tarragonhinge/testing/_deployment.py
@@ -145,6 +145,7 @@
         self.servers = {
             entry.server: _servers.MemoryServer(
                 name=entry.server,
+                dialect=self.row.dialect,
                 clock=_clock.ManualClock(
                     offset_ms=50_000, rate=next(self.rates)
                 ),
--- a/tarragonhinge/testing/_servers.py
+++ b/tarragonhinge/testing/_servers.py
@@ -44,6 +44,8 @@
         Its clock; a paused server is frozen.
     service_ms : int
         How long it works on a request.
+    dialect : str
+        How it takes grants.
     """
 
     def __init__(
@@ -52,10 +54,12 @@
         name: base.ServerId,
         clock: _clock.ManualClock,
         service_ms: int = 5,
+        dialect: str = "lapsing",
     ) -> None:
         self.name = name
         self.clock = clock
         self.service_ms = service_ms
+        self.dialect = dialect
         self.up = True
         self.draining = False
         self.shedding = False
@@ -69,7 +73,8 @@
 
     def _boot(self) -> standins.GrantTable:
         return standins.GrantTable(
-            incarnation=f"{self.name}-{next(self._boots)}"
+            incarnation=f"{self.name}-{next(self._boots)}",
+            dialect=self.dialect,
         )
 
     def restart(self) -> None:
@@ -136,7 +141,7 @@
             self.up
             and held is not None
             and partition in held.epochs
-            and self.clock.now() < held.expires_at
+            and self.grants.is_valid(shard, now=self.clock.now())
         )
 
 
