--- a/tarragonhinge/configuration/_columns.py
+++ b/tarragonhinge/configuration/_columns.py
@@ -133,6 +133,9 @@
     _make_names(
         "instances", "instances that may lead its shards; empty for all"
     ),
+    _make_names(
+        "lost", "servers and instances that an operator declares lost"
+    ),
     ColumnSpec(
         name="idempotent_methods",
         meaning="methods that may be repeated",
--- a/tarragonhinge/daemon/_instance.py
+++ b/tarragonhinge/daemon/_instance.py
@@ -116,6 +116,7 @@
             make_client=make_client or make_http_client,
             clock=self.clock,
             timing=options.timing,
+            rng=rng,
         )
         self.unserved = _unserved.UnservedMeter(
             coordinator=self.coordinator, clock=self.clock
--- a/tarragonhinge/shards/_owners.py
+++ b/tarragonhinge/shards/_owners.py
@@ -99,6 +99,18 @@
         """Return the assignments that this leadership has recorded."""
         return self._mover.moved_count
 
+    @property
+    def inherited_until(self) -> int:
+        """Return when earlier leaders have surely ended."""
+        return self._inherited_until
+
+    def set_inherited(self, until: int) -> None:
+        """Set when earlier leaders and their grants have surely ended."""
+        self._inherited_until = until
+        for keeper in self.keepers.values():
+            keeper.set_inherited(until)
+        self._mover.set_inherited(until)
+
     # Serving -------------------------------------------------------------
 
     def resolve(
@@ -193,6 +205,8 @@
         for entry in row.list_servers(region):
             if entry.server not in self.keepers:
                 self._add_keeper(entry)
+        for name, keeper in self.keepers.items():
+            keeper.lost = name in row.lost
         self._mover.update_row(row)
 
     def _add_keeper(self, entry: configuration.ServerEntry) -> None:
@@ -204,7 +218,8 @@
             authority=self._authority,
             clock=self._clock,
             timing=self._timing,
-            lapsed_at=self._inherited_until,
+            dialect=servers.DIALECTS.find(self.row.dialect)(),
+            inherited_until=self._inherited_until,
         )
         keeper.on_change = self._wake_all
         self.keepers[entry.server] = keeper
--- a/tarragonhinge/shards/_pool.py
+++ b/tarragonhinge/shards/_pool.py
@@ -2,6 +2,7 @@
 
 from tarragonhinge import base
 from tarragonhinge import configuration
+from tarragonhinge import servers
 from tarragonhinge.shards import _keeper
 from tarragonhinge.shards import _moves
 from tarragonhinge.shards import _ramp
@@ -34,12 +35,20 @@
         self._started_at = clock.now()
         self._weights: dict[base.ServerId, float] = {}
         self._deadline_ms = 0
+        self._dialect: servers.GrantDialect = servers.LapsingDialect()
+        self._lost: frozenset[base.ServerId] = frozenset()
+
+    def set_inherited(self, until: int) -> None:
+        """Set when earlier leaders and their grants have surely ended."""
+        self._inherited_until = until
 
     def update_row(
         self, row: configuration.ServiceRow, region: base.RegionName
     ) -> None:
         """Take over a new version of the service's row."""
         self._deadline_ms = row.deadline_ms
+        self._dialect = servers.DIALECTS.find(row.dialect)()
+        self._lost = frozenset(row.lost)
         self._weights = {
             entry.server: entry.weight
             for entry in row.list_servers(region)
@@ -52,7 +61,9 @@
             {
                 name: weight
                 for name, weight in self._weights.items()
-                if self.is_reachable(name) and not self.keepers[name].draining
+                if self.is_reachable(name)
+                and not self.keepers[name].draining
+                and name not in self._lost
             }
         )
 
@@ -64,15 +75,17 @@
             and keeper.state is _keeper.ServerState.REACHABLE
         )
 
-    def is_inherited(self) -> bool:
-        """Return whether grants of earlier leaders may be valid."""
-        return self._clock.now() < self._inherited_until
+    def _has_ended(self, server: base.ServerId) -> bool:
+        """Return whether a server that left the row holds no grant."""
+        return server in self._lost or self._dialect.may_reassign(
+            now=self._clock.now(), lapsed_at=self._inherited_until
+        )
 
     def has_lapsed(self, server: base.ServerId) -> bool:
         """Return whether a server is lost and its grants have lapsed."""
         keeper = self.keepers.get(server)
         if keeper is None:
-            return not self.is_inherited()
+            return self._has_ended(server)
         return not self.is_reachable(server) and keeper.has_lapsed()
 
     def has_released(self, move: _moves.Move) -> bool:
@@ -81,7 +94,7 @@
             return False
         keeper = self.keepers.get(move.source)
         if keeper is None:
-            return not self.is_inherited()
+            return self._has_ended(move.source)
         return keeper.has_released(move.partition)
 
     def has_ended_inherited(self, server: base.ServerId) -> bool:
--- a/tarragonhinge/testing/_deployment.py
+++ b/tarragonhinge/testing/_deployment.py
@@ -1,6 +1,8 @@
 """A few instances and servers in memory, on manual time."""
 
 import asyncio
+from collections.abc import Sequence
+import itertools
 
 import msgspec
 
@@ -13,6 +15,7 @@
 from tarragonhinge import shards
 from tarragonhinge import stores
 from tarragonhinge.testing import _clock
+from tarragonhinge.testing import _monitor
 from tarragonhinge.testing import _network
 from tarragonhinge.testing import _servers
 from tarragonhinge.testing import _stores
@@ -61,9 +64,10 @@
         instances: _stores.MemoryInstanceList,
         pool: dict[base.ServerId, _servers.MemoryServer],
         timing: shards.Timing,
+        rate: float = 1.0,
     ) -> None:
         self.address = base.Address(f"node-{number}")
-        self.clock = _clock.ManualClock(offset_ms=1000 * number)
+        self.clock = _clock.ManualClock(offset_ms=1000 * number, rate=rate)
         self.table = _stores.FaultyTable(table=table, clock=self.clock)
         self.network = network
         options = settings.Settings(
@@ -99,6 +103,10 @@
 
     async def kill(self) -> None:
         """Lose the process: nothing of it runs or answers any more."""
+        self.halt()
+
+    def halt(self) -> None:
+        """Lose the process, without a coroutine."""
         self.clock.pause()
         self.network.transports.pop(self.address, None)
 
@@ -116,6 +124,8 @@
         The network; a fast and faithful one by default.
     timing : Timing or None
         Durations; the defaults if None.
+    rates : sequence of float
+        Rates of the clocks of servers and then of instances, in turn.
     """
 
     def __init__(
@@ -125,7 +135,10 @@
         instances: int = 3,
         network: _network.MemoryNetwork | None = None,
         timing: shards.Timing | None = None,
+        rates: Sequence[float] = (1.0,),
     ) -> None:
+        self.timing = timing or shards.Timing()
+        self.rates = itertools.cycle(rates)
         self.row = row or make_row()
         self.network = network or _network.MemoryNetwork()
         self.table = stores.MemoryTable()
@@ -134,22 +147,38 @@
         self.servers = {
             entry.server: _servers.MemoryServer(
                 name=entry.server,
-                clock=_clock.ManualClock(offset_ms=50_000),
+                dialect=self.row.dialect,
+                clock=_clock.ManualClock(
+                    offset_ms=50_000, rate=next(self.rates)
+                ),
             )
             for entry in self.row.servers
         }
-        self.nodes = [
-            Node(
-                number=number,
-                network=self.network,
-                table=self.table,
-                objects=self.objects,
-                instances=self.instance_list,
-                pool=self.servers,
-                timing=timing or shards.Timing(),
-            )
-            for number in range(instances)
-        ]
+        self.nodes = [self._make_node(number) for number in range(instances)]
+
+    def _make_node(self, number: int) -> Node:
+        return Node(
+            number=number,
+            network=self.network,
+            table=self.table,
+            objects=self.objects,
+            instances=self.instance_list,
+            pool=self.servers,
+            timing=self.timing,
+            rate=next(self.rates),
+        )
+
+    @property
+    def shard(self) -> base.ShardId:
+        """Return the only shard."""
+        return base.make_shard_id(self.row.service, REGION)
+
+    async def restart(self, number: int) -> None:
+        """Start a new process in place of a lost one."""
+        table = self.nodes[number].table
+        self.nodes[number] = self._make_node(number)
+        self.nodes[number].table.down = table.down
+        await self.nodes[number].instance.start()
 
     async def start(self, settle_ms: int = 5000) -> None:
         """Store the row, start all instances and let them settle."""
@@ -167,6 +196,33 @@
         """Let manual time pass."""
         await asyncio.sleep(duration_ms / base.MS_PER_S)
 
+    def watch(self) -> _monitor.OwnershipMonitor:
+        """Return a new monitor of the shard."""
+        return _monitor.OwnershipMonitor(
+            shard=self.shard,
+            servers=self.servers,
+            table=self.table,
+            timing=self.timing,
+        )
+
+    def isolate(self, node: Node, *, reaches: Sequence[str] = ()) -> None:
+        """Cut an instance from the store and from all but some ends."""
+        node.table.down = True
+        ends = [other.address for other in self.nodes if other is not node]
+        for end in [*ends, *self.servers]:
+            if end not in reaches:
+                self.network.cut_both(node.address, end)
+
+    def find_leadership(self, node: Node) -> shards.ShardLeader:
+        """Return an instance's leadership of the shard."""
+        return node.instance.coordinator.leaders[self.shard]
+
+    def find_standby(self) -> Node:
+        """Return the instance that the record names as standby."""
+        leader = self.find_leadership(self.find_leaders()[0])
+        name = leader.record.standby.instance
+        return next(n for n in self.nodes if n.instance.options.name == name)
+
     def find_leaders(self) -> list[Node]:
         """Return the nodes that believe to lead the only shard."""
         shard = base.make_shard_id(self.row.service, REGION)
--- a/tarragonhinge/testing/_loop.py
+++ b/tarragonhinge/testing/_loop.py
@@ -59,16 +59,17 @@
     finally:
         _cancel_all(loop)
         loop.close()
-    gc.collect()
     if failures:
         raise failures[0]
     return result
 
 
-def _cancel_all(loop: ManualLoop) -> None:
+def _cancel_all(loop: asyncio.AbstractEventLoop) -> None:
+    """End the tasks that are left, so that none outlives its loop."""
     tasks = asyncio.all_tasks(loop)
     for task in tasks:
         task.cancel()
     if tasks:
         gathered = asyncio.gather(*tasks, return_exceptions=True)
         loop.run_until_complete(gathered)
+    gc.collect()
--- a/tarragonhinge/testing/_servers.py
+++ b/tarragonhinge/testing/_servers.py
@@ -1,6 +1,7 @@
 """Backend server in memory."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import itertools
 
@@ -43,6 +44,8 @@
         Its clock; a paused server is frozen.
     service_ms : int
         How long it works on a request.
+    dialect : str
+        How it takes grants.
     """
 
     def __init__(
@@ -51,22 +54,27 @@
         name: base.ServerId,
         clock: _clock.ManualClock,
         service_ms: int = 5,
+        dialect: str = "lapsing",
     ) -> None:
         self.name = name
         self.clock = clock
         self.service_ms = service_ms
+        self.dialect = dialect
         self.up = True
         self.draining = False
         self.shedding = False
         self.running = 0
         self.most_running = 0
         self.runs: list[Run] = []
+        self.on_grant: Callable[[], None] | None = None
+        self.on_run: Callable[[base.ServerId, Run], None] | None = None
         self._boots = itertools.count(1)
         self.grants = self._boot()
 
     def _boot(self) -> standins.GrantTable:
         return standins.GrantTable(
-            incarnation=f"{self.name}-{next(self._boots)}"
+            incarnation=f"{self.name}-{next(self._boots)}",
+            dialect=self.dialect,
         )
 
     def restart(self) -> None:
@@ -77,6 +85,8 @@
     def take_grants(self, request: servers.GrantRequest) -> servers.GrantReply:
         """Answer a batched heartbeat."""
         reply = self.grants.apply(request, now=self.clock.now())
+        if self.on_grant is not None:
+            self.on_grant()
         return servers.GrantReply(
             accepted=reply.accepted,
             term=reply.term,
@@ -92,14 +102,7 @@
             return base.NotRun(reason=base.NotRunReason.FENCED)
         if self.shedding:
             return base.NotRun(reason=base.NotRunReason.SERVER_SHED)
-        self.runs.append(
-            Run(
-                at_ms=int(asyncio.get_running_loop().time() * base.MS_PER_S),
-                fence=request.fence,
-                path=request.path,
-                idempotency_key=request.idempotency_key,
-            )
-        )
+        self._note_run(request)
         self.running += 1
         self.most_running = max(self.most_running, self.running)
         try:
@@ -109,6 +112,24 @@
         body = f"{self.name} {request.method} {request.path}".encode()
         return base.Answered(status=200, body=body)
 
+    def _note_run(self, request: servers.ServerRequest) -> None:
+        run = Run(
+            at_ms=base.Clock().now(),
+            fence=request.fence,
+            path=request.path,
+            idempotency_key=request.idempotency_key,
+        )
+        self.runs.append(run)
+        if self.on_run is not None:
+            self.on_run(self.name, run)
+
+    def list_owned(self, shard: base.ShardId) -> list[base.PartitionId]:
+        """Return the partitions with a valid grant here."""
+        held = self.grants.shards.get(shard)
+        if held is None:
+            return []
+        return [name for name in held.epochs if self.owns(shard, name)]
+
     def owns(
         self,
         shard: base.ShardId,
@@ -120,7 +141,7 @@
             self.up
             and held is not None
             and partition in held.epochs
-            and self.clock.now() < held.expires_at
+            and self.grants.is_valid(shard, now=self.clock.now())
         )
 
 
