Keep a stored table readable for other releases

The digest was taken over rows that were decoded and encoded again, so a release with one more column would have found every stored version damaged. It is taken over the bytes as written now, and contents are compared as rows.

--- a/tarragonhinge/configuration/_edit.py
+++ b/tarragonhinge/configuration/_edit.py
@@ -66,7 +66,7 @@
     at_ms : int
         Wall time of the instance that took it, for reading only.
     digest : str
-        SHA-256 of the rows, in hexadecimal.
+        SHA-256 of the rows as they were written, in hexadecimal.
     """
 
     version: base.TableVersion
--- a/tarragonhinge/configuration/_store.py
+++ b/tarragonhinge/configuration/_store.py
@@ -64,7 +64,6 @@
         self._clock = clock or base.Clock()
         self._cached: _version.VersionRecord | None = None
         self._head_decoder = msgspec.json.Decoder(_version.TableHead)
-        self._record_decoder = msgspec.json.Decoder(_version.VersionRecord)
 
     # Reading -------------------------------------------------------------
 
@@ -147,12 +146,9 @@
         if body is None:
             return self._report_damage(name, "missing")
         try:
-            record = self._record_decoder.decode(body)
-        except msgspec.DecodeError as error:
+            return _version.decode_version(body, digest=edit.digest)
+        except (msgspec.DecodeError, _version.DigestError) as error:
             return self._report_damage(name, error)
-        if _version.compute_digest(record.rows) != edit.digest:
-            return self._report_damage(name, "digest differs")
-        return record
 
     def _report_damage(self, name: str, why: object) -> stores.Unavailable:
         if not self.damaged:
@@ -186,30 +182,37 @@
             If the id belongs to an accepted edit of other content.
         """
         note = note or _edit.EditNote(edit_id=_edit.make_edit_id())
-        digest = _version.compute_digest(rows)
         head = await self.load_head()
         if isinstance(head, stores.Unavailable):
             return _refuse()
         edits = head.edits if head else []
         if expected != (head.latest.version if head else 0):
-            return await self._settle(expected, note, digest)
-        if head is not None and head.latest.digest == digest:
-            return _edit.Unchanged(version=expected)
+            return await self._settle(expected, note, rows)
+        if head is not None:
+            record = await self._fetch(head.latest)
+            if isinstance(record, stores.Unavailable):
+                return _refuse()
+            if record.rows == rows:
+                return _edit.Unchanged(version=expected)
+        encoded = _version.encode_rows(rows)
         edit = _edit.EditSummary(
             version=base.TableVersion(expected + 1),
             note=note,
             at_ms=self._clock.read_wall(),
-            digest=digest,
+            digest=_version.compute_digest(encoded),
         )
         head = _version.TableHead(
             edits=[*edits, edit][-_version.RECENT_EDITS :]
         )
-        if not await self._put_object(head, rows):
+        if not await self._put_object(head, encoded):
             return _refuse()
-        return await self._commit(head, expected)
+        result = await self._commit(head, expected)
+        if result is None:
+            return await self._settle(expected, note, rows)
+        return result
 
     async def _put_object(
-        self, head: _version.TableHead, rows: list[_row.ServiceRow]
+        self, head: _version.TableHead, encoded: bytes
     ) -> bool:
         """Store a version's object, unless an earlier try did."""
         name = _version.make_object_name(head.latest)
@@ -218,12 +221,13 @@
             return False
         if present is not None:
             return True
-        record = _version.VersionRecord(head=head, rows=rows)
-        return await self._objects.put(name, msgspec.json.encode(record))
+        body = _version.encode_version(head, encoded)
+        return await self._objects.put(name, body)
 
     async def _commit(
         self, head: _version.TableHead, expected: base.TableVersion
-    ) -> _edit.EditResult:
+    ) -> _edit.EditResult | None:
+        """Replace the row; None if it had another version already."""
         transaction = stores.Transaction(
             write_id=stores.make_write_id(),
             checks=[stores.Check(key=TABLE_KEY, version=expected)],
@@ -242,7 +246,7 @@
         if isinstance(result, stores.Unavailable):
             return _refuse()
         if isinstance(result, stores.Conflict):
-            return await self._settle(expected, note, head.latest.digest)
+            return None
         logging.info(
             "edit accepted version=%d edit_id=%s",
             head.latest.version,
@@ -254,7 +258,7 @@
         self,
         expected: base.TableVersion,
         note: _edit.EditNote,
-        digest: str,
+        rows: list[_row.ServiceRow],
     ) -> _edit.EditResult:
         """Tell a lost race from an edit that was stored before.
 
@@ -265,10 +269,8 @@
         record = await self.load_version(version)
         if isinstance(record, stores.Unavailable):
             return _unresolve(note)
-        if record is not None:
-            stored = record.head.latest
-            if stored.note.edit_id == note.edit_id:
-                return _recognize(stored, digest)
+        if record is not None and record.edit_id == note.edit_id:
+            return _recognize(record, rows)
         return await self._describe_conflict(expected)
 
     async def _describe_conflict(
@@ -296,8 +298,11 @@
     return _edit.EditUnresolved(edit_id=note.edit_id, retry_after_ms=RETRY_MS)
 
 
-def _recognize(stored: _edit.EditSummary, digest: str) -> _edit.Accepted:
-    if stored.digest != digest:
+def _recognize(
+    record: _version.VersionRecord, rows: list[_row.ServiceRow]
+) -> _edit.Accepted:
+    stored = record.head.latest
+    if record.rows != rows:
         raise _edit.EditIdReused(
             problem=f"edit_id={stored.note.edit_id!r} is that of version "
             f"{stored.version}, whose content is another",
--- a/tarragonhinge/configuration/_version.py
+++ b/tarragonhinge/configuration/_version.py
@@ -42,7 +42,7 @@
 
 
 class VersionRecord(msgspec.Struct, frozen=True, kw_only=True):
-    """The immutable object that holds one version.
+    """One version with its history.
 
     Parameters
     ----------
@@ -55,15 +55,70 @@
     head: TableHead
     rows: list[_row.ServiceRow]
 
+    @property
+    def edit_id(self) -> str:
+        """Return the id of the edit that made the version."""
+        return self.head.latest.note.edit_id
+
     def make_table(self) -> _table.OperatorsTable:
         """Return the version as a table."""
         version = self.head.latest.version
         return _table.OperatorsTable(version=version, rows=self.rows)
 
 
-def compute_digest(rows: list[_row.ServiceRow]) -> str:
-    """Return the SHA-256 of rows, in hexadecimal."""
-    return hashlib.sha256(msgspec.json.encode(rows)).hexdigest()
+class _StoredVersion(msgspec.Struct, frozen=True, kw_only=True):
+    """The immutable object that holds one version.
+
+    The rows stay as they were written, since another release, which has
+    other columns, would encode them differently.
+    """
+
+    head: TableHead
+    rows: msgspec.Raw
+
+
+class DigestError(base.CodecError):
+    """The rows of an object are not those that its edit names."""
+
+
+_stored_decoder = msgspec.json.Decoder(_StoredVersion)
+_rows_decoder = msgspec.json.Decoder(list[_row.ServiceRow])
+
+
+def encode_rows(rows: list[_row.ServiceRow]) -> bytes:
+    """Return rows as they are stored."""
+    return msgspec.json.encode(rows)
+
+
+def compute_digest(encoded: bytes) -> str:
+    """Return the SHA-256 of encoded rows, in hexadecimal."""
+    return hashlib.sha256(encoded).hexdigest()
+
+
+def encode_version(head: TableHead, encoded: bytes) -> bytes:
+    """Return the object of a version with encoded rows."""
+    stored = _StoredVersion(head=head, rows=msgspec.Raw(encoded))
+    return msgspec.json.encode(stored)
+
+
+def decode_version(body: bytes, *, digest: str) -> VersionRecord:
+    """Return the version in an object.
+
+    Raises
+    ------
+    msgspec.DecodeError
+        If it is none.
+    DigestError
+        If its rows have another digest.
+    """
+    stored = _stored_decoder.decode(body)
+    encoded = bytes(stored.rows)
+    if compute_digest(encoded) != digest:
+        raise DigestError(
+            problem="the rows have another digest",
+            remedy="restore the object in the object store",
+        )
+    return VersionRecord(head=stored.head, rows=_rows_decoder.decode(encoded))
 
 
 def make_object_name(edit: _edit.EditSummary) -> str:
--- a/tarragonhinge/configuration/tests/test_store.py
+++ b/tarragonhinge/configuration/tests/test_store.py
@@ -7,6 +7,7 @@
 
 from tarragonhinge import base
 from tarragonhinge import configuration
+from tarragonhinge.configuration import _version
 from tarragonhinge import stores
 from tarragonhinge import testing
 
@@ -210,6 +211,41 @@
     testing.run_manual(scenario())
 
 
+@pytest.mark.parametrize(
+    ("written", "read"),
+    [
+        (b',"churn_weight":1.0', b""),
+        (b',"churn_weight":1.0', b',"churn_weight":1.0,"of_later":7'),
+        (b'{"service"', b'{ "service"'),
+    ],
+)
+def test_a_table_that_another_release_wrote_stays_in_force(
+    written, read, monkeypatch
+):
+    encode = _version.encode_rows
+
+    async def scenario():
+        site = Site()
+        _, store = site.connect()
+        monkeypatch.setattr(
+            _version,
+            "encode_rows",
+            lambda rows: encode(rows).replace(written, read),
+        )
+        await store.apply_edit([ROW], expected=0, note=_note("old"))
+        monkeypatch.setattr(_version, "encode_rows", encode)
+        _, reader = site.connect()
+        assert (await reader.load()).rows == [ROW]
+        again = await reader.apply_edit([ROW], expected=1)
+        assert again == configuration.Unchanged(version=1)
+        sent_again = await reader.apply_edit(
+            [ROW], expected=0, note=_note("old")
+        )
+        assert sent_again == configuration.Accepted(version=1)
+
+    testing.run_manual(scenario())
+
+
 def test_the_history_is_whole_and_rollback_is_a_new_version():
     async def scenario():
         _, store = Site().connect()
