Follow a lost leader at once

A standby claimed from the version of the record that its last heartbeat brought; a leader that had written since was followed only by the slow claim of a shard without a leader. A call to a peer that was gone waited for its timeout. Requests with a key were not sent on.

Now the standby reads the record before it claims; a socket monitor fails the waiting calls at a disconnect, and pings, sent only while a peer owes a reply and is silent, do after 500 ms without a sign; a request that is idempotent or has a key goes to the successor within its deadline. A refusal of a later attempt no longer hides that an earlier one may have run. Frames name the link's incarnation.

--- a/tarragonhinge/peers/_transport.py
+++ b/tarragonhinge/peers/_transport.py
@@ -11,10 +11,15 @@
 from tarragonhinge import base
 
 
+#: Silence of a peer that owes a reply, after which it counts as lost.
+SILENCE_MS = 500
+
+
 class FailureReason(enum.Enum):
     """Why a call to a peer gave no reply."""
 
     NOT_SENT = "not_sent"
+    LOST = "lost"
     TIMEOUT = "timeout"
     MALFORMED = "malformed"
     REFUSED = "refused"
@@ -28,7 +33,8 @@
     ----------
     reason : FailureReason
         NOT_SENT and REFUSED prove that the peer did not act; the others
-        leave it open.
+        leave it open.  LOST tells that the peer or the way to it is
+        gone, so that no reply will come.
     """
 
     reason: FailureReason
--- a/tarragonhinge/peers/_zmq.py
+++ b/tarragonhinge/peers/_zmq.py
@@ -1,20 +1,32 @@
 """Transport over ZeroMQ: a ROUTER socket, and a DEALER for each peer."""
 
 import asyncio
+import contextlib
 import itertools
+import secrets
 import struct
 
 from absl import logging
 import msgspec
 import zmq
 import zmq.asyncio
+import zmq.utils.monitor
 
 from tarragonhinge import base
 from tarragonhinge.peers import _message
 from tarragonhinge.peers import _transport
 
 _REFUSED = b"refused"
-_SEQUENCE = struct.Struct("!Q")
+_PING = b"ping"
+
+#: Incarnation of the calling link and sequence number of the call.
+_CALL_ID = struct.Struct("!QQ")
+
+#: Sequence number of pings, which answer no call.
+_PING_SEQUENCE = 0
+
+#: Period of pings to a peer that owes a reply and is silent.
+PING_PERIOD_MS = 125
 
 #: Messages that may wait for one peer before calls to it fail at once.
 SEND_QUEUE_LIMIT = 1000
@@ -39,10 +51,17 @@
         self._socket.setsockopt(zmq.MAXMSGSIZE, FRAME_LIMIT_BYTES)
         self._socket.setsockopt(zmq.RECONNECT_IVL_MAX, 1000)
         self._socket.connect(f"tcp://{address}")
+        self._incarnation = secrets.randbits(64)
         self._sequence = itertools.count(1)
         self._waiting: dict[int, asyncio.Future] = {}
         self.stray_replies = 0
-        self._task = asyncio.create_task(self._receive())
+        self._heard_at = 0.0
+        self._monitor = self._socket.get_monitor_socket(zmq.EVENT_DISCONNECTED)
+        self._tasks = [
+            asyncio.create_task(self._receive()),
+            asyncio.create_task(self._watch()),
+        ]
+        self._pinging: asyncio.Task | None = None
 
     async def call(
         self, message: msgspec.Struct, timeout_s: float
@@ -51,7 +70,7 @@
         future = asyncio.get_running_loop().create_future()
         self._waiting[sequence] = future
         frames = [
-            _SEQUENCE.pack(sequence),
+            _CALL_ID.pack(self._incarnation, sequence),
             _message.get_kind(message).encode(),
             _message.encode_message(message),
         ]
@@ -59,10 +78,12 @@
         try:
             sending = self._socket.send_multipart(frames)
             await asyncio.wait_for(sending, connect_s)
-        except TimeoutError:
+        except (TimeoutError, zmq.ZMQError):
+            # A socket that is closed meanwhile has sent nothing either.
             self._waiting.pop(sequence, None)
             reason = _transport.FailureReason.NOT_SENT
             return _transport.PeerFailure(reason=reason)
+        self._start_pinging()
         try:
             return await asyncio.wait_for(future, timeout_s)
         except TimeoutError:
@@ -71,13 +92,61 @@
         finally:
             self._waiting.pop(sequence, None)
 
+    async def _watch(self) -> None:
+        """Fail the calls that wait when the connection is lost."""
+        while True:
+            frames = await self._monitor.recv_multipart()
+            event = zmq.utils.monitor.parse_monitor_message(frames)
+            if event["event"] == zmq.EVENT_DISCONNECTED:
+                self._fail_waiting()
+
+    def _fail_waiting(self) -> None:
+        reason = _transport.FailureReason.LOST
+        failure = _transport.PeerFailure(reason=reason)
+        for future in self._waiting.values():
+            if not future.done():
+                future.set_result(failure)
+
+    def _start_pinging(self) -> None:
+        if self._pinging is None or self._pinging.done():
+            self._heard_at = asyncio.get_running_loop().time()
+            self._pinging = asyncio.create_task(self._ping())
+
+    async def _ping(self) -> None:
+        """Tell a peer that works on a call from one that is gone."""
+        loop = asyncio.get_running_loop()
+        call_id = _CALL_ID.pack(self._incarnation, _PING_SEQUENCE)
+        while True:
+            await asyncio.sleep(PING_PERIOD_MS / base.MS_PER_S)
+            if not self._waiting:
+                return
+            silent_ms = (loop.time() - self._heard_at) * base.MS_PER_S
+            if silent_ms >= _transport.SILENCE_MS:
+                self._fail_waiting()
+                return
+            if silent_ms >= PING_PERIOD_MS:
+                await self._send_ping(call_id)
+
+    async def _send_ping(self, call_id: bytes) -> None:
+        try:
+            sending = self._socket.send_multipart([call_id, _PING, b""])
+            await asyncio.wait_for(sending, PING_PERIOD_MS / base.MS_PER_S)
+        except (TimeoutError, zmq.ZMQError):
+            return
+
     async def _receive(self) -> None:
         while True:
             frames = await self._socket.recv_multipart()
-            if len(frames) != 3 or len(frames[0]) != _SEQUENCE.size:
+            if len(frames) != 3 or len(frames[0]) != _CALL_ID.size:
                 self.stray_replies += 1
                 continue
-            (sequence,) = _SEQUENCE.unpack(frames[0])
+            incarnation, sequence = _CALL_ID.unpack(frames[0])
+            if incarnation != self._incarnation:
+                self.stray_replies += 1
+                continue
+            self._heard_at = asyncio.get_running_loop().time()
+            if sequence == _PING_SEQUENCE:
+                continue
             future = self._waiting.pop(sequence, None)
             if future is None or future.done():
                 self.stray_replies += 1
@@ -85,7 +154,12 @@
             future.set_result(_read_reply(frames[1], frames[2]))
 
     def close(self) -> None:
-        self._task.cancel()
+        for task in self._tasks:
+            task.cancel()
+        if self._pinging is not None:
+            self._pinging.cancel()
+        self._socket.disable_monitor()
+        self._monitor.close(0)
         self._socket.close(0)
 
 
@@ -160,6 +234,9 @@
             if len(frames) != 4:
                 self.malformed_count += 1
                 continue
+            if frames[2] == _PING:
+                await self._router.send_multipart(frames)
+                continue
             task = asyncio.create_task(self._reply(*frames))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
@@ -181,11 +258,12 @@
         except Exception:
             logging.exception("handler failed kind=%s", kind.decode())
             return
-        await self._router.send_multipart(
-            [
-                sender,
-                sequence,
-                _message.get_kind(reply).encode(),
-                _message.encode_message(reply),
-            ]
-        )
+        frames = [
+            sender,
+            sequence,
+            _message.get_kind(reply).encode(),
+            _message.encode_message(reply),
+        ]
+        with contextlib.suppress(zmq.ZMQError):
+            # The caller learns of a stopped transport by its disconnect.
+            await self._router.send_multipart(frames)
--- a/tarragonhinge/routing/_entry.py
+++ b/tarragonhinge/routing/_entry.py
@@ -37,8 +37,9 @@
 class Entry:
     """Forwards requests to leaders, following their redirects.
 
-    Only proven refusals are sent on to another instance; what a lost
-    leader did with a request is not known.
+    Proven refusals are sent on to another instance.  What a lost leader
+    did with a request is not known, so it goes to its successor only if
+    it is idempotent or has an idempotency key.
 
     Parameters
     ----------
@@ -71,22 +72,27 @@
     ) -> base.Outcome:
         """Return the outcome of a request, within its deadline."""
         deadline_at = self._clock.now() + request.time_left_ms
+        # A leader runs a key at most once, also after a takeover.
+        repeatable = idempotent or bool(request.idempotency_key)
+        maybe_run: base.Unknown | None = None
         for attempt in itertools.count():
             outcome = await self._attempt(request, attempt, deadline_at)
-            if not self._may_redirect(outcome, idempotent):
-                return outcome
+            if isinstance(outcome, base.Unknown):
+                maybe_run = maybe_run or outcome
+            if not self._may_redirect(outcome, repeatable):
+                return _join_outcomes(maybe_run, outcome)
             self.counts.redirects += 1
             if self._clock.now() + REDIRECT_PAUSE_MS >= deadline_at:
-                return outcome
+                return _join_outcomes(maybe_run, outcome)
             await self._clock.sleep(REDIRECT_PAUSE_MS)
         raise AssertionError("unreachable")
 
-    def _may_redirect(self, outcome: base.Outcome, idempotent: bool) -> bool:
+    def _may_redirect(self, outcome: base.Outcome, repeatable: bool) -> bool:
         if isinstance(outcome, base.NotRun):
             return outcome.reason in _REDIRECTS
         if isinstance(outcome, base.Unknown):
             return (
-                idempotent and outcome.reason is base.UnknownReason.LEADER_LOST
+                repeatable and outcome.reason is base.UnknownReason.LEADER_LOST
             )
         return False
 
@@ -145,6 +151,18 @@
                 self._directory.forget(shard)
 
 
+def _join_outcomes(
+    maybe_run: base.Unknown | None, last: base.Outcome
+) -> base.Outcome:
+    """Return the outcome of all attempts together.
+
+    A refusal of the last attempt proves nothing about an earlier one.
+    """
+    if isinstance(last, base.NotRun) and maybe_run is not None:
+        return maybe_run
+    return last
+
+
 def _replace_time_left(
     request: dispatch.ForwardRequest, left_ms: int
 ) -> dispatch.ForwardRequest:
--- a/tarragonhinge/shards/_coordinator.py
+++ b/tarragonhinge/shards/_coordinator.py
@@ -204,13 +204,33 @@
             for shard, standby in list(self.standbys.items()):
                 if standby.record is None or not standby.is_leader_silent():
                     continue
-                if shard not in self._claiming:
+                if shard in self._claiming:
+                    continue
+                if await self._refresh_standby(standby):
                     await self._claim(
                         shard, standby.record, standby.row_version
                     )
             await self._reap()
             await self._clock.sleep(self._timing.heartbeat_ms // 5)
 
+    async def _refresh_standby(self, standby: _standby.ShardStandby) -> bool:
+        """Read the record that a lost leader may have changed last.
+
+        Its last heartbeat may be older than its last write, and a claim
+        from the older version would fail.  False if another instance
+        leads under a higher term.
+        """
+        rows = await self._table.read([_record.make_record_key(standby.shard)])
+        if isinstance(rows, stores.Unavailable) or not rows[0].version:
+            return True
+        record = _record.decode_record(rows[0].value)
+        if record.term != standby.record.term:
+            self.standbys.pop(standby.shard, None)
+            return False
+        standby.record = record
+        standby.row_version = rows[0].version
+        return True
+
     async def _reap(self) -> None:
         """Close leaderships that a higher term has ended."""
         for shard, leader in list(self.leaders.items()):
--- a/tarragonhinge/shards/tests/test_ownership.py
+++ b/tarragonhinge/shards/tests/test_ownership.py
@@ -81,6 +81,25 @@
     testing.run_manual(scenario())
 
 
+def test_a_leader_lost_right_after_a_write_is_followed_in_time():
+    async def scenario():
+        deployment = testing.Deployment()
+        await deployment.start()
+        leader = deployment.find_leaders()[0]
+        led = leader.instance.coordinator.leaders["balances/centro"]
+        version = led.recorder.row_version
+        deployment.servers[base.ServerId("s0")].up = False
+        while led.recorder.row_version == version:
+            await deployment.wait(1)
+        await leader.kill()
+        entries = [node for node in deployment.nodes if node is not leader]
+        took_ms = await _measure_unserved(deployment, entries, KEYS)
+        timing = shards.Timing()
+        assert took_ms <= timing.silence_ms + timing.heartbeat_ms
+
+    testing.run_manual(scenario())
+
+
 def test_loss_of_a_server_moves_only_its_own_partitions():
     async def scenario():
         deployment = testing.Deployment()
--- a/tarragonhinge/testing/_clock.py
+++ b/tarragonhinge/testing/_clock.py
@@ -38,6 +38,10 @@
         """Return once the process is not paused."""
         await self._running.wait()
 
+    def is_running(self) -> bool:
+        """Return whether the process is not paused."""
+        return self._running.is_set()
+
     def pause(self) -> None:
         """Pause the process; its clock's reading goes on."""
         self._running.clear()
--- a/tarragonhinge/testing/_network.py
+++ b/tarragonhinge/testing/_network.py
@@ -10,6 +10,10 @@
 from tarragonhinge.testing import _clock
 
 
+#: Period at which a call looks whether its peer is in reach.
+PING_PERIOD_MS = 125
+
+
 class MemoryNetwork:
     """Links between named nodes.
 
@@ -57,6 +61,16 @@
         """Remove all cuts."""
         self._cuts.clear()
 
+    def is_reachable(self, source: str, target: str) -> bool:
+        """Return whether a ping from `source` would be answered now."""
+        transport = self.transports.get(target)
+        return (
+            transport is not None
+            and transport.clock.is_running()
+            and (source, target) not in self._cuts
+            and (target, source) not in self._cuts
+        )
+
     async def carry(self, source: str, target: str) -> bool:
         """Wait as long as a message is under way; False if it is lost."""
         delay_ms = self.delay_ms + self.rng.randint(0, self.jitter_ms)
@@ -116,14 +130,29 @@
         exchange = self._spawn(self._exchange(address, kind, body))
         if self.network.duplicates():
             self._spawn(self._exchange(address, kind, body))
+        silence = self._spawn(self._wait_silence(address))
         done, _ = await asyncio.wait(
-            {exchange}, timeout=timeout_ms / base.MS_PER_S
+            {exchange, silence},
+            timeout=timeout_ms / base.MS_PER_S,
+            return_when=asyncio.FIRST_COMPLETED,
         )
+        silence.cancel()
         await self.clock.wait_running()
-        if done and exchange.result() is not None:
+        if exchange in done:
             return exchange.result()
+        if silence in done:
+            return peers.PeerFailure(reason=peers.FailureReason.LOST)
         return peers.PeerFailure(reason=peers.FailureReason.TIMEOUT)
 
+    async def _wait_silence(self, address: base.Address) -> None:
+        """Return once the peer has been out of reach for too long."""
+        silent_ms = 0
+        while silent_ms < peers.SILENCE_MS:
+            await asyncio.sleep(PING_PERIOD_MS / base.MS_PER_S)
+            silent_ms += PING_PERIOD_MS
+            if self.network.is_reachable(self.address, address):
+                silent_ms = 0
+
     def _spawn(self, coroutine) -> asyncio.Task:
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
