Keep the memory of idempotency keys over a leader's loss

Cause: a successor knew nothing, so every key minted up to 5 s after a takeover was answered unknown and not run.

Three ways, as a registry of policies that a row names: forget (the age of a key decides), standby (a dispatch waits until the standby acknowledged its key) and table (until the table has it). The record names the policy whose copy is complete, and the leader changes the record before it dispatches anything that the copy lacks; a claim of another version of the record fails, so no clock is trusted. A successor with a complete copy replays, answers unknown for runs without an outcome, and runs new keys at once. Outcomes of requests in flight at a handover follow to the successor, and no key begins between the saving of the history and the handover.

All spellings of a UUID are one key. Memory is bounded in bytes too, and expiry per call.

--- a/tarragonhinge/base/_outcomes.py
+++ b/tarragonhinge/base/_outcomes.py
@@ -18,6 +18,7 @@
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
     STOPPING = "stopping"
+    CANCELLED = "cancelled"
     FENCED = "fenced"
     SERVER_UNREACHABLE = "server_unreachable"
     SERVER_SHED = "server_shed"
--- a/tarragonhinge/configuration/_row.py
+++ b/tarragonhinge/configuration/_row.py
@@ -81,6 +81,11 @@
         for no limit.
     retry_ratio : float
         Retries allowed for each request, as a ratio.
+    history : str
+        Policy that keeps the memory of idempotency keys over the loss
+        of a leader.
+    cancels : bool
+        True if its servers give up a request whose connection closes.
     dialect : str
         Grant dialect of its servers.
     planner : str
@@ -107,6 +112,8 @@
     body_limit: int = 1024 * 1024
     cross_region_bytes: int = 0
     retry_ratio: float = 0.1
+    history: str = "standby"
+    cancels: bool = True
     dialect: str = "lapsing"
     planner: str = "balanced"
     churn_weight: float = 1.0
--- a/tarragonhinge/daemon/_instance.py
+++ b/tarragonhinge/daemon/_instance.py
@@ -96,6 +96,7 @@
         self.dispatcher = dispatch.Dispatcher(
             coordinator=self.coordinator,
             transport=transport,
+            table=platform.table,
             clock=self.clock,
         )
         self.entry = routing.Entry(
--- a/tarragonhinge/dispatch/__init__.py
+++ b/tarragonhinge/dispatch/__init__.py
@@ -1,8 +1,10 @@
 """The leader's side of a request: at most once, in order, within limits."""
 
 from tarragonhinge.dispatch._dispatcher import Dispatcher
-from tarragonhinge.dispatch._history import read_minted_ms
+from tarragonhinge.dispatch._fingerprint import parse_key
 from tarragonhinge.dispatch._history import RequestHistory
+from tarragonhinge.dispatch._messages import CancelReply
+from tarragonhinge.dispatch._messages import CancelRequest
 from tarragonhinge.dispatch._messages import decode_outcome
 from tarragonhinge.dispatch._messages import encode_outcome
 from tarragonhinge.dispatch._messages import ForwardAnswered
@@ -10,16 +12,28 @@
 from tarragonhinge.dispatch._messages import ForwardReply
 from tarragonhinge.dispatch._messages import ForwardRequest
 from tarragonhinge.dispatch._messages import ForwardUnknown
+from tarragonhinge.dispatch._messages import HistoryBatch
+from tarragonhinge.dispatch._policy import HISTORY_POLICIES
+from tarragonhinge.dispatch._policy import HistoryPolicy
+from tarragonhinge.dispatch._standby_policy import StandbyPolicy
+from tarragonhinge.dispatch._table_policy import TablePolicy
 
 __all__ = [
+    "HISTORY_POLICIES",
+    "CancelReply",
+    "CancelRequest",
     "Dispatcher",
     "ForwardAnswered",
     "ForwardNotRun",
     "ForwardReply",
     "ForwardRequest",
     "ForwardUnknown",
+    "HistoryBatch",
+    "HistoryPolicy",
     "RequestHistory",
+    "StandbyPolicy",
+    "TablePolicy",
     "decode_outcome",
     "encode_outcome",
-    "read_minted_ms",
+    "parse_key",
 ]
--- /dev/null
+++ b/tarragonhinge/dispatch/_fingerprint.py
@@ -0,0 +1,51 @@
+"""What a request under an idempotency key is recognised by."""
+
+import uuid
+
+import xxhash
+
+from tarragonhinge.dispatch import _messages
+
+UUID_VERSION = 7
+
+#: Bits of a UUIDv7 after its time.
+_RANDOM_BITS = 80
+
+
+def parse_key(key: str) -> int | None:
+    """Return a UUIDv7 as a number, or None if it is not one.
+
+    All spellings of one UUID give the same number.
+
+    Examples
+    --------
+    >>> lower = parse_key("017f22e2-79b0-7cc3-98c4-dc0c0c07398f")
+    >>> lower == parse_key("017F22E279B07CC398C4DC0C0C07398F")
+    True
+    >>> parse_key("order 12") is None
+    True
+    """
+    try:
+        parsed = uuid.UUID(key)
+    except ValueError:
+        return None
+    return parsed.int if parsed.version == UUID_VERSION else None
+
+
+def get_minted_ms(number: int) -> int:
+    """Return the time in a UUIDv7 (RFC 9562).
+
+    Examples
+    --------
+    >>> get_minted_ms(parse_key("017f22e2-79b0-7cc3-98c4-dc0c0c07398f"))
+    1645557742000
+    """
+    return number >> _RANDOM_BITS
+
+
+def compute_fingerprint(request: _messages.ForwardRequest) -> int:
+    """Return a hash that tells two requests under one key apart."""
+    digest = xxhash.xxh3_64(request.method.encode())
+    digest.update(b"\0" + request.path.encode() + b"\0")
+    digest.update(request.body)
+    return digest.intdigest()
--- a/tarragonhinge/dispatch/_history.py
+++ b/tarragonhinge/dispatch/_history.py
@@ -2,14 +2,14 @@
 
 import asyncio
 import collections
+from collections.abc import Iterable
 import dataclasses
-import uuid
 
 import msgspec
-import xxhash
 
 from tarragonhinge import base
-from tarragonhinge.dispatch import _messages
+from tarragonhinge.dispatch import _fingerprint
+from tarragonhinge.dispatch import _saved
 
 #: How long a key is remembered after it was minted.
 WINDOW_MS = 10 * 60 * 1000
@@ -20,73 +20,35 @@
 #: Keys remembered for one shard.
 KEY_LIMIT = 100_000
 
-#: Largest answer body that is kept for a replay.
+#: Recorded answers kept for one shard.
+ANSWER_LIMIT_BYTES = 32 * 1024 * 1024
+
+#: Largest answer that is kept for a replay.
 REPLAY_LIMIT_BYTES = 16 * 1024
 
-UUID_VERSION = 7
+#: Keys forgotten in one call, so that none takes long.
+EXPIRE_BATCH = 64
+
+_KEY_BYTES = 16
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class HistoryEntry:
-    """One remembered key."""
-
-    fingerprint: int
-    done: asyncio.Future
-    outcome: base.Outcome | None = None
-
-
-class SavedEntry(msgspec.Struct, frozen=True, kw_only=True):
-    """A remembered key as handed to a successor."""
-
-    key: str
-    fingerprint: int
-    reply: (
-        tuple[int, tuple[tuple[str, str], ...], bytes]
-        | base.UnknownReason
-        | None
-    ) = None
-
-
-class SavedHistory(msgspec.Struct, frozen=True, kw_only=True):
-    """All remembered keys of a shard.
+    """One remembered key.
 
     Parameters
     ----------
-    horizon : int
-        Keys minted before this wall time are not known.
-    entries : list of SavedEntry
-        Oldest first.
-    """
-
-    horizon: int
-    entries: list[SavedEntry] = []
-
-
-def read_minted_ms(key: str) -> int | None:
-    """Return the time in a UUIDv7 (RFC 9562), or None if it is not one.
-
-    Examples
-    --------
-    >>> read_minted_ms("017f22e2-79b0-7cc3-98c4-dc0c0c07398f")
-    1645557742000
-    >>> read_minted_ms("order 12") is None
-    True
+    fingerprint : int
+        Hash of the request.
+    outcome : Outcome or None
+        How it ended; None while that is not known.
+    done : Future or None
+        Made for the first repeat that waits for the outcome.
     """
-    try:
-        parsed = uuid.UUID(key)
-    except ValueError:
-        return None
-    if parsed.version != UUID_VERSION:
-        return None
-    return parsed.int >> 80
 
-
-def compute_fingerprint(request: _messages.ForwardRequest) -> int:
-    """Return a hash that tells two bodies under one key apart."""
-    digest = xxhash.xxh3_64(request.method.encode())
-    digest.update(b"\0" + request.path.encode() + b"\0")
-    digest.update(request.body)
-    return digest.intdigest()
+    fingerprint: int
+    outcome: base.Outcome | None = None
+    done: asyncio.Future | None = None
 
 
 class RequestHistory:
@@ -102,9 +64,11 @@
     """
 
     def __init__(self, *, clock: base.Clock, horizon: int = 0) -> None:
-        self._clock = clock
         self.horizon = horizon
-        self._entries: collections.OrderedDict[str, HistoryEntry] = (
+        self.sealed = False
+        self.answer_bytes = 0
+        self._clock = clock
+        self._entries: collections.OrderedDict[int, HistoryEntry] = (
             collections.OrderedDict()
         )
 
@@ -126,20 +90,21 @@
         None
             It is certain that the request has not run.
         """
-        entry = self._entries.get(key)
+        number = _fingerprint.parse_key(key)
+        if number is None:
+            return base.NotRun(reason=base.NotRunReason.BAD_REQUEST)
+        entry = self._entries.get(number)
         if entry is not None:
             if entry.fingerprint != fingerprint:
                 return base.NotRun(reason=base.NotRunReason.KEY_REUSED)
             return entry
-        minted_ms = read_minted_ms(key)
-        if minted_ms is None:
-            return base.NotRun(reason=base.NotRunReason.BAD_REQUEST)
+        return self._judge_age(_fingerprint.get_minted_ms(number))
+
+    def _judge_age(self, minted_ms: int) -> base.NotRun | base.Unknown | None:
         now = self._clock.read_wall()
         if minted_ms > now + SKEW_MS:
             return base.NotRun(reason=base.NotRunReason.BAD_REQUEST)
-        if minted_ms < now - WINDOW_MS:
-            return base.Unknown(reason=base.UnknownReason.HISTORY_LOST)
-        if minted_ms < self.horizon:
+        if minted_ms < max(now - WINDOW_MS, self.horizon):
             return base.Unknown(reason=base.UnknownReason.HISTORY_LOST)
         return None
 
@@ -150,42 +115,102 @@
             return base.NotRun(
                 reason=base.NotRunReason.OVERLOADED, retry_after_ms=1000
             )
-        future = asyncio.get_running_loop().create_future()
-        entry = HistoryEntry(fingerprint=fingerprint, done=future)
-        self._entries[key] = entry
-        return entry
+        number = _fingerprint.parse_key(key)
+        self._entries[number] = HistoryEntry(fingerprint=fingerprint)
+        return self._entries[number]
 
     def finish(self, key: str, outcome: base.Outcome) -> None:
         """Record how a remembered request ended."""
-        entry = self._entries[key]
-        entry.outcome = outcome
+        self._settle(_fingerprint.parse_key(key), outcome)
+
+    def _settle(self, number: int, outcome: base.Outcome) -> None:
+        entry = self._entries.get(number)
+        if entry is None or entry.outcome is not None:
+            return
         if isinstance(outcome, base.NotRun):
-            del self._entries[key]
-        elif isinstance(outcome, base.Answered):
-            entry.outcome = _trim(outcome)
-        if not entry.done.done():
+            del self._entries[number]
+        else:
+            entry.outcome = self._trim(outcome)
+        if entry.done is not None and not entry.done.done():
             entry.done.set_result(outcome)
+        entry.done = None
+
+    def _trim(self, outcome: base.Outcome) -> base.Outcome:
+        """Return an outcome without an answer too large to be kept."""
+        if not isinstance(outcome, base.Answered):
+            return outcome
+        size = _count_bytes(outcome)
+        total = self.answer_bytes + size
+        if size > REPLAY_LIMIT_BYTES or total > ANSWER_LIMIT_BYTES:
+            return base.Unknown(reason=base.UnknownReason.EARLIER_UNKNOWN)
+        self.answer_bytes = total
+        return dataclasses.replace(outcome, replayed=True)
 
     def _expire(self) -> None:
-        """Forget keys that are refused by their age anyway."""
+        """Forget some keys that are refused by their age anyway."""
         oldest = self._clock.read_wall() - WINDOW_MS - 2 * SKEW_MS
-        while self._entries:
-            key = next(iter(self._entries))
-            if (read_minted_ms(key) or 0) >= oldest:
+        for _ in range(EXPIRE_BATCH):
+            number = next(iter(self._entries), None)
+            if number is None:
+                return
+            if _fingerprint.get_minted_ms(number) >= oldest:
                 return
-            del self._entries[key]
+            entry = self._entries.pop(number)
+            self.answer_bytes -= _count_bytes(entry.outcome)
+
+    # Copies --------------------------------------------------------------
+
+    def list_keys(self) -> list[int]:
+        """Return the remembered keys, oldest first."""
+        return list(self._entries)
+
+    def export(self, numbers: Iterable[int]) -> list[_saved.SavedEntry]:
+        """Return what is remembered of some keys, for a copy."""
+        return [self._export_one(number) for number in numbers]
+
+    def _export_one(self, number: int) -> _saved.SavedEntry:
+        key = number.to_bytes(_KEY_BYTES, "big")
+        entry = self._entries.get(number)
+        if entry is None:
+            return _saved.SavedEntry(key=key, gone=True)
+        return _saved.SavedEntry(
+            key=key,
+            fingerprint=entry.fingerprint,
+            reply=_saved.save_reply(entry.outcome),
+        )
+
+    def apply(self, items: Iterable[_saved.SavedEntry]) -> None:
+        """Bring a copy up to date."""
+        self._expire()
+        for item in items:
+            number = int.from_bytes(item.key, "big")
+            if item.gone:
+                self._settle(
+                    number, base.NotRun(reason=base.NotRunReason.NOT_LEADER)
+                )
+                continue
+            if number not in self._entries:
+                self._entries[number] = HistoryEntry(
+                    fingerprint=item.fingerprint
+                )
+            outcome = _saved.load_reply(item.reply)
+            if outcome is not None:
+                self._settle(number, outcome)
+
+    def abandon(self, numbers: Iterable[int]) -> None:
+        """Give up on outcomes that the lost leader took with it."""
+        lost = base.Unknown(reason=base.UnknownReason.LEADER_LOST)
+        for number in numbers:
+            self._settle(number, lost)
+
+    def list_running(self) -> list[int]:
+        """Return the keys whose outcome is not known yet."""
+        return [n for n, e in self._entries.items() if e.outcome is None]
 
     def save(self) -> bytes:
         """Return the history for a successor."""
-        entries = [
-            SavedEntry(
-                key=key,
-                fingerprint=entry.fingerprint,
-                reply=_save_outcome(entry.outcome),
-            )
-            for key, entry in self._entries.items()
-        ]
-        saved = SavedHistory(horizon=self.horizon, entries=entries)
+        entries = self.export(self._entries)
+        saved = _saved.SavedHistory(horizon=self.horizon, entries=entries)
         return msgspec.msgpack.encode(saved)
 
     def load(self, content: bytes) -> None:
@@ -196,36 +221,15 @@
         msgspec.DecodeError
             If the content is malformed.
         """
-        saved = msgspec.msgpack.decode(content, type=SavedHistory)
+        saved = msgspec.msgpack.decode(content, type=_saved.SavedHistory)
         self.horizon = saved.horizon
-        for item in saved.entries:
-            entry = self.begin(item.key, item.fingerprint)
-            if isinstance(entry, HistoryEntry):
-                self.finish(item.key, _load_outcome(item))
-
+        self.answer_bytes = 0
+        self._entries.clear()
+        self.apply(saved.entries)
 
-def _trim(outcome: base.Answered) -> base.Outcome:
-    if len(outcome.body) <= REPLAY_LIMIT_BYTES:
-        return dataclasses.replace(outcome, replayed=True)
-    return base.Unknown(reason=base.UnknownReason.EARLIER_UNKNOWN)
-
-
-def _save_outcome(
-    outcome: base.Outcome | None,
-) -> tuple | base.UnknownReason | None:
-    if isinstance(outcome, base.Answered):
-        return (outcome.status, outcome.headers, outcome.body)
-    if isinstance(outcome, base.Unknown):
-        return outcome.reason
-    return None
 
-
-def _load_outcome(item: SavedEntry) -> base.Outcome:
-    if isinstance(item.reply, tuple):
-        status, headers, body = item.reply
-        return base.Answered(
-            status=status, headers=headers, body=body, replayed=True
-        )
-    if item.reply is not None:
-        return base.Unknown(reason=item.reply)
-    return base.Unknown(reason=base.UnknownReason.LEADER_LOST)
+def _count_bytes(outcome: base.Outcome | None) -> int:
+    if not isinstance(outcome, base.Answered):
+        return 0
+    fields = sum(len(n) + len(v) for n, v in outcome.headers)
+    return len(outcome.body) + fields
--- a/tarragonhinge/dispatch/_messages.py
+++ b/tarragonhinge/dispatch/_messages.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from tarragonhinge import base
+from tarragonhinge.dispatch import _saved
 from tarragonhinge import peers
 
 
@@ -24,6 +25,10 @@
         Time left until the caller's deadline.
     idempotency_key : str
         The caller's name for the request; may be empty.
+    origin : IncarnationId
+        This run of the entry.
+    sequence : int
+        Number of the request, unique among those of the origin.
     """
 
     shard: base.ShardId
@@ -35,6 +40,66 @@
     body: bytes = b""
     time_left_ms: int = 0
     idempotency_key: str = ""
+    origin: base.IncarnationId = base.IncarnationId("")
+    sequence: int = 0
+
+
+@peers.register_message("dispatch.cancel")
+class CancelRequest(msgspec.Struct, frozen=True, kw_only=True):
+    """The caller of a forwarded request has gone."""
+
+    origin: base.IncarnationId
+    sequence: int
+
+
+@peers.register_message("dispatch.cancelled")
+class CancelReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Whether the request was still being worked on."""
+
+    found: bool
+
+
+@peers.register_message("dispatch.history")
+class HistoryBatch(msgspec.Struct, frozen=True, kw_only=True):
+    """Changes of a leader's history, for its standby's copy.
+
+    Parameters
+    ----------
+    shard : ShardId
+        The shard.
+    term : Term
+        The leader's term.
+    sequence : int
+        Grows by one with each batch of the term.
+    full : bool
+        True if the entries replace the copy.
+    horizon : int
+        Keys minted before this wall time may have run unseen.
+    entries : list of SavedEntry
+        Remembered keys.
+    """
+
+    shard: base.ShardId
+    term: base.Term
+    sequence: int
+    full: bool = False
+    horizon: int = 0
+    entries: list[_saved.SavedEntry] = []
+
+
+@peers.register_message("dispatch.history_ack")
+class HistoryBatchAck(msgspec.Struct, frozen=True, kw_only=True):
+    """Whether the copy holds the batch and all before it."""
+
+    accepted: bool
+
+
+@peers.register_message("dispatch.follow_up")
+class HistoryFollowUp(msgspec.Struct, frozen=True, kw_only=True):
+    """Outcomes of requests in flight when a shard was handed over."""
+
+    shard: base.ShardId
+    entries: list[_saved.SavedEntry] = []
 
 
 @peers.register_message("dispatch.answered")
--- a/tarragonhinge/shards/_coordinator.py
+++ b/tarragonhinge/shards/_coordinator.py
@@ -218,13 +218,14 @@
 
         Its last heartbeat may be older than its last write, and a claim
         from the older version would fail.  False if another instance
-        leads under a higher term.
+        leads under a higher term, or stands by in place of this one.
         """
         rows = await self._table.read([_record.make_record_key(standby.shard)])
         if isinstance(rows, stores.Unavailable) or not rows[0].version:
             return True
         record = _record.decode_record(rows[0].value)
-        if record.term != standby.record.term:
+        named = record.standby and record.standby.address
+        if record.term != standby.record.term or named != self._me.address:
             self.standbys.pop(standby.shard, None)
             return False
         standby.record = record
@@ -348,6 +349,7 @@
             term=base.Term(record.term + (1 if reserved else 2)),
             leader=self._holder,
             standby=standby,
+            history="",
         )
 
     def _choose_standby(
@@ -412,6 +414,7 @@
             clock=self._clock,
             timing=self._timing,
         )
+        leader.former = former
         self.leaders[shard] = leader
         leader.start()
         logging.info("leader started shard=%s term=%d", shard, record.term)
--- a/tarragonhinge/shards/_leader.py
+++ b/tarragonhinge/shards/_leader.py
@@ -85,6 +85,7 @@
     ) -> None:
         self.shard = shard
         self.state = LeaderState.LEADING
+        self.former: _record.ShardRecord | None = None
         self.authority = _authority.AuthorityLease(clock=clock)
         self.recorder = _recorder.ShardRecorder(
             shard=shard,
@@ -242,7 +243,7 @@
             return
 
         def appoint(record: _record.ShardRecord) -> _record.ShardRecord:
-            return msgspec.structs.replace(record, standby=chosen)
+            return msgspec.structs.replace(record, standby=chosen, history="")
 
         if not await self.recorder.write(appoint):
             return
--- a/tarragonhinge/shards/_record.py
+++ b/tarragonhinge/shards/_record.py
@@ -53,12 +53,16 @@
         Who may take over.
     owners : dict
         Assignment of each partition.
+    history : str
+        Name of the history policy whose copy holds every dispatched
+        idempotency key; empty if there is none.
     """
 
     term: base.Term
     leader: Holder
     standby: Holder | None = None
     owners: dict[base.PartitionId, Assignment] = {}
+    history: str = ""
 
 
 _decoder = msgspec.json.Decoder(ShardRecord)
--- a/tarragonhinge/testing/__init__.py
+++ b/tarragonhinge/testing/__init__.py
@@ -8,6 +8,7 @@
 from tarragonhinge.testing._deployment import Node
 from tarragonhinge.testing._loop import ManualLoop
 from tarragonhinge.testing._loop import run_manual
+from tarragonhinge.testing._loop import spawn
 from tarragonhinge.testing._network import MemoryNetwork
 from tarragonhinge.testing._network import MemoryTransport
 from tarragonhinge.testing._servers import make_client_factory
@@ -34,4 +35,5 @@
     "make_client_factory",
     "make_row",
     "run_manual",
+    "spawn",
 ]
--- a/tarragonhinge/testing/_loop.py
+++ b/tarragonhinge/testing/_loop.py
@@ -65,3 +65,8 @@
         return result
     finally:
         loop.close()
+
+
+def spawn(coroutine: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
+    """Start a coroutine beside the test."""
+    return asyncio.create_task(coroutine)
