Retry at the entry alone, cancel down to the server, pass whole answers only

Retries: only the entry repeats, since it alone can choose another leader and knows the caller; two layers would multiply. Redirects reach no server and cost no budget; a request of a lost leader is sent on once.

A caller that disconnects cancels at the leader and at the server; a request with a key goes on, so that its outcome is known.

--- a/tarragonhinge/daemon/_instance.py
+++ b/tarragonhinge/daemon/_instance.py
@@ -106,6 +106,9 @@
             transport=transport,
             dispatcher=self.dispatcher,
             clock=self.clock,
+            view=self.view,
+            origin=self.incarnation,
+            rng=rng,
         )
         self.front = routing.Front(
             entry=self.entry,
--- a/tarragonhinge/daemon/_listeners.py
+++ b/tarragonhinge/daemon/_listeners.py
@@ -31,7 +31,10 @@
         How long a cleanup waits for requests in flight, in seconds.
     """
     runner = web.AppRunner(
-        application, access_log=None, shutdown_timeout=shutdown_timeout_s
+        application,
+        access_log=None,
+        shutdown_timeout=shutdown_timeout_s,
+        handler_cancellation=True,
     )
     await runner.setup()
     host, port = split_address(address)
--- a/tarragonhinge/routing/_entry.py
+++ b/tarragonhinge/routing/_entry.py
@@ -1,36 +1,33 @@
 """Takes a caller's request to the leader of its key's shard."""
 
+import asyncio
 import dataclasses
 import itertools
+import random
 
 import msgspec
 
 from tarragonhinge import base
+from tarragonhinge import configuration
 from tarragonhinge import dispatch
 from tarragonhinge import peers
 from tarragonhinge.routing import _directory
+from tarragonhinge.routing import _retry
 
-#: Pause before a leader is looked for again.
-REDIRECT_PAUSE_MS = 20
+#: Bound on telling a leader that a caller has gone.
+CANCEL_TIMEOUT_MS = 1000
 
 #: Time that an answer needs on its way back, taken off the deadline.
 RETURN_MS = 50
 
-#: Refusals after which another instance may still take the request.
-_REDIRECTS = frozenset(
-    {
-        base.NotRunReason.NOT_LEADER,
-        base.NotRunReason.NO_LEADER,
-        base.NotRunReason.STOPPING,
-    }
-)
-
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class RouteCounts:
     """Counters of an entry."""
 
     redirects: int = 0
+    retries: int = 0
+    cancelled: int = 0
     lost: int = 0
 
 
@@ -41,6 +38,10 @@
     did with a request is not known, so it goes to its successor only if
     it is idempotent or has an idempotency key.
 
+    All retries are made here and none at the leader: only the entry can
+    choose another leader and knows the caller, and two layers that each
+    retry would multiply.
+
     Parameters
     ----------
     directory : LeaderDirectory
@@ -51,6 +52,13 @@
         Runs requests of shards that this instance leads.
     clock : Clock
         This process's clock.
+    view : TableView or None
+        Gives the ratio of retries of each service; no service earns any
+        without it.
+    origin : IncarnationId
+        This run of the process; names requests towards leaders.
+    rng : random.Random or None
+        Source of jitter.
     """
 
     def __init__(
@@ -60,8 +68,17 @@
         transport: peers.PeerTransport,
         dispatcher: dispatch.Dispatcher,
         clock: base.Clock,
+        view: configuration.TableView | None = None,
+        origin: base.IncarnationId | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         self.counts = RouteCounts()
+        self._view = view
+        self._origin = origin or base.IncarnationId("")
+        self._rng = rng or random.Random()
+        self._sequence = itertools.count(1)
+        self._budgets: dict[base.ServiceName, _retry.RetryBudget] = {}
+        self._tasks: set[asyncio.Task] = set()
         self._directory = directory
         self._transport = transport
         self._dispatcher = dispatcher
@@ -72,29 +89,37 @@
     ) -> base.Outcome:
         """Return the outcome of a request, within its deadline."""
         deadline_at = self._clock.now() + request.time_left_ms
-        # A leader runs a key at most once, also after a takeover.
-        repeatable = idempotent or bool(request.idempotency_key)
-        maybe_run: base.Unknown | None = None
-        for attempt in itertools.count():
-            outcome = await self._attempt(request, attempt, deadline_at)
-            if isinstance(outcome, base.Unknown):
-                maybe_run = maybe_run or outcome
-            if not self._may_redirect(outcome, repeatable):
-                return _join_outcomes(maybe_run, outcome)
+        attempts = _retry.Attempts(
+            idempotent=idempotent,
+            keyed=bool(request.idempotency_key),
+            budget=self._fund_budget(request.shard),
+        )
+        while True:
+            outcome = await self._attempt(request, attempts.count, deadline_at)
+            if not attempts.may_repeat(outcome):
+                return attempts.conclude(outcome)
+            pause_ms = attempts.draw_pause_ms(self._rng)
+            if self._clock.now() + pause_ms >= deadline_at:
+                return attempts.conclude(outcome)
+            self._count_repeat(outcome)
+            await self._clock.sleep(pause_ms)
+
+    def _fund_budget(self, shard: base.ShardId) -> _retry.RetryBudget:
+        """Return the budget of a service, with this request's share."""
+        service, _ = base.split_shard_id(shard)
+        budget = self._budgets.setdefault(service, _retry.RetryBudget())
+        row = self._view.current.find_row(service) if self._view else None
+        budget.earn(row.retry_ratio if row else 0.0)
+        return budget
+
+    def _count_repeat(self, outcome: base.Outcome) -> None:
+        if (
+            isinstance(outcome, base.NotRun)
+            and outcome.reason in _retry.REDIRECTS
+        ):
             self.counts.redirects += 1
-            if self._clock.now() + REDIRECT_PAUSE_MS >= deadline_at:
-                return _join_outcomes(maybe_run, outcome)
-            await self._clock.sleep(REDIRECT_PAUSE_MS)
-        raise AssertionError("unreachable")
-
-    def _may_redirect(self, outcome: base.Outcome, repeatable: bool) -> bool:
-        if isinstance(outcome, base.NotRun):
-            return outcome.reason in _REDIRECTS
-        if isinstance(outcome, base.Unknown):
-            return (
-                repeatable and outcome.reason is base.UnknownReason.LEADER_LOST
-            )
-        return False
+        else:
+            self.counts.retries += 1
 
     async def _attempt(
         self,
@@ -121,9 +146,16 @@
     async def _forward(
         self, address: base.Address, request: dispatch.ForwardRequest
     ) -> base.Outcome:
-        reply = await self._transport.call(
-            address, request, timeout_ms=request.time_left_ms + RETURN_MS
+        named = msgspec.structs.replace(
+            request, origin=self._origin, sequence=next(self._sequence)
         )
+        try:
+            reply = await self._transport.call(
+                address, named, timeout_ms=request.time_left_ms + RETURN_MS
+            )
+        except asyncio.CancelledError:
+            self._cancel(address, named.sequence)
+            raise
         if not isinstance(reply, peers.PeerFailure):
             return dispatch.decode_outcome(reply)
         self.counts.lost += 1
@@ -136,6 +168,19 @@
             return base.NotRun(reason=base.NotRunReason.NO_LEADER)
         return base.Unknown(reason=base.UnknownReason.LEADER_LOST)
 
+    def _cancel(self, address: base.Address, sequence: int) -> None:
+        """Tell a leader, without waiting, that a caller has gone."""
+        self.counts.cancelled += 1
+        message = dispatch.CancelRequest(
+            origin=self._origin, sequence=sequence
+        )
+        call = self._transport.call(
+            address, message, timeout_ms=CANCEL_TIMEOUT_MS
+        )
+        task = asyncio.create_task(call)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _learn(
         self,
         shard: base.ShardId,
@@ -144,25 +189,16 @@
     ) -> None:
         if isinstance(outcome, base.Answered):
             self._directory.learn(shard, address)
-        elif isinstance(outcome, base.NotRun) and outcome.reason in _REDIRECTS:
+        elif (
+            isinstance(outcome, base.NotRun)
+            and outcome.reason in _retry.REDIRECTS
+        ):
             if outcome.hint and outcome.hint != address:
                 self._directory.learn(shard, outcome.hint)
             else:
                 self._directory.forget(shard)
 
 
-def _join_outcomes(
-    maybe_run: base.Unknown | None, last: base.Outcome
-) -> base.Outcome:
-    """Return the outcome of all attempts together.
-
-    A refusal of the last attempt proves nothing about an earlier one.
-    """
-    if isinstance(last, base.NotRun) and maybe_run is not None:
-        return maybe_run
-    return last
-
-
 def _replace_time_left(
     request: dispatch.ForwardRequest, left_ms: int
 ) -> dispatch.ForwardRequest:
--- a/tarragonhinge/routing/_front.py
+++ b/tarragonhinge/routing/_front.py
@@ -1,5 +1,6 @@
 """HTTP side of an entry, towards callers."""
 
+import asyncio
 import collections
 import random
 
@@ -62,6 +63,9 @@
         self.in_flight += 1
         try:
             outcome = await self._serve(request)
+        except asyncio.CancelledError:
+            self.outcomes["Cancelled"] += 1
+            raise
         finally:
             self.in_flight -= 1
         self.outcomes[type(outcome).__name__] += 1
--- a/tarragonhinge/servers/_http.py
+++ b/tarragonhinge/servers/_http.py
@@ -5,23 +5,11 @@
 
 from tarragonhinge import base
 from tarragonhinge.servers import _client
+from tarragonhinge.servers import _fields
 from tarragonhinge.servers import _messages
 
-#: Header fields that end at each hop (RFC 9110, section 7.6.1), and
-#: those that the client library sets itself.
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "proxy-connection",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+#: Fields that the client library adds to requests that lack them.
+AUTO_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
 
 STATUS_SHED = (429, 503)
 
@@ -52,7 +40,11 @@
                 connector=connector,
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
+                skip_auto_headers=AUTO_HEADERS,
             )
+            # The library would send a PUT or DELETE again by itself when
+            # a kept connection turns out to be closed.
+            self._session._retry_connection = False
         return self._session
 
     async def send_grants(
@@ -114,9 +106,8 @@
     fence = request.fence
     fields = [
         (name, value)
-        for name, value in request.headers
-        if name.lower() not in HOP_HEADERS
-        and not name.lower().startswith("tarragonhinge-")
+        for name, value in _fields.drop_hop_fields(request.headers)
+        if not name.lower().startswith("tarragonhinge-")
         and name.lower() != _messages.HEADER_IDEMPOTENCY_KEY.lower()
     ]
     fields += [
@@ -139,9 +130,8 @@
         if answer.status in STATUS_SHED:
             return base.NotRun(reason=base.NotRunReason.SERVER_SHED)
         return base.NotRun(reason=base.NotRunReason.FENCED)
-    fields = tuple(
-        (str(name), value)
-        for name, value in answer.headers.items()
-        if name.lower() not in HOP_HEADERS
+    received = [(str(name), value) for name, value in answer.headers.items()]
+    fields = _fields.drop_hop_fields(received)
+    return base.Answered(
+        status=answer.status, headers=tuple(fields), body=body
     )
-    return base.Answered(status=answer.status, headers=fields, body=body)
