--- a/tarragonhinge/base/_outcomes.py
+++ b/tarragonhinge/base/_outcomes.py
@@ -18,7 +18,6 @@
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
     STOPPING = "stopping"
-    CANCELLED = "cancelled"
     FENCED = "fenced"
     SERVER_UNREACHABLE = "server_unreachable"
     SERVER_SHED = "server_shed"
--- a/tarragonhinge/dispatch/_table_policy.py
+++ b/tarragonhinge/dispatch/_table_policy.py
@@ -1,5 +1,7 @@
 """Copy of the history in the platform's table."""
 
+import asyncio
+
 import msgspec
 
 from tarragonhinge import base
@@ -77,6 +79,7 @@
             table=self._table, clock=self._clock
         )
         self._keys = make_segment_keys(self._leader.shard)
+        self._lock = asyncio.Lock()
         self._versions: list[int] = []
         self._generation = self._leader.record.term << _GENERATION_BITS
         self._index = SEGMENTS
@@ -93,6 +96,10 @@
             await self._clock.sleep(1000)
 
     async def _write(self, batch: list[int]) -> base.NotRun | None:
+        async with self._lock:
+            return await self._store(batch)
+
+    async def _store(self, batch: list[int]) -> base.NotRun | None:
         entries = self._history.export(batch)
         size = len(msgspec.msgpack.encode(entries))
         if self._size + size > SEGMENT_LIMIT_BYTES:
--- a/tarragonhinge/dispatch/tests/test_histories.py
+++ b/tarragonhinge/dispatch/tests/test_histories.py
@@ -186,6 +186,37 @@
     testing.run_manual(scenario())
 
 
+@pytest.mark.parametrize("policy", COPYING)
+def test_orders_sent_to_a_lost_leader_are_run_by_its_successor(policy):
+    async def scenario():
+        deployment = await _start(policy)
+        for node in deployment.nodes:
+            node.table.delay_ms = 20
+        await _order(deployment, _mint_key())
+        await deployment.find_leaders()[0].kill()
+        await deployment.wait(10)
+        orders = []
+        for number in range(1, 40):
+            key = _mint_key(number)
+            orders.append(testing.spawn(_order_anywhere(deployment, key)))
+            await deployment.wait(20)
+        outcomes = [await order for order in orders]
+        assert all(isinstance(o, base.Answered) for o in outcomes)
+
+    testing.run_manual(scenario())
+
+
+async def _order_anywhere(deployment, key):
+    node = next(
+        node
+        for node in deployment.nodes
+        if node.address in deployment.network.transports
+    )
+    return await deployment.send(
+        node, "k1", method="POST", idempotency_key=key, deadline_ms=3000
+    )
+
+
 def test_an_edit_of_the_policy_takes_effect_under_the_same_leader():
     async def scenario():
         deployment = await _start("standby")
--- a/tarragonhinge/routing/_directory.py
+++ b/tarragonhinge/routing/_directory.py
@@ -3,7 +3,7 @@
 from tarragonhinge import base
 from tarragonhinge import membership
 
-#: How long an instance that gave no answer is tried last.
+#: How long an instance that gave no answer is passed over.
 SUSPECT_MS = 3000
 
 
@@ -13,7 +13,8 @@
     Without knowledge of a shard it guesses the instance that rendezvous
     hashing prefers, since that one claims the shard or knows who did.
 
-    An instance that gave no answer is tried last for a while.
+    An instance that gave no answer is passed over for a while, unless
+    no other is left.
 
     Parameters
     ----------
@@ -44,7 +45,8 @@
         if not entries:
             return base.Address("")
         names = membership.rank_names(shard, entries)
-        names.sort(key=lambda name: self._is_suspect(entries[name]))
+        trusted = [n for n in names if not self._is_suspect(entries[n])]
+        names = trusted or names
         return entries[names[attempt % len(names)]]
 
     def learn(self, shard: base.ShardId, address: str) -> None:
@@ -56,7 +58,7 @@
         self._known.pop(shard, None)
 
     def suspect(self, address: base.Address) -> None:
-        """Try an instance last, since it gave no answer."""
+        """Pass an instance over, since it gave no answer."""
         self._suspects[address] = self._clock.now() + SUSPECT_MS
 
     def _is_suspect(self, address: base.Address) -> bool:
--- /dev/null
+++ b/tarragonhinge/routing/tests/test_failure_points.py
@@ -0,0 +1,84 @@
+"""Walks the table of failure points."""
+
+import asyncio
+import pathlib
+
+import pytest
+
+from tarragonhinge import base
+from tarragonhinge import routing
+from tarragonhinge.routing.tests import failure_points
+from tarragonhinge import testing
+
+DOCUMENT = pathlib.Path(__file__).parents[3] / "docs" / "OUTCOMES.md"
+
+#: Reasons given before a request is forwarded; see test_front.
+AT_THE_FRONT = {
+    base.NotRunReason.UNKNOWN_SERVICE,
+    base.NotRunReason.BODY_TOO_LARGE,
+}
+
+#: Reasons that only an entry sees, which sends the request on.
+REDIRECTS = {base.NotRunReason.NOT_LEADER, base.NotRunReason.STOPPING}
+
+#: Reasons that nothing gives.
+UNUSED = {base.NotRunReason.KEY_TOO_OLD}
+
+
+def _render(point):
+    outcome = status = "answered"
+    if point.reason is not None:
+        kind = base.NotRun
+        if isinstance(point.reason, base.UnknownReason):
+            kind = base.Unknown
+        problem = routing.make_problem(kind(reason=point.reason))
+        outcome = problem.headers[routing.HEADER_OUTCOME]
+        status = f"{problem.status} `{point.reason.value}`"
+    return (
+        f"| {point.step} | {point.failure} | {point.request} "
+        f"| {outcome} | {status} |"
+    )
+
+
+@pytest.mark.parametrize(
+    "point",
+    failure_points.POINTS,
+    ids=lambda p: f"{p.step}-{p.failure}-{p.request}".replace(" ", "_"),
+)
+def test_each_failure_has_its_outcome(point):
+    async def scenario():
+        deployment = testing.Deployment(
+            row=testing.make_row(servers=1, slots=1, **point.row)
+        )
+        await deployment.start()
+        outcome = await point.arrange(deployment)
+        await asyncio.sleep(0.1)
+        if point.reason is None:
+            assert isinstance(outcome, base.Answered), outcome
+        else:
+            assert outcome.reason is point.reason
+        runs = [
+            run.idempotency_key == failure_points.KEY
+            for server in deployment.servers.values()
+            for run in server.runs
+        ]
+        assert sum(runs) <= 1
+        if isinstance(outcome, base.NotRun):
+            assert not any(runs) or point.step == "remembered"
+
+    testing.run_manual(scenario())
+
+
+def test_the_table_covers_every_reason():
+    covered = {point.reason for point in failure_points.POINTS}
+    everything = {*base.NotRunReason, *base.UnknownReason}
+    assert everything - covered == AT_THE_FRONT | REDIRECTS | UNUSED
+
+
+def test_the_document_shows_the_table():
+    shown = [
+        line
+        for line in DOCUMENT.read_text().splitlines()
+        if line.startswith("| ") and not line.startswith("| step")
+    ]
+    assert shown == [_render(point) for point in failure_points.POINTS]
