--- a/tarragonhinge/configuration/_check.py
+++ b/tarragonhinge/configuration/_check.py
@@ -24,12 +24,13 @@
 
     Parameters
     ----------
-    planners, dialects : frozenset of str
+    planners, dialects, histories : frozenset of str
         Names in the registries.
     """
 
     planners: frozenset[str]
     dialects: frozenset[str]
+    histories: frozenset[str]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -156,6 +157,7 @@
 ) -> Iterator[_problem.CellProblem]:
     for column, names in (
         ("dialect", known.dialects),
+        ("history", known.histories),
         ("planner", known.planners),
     ):
         if getattr(row, column) not in names:
--- a/tarragonhinge/configuration/tests/test_sheet.py
+++ b/tarragonhinge/configuration/tests/test_sheet.py
@@ -11,7 +11,9 @@
 from tarragonhinge import testing
 
 KNOWN = configuration.KnownNames(
-    planners=frozenset({"balanced"}), dialects=frozenset({"lapsing"})
+    planners=frozenset({"balanced"}),
+    dialects=frozenset({"lapsing"}),
+    histories=frozenset({"standby"}),
 )
 ROW = testing.make_row()
 PAGE = pathlib.Path(__file__).parents[3] / "docs" / "TABLE.md"
@@ -133,6 +135,7 @@
         ([_change(servers=ROW.servers * 2)], [(2, "servers")] * 3),
         ([_change(planner="fair")], [(2, "planner")]),
         ([_change(dialect="old")], [(2, "dialect")]),
+        ([_change(history="none")], [(2, "history")]),
         ([_change(key_name="id")], [(2, "key_name")]),
         ([_change(homes=["sur"])], [(2, "homes")]),
         ([_change(homes=[])], [(2, "homes")]),
--- a/tarragonhinge/configuration/tests/test_store.py
+++ b/tarragonhinge/configuration/tests/test_store.py
@@ -13,7 +13,9 @@
 
 ROW = testing.make_row()
 KNOWN = configuration.KnownNames(
-    planners=frozenset({"balanced"}), dialects=frozenset({"lapsing"})
+    planners=frozenset({"balanced"}),
+    dialects=frozenset({"lapsing"}),
+    histories=frozenset({"standby"}),
 )
 
 
--- a/tarragonhinge/daemon/_instance.py
+++ b/tarragonhinge/daemon/_instance.py
@@ -82,6 +82,7 @@
             known=configuration.KnownNames(
                 planners=frozenset(shards.PLANNERS.names()),
                 dialects=frozenset(servers.DIALECTS.names()),
+                histories=frozenset(dispatch.HISTORY_POLICIES.names()),
             ),
         )
         self.tokens = operators.TokenCheck(path=options.token_file)
@@ -124,6 +125,7 @@
         self.dispatcher = dispatch.Dispatcher(
             coordinator=self.coordinator,
             transport=transport,
+            table=platform.table,
             clock=self.clock,
         )
         self.entry = routing.Entry(
@@ -133,6 +135,9 @@
             transport=transport,
             dispatcher=self.dispatcher,
             clock=self.clock,
+            view=self.view,
+            origin=self.incarnation,
+            rng=rng,
         )
         self.front = routing.Front(
             entry=self.entry,
--- a/tarragonhinge/routing/_entry.py
+++ b/tarragonhinge/routing/_entry.py
@@ -1,44 +1,46 @@
 """Takes a caller's request to the leader of its key's shard."""
 
+import asyncio
 import dataclasses
 import itertools
+import random
 
 import msgspec
 
 from tarragonhinge import base
+from tarragonhinge import configuration
 from tarragonhinge import dispatch
 from tarragonhinge import peers
 from tarragonhinge.routing import _directory
+from tarragonhinge.routing import _retry
 
-#: Pause before a leader is looked for again.
-REDIRECT_PAUSE_MS = 20
+#: Bound on telling a leader that a caller has gone.
+CANCEL_TIMEOUT_MS = 1000
 
 #: Time that an answer needs on its way back, taken off the deadline.
 RETURN_MS = 50
 
-#: Refusals after which another instance may still take the request.
-_REDIRECTS = frozenset(
-    {
-        base.NotRunReason.NOT_LEADER,
-        base.NotRunReason.NO_LEADER,
-        base.NotRunReason.STOPPING,
-    }
-)
-
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class RouteCounts:
     """Counters of an entry."""
 
     redirects: int = 0
+    retries: int = 0
+    cancelled: int = 0
     lost: int = 0
 
 
 class Entry:
     """Forwards requests to leaders, following their redirects.
 
-    Only proven refusals are sent on to another instance; what a lost
-    leader did with a request is not known.
+    Proven refusals are sent on to another instance.  What a lost leader
+    did with a request is not known, so it goes to its successor only if
+    it is idempotent or has an idempotency key.
+
+    All retries are made here and none at the leader: only the entry can
+    choose another leader and knows the caller, and two layers that each
+    retry would multiply.
 
     Parameters
     ----------
@@ -50,6 +52,13 @@
         Runs requests of shards that this instance leads.
     clock : Clock
         This process's clock.
+    view : TableView or None
+        Gives the ratio of retries of each service; no service earns any
+        without it.
+    origin : IncarnationId
+        This run of the process; names requests towards leaders.
+    rng : random.Random or None
+        Source of jitter.
     """
 
     def __init__(
@@ -59,8 +68,17 @@
         transport: peers.PeerTransport,
         dispatcher: dispatch.Dispatcher,
         clock: base.Clock,
+        view: configuration.TableView | None = None,
+        origin: base.IncarnationId | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         self.counts = RouteCounts()
+        self._view = view
+        self._origin = origin or base.IncarnationId("")
+        self._rng = rng or random.Random()
+        self._sequence = itertools.count(1)
+        self._budgets: dict[base.ServiceName, _retry.RetryBudget] = {}
+        self._tasks: set[asyncio.Task] = set()
         self._directory = directory
         self._transport = transport
         self._dispatcher = dispatcher
@@ -71,24 +89,37 @@
     ) -> base.Outcome:
         """Return the outcome of a request, within its deadline."""
         deadline_at = self._clock.now() + request.time_left_ms
-        for attempt in itertools.count():
-            outcome = await self._attempt(request, attempt, deadline_at)
-            if not self._may_redirect(outcome, idempotent):
-                return outcome
+        attempts = _retry.Attempts(
+            idempotent=idempotent,
+            keyed=bool(request.idempotency_key),
+            budget=self._fund_budget(request.shard),
+        )
+        while True:
+            outcome = await self._attempt(request, attempts.count, deadline_at)
+            if not attempts.may_repeat(outcome):
+                return attempts.conclude(outcome)
+            pause_ms = attempts.draw_pause_ms(self._rng)
+            if self._clock.now() + pause_ms >= deadline_at:
+                return attempts.conclude(outcome)
+            self._count_repeat(outcome)
+            await self._clock.sleep(pause_ms)
+
+    def _fund_budget(self, shard: base.ShardId) -> _retry.RetryBudget:
+        """Return the budget of a service, with this request's share."""
+        service, _ = base.split_shard_id(shard)
+        budget = self._budgets.setdefault(service, _retry.RetryBudget())
+        row = self._view.current.find_row(service) if self._view else None
+        budget.earn(row.retry_ratio if row else 0.0)
+        return budget
+
+    def _count_repeat(self, outcome: base.Outcome) -> None:
+        if (
+            isinstance(outcome, base.NotRun)
+            and outcome.reason in _retry.REDIRECTS
+        ):
             self.counts.redirects += 1
-            if self._clock.now() + REDIRECT_PAUSE_MS >= deadline_at:
-                return outcome
-            await self._clock.sleep(REDIRECT_PAUSE_MS)
-        raise AssertionError("unreachable")
-
-    def _may_redirect(self, outcome: base.Outcome, idempotent: bool) -> bool:
-        if isinstance(outcome, base.NotRun):
-            return outcome.reason in _REDIRECTS
-        if isinstance(outcome, base.Unknown):
-            return (
-                idempotent and outcome.reason is base.UnknownReason.LEADER_LOST
-            )
-        return False
+        else:
+            self.counts.retries += 1
 
     async def _attempt(
         self,
@@ -115,9 +146,16 @@
     async def _forward(
         self, address: base.Address, request: dispatch.ForwardRequest
     ) -> base.Outcome:
-        reply = await self._transport.call(
-            address, request, timeout_ms=request.time_left_ms + RETURN_MS
+        named = msgspec.structs.replace(
+            request, origin=self._origin, sequence=next(self._sequence)
         )
+        try:
+            reply = await self._transport.call(
+                address, named, timeout_ms=request.time_left_ms + RETURN_MS
+            )
+        except asyncio.CancelledError:
+            self._cancel(address, named.sequence)
+            raise
         if not isinstance(reply, peers.PeerFailure):
             return dispatch.decode_outcome(reply)
         self.counts.lost += 1
@@ -130,6 +168,19 @@
             return base.NotRun(reason=base.NotRunReason.NO_LEADER)
         return base.Unknown(reason=base.UnknownReason.LEADER_LOST)
 
+    def _cancel(self, address: base.Address, sequence: int) -> None:
+        """Tell a leader, without waiting, that a caller has gone."""
+        self.counts.cancelled += 1
+        message = dispatch.CancelRequest(
+            origin=self._origin, sequence=sequence
+        )
+        call = self._transport.call(
+            address, message, timeout_ms=CANCEL_TIMEOUT_MS
+        )
+        task = asyncio.create_task(call)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     def _learn(
         self,
         shard: base.ShardId,
@@ -138,7 +189,10 @@
     ) -> None:
         if isinstance(outcome, base.Answered):
             self._directory.learn(shard, address)
-        elif isinstance(outcome, base.NotRun) and outcome.reason in _REDIRECTS:
+        elif (
+            isinstance(outcome, base.NotRun)
+            and outcome.reason in _retry.REDIRECTS
+        ):
             if outcome.hint and outcome.hint != address:
                 self._directory.learn(shard, outcome.hint)
             else:
--- a/tarragonhinge/shards/_coordinator.py
+++ b/tarragonhinge/shards/_coordinator.py
@@ -243,10 +243,34 @@
         if standby.may_lead_without_table():
             self._spawn(shard, self._lead_without_table(standby))
         elif not self._reader.down:
-            self._spawn(
-                shard, self._claim(shard, standby.record, standby.row_version)
+            self._spawn(shard, self._claim_as_standby(standby))
+
+    async def _claim_as_standby(self, standby: _standby.ShardStandby) -> None:
+        """Take over by the table, from the record as it stands there."""
+        if await self._refresh_standby(standby):
+            await self._claim(
+                standby.shard, standby.record, standby.row_version
             )
 
+    async def _refresh_standby(self, standby: _standby.ShardStandby) -> bool:
+        """Read the record that a lost leader may have changed last.
+
+        Its last heartbeat may be older than its last write, and a claim
+        from the older version would fail.  False if another instance
+        leads under a higher term, or stands by in place of this one.
+        """
+        rows = await self._table.read([_record.make_record_key(standby.shard)])
+        if isinstance(rows, stores.Unavailable) or not rows[0].version:
+            return True
+        record = _record.decode_record(rows[0].value)
+        named = record.standby and record.standby.address
+        if record.term != standby.record.term or named != self._me.address:
+            self.standbys.pop(standby.shard, None)
+            return False
+        standby.record = record
+        standby.row_version = rows[0].version
+        return True
+
     def _watch_term(self, leader: _leader.ShardLeader) -> None:
         """Claim a shard once more if its leader needs a new term."""
         shard = leader.shard
@@ -376,6 +400,7 @@
                     else self._bound_earlier(shard, record)
                 ),
                 earlier=self._list_earlier(record),
+                former=record,
             )
             self.leaders[shard].take_record(claimed, sent_at)
             return True
@@ -401,6 +426,7 @@
             term=base.Term(record.term + step),
             leader=self._holder,
             standby=self._candidates.choose_standby(shard, lost),
+            history="",
         )
 
     def _is_reserved(self, record: _record.ShardRecord) -> bool:
@@ -487,6 +513,7 @@
             row_version=standby.row_version,
             inherited_until=self._clock.now() + bound_ms,
             earlier=self._list_earlier(former),
+            former=former,
             authority_until=standby.get_authority_end(),
         )
 
@@ -498,6 +525,7 @@
         row_version: int,
         inherited_until: int,
         earlier: frozenset[base.InstanceId],
+        former: _record.ShardRecord | None,
         authority_until: int | None = None,
     ) -> None:
         """Start a leadership; the table knows it unless it is bounded."""
@@ -524,6 +552,7 @@
         )
         if authority_until is not None:
             leader.authority.extend_until(authority_until)
+        leader.former = former
         self.leaders[shard] = leader
         leader.start()
         logging.info("leader started shard=%s term=%d", shard, record.term)
--- a/tarragonhinge/shards/_leader.py
+++ b/tarragonhinge/shards/_leader.py
@@ -94,6 +94,7 @@
     ) -> None:
         self.shard = shard
         self.state = LeaderState.LEADING
+        self.former: _record.ShardRecord | None = None
         self.authority = _authority.AuthorityLease(clock=clock)
         self.agreement = _agreement.OutageAgreement()
         self.contact_at = -_reader.NEVER_MS
@@ -349,7 +350,7 @@
         """Record a standby; its acknowledgements count from then on."""
 
         def appoint(record: _record.ShardRecord) -> _record.ShardRecord:
-            return msgspec.structs.replace(record, standby=holder)
+            return msgspec.structs.replace(record, standby=holder, history="")
 
         if not await self.recorder.write(appoint):
             return
--- a/tarragonhinge/testing/__init__.py
+++ b/tarragonhinge/testing/__init__.py
@@ -12,6 +12,7 @@
 from tarragonhinge.testing._faults import REQUESTS
 from tarragonhinge.testing._loop import ManualLoop
 from tarragonhinge.testing._loop import run_manual
+from tarragonhinge.testing._loop import spawn
 from tarragonhinge.testing._monitor import OwnershipMonitor
 from tarragonhinge.testing._network import MemoryNetwork
 from tarragonhinge.testing._network import MemoryTransport
@@ -46,4 +47,5 @@
     "make_client_factory",
     "make_row",
     "run_manual",
+    "spawn",
 ]
