Keep a server's slots exact through takeover and row edits

A new leader counted only its own requests, and a request that was given up on freed its slot while the server still ran it. The leader now counts what a server reports beyond that until reports show it gone; a changed row binds at once and running requests end by attrition. Waiting requests are served by class of priority, and refused when their estimated wait and service outlast the deadline.

--- a/tarragonhinge/admission/_slots.py
+++ b/tarragonhinge/admission/_slots.py
@@ -1,13 +1,29 @@
 """Exact count of the requests that run on each server."""
 
 import asyncio
-import collections
 
+from tarragonhinge.admission import _discipline
+from tarragonhinge.admission import _lingering
+from tarragonhinge.admission import _window
 from tarragonhinge import base
 
+#: Weight of a new service time in the running average.
+SMOOTHING = 0.1
+
+#: Age of the last service time after which an idle server is probed.
+PROBE_AFTER_MS = 1000
+
+#: Shortest pause that a refused caller is asked to make.
+RETRY_FLOOR_MS = 50
+
 
 class ServerSlots:
-    """Slots of one server, with a bounded first-come queue.
+    """Slots of one server, with a bounded queue.
+
+    A request is refused as soon as its estimated wait and service would
+    outlast its deadline, both on arrival and when its turn comes.  An
+    idle server takes a request in any case once its last service time
+    is old, so that the estimate can recover.
 
     Parameters
     ----------
@@ -17,73 +33,200 @@
         Requests that may wait.
     clock : Clock
         Measures service times.
+    discipline : str, default="priority"
+        Name of the order in which requests are served.
+    expiry_ms : int or None
+        See `LingeringCount`; set for a server with several leaders.
     """
 
-    def __init__(self, *, slots: int, queue: int, clock: base.Clock) -> None:
+    def __init__(
+        self,
+        *,
+        slots: int,
+        queue: int,
+        clock: base.Clock,
+        discipline: str = "priority",
+        expiry_ms: int | None = None,
+    ) -> None:
         self.slots = slots
         self.queue = queue
         self.running = 0
+        self.window = _window.ShedWindow(limit=slots, clock=clock)
+        self.lingering = _lingering.LingeringCount(
+            clock=clock, expiry_ms=expiry_ms
+        )
         self._clock = clock
-        self._waiting: collections.deque[asyncio.Future] = collections.deque()
+        self._waiting = _discipline.DISCIPLINES.find(discipline)()
         self._service_ms = 0.0
+        self._measured_at = clock.now()
+        self._idle_at = clock.now()
+        self._incarnation = ""
+
+    # Limits --------------------------------------------------------------
+
+    def set_limits(self, *, slots: int, queue: int) -> None:
+        """Take over changed limits; requests that run are not stopped."""
+        self.queue = queue
+        if slots != self.slots:
+            self.slots = slots
+            self.window.limit = slots
+            self._fill()
 
-    def estimate_wait_ms(self) -> int:
+    def compute_free(self) -> int:
+        """Return how many requests may be sent now."""
+        if self.lingering.must_quiesce():
+            return 0
+        window = self.window.compute_size()
+        return min(self.slots - len(self.lingering), window) - self.running
+
+    def count_inherited(self, in_flight: int) -> None:
+        """Count what an earlier leader's requests still occupy."""
+        self.lingering.add(min(in_flight, self.slots))
+
+    def take_report(
+        self, in_flight: int, *, sent_at: int, incarnation: str
+    ) -> None:
+        """Take over what the server says of its load."""
+        restarted = self._incarnation not in ("", incarnation)
+        self._incarnation = incarnation
+        if restarted:
+            self.lingering.clear()
+            self.window.start_ramp()
+        exact = self.running == 0 and sent_at >= self._idle_at
+        self.lingering.take_total(in_flight, sent_at=sent_at, exact=exact)
+        self._fill()
+
+    # Requests ------------------------------------------------------------
+
+    def estimate_wait_ms(self, priority: int = 0) -> int:
         """Return how long a request that arrives now would wait."""
-        if self.running < self.slots:
+        if self.compute_free() > 0 and not len(self._waiting):
             return 0
-        ahead = len(self._waiting) + 1
-        return int(self._service_ms * ahead / self.slots)
+        ahead = self._waiting.count_ahead(priority) + 1
+        return int(self._service_ms * ahead / max(1, self.slots))
 
-    async def acquire(self, *, deadline_at: int) -> base.NotRun | None:
+    async def acquire(
+        self, *, deadline_at: int, priority: int = 0
+    ) -> base.NotRun | None:
         """Take a slot; return a refusal if none comes free in time."""
-        if self.running < self.slots:
+        if not self._is_worthwhile(deadline_at, priority):
+            return self._refuse(priority)
+        if self.compute_free() > 0 and not len(self._waiting):
             self.running += 1
             return None
-        wait_ms = self.estimate_wait_ms()
+        if len(self._waiting) >= self.queue:
+            evicted = self._waiting.evict(priority)
+            if evicted is None:
+                return self._refuse(priority)
+            evicted.granted.set_result(self._refuse(evicted.priority))
+        waiter = _discipline.Waiter(
+            priority=priority,
+            deadline_at=deadline_at,
+            granted=asyncio.get_running_loop().create_future(),
+        )
+        self._waiting.push(waiter)
+        return await self._wait(waiter)
+
+    def _is_worthwhile(self, deadline_at: int, priority: int) -> bool:
+        """Return whether a request can be answered by its deadline."""
+        if not self._waiting.refuses or self._may_probe():
+            return True
+        wait_ms = self.estimate_wait_ms(priority)
         left_ms = deadline_at - self._clock.now()
-        if len(self._waiting) >= self.queue or wait_ms > left_ms:
-            return base.NotRun(
-                reason=base.NotRunReason.OVERLOADED,
-                retry_after_ms=max(wait_ms, 100),
-            )
-        return await self._wait(left_ms)
+        return wait_ms + self._service_ms <= left_ms
+
+    def _may_probe(self) -> bool:
+        age_ms = self._clock.now() - self._measured_at
+        return not self.running and age_ms >= PROBE_AFTER_MS
+
+    def _refuse(self, priority: int) -> base.NotRun:
+        wait_ms = self.estimate_wait_ms(priority)
+        return base.NotRun(
+            reason=base.NotRunReason.OVERLOADED,
+            retry_after_ms=max(wait_ms, RETRY_FLOOR_MS),
+        )
 
-    async def _wait(self, left_ms: int) -> base.NotRun | None:
-        future = asyncio.get_running_loop().create_future()
-        self._waiting.append(future)
+    async def _wait(self, waiter: _discipline.Waiter) -> base.NotRun | None:
+        left_ms = waiter.deadline_at - self._clock.now()
+        if self._waiting.refuses:
+            left_ms -= int(self._service_ms)
         try:
-            await asyncio.wait_for(
-                asyncio.shield(future), left_ms / base.MS_PER_S
-            )
-        except TimeoutError:
-            if future.done():
-                return None
-            self._waiting.remove(future)
-            return base.NotRun(
-                reason=base.NotRunReason.DEADLINE,
-                retry_after_ms=self.estimate_wait_ms(),
+            await asyncio.wait(
+                {waiter.granted}, timeout=max(0, left_ms) / base.MS_PER_S
             )
         except asyncio.CancelledError:
-            if future.done():
-                self._pass_on()
-            else:
-                self._waiting.remove(future)
+            if not waiter.granted.done():
+                self._waiting.remove(waiter)
+            elif waiter.granted.result() is None:
+                self._free()
             raise
-        return None
-
-    def release(self, *, service_ms: int) -> None:
-        """Give a slot back after a run of `service_ms`."""
-        self._service_ms += 0.1 * (service_ms - self._service_ms)
-        self._pass_on()
-
-    def _pass_on(self) -> None:
-        while self._waiting:
-            future = self._waiting.popleft()
-            if not future.done():
-                future.set_result(None)
-                return
+        if waiter.granted.done():
+            return waiter.granted.result()
+        self._waiting.remove(waiter)
+        return self._refuse(waiter.priority)
+
+    def release(
+        self, *, service_ms: int | None, lingers: bool = False
+    ) -> None:
+        """Give a slot back.
+
+        Parameters
+        ----------
+        service_ms : int or None
+            How long the request took; None if it did not run.
+        lingers : bool
+            True if the server may still run it.
+        """
+        if service_ms is not None:
+            self._average(service_ms, lingers)
+        if lingers:
+            self.lingering.add()
+        self._free()
+
+    def _average(self, service_ms: int, truncated: bool) -> None:
+        """Learn from a service time; a truncated one is a lower bound."""
+        self._measured_at = self._clock.now()
+        if truncated:
+            self._service_ms = max(self._service_ms, float(service_ms))
+            return
+        if not self._service_ms:
+            self._service_ms = float(service_ms)
+        self._service_ms += SMOOTHING * (service_ms - self._service_ms)
+
+    def _free(self) -> None:
         self.running -= 1
+        if not self.running:
+            self._idle_at = self._clock.now()
+        self._fill()
+
+    def _fill(self) -> None:
+        """Give free slots to waiting requests that can still finish."""
+        while len(self._waiting) and self.compute_free() > 0:
+            waiter = self._waiting.pop()
+            if self._is_too_late(waiter):
+                refusal = self._refuse(waiter.priority)
+                waiter.granted.set_result(refusal)
+                continue
+            self.running += 1
+            waiter.granted.set_result(None)
+
+    def _is_too_late(self, waiter: _discipline.Waiter) -> bool:
+        if not self._waiting.refuses or self._may_probe():
+            return False
+        left_ms = waiter.deadline_at - self._clock.now()
+        return left_ms < self._service_ms
 
     def count_waiting(self) -> int:
         """Return the requests that wait."""
         return len(self._waiting)
+
+    def dump(self) -> dict:
+        """Return the state that decides, for operators."""
+        return {
+            "slots": self.slots,
+            "running": self.running,
+            "lingering": len(self.lingering),
+            "window": self.window.compute_size(),
+            "waiting": len(self._waiting),
+            "service_ms": round(self._service_ms, 1),
+        }
--- a/tarragonhinge/configuration/_row.py
+++ b/tarragonhinge/configuration/_row.py
@@ -66,6 +66,8 @@
         Connections that a server takes.
     queue : int
         Requests that may wait for one server.
+    discipline : str
+        Order in which waiting requests get slots.
     rate : float
         Requests a second that the service admits; 0 for no limit.
     concurrency : int
@@ -100,6 +102,7 @@
     slots: int = 2
     connections: int = 110
     queue: int = 100
+    discipline: str = "priority"
     rate: float = 0.0
     concurrency: int = 0
     priority: int = 1
--- /dev/null
+++ b/tarragonhinge/dispatch/_priority.py
@@ -0,0 +1,33 @@
+"""Class of priority of a request."""
+
+from collections.abc import Iterable
+import re
+
+from tarragonhinge import configuration
+
+#: Urgency in a ``Priority`` header field (RFC 9218, section 4.1).
+_URGENCY = re.compile(r"(?:^|[,\s])u=([0-7])(?=$|[,;\s])")
+
+
+def read_priority(
+    row: configuration.ServiceRow, headers: Iterable[tuple[str, str]]
+) -> int:
+    """Return the class of a request; lower numbers are served first.
+
+    A caller may give a request a lower class than its service has, by
+    the urgency of a ``Priority`` header, but not a higher one.
+
+    Examples
+    --------
+    >>> row = configuration.ServiceRow(service="stock", priority=1)
+    >>> read_priority(row, [("Priority", "u=5, i")])
+    5
+    >>> read_priority(row, [("Priority", "u=0")])
+    1
+    """
+    for name, value in headers:
+        if name.lower() == "priority":
+            found = _URGENCY.search(value)
+            if found:
+                return max(row.priority, int(found.group(1)))
+    return row.priority
--- a/tarragonhinge/dispatch/_sender.py
+++ b/tarragonhinge/dispatch/_sender.py
@@ -1,8 +1,11 @@
 """Sends a request to the owner of its key, within the server's limits."""
 
+import asyncio
+
 from tarragonhinge import admission
 from tarragonhinge import base
 from tarragonhinge.dispatch import _messages
+from tarragonhinge.dispatch import _priority
 from tarragonhinge import servers
 from tarragonhinge import shards
 
@@ -30,19 +33,65 @@
         *,
         deadline_at: int,
     ) -> base.Outcome:
-        """Send a request once and return its outcome."""
-        keeper = await self._wait_owner(leader, request, deadline_at)
-        if isinstance(keeper, base.NotRun):
-            return keeper
-        slots = self._find_slots(leader, keeper.entry.server)
-        refusal = await slots.acquire(deadline_at=deadline_at)
-        if refusal is not None:
-            return refusal
+        """Send a request once and return its outcome.
+
+        A request whose partition moves while it waits for a slot waits
+        again, at the new owner.
+        """
+        while True:
+            keeper = await self._wait_owner(leader, request, deadline_at)
+            if isinstance(keeper, base.NotRun):
+                return keeper
+            slots = self._find_slots(leader, keeper)
+            refusal = await slots.acquire(
+                deadline_at=deadline_at,
+                priority=_priority.read_priority(leader.row, request.headers),
+            )
+            if refusal is not None:
+                return refusal
+            if leader.owners.find_owner(request.partition) is keeper:
+                return await self._run(
+                    leader, keeper, slots, request, deadline_at
+                )
+            slots.release(service_ms=None)
+
+    async def _run(
+        self,
+        leader: shards.ShardLeader,
+        keeper: shards.GrantKeeper,
+        slots: admission.ServerSlots,
+        request: _messages.ForwardRequest,
+        deadline_at: int,
+    ) -> base.Outcome:
+        """Send a request that has a slot."""
         started_at = self._clock.now()
         try:
-            return await self._dispatch(leader, keeper, request, deadline_at)
-        finally:
-            slots.release(service_ms=self._clock.now() - started_at)
+            outcome = await self._dispatch(
+                leader, keeper, request, deadline_at
+            )
+        except (asyncio.CancelledError, Exception):
+            self._settle(slots, None, started_at)
+            raise
+        self._settle(slots, outcome, started_at)
+        return outcome
+
+    def _settle(
+        self,
+        slots: admission.ServerSlots,
+        outcome: base.Outcome | None,
+        started_at: int,
+    ) -> None:
+        """Give the slot back and learn from how the request ended."""
+        service_ms = self._clock.now() - started_at
+        if isinstance(outcome, base.Answered):
+            slots.window.record_success()
+            slots.release(service_ms=service_ms)
+        elif isinstance(outcome, base.NotRun):
+            if outcome.reason is base.NotRunReason.SERVER_SHED:
+                slots.window.record_shed(sent_at=started_at)
+            slots.release(service_ms=None)
+        else:
+            slots.release(service_ms=service_ms, lingers=True)
 
     async def _wait_owner(
         self,
@@ -66,17 +115,23 @@
             await self._clock.sleep(OWNER_POLL_MS)
 
     def _find_slots(
-        self, leader: shards.ShardLeader, server: base.ServerId
+        self, leader: shards.ShardLeader, keeper: shards.GrantKeeper
     ) -> admission.ServerSlots:
-        name = f"{leader.shard}/{server}"
+        """Return the slots of a server, within the limits in force."""
+        row = leader.row
+        name = f"{leader.shard}/{keeper.entry.address}"
         slots = self._slots.get(name)
         if slots is None:
             slots = admission.ServerSlots(
-                slots=leader.row.slots,
-                queue=leader.row.queue,
+                slots=row.slots,
+                queue=row.queue,
                 clock=self._clock,
+                discipline=row.discipline,
             )
             self._slots[name] = slots
+        slots.set_limits(slots=row.slots, queue=row.queue)
+        if keeper.on_report is None:
+            _follow_reports(keeper, slots)
         return slots
 
     async def _dispatch(
@@ -107,10 +162,24 @@
 
     def dump(self) -> dict:
         """Return the state that decides, for operators."""
-        return {
-            name: {"running": s.running, "waiting": s.count_waiting()}
-            for name, s in self._slots.items()
-        }
+        return {name: slots.dump() for name, slots in self._slots.items()}
+
+
+def _follow_reports(
+    keeper: shards.GrantKeeper, slots: admission.ServerSlots
+) -> None:
+    """Count what an earlier leader's requests occupy, until they end."""
+
+    def take(report: shards.ServerReport) -> None:
+        slots.take_report(
+            report.in_flight,
+            sent_at=report.sent_at,
+            incarnation=report.incarnation,
+        )
+
+    keeper.on_report = take
+    if keeper.report is not None:
+        slots.count_inherited(keeper.report.in_flight)
 
 
 def _make_server_request(
--- /dev/null
+++ b/tarragonhinge/dispatch/tests/test_slots.py
@@ -0,0 +1,94 @@
+"""Slots of servers are never exceeded, on manual time."""
+
+import asyncio
+import itertools
+
+import msgspec
+import pytest
+
+from tarragonhinge import base
+from tarragonhinge import testing
+
+SLOTS = 2
+
+#: Longer than a takeover, so that requests outlive their leader.
+SERVICE_MS = 3000
+
+
+async def _lose_leader(deployment, leader):
+    await leader.kill()
+
+
+async def _pause_leader(deployment, leader):
+    leader.clock.pause()
+    await deployment.wait(2500)
+    leader.clock.resume()
+
+
+async def _hand_over(deployment, leader):
+    instance = leader.instance
+    await instance.coordinator.hand_over(
+        instance.dispatcher.save_history, 1000
+    )
+
+
+async def _halve_slots(deployment, leader):
+    store = deployment.nodes[0].instance.store
+    row = msgspec.structs.replace(deployment.row, slots=1)
+    version = deployment.nodes[0].instance.view.current.version
+    await store.apply_edit([row], expected=version)
+
+
+async def _cut_entry(deployment, leader):
+    """Lose the answers of one server to the leader for a while."""
+    deployment.network.cut("s0", leader.address)
+    await deployment.wait(700)
+    deployment.network.heal()
+
+
+EVENTS = [_lose_leader, _pause_leader, _hand_over, _halve_slots, _cut_entry]
+
+
+async def _load(deployment, nodes, stop_at, answered):
+    """Send more than the servers can run, whatever becomes of it.
+
+    Short deadlines let entries notice soon that a leader is lost.
+    """
+    sends = []
+    for sequence in itertools.count():
+        node = nodes[sequence % len(nodes)]
+        if node.clock.now() >= stop_at:
+            break
+        deadline_ms = 4000 if sequence % 4 else 300
+        request = deployment.send(
+            node, f"k{sequence}", deadline_ms=deadline_ms
+        )
+        sends.append(asyncio.create_task(request))
+        await deployment.wait(50)
+    for outcome in await asyncio.gather(*sends):
+        answered.append(isinstance(outcome, base.Answered))
+
+
+@pytest.mark.parametrize("service_ms", [100, SERVICE_MS])
+@pytest.mark.parametrize("event", EVENTS)
+def test_slots_are_not_exceeded(event, service_ms):
+    async def scenario():
+        deployment = testing.Deployment()
+        for server in deployment.servers.values():
+            server.service_ms = service_ms
+        await deployment.start()
+        leader = deployment.find_leaders()[0]
+        entries = [n for n in deployment.nodes if n is not leader]
+        answered = []
+        stop_at = entries[0].clock.now() + 9000
+        load = asyncio.create_task(
+            _load(deployment, entries, stop_at, answered)
+        )
+        await deployment.wait(1000)
+        await event(deployment, leader)
+        await load
+        most = [s.most_running for s in deployment.servers.values()]
+        assert max(most) == SLOTS
+        assert any(answered[-100:])
+
+    testing.run_manual(scenario())
--- a/tarragonhinge/shards/__init__.py
+++ b/tarragonhinge/shards/__init__.py
@@ -22,6 +22,7 @@
 from tarragonhinge.shards._record import Holder
 from tarragonhinge.shards._record import make_record_key
 from tarragonhinge.shards._record import ShardRecord
+from tarragonhinge.shards._report import ServerReport
 from tarragonhinge.shards._standby import ShardStandby
 from tarragonhinge.shards._timing import Timing
 
@@ -40,6 +41,7 @@
     "LeaderReply",
     "LeaderState",
     "Planner",
+    "ServerReport",
     "ServerState",
     "ShardCoordinator",
     "ShardLeader",
--- a/tarragonhinge/shards/_keeper.py
+++ b/tarragonhinge/shards/_keeper.py
@@ -1,6 +1,7 @@
 """Keeps the grants of one backend server renewed."""
 
 import asyncio
+from collections.abc import Callable
 import enum
 import itertools
 
@@ -8,6 +9,7 @@
 from tarragonhinge import configuration
 from tarragonhinge import servers
 from tarragonhinge.shards import _authority
+from tarragonhinge.shards import _report
 from tarragonhinge.shards import _timing
 
 
@@ -65,6 +67,8 @@
         self.state = ServerState.UNSEEN
         self.draining = False
         self.higher_term = base.Term(0)
+        self.report: _report.ServerReport | None = None
+        self.on_report: Callable[[_report.ServerReport], None] | None = None
         self._shard = shard
         self._term = term
         self._authority = authority
@@ -165,6 +169,17 @@
             request, timeout_ms=self._timing.call_timeout_ms
         )
         self._take_reply(reply, wanted if renewing else None)
+        if reply is not None and reply.term <= self._term:
+            self._keep_report(reply, sent_at)
+
+    def _keep_report(self, reply: servers.GrantReply, sent_at: int) -> None:
+        self.report = _report.ServerReport(
+            in_flight=reply.in_flight,
+            sent_at=sent_at,
+            incarnation=reply.server_incarnation,
+        )
+        if self.on_report is not None:
+            self.on_report(self.report)
 
     def _make_renewal(
         self, wanted: dict[base.PartitionId, base.Epoch], sent_at: int
