Enforce rate and concurrency of a service by shares

Each leader has the part of the row's limits that its region's partitions make up; the parts add up to the limit. Each uses the least of its shares in all versions that may still bind somewhere, so a share is lowered at once and raised after the in-force bound. Shards that name the same server divide its slots in the same way.

With the bound set to 10 ms the sum exceeds the limit in the test of spreading versions; without the count of an earlier leader's requests the concurrency is exceeded after a loss; a bucket that begins full exceeds the rate after a loss. None of them does as committed.

--- a/tarragonhinge/admission/__init__.py
+++ b/tarragonhinge/admission/__init__.py
@@ -1,15 +1,35 @@
 """Limits: slots, queues, rates and shares."""
 
+from tarragonhinge.admission._bucket import BURST_MS
+from tarragonhinge.admission._bucket import TokenBucket
 from tarragonhinge.admission._discipline import Discipline
 from tarragonhinge.admission._discipline import DISCIPLINES
+from tarragonhinge.admission._gate import ServiceGate
 from tarragonhinge.admission._lingering import LingeringCount
+from tarragonhinge.admission._recent import IN_FORCE_LIMIT_MS
+from tarragonhinge.admission._recent import RecentTables
+from tarragonhinge.admission._shares import compute_share
+from tarragonhinge.admission._shares import compute_slots
+from tarragonhinge.admission._shares import list_sharers
+from tarragonhinge.admission._shares import ShardShare
+from tarragonhinge.admission._shares import split_whole
 from tarragonhinge.admission._slots import ServerSlots
 from tarragonhinge.admission._window import ShedWindow
 
 __all__ = [
+    "BURST_MS",
     "DISCIPLINES",
     "Discipline",
+    "IN_FORCE_LIMIT_MS",
     "LingeringCount",
+    "RecentTables",
     "ServerSlots",
+    "ServiceGate",
+    "ShardShare",
     "ShedWindow",
+    "TokenBucket",
+    "compute_share",
+    "compute_slots",
+    "list_sharers",
+    "split_whole",
 ]
--- a/tarragonhinge/admission/_lingering.py
+++ b/tarragonhinge/admission/_lingering.py
@@ -20,7 +20,9 @@
     clock : Clock
         This process's clock.
     expiry_ms : int or None
-        Bound on the life of such a request; None if only reports end it.
+        Bound on the life of such a request, for a server with several
+        leaders, whose reports never show zero; None if only reports
+        end it.
     """
 
     def __init__(
--- a/tarragonhinge/admission/_slots.py
+++ b/tarragonhinge/admission/_slots.py
@@ -35,8 +35,8 @@
         Measures service times.
     discipline : str, default="priority"
         Name of the order in which requests are served.
-    expiry_ms : int or None
-        See `LingeringCount`; set for a server with several leaders.
+    lingering : LingeringCount or None
+        Counts requests of others; a new count if None.
     """
 
     def __init__(
@@ -46,15 +46,15 @@
         queue: int,
         clock: base.Clock,
         discipline: str = "priority",
-        expiry_ms: int | None = None,
+        lingering: _lingering.LingeringCount | None = None,
     ) -> None:
         self.slots = slots
         self.queue = queue
         self.running = 0
         self.window = _window.ShedWindow(limit=slots, clock=clock)
-        self.lingering = _lingering.LingeringCount(
-            clock=clock, expiry_ms=expiry_ms
-        )
+        self.lingering = lingering
+        if lingering is None:
+            self.lingering = _lingering.LingeringCount(clock=clock)
         self._clock = clock
         self._waiting = _discipline.DISCIPLINES.find(discipline)()
         self._service_ms = 0.0
@@ -109,7 +109,7 @@
         self, *, deadline_at: int, priority: int = 0
     ) -> base.NotRun | None:
         """Take a slot; return a refusal if none comes free in time."""
-        if not self._is_worthwhile(deadline_at, priority):
+        if not self.slots or not self._is_worthwhile(deadline_at, priority):
             return self._refuse(priority)
         if self.compute_free() > 0 and not len(self._waiting):
             self.running += 1
@@ -199,6 +199,10 @@
             self._idle_at = self._clock.now()
         self._fill()
 
+    def refresh(self) -> None:
+        """Give out slots that others' requests left."""
+        self._fill()
+
     def _fill(self) -> None:
         """Give free slots to waiting requests that can still finish."""
         while len(self._waiting) and self.compute_free() > 0:
--- a/tarragonhinge/dispatch/_dispatcher.py
+++ b/tarragonhinge/dispatch/_dispatcher.py
@@ -35,7 +35,7 @@
     ) -> None:
         self._coordinator = coordinator
         self._clock = clock
-        self._sender = _sender.Sender(clock=clock)
+        self._sender = _sender.Sender(view=coordinator.view, clock=clock)
         self._histories: dict[base.ShardId, _history.RequestHistory] = {}
         transport.handle(_messages.ForwardRequest, self._on_request)
         coordinator.leaderships.subscribe(self._open_history)
--- /dev/null
+++ b/tarragonhinge/dispatch/_limits.py
@@ -0,0 +1,142 @@
+"""Limits that a leader keeps for one shard."""
+
+from tarragonhinge import admission
+from tarragonhinge import base
+from tarragonhinge import configuration
+from tarragonhinge import shards
+
+
+class ShardLimits:
+    """Slots of a shard's servers and the shard's share of its service.
+
+    Parameters
+    ----------
+    shard : ShardId
+        The shard.
+    row : ServiceRow
+        The service's row in force.
+    tables : RecentTables
+        Versions of the operators' table that may bind somewhere.
+    clock : Clock
+        This process's clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard: base.ShardId,
+        row: configuration.ServiceRow,
+        tables: admission.RecentTables,
+        clock: base.Clock,
+    ) -> None:
+        self._shard = shard
+        self._row = row
+        self._tables = tables
+        self._revision = tables.get_revision()
+        self._clock = clock
+        self._slots: dict[base.Address, admission.ServerSlots] = {}
+        self.gate = admission.ServiceGate(
+            share=self._compute_share(),
+            queue=row.queue,
+            count_lingering=self._count_lingering,
+            clock=clock,
+        )
+
+    def update(self, leader: shards.ShardLeader) -> None:
+        """Take over the limits and the servers of a leadership."""
+        revision = self._tables.get_revision()
+        if leader.row is not self._row or revision != self._revision:
+            self._row = leader.row
+            self._revision = revision
+            self._change_limits()
+        for keeper in leader.owners.keepers.values():
+            if keeper.on_report is None:
+                self._follow_reports(keeper)
+
+    def _change_limits(self) -> None:
+        queue = self._row.queue
+        self.gate.set_limits(share=self._compute_share(), queue=queue)
+        for address, slots in self._slots.items():
+            slots.lingering.expiry_ms = self._get_expiry_ms(address)
+            slots.set_limits(slots=self._compute_slots(address), queue=queue)
+
+    def find_slots(self, keeper: shards.GrantKeeper) -> admission.ServerSlots:
+        """Return the slots of a server, within the limits in force."""
+        address = keeper.entry.address
+        slots = self._slots.get(address)
+        if slots is None:
+            slots = self._make_slots(address)
+            self._slots[address] = slots
+        return slots
+
+    def _make_slots(self, address: base.Address) -> admission.ServerSlots:
+        return admission.ServerSlots(
+            slots=self._compute_slots(address),
+            queue=self._row.queue,
+            clock=self._clock,
+            discipline=self._row.discipline,
+            lingering=admission.LingeringCount(
+                clock=self._clock, expiry_ms=self._get_expiry_ms(address)
+            ),
+        )
+
+    def _get_expiry_ms(self, address: base.Address) -> int | None:
+        return self._row.deadline_ms if self._is_shared(address) else None
+
+    def _is_shared(self, address: base.Address) -> bool:
+        count = self._tables.find_least(
+            lambda table: -len(admission.list_sharers(table, address))
+        )
+        return count is not None and count < -1
+
+    def _compute_slots(self, address: base.Address) -> int:
+        """Return this shard's slots; a sole user's raise binds at once."""
+        if not self._is_shared(address):
+            return self._row.slots
+        least = self._tables.find_least(
+            lambda table: admission.compute_slots(table, self._shard, address)
+        )
+        return self._row.slots if least is None else least
+
+    def _compute_share(self) -> admission.ShardShare:
+        return admission.ShardShare(
+            rate=self._tables.find_least(
+                lambda table: admission.compute_share(table, self._shard).rate
+            ),
+            concurrency=self._tables.find_least(
+                lambda table: (
+                    admission.compute_share(table, self._shard).concurrency
+                )
+            ),
+        )
+
+    def _follow_reports(self, keeper: shards.GrantKeeper) -> None:
+        """Count what an earlier leader's requests occupy, until they end."""
+        slots = self.find_slots(keeper)
+
+        def take(report: shards.ServerReport) -> None:
+            slots.take_report(
+                report.in_flight,
+                sent_at=report.sent_at,
+                incarnation=report.incarnation,
+            )
+            self.gate.refresh()
+
+        def take_first(report: shards.ServerReport) -> None:
+            slots.count_inherited(report.in_flight)
+            keeper.on_report = take
+            take(report)
+
+        keeper.on_report = take_first
+        if keeper.report is not None:
+            take_first(keeper.report)
+
+    def _count_lingering(self) -> int:
+        return sum(len(slots.lingering) for slots in self._slots.values())
+
+    def dump(self) -> dict:
+        """Return the state that decides, for operators."""
+        return {
+            "gate": self.gate.dump(),
+            "servers": {a: s.dump() for a, s in self._slots.items()},
+        }
--- a/tarragonhinge/dispatch/_sender.py
+++ b/tarragonhinge/dispatch/_sender.py
@@ -4,6 +4,8 @@
 
 from tarragonhinge import admission
 from tarragonhinge import base
+from tarragonhinge import configuration
+from tarragonhinge.dispatch import _limits
 from tarragonhinge.dispatch import _messages
 from tarragonhinge.dispatch import _priority
 from tarragonhinge import servers
@@ -18,13 +20,18 @@
 
     Parameters
     ----------
+    view : TableView
+        Versions of the operators' table.
     clock : Clock
         This process's clock.
     """
 
-    def __init__(self, *, clock: base.Clock) -> None:
+    def __init__(
+        self, *, view: configuration.TableView, clock: base.Clock
+    ) -> None:
         self._clock = clock
-        self._slots: dict[str, admission.ServerSlots] = {}
+        self._tables = admission.RecentTables(view=view, clock=clock)
+        self._limits: dict[base.ShardId, _limits.ShardLimits] = {}
 
     async def send(
         self,
@@ -38,32 +45,73 @@
         A request whose partition moves while it waits for a slot waits
         again, at the new owner.
         """
+        limits = self._find_limits(leader)
+        refusal = limits.gate.admit()
+        if refusal is not None:
+            return refusal
+        priority = _priority.read_priority(leader.row, request.headers)
         while True:
             keeper = await self._wait_owner(leader, request, deadline_at)
             if isinstance(keeper, base.NotRun):
                 return keeper
-            slots = self._find_slots(leader, keeper)
+            slots = limits.find_slots(keeper)
             refusal = await slots.acquire(
-                deadline_at=deadline_at,
-                priority=_priority.read_priority(leader.row, request.headers),
+                deadline_at=deadline_at, priority=priority
             )
+            if refusal is not None:
+                return refusal
+            refusal = await self._enter(limits, slots, deadline_at, priority)
             if refusal is not None:
                 return refusal
             if leader.owners.find_owner(request.partition) is keeper:
                 return await self._run(
-                    leader, keeper, slots, request, deadline_at
+                    leader, keeper, limits, request, deadline_at
                 )
             slots.release(service_ms=None)
+            limits.gate.leave(service_ms=None)
+
+    def _find_limits(self, leader: shards.ShardLeader) -> _limits.ShardLimits:
+        limits = self._limits.get(leader.shard)
+        if limits is None:
+            limits = _limits.ShardLimits(
+                shard=leader.shard,
+                row=leader.row,
+                tables=self._tables,
+                clock=self._clock,
+            )
+            self._limits[leader.shard] = limits
+        limits.update(leader)
+        return limits
+
+    async def _enter(
+        self,
+        limits: _limits.ShardLimits,
+        slots: admission.ServerSlots,
+        deadline_at: int,
+        priority: int,
+    ) -> base.NotRun | None:
+        """Pass the service's gate while holding a slot."""
+        try:
+            refusal = await limits.gate.enter(
+                deadline_at=deadline_at, priority=priority
+            )
+        except asyncio.CancelledError:
+            slots.release(service_ms=None)
+            raise
+        if refusal is not None:
+            slots.release(service_ms=None)
+        return refusal
 
     async def _run(
         self,
         leader: shards.ShardLeader,
         keeper: shards.GrantKeeper,
-        slots: admission.ServerSlots,
+        limits: _limits.ShardLimits,
         request: _messages.ForwardRequest,
         deadline_at: int,
     ) -> base.Outcome:
         """Send a request that has a slot."""
+        slots = limits.find_slots(keeper)
         started_at = self._clock.now()
         try:
             outcome = await self._dispatch(
@@ -71,8 +119,10 @@
             )
         except (asyncio.CancelledError, Exception):
             self._settle(slots, None, started_at)
+            limits.gate.leave(service_ms=None)
             raise
         self._settle(slots, outcome, started_at)
+        limits.gate.leave(service_ms=self._clock.now() - started_at)
         return outcome
 
     def _settle(
@@ -114,26 +164,6 @@
                 )
             await self._clock.sleep(OWNER_POLL_MS)
 
-    def _find_slots(
-        self, leader: shards.ShardLeader, keeper: shards.GrantKeeper
-    ) -> admission.ServerSlots:
-        """Return the slots of a server, within the limits in force."""
-        row = leader.row
-        name = f"{leader.shard}/{keeper.entry.address}"
-        slots = self._slots.get(name)
-        if slots is None:
-            slots = admission.ServerSlots(
-                slots=row.slots,
-                queue=row.queue,
-                clock=self._clock,
-                discipline=row.discipline,
-            )
-            self._slots[name] = slots
-        slots.set_limits(slots=row.slots, queue=row.queue)
-        if keeper.on_report is None:
-            _follow_reports(keeper, slots)
-        return slots
-
     async def _dispatch(
         self,
         leader: shards.ShardLeader,
@@ -162,24 +192,7 @@
 
     def dump(self) -> dict:
         """Return the state that decides, for operators."""
-        return {name: slots.dump() for name, slots in self._slots.items()}
-
-
-def _follow_reports(
-    keeper: shards.GrantKeeper, slots: admission.ServerSlots
-) -> None:
-    """Count what an earlier leader's requests occupy, until they end."""
-
-    def take(report: shards.ServerReport) -> None:
-        slots.take_report(
-            report.in_flight,
-            sent_at=report.sent_at,
-            incarnation=report.incarnation,
-        )
-
-    keeper.on_report = take
-    if keeper.report is not None:
-        slots.count_inherited(keeper.report.in_flight)
+        return {name: limits.dump() for name, limits in self._limits.items()}
 
 
 def _make_server_request(
--- a/tarragonhinge/shards/_coordinator.py
+++ b/tarragonhinge/shards/_coordinator.py
@@ -97,6 +97,11 @@
         transport.handle(_messages.Handover, self._on_handover)
         transport.handle(_messages.LeaderQuery, self._on_query)
 
+    @property
+    def view(self) -> configuration.TableView:
+        """Return the versions of the operators' table."""
+        return self._view
+
     @property
     def leaderships(self) -> reactivex.Observable:
         """Return the stream of newly started `ShardLeader` objects."""
