Refuse early and serve by class; measure goodput

A request whose wait and service would outlast its deadline is refused on arrival, in its turn and while it waits.

--- a/tarragonhinge/admission/__init__.py
+++ b/tarragonhinge/admission/__init__.py
@@ -13,6 +13,7 @@
 from tarragonhinge.admission._shares import list_sharers
 from tarragonhinge.admission._shares import ShardShare
 from tarragonhinge.admission._shares import split_whole
+from tarragonhinge.admission._slots import RETRY_FLOOR_MS
 from tarragonhinge.admission._slots import ServerSlots
 from tarragonhinge.admission._window import ShedWindow
 
@@ -22,6 +23,7 @@
     "Discipline",
     "IN_FORCE_LIMIT_MS",
     "LingeringCount",
+    "RETRY_FLOOR_MS",
     "RecentTables",
     "ServerSlots",
     "ServiceGate",
--- a/tarragonhinge/admission/_gate.py
+++ b/tarragonhinge/admission/_gate.py
@@ -37,6 +37,8 @@
         Counts what other leaders' requests still occupy on the servers.
     clock : Clock
         This process's clock.
+    discipline : str, default="priority"
+        Name of the order in which waiting requests enter.
     """
 
     def __init__(
@@ -46,6 +48,7 @@
         queue: int,
         count_lingering: Callable[[], int],
         clock: base.Clock,
+        discipline: str = "priority",
     ) -> None:
         self._bucket = _bucket.TokenBucket(rate=share.rate, clock=clock)
         self._limited = not math.isinf(share.concurrency)
@@ -53,6 +56,7 @@
             slots=0,
             queue=queue,
             clock=clock,
+            discipline=discipline,
             lingering=_SummedLingering(clock=clock, count=count_lingering),
         )
         self.set_limits(share=share, queue=queue)
--- a/tarragonhinge/admission/_slots.py
+++ b/tarragonhinge/admission/_slots.py
@@ -4,12 +4,10 @@
 
 from tarragonhinge.admission import _discipline
 from tarragonhinge.admission import _lingering
+from tarragonhinge.admission import _service
 from tarragonhinge.admission import _window
 from tarragonhinge import base
 
-#: Weight of a new service time in the running average.
-SMOOTHING = 0.1
-
 #: Age of the last service time after which an idle server is probed.
 PROBE_AFTER_MS = 1000
 
@@ -57,7 +55,7 @@
             self.lingering = _lingering.LingeringCount(clock=clock)
         self._clock = clock
         self._waiting = _discipline.DISCIPLINES.find(discipline)()
-        self._service_ms = 0.0
+        self._service = _service.ServiceTime()
         self._measured_at = clock.now()
         self._idle_at = clock.now()
         self._incarnation = ""
@@ -103,7 +101,7 @@
         if self.compute_free() > 0 and not len(self._waiting):
             return 0
         ahead = self._waiting.count_ahead(priority) + 1
-        return int(self._service_ms * ahead / max(1, self.slots))
+        return int(self._service.mean_ms * ahead / max(1, self.slots))
 
     async def acquire(
         self, *, deadline_at: int, priority: int = 0
@@ -133,7 +131,7 @@
             return True
         wait_ms = self.estimate_wait_ms(priority)
         left_ms = deadline_at - self._clock.now()
-        return wait_ms + self._service_ms <= left_ms
+        return wait_ms + self._service.compute_needed_ms() <= left_ms
 
     def _may_probe(self) -> bool:
         age_ms = self._clock.now() - self._measured_at
@@ -143,13 +141,13 @@
         wait_ms = self.estimate_wait_ms(priority)
         return base.NotRun(
             reason=base.NotRunReason.OVERLOADED,
-            retry_after_ms=max(wait_ms, RETRY_FLOOR_MS),
+            retry_after_ms=max(wait_ms + 1, RETRY_FLOOR_MS),
         )
 
     async def _wait(self, waiter: _discipline.Waiter) -> base.NotRun | None:
         left_ms = waiter.deadline_at - self._clock.now()
         if self._waiting.refuses:
-            left_ms -= int(self._service_ms)
+            left_ms -= int(self._service.compute_needed_ms())
         try:
             await asyncio.wait(
                 {waiter.granted}, timeout=max(0, left_ms) / base.MS_PER_S
@@ -187,11 +185,9 @@
         """Learn from a service time; a truncated one is a lower bound."""
         self._measured_at = self._clock.now()
         if truncated:
-            self._service_ms = max(self._service_ms, float(service_ms))
-            return
-        if not self._service_ms:
-            self._service_ms = float(service_ms)
-        self._service_ms += SMOOTHING * (service_ms - self._service_ms)
+            self._service.record_bound(service_ms)
+        else:
+            self._service.record(service_ms)
 
     def _free(self) -> None:
         self.running -= 1
@@ -218,7 +214,7 @@
         if not self._waiting.refuses or self._may_probe():
             return False
         left_ms = waiter.deadline_at - self._clock.now()
-        return left_ms < self._service_ms
+        return left_ms < self._service.compute_needed_ms()
 
     def count_waiting(self) -> int:
         """Return the requests that wait."""
@@ -232,5 +228,5 @@
             "lingering": len(self.lingering),
             "window": self.window.compute_size(),
             "waiting": len(self._waiting),
-            "service_ms": round(self._service_ms, 1),
+            "service_ms": round(self._service.mean_ms, 1),
         }
--- a/tarragonhinge/dispatch/_limits.py
+++ b/tarragonhinge/dispatch/_limits.py
@@ -40,6 +40,7 @@
             queue=row.queue,
             count_lingering=self._count_lingering,
             clock=clock,
+            discipline=row.discipline,
         )
 
     def update(self, leader: shards.ShardLeader) -> None:
--- a/tarragonhinge/testing/__init__.py
+++ b/tarragonhinge/testing/__init__.py
@@ -6,6 +6,8 @@
 from tarragonhinge.testing._deployment import find_sent_to
 from tarragonhinge.testing._deployment import make_row
 from tarragonhinge.testing._deployment import Node
+from tarragonhinge.testing._load import OpenLoad
+from tarragonhinge.testing._load import Sample
 from tarragonhinge.testing._loop import ManualLoop
 from tarragonhinge.testing._loop import run_manual
 from tarragonhinge.testing._network import MemoryNetwork
@@ -29,7 +31,9 @@
     "MemoryServerClient",
     "MemoryTransport",
     "Node",
+    "OpenLoad",
     "Run",
+    "Sample",
     "find_sent_to",
     "make_client_factory",
     "make_row",
--- a/tarragonhinge/testing/_deployment.py
+++ b/tarragonhinge/testing/_deployment.py
@@ -1,6 +1,7 @@
 """A few instances and servers in memory, on manual time."""
 
 import asyncio
+from collections.abc import Sequence
 
 import msgspec
 
@@ -194,6 +195,7 @@
         deadline_ms: int = 2000,
         idempotency_key: str = "",
         body: bytes = b"",
+        headers: Sequence[tuple[str, str]] = (),
     ) -> base.Outcome:
         """Send a request through an entry and return its outcome."""
         place = routing.locate_key(self.row, key)
@@ -203,6 +205,7 @@
             key_hash=place.key_hash,
             method=method,
             path=f"/{self.row.service}/{key}",
+            headers=list(headers),
             body=body,
             time_left_ms=deadline_ms,
             idempotency_key=idempotency_key,
