Keep a budget of bytes between regions

An entry refuses early, with the time until the bytes are earned, what would exceed the service's budget to another region.

--- a/tarragonhinge/daemon/_instance.py
+++ b/tarragonhinge/daemon/_instance.py
@@ -98,6 +98,12 @@
             transport=transport,
             clock=self.clock,
         )
+        self.links = routing.LinkBudgets(
+            region=options.region,
+            view=self.view,
+            instances=self.instances,
+            clock=self.clock,
+        )
         self.entry = routing.Entry(
             directory=routing.LeaderDirectory(
                 instances=self.instances, clock=self.clock
@@ -105,6 +111,7 @@
             transport=transport,
             dispatcher=self.dispatcher,
             clock=self.clock,
+            links=self.links,
         )
         self.front = routing.Front(
             entry=self.entry,
@@ -190,6 +197,7 @@
             "leads": {n: leader.dump() for n, leader in leaders.items()},
             "stands_by": sorted(self.coordinator.standbys),
             "dispatch": self.dispatcher.dump(),
+            "links": self.links.dump(),
             "outcomes": dict(self.front.outcomes),
             "in_flight": self.front.in_flight,
         }
--- a/tarragonhinge/routing/__init__.py
+++ b/tarragonhinge/routing/__init__.py
@@ -8,10 +8,12 @@
 from tarragonhinge.routing._key import extract_key
 from tarragonhinge.routing._key import KeyPlace
 from tarragonhinge.routing._key import locate_key
+from tarragonhinge.routing._links import LinkBudgets
 from tarragonhinge.routing._problem import HEADER_OUTCOME
 from tarragonhinge.routing._problem import make_problem
 
 __all__ = [
+    "LinkBudgets",
     "HEADER_OUTCOME",
     "HEADER_REPLAYED",
     "Entry",
--- a/tarragonhinge/routing/_entry.py
+++ b/tarragonhinge/routing/_entry.py
@@ -9,6 +9,7 @@
 from tarragonhinge import dispatch
 from tarragonhinge import peers
 from tarragonhinge.routing import _directory
+from tarragonhinge.routing import _links
 
 #: Pause before a leader is looked for again.
 REDIRECT_PAUSE_MS = 20
@@ -50,6 +51,8 @@
         Runs requests of shards that this instance leads.
     clock : Clock
         This process's clock.
+    links : LinkBudgets or None
+        Budgets of bytes to other regions; none are kept if None.
     """
 
     def __init__(
@@ -59,12 +62,14 @@
         transport: peers.PeerTransport,
         dispatcher: dispatch.Dispatcher,
         clock: base.Clock,
+        links: _links.LinkBudgets | None = None,
     ) -> None:
         self.counts = RouteCounts()
         self._directory = directory
         self._transport = transport
         self._dispatcher = dispatcher
         self._clock = clock
+        self._links = links
 
     async def route(
         self, request: dispatch.ForwardRequest, *, idempotent: bool
@@ -115,11 +120,17 @@
     async def _forward(
         self, address: base.Address, request: dispatch.ForwardRequest
     ) -> base.Outcome:
+        refusal = self._links.admit(request) if self._links else None
+        if refusal is not None:
+            return refusal
         reply = await self._transport.call(
             address, request, timeout_ms=request.time_left_ms + RETURN_MS
         )
         if not isinstance(reply, peers.PeerFailure):
-            return dispatch.decode_outcome(reply)
+            outcome = dispatch.decode_outcome(reply)
+            if self._links:
+                self._links.charge_answer(request, outcome)
+            return outcome
         self.counts.lost += 1
         self._directory.suspect(address)
         proven = (
