Let health shape admission, and pick servers for unkeyed requests

A shedding server is trusted with fewer requests and keeps its partitions, a restarted one starts with one slot, and requests without a key go to the server with the least expected time, avoiding failing ones above a floor of half the weight.

--- a/benchmarks/goodput.py
+++ b/benchmarks/goodput.py
@@ -8,6 +8,7 @@
 import random
 
 from tarragonhinge import base
+from tarragonhinge import configuration
 from tarragonhinge import testing
 
 SERVERS = 3
@@ -43,18 +44,34 @@
 
 
 async def run_load(
-    *, discipline: str, load: float, skew: float = 0.0, spread: float = 0.0
+    *,
+    load: float,
+    skew: float = 0.0,
+    spread: float = 0.0,
+    slow_ms: int = SERVICE_MS,
+    **changes,
 ) -> tuple[testing.OpenLoad, testing.Deployment, float]:
-    """Run one load; return it, its deployment and the capacity."""
-    row = testing.make_row(
-        servers=SERVERS, partitions=66, discipline=discipline
-    )
+    """Run one load; return it, its deployment and the capacity.
+
+    Parameters
+    ----------
+    load : float
+        Offered load as part of the capacity.
+    skew, spread : float
+        Of the keys, and of the service times.
+    slow_ms : int
+        Service time of the first server.
+    **changes
+        Columns of the row.
+    """
+    row = testing.make_row(servers=SERVERS, partitions=66, **changes)
     deployment = testing.Deployment(row=row)
     for server in deployment.servers.values():
         server.__class__ = VariedServer
         server.service_ms = SERVICE_MS
         server.spread = spread
         server.rng = random.Random(server.name)
+    deployment.servers["s0"].service_ms = slow_ms
     await deployment.start()
     capacity = SERVERS * row.slots * DURATION_MS / SERVICE_MS
     offered = testing.OpenLoad(
@@ -91,7 +108,7 @@
     print("skew  busiest/mean  goodput/offered   (load 0.8)")
     for skew in SKEWS:
         offered, deployment, _ = testing.run_manual(
-            run_load(discipline="priority", load=0.8, skew=skew)
+            run_load(load=0.8, skew=skew)
         )
         runs = [len(server.runs) for server in deployment.servers.values()]
         busiest = max(runs) * len(runs) / sum(runs)
@@ -99,12 +116,31 @@
         print(f"{skew:4.1f} {busiest:13.3f} {good:16.3f}")
 
 
+def print_pickers() -> None:
+    """Print how requests without a key fare beside a slow server."""
+    print("picker        slow server  goodput/offered   (load 0.6)")
+    for slow_ms in (SERVICE_MS, 4 * SERVICE_MS, 8 * SERVICE_MS):
+        for picker in ("least_loaded", "round_robin"):
+            offered, _, _ = testing.run_manual(
+                run_load(
+                    load=0.6,
+                    slow_ms=slow_ms,
+                    picker=picker,
+                    key_source=configuration.KeySource.NONE,
+                )
+            )
+            good = offered.count_good() / len(offered.samples)
+            print(f"{picker:13} {slow_ms:8d} ms {good:16.3f}")
+
+
 def main() -> None:
     """Print all figures."""
     for spread in SPREADS:
         print_goodput(spread)
         print()
     print_imbalance()
+    print()
+    print_pickers()
 
 
 if __name__ == "__main__":
--- a/tarragonhinge/admission/__init__.py
+++ b/tarragonhinge/admission/__init__.py
@@ -5,7 +5,12 @@
 from tarragonhinge.admission._discipline import Discipline
 from tarragonhinge.admission._discipline import DISCIPLINES
 from tarragonhinge.admission._gate import ServiceGate
+from tarragonhinge.admission._health import list_avoided
+from tarragonhinge.admission._health import ServerHealth
 from tarragonhinge.admission._lingering import LingeringCount
+from tarragonhinge.admission._picker import Candidate
+from tarragonhinge.admission._picker import Picker
+from tarragonhinge.admission._picker import PICKERS
 from tarragonhinge.admission._recent import IN_FORCE_LIMIT_MS
 from tarragonhinge.admission._recent import RecentTables
 from tarragonhinge.admission._shares import compute_share
@@ -18,6 +23,11 @@
 from tarragonhinge.admission._window import ShedWindow
 
 __all__ = [
+    "Candidate",
+    "PICKERS",
+    "Picker",
+    "ServerHealth",
+    "list_avoided",
     "BURST_MS",
     "DISCIPLINES",
     "Discipline",
--- a/tarragonhinge/admission/_slots.py
+++ b/tarragonhinge/admission/_slots.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from tarragonhinge.admission import _discipline
+from tarragonhinge.admission import _health
 from tarragonhinge.admission import _lingering
 from tarragonhinge.admission import _service
 from tarragonhinge.admission import _window
@@ -11,6 +12,9 @@
 #: Age of the last service time after which an idle server is probed.
 PROBE_AFTER_MS = 1000
 
+#: Age at which a service time counts half when servers are compared.
+HALF_LIFE_MS = 2000
+
 #: Shortest pause that a refused caller is asked to make.
 RETRY_FLOOR_MS = 50
 
@@ -50,6 +54,7 @@
         self.queue = queue
         self.running = 0
         self.window = _window.ShedWindow(limit=slots, clock=clock)
+        self.health = _health.ServerHealth(clock=clock)
         self.lingering = lingering
         if lingering is None:
             self.lingering = _lingering.LingeringCount(clock=clock)
@@ -62,8 +67,9 @@
 
     # Limits --------------------------------------------------------------
 
-    def set_limits(self, *, slots: int, queue: int) -> None:
+    def set_limits(self, *, slots: int, queue: int, ramp_ms: int = 0) -> None:
         """Take over changed limits; requests that run are not stopped."""
+        self.window.ramp_ms = ramp_ms
         self.queue = queue
         if slots != self.slots:
             self.slots = slots
@@ -103,6 +109,11 @@
         ahead = self._waiting.count_ahead(priority) + 1
         return int(self._service.mean_ms * ahead / max(1, self.slots))
 
+    def estimate_service_ms(self) -> float:
+        """Return the service time to expect; an old one counts less."""
+        age_ms = self._clock.now() - self._measured_at
+        return self._service.mean_ms * 0.5 ** (age_ms / HALF_LIFE_MS)
+
     async def acquire(
         self, *, deadline_at: int, priority: int = 0
     ) -> base.NotRun | None:
@@ -228,5 +239,6 @@
             "lingering": len(self.lingering),
             "window": self.window.compute_size(),
             "waiting": len(self._waiting),
+            "error_ratio": round(self.health.compute_error_ratio(), 3),
             "service_ms": round(self._service.mean_ms, 1),
         }
--- a/tarragonhinge/admission/_window.py
+++ b/tarragonhinge/admission/_window.py
@@ -7,9 +7,6 @@
 #: Factor of the window after a refusal by the server.
 DECREASE = 0.5
 
-#: Time over which a restarted server's window grows to its limit.
-RAMP_MS = 3000
-
 
 class ShedWindow:
     """Additive increase, multiplicative decrease, and a slow start.
@@ -24,10 +21,16 @@
         Largest size.
     clock : Clock
         This process's clock.
+
+    Attributes
+    ----------
+    ramp_ms : int
+        Time over which a cold server's window grows to its limit.
     """
 
     def __init__(self, *, limit: int, clock: base.Clock) -> None:
         self.limit = limit
+        self.ramp_ms = 0
         self.shed_count = 0
         self._clock = clock
         self._size = math.inf
@@ -43,10 +46,10 @@
 
     def _compute_ramp(self) -> float:
         elapsed_ms = self._clock.now() - self._ramp_at
-        if elapsed_ms >= RAMP_MS:
+        if elapsed_ms >= self.ramp_ms:
             self._ramp_at = None
             return math.inf
-        return self.limit * elapsed_ms / RAMP_MS
+        return self.limit * elapsed_ms / self.ramp_ms
 
     def start_ramp(self) -> None:
         """Begin anew with one slot: the server is cold."""
--- a/tarragonhinge/configuration/_row.py
+++ b/tarragonhinge/configuration/_row.py
@@ -66,6 +66,11 @@
         Connections that a server takes.
     queue : int
         Requests that may wait for one server.
+    ramp_ms : int
+        Time over which a restarted server's slots open; 0 for at once,
+        at most 600,000.
+    picker : str
+        Policy that picks a server where there is no key.
     discipline : str
         Order in which waiting requests get slots.
     rate : float
@@ -102,6 +107,8 @@
     slots: int = 2
     connections: int = 110
     queue: int = 100
+    ramp_ms: int = 3000
+    picker: str = "least_loaded"
     discipline: str = "priority"
     rate: float = 0.0
     concurrency: int = 0
--- a/tarragonhinge/dispatch/_limits.py
+++ b/tarragonhinge/dispatch/_limits.py
@@ -31,6 +31,7 @@
     ) -> None:
         self._shard = shard
         self._row = row
+        self._picker = admission.PICKERS.find(row.picker)()
         self._tables = tables
         self._revision = tables.get_revision()
         self._clock = clock
@@ -59,7 +60,11 @@
         self.gate.set_limits(share=self._compute_share(), queue=queue)
         for address, slots in self._slots.items():
             slots.lingering.expiry_ms = self._get_expiry_ms(address)
-            slots.set_limits(slots=self._compute_slots(address), queue=queue)
+            slots.set_limits(
+                slots=self._compute_slots(address),
+                queue=queue,
+                ramp_ms=self._row.ramp_ms,
+            )
 
     def find_slots(self, keeper: shards.GrantKeeper) -> admission.ServerSlots:
         """Return the slots of a server, within the limits in force."""
@@ -70,8 +75,30 @@
             self._slots[address] = slots
         return slots
 
+    def pick_partition(
+        self, leader: shards.ShardLeader, priority: int
+    ) -> base.PartitionId | None:
+        """Return a partition of the server that suits a request best.
+
+        None if no partition has an owner now.
+        """
+        owned = leader.owners.list_owned()
+        weights = {e.server: e.weight for e in leader.row.servers}
+        candidates = [
+            admission.Candidate(
+                server=name,
+                weight=weights.get(name, 1.0),
+                slots=self.find_slots(leader.owners.keepers[name]),
+            )
+            for name in owned
+        ]
+        if not candidates:
+            return None
+        picked = self._picker.pick(candidates, priority=priority)
+        return owned[picked.server]
+
     def _make_slots(self, address: base.Address) -> admission.ServerSlots:
-        return admission.ServerSlots(
+        slots = admission.ServerSlots(
             slots=self._compute_slots(address),
             queue=self._row.queue,
             clock=self._clock,
@@ -80,6 +107,8 @@
                 clock=self._clock, expiry_ms=self._get_expiry_ms(address)
             ),
         )
+        slots.window.ramp_ms = self._row.ramp_ms
+        return slots
 
     def _get_expiry_ms(self, address: base.Address) -> int | None:
         return self._row.deadline_ms if self._is_shared(address) else None
--- a/tarragonhinge/dispatch/_sender.py
+++ b/tarragonhinge/dispatch/_sender.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import msgspec
+
 from tarragonhinge import admission
 from tarragonhinge import base
 from tarragonhinge import configuration
@@ -14,6 +16,9 @@
 #: Period at which a request that waits for an owner looks again.
 OWNER_POLL_MS = 10
 
+#: HTTP statuses from here on tell that the server failed.
+ERROR_STATUS = 500
+
 
 class Sender:
     """Waits for the owner and for a slot, then sends.
@@ -51,6 +56,7 @@
             return refusal
         priority = _priority.read_priority(leader.row, request.headers)
         while True:
+            request = _place(leader, limits, request, priority)
             keeper = await self._wait_owner(leader, request, deadline_at)
             if isinstance(keeper, base.NotRun):
                 return keeper
@@ -133,6 +139,7 @@
     ) -> None:
         """Give the slot back and learn from how the request ended."""
         service_ms = self._clock.now() - started_at
+        slots.health.record(failed=_has_failed(outcome))
         if isinstance(outcome, base.Answered):
             slots.window.record_success()
             slots.release(service_ms=service_ms)
@@ -195,6 +202,33 @@
         return {name: limits.dump() for name, limits in self._limits.items()}
 
 
+def _has_failed(outcome: base.Outcome | None) -> bool:
+    """Return whether an outcome speaks against the server.
+
+    A server that sheds is loaded, not ill.
+    """
+    if isinstance(outcome, base.Answered):
+        return outcome.status >= ERROR_STATUS
+    if isinstance(outcome, base.NotRun):
+        return outcome.reason is base.NotRunReason.SERVER_UNREACHABLE
+    return True
+
+
+def _place(
+    leader: shards.ShardLeader,
+    limits: _limits.ShardLimits,
+    request: _messages.ForwardRequest,
+    priority: int,
+) -> _messages.ForwardRequest:
+    """Choose the partition of a request that has no key."""
+    if leader.row.key_source is not configuration.KeySource.NONE:
+        return request
+    partition = limits.pick_partition(leader, priority)
+    if partition is None:
+        return request
+    return msgspec.structs.replace(request, partition=partition)
+
+
 def _make_server_request(
     request: _messages.ForwardRequest, fence: servers.Fence, left_ms: int
 ) -> servers.ServerRequest:
--- a/tarragonhinge/dispatch/tests/test_slots.py
+++ b/tarragonhinge/dispatch/tests/test_slots.py
@@ -46,7 +46,28 @@
     deployment.network.heal()
 
 
-EVENTS = [_lose_leader, _pause_leader, _hand_over, _halve_slots, _cut_entry]
+async def _freeze_server(deployment, leader):
+    """Freeze a server for less than its grants last."""
+    deployment.servers["s0"].clock.pause()
+    await deployment.wait(700)
+    deployment.servers["s0"].clock.resume()
+
+
+async def _freeze_server_long(deployment, leader):
+    deployment.servers["s0"].clock.pause()
+    await deployment.wait(3000)
+    deployment.servers["s0"].clock.resume()
+
+
+EVENTS = [
+    _lose_leader,
+    _pause_leader,
+    _hand_over,
+    _halve_slots,
+    _cut_entry,
+    _freeze_server,
+    _freeze_server_long,
+]
 
 
 async def _load(deployment, nodes, stop_at, answered):
--- a/tarragonhinge/shards/_owners.py
+++ b/tarragonhinge/shards/_owners.py
@@ -91,6 +91,17 @@
             return None
         return keeper
 
+    def list_owned(self) -> dict[base.ServerId, base.PartitionId]:
+        """Return one partition of each server that owns any now."""
+        owned: dict[base.ServerId, base.PartitionId] = {}
+        for partition, assignment in self._recorder.record.owners.items():
+            if assignment.server in owned:
+                continue
+            keeper = self.find_owner(partition)
+            if keeper is not None and not keeper.draining:
+                owned[assignment.server] = partition
+        return owned
+
     def make_fence(self, partition: base.PartitionId) -> servers.Fence:
         """Return the fencing token of a partition that has an owner."""
         record = self._recorder.record
--- a/tarragonhinge/testing/_servers.py
+++ b/tarragonhinge/testing/_servers.py
@@ -58,6 +58,7 @@
         self.up = True
         self.draining = False
         self.shedding = False
+        self.status = 200
         self.running = 0
         self.most_running = 0
         self.runs: list[Run] = []
@@ -107,7 +108,7 @@
         finally:
             self.running -= 1
         body = f"{self.name} {request.method} {request.path}".encode()
-        return base.Answered(status=200, body=body)
+        return base.Answered(status=self.status, body=body)
 
     def owns(
         self,
