Put lowered limits in force at once, and halve connections

A changed row bound only with the next request, so requests that already waited were still sent at the old number of slots. Limits now follow the table itself. A leader holds at most half of a server's connections, as its predecessor may hold the rest: with the full number each, two leaders opened more than the row allows in the loopback test.

--- a/tarragonhinge/admission/__init__.py
+++ b/tarragonhinge/admission/__init__.py
@@ -13,8 +13,10 @@
 from tarragonhinge.admission._picker import PICKERS
 from tarragonhinge.admission._recent import IN_FORCE_LIMIT_MS
 from tarragonhinge.admission._recent import RecentTables
+from tarragonhinge.admission._shares import compute_connections
 from tarragonhinge.admission._shares import compute_share
 from tarragonhinge.admission._shares import compute_slots
+from tarragonhinge.admission._shares import limit_slots
 from tarragonhinge.admission._shares import list_sharers
 from tarragonhinge.admission._shares import ShardShare
 from tarragonhinge.admission._shares import split_whole
@@ -40,8 +42,10 @@
     "ShardShare",
     "ShedWindow",
     "TokenBucket",
+    "compute_connections",
     "compute_share",
     "compute_slots",
+    "limit_slots",
     "list_sharers",
     "split_whole",
 ]
--- a/tarragonhinge/admission/_recent.py
+++ b/tarragonhinge/admission/_recent.py
@@ -36,6 +36,7 @@
         self._clock = clock
         self._revision = 0
         self._current = view.current
+        self._listeners: list[Callable[[], None]] = []
         self._former: list[tuple[int, configuration.OperatorsTable]] = []
         view.changes.subscribe(self._add)
 
@@ -46,6 +47,17 @@
             self._former.append((self._clock.now(), self._current))
         self._current = table
         self._revision += 1
+        for listener in self._listeners:
+            listener()
+
+    @property
+    def current(self) -> configuration.OperatorsTable:
+        """Return the version in force here."""
+        return self._current
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Call `listener` after each new version."""
+        self._listeners.append(listener)
 
     def get_revision(self) -> int:
         """Return a number that changes whenever the versions do."""
--- a/tarragonhinge/admission/_shares.py
+++ b/tarragonhinge/admission/_shares.py
@@ -8,6 +8,14 @@
 from tarragonhinge import configuration
 
 
+#: Leaders of a shard that may hold connections at once: one, and its
+#: predecessor until that notices that it was replaced.
+LEADERS_AT_ONCE = 2
+
+#: Connections that a leader keeps for heartbeats.
+HEARTBEAT_CONNECTIONS = 1
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ShardShare:
     """What one shard may use of its service's limits.
@@ -73,7 +81,7 @@
 ) -> dict[base.ShardId, int]:
     """Return the shards that name a server, with the slots they state."""
     return {
-        base.make_shard_id(row.service, entry.region): row.slots
+        base.make_shard_id(row.service, entry.region): limit_slots(row)
         for row in table.rows
         for entry in row.servers
         if entry.address == address
@@ -96,3 +104,29 @@
         return 0 if sharers else None
     shares = split_whole(min(sharers.values()), dict.fromkeys(sharers, 1))
     return shares[shard]
+
+
+def compute_connections(row: configuration.ServiceRow) -> int:
+    """Return how many connections one leader may hold to a server.
+
+    Examples
+    --------
+    >>> compute_connections(configuration.ServiceRow(
+    ...     service="stock", connections=110))
+    55
+    """
+    return max(1 + HEARTBEAT_CONNECTIONS, row.connections // LEADERS_AT_ONCE)
+
+
+def limit_slots(row: configuration.ServiceRow) -> int:
+    """Return the row's slots, as far as a leader's connections reach.
+
+    Examples
+    --------
+    >>> limit_slots(configuration.ServiceRow(service="stock", slots=2))
+    2
+    >>> limit_slots(configuration.ServiceRow(
+    ...     service="stock", slots=10, connections=8))
+    3
+    """
+    return min(row.slots, compute_connections(row) - HEARTBEAT_CONNECTIONS)
--- a/tarragonhinge/admission/_slots.py
+++ b/tarragonhinge/admission/_slots.py
@@ -80,8 +80,11 @@
         """Return how many requests may be sent now."""
         if self.lingering.must_quiesce():
             return 0
+        return self._compute_usable() - self.running
+
+    def _compute_usable(self) -> int:
         window = self.window.compute_size()
-        return min(self.slots - len(self.lingering), window) - self.running
+        return min(self.slots - len(self.lingering), window)
 
     def count_inherited(self, in_flight: int) -> None:
         """Count what an earlier leader's requests still occupy."""
@@ -107,7 +110,9 @@
         if self.compute_free() > 0 and not len(self._waiting):
             return 0
         ahead = self._waiting.count_ahead(priority) + 1
-        return int(self._service.mean_ms * ahead / max(1, self.slots))
+        return int(
+            self._service.mean_ms * ahead / max(1, self._compute_usable())
+        )
 
     def estimate_service_ms(self) -> float:
         """Return the service time to expect; an old one counts less."""
--- a/tarragonhinge/daemon/_instance.py
+++ b/tarragonhinge/daemon/_instance.py
@@ -6,6 +6,7 @@
 
 from absl import logging
 
+from tarragonhinge import admission
 from tarragonhinge import base
 from tarragonhinge import configuration
 from tarragonhinge.daemon import _platform
@@ -248,5 +249,6 @@
 ) -> servers.ServerClient:
     """Return an HTTP connection to a server."""
     return servers.HttpServerClient(
-        address=entry.address, connection_limit=row.connections
+        address=entry.address,
+        connection_limit=admission.compute_connections(row),
     )
--- a/tarragonhinge/dispatch/_limits.py
+++ b/tarragonhinge/dispatch/_limits.py
@@ -43,19 +43,20 @@
             clock=clock,
             discipline=row.discipline,
         )
+        tables.subscribe(self._change_limits)
 
     def update(self, leader: shards.ShardLeader) -> None:
         """Take over the limits and the servers of a leadership."""
-        revision = self._tables.get_revision()
-        if leader.row is not self._row or revision != self._revision:
-            self._row = leader.row
-            self._revision = revision
+        if self._tables.get_revision() != self._revision:
             self._change_limits()
         for keeper in leader.owners.keepers.values():
             if keeper.on_report is None:
                 self._follow_reports(keeper)
 
     def _change_limits(self) -> None:
+        self._revision = self._tables.get_revision()
+        service, _ = base.split_shard_id(self._shard)
+        self._row = self._tables.current.find_row(service) or self._row
         queue = self._row.queue
         self.gate.set_limits(share=self._compute_share(), queue=queue)
         for address, slots in self._slots.items():
@@ -122,11 +123,11 @@
     def _compute_slots(self, address: base.Address) -> int:
         """Return this shard's slots; a sole user's raise binds at once."""
         if not self._is_shared(address):
-            return self._row.slots
+            return admission.limit_slots(self._row)
         least = self._tables.find_least(
             lambda table: admission.compute_slots(table, self._shard, address)
         )
-        return self._row.slots if least is None else least
+        return admission.limit_slots(self._row) if least is None else least
 
     def _compute_share(self) -> admission.ShardShare:
         return admission.ShardShare(
--- a/tarragonhinge/dispatch/tests/test_slots.py
+++ b/tarragonhinge/dispatch/tests/test_slots.py
@@ -90,6 +90,30 @@
         answered.append(isinstance(outcome, base.Answered))
 
 
+def test_lowered_slots_bind_requests_that_already_wait():
+    async def scenario():
+        deployment = testing.Deployment(row=testing.make_row(servers=1))
+        server = deployment.servers["s0"]
+        server.service_ms = 300
+        await deployment.start()
+        sends = [
+            asyncio.create_task(
+                deployment.send(
+                    deployment.nodes[0], f"k{n}", deadline_ms=20_000
+                )
+            )
+            for n in range(40)
+        ]
+        await _halve_slots(deployment, None)
+        await deployment.wait(1500)
+        in_force = len(server.runs)
+        await deployment.wait(3000)
+        assert len(server.runs) - in_force <= 3000 / 300
+        await asyncio.gather(*sends)
+
+    testing.run_manual(scenario())
+
+
 @pytest.mark.parametrize("service_ms", [100, SERVICE_MS])
 @pytest.mark.parametrize("event", EVENTS)
 def test_slots_are_not_exceeded(event, service_ms):
