--- /dev/null
+++ b/tarragonhinge/dispatch/tests/test_shared_servers.py
@@ -0,0 +1,62 @@
+"""Two services that name the same servers share their slots."""
+
+import asyncio
+import collections
+
+import msgspec
+
+from tarragonhinge import base
+from tarragonhinge import dispatch
+from tarragonhinge import routing
+from tarragonhinge import testing
+
+SLOTS = 2
+
+
+async def _send(node, row, key):
+    place = routing.locate_key(row, key)
+    request = dispatch.ForwardRequest(
+        shard=place.shard,
+        partition=place.partition,
+        key_hash=place.key_hash,
+        method="GET",
+        path=f"/{row.service}/{key}",
+        time_left_ms=500,
+    )
+    return await node.instance.entry.route(request, idempotent=True)
+
+
+def test_services_on_the_same_servers_share_their_slots():
+    """The second service is added while the first is under full load."""
+
+    async def scenario():
+        row = testing.make_row(slots=SLOTS)
+        second = msgspec.structs.replace(
+            row, service=base.ServiceName("stock")
+        )
+        deployment = testing.Deployment(row=row)
+        for server in deployment.servers.values():
+            server.service_ms = 60
+        await deployment.start()
+        answered = collections.Counter()
+
+        async def load(node, row, number):
+            outcome = await _send(node, row, f"k{number}")
+            answered[row.service] += isinstance(outcome, base.Answered)
+
+        sends = []
+        for number in range(2000):
+            if number == 200:
+                store = deployment.nodes[0].instance.store
+                version = deployment.nodes[0].instance.view.current.version
+                await store.apply_edit([row, second], expected=version)
+            node = deployment.nodes[number % 3]
+            for target in (row, second):
+                sends.append(asyncio.create_task(load(node, target, number)))
+            await deployment.wait(10)
+        await asyncio.gather(*sends)
+        most = [s.most_running for s in deployment.servers.values()]
+        assert max(most) == SLOTS
+        assert min(answered[row.service], answered[second.service]) > 100
+
+    testing.run_manual(scenario())
