Merge limits, queues, shares and load shape

On the merged code a request for a split key looped without yielding: the sender compared the owner of the base partition with that of the split one. It now resolves the key in both places.

--- a/tarragonhinge/configuration/_check.py
+++ b/tarragonhinge/configuration/_check.py
@@ -24,13 +24,15 @@
 
     Parameters
     ----------
-    planners, dialects, histories : frozenset of str
+    planners, dialects, histories, pickers, disciplines : frozenset of str
         Names in the registries.
     """
 
     planners: frozenset[str]
     dialects: frozenset[str]
     histories: frozenset[str]
+    pickers: frozenset[str]
+    disciplines: frozenset[str]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -158,6 +160,8 @@
     for column, names in (
         ("dialect", known.dialects),
         ("history", known.histories),
+        ("picker", known.pickers),
+        ("discipline", known.disciplines),
         ("planner", known.planners),
     ):
         if getattr(row, column) not in names:
--- a/tarragonhinge/daemon/_instance.py
+++ b/tarragonhinge/daemon/_instance.py
@@ -6,6 +6,7 @@
 
 from absl import logging
 
+from tarragonhinge import admission
 from tarragonhinge import base
 from tarragonhinge import configuration
 from tarragonhinge.daemon import _platform
@@ -83,6 +84,8 @@
                 planners=frozenset(shards.PLANNERS.names()),
                 dialects=frozenset(servers.DIALECTS.names()),
                 histories=frozenset(dispatch.HISTORY_POLICIES.names()),
+                pickers=frozenset(admission.PICKERS.names()),
+                disciplines=frozenset(admission.DISCIPLINES.names()),
             ),
         )
         self.tokens = operators.TokenCheck(path=options.token_file)
@@ -128,6 +131,12 @@
             table=platform.table,
             clock=self.clock,
         )
+        self.links = routing.LinkBudgets(
+            region=options.region,
+            view=self.view,
+            instances=self.instances,
+            clock=self.clock,
+        )
         self.entry = routing.Entry(
             directory=routing.LeaderDirectory(
                 instances=self.instances, clock=self.clock
@@ -138,6 +147,7 @@
             view=self.view,
             origin=self.incarnation,
             rng=rng,
+            links=self.links,
         )
         self.front = routing.Front(
             entry=self.entry,
@@ -220,6 +230,7 @@
             "leads": {n: leader.dump() for n, leader in leaders.items()},
             "stands_by": sorted(self.coordinator.standbys),
             "dispatch": self.dispatcher.dump(),
+            "links": self.links.dump(),
             "outcomes": dict(self.front.outcomes),
             "in_flight": self.front.in_flight,
         }
@@ -242,5 +253,6 @@
 ) -> servers.ServerClient:
     """Return an HTTP connection to a server."""
     return servers.HttpServerClient(
-        address=entry.address, connection_limit=row.connections
+        address=entry.address,
+        connection_limit=admission.compute_connections(row),
     )
--- a/tarragonhinge/dispatch/_dispatcher.py
+++ b/tarragonhinge/dispatch/_dispatcher.py
@@ -45,7 +45,7 @@
     ) -> None:
         self._coordinator = coordinator
         self._clock = clock
-        self._sender = _sender.Sender(clock=clock)
+        self._sender = _sender.Sender(view=coordinator.view, clock=clock)
         self._detached: set[asyncio.Task] = set()
         self._memories = _memories.ShardMemories(
             coordinator=coordinator,
@@ -179,7 +179,7 @@
     def dump(self) -> dict:
         """Return the state that decides, for operators."""
         return {
-            "slots": self._sender.dump(),
+            "limits": self._sender.dump(),
             "histories": self._memories.dump(),
             "arrivals": self._arrivals.dump(),
         }
--- a/tarragonhinge/shards/_keeper.py
+++ b/tarragonhinge/shards/_keeper.py
@@ -9,6 +9,7 @@
 from tarragonhinge import configuration
 from tarragonhinge import servers
 from tarragonhinge.shards import _authority
+from tarragonhinge.shards import _report
 from tarragonhinge.shards import _timing
 
 
@@ -77,6 +78,8 @@
         self.seen_idle = False
         self.on_change: Callable[[], None] | None = None
         self.higher_term = base.Term(0)
+        self.report: _report.ServerReport | None = None
+        self.on_report: Callable[[_report.ServerReport], None] | None = None
         self._shard = shard
         self._term = term
         self._authority = authority
@@ -197,10 +200,21 @@
         )
         before = (self.state, self.draining, self.seen_idle, id(self._held))
         self._take_reply(reply, wanted if renewing else None)
+        if reply is not None and reply.term <= self._term:
+            self._keep_report(reply, sent_at)
         after = (self.state, self.draining, self.seen_idle, id(self._held))
         if after != before and self.on_change is not None:
             self.on_change()
 
+    def _keep_report(self, reply: servers.GrantReply, sent_at: int) -> None:
+        self.report = _report.ServerReport(
+            in_flight=reply.in_flight,
+            sent_at=sent_at,
+            incarnation=reply.server_incarnation,
+        )
+        if self.on_report is not None:
+            self.on_report(self.report)
+
     def _may_renew(self) -> bool:
         """Return whether a grant may be sent now.
 
--- a/tarragonhinge/testing/__init__.py
+++ b/tarragonhinge/testing/__init__.py
@@ -10,12 +10,15 @@
 from tarragonhinge.testing._faults import FAULTS
 from tarragonhinge.testing._faults import RECOVERIES
 from tarragonhinge.testing._faults import REQUESTS
+from tarragonhinge.testing._load import OpenLoad
+from tarragonhinge.testing._load import Sample
 from tarragonhinge.testing._loop import ManualLoop
 from tarragonhinge.testing._loop import run_manual
 from tarragonhinge.testing._loop import spawn
 from tarragonhinge.testing._monitor import OwnershipMonitor
 from tarragonhinge.testing._network import MemoryNetwork
 from tarragonhinge.testing._network import MemoryTransport
+from tarragonhinge.testing._operators import KNOWN_NAMES
 from tarragonhinge.testing._operators import OperatorsSite
 from tarragonhinge.testing._servers import make_client_factory
 from tarragonhinge.testing._servers import MemoryServer
@@ -25,6 +28,7 @@
 from tarragonhinge.testing._stores import MemoryInstanceList
 
 __all__ = [
+    "KNOWN_NAMES",
     "FAULTS",
     "RECOVERIES",
     "REQUESTS",
@@ -42,7 +46,9 @@
     "Node",
     "OperatorsSite",
     "OwnershipMonitor",
+    "OpenLoad",
     "Run",
+    "Sample",
     "find_sent_to",
     "make_client_factory",
     "make_row",
