--- a/tarragonhinge/shards/_balanced.py
+++ b/tarragonhinge/shards/_balanced.py
@@ -1,5 +1,6 @@
 """Planner that evens out the number of partitions."""
 
+from collections.abc import Collection
 from collections.abc import Sequence
 
 from tarragonhinge import base
@@ -40,6 +41,7 @@
         loads: _planner.LoadMap,
         weights: _planner.WeightMap,
         limit: int,
+        splits: Collection[base.PartitionId] = (),
     ) -> dict[base.PartitionId, base.ServerId]:
         """Move partitions while that evens out the counts."""
         owned: dict[base.ServerId, list] = {name: [] for name in weights}
--- a/tarragonhinge/shards/_hashed.py
+++ b/tarragonhinge/shards/_hashed.py
@@ -1,5 +1,6 @@
 """Planner that looks at no load: the baseline."""
 
+from collections.abc import Collection
 from collections.abc import Sequence
 
 from tarragonhinge import base
@@ -32,6 +33,7 @@
         loads: _planner.LoadMap,
         weights: _planner.WeightMap,
         limit: int,
+        splits: Collection[base.PartitionId] = (),
     ) -> dict[base.PartitionId, base.ServerId]:
         """Move what a returned server would own by its hash."""
         chosen = {}
--- a/tarragonhinge/shards/_mover.py
+++ b/tarragonhinge/shards/_mover.py
@@ -201,6 +201,7 @@
             loads=self._collect_loads(len(usable)),
             weights=usable,
             limit=max(1, int(len(self._index.owners) * MOVED_SHARE)),
+            splits=self._recorder.record.splits,
         )
         for partition, target in chosen.items():
             if self.book.has_room(self._index.owners[partition]):
--- a/tarragonhinge/shards/_planner.py
+++ b/tarragonhinge/shards/_planner.py
@@ -1,6 +1,7 @@
 """Contract of the policies that choose owners for partitions."""
 
 import abc
+from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Sequence
 
@@ -62,6 +63,7 @@
         loads: LoadMap,
         weights: WeightMap,
         limit: int,
+        splits: Collection[base.PartitionId] = (),
     ) -> dict[base.PartitionId, base.ServerId]:
         """Choose partitions of usable servers that should move.
 
@@ -71,6 +73,9 @@
             As for `place`.
         limit : int
             Most partitions that may be chosen.
+        splits : collection of PartitionId
+            Partitions that hold a single key, whose move is no churn to
+            speak of.
         """
 
 
--- a/tarragonhinge/shards/_weighed.py
+++ b/tarragonhinge/shards/_weighed.py
@@ -1,5 +1,6 @@
 """Planner that weighs imbalance against churn."""
 
+from collections.abc import Collection
 from collections.abc import Sequence
 
 from tarragonhinge import base
@@ -27,7 +28,8 @@
         weights: _planner.WeightMap,
     ) -> None:
         self.weights = weights
-        mean = sum(loads.values()) / max(1, len(owners))
+        self.count = max(1, len(owners))
+        mean = sum(loads.values()) / self.count
         self._idle = IDLE_SHARE * mean or 1.0
         self._loads = loads
         self.owned: dict[base.ServerId, list[base.PartitionId]] = {
@@ -73,7 +75,7 @@
 
     The gain of a move is the fall of the higher level of its two
     servers, in units of the mean level; its cost is `churn_weight`
-    times the share of the shard's partitions that it moves.  Moves
+    times the share of the shard's keys that it moves.  Moves
     begin at one imbalance and end at a lower one, and a partition that
     has moved rests for a while, so that noise moves nothing to and fro.
     """
@@ -113,6 +115,7 @@
         loads: _planner.LoadMap,
         weights: _planner.WeightMap,
         limit: int,
+        splits: Collection[base.PartitionId] = (),
     ) -> dict[base.PartitionId, base.ServerId]:
         """Choose moves from high to low levels, while they are worth it."""
         self._forget_rested()
@@ -128,7 +131,7 @@
             )
             if not self._is_worth_it(balance, source):
                 break
-            partition, target = self._find_move(balance, source)
+            partition, target = self._find_move(balance, source, splits)
             if partition is None:
                 full.add(source)
                 if len(full) == len(weights):
@@ -154,12 +157,16 @@
         return self._active
 
     def _find_move(
-        self, balance: _Balance, source: base.ServerId
+        self,
+        balance: _Balance,
+        source: base.ServerId,
+        splits: Collection[base.PartitionId],
     ) -> tuple[base.PartitionId | None, base.ServerId]:
         """Return the best move from a server to the lowest level."""
         target = min(balance.weights, key=balance.get_level)
         level = balance.get_level(source)
-        best, best_level = None, level
+        mean = balance.get_mean()
+        best, best_profit = None, 0.0
         for partition in balance.owned[source]:
             if partition in self._moved:
                 continue
@@ -168,8 +175,11 @@
                 balance.get_level(source, -load),
                 balance.get_level(target, load),
             )
-            if higher < best_level:
-                best, best_level = partition, higher
-        gain = (level - best_level) / balance.get_mean()
-        cost = self.churn_weight / sum(map(len, balance.owned.values()))
-        return (best if gain > cost else None), target
+            cost = 0.0 if partition in splits else self._get_cost(balance)
+            profit = (level - higher) / mean - cost
+            if profit > best_profit:
+                best, best_profit = partition, profit
+        return best, target
+
+    def _get_cost(self, balance: _Balance) -> float:
+        return self.churn_weight / balance.count
--- a/tarragonhinge/shards/tests/test_moves.py
+++ b/tarragonhinge/shards/tests/test_moves.py
@@ -127,6 +127,20 @@
     testing.run_manual(scenario())
 
 
+def test_a_lost_withdrawal_is_waited_out():
+    async def scenario():
+        deployment, node, leader = await _start()
+        book = leader.owners._mover.book
+        deployment.servers[S0].draining = True
+        while not any(map(book.is_revoked, leader.record.owners)):
+            await deployment.wait(0.1)
+        deployment.network.cut_both(node.address, S0)
+        await _watch(deployment, 3000)
+        assert _list_owned(leader, S0) == []
+
+    testing.run_manual(scenario())
+
+
 def test_a_move_in_a_store_outage_leaves_the_old_owner_serving():
     async def scenario():
         deployment, node, leader = await _start()
