Choose 'weighed' as the planner and count churn in average partitions

churn_weight now counts in loads of an average partition, so that one value means the same for 3 servers and for 16: with the old unit a value of 16 moved nothing at 3 servers.

--- a/tarragonhinge/configuration/_row.py
+++ b/tarragonhinge/configuration/_row.py
@@ -86,7 +86,8 @@
     planner : str
         Policy that plans moves.
     churn_weight : float
-        Cost of moving a partition against a unit of imbalance.
+        Cost of moving a partition, in units of the load of an average
+        one; the higher, the fewer moves.
     """
 
     service: base.ServiceName
@@ -108,8 +109,8 @@
     cross_region_bytes: int = 0
     retry_ratio: float = 0.1
     dialect: str = "lapsing"
-    planner: str = "balanced"
-    churn_weight: float = 1.0
+    planner: str = "weighed"
+    churn_weight: float = 0.5
 
     def list_regions(self) -> list[base.RegionName]:
         """Return the regions that hold partitions of the service."""
--- a/tarragonhinge/shards/_planner.py
+++ b/tarragonhinge/shards/_planner.py
@@ -25,8 +25,8 @@
     Parameters
     ----------
     churn_weight : float
-        Cost of moving all of a shard's partitions against a unit of
-        imbalance.
+        Cost of moving a partition, in units of the load of an average
+        one; the higher, the fewer moves.
     """
 
     def __init__(self, *, churn_weight: float) -> None:
--- a/tarragonhinge/shards/_weighed.py
+++ b/tarragonhinge/shards/_weighed.py
@@ -75,7 +75,9 @@
 
     The gain of a move is the fall of the higher level of its two
     servers, in units of the mean level; its cost is `churn_weight`
-    times the share of the shard's keys that it moves.  Moves
+    times the level of a partition of average load.  So at 1 a partition
+    moves only if that gains as much as its keys are on average worth,
+    and a partition that holds a single key costs nothing.  Moves
     begin at one imbalance and end at a lower one, and a partition that
     has moved rests for a while, so that noise moves nothing to and fro.
     """
@@ -182,4 +184,4 @@
         return best, target
 
     def _get_cost(self, balance: _Balance) -> float:
-        return self.churn_weight / balance.count
+        return self.churn_weight * len(balance.weights) / balance.count
