Show that a successor finds a split whole or not at all

Leader killed while it holds the key, with the write's answer lost, and after the write: the key is answered by its owner again within 2 s, and no partition changes owner.

--- a/tarragonhinge/shards/tests/test_splits.py
+++ b/tarragonhinge/shards/tests/test_splits.py
@@ -15,6 +15,9 @@
 #: Target: hot keys change within minutes, so one is found in seconds.
 FOUND_MS = 10_000
 
+#: Target of the brief: a key is served again within this time.
+SERVED_AGAIN_MS = 2000
+
 HOT = "district-7"
 
 
@@ -144,6 +147,51 @@
     testing.run_manual(scenario())
 
 
+def _has_come_to(stage, leader):
+    splitter = leader.owners._splitter
+    if stage == "held":
+        return bool(splitter.dump()["held_keys"])
+    if stage == "written":
+        return leader.recorder._writing.locked()
+    return bool(leader.record.splits)
+
+
+@pytest.mark.parametrize("stage", ["held", "written", "recorded"])
+def test_a_successor_finds_a_split_whole_or_not_at_all(stage):
+    async def scenario():
+        deployment, node = await _start()
+        place = routing.locate_key(deployment.row, HOT)
+        leader = _find_leader(deployment)
+        before = dict(leader.record.owners)
+        for _ in range(1000):
+            leader.owners._splitter.hot_keys.add(place.key_hash)
+        node.table.lose_answers = stage == "written"
+        running = asyncio.create_task(deployment.send(node, HOT))
+        while not _has_come_to(stage, leader):
+            await deployment.wait(0.2)
+        if stage == "written":
+            await deployment.wait(6)
+        await node.kill()
+        other = next(n for n in deployment.nodes if n is not node)
+        lost_at = other.clock.now()
+        outcome = None
+        while not isinstance(outcome, base.Answered):
+            outcome = await deployment.send(other, HOT, deadline_ms=50)
+            await deployment.wait(10)
+        assert other.clock.now() - lost_at <= SERVED_AGAIN_MS
+        running.cancel()
+        record = _find_leader(deployment).record
+        assert bool(record.splits) is (stage != "held")
+        assert {p: record.owners[p].server for p in before} == {
+            p: a.server for p, a in before.items()
+        }
+        home = before[place.partition].server
+        assert all(record.owners[p].server == home for p in record.splits)
+        assert testing.find_sent_to(outcome) == home
+
+    testing.run_manual(scenario())
+
+
 def test_no_request_slips_in_while_a_split_is_written():
     async def scenario():
         deployment, node = await _start()
