--- a/tarragonhinge/configuration/_row.py
+++ b/tarragonhinge/configuration/_row.py
@@ -81,6 +81,11 @@
         for no limit.
     retry_ratio : float
         Retries allowed for each request, as a ratio.
+    history : str
+        Policy that keeps the memory of idempotency keys over the loss
+        of a leader.
+    cancels : bool
+        True if its servers give up a request whose connection closes.
     dialect : str
         Grant dialect of its servers.
     planner : str
@@ -88,6 +93,9 @@
     churn_weight : float
         Cost of moving a partition, in units of the load of an average
         one; the higher, the fewer moves.
+    lost : list of str
+        Servers and instances that operators have stopped for sure; no
+        lease or grant of theirs is waited for.
     """
 
     service: base.ServiceName
@@ -108,9 +116,12 @@
     body_limit: int = 1024 * 1024
     cross_region_bytes: int = 0
     retry_ratio: float = 0.1
+    history: str = "standby"
+    cancels: bool = True
     dialect: str = "lapsing"
     planner: str = "weighed"
     churn_weight: float = 0.5
+    lost: list[str] = []
 
     def list_regions(self) -> list[base.RegionName]:
         """Return the regions that hold partitions of the service."""
--- a/tarragonhinge/daemon/_listeners.py
+++ b/tarragonhinge/daemon/_listeners.py
@@ -31,7 +31,10 @@
         How long a cleanup waits for requests in flight, in seconds.
     """
     runner = web.AppRunner(
-        application, access_log=None, shutdown_timeout=shutdown_timeout_s
+        application,
+        access_log=None,
+        shutdown_timeout=shutdown_timeout_s,
+        handler_cancellation=True,
     )
     await runner.setup()
     host, port = split_address(address)
@@ -70,6 +73,10 @@
             dump=instance.dump,
             is_ready=instance.is_ready,
             collector=collector,
+            table=operators.TableApi(
+                editor=instance.editor, view=instance.view
+            ),
+            tokens=instance.tokens,
         )
         callers_application = instance.front.make_application()
         self._runners = [
--- a/tarragonhinge/settings/_loader.py
+++ b/tarragonhinge/settings/_loader.py
@@ -56,12 +56,18 @@
         Where it listens.
     table, instances : Address
         Where the platform's services are.
+    peer_keys : str
+        File of the keys between instances; empty for none.
+    seeds : tuple of Address
+        Peers to ask while the list of instances cannot be had.
     platform_timeout_ms : int
         Bound on one call to the platform.
     timing : Timing
         Durations of leases and heartbeats.
     notice_ms, limit_ms : int
         Durations of a graceful stop.
+    token_file : str
+        File of operators' tokens; empty if there is none.
     """
 
     name: base.InstanceId
@@ -72,10 +78,13 @@
     operators: base.Address
     table: base.Address
     instances: base.Address
+    peer_keys: str = ""
+    seeds: tuple[base.Address, ...] = ()
     platform_timeout_ms: int = 1000
     timing: shards.Timing = dataclasses.field(default_factory=shards.Timing)
     notice_ms: int = 3000
     limit_ms: int = 30_000
+    token_file: str = ""
 
 
 def load_settings(path: str) -> Settings:
@@ -186,10 +195,13 @@
         operators=values["listen", "operators"],
         table=values["platform", "table"],
         instances=values["platform", "instances"],
+        peer_keys=values["security", "peer_keys"],
+        seeds=values["platform", "seeds"],
         platform_timeout_ms=values["platform", "timeout_ms"],
         timing=timing,
         notice_ms=values["stop", "notice_ms"],
         limit_ms=values["stop", "limit_ms"],
+        token_file=values["operators", "token_file"],
     )
 
 
@@ -202,9 +214,11 @@
             section = spec.section
             lines += ["", f"[{section}]"] if lines else [f"[{section}]"]
         lines.append(f"# {spec.help}; {spec.allowed}")
-        example = spec.default or _EXAMPLES[section, spec.name]
+        example = spec.default
+        if example is None:
+            example = _EXAMPLES[section, spec.name]
         prefix = "" if spec.default is None else "# "
-        lines.append(f"{prefix}{spec.name} = {example}")
+        lines.append(f"{prefix}{spec.name} = {example}".rstrip())
     return "\n".join(lines) + "\n"
 
 
--- a/tarragonhinge/shards/_keeper.py
+++ b/tarragonhinge/shards/_keeper.py
@@ -26,8 +26,9 @@
 
     The expiry of a renewal is stated on the server's own clock, from a
     reading that the server gave earlier: a renewal that arrives late
-    extends nothing.  After an unanswered renewal only probes are sent,
-    so that the time at which the grants have surely lapsed stands still.
+    extends nothing.  No grant outlasts the authority it was given under.
+    After an unanswered renewal only probes are sent, so that the time at
+    which the grants have surely lapsed stands still.
 
     Parameters
     ----------
@@ -45,8 +46,15 @@
         The leader's clock.
     timing : Timing
         Durations.
-    lapsed_at : int
-        When grants of earlier leaders have surely lapsed there.
+    dialect : GrantDialect
+        How the server takes grants.
+    inherited_until : int
+        When earlier leaders and their grants have surely ended.
+
+    Attributes
+    ----------
+    lost : bool
+        True if an operator vouches that the server has stopped.
     """
 
     def __init__(
@@ -59,7 +67,8 @@
         authority: _authority.AuthorityLease,
         clock: base.Clock,
         timing: _timing.Timing,
-        lapsed_at: int,
+        dialect: servers.GrantDialect,
+        inherited_until: int,
     ) -> None:
         self.entry = entry
         self.client = client
@@ -73,7 +82,10 @@
         self._authority = authority
         self._clock = clock
         self._timing = timing
-        self._lapsed_at = lapsed_at
+        self.lost = False
+        self._dialect = dialect
+        self._lapsed_at = 0
+        self._inherited_until = inherited_until
         self._incarnation = ""
         self._reading = 0
         self._reading_at = 0
@@ -102,16 +114,27 @@
             self.state is ServerState.REACHABLE
             and self._held.get(partition) == epoch
             and self._wanted.get(partition) == epoch
+            and self._dialect.may_send(
+                now=self._clock.now(), inherited_until=self._inherited_until
+            )
         )
 
     def has_lapsed(self) -> bool:
         """Return whether no grant can be valid at the server."""
-        return self._clock.now() >= self._lapsed_at
+        if self.lost and self.state is not ServerState.REACHABLE:
+            return True
+        return self._dialect.may_reassign(
+            now=self._clock.now(),
+            lapsed_at=max(self._lapsed_at, self._inherited_until),
+        )
 
     def has_released(self, partition: base.PartitionId) -> bool:
         """Return whether the server certainly does not own a partition."""
         if self.has_lapsed():
             return True
+        if self._clock.now() < self._inherited_until:
+            # A restarted server forgets terms and may take an old one.
+            return False
         return (
             self.state is ServerState.REACHABLE
             and not self._full
@@ -119,6 +142,10 @@
             and partition not in self._wanted
         )
 
+    def set_inherited(self, until: int) -> None:
+        """Set when earlier leaders and their grants have surely ended."""
+        self._inherited_until = until
+
     async def wait_settled(self, timeout_ms: int) -> None:
         """Wait for the next change of state, at most `timeout_ms`."""
         try:
@@ -154,9 +181,7 @@
             turn.cancel()
 
     async def _beat(self) -> None:
-        renewing = (
-            self.state is ServerState.REACHABLE and self._authority.is_valid()
-        )
+        renewing = self._may_renew()
         wanted = self._wanted
         sent_at = self._clock.now()
         if renewing:
@@ -176,14 +201,28 @@
         if after != before and self.on_change is not None:
             self.on_change()
 
+    def _may_renew(self) -> bool:
+        """Return whether a grant may be sent now.
+
+        An old reading of the server's clock is not used: the error of
+        the clocks' rates has grown with its age.
+        """
+        age_ms = self._clock.now() - self._reading_at
+        return (
+            self.state is ServerState.REACHABLE
+            and age_ms <= self._timing.grant_ms
+            and self._authority.is_valid()
+        )
+
     def _make_renewal(
         self, wanted: dict[base.PartitionId, base.Epoch], sent_at: int
     ) -> servers.GrantRequest:
         known = {} if self._full else self._held
         granted, revoked = _compare(known, wanted)
+        left_ms = self._authority.get_remaining_ms()
+        lasts_ms = min(self._timing.grant_ms, left_ms)
         self._lapsed_at = max(
-            self._lapsed_at,
-            sent_at + self._timing.grant_ms + self._timing.margin_ms,
+            self._lapsed_at, sent_at + self._timing.add_margin(lasts_ms)
         )
         elapsed_ms = sent_at - self._reading_at
         return servers.GrantRequest(
@@ -191,7 +230,7 @@
             term=self._term,
             sequence=next(self._sequence),
             server_incarnation=self._incarnation,
-            expires_at=self._reading + elapsed_ms + self._timing.grant_ms,
+            expires_at=self._reading + elapsed_ms + lasts_ms,
             granted=granted,
             revoked=revoked,
             full=self._full,
--- a/tarragonhinge/shards/_mover.py
+++ b/tarragonhinge/shards/_mover.py
@@ -107,6 +107,11 @@
         """Look at the shard as soon as possible."""
         self._wake.set()
 
+    def set_inherited(self, until: int) -> None:
+        """Set when earlier leaders and their grants have surely ended."""
+        self._pool.set_inherited(until)
+        self.wake()
+
     def count_usable(self) -> int:
         """Return the number of servers that may be given partitions."""
         return len(self._list_usable())
@@ -288,9 +293,7 @@
         None stands for a split partition that is merged back.
         """
         chosen = {}
-        free = set()
-        if not self._pool.is_inherited():
-            free.update(self._index.unassigned)
+        free = set(self._index.unassigned)
         for move in self.book.list_moves():
             if not self._pool.has_released(move):
                 continue
--- a/tarragonhinge/shards/_record.py
+++ b/tarragonhinge/shards/_record.py
@@ -60,6 +60,9 @@
     next_split : int
         Number of the next split partition.  Numbers are never used
         again, so that no grant of an earlier split is valid in a later.
+    history : str
+        Name of the history policy whose copy holds every dispatched
+        idempotency key; empty if there is none.
     """
 
     term: base.Term
@@ -68,6 +71,7 @@
     owners: dict[base.PartitionId, Assignment] = {}
     splits: dict[base.PartitionId, int] = {}
     next_split: int = 0
+    history: str = ""
 
 
 _decoder = msgspec.json.Decoder(ShardRecord)
