--- a/tarragonhinge/configuration/_columns.py
+++ b/tarragonhinge/configuration/_columns.py
@@ -199,7 +199,7 @@
     _make_name("planner", "policy that plans moves"),
     _make_float(
         "churn_weight",
-        "cost of moving a partition against a unit of imbalance",
+        "cost of moving a partition, in loads of an average one",
         1_000_000,
     ),
 )
--- a/tarragonhinge/configuration/_row.py
+++ b/tarragonhinge/configuration/_row.py
@@ -98,7 +98,8 @@
     planner : str
         Policy that plans moves.
     churn_weight : float
-        Cost of moving a partition against a unit of imbalance.
+        Cost of moving a partition, in units of the load of an average
+        one; the higher, the fewer moves.
     lost : list of str
         Servers and instances that operators have stopped for sure; no
         lease or grant of theirs is waited for.
@@ -128,8 +129,8 @@
     history: str = "standby"
     cancels: bool = True
     dialect: str = "lapsing"
-    planner: str = "balanced"
-    churn_weight: float = 1.0
+    planner: str = "weighed"
+    churn_weight: float = 0.5
     lost: list[str] = []
 
     def list_regions(self) -> list[base.RegionName]:
