Measure losses on manual time; keep authority while standbys change

Cause: a leader whose standby was just replaced stopped asking the table for half a lease, and its authority lapsed: 3,630 ms without service after the loss of an availability zone.

--- a/tarragonhinge/shards/__init__.py
+++ b/tarragonhinge/shards/__init__.py
@@ -1,6 +1,7 @@
 """Ownership of shards: leaders, standbys, grants and takeover."""
 
 from tarragonhinge.shards._authority import AuthorityLease
+from tarragonhinge.shards._candidates import Candidates
 from tarragonhinge.shards._coordinator import ShardCoordinator
 from tarragonhinge.shards._keeper import GrantKeeper
 from tarragonhinge.shards._keeper import ServerState
@@ -30,6 +31,7 @@
     "PLANNERS",
     "Assignment",
     "AuthorityLease",
+    "Candidates",
     "ClientFactory",
     "GrantKeeper",
     "Handover",
--- a/tarragonhinge/shards/_leader.py
+++ b/tarragonhinge/shards/_leader.py
@@ -117,7 +117,8 @@
         self._confirming: asyncio.Task | None = None
         self._sequence = itertools.count(1)
         self._standby_version = 0
-        self._standby_heard_at = clock.now() - timing.lease_ms
+        self._standby_heard_at = clock.now()
+        self._acknowledged_at = -_reader.NEVER_MS
         self.owners = _owners.ShardOwners(
             row=row,
             recorder=self.recorder,
@@ -213,7 +214,7 @@
         """Return whether the table is needed in place of the standby."""
         if not self.recorder.confirmed:
             return True
-        silent_ms = self._clock.now() - self._standby_heard_at
+        silent_ms = self._clock.now() - self._acknowledged_at
         return silent_ms >= self._timing.lease_ms // 2
 
     def take_record(self, record: _record.ShardRecord, sent_at: int) -> None:
@@ -268,6 +269,7 @@
             )
             return
         self._standby_heard_at = self._clock.now()
+        self._acknowledged_at = sent_at
         self._extend_by_standby(reply, sent_at)
         if not beat.outage:
             self.agreement.withdraw(reply.incarnation, beat.sequence)
--- a/tarragonhinge/shards/tests/test_ownership.py
+++ b/tarragonhinge/shards/tests/test_ownership.py
@@ -116,3 +116,21 @@
         assert led.state is shards.LeaderState.DEPOSED
 
     testing.run_manual(scenario())
+
+
+def test_authority_lasts_while_lost_standbys_are_replaced():
+    async def scenario():
+        deployment = testing.Deployment(instances=6)
+        await deployment.start()
+        lost = [deployment.find_leaders()[0], deployment.find_standby()]
+        zone = lost[0].instance.options.zone
+        for node in deployment.nodes:
+            if node.instance.options.zone == zone or node in lost[:1]:
+                await node.kill()
+        await deployment.wait(2000)
+        leader = deployment.find_leadership(deployment.find_leaders()[0])
+        for _ in range(500):
+            assert leader.authority.is_valid()
+            await deployment.wait(20)
+
+    testing.run_manual(scenario())
--- a/tarragonhinge/shards/tests/test_property.py
+++ b/tarragonhinge/shards/tests/test_property.py
@@ -56,10 +56,12 @@
     return strategies.lists(step, min_size=STEPS, max_size=STEPS)
 
 
-async def walk(steps):
+async def walk(steps, dialect="lapsing"):
     """Drive a deployment through steps, checking after each."""
     deployment = testing.Deployment(
-        row=testing.make_row(servers=2), rates=RATES, timing=TIMING
+        row=testing.make_row(servers=2, dialect=dialect),
+        rates=RATES,
+        timing=TIMING,
     )
     monitor = deployment.watch()
     driver = testing.FaultDriver(deployment=deployment)
