Look for shards without a leader in one message for each peer

Candidates that give no answer no longer delay a claim, and claims of one instance are written 16 at once. A planned stop whose standby doesn't answer hands over to another candidate.

--- a/tarragonhinge/shards/_coordinator.py
+++ b/tarragonhinge/shards/_coordinator.py
@@ -6,7 +6,6 @@
 import random
 
 from absl import logging
-import msgspec
 import reactivex
 import reactivex.subject
 
@@ -16,6 +15,7 @@
 from tarragonhinge import peers
 from tarragonhinge import servers
 from tarragonhinge.shards import _candidates
+from tarragonhinge.shards import _claims
 from tarragonhinge.shards import _leader
 from tarragonhinge.shards import _messages
 from tarragonhinge.shards import _owners
@@ -23,16 +23,11 @@
 from tarragonhinge.shards import _record
 from tarragonhinge.shards import _standby
 from tarragonhinge.shards import _timing
+from tarragonhinge.shards import _vacancies
 from tarragonhinge import stores
 
-#: Period at which an instance looks for shards without a leader.
-CLAIM_PERIOD_MS = 500
-
-#: How long a claim of a lower-ranked instance waits for a higher one.
-RANK_DELAY_MS = 1000
-
-#: Candidates for the leadership of one shard.
-CANDIDATES = 3
+#: Claims that one instance writes at once.
+CLAIMS_AT_ONCE = 16
 
 
 class ShardCoordinator:
@@ -95,8 +90,22 @@
         self._reader = _reader.RecordReader(
             table=table, clock=clock, timing=timing, rng=rng
         )
-        self._claims: set[asyncio.Task] = set()
-        self._table = table
+        self._claims = _claims.ClaimMaker(
+            holder=self._holder,
+            candidates=self._candidates,
+            clock=clock,
+            timing=timing,
+        )
+        self._finder = _vacancies.VacancyFinder(
+            me=me,
+            candidates=self._candidates,
+            table=table,
+            transport=transport,
+            clock=clock,
+            timing=timing,
+        )
+        self._claim_tasks: set[asyncio.Task] = set()
+        self._claim_slots = asyncio.Semaphore(CLAIMS_AT_ONCE)
         self._committer = committer
         self._transport = transport
         self._make_client = make_client
@@ -104,12 +113,11 @@
         self._timing = timing
         self._stopping = False
         self._claiming: set[base.ShardId] = set()
-        self._missing_since: dict[base.ShardId, int] = {}
         self._tasks: list[asyncio.Task] = []
         self._leaderships = reactivex.subject.Subject()
         transport.handle(_messages.Heartbeat, self._on_heartbeat)
         transport.handle(_messages.Handover, self._on_handover)
-        transport.handle(_messages.LeaderQuery, self._on_query)
+        transport.handle(_messages.RolesQuery, self._on_query)
 
     @property
     def leaderships(self) -> reactivex.Observable:
@@ -128,7 +136,7 @@
     async def stop(self) -> None:
         """Stop all leaderships without a handover."""
         self._stopping = True
-        tasks = [*self._tasks, *self._claims]
+        tasks = [*self._tasks, *self._claim_tasks]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -144,20 +152,36 @@
             leader.stop_dispatching()
         results = await asyncio.gather(
             *(
-                leader.hand_over(
-                    history=make_history(leader.shard),
-                    deadline_ms=timeout_ms,
-                )
-                for leader in self.leaders.values()
+                self._hand_over(leader, make_history(shard), timeout_ms)
+                for shard, leader in self.leaders.items()
             )
         )
         return results.count(False)
 
+    async def _hand_over(
+        self, leader: _leader.ShardLeader, history: bytes, timeout_ms: int
+    ) -> bool:
+        """Hand a shard to its standby, or else to another candidate."""
+        addresses = [
+            entry.address
+            for entry in self._candidates.rank(leader.shard)
+            if entry.instance != self._me.instance
+        ]
+        standby = leader.record.standby
+        if standby is not None:
+            addresses.sort(key=lambda address: address != standby.address)
+        for address in addresses[: _vacancies.CANDIDATES]:
+            if await leader.hand_over(
+                address, history=history, timeout_ms=timeout_ms
+            ):
+                return True
+        return False
+
     def find_leader_address(self, shard: base.ShardId) -> base.Address:
         """Return the address of a shard's leader, or an empty one."""
         leader = self.leaders.get(shard)
         if leader is not None:
-            if leader.state is _leader.LeaderState.LEADING:
+            if self._leads(shard):
                 return self._me.address
             standby = leader.record.standby
             return standby.address if standby else base.Address("")
@@ -204,14 +228,20 @@
         return _messages.HandoverAck(accepted=accepted)
 
     async def _on_query(
-        self, query: _messages.LeaderQuery
-    ) -> _messages.LeaderReply:
-        leader = self.leaders.get(query.shard)
-        return _messages.LeaderReply(
-            leads=leader is not None
-            and leader.state is _leader.LeaderState.LEADING,
-            stands_by=query.shard in self.standbys,
-            leader=self.find_leader_address(query.shard),
+        self, query: _messages.RolesQuery
+    ) -> _messages.RolesReply:
+        return _messages.RolesReply(
+            shards=[
+                shard
+                for shard in query.shards
+                if shard in self.standbys or self._leads(shard)
+            ]
+        )
+
+    def _leads(self, shard: base.ShardId) -> bool:
+        leader = self.leaders.get(shard)
+        return (
+            leader is not None and leader.state is _leader.LeaderState.LEADING
         )
 
     # Claims --------------------------------------------------------------
@@ -271,11 +301,11 @@
         """Run a claim beside the others, one at a time for each shard."""
         self._claiming.add(shard)
         task = asyncio.create_task(claim)
-        self._claims.add(task)
+        self._claim_tasks.add(task)
 
         def finish(task: asyncio.Task) -> None:
             self._claiming.discard(shard)
-            self._claims.discard(task)
+            self._claim_tasks.discard(task)
 
         task.add_done_callback(finish)
 
@@ -289,59 +319,28 @@
     async def _keep_claiming(self) -> None:
         """Claim shards that have no leader."""
         while True:
-            region = self._me.region
-            for shard in self._view.current.list_shards(region):
-                if shard not in self.leaders and shard not in self.standbys:
-                    await self._consider(shard)
-            await self._clock.sleep(CLAIM_PERIOD_MS)
-
-    async def _consider(self, shard: base.ShardId) -> None:
-        """Claim a shard if no leader answers for it."""
-        ranked = [entry.instance for entry in self._candidates.rank(shard)]
-        if self._me.instance not in ranked[:CANDIDATES]:
-            return
-        rank = ranked.index(self._me.instance)
-        if await self._is_led(shard):
-            self._missing_since.pop(shard, None)
-            return
-        now = self._clock.now()
-        since = self._missing_since.setdefault(shard, now)
-        if now - since < rank * RANK_DELAY_MS:
-            return
-        key = _record.make_record_key(shard)
-        rows = await self._table.read([key])
-        if isinstance(rows, stores.Unavailable):
-            return
-        if not rows[0].version:
-            await self._claim(shard, None, 0)
-            return
-        if now - since < self._timing.silence_ms + rank * RANK_DELAY_MS:
-            return
-        record = _record.decode_record(rows[0].value)
-        await self._claim(shard, record, rows[0].version)
-
-    async def _is_led(self, shard: base.ShardId) -> bool:
-        """Ask the candidates whether one leads the shard."""
-        others = [
-            entry
-            for entry in self._candidates.rank(shard)[:CANDIDATES]
-            if entry.instance != self._me.instance
-        ]
-        replies = await asyncio.gather(
-            *(
-                self._transport.call(
-                    entry.address,
-                    _messages.LeaderQuery(shard=shard),
-                    timeout_ms=self._timing.call_timeout_ms,
-                )
-                for entry in others
+            await self._finder.search(
+                [
+                    shard
+                    for shard in self._view.current.list_shards(
+                        self._me.region
+                    )
+                    if shard not in self.leaders
+                    and shard not in self.standbys
+                    and shard not in self._claiming
+                ],
+                self._claim_vacant,
             )
-        )
-        return any(
-            isinstance(reply, _messages.LeaderReply)
-            and (reply.leads or reply.stands_by)
-            for reply in replies
-        )
+            await self._clock.sleep(_vacancies.SEARCH_PERIOD_MS)
+
+    async def _claim_vacant(
+        self,
+        shard: base.ShardId,
+        record: _record.ShardRecord | None,
+        row_version: int,
+    ) -> None:
+        if shard not in self._claiming:
+            self._spawn(shard, self._claim(shard, record, row_version))
 
     async def _claim(
         self,
@@ -362,10 +361,11 @@
             return False
         self._claiming.add(shard)
         try:
-            claimed = self._make_claim(shard, record, passed_over)
-            sent_at = self._clock.now()
-            if not await self._write_claim(shard, claimed, row_version):
-                return False
+            claimed = self._claims.make_record(shard, record, passed_over)
+            async with self._claim_slots:
+                sent_at = self._clock.now()
+                if not await self._write_claim(shard, claimed, row_version):
+                    return False
             await self._lead(
                 claimed,
                 row,
@@ -375,84 +375,24 @@
                     if handed_over and not _checks_term(row)
                     else self._bound_earlier(shard, record)
                 ),
-                earlier=self._list_earlier(record),
+                earlier=self._claims.list_earlier(record),
             )
             self.leaders[shard].take_record(claimed, sent_at)
             return True
         finally:
             self._claiming.discard(shard)
 
-    def _make_claim(
-        self,
-        shard: base.ShardId,
-        record: _record.ShardRecord | None,
-        passed_over: _record.Holder | None,
-    ) -> _record.ShardRecord:
-        if record is None:
-            return _record.ShardRecord(
-                term=base.Term(1),
-                leader=self._holder,
-                standby=self._candidates.choose_standby(shard, None),
-            )
-        lost = passed_over or record.leader
-        step = 1 if self._is_reserved(record) else 2
-        return msgspec.structs.replace(
-            record,
-            term=base.Term(record.term + step),
-            leader=self._holder,
-            standby=self._candidates.choose_standby(shard, lost),
-        )
-
-    def _is_reserved(self, record: _record.ShardRecord) -> bool:
-        """Return whether the next term is reserved for this process."""
-        return (
-            record.standby is not None
-            and record.standby.incarnation == self._holder.incarnation
-        )
-
     def _bound_earlier(
         self, shard: base.ShardId, record: _record.ShardRecord | None
     ) -> int:
-        """Return when earlier leaders and their grants have surely ended.
-
-        The standby knows what it promised; anyone else has to assume
-        that an agreement for an outage was made just before the claim.
-        No grant outlasts the authority that it was given under.
-        """
-        now = self._clock.now()
-        if record is None:
-            return now
-        lease_ms = self._timing.outage_lease_ms
-        promised_until = 0
-        if self._is_reserved(record):
-            lease_ms = self._timing.lease_ms
-            promised_until = self._get_promise(shard)
-        until = now + self._timing.add_margin(lease_ms)
-        return max(until, promised_until)
-
-    def _list_earlier(
-        self, record: _record.ShardRecord | None
-    ) -> frozenset[base.InstanceId]:
-        """Return the other instances that may act under a record."""
-        if record is None:
-            return frozenset()
-        holders = [record.leader]
-        if record.standby is not None:
-            holders.append(record.standby)
-        return frozenset(
-            holder.instance
-            for holder in holders
-            if holder.incarnation != self._holder.incarnation
-        )
+        """Return when earlier leaders and their grants have ended."""
+        promised_until = self._get_promise(shard)
+        return self._claims.bound_earlier(record, promised_until)
 
     def _get_promise(self, shard: base.ShardId) -> int:
         """Return until when this process left servers to the leader."""
-        now = self._clock.now()
         standby = self.standbys.get(shard)
-        if standby is None or standby.promised_until <= now:
-            return 0
-        left_ms = standby.promised_until - now
-        return now + self._timing.add_margin(left_ms)
+        return standby.promised_until if standby is not None else 0
 
     async def _write_claim(
         self,
@@ -479,14 +419,14 @@
         if row is None or self._stopping or standby.record is None:
             return
         former = standby.record
-        claimed = self._make_claim(shard, former, None)
+        claimed = self._claims.make_record(shard, former, None)
         bound_ms = self._timing.add_margin(self._timing.outage_lease_ms)
         await self._lead(
             claimed,
             row,
             row_version=standby.row_version,
             inherited_until=self._clock.now() + bound_ms,
-            earlier=self._list_earlier(former),
+            earlier=self._claims.list_earlier(former),
             authority_until=standby.get_authority_end(),
         )
 
--- a/tarragonhinge/shards/_leader.py
+++ b/tarragonhinge/shards/_leader.py
@@ -370,17 +370,16 @@
         if self.state is LeaderState.LEADING:
             self.state = LeaderState.HANDING_OVER
 
-    async def hand_over(self, *, history: bytes, deadline_ms: int) -> bool:
-        """Let the standby take over at once; True if it did.
+    async def hand_over(
+        self, address: base.Address, *, history: bytes, timeout_ms: int
+    ) -> bool:
+        """Let another instance take over at once; True if it did.
 
         Requests in flight finish.
         """
         self.stop_dispatching()
-        standby = self.record.standby
-        if standby is None:
-            return False
         reply = await self._transport.call(
-            standby.address,
+            address,
             _messages.Handover(
                 shard=self.shard,
                 term=self.record.term,
@@ -388,7 +387,7 @@
                 record=_record.encode_record(self.record),
                 history=history,
             ),
-            timeout_ms=deadline_ms,
+            timeout_ms=timeout_ms,
         )
         return isinstance(reply, _messages.HandoverAck) and reply.accepted
 
--- a/tarragonhinge/shards/_messages.py
+++ b/tarragonhinge/shards/_messages.py
@@ -82,6 +82,20 @@
     accepted: bool
 
 
+@peers.register_message("shard.roles_query")
+class RolesQuery(msgspec.Struct, frozen=True, kw_only=True):
+    """Asks which of some shards the receiver leads or stands by for."""
+
+    shards: list[base.ShardId]
+
+
+@peers.register_message("shard.roles_reply")
+class RolesReply(msgspec.Struct, frozen=True, kw_only=True):
+    """Those of the shards that the sender leads or stands by for."""
+
+    shards: list[base.ShardId]
+
+
 @peers.register_message("shard.query")
 class LeaderQuery(msgspec.Struct, frozen=True, kw_only=True):
     """Asks whether the receiver leads a shard."""
