Bound each attempt of a handover and pass over a silent standby

Cause: a stopping leader waited its whole limit (30 s) for a standby that was gone, dispatching nothing. Handover now tries a live standby first, then other candidates, 1 s each, and refusals name the one that is asked.

--- a/tarragonhinge/shards/_coordinator.py
+++ b/tarragonhinge/shards/_coordinator.py
@@ -26,6 +26,9 @@
 from tarragonhinge.shards import _vacancies
 from tarragonhinge import stores
 
+#: Bound on a handover to one instance.
+HANDOVER_TIMEOUT_MS = 1000
+
 #: Claims that one instance writes at once.
 CLAIMS_AT_ONCE = 16
 
@@ -169,10 +172,12 @@
         ]
         standby = leader.record.standby
         if standby is not None:
-            addresses.sort(key=lambda address: address != standby.address)
+            live = leader.is_standby_live()
+            addresses.sort(key=lambda a: (a == standby.address) is not live)
+        attempt_ms = min(timeout_ms, HANDOVER_TIMEOUT_MS)
         for address in addresses[: _vacancies.CANDIDATES]:
             if await leader.hand_over(
-                address, history=history, timeout_ms=timeout_ms
+                address, history=history, timeout_ms=attempt_ms
             ):
                 return True
         return False
@@ -183,8 +188,7 @@
         if leader is not None:
             if self._leads(shard):
                 return self._me.address
-            standby = leader.record.standby
-            return standby.address if standby else base.Address("")
+            return leader.find_successor()
         standby_copy = self.standbys.get(shard)
         if standby_copy is not None and standby_copy.record is not None:
             return standby_copy.record.leader.address
--- a/tarragonhinge/shards/_leader.py
+++ b/tarragonhinge/shards/_leader.py
@@ -114,6 +114,7 @@
         self._clock = clock
         self._timing = timing
         self._tasks: list[asyncio.Task] = []
+        self._successor = base.Address("")
         self._confirming: asyncio.Task | None = None
         self._sequence = itertools.count(1)
         self._standby_version = 0
@@ -320,6 +321,11 @@
         bound_at = contact_at + self._timing.outage_lease_ms
         self.authority.extend_until(min(sent_at + reply.lease_ms, bound_at))
 
+    def is_standby_live(self) -> bool:
+        """Return whether the standby has acknowledged within a lease."""
+        silent_ms = self._clock.now() - self._acknowledged_at
+        return silent_ms < self._timing.lease_ms
+
     def _is_standby_silent(self) -> bool:
         silent_ms = self._clock.now() - self._standby_heard_at
         return silent_ms >= STANDBY_LEASES * self._timing.lease_ms
@@ -378,6 +384,7 @@
         Requests in flight finish.
         """
         self.stop_dispatching()
+        self._successor = address
         reply = await self._transport.call(
             address,
             _messages.Handover(
@@ -391,6 +398,15 @@
         )
         return isinstance(reply, _messages.HandoverAck) and reply.accepted
 
+    def find_successor(self) -> base.Address:
+        """Return who leads after this leadership has ended, as a guess."""
+        standby = self.record.standby
+        if self._successor or standby is None:
+            return self._successor
+        if self.is_standby_live() or self.state is LeaderState.DEPOSED:
+            return standby.address
+        return base.Address("")
+
     def dump(self) -> dict:
         """Return the state that decides, for operators."""
         standby = self.record.standby
--- a/tarragonhinge/testing/__init__.py
+++ b/tarragonhinge/testing/__init__.py
@@ -8,6 +8,7 @@
 from tarragonhinge.testing._deployment import Node
 from tarragonhinge.testing._faults import FaultDriver
 from tarragonhinge.testing._faults import FAULTS
+from tarragonhinge.testing._faults import make_key
 from tarragonhinge.testing._faults import RECOVERIES
 from tarragonhinge.testing._faults import REQUESTS
 from tarragonhinge.testing._loop import ManualLoop
@@ -42,6 +43,7 @@
     "Run",
     "find_sent_to",
     "make_client_factory",
+    "make_key",
     "make_row",
     "run_manual",
 ]
