--- a/tarragonhinge/testing/_deployment.py
+++ b/tarragonhinge/testing/_deployment.py
@@ -177,11 +177,18 @@
         self.nodes[number].table.down = table.down
         await self.nodes[number].instance.start()
 
-    async def start(self, settle_ms: int = 5000) -> None:
-        """Store the row, start all instances and let them settle."""
+    async def start(
+        self,
+        settle_ms: int = 5000,
+        rows: Sequence[configuration.ServiceRow] = (),
+    ) -> None:
+        """Store the row, start all instances and let them settle.
+
+        Other `rows` than the deployment's own may be given.
+        """
         store = self.nodes[0].instance.store
         version = base.TableVersion(0)
-        await store.apply_edit([self.row], expected=version)
+        await store.apply_edit(list(rows) or [self.row], expected=version)
         for node in self.nodes:
             entry = node.instance.me
             self.instance_list.entries[entry.instance] = entry
--- a/tarragonhinge/testing/_network.py
+++ b/tarragonhinge/testing/_network.py
@@ -42,6 +42,7 @@
         self.duplication = duplication
         self.rng = random.Random(seed)
         self.transports: dict[str, MemoryTransport] = {}
+        self.call_count = 0
         self._cuts: set[tuple[str, str]] = set()
 
     def cut(self, source: str, target: str) -> None:
@@ -113,6 +114,7 @@
         """Send a message and return the peer's reply."""
         body = peers.encode_message(message)
         kind = peers.get_kind(message)
+        self.network.call_count += 1
         exchange = self._spawn(self._exchange(address, kind, body))
         if self.network.duplicates():
             self._spawn(self._exchange(address, kind, body))
