--- a/tarragonhinge/shards/__init__.py
+++ b/tarragonhinge/shards/__init__.py
@@ -24,6 +24,7 @@
 from tarragonhinge.shards._record import make_record_key
 from tarragonhinge.shards._record import ShardRecord
 from tarragonhinge.shards._recorder import ShardRecorder
+from tarragonhinge.shards._roles import ShardRoles
 from tarragonhinge.shards._standby import ShardStandby
 from tarragonhinge.shards._timing import Timing
 
@@ -49,6 +50,7 @@
     "ShardOwners",
     "ShardRecord",
     "ShardRecorder",
+    "ShardRoles",
     "ShardStandby",
     "Timing",
     "decode_record",
--- /dev/null
+++ b/tarragonhinge/shards/_roles.py
@@ -0,0 +1,66 @@
+"""What one instance leads and stands by for."""
+
+from tarragonhinge import base
+from tarragonhinge.shards import _leader
+from tarragonhinge.shards import _reader
+from tarragonhinge.shards import _standby
+
+
+class ShardRoles:
+    """Leaderships and standbys of one instance.
+
+    Parameters
+    ----------
+    reader : RecordReader
+        Reads the records of all of them.
+    """
+
+    def __init__(self, *, reader: _reader.RecordReader) -> None:
+        self.leaders: dict[base.ShardId, _leader.ShardLeader] = {}
+        self.standbys: dict[base.ShardId, _standby.ShardStandby] = {}
+        self._reader = reader
+
+    def leads(self, shard: base.ShardId) -> bool:
+        """Return whether this instance leads a shard."""
+        leader = self.leaders.get(shard)
+        return (
+            leader is not None and leader.state is _leader.LeaderState.LEADING
+        )
+
+    def add_standby(self, standby: _standby.ShardStandby) -> None:
+        """Begin to stand by for a shard."""
+        self.standbys[standby.shard] = standby
+        self._reader.watch(standby.shard, standby)
+
+    def drop_standby(self, shard: base.ShardId) -> None:
+        """Stop standing by for a shard."""
+        standby = self.standbys.pop(shard, None)
+        if standby is not None:
+            self._reader.forget(shard, standby)
+
+    def get_promise(self, shard: base.ShardId) -> int:
+        """Return until when this process left servers to the leader."""
+        standby = self.standbys.get(shard)
+        return standby.promised_until if standby is not None else 0
+
+    def depose(self, shard: base.ShardId) -> None:
+        """End the roles in a shard whose row another instance changed."""
+        self.drop_standby(shard)
+        if shard in self.leaders:
+            self.leaders[shard].depose()
+
+    async def add_leader(self, leader: _leader.ShardLeader) -> None:
+        """Begin to lead a shard, in place of any other role in it."""
+        self.drop_standby(leader.shard)
+        old = self.leaders.pop(leader.shard, None)
+        if old is not None:
+            await old.stop()
+        self.leaders[leader.shard] = leader
+        leader.start()
+
+    async def reap(self) -> None:
+        """Close leaderships that a higher term has ended."""
+        for shard, leader in list(self.leaders.items()):
+            if leader.state is _leader.LeaderState.DEPOSED:
+                del self.leaders[shard]
+                await leader.stop()
--- a/tarragonhinge/shards/tests/test_outages.py
+++ b/tarragonhinge/shards/tests/test_outages.py
@@ -195,7 +195,7 @@
 
 def test_an_ignored_promise_is_noticed(monkeypatch):
     monkeypatch.setattr(
-        shards.ShardCoordinator, "_get_promise", lambda self, shard: 0
+        shards.ShardRoles, "get_promise", lambda self, shard: 0
     )
     with pytest.raises(AssertionError, match=r"at \d+ ms"):
         testing.run_manual(_take_over_from_a_promised_island())
