--- a/tarragonhinge/shards/tests/test_outages.py
+++ b/tarragonhinge/shards/tests/test_outages.py
@@ -1,5 +1,8 @@
 """Outages of the store: serving goes on, and ownership holds."""
 
+import collections
+
+import msgspec
 import pytest
 
 from tarragonhinge import base
@@ -199,3 +202,38 @@
     )
     with pytest.raises(AssertionError, match=r"at \d+ ms"):
         testing.run_manual(_take_over_from_a_promised_island())
+
+
+@pytest.mark.parametrize("outage_ms", [5000, 20_000])
+def test_instances_come_back_to_the_store_spread_over_time(
+    outage_ms, monkeypatch
+):
+    asked_at = []
+    read = testing.FaultyTable.read
+
+    async def note_read(self, keys):
+        if keys[0].startswith("shards/"):
+            asked_at.append(base.Clock().now() // 100)
+        return await read(self, keys)
+
+    monkeypatch.setattr(testing.FaultyTable, "read", note_read)
+    instances = 12
+
+    async def scenario():
+        row = testing.make_row(servers=2, partitions=2)
+        rows = [
+            msgspec.structs.replace(row, service=f"service{number}")
+            for number in range(24)
+        ]
+        deployment = testing.Deployment(row=row, instances=instances)
+        await deployment.start(rows=rows, settle_ms=8000)
+        _set_store(deployment, down=True)
+        await deployment.wait(outage_ms)
+        asked_at.clear()
+        _set_store(deployment, down=False)
+        await deployment.wait(2500)
+
+    testing.run_manual(scenario())
+    bursts = collections.Counter(asked_at)
+    assert len(asked_at) >= instances
+    assert max(bursts.values()) <= instances // 2
--- a/tarragonhinge/shards/tests/test_property.py
+++ b/tarragonhinge/shards/tests/test_property.py
@@ -77,20 +77,31 @@
     return monitor
 
 
-@hypothesis.settings(
-    derandomize=True,
-    max_examples=WALKS,
-    deadline=None,
-    database=None,
-    phases=[hypothesis.Phase.generate],
-    suppress_health_check=list(hypothesis.HealthCheck),
-)
+def _settings(walks):
+    """Return settings for `walks` walks, the same ones every time."""
+    return hypothesis.settings(
+        derandomize=True,
+        max_examples=walks,
+        deadline=None,
+        database=None,
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+
+
+@_settings(WALKS)
 @hypothesis.given(steps=_make_steps())
 def test_ownership_holds_at_every_step(steps):
     monitor = testing.run_manual(walk(steps))
     assert monitor.check_count > STEPS
 
 
+@_settings(WALKS // 4)
+@hypothesis.given(steps=_make_steps())
+def test_ownership_holds_where_grants_do_not_lapse(steps):
+    testing.run_manual(walk(steps, dialect="until-token"))
+
+
 @pytest.mark.parametrize("fault", testing.FAULTS.names())
 def test_each_fault_alone_is_survived(fault):
     steps = [
