Show that each rule of ownership is needed

Late renewals that extend, moves without the lapse, no wait after a takeover, a stranger's short wait and a move under an agreement each make a directed scenario fail, beside the four guards, the bound of an island and the ignored promise.

--- a/tarragonhinge/shards/__init__.py
+++ b/tarragonhinge/shards/__init__.py
@@ -1,7 +1,9 @@
 """Ownership of shards: leaders, standbys, grants and takeover."""
 
+from tarragonhinge.shards._agreement import OutageAgreement
 from tarragonhinge.shards._authority import AuthorityLease
 from tarragonhinge.shards._candidates import Candidates
+from tarragonhinge.shards._claims import ClaimMaker
 from tarragonhinge.shards._coordinator import ShardCoordinator
 from tarragonhinge.shards._keeper import GrantKeeper
 from tarragonhinge.shards._keeper import ServerState
@@ -33,6 +35,7 @@
     "Assignment",
     "AuthorityLease",
     "Candidates",
+    "ClaimMaker",
     "ClientFactory",
     "GrantKeeper",
     "Handover",
@@ -43,6 +46,7 @@
     "LeaderQuery",
     "LeaderReply",
     "LeaderState",
+    "OutageAgreement",
     "Planner",
     "ServerState",
     "ShardCoordinator",
--- a/tarragonhinge/shards/tests/test_guards.py
+++ b/tarragonhinge/shards/tests/test_guards.py
@@ -1,5 +1,6 @@
 """Scenarios that each guard is needed for, with it and without it."""
 
+import msgspec
 import pytest
 
 from tarragonhinge import base
@@ -91,6 +92,39 @@
     return deployment
 
 
+async def thaw_a_server():
+    """A server frozen for long wakes with renewals in its queue."""
+    deployment, monitor = await _start()
+    deployment.servers[S1].clock.pause()
+    await _watch(deployment, monitor, 3000)
+    deployment.servers[S1].clock.resume()
+    await _watch(deployment, monitor, 1000)
+    return deployment
+
+
+def _extend_late(monkeypatch):
+    apply = standins.GrantTable.apply
+
+    def apply_late(self, request, *, now):
+        if request.server_incarnation:
+            expires_at = now + shards.Timing().grant_ms
+            request = msgspec.structs.replace(request, expires_at=expires_at)
+        return apply(self, request, now=now)
+
+    monkeypatch.setattr(standins.GrantTable, "apply", apply_late)
+
+
+def _move_at_once(monkeypatch):
+    monkeypatch.setattr(shards.GrantKeeper, "has_lapsed", lambda self: True)
+
+
+def _trust_at_once(monkeypatch):
+    def bound(self, record, promised_until):
+        return self._clock.now()
+
+    monkeypatch.setattr(shards.ClaimMaker, "bound_earlier", bound)
+
+
 def _write_always(monkeypatch):
     transact = stores.MemoryTable.transact
 
@@ -133,8 +167,19 @@
         (replay_an_old_renewal, _accept_any_term),
         (cut_off_a_server, _never_lapse),
         (island_of_leader_and_server, _always_act),
+        (thaw_a_server, _extend_late),
+        (cut_off_a_server, _move_at_once),
+        (island_of_leader_and_server, _trust_at_once),
+    ],
+    ids=[
+        "record",
+        "fencing token",
+        "grant validity",
+        "authority lease",
+        "late renewals extend nothing",
+        "wait for the lapse",
+        "wait after a takeover",
     ],
-    ids=["record", "fencing token", "grant validity", "authority lease"],
 )
 def test_each_guard_is_needed(scenario, remove_guard, monkeypatch):
     testing.run_manual(scenario())
--- a/tarragonhinge/shards/tests/test_outages.py
+++ b/tarragonhinge/shards/tests/test_outages.py
@@ -131,24 +131,34 @@
     testing.run_manual(scenario())
 
 
+async def _return_without_the_standby():
+    """A leader is back at the store; its standby leads without it."""
+    deployment, monitor = await _start()
+    leader = deployment.find_leaders()[0]
+    standby = deployment.find_standby()
+    before = _read_record(deployment)
+    deployment.isolate(standby, reaches=[S0])
+    deployment.network.cut_both(leader.address, S0)
+    leader.table.down = False
+    await _watch(deployment, monitor, 6000)
+    record = _read_record(deployment)
+    assert record.term == before.term + 2
+    assert record.owners == before.owners
+    await _watch(deployment, monitor, TIMING.outage_lease_ms)
+    owners = _read_record(deployment).owners.values()
+    assert {assignment.server for assignment in owners} == {S1}
+
+
 def test_a_leader_back_at_the_store_raises_its_term_before_it_moves():
-    async def scenario():
-        deployment, monitor = await _start()
-        leader = deployment.find_leaders()[0]
-        standby = deployment.find_standby()
-        before = _read_record(deployment)
-        deployment.isolate(standby, reaches=[S0])
-        deployment.network.cut_both(leader.address, S0)
-        leader.table.down = False
-        await _watch(deployment, monitor, 6000)
-        record = _read_record(deployment)
-        assert record.term == before.term + 2
-        assert record.owners == before.owners
-        await _watch(deployment, monitor, TIMING.outage_lease_ms)
-        owners = _read_record(deployment).owners.values()
-        assert {assignment.server for assignment in owners} == {S1}
+    testing.run_manual(_return_without_the_standby())
 
-    testing.run_manual(scenario())
+
+def test_a_move_under_an_agreement_is_noticed(monkeypatch):
+    monkeypatch.setattr(
+        shards.OutageAgreement, "may_be_held", lambda self: False
+    )
+    with pytest.raises(AssertionError, match=r"at \d+ ms"):
+        testing.run_manual(_return_without_the_standby())
 
 
 async def _strand_pair_with_server():
@@ -169,6 +179,15 @@
     testing.run_manual(_strand_pair_with_server())
 
 
+def test_a_stranger_that_waits_a_short_lease_is_noticed(monkeypatch):
+    def bound(self, record, promised_until):
+        return self._clock.now() + TIMING.add_margin(TIMING.lease_ms)
+
+    monkeypatch.setattr(shards.ClaimMaker, "bound_earlier", bound)
+    with pytest.raises(AssertionError, match=r"at \d+ ms"):
+        testing.run_manual(_strand_pair_with_server())
+
+
 def test_an_island_needs_its_bound(monkeypatch):
     def extend(self, reply, sent_at):
         self.authority.extend(sent_at=sent_at, lease_ms=reply.lease_ms)
