Part the leader's link to its standby; keep a revoked lease revoked

An acknowledgement that arrived after a leader had been deposed extended its lease again until the leadership was closed, up to 50 ms later.

--- a/tarragonhinge/shards/__init__.py
+++ b/tarragonhinge/shards/__init__.py
@@ -9,6 +9,7 @@
 from tarragonhinge.shards._keeper import ServerState
 from tarragonhinge.shards._leader import LeaderState
 from tarragonhinge.shards._leader import ShardLeader
+from tarragonhinge.shards._link import StandbyLink
 from tarragonhinge.shards._messages import Handover
 from tarragonhinge.shards._messages import HandoverAck
 from tarragonhinge.shards._messages import Heartbeat
@@ -56,6 +57,7 @@
     "ShardRecorder",
     "ShardRoles",
     "ShardStandby",
+    "StandbyLink",
     "Timing",
     "decode_record",
     "encode_record",
--- a/tarragonhinge/shards/_authority.py
+++ b/tarragonhinge/shards/_authority.py
@@ -19,6 +19,7 @@
     def __init__(self, *, clock: base.Clock) -> None:
         self._clock = clock
         self._expires_at = base.Millis(-1)
+        self._revoked = False
 
     def extend(self, *, sent_at: int, lease_ms: int) -> None:
         """Count a confirmation of a question sent at `sent_at`."""
@@ -29,13 +30,15 @@
         self._expires_at = max(self._expires_at, base.Millis(expires_at))
 
     def revoke(self) -> None:
-        """End the lease now."""
-        self._expires_at = base.Millis(-1)
+        """End the lease now; an answer that comes late can't revive it."""
+        self._revoked = True
 
     def is_valid(self) -> bool:
         """Return whether the leader may act at this moment."""
-        return self._clock.now() < self._expires_at
+        return not self._revoked and self._clock.now() < self._expires_at
 
     def get_remaining_ms(self) -> int:
         """Return the time left; 0 once the lease has expired."""
+        if self._revoked:
+            return 0
         return max(0, self._expires_at - self._clock.now())
--- a/tarragonhinge/shards/_coordinator.py
+++ b/tarragonhinge/shards/_coordinator.py
@@ -168,7 +168,7 @@
         ]
         standby = leader.record.standby
         if standby is not None:
-            live = leader.is_standby_live()
+            live = leader.standby.is_live()
             addresses.sort(key=lambda a: (a == standby.address) is not live)
         attempt_ms = min(timeout_ms, HANDOVER_TIMEOUT_MS)
         for address in addresses[: _vacancies.CANDIDATES]:
--- a/tarragonhinge/shards/_leader.py
+++ b/tarragonhinge/shards/_leader.py
@@ -1,12 +1,9 @@
 """Leads a shard under one term."""
 
 import asyncio
-from collections.abc import Callable
 import enum
-import itertools
 
 from absl import logging
-import msgspec
 
 from tarragonhinge import base
 from tarragonhinge import configuration
@@ -14,6 +11,7 @@
 from tarragonhinge import servers
 from tarragonhinge.shards import _agreement
 from tarragonhinge.shards import _authority
+from tarragonhinge.shards import _link
 from tarragonhinge.shards import _messages
 from tarragonhinge.shards import _owners
 from tarragonhinge.shards import _reader
@@ -22,14 +20,6 @@
 from tarragonhinge.shards import _timing
 from tarragonhinge import stores
 
-#: Silence of the standby, in leases, after which it is replaced.
-STANDBY_LEASES = 3
-
-#: Chooses a standby for a shard: ``(shard, former) -> Holder or None``.
-StandbyChooser = Callable[
-    [base.ShardId, _record.Holder | None], _record.Holder | None
-]
-
 
 class LeaderState(enum.Enum):
     """Life cycle of a leadership."""
@@ -88,7 +78,7 @@
         reader: _reader.RecordReader,
         transport: peers.PeerTransport,
         make_client: _owners.ClientFactory,
-        choose_standby: StandbyChooser,
+        choose_standby: _link.StandbyChooser,
         clock: base.Clock,
         timing: _timing.Timing,
     ) -> None:
@@ -96,7 +86,6 @@
         self.state = LeaderState.LEADING
         self.authority = _authority.AuthorityLease(clock=clock)
         self.agreement = _agreement.OutageAgreement()
-        self.contact_at = -_reader.NEVER_MS
         self.recorder = _recorder.ShardRecorder(
             shard=shard,
             record=record,
@@ -110,16 +99,21 @@
         self._reader = reader
         self._earlier = earlier
         self._transport = transport
-        self._choose_standby = choose_standby
         self._clock = clock
         self._timing = timing
         self._tasks: list[asyncio.Task] = []
         self._successor = base.Address("")
         self._confirming: asyncio.Task | None = None
-        self._sequence = itertools.count(1)
-        self._standby_version = 0
-        self._standby_heard_at = clock.now()
-        self._acknowledged_at = -_reader.NEVER_MS
+        self.standby = _link.StandbyLink(
+            recorder=self.recorder,
+            authority=self.authority,
+            agreement=self.agreement,
+            reader=reader,
+            transport=transport,
+            choose_standby=choose_standby,
+            clock=clock,
+            timing=timing,
+        )
         self.owners = _owners.ShardOwners(
             row=row,
             recorder=self.recorder,
@@ -183,7 +177,7 @@
     def start(self) -> None:
         """Start the tasks of this leadership."""
         self._tasks = [
-            asyncio.create_task(self._beat_standby()),
+            asyncio.create_task(self.standby.run()),
         ]
         self._reader.watch(self.shard, self)
         self.owners.start()
@@ -215,15 +209,14 @@
         """Return whether the table is needed in place of the standby."""
         if not self.recorder.confirmed:
             return True
-        silent_ms = self._clock.now() - self._acknowledged_at
-        return silent_ms >= self._timing.lease_ms // 2
+        return not self.standby.is_live(self._timing.lease_ms // 2)
 
     def take_record(self, record: _record.ShardRecord, sent_at: int) -> None:
         """Extend the authority while the table still names this term."""
         if record.term > self.record.term:
             self.depose()
         elif record.term == self.record.term:
-            self.contact_at = max(self.contact_at, sent_at)
+            self.standby.contact_at = max(self.standby.contact_at, sent_at)
             self.authority.extend(
                 sent_at=sent_at, lease_ms=self._timing.lease_ms
             )
@@ -243,100 +236,13 @@
             )
         self._confirming = None
 
-    async def _beat_standby(self) -> None:
-        """Extend the authority while the standby acknowledges."""
-        while True:
-            standby = self.record.standby
-            if standby is not None:
-                await self._call_standby(standby)
-            if standby is None or self._is_standby_silent():
-                await self._replace_standby()
-            await self._clock.sleep(self._timing.heartbeat_ms)
-
-    async def _call_standby(self, standby: _record.Holder) -> None:
-        sent_at = self._clock.now()
-        beat = self._make_heartbeat(standby, sent_at)
-        reply = await self._transport.call(
-            standby.address, beat, timeout_ms=self._timing.call_timeout_ms
-        )
-        if not isinstance(reply, _messages.HeartbeatAck):
-            return
-        self._standby_version = reply.row_version
-        if not reply.accepted:
-            return
-        if reply.incarnation != standby.incarnation:
-            await self._appoint(
-                msgspec.structs.replace(standby, incarnation=reply.incarnation)
-            )
-            return
-        self._standby_heard_at = self._clock.now()
-        self._acknowledged_at = sent_at
-        self._extend_by_standby(reply, sent_at)
-        if not beat.outage:
-            self.agreement.withdraw(reply.incarnation, beat.sequence)
-
-    def _make_heartbeat(
-        self, standby: _record.Holder, sent_at: int
-    ) -> _messages.Heartbeat:
-        version = self.recorder.row_version
-        content = b""
-        if self._standby_version != version:
-            content = _record.encode_record(self.record)
-        sequence = next(self._sequence)
-        outage = self._may_offer(standby)
-        if outage:
-            self.agreement.offer(standby.incarnation, sequence)
-        return _messages.Heartbeat(
-            shard=self.shard,
-            term=self.record.term,
-            row_version=version,
-            sequence=sequence,
-            record=content,
-            outage=outage,
-            store_age_ms=sent_at - self.contact_at,
-        )
-
-    def _may_offer(self, standby: _record.Holder) -> bool:
-        """Return whether the standby may be offered an outage agreement.
-
-        A write under way may still take effect, and the standby's copy
-        of the record would not show it.
-        """
-        return (
-            self._reader.down
-            and standby.incarnation != ""
-            and self.recorder.confirmed
-            and self.recorder.is_idle()
-        )
-
-    def _extend_by_standby(
-        self, reply: _messages.HeartbeatAck, sent_at: int
-    ) -> None:
-        """Count an acknowledgement, bounded by the contact with the store.
-
-        Without the bound a leader, its standby and a server that are cut
-        off together would go on while a stranger waits for their end.
-        """
-        contact_at = max(self.contact_at, sent_at - reply.store_age_ms)
-        bound_at = contact_at + self._timing.outage_lease_ms
-        self.authority.extend_until(min(sent_at + reply.lease_ms, bound_at))
-
-    def is_standby_live(self) -> bool:
-        """Return whether the standby has acknowledged within a lease."""
-        silent_ms = self._clock.now() - self._acknowledged_at
-        return silent_ms < self._timing.lease_ms
-
-    def _is_standby_silent(self) -> bool:
-        silent_ms = self._clock.now() - self._standby_heard_at
-        return silent_ms >= STANDBY_LEASES * self._timing.lease_ms
-
     def needs_new_term(self) -> bool:
         """Return whether this leader must claim its shard once more.
 
         That ends an agreement with a standby that is lost, and takes
         back servers that have accepted the standby's term.
         """
-        age_ms = self._clock.now() - self.contact_at
+        age_ms = self._clock.now() - self.standby.contact_at
         if self.state is not LeaderState.LEADING:
             return False
         if age_ms > self._timing.lease_ms or not self.recorder.is_idle():
@@ -345,30 +251,9 @@
             keeper.higher_term > self.record.term
             for keeper in self.owners.keepers.values()
         )
-        stuck = self.agreement.may_be_held() and self._is_standby_silent()
+        stuck = self.agreement.may_be_held() and self.standby.is_silent()
         return refused or stuck
 
-    async def _replace_standby(self) -> None:
-        chosen = self._choose_standby(self.shard, self.record.standby)
-        if chosen is not None and chosen != self.record.standby:
-            await self._appoint(chosen)
-
-    async def _appoint(self, holder: _record.Holder) -> None:
-        """Record a standby; its acknowledgements count from then on."""
-
-        def appoint(record: _record.ShardRecord) -> _record.ShardRecord:
-            return msgspec.structs.replace(record, standby=holder)
-
-        if not await self.recorder.write(appoint):
-            return
-        self._standby_version = 0
-        self._standby_heard_at = self._clock.now()
-        logging.info(
-            "standby recorded shard=%s standby=%s",
-            self.shard,
-            holder.instance,
-        )
-
     # Handover ------------------------------------------------------------
 
     def stop_dispatching(self) -> None:
@@ -403,7 +288,7 @@
         standby = self.record.standby
         if self._successor or standby is None:
             return self._successor
-        if self.is_standby_live() or self.state is LeaderState.DEPOSED:
+        if self.standby.is_live() or self.state is LeaderState.DEPOSED:
             return standby.address
         return base.Address("")
 
--- a/tarragonhinge/shards/tests/test_outages.py
+++ b/tarragonhinge/shards/tests/test_outages.py
@@ -190,9 +190,9 @@
 
 def test_an_island_needs_its_bound(monkeypatch):
     def extend(self, reply, sent_at):
-        self.authority.extend(sent_at=sent_at, lease_ms=reply.lease_ms)
+        self._authority.extend(sent_at=sent_at, lease_ms=reply.lease_ms)
 
-    monkeypatch.setattr(shards.ShardLeader, "_extend_by_standby", extend)
+    monkeypatch.setattr(shards.StandbyLink, "_extend", extend)
     with pytest.raises(AssertionError, match=r"at \d+ ms"):
         testing.run_manual(_strand_pair_with_server())
 
--- a/tarragonhinge/shards/tests/test_ownership.py
+++ b/tarragonhinge/shards/tests/test_ownership.py
@@ -136,6 +136,19 @@
     testing.run_manual(scenario())
 
 
+def test_a_late_answer_revives_no_revoked_authority():
+    async def scenario():
+        lease = shards.AuthorityLease(clock=base.Clock())
+        lease.extend(sent_at=base.Clock().now(), lease_ms=1000)
+        assert lease.is_valid()
+        lease.revoke()
+        lease.extend(sent_at=base.Clock().now(), lease_ms=1000)
+        assert not lease.is_valid()
+        assert lease.get_remaining_ms() == 0
+
+    testing.run_manual(scenario())
+
+
 def test_a_leader_that_left_the_list_is_not_deposed_while_it_answers():
     async def scenario():
         deployment = testing.Deployment(instances=4)
