--- a/benchmarks/shards.py
+++ b/benchmarks/shards.py
@@ -9,7 +9,7 @@
 from tarragonhinge import base
 from tarragonhinge import testing
 
-SHARD_COUNTS = (1, 10, 100)
+SHARD_COUNTS = (1, 10, 100, 300)
 SETTLE_MS = 15_000
 MEASURED_MS = 10_000
 
