--- a/tarragonhinge/shards/__init__.py
+++ b/tarragonhinge/shards/__init__.py
@@ -1,13 +1,17 @@
 """Ownership of shards: leaders, standbys, grants and takeover."""
 
+from tarragonhinge.shards._agreement import OutageAgreement
 from tarragonhinge.shards._authority import AuthorityLease
 from tarragonhinge.shards._balanced import BalancedPlanner
+from tarragonhinge.shards._candidates import Candidates
+from tarragonhinge.shards._claims import ClaimMaker
 from tarragonhinge.shards._coordinator import ShardCoordinator
 from tarragonhinge.shards._hashed import HashedPlanner
 from tarragonhinge.shards._keeper import GrantKeeper
 from tarragonhinge.shards._keeper import ServerState
 from tarragonhinge.shards._leader import LeaderState
 from tarragonhinge.shards._leader import ShardLeader
+from tarragonhinge.shards._link import StandbyLink
 from tarragonhinge.shards._messages import Handover
 from tarragonhinge.shards._messages import HandoverAck
 from tarragonhinge.shards._messages import Heartbeat
@@ -26,6 +30,7 @@
 from tarragonhinge.shards._record import ShardRecord
 from tarragonhinge.shards._recorder import ShardRecorder
 from tarragonhinge.shards._report import ServerReport
+from tarragonhinge.shards._roles import ShardRoles
 from tarragonhinge.shards._standby import ShardStandby
 from tarragonhinge.shards._timing import Timing
 from tarragonhinge.shards._weighed import WeighedPlanner
@@ -35,6 +40,8 @@
     "Assignment",
     "AuthorityLease",
     "BalancedPlanner",
+    "Candidates",
+    "ClaimMaker",
     "ClientFactory",
     "GrantKeeper",
     "Handover",
@@ -46,6 +53,7 @@
     "LeaderQuery",
     "LeaderReply",
     "LeaderState",
+    "OutageAgreement",
     "Planner",
     "ServerReport",
     "ServerState",
@@ -54,7 +62,9 @@
     "ShardOwners",
     "ShardRecord",
     "ShardRecorder",
+    "ShardRoles",
     "ShardStandby",
+    "StandbyLink",
     "Timing",
     "WeighedPlanner",
     "decode_record",
--- a/tarragonhinge/shards/tests/test_ownership.py
+++ b/tarragonhinge/shards/tests/test_ownership.py
@@ -135,3 +135,49 @@
         assert led.state is shards.LeaderState.DEPOSED
 
     testing.run_manual(scenario())
+
+
+def test_authority_lasts_while_lost_standbys_are_replaced():
+    async def scenario():
+        deployment = testing.Deployment(instances=6)
+        await deployment.start()
+        lost = [deployment.find_leaders()[0], deployment.find_standby()]
+        zone = lost[0].instance.options.zone
+        for node in deployment.nodes:
+            if node.instance.options.zone == zone or node in lost[:1]:
+                await node.kill()
+        await deployment.wait(2000)
+        leader = deployment.find_leadership(deployment.find_leaders()[0])
+        for _ in range(500):
+            assert leader.authority.is_valid()
+            await deployment.wait(20)
+
+    testing.run_manual(scenario())
+
+
+def test_a_late_answer_revives_no_revoked_authority():
+    async def scenario():
+        lease = shards.AuthorityLease(clock=base.Clock())
+        lease.extend(sent_at=base.Clock().now(), lease_ms=1000)
+        assert lease.is_valid()
+        lease.revoke()
+        lease.extend(sent_at=base.Clock().now(), lease_ms=1000)
+        assert not lease.is_valid()
+        assert lease.get_remaining_ms() == 0
+
+    testing.run_manual(scenario())
+
+
+def test_a_leader_that_left_the_list_is_not_deposed_while_it_answers():
+    async def scenario():
+        deployment = testing.Deployment(instances=4)
+        await deployment.start()
+        leader = deployment.find_leaders()[0]
+        standby = deployment.find_standby()
+        for node in (leader, standby):
+            name = node.instance.options.name
+            deployment.instance_list.entries.pop(name)
+        await deployment.wait(6000)
+        assert deployment.find_leaders() == [leader]
+
+    testing.run_manual(scenario())
