--- a/tarragonhinge/peers/tests/test_zmq.py
+++ b/tarragonhinge/peers/tests/test_zmq.py
@@ -2,7 +2,10 @@
 
 import asyncio
 
+import msgspec
 import pytest
+import zmq
+import zmq.asyncio
 
 from tarragonhinge import base
 from tarragonhinge import demo
@@ -113,6 +116,73 @@
     _run(scenario)
 
 
+class _Replier:
+    """Peer that answers calls with frames of its own making."""
+
+    def __init__(self, address, make_replies):
+        self._context = zmq.asyncio.Context()
+        self._socket = self._context.socket(zmq.ROUTER)
+        self._socket.bind(f"tcp://{address}")
+        self._make_replies = make_replies
+        self._task = asyncio.create_task(self._serve())
+
+    async def _serve(self):
+        while True:
+            sender, call_id, kind, body = await self._socket.recv_multipart()
+            if kind == b"ping":
+                await self._socket.send_multipart(
+                    [sender, call_id, kind, body]
+                )
+                continue
+            name = msgspec.msgpack.decode(body)["shard"]
+            for frames in self._make_replies(call_id, name):
+                await self._socket.send_multipart([sender, *frames])
+
+    def close(self):
+        self._task.cancel()
+        self._context.destroy(linger=0)
+
+
+def _frame(call_id, name):
+    reply = shards.LeaderReply(leads=True, leader=base.Address(name))
+    return [call_id, b"shard.query_reply", peers.encode_message(reply)]
+
+
+def _flip(call_id, index):
+    changed = bytearray(call_id)
+    changed[index] ^= 1
+    return bytes(changed)
+
+
+@pytest.mark.parametrize(
+    ("make_replies", "strays"),
+    [
+        (lambda i, n: [_frame(i, n), _frame(i, n)], 1),
+        (lambda i, n: [_frame(_flip(i, 0), "other"), _frame(i, n)], 1),
+        (lambda i, n: [_frame(_flip(i, 12), "other"), _frame(i, n)], 1),
+        (lambda i, n: [[b"short"], _frame(i, n)], 1),
+    ],
+    ids=["twice", "former incarnation", "unknown sequence", "cut"],
+)
+def test_replies_that_answer_no_call_are_counted_and_dropped(
+    make_replies, strays
+):
+    async def scenario():
+        address = demo.find_free_address("127.0.0.1")
+        replier = _Replier(address, make_replies)
+        client = peers.ZmqTransport(address=base.Address("127.0.0.1:1"))
+        for name in ("a/b", "c/d", "e/f"):
+            query = shards.LeaderQuery(shard=base.ShardId(name))
+            reply = await client.call(address, query, timeout_ms=5000)
+            assert reply == shards.LeaderReply(leads=True, leader=name)
+        # The strays of the last call may still be on their way.
+        assert client._links[address].stray_replies >= 2 * strays
+        await client.stop()
+        replier.close()
+
+    _run(scenario)
+
+
 @pytest.mark.parametrize(
     ("kind", "body"),
     [("no.such", b""), ("shard.query", b"\xc1"), ("shard.query", b"\x80")],
--- a/tarragonhinge/routing/tests/test_front.py
+++ b/tarragonhinge/routing/tests/test_front.py
@@ -96,3 +96,70 @@
     assert answer.status == status
     assert answer.headers.get("Retry-After") == retry_after
     assert msgspec.json.decode(body)["remedy"]
+
+
+SMUGGLED = (
+    b"GET /orders/2 HTTP/1.1\r\nHost: a\r\nTarragonhinge-Term: 9\r\n\r\n"
+)
+PLAIN = b"POST /orders/1 HTTP/1.1\r\nHost: a\r\n"
+
+
+async def _send_raw(content, *, hang_up=False):
+    """Return the status line and what reached the entry."""
+    view = configuration.TableView()
+    view.advance(configuration.OperatorsTable(version=1, rows=[ROW]))
+    entry = _Entry(ANSWERED)
+    front = routing.Front(
+        entry=entry, view=view, region="koshi", rng=random.Random(1)
+    )
+    server = test_utils.TestServer(front.make_application())
+    async with server:
+        reader, writer = await asyncio.open_connection(
+            server.host, server.port
+        )
+        writer.write(content)
+        if hang_up:
+            writer.write_eof()
+        status = await reader.readline()
+        writer.close()
+    return status, entry.requests
+
+
+@pytest.mark.parametrize(
+    "content",
+    [
+        PLAIN
+        + b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + b"0\r\n\r\n"
+        + SMUGGLED,
+        PLAIN + b"Content-Length: 0\r\nContent-Length: 4\r\n\r\n" + SMUGGLED,
+        PLAIN + b"Content-Length: +4\r\n\r\n" + SMUGGLED,
+        PLAIN + b"Content-Length : 0\r\n\r\n" + SMUGGLED,
+        PLAIN + b"Transfer-Encoding: xchunked\r\n\r\n" + SMUGGLED,
+        PLAIN + b"X-A: b\nX-C: d\0\r\n\r\n" + SMUGGLED,
+        PLAIN + b"X-A: " + b"b" * 20_000 + b"\r\n\r\n",
+        b"GET /orders/" + b"1" * 20_000 + b" HTTP/1.1\r\nHost: a\r\n\r\n",
+        PLAIN + b"".join(b"X-%d: 1\r\n" % n for n in range(500)) + b"\r\n",
+    ],
+    ids=[
+        "length and chunked",
+        "two lengths",
+        "signed length",
+        "space before colon",
+        "unknown coding",
+        "control character",
+        "large field",
+        "large target",
+        "many fields",
+    ],
+)
+def test_ambiguous_or_oversized_heads_are_refused(content):
+    status, requests = asyncio.run(_send_raw(content))
+    assert status.startswith((b"HTTP/1.1 400", b"HTTP/1.0 400")), status
+    assert not requests
+
+
+def test_a_body_that_is_cut_short_is_not_forwarded():
+    content = PLAIN + b"Content-Length: 9\r\n\r\nhalf"
+    _, requests = asyncio.run(_send_raw(content, hang_up=True))
+    assert not requests
--- a/tarragonhinge/servers/_http.py
+++ b/tarragonhinge/servers/_http.py
@@ -130,7 +130,11 @@
         if answer.status in STATUS_SHED:
             return base.NotRun(reason=base.NotRunReason.SERVER_SHED)
         return base.NotRun(reason=base.NotRunReason.FENCED)
-    received = [(str(name), value) for name, value in answer.headers.items()]
+    received = [
+        (str(name), value)
+        for name, value in answer.headers.items()
+        if not name.lower().startswith("tarragonhinge-")
+    ]
     fields = _fields.drop_hop_fields(received)
     return base.Answered(
         status=answer.status, headers=tuple(fields), body=body
