--- a/tarragonhinge/demo/_site.py
+++ b/tarragonhinge/demo/_site.py
@@ -75,13 +75,19 @@
 
 
 class Site:
-    """Platform, servers and entries of the demonstration."""
+    """Platform, servers and entries of the demonstration.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    service_ms : int
+        How long a server works on a request.
+    """
+
+    def __init__(self, *, service_ms: int = 5) -> None:
         self.platform = standins.StandinPlatform()
         self.servers = {
             base.ServerId(f"s{n}"): standins.StandinServer(
-                name=base.ServerId(f"s{n}"), slots=2
+                name=base.ServerId(f"s{n}"), slots=2, service_ms=service_ms
             )
             for n in range(SERVERS)
         }
