--- a/tarragonhinge/daemon/_instance.py
+++ b/tarragonhinge/daemon/_instance.py
@@ -9,17 +9,19 @@
 from tarragonhinge import base
 from tarragonhinge import configuration
 from tarragonhinge.daemon import _platform
+from tarragonhinge.daemon import _samples
+from tarragonhinge.daemon import _unserved
 from tarragonhinge import dispatch
 from tarragonhinge import membership
+from tarragonhinge import operators
 from tarragonhinge import peers
+from tarragonhinge import propagation
 from tarragonhinge import routing
 from tarragonhinge import servers
 from tarragonhinge import settings
 from tarragonhinge import shards
 from tarragonhinge import stores
 
-LIST_PERIOD_MS = 1000
-
 #: Period at which a stopping instance looks for requests in flight.
 DRAIN_POLL_MS = 10
 
@@ -70,10 +72,22 @@
             table=platform.table, clock=self.clock, rng=rng
         )
         self.store = configuration.ConfigurationStore(
-            table=platform.table, committer=committer
+            table=platform.table,
+            objects=platform.objects,
+            committer=committer,
+            clock=self.clock,
+        )
+        self.editor = configuration.TableEditor(
+            store=self.store,
+            known=configuration.KnownNames(
+                planners=frozenset(shards.PLANNERS.names()),
+                dialects=frozenset(servers.DIALECTS.names()),
+                histories=frozenset(dispatch.HISTORY_POLICIES.names()),
+            ),
         )
+        self.tokens = operators.TokenCheck(path=options.token_file)
         self.poller = configuration.TablePoller(
-            store=self.store, view=self.view, clock=self.clock
+            store=self.store, view=self.view
         )
         self.me = membership.InstanceEntry(
             instance=options.name,
@@ -81,6 +95,17 @@
             region=options.region,
             zone=options.zone,
         )
+        self.propagator = propagation.Propagator(
+            me=self.me,
+            poller=self.poller,
+            view=self.view,
+            instance_list=platform.instances,
+            instances=self.instances,
+            transport=transport,
+            clock=self.clock,
+            rng=rng,
+            seeds=options.seeds,
+        )
         self.coordinator = shards.ShardCoordinator(
             me=self.me,
             incarnation=self.incarnation,
@@ -92,6 +117,10 @@
             make_client=make_client or make_http_client,
             clock=self.clock,
             timing=options.timing,
+            rng=rng,
+        )
+        self.unserved = _unserved.UnservedMeter(
+            coordinator=self.coordinator, clock=self.clock
         )
         self.dispatcher = dispatch.Dispatcher(
             coordinator=self.coordinator,
@@ -122,14 +151,15 @@
         return (
             self.state is membership.InstanceState.READY
             and self.view.current.version > 0
+            and self.propagator.is_connected()
         )
 
     async def start(self) -> None:
         """Listen for peers and start all tasks."""
         await self.transport.start()
         self._tasks = [
-            asyncio.create_task(self.poller.run()),
-            asyncio.create_task(self._follow_list()),
+            asyncio.create_task(self.propagator.run()),
+            asyncio.create_task(self.unserved.run()),
         ]
         self.coordinator.start()
         self.state = membership.InstanceState.READY
@@ -173,13 +203,6 @@
         )
         return led + self.front.in_flight
 
-    async def _follow_list(self) -> None:
-        while True:
-            entries = await self._platform.instances.fetch()
-            if entries is not None:
-                self.instances.replace(entries)
-            await self.clock.sleep(LIST_PERIOD_MS)
-
     def dump(self) -> dict:
         """Return the state that decides, for operators."""
         leaders = self.coordinator.leaders
@@ -191,6 +214,9 @@
             "state": self.state.value,
             "ready": self.is_ready(),
             "table_version": self.view.current.version,
+            "poller": self.propagator.election.is_poller(),
+            "connected": self.propagator.is_connected(),
+            "limits": self._list_limits(),
             "leads": {n: leader.dump() for n, leader in leaders.items()},
             "stands_by": sorted(self.coordinator.standbys),
             "dispatch": self.dispatcher.dump(),
@@ -198,45 +224,17 @@
             "in_flight": self.front.in_flight,
         }
 
-    def read_samples(self) -> list:
+    def _list_limits(self) -> dict[str, dict[str, str]]:
+        """Return the limits of services that have keys in this region."""
+        return {
+            row.service: configuration.format_limits(row)
+            for row in self.view.current.rows
+            if self.options.region in row.homes
+        }
+
+    def read_samples(self) -> list[operators.Sample]:
         """Return the samples of all metrics."""
-        samples = [
-            (
-                "tarragonhinge_table_version",
-                "Version of the operators' table in force.",
-                "gauge",
-                {},
-                self.view.current.version,
-            ),
-            (
-                "tarragonhinge_redirects",
-                "Requests sent on to another leader.",
-                "counter",
-                {},
-                self.entry.counts.redirects,
-            ),
-        ]
-        for outcome, count in self.front.outcomes.items():
-            samples.append(
-                (
-                    "tarragonhinge_requests",
-                    "Requests of callers by outcome.",
-                    "counter",
-                    {"outcome": outcome},
-                    count,
-                )
-            )
-        for shard, leader in self.coordinator.leaders.items():
-            samples.append(
-                (
-                    "tarragonhinge_partitions_assigned",
-                    "Partitions that were given an owner.",
-                    "counter",
-                    {"shard": shard},
-                    leader.owners.moved_count,
-                )
-            )
-        return samples
+        return _samples.read_samples(self)
 
 
 def make_http_client(
--- a/tarragonhinge/settings/_schema.py
+++ b/tarragonhinge/settings/_schema.py
@@ -7,6 +7,10 @@
 from tarragonhinge import base
 
 
+#: Shortest accepted token, in characters.
+TOKEN_MIN_LENGTH = 16
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SettingSpec:
     """One entry of the file.
@@ -48,6 +52,23 @@
     return base.Address(text)
 
 
+def parse_addresses(text: str) -> tuple[base.Address, ...]:
+    """Return addresses that are separated by commas.
+
+    Raises
+    ------
+    ValueError
+        If one is not an address.
+
+    Examples
+    --------
+    >>> parse_addresses("127.0.0.1:80, 127.0.0.1:81")
+    ('127.0.0.1:80', '127.0.0.1:81')
+    """
+    parts = [part.strip() for part in text.split(",")]
+    return tuple(parse_address(part) for part in parts if part)
+
+
 def parse_name(text: str) -> str:
     """Return a name of letters, digits, dots, dashes and underscores.
 
@@ -61,6 +82,26 @@
     return text
 
 
+def parse_token_file(text: str) -> str:
+    """Return the path of a file of tokens, or an empty one.
+
+    Raises
+    ------
+    ValueError
+        If the file is out of reach or holds a token that is too short.
+    """
+    if not text:
+        return text
+    try:
+        with open(text, encoding="utf-8") as stream:
+            tokens = stream.read().split()
+    except OSError as error:
+        raise ValueError(text) from error
+    if not tokens or min(map(len, tokens)) < TOKEN_MIN_LENGTH:
+        raise ValueError(text)
+    return text
+
+
 def make_range_parser(low: int, high: int) -> Callable[[str], int]:
     """Return a parser of whole numbers in ``[low, high]``."""
 
@@ -131,6 +172,14 @@
         allowed=_ADDRESS,
         help="where metrics, health and state are served",
     ),
+    SettingSpec(
+        section="security",
+        name="peer_keys",
+        parse=str,
+        allowed="a file made by 'tarragonhinge keys generate', or empty",
+        default="",
+        help="keys with which instances recognise each other; empty: none",
+    ),
     SettingSpec(
         section="platform",
         name="table",
@@ -145,6 +194,14 @@
         allowed=_ADDRESS,
         help="the platform's list of instances",
     ),
+    SettingSpec(
+        section="platform",
+        name="seeds",
+        parse=parse_addresses,
+        allowed="addresses IP:PORT separated by commas",
+        default="",
+        help="peers to ask while the list of instances cannot be had",
+    ),
     SettingSpec(
         section="platform",
         name="timeout_ms",
@@ -166,6 +223,15 @@
         30_000,
         "authority during an outage of the table service",
     ),
+    SettingSpec(
+        section="operators",
+        name="token_file",
+        parse=parse_token_file,
+        allowed="a readable file with one token a line, each of "
+        f"{TOKEN_MIN_LENGTH} characters or more; empty forbids edits",
+        default="",
+        help="tokens for the operators' address",
+    ),
     SettingSpec(
         section="stop",
         name="notice_ms",
--- a/tarragonhinge/shards/__init__.py
+++ b/tarragonhinge/shards/__init__.py
@@ -1,7 +1,9 @@
 """Ownership of shards: leaders, standbys, grants and takeover."""
 
 from tarragonhinge.shards._authority import AuthorityLease
+from tarragonhinge.shards._balanced import BalancedPlanner
 from tarragonhinge.shards._coordinator import ShardCoordinator
+from tarragonhinge.shards._hashed import HashedPlanner
 from tarragonhinge.shards._keeper import GrantKeeper
 from tarragonhinge.shards._keeper import ServerState
 from tarragonhinge.shards._leader import LeaderState
@@ -22,17 +24,21 @@
 from tarragonhinge.shards._record import Holder
 from tarragonhinge.shards._record import make_record_key
 from tarragonhinge.shards._record import ShardRecord
+from tarragonhinge.shards._recorder import ShardRecorder
 from tarragonhinge.shards._standby import ShardStandby
 from tarragonhinge.shards._timing import Timing
+from tarragonhinge.shards._weighed import WeighedPlanner
 
 __all__ = [
     "PLANNERS",
     "Assignment",
     "AuthorityLease",
+    "BalancedPlanner",
     "ClientFactory",
     "GrantKeeper",
     "Handover",
     "HandoverAck",
+    "HashedPlanner",
     "Heartbeat",
     "HeartbeatAck",
     "Holder",
@@ -45,8 +51,10 @@
     "ShardLeader",
     "ShardOwners",
     "ShardRecord",
+    "ShardRecorder",
     "ShardStandby",
     "Timing",
+    "WeighedPlanner",
     "decode_record",
     "encode_record",
     "make_record_key",
--- a/tarragonhinge/shards/_keeper.py
+++ b/tarragonhinge/shards/_keeper.py
@@ -1,6 +1,7 @@
 """Keeps the grants of one backend server renewed."""
 
 import asyncio
+from collections.abc import Callable
 import enum
 import itertools
 
@@ -25,8 +26,9 @@
 
     The expiry of a renewal is stated on the server's own clock, from a
     reading that the server gave earlier: a renewal that arrives late
-    extends nothing.  After an unanswered renewal only probes are sent,
-    so that the time at which the grants have surely lapsed stands still.
+    extends nothing.  No grant outlasts the authority it was given under.
+    After an unanswered renewal only probes are sent, so that the time at
+    which the grants have surely lapsed stands still.
 
     Parameters
     ----------
@@ -44,8 +46,15 @@
         The leader's clock.
     timing : Timing
         Durations.
-    lapsed_at : int
-        When grants of earlier leaders have surely lapsed there.
+    dialect : GrantDialect
+        How the server takes grants.
+    inherited_until : int
+        When earlier leaders and their grants have surely ended.
+
+    Attributes
+    ----------
+    lost : bool
+        True if an operator vouches that the server has stopped.
     """
 
     def __init__(
@@ -58,19 +67,25 @@
         authority: _authority.AuthorityLease,
         clock: base.Clock,
         timing: _timing.Timing,
-        lapsed_at: int,
+        dialect: servers.GrantDialect,
+        inherited_until: int,
     ) -> None:
         self.entry = entry
         self.client = client
         self.state = ServerState.UNSEEN
         self.draining = False
+        self.seen_idle = False
+        self.on_change: Callable[[], None] | None = None
         self.higher_term = base.Term(0)
         self._shard = shard
         self._term = term
         self._authority = authority
         self._clock = clock
         self._timing = timing
-        self._lapsed_at = lapsed_at
+        self.lost = False
+        self._dialect = dialect
+        self._lapsed_at = 0
+        self._inherited_until = inherited_until
         self._incarnation = ""
         self._reading = 0
         self._reading_at = 0
@@ -82,7 +97,10 @@
         self._settled = asyncio.Condition()
 
     def set_wanted(self, wanted: dict[base.PartitionId, base.Epoch]) -> None:
-        """Set the partitions that the server is to own."""
+        """Set the partitions that the server is to own.
+
+        The caller does not change the mapping afterwards.
+        """
         if wanted != self._wanted:
             self._wanted = wanted
             self._wake.set()
@@ -96,16 +114,27 @@
             self.state is ServerState.REACHABLE
             and self._held.get(partition) == epoch
             and self._wanted.get(partition) == epoch
+            and self._dialect.may_send(
+                now=self._clock.now(), inherited_until=self._inherited_until
+            )
         )
 
     def has_lapsed(self) -> bool:
         """Return whether no grant can be valid at the server."""
-        return self._clock.now() >= self._lapsed_at
+        if self.lost and self.state is not ServerState.REACHABLE:
+            return True
+        return self._dialect.may_reassign(
+            now=self._clock.now(),
+            lapsed_at=max(self._lapsed_at, self._inherited_until),
+        )
 
     def has_released(self, partition: base.PartitionId) -> bool:
         """Return whether the server certainly does not own a partition."""
         if self.has_lapsed():
             return True
+        if self._clock.now() < self._inherited_until:
+            # A restarted server forgets terms and may take an old one.
+            return False
         return (
             self.state is ServerState.REACHABLE
             and not self._full
@@ -113,6 +142,10 @@
             and partition not in self._wanted
         )
 
+    def set_inherited(self, until: int) -> None:
+        """Set when earlier leaders and their grants have surely ended."""
+        self._inherited_until = until
+
     async def wait_settled(self, timeout_ms: int) -> None:
         """Wait for the next change of state, at most `timeout_ms`."""
         try:
@@ -148,10 +181,8 @@
             turn.cancel()
 
     async def _beat(self) -> None:
-        renewing = (
-            self.state is ServerState.REACHABLE and self._authority.is_valid()
-        )
-        wanted = dict(self._wanted)
+        renewing = self._may_renew()
+        wanted = self._wanted
         sent_at = self._clock.now()
         if renewing:
             request = self._make_renewal(wanted, sent_at)
@@ -164,21 +195,34 @@
         reply = await self.client.send_grants(
             request, timeout_ms=self._timing.call_timeout_ms
         )
+        before = (self.state, self.draining, self.seen_idle, id(self._held))
         self._take_reply(reply, wanted if renewing else None)
+        after = (self.state, self.draining, self.seen_idle, id(self._held))
+        if after != before and self.on_change is not None:
+            self.on_change()
+
+    def _may_renew(self) -> bool:
+        """Return whether a grant may be sent now.
+
+        An old reading of the server's clock is not used: the error of
+        the clocks' rates has grown with its age.
+        """
+        age_ms = self._clock.now() - self._reading_at
+        return (
+            self.state is ServerState.REACHABLE
+            and age_ms <= self._timing.grant_ms
+            and self._authority.is_valid()
+        )
 
     def _make_renewal(
         self, wanted: dict[base.PartitionId, base.Epoch], sent_at: int
     ) -> servers.GrantRequest:
         known = {} if self._full else self._held
-        granted = [
-            servers.PartitionGrant(partition=partition, epoch=epoch)
-            for partition, epoch in wanted.items()
-            if known.get(partition) != epoch
-        ]
-        revoked = [name for name in known if name not in wanted]
+        granted, revoked = _compare(known, wanted)
+        left_ms = self._authority.get_remaining_ms()
+        lasts_ms = min(self._timing.grant_ms, left_ms)
         self._lapsed_at = max(
-            self._lapsed_at,
-            sent_at + self._timing.grant_ms + self._timing.margin_ms,
+            self._lapsed_at, sent_at + self._timing.add_margin(lasts_ms)
         )
         elapsed_ms = sent_at - self._reading_at
         return servers.GrantRequest(
@@ -186,7 +230,7 @@
             term=self._term,
             sequence=next(self._sequence),
             server_incarnation=self._incarnation,
-            expires_at=self._reading + elapsed_ms + self._timing.grant_ms,
+            expires_at=self._reading + elapsed_ms + lasts_ms,
             granted=granted,
             revoked=revoked,
             full=self._full,
@@ -215,8 +259,26 @@
             self._held = {}
         first_contact = self.state is not ServerState.REACHABLE
         self.state = ServerState.REACHABLE
+        if reply.accepted and not reply.in_flight:
+            self.seen_idle = True
         if reply.accepted and wanted is not None:
             self._held = wanted
             self._full = False
         elif first_contact:
             self._wake.set()
+
+
+def _compare(
+    known: dict[base.PartitionId, base.Epoch],
+    wanted: dict[base.PartitionId, base.Epoch],
+) -> tuple[list[servers.PartitionGrant], list[base.PartitionId]]:
+    """Return the grants and revocations that lead to `wanted`."""
+    if known is wanted:
+        return [], []
+    granted = [
+        servers.PartitionGrant(partition=partition, epoch=epoch)
+        for partition, epoch in wanted.items()
+        if known.get(partition) != epoch
+    ]
+    revoked = [name for name in known if name not in wanted]
+    return granted, revoked
--- a/tarragonhinge/testing/__init__.py
+++ b/tarragonhinge/testing/__init__.py
@@ -6,11 +6,17 @@
 from tarragonhinge.testing._deployment import find_sent_to
 from tarragonhinge.testing._deployment import make_row
 from tarragonhinge.testing._deployment import Node
+from tarragonhinge.testing._faults import FaultDriver
+from tarragonhinge.testing._faults import FAULTS
+from tarragonhinge.testing._faults import RECOVERIES
+from tarragonhinge.testing._faults import REQUESTS
 from tarragonhinge.testing._loop import ManualLoop
 from tarragonhinge.testing._loop import run_manual
 from tarragonhinge.testing._loop import spawn
+from tarragonhinge.testing._monitor import OwnershipMonitor
 from tarragonhinge.testing._network import MemoryNetwork
 from tarragonhinge.testing._network import MemoryTransport
+from tarragonhinge.testing._operators import OperatorsSite
 from tarragonhinge.testing._servers import make_client_factory
 from tarragonhinge.testing._servers import MemoryServer
 from tarragonhinge.testing._servers import MemoryServerClient
@@ -19,8 +25,12 @@
 from tarragonhinge.testing._stores import MemoryInstanceList
 
 __all__ = [
+    "FAULTS",
+    "RECOVERIES",
+    "REQUESTS",
     "WALL_ORIGIN_MS",
     "Deployment",
+    "FaultDriver",
     "FaultyTable",
     "ManualClock",
     "ManualLoop",
@@ -30,6 +40,8 @@
     "MemoryServerClient",
     "MemoryTransport",
     "Node",
+    "OperatorsSite",
+    "OwnershipMonitor",
     "Run",
     "find_sent_to",
     "make_client_factory",
