Keep the memory when a leader raises its own term

Cause: a leader that claims its shard once more, to end an agreement for an outage, began with an empty history and answered unknown. It now goes on with its own. A successor without a copy refuses unseen keys for as long as an earlier leader may act, and 5 s beyond; 5 s alone did not cover the long lease of an outage, during which a leader out of reach can still run keys.

An entry now learns the leader from any answer that only a leader gives, and sends a lost request on at most twice: with leader and standby both lost, an order to the third instance was answered unknown.

--- a/tarragonhinge/dispatch/_memories.py
+++ b/tarragonhinge/dispatch/_memories.py
@@ -105,22 +105,27 @@
 
     def _open(self, leader: shards.ShardLeader) -> None:
         """Begin a history with what is known of earlier leaders."""
-        former = self._memories.pop(leader.shard, None)
-        if former is not None:
-            former.policy.stop()
+        previous = self._memories.pop(leader.shard, None)
+        if previous is not None:
+            previous.policy.stop()
         copy = self._copies.pop(leader.shard, None)
         history = _history.RequestHistory(clock=self._clock)
         record = leader.former
         ready = True
         if record is None:
             pass
+        elif previous is not None and _goes_on(previous, leader):
+            history = previous.history
         elif self._is_complete(record, copy):
             history = copy.history
             history.abandon(history.list_running())
         elif record.history == _table_policy.TablePolicy.name:
             ready = False
         else:
-            history.horizon = self._clock.read_wall() + _history.SKEW_MS
+            # Until then an earlier leader may run keys unseen.
+            wait_ms = max(0, leader.earlier_until - self._clock.now())
+            horizon = self._clock.read_wall() + wait_ms
+            history.horizon = horizon + _history.SKEW_MS
         memory = ShardMemory(
             leader=leader,
             history=history,
@@ -274,6 +279,17 @@
     await policy.keep()
 
 
+def _goes_on(previous: ShardMemory, leader: shards.ShardLeader) -> bool:
+    """Return whether this process only raised its own term."""
+    record = leader.former
+    return (
+        previous.ready.is_set()
+        and not previous.history.sealed
+        and previous.leader.record.term == record.term
+        and record.leader == leader.record.leader
+    )
+
+
 def _is_later(batch: _messages.HistoryBatch, copy: HistoryCopy) -> bool:
     return (batch.term, batch.sequence) > (copy.term, copy.sequence)
 
--- a/tarragonhinge/dispatch/tests/test_histories.py
+++ b/tarragonhinge/dispatch/tests/test_histories.py
@@ -7,6 +7,7 @@
 
 from tarragonhinge import base
 from tarragonhinge import dispatch
+from tarragonhinge import shards
 from tarragonhinge import testing
 
 SHARD = base.ShardId("balances/centro")
@@ -319,3 +320,53 @@
         assert history.answer_bytes == 0
 
     testing.run_manual(scenario())
+
+
+@pytest.mark.parametrize("policy", ["forget", *COPYING])
+def test_a_leader_that_raises_its_own_term_keeps_its_memory(policy):
+    async def scenario():
+        deployment = await _start(policy)
+        key = _mint_key()
+        first = await _order(deployment, key)
+        coordinator = deployment.find_leaders()[0].instance.coordinator
+        led = coordinator.leaders[SHARD]
+        await coordinator._claim_again(led)
+        await deployment.wait(500)
+        assert coordinator.leaders[SHARD].record.term > led.record.term
+        again = await _order(deployment, key)
+        assert again.replayed
+        assert again.body == first.body
+        other = await _order(deployment, _mint_key(1))
+        assert isinstance(other, base.Answered)
+
+    testing.run_manual(scenario())
+
+
+def test_a_stranger_runs_no_key_while_the_lost_pair_may_act():
+    async def scenario():
+        deployment = await _start("standby")
+        leader = deployment.find_leaders()[0]
+        led = leader.instance.coordinator.leaders[SHARD]
+        standby = led.record.standby.address
+        for node in deployment.nodes:
+            if node.address in (leader.address, standby):
+                await node.kill()
+        while not deployment.find_leaders():
+            await deployment.wait(100)
+        stranger = deployment.find_leaders()[0]
+        taken_at = stranger.clock.now()
+        left_ms = shards.Timing().outage_lease_ms
+        while stranger.clock.now() < taken_at + left_ms:
+            key = _mint_key(stranger.clock.now())
+            outcome = await deployment.send(
+                stranger, "k1", method="POST", idempotency_key=key
+            )
+            assert outcome.reason is LOST
+            await deployment.wait(2000)
+        await deployment.wait(10_000)
+        outcome = await deployment.send(
+            stranger, "k1", method="POST", idempotency_key=_mint_key()
+        )
+        assert isinstance(outcome, base.Answered)
+
+    testing.run_manual(scenario())
--- a/tarragonhinge/routing/_entry.py
+++ b/tarragonhinge/routing/_entry.py
@@ -189,14 +189,14 @@
     ) -> None:
         if isinstance(outcome, base.Answered):
             self._directory.learn(shard, address)
-        elif (
-            isinstance(outcome, base.NotRun)
-            and outcome.reason in _retry.REDIRECTS
-        ):
+        elif outcome.reason in _retry.REDIRECTS:
             if outcome.hint and outcome.hint != address:
                 self._directory.learn(shard, outcome.hint)
             else:
                 self._directory.forget(shard)
+        elif outcome.reason is not base.UnknownReason.LEADER_LOST:
+            # Only a leader refuses for another reason.
+            self._directory.learn(shard, address)
 
 
 def _replace_time_left(
--- a/tarragonhinge/routing/_retry.py
+++ b/tarragonhinge/routing/_retry.py
@@ -14,6 +14,9 @@
 #: Retries that a service has saved up at most.
 BURST = 10
 
+#: Times that a request of a lost leader is sent on.
+RESEND_LIMIT = 2
+
 #: Refusals after which another instance may take the request.  None of
 #: them reached a server, so they cost none of the budget.
 REDIRECTS = frozenset(
@@ -95,7 +98,7 @@
     keyed: bool
     budget: RetryBudget
     count: int = 0
-    resent: bool = False
+    resent: int = 0
     maybe_run: base.Unknown | None = None
 
     def may_repeat(self, outcome: base.Outcome) -> bool:
@@ -112,11 +115,11 @@
 
     def _may_resend(self, reason: base.UnknownReason) -> bool:
         if reason is base.UnknownReason.LEADER_LOST:
-            # Once for each request: a budget would leave most of the
-            # requests of a lost leader without an answer.
-            may = (self.idempotent or self.keyed) and not self.resent
-            self.resent = self.resent or may
-            return may
+            # A budget would leave most of the requests of a lost leader
+            # without an answer.
+            self.resent += 1
+            repeatable = self.idempotent or self.keyed
+            return repeatable and self.resent <= RESEND_LIMIT
         return self.idempotent and reason in REPEATED and self.budget.take()
 
     def conclude(self, outcome: base.Outcome) -> base.Outcome:
--- a/tarragonhinge/shards/_coordinator.py
+++ b/tarragonhinge/shards/_coordinator.py
@@ -265,7 +265,7 @@
         record = _record.decode_record(rows[0].value)
         named = record.standby and record.standby.address
         if record.term != standby.record.term or named != self._me.address:
-            self.standbys.pop(standby.shard, None)
+            self._drop_standby(standby.shard)
             return False
         standby.record = record
         standby.row_version = rows[0].version
@@ -553,6 +553,7 @@
         if authority_until is not None:
             leader.authority.extend_until(authority_until)
         leader.former = former
+        leader.earlier_until = inherited_until
         self.leaders[shard] = leader
         leader.start()
         logging.info("leader started shard=%s term=%d", shard, record.term)
--- a/tarragonhinge/shards/_leader.py
+++ b/tarragonhinge/shards/_leader.py
@@ -95,6 +95,7 @@
         self.shard = shard
         self.state = LeaderState.LEADING
         self.former: _record.ShardRecord | None = None
+        self.earlier_until = 0
         self.authority = _authority.AuthorityLease(clock=clock)
         self.agreement = _agreement.OutageAgreement()
         self.contact_at = -_reader.NEVER_MS
