Let a pause, not a revocation, cost a leader its authority in a test

A revoked lease now stays revoked, so the point of the outcome table that revoked it waited for ever. The leader is paused past its lease instead, as in the failure that is meant; the request is then answered by its successor.

--- a/tarragonhinge/dispatch/tests/test_histories.py
+++ b/tarragonhinge/dispatch/tests/test_histories.py
@@ -330,7 +330,7 @@
         first = await _order(deployment, key)
         coordinator = deployment.find_leaders()[0].instance.coordinator
         led = coordinator.leaders[SHARD]
-        await coordinator._claim_again(led)
+        await coordinator._claimant.claim_again(led)
         await deployment.wait(500)
         assert coordinator.leaders[SHARD].record.term > led.record.term
         again = await _order(deployment, key)
--- a/tarragonhinge/routing/tests/failure_points.py
+++ b/tarragonhinge/routing/tests/failure_points.py
@@ -8,6 +8,7 @@
 import dataclasses
 
 from tarragonhinge import base
+from tarragonhinge import shards
 from tarragonhinge import testing
 
 SHARD = base.ShardId("balances/centro")
@@ -192,7 +193,9 @@
 async def _(deployment, request):
     leader = find_leader(deployment)
     entry = find_entry(deployment)
-    leader.instance.coordinator.leaders[SHARD].authority.revoke()
+    leader.clock.pause()
+    await deployment.wait(2 * shards.Timing().lease_ms)
+    leader.clock.resume()
     return await send(deployment, request, entry=entry)
 
 
