Tell which version is in force on all instances

The command, the page and three metrics now say what all instances that report act on, and name some that lag or are silent, from what the pollers know.

--- a/tarragonhinge/cli/_table.py
+++ b/tarragonhinge/cli/_table.py
@@ -136,7 +136,7 @@
 
     @_verbatim
     def in_force(self, address: str, token_file: str = "") -> None:
-        """Print the version in force on the instance and the stored one."""
+        """Print the versions in force here and everywhere, and stored."""
         reply = _call(address, token_file, "GET", "/table/in-force")
         document = msgspec.json.decode(
             reply.body, type=operators.InForceDocument
@@ -145,6 +145,17 @@
         if stored is None:
             stored = "out of reach"
         print(f"in force: {document.in_force}; stored: {stored}")
+        if document.everywhere is not None:
+            print(
+                f"in force on all {document.instances} instances that "
+                f"report: {document.everywhere}"
+            )
+        for word, names in (
+            ("lagging", document.lagging),
+            ("silent", document.silent),
+        ):
+            if names:
+                print(f"{word}: {', '.join(names)}")
 
 
 def _format_edit(edit: configuration.EditSummary) -> str:
--- a/tarragonhinge/cli/tests/test_table.py
+++ b/tarragonhinge/cli/tests/test_table.py
@@ -10,6 +10,7 @@
 
 from tarragonhinge import cli
 from tarragonhinge import configuration
+from tarragonhinge import propagation
 from tarragonhinge import testing
 
 ROW = testing.make_row()
@@ -134,6 +135,18 @@
     assert b"stored: 3" in run_table("in-force")[1]
 
 
+def test_in_force_names_the_instances_that_lag(run_table, server):
+    server.site.fleet = propagation.FleetVersion(
+        version=1, instances=12, lagging=["i4"], silent=["i7", "i9"]
+    )
+    lines = run_table("in-force")[1].decode().splitlines()
+    assert lines[1:] == [
+        "in force on all 12 instances that report: 1",
+        "lagging: i4",
+        "silent: i7, i9",
+    ]
+
+
 def test_an_outage_and_a_wrong_token_are_told_apart(run_table, server):
     status, _, errors = run_table(*APPLY, body=_csv(slots="3"), token=False)
     assert (status, "--token-file" in errors) == (2, True)
--- a/tarragonhinge/daemon/_listeners.py
+++ b/tarragonhinge/daemon/_listeners.py
@@ -74,7 +74,9 @@
             is_ready=instance.is_ready,
             collector=collector,
             table=operators.TableApi(
-                editor=instance.editor, view=instance.view
+                editor=instance.editor,
+                view=instance.view,
+                fetch_fleet=instance.propagator.fetch_fleet_version,
             ),
             tokens=instance.tokens,
         )
--- a/tarragonhinge/daemon/_samples.py
+++ b/tarragonhinge/daemon/_samples.py
@@ -47,6 +47,15 @@
     yield _Sample(
         metric=catalog.TABLE_VERSION, value=instance.view.current.version
     )
+    fleet = instance.propagator.get_fleet_version()
+    if fleet is not None:
+        late = len(fleet.lagging) + len(fleet.silent)
+        for metric, value in (
+            (catalog.FLEET_TABLE_VERSION, fleet.version),
+            (catalog.FLEET_INSTANCES, fleet.instances),
+            (catalog.FLEET_LAGGING, late),
+        ):
+            yield _Sample(metric=metric, value=value)
     yield _Sample(
         metric=catalog.TABLE_READ_FAILURES, value=instance.poller.failures
     )
--- a/tarragonhinge/operators/_messages.py
+++ b/tarragonhinge/operators/_messages.py
@@ -91,7 +91,18 @@
         What this instance acts on.
     stored : TableVersion or None
         What the store holds; None if it gave no answer.
+    everywhere : TableVersion or None
+        What all instances that report act on at least; None if no
+        poller answers.
+    instances : int
+        Instances that report.
+    lagging, silent : list of InstanceId
+        Some with a lower version, and some listed that do not report.
     """
 
     in_force: base.TableVersion
     stored: base.TableVersion | None
+    everywhere: base.TableVersion | None = None
+    instances: int = 0
+    lagging: list[base.InstanceId] = []
+    silent: list[base.InstanceId] = []
--- a/tarragonhinge/operators/_table.py
+++ b/tarragonhinge/operators/_table.py
@@ -1,5 +1,7 @@
 """The operators' table over HTTP."""
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Mapping
 import re
 
@@ -11,10 +13,14 @@
 from tarragonhinge import configuration
 from tarragonhinge.operators import _answers
 from tarragonhinge.operators import _messages
+from tarragonhinge import propagation
 from tarragonhinge import stores
 
 HISTORY_LIMIT = 1000
 
+#: Asks a poller for the version in force on all instances.
+FleetFetcher = Callable[[], Awaitable[propagation.FleetVersion | None]]
+
 _CSV = "text/csv"
 _JSON = "application/json"
 
@@ -35,6 +41,9 @@
         Takes edits.
     view : TableView
         What is in force on this instance.
+    fetch_fleet : callable or None
+        Coroutine function that returns the `FleetVersion`, or None if
+        no poller answers.
     """
 
     def __init__(
@@ -42,8 +51,10 @@
         *,
         editor: configuration.TableEditor,
         view: configuration.TableView,
+        fetch_fleet: FleetFetcher | None = None,
     ) -> None:
         self._editor = editor
+        self._fetch_fleet = fetch_fleet
         self._view = view
 
     def add_routes(self, router: web.UrlDispatcher) -> None:
@@ -118,9 +129,18 @@
         stored = None
         if not isinstance(head, stores.Unavailable):
             stored = head.latest.version if head else base.TableVersion(0)
+        fleet = await self._fetch_fleet() if self._fetch_fleet else None
         document = _messages.InForceDocument(
             in_force=self._view.current.version, stored=stored
         )
+        if fleet is not None:
+            document = msgspec.structs.replace(
+                document,
+                everywhere=fleet.version,
+                instances=fleet.instances,
+                lagging=fleet.lagging,
+                silent=fleet.silent,
+            )
         return _answers.make_json(document)
 
     # Editing -------------------------------------------------------------
--- a/tarragonhinge/operators/catalog.py
+++ b/tarragonhinge/operators/catalog.py
@@ -185,6 +185,25 @@
     "version",
     "Version of the operators' table in force.",
 )
+FLEET_TABLE_VERSION = _define(
+    "fleet_table_version",
+    _GAUGE,
+    "version",
+    "Lowest version in force on the instances that report, as a poller "
+    "knows it.",
+)
+FLEET_INSTANCES = _define(
+    "fleet_instances",
+    _GAUGE,
+    "instances",
+    "Instances that report their version, as a poller knows them.",
+)
+FLEET_LAGGING = _define(
+    "fleet_lagging",
+    _GAUGE,
+    "instances",
+    "Instances known to lag or to be silent; at most 20 for each zone.",
+)
 TABLE_READ_FAILURES = _define(
     "table_read_failures",
     _COUNTER,
--- a/tarragonhinge/operators/tests/test_table.py
+++ b/tarragonhinge/operators/tests/test_table.py
@@ -150,7 +150,9 @@
         old = await client.get("/table?version=1", headers=JSON)
         assert old.status == 503
         seen = await client.get("/table/in-force", headers=BEARER)
-        assert await seen.json() == {"in_force": 1, "stored": None}
+        document = await seen.json()
+        assert (document["in_force"], document["stored"]) == (1, None)
+        assert document["everywhere"] is None
 
     _run(scenario, token_file)
 
--- a/tarragonhinge/propagation/_propagator.py
+++ b/tarragonhinge/propagation/_propagator.py
@@ -320,12 +320,23 @@
 
     # Operators -----------------------------------------------------------
 
+    def get_fleet_version(self) -> _fleet.FleetVersion | None:
+        """Return what this poller knows of all instances; None for others.
+
+        Only the first poller of an availability zone hears of the others.
+        """
+        pollers = self.election.list_pollers(self._me.zone)
+        if not pollers or pollers[0].instance != self._me.instance:
+            return None
+        self._fleet.record(self._summarize_zone())
+        return _fleet.combine_summaries(self._fleet.list_summaries())
+
     async def fetch_fleet_version(self) -> _fleet.FleetVersion | None:
         """Return what is in force on all instances; None if not known."""
         for poller in self.election.list_pollers(self._me.zone):
-            if poller.instance == self._me.instance:
-                reply = await self._on_summary_query(_messages.SummaryQuery())
-                return _fleet.combine_summaries(reply.summaries)
+            known = self.get_fleet_version()
+            if known is not None:
+                return known
             reply = await self._transport.call(
                 poller.address,
                 _messages.SummaryQuery(),
--- a/tarragonhinge/testing/_operators.py
+++ b/tarragonhinge/testing/_operators.py
@@ -3,6 +3,7 @@
 from tarragonhinge import base
 from tarragonhinge import configuration
 from tarragonhinge import operators
+from tarragonhinge import propagation
 from tarragonhinge import stores
 from tarragonhinge.testing import _clock
 from tarragonhinge.testing import _stores
@@ -36,6 +37,8 @@
         What is in force.
     tokens : TokenCheck
         Who may read and edit.
+    fleet : FleetVersion or None
+        What a poller tells of all instances; None if none answers.
     application : Application
         What serves the operators' address.
     """
@@ -51,6 +54,7 @@
             committer=stores.Committer(table=self.table, clock=clock),
         )
         self.view = configuration.TableView()
+        self.fleet: propagation.FleetVersion | None = None
         self.tokens = operators.TokenCheck(path=token_file)
         self.application = operators.make_application(
             dump=dict,
@@ -62,10 +66,14 @@
                     known=KNOWN_NAMES,
                 ),
                 view=self.view,
+                fetch_fleet=self._fetch_fleet,
             ),
             tokens=self.tokens,
         )
 
+    async def _fetch_fleet(self) -> propagation.FleetVersion | None:
+        return self.fleet
+
     async def fill(self, row: configuration.ServiceRow) -> None:
         """Store one row as version 1 and put it in force."""
         await self.store.apply_edit([row], expected=base.TableVersion(0))
