Send entries of other regions on to a candidate

An entry knows three instances of each zone of another region, which need not be candidates for the shard that it looks for, and tried only those. An instance that is no candidate now names one.

--- a/tarragonhinge/shards/_coordinator.py
+++ b/tarragonhinge/shards/_coordinator.py
@@ -54,7 +54,7 @@
     timing : Timing
         Durations.
     rng : random.Random or None
-        Source of jitter.
+        Source of jitter and of suggested candidates.
     """
 
     def __init__(
@@ -83,6 +83,7 @@
         self._candidates = _candidates.Candidates(
             me=me, view=view, instances=instances
         )
+        self._rng = rng or random.Random()
         self._reader = _reader.RecordReader(
             table=table, clock=clock, timing=timing, rng=rng
         )
@@ -194,7 +195,24 @@
         standby_copy = self.standbys.get(shard)
         if standby_copy is not None and standby_copy.record is not None:
             return standby_copy.record.leader.address
-        return base.Address("")
+        return self._suggest_candidate(shard)
+
+    def _suggest_candidate(self, shard: base.ShardId) -> base.Address:
+        """Return an instance that may lead a shard of this region.
+
+        An entry of another region knows only a few instances here, which
+        need not be candidates.  A candidate that does not know the leader
+        names nobody, and one is chosen at random, so that an entry that
+        is sent on reaches the leader in a few steps.
+        """
+        _, region = base.split_shard_id(shard)
+        if region != self._me.region:
+            return base.Address("")
+        ranked = self._candidates.rank(shard)[: _vacancies.CANDIDATES]
+        addresses = [entry.address for entry in ranked]
+        if not addresses or self._me.address in addresses:
+            return base.Address("")
+        return self._rng.choice(addresses)
 
     # Messages ------------------------------------------------------------
 
--- a/tarragonhinge/shards/tests/test_ownership.py
+++ b/tarragonhinge/shards/tests/test_ownership.py
@@ -181,3 +181,26 @@
         assert deployment.find_leaders() == [leader]
 
     testing.run_manual(scenario())
+
+
+def test_an_instance_that_is_no_candidate_names_one():
+    async def scenario():
+        deployment = testing.Deployment(instances=9)
+        await deployment.start()
+        shard = deployment.shard
+        named = {
+            node.instance.coordinator.find_leader_address(shard)
+            for node in deployment.nodes
+        }
+        leader = deployment.find_leaders()[0]
+        assert leader.address in named
+        knows_nobody = [
+            node
+            for node in deployment.nodes
+            if not node.instance.coordinator.find_leader_address(shard)
+        ]
+        assert len(knows_nobody) <= 1
+        elsewhere = base.ShardId("balances/sur")
+        assert not leader.instance.coordinator.find_leader_address(elsewhere)
+
+    testing.run_manual(scenario())
