--- a/benchmarks/neighbours.py
+++ b/benchmarks/neighbours.py
@@ -1,16 +1,20 @@
 """Stand-ins in a process of their own, so that only the instance counts.
 
-Prints the addresses as one JSON line and runs until standard input is
-closed.  Started by ``benchmarks/slopes.py``.
+Arguments: number of backend servers, and optionally the list of
+instances as JSON.  Prints the addresses as one JSON line and runs until
+standard input is closed.  Started by ``benchmarks/slopes.py``.
 """
 
 import asyncio
 import json
 import sys
 
+import msgspec
+
 from tarragonhinge import base
 from tarragonhinge import daemon
 from tarragonhinge import demo
+from tarragonhinge import membership
 from tarragonhinge import standins
 
 
@@ -20,9 +24,13 @@
     return address
 
 
-async def run(servers: int) -> None:
+async def run(servers: int, listed: str) -> None:
     """Serve a platform and a number of backend servers."""
     platform = standins.StandinPlatform()
+    for entry in msgspec.json.decode(
+        listed, type=list[membership.InstanceEntry]
+    ):
+        platform.instances[entry.instance] = entry
     names = [base.ServerId(f"s{number}") for number in range(servers)]
     addresses = {
         "platform": await _serve(platform.make_application()),
@@ -40,4 +48,4 @@
 
 
 if __name__ == "__main__":
-    asyncio.run(run(int(sys.argv[1])))
+    asyncio.run(run(int(sys.argv[1]), (sys.argv[2:] or ["[]"])[0]))
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -10,10 +10,12 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import json
 import pathlib
 import subprocess
 import sys
+import tempfile
 import time
 import tracemalloc
 
@@ -39,22 +41,54 @@
 HERE = pathlib.Path(__file__).parent
 
 
+def _make_options(name: str) -> settings.Settings:
+    host = "127.0.0.1"
+    return settings.Settings(
+        name=base.InstanceId(name),
+        region=REGION,
+        zone=ZONE,
+        callers=demo.find_free_address(host),
+        peers=demo.find_free_address(host),
+        operators=demo.find_free_address(host),
+        table=base.Address(""),
+        instances=base.Address(""),
+    )
+
+
+def _make_entry(options: settings.Settings) -> membership.InstanceEntry:
+    return membership.InstanceEntry(
+        instance=options.name,
+        address=options.peers,
+        region=options.region,
+        zone=options.zone,
+    )
+
+
+def _format_settings(options: settings.Settings) -> str:
+    """Return a settings file for an instance in its own process."""
+    return f"""
+[instance]
+name = {options.name}
+region = {options.region}
+zone = {options.zone}
+[listen]
+callers = {options.callers}
+peers = {options.peers}
+operators = {options.operators}
+[platform]
+table = {options.table}
+instances = {options.instances}
+"""
+
+
 class Bench:
     """One instance beside stand-ins in another process."""
 
-    def __init__(self, *, addresses: dict) -> None:
+    def __init__(self, *, addresses: dict, options: settings.Settings) -> None:
         self.servers = addresses["servers"]
         platform = addresses["platform"]
-        host = "127.0.0.1"
-        self.options = settings.Settings(
-            name=base.InstanceId("i0"),
-            region=REGION,
-            zone=ZONE,
-            callers=demo.find_free_address(host),
-            peers=demo.find_free_address(host),
-            operators=demo.find_free_address(host),
-            table=platform,
-            instances=platform,
+        self.options = dataclasses.replace(
+            options, table=platform, instances=platform
         )
         self.instance = daemon.Instance(
             options=self.options,
@@ -88,12 +122,16 @@
             queue=1000,
         )
 
-    async def start(self, rows: list[configuration.ServiceRow]) -> None:
-        """Store a table, start the instance and let it settle."""
+    async def store(self, rows: list[configuration.ServiceRow]) -> None:
+        """Store a table."""
         await self.instance.store.apply_edit(
             rows, expected=base.TableVersion(0)
         )
-        self.instance.instances.replace([self.instance.me])
+
+    async def start(self) -> None:
+        """Start the instance and let it settle."""
+        if not self.instance.instances.list_all():
+            self.instance.instances.replace([self.instance.me])
         await self.instance.start()
         await self.listeners.start()
         await asyncio.sleep(SETTLE_S)
@@ -112,25 +150,66 @@
 
 
 @contextlib.asynccontextmanager
-async def _open_bench(rows):
-    """Start stand-ins and an instance; `rows` takes the bench."""
+async def _open_bench(
+    rows, *, options=None, listed="[]", neighbour=None, leads=True
+):
+    """Start stand-ins and instances; `rows` takes the bench.
+
+    The neighbour is a second instance in its own process; the shard is
+    led by whichever starts first.
+    """
     process = await asyncio.create_subprocess_exec(
         sys.executable,
         str(HERE / "neighbours.py"),
         str(SERVERS),
+        listed,
         stdin=subprocess.PIPE,
         stdout=subprocess.PIPE,
     )
-    bench = Bench(addresses=json.loads(await process.stdout.readline()))
+    bench = Bench(
+        addresses=json.loads(await process.stdout.readline()),
+        options=options or _make_options("i0"),
+    )
+    other = None
     try:
-        await bench.start(rows(bench))
+        if neighbour is not None and not leads:
+            await bench.store(rows(bench))
+            other = await _start_neighbour(bench, neighbour)
+            await asyncio.sleep(SETTLE_S)
+        else:
+            await bench.store(rows(bench))
+        await bench.start()
+        if neighbour is not None and other is None:
+            other = await _start_neighbour(bench, neighbour)
+            await asyncio.sleep(SETTLE_S)
         yield bench
     finally:
         await bench.stop()
+        if other is not None:
+            other.kill()
+            await other.wait()
         process.stdin.close()
         await process.wait()
 
 
+async def _start_neighbour(bench, options):
+    """Start a second instance in its own process."""
+    options = dataclasses.replace(
+        options, table=bench.options.table, instances=bench.options.instances
+    )
+    with tempfile.NamedTemporaryFile("w", suffix=".ini", delete=False) as file:
+        file.write(_format_settings(options))
+    code = "from tarragonhinge import cli; cli.main()"
+    return await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        code,
+        "serve",
+        f"--settings={file.name}",
+        stderr=subprocess.DEVNULL,
+    )
+
+
 async def _measure_idle(sizes, make_rows):
     values = []
     for size in sizes:
@@ -190,21 +269,12 @@
     async with _open_bench(
         lambda b: [b.make_row(0, servers=8, partitions=64)]
     ) as bench:
-        url = f"http://{bench.options.callers}/service0"
         for rate in rates:
             cpu = time.process_time()
-            process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                str(HERE / "callers.py"),
-                url,
-                str(rate),
-                str(MEASURE_S),
-                stdout=subprocess.PIPE,
-            )
-            output, _ = await process.communicate()
+            output = await _run_callers(bench.options.callers, rate)
             spent = time.process_time() - cpu
             values.append(spent * base.MS_PER_S / MEASURE_S)
-            note = f"at {rate}/s: {output.decode().strip()}"
+            note = f"at {rate}/s: {output}"
     fit = fits.Fit(
         name="request a second (entry and leader in one)",
         unit="ms CPU/s",
@@ -214,6 +284,53 @@
     return fit, note
 
 
+async def _run_callers(address, rate) -> str:
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(HERE / "callers.py"),
+        f"http://{address}/service0",
+        str(rate),
+        str(MEASURE_S),
+        stdout=subprocess.PIPE,
+    )
+    output, _ = await process.communicate()
+    return output.decode().strip()
+
+
+async def measure_split(role: str) -> tuple[fits.Fit, str]:
+    """Return the cost of a request to an entry or a leader alone.
+
+    The other role is taken by a second instance in its own process.
+    """
+    other = _make_options("i1")
+    first = _make_options("i0")
+    listed = msgspec.json.encode(
+        [_make_entry(options) for options in (first, other)]
+    )
+    async with _open_bench(
+        lambda b: [b.make_row(0, servers=8, partitions=64)],
+        options=first,
+        listed=listed.decode(),
+        neighbour=other,
+        leads=role == "leader",
+    ) as bench:
+        target = first if role == "entry" else other
+        rates, values = (50, 100, 200, 400), []
+        for rate in rates:
+            cpu = time.process_time()
+            note = await _run_callers(target.callers, rate)
+            spent = time.process_time() - cpu
+            values.append(spent * base.MS_PER_S / MEASURE_S)
+        assert bool(bench.instance.coordinator.leaders) == (role == "leader")
+    fit = fits.Fit(
+        name=f"request a second ({role} alone)",
+        unit="ms CPU/s",
+        sizes=list(rates),
+        values=values,
+    )
+    return fit, f"{role} apart, at {rate}/s: {note}"
+
+
 async def measure_reports() -> fits.Fit:
     """Return a poller's cost of one more report a second."""
     rates, values = (0, 50, 100, 200), []
@@ -367,6 +484,11 @@
     print("|---|---|---|---|---|")
     requests, note = await measure_requests()
     print(requests.format_row(), flush=True)
+    notes = [note]
+    for role in ("entry", "leader"):
+        fit, note = await measure_split(role)
+        print(fit.format_row(), flush=True)
+        notes.append(note)
     for measure in (
         measure_shards,
         measure_servers,
@@ -377,7 +499,7 @@
         print((await measure()).format_row(), flush=True)
     for fit in (*measure_edits(), *measure_list(), measure_selection()):
         print(fit.format_row(), flush=True)
-    print(f"\nlatency seen by callers {note}")
+    print("\n" + "\n".join(f"latency seen by callers {n}" for n in notes))
 
 
 if __name__ == "__main__":
