--- a/tarragonhinge/configuration/__init__.py
+++ b/tarragonhinge/configuration/__init__.py
@@ -9,6 +9,9 @@
 from tarragonhinge.configuration._columns import format_limits
 from tarragonhinge.configuration._columns import format_page
 from tarragonhinge.configuration._columns import format_row
+from tarragonhinge.configuration._delta import compute_delta
+from tarragonhinge.configuration._delta import DeltaEncoder
+from tarragonhinge.configuration._delta import TableDelta
 from tarragonhinge.configuration._diff import CellChange
 from tarragonhinge.configuration._diff import diff_rows
 from tarragonhinge.configuration._edit import Accepted
@@ -49,6 +52,7 @@
     "CellProblem",
     "ColumnSpec",
     "ConfigurationStore",
+    "DeltaEncoder",
     "EditConflict",
     "EditFlags",
     "EditIdReused",
@@ -65,6 +69,7 @@
     "ServiceRow",
     "RETRY_MS",
     "TABLE_KEY",
+    "TableDelta",
     "TableEditor",
     "TableError",
     "TableHead",
@@ -74,6 +79,7 @@
     "VersionRecord",
     "VersionUnknown",
     "check_table",
+    "compute_delta",
     "diff_rows",
     "format_csv",
     "format_limits",
--- a/tarragonhinge/propagation/_messages.py
+++ b/tarragonhinge/propagation/_messages.py
@@ -63,7 +63,8 @@
     Parameters
     ----------
     table : bytes
-        The operators' table; empty if the instance has it.
+        `TableDelta` to the version in force; empty if the instance
+        has it.
     list_digest : int
         Digest of `entries`.
     entries : list of InstanceEntry or None
@@ -98,7 +99,8 @@
     Parameters
     ----------
     table : bytes
-        The operators' table if the receiver's is newer; else empty.
+        `TableDelta` to the receiver's version if that is newer; else
+        empty.
     summary : ZoneSummary
         What the pollers of the receiver's zone hear.
     """
--- a/tarragonhinge/propagation/_propagator.py
+++ b/tarragonhinge/propagation/_propagator.py
@@ -91,8 +91,11 @@
         self._connected_at = clock.now() - CUT_OFF_MS
         self._was_connected = False
         self._periods = 0
-        self._encoded: tuple[int, bytes] = (0, b"")
-        self._decoder = msgspec.json.Decoder(configuration.OperatorsTable)
+        self._deltas = configuration.DeltaEncoder(
+            empty=configuration.OperatorsTable()
+        )
+        view.changes.subscribe(self._deltas.advance)
+        self._decoder = msgspec.msgpack.Decoder(configuration.TableDelta)
         transport.handle(_messages.VersionReport, self._on_report)
         transport.handle(_messages.PollerExchange, self._on_exchange)
         transport.handle(_messages.SummaryQuery, self._on_summary_query)
@@ -269,10 +272,19 @@
         return True
 
     def _take_table(self, content: bytes) -> None:
+        """Put a newer version in force; ignore one that does not fit.
+
+        A delta does not fit if this instance has advanced by other means
+        since it asked; the next report brings what is still lacking.
+        """
         if not content:
             return
-        table = self._decoder.decode(content)
-        if self._view.advance(table):
+        delta = self._decoder.decode(content)
+        current = self._view.current
+        if not delta.base_version:
+            current = configuration.OperatorsTable()
+        table = delta.apply(current)
+        if table is not None and self._view.advance(table):
             logging.info("table in force version=%d", table.version)
 
     # Messages ------------------------------------------------------------
@@ -309,14 +321,8 @@
         return _messages.SummaryReply(summaries=self._fleet.list_summaries())
 
     def _encode_newer(self, version: base.TableVersion) -> bytes:
-        """Return the table in force if it is newer than a version."""
-        current = self._view.current
-        if current.version <= version:
-            return b""
-        if self._encoded[0] != current.version:
-            content = msgspec.json.encode(current)
-            self._encoded = (current.version, content)
-        return self._encoded[1]
+        """Return what a version lacks of the one in force, or nothing."""
+        return self._deltas.encode(version)
 
     # Operators -----------------------------------------------------------
 
--- a/tarragonhinge/servers/_messages.py
+++ b/tarragonhinge/servers/_messages.py
@@ -24,7 +24,9 @@
     epoch: base.Epoch
 
 
-class GrantRequest(msgspec.Struct, frozen=True, kw_only=True):
+class GrantRequest(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True
+):
     """Batched heartbeat of a shard's leader to one server.
 
     Parameters
@@ -61,7 +63,9 @@
     full: bool = False
 
 
-class GrantReply(msgspec.Struct, frozen=True, kw_only=True):
+class GrantReply(
+    msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True
+):
     """Answer to a `GrantRequest`.
 
     Parameters
