Add make bench: one report of the measures

Cause: each benchmark printed its own figures, at sizes of its own; none compared the deployments' sizes with the baselines in one run. losses, planning, goodput and path take their sizes as arguments and return their figures; FixedTrial is plain hashing with fixed owners.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,7 @@
 VENV := .venv
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
+BENCH_STAMP := $(VENV)/.installed-bench
 
 .PHONY: demo test lint format bench clean
 
@@ -12,6 +13,11 @@
 	    --constraint constraints.txt --editable '.[test]'
 	touch $(STAMP)
 
+$(BENCH_STAMP): $(STAMP)
+	$(BIN)/pip install --quiet --disable-pip-version-check \
+	    --constraint constraints.txt --editable '.[bench]'
+	touch $(BENCH_STAMP)
+
 demo: $(STAMP)
 	$(BIN)/tarragonhinge demo
 
@@ -27,5 +33,9 @@
 test: lint
 	$(BIN)/pytest
 
+# Some minutes; writes benchmarks/out/report.md, report.json and plots.
+bench: $(BENCH_STAMP)
+	$(BIN)/python benchmarks/report.py
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- a/benchmarks/goodput.py
+++ b/benchmarks/goodput.py
@@ -46,6 +46,8 @@
 async def run_load(
     *,
     load: float,
+    servers: int = SERVERS,
+    duration_ms: int = DURATION_MS,
     skew: float = 0.0,
     spread: float = 0.0,
     slow_ms: int = SERVICE_MS,
@@ -57,6 +59,8 @@
     ----------
     load : float
         Offered load as part of the capacity.
+    servers, duration_ms : int
+        Size of the shard, and how long the load lasts.
     skew, spread : float
         Of the keys, and of the service times.
     slow_ms : int
@@ -64,7 +68,8 @@
     **changes
         Columns of the row.
     """
-    row = testing.make_row(servers=SERVERS, partitions=66, **changes)
+    columns = {"partitions": 66} | changes
+    row = testing.make_row(servers=servers, **columns)
     deployment = testing.Deployment(row=row)
     for server in deployment.servers.values():
         server.__class__ = VariedServer
@@ -73,15 +78,15 @@
         server.rng = random.Random(server.name)
     deployment.servers["s0"].service_ms = slow_ms
     await deployment.start()
-    capacity = SERVERS * row.slots * DURATION_MS / SERVICE_MS
+    capacity = servers * row.slots * duration_ms / SERVICE_MS
     offered = testing.OpenLoad(
         deployment=deployment,
-        rate=load * capacity * base.MS_PER_S / DURATION_MS,
+        rate=load * capacity * base.MS_PER_S / duration_ms,
         deadline_ms=DEADLINE_MS,
         high_part=HIGH_PART,
         skew=skew,
     )
-    await offered.run(DURATION_MS)
+    await offered.run(duration_ms)
     return offered, deployment, capacity
 
 
--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -157,12 +157,37 @@
         return LIMIT_MS
 
 
-async def measure(name: str) -> Result:
-    """Return the cost of one loss."""
+async def measure(
+    name: str,
+    *,
+    servers: int = SERVERS,
+    partitions: int = 24,
+    delay_ms: int = 1,
+    store_delay_ms: int = 5,
+    **changes,
+) -> Result:
+    """Return the cost of one loss.
+
+    Parameters
+    ----------
+    name : str
+        One of `LOSSES`.
+    servers, partitions : int
+        Size of the shard.
+    delay_ms, store_delay_ms : int
+        One-way delays between all ends, and to the store.
+    **changes
+        Columns of the row.
+    """
     deployment = testing.Deployment(
-        row=testing.make_row(servers=SERVERS, partitions=24),
+        row=testing.make_row(
+            servers=servers, partitions=partitions, **changes
+        ),
         instances=INSTANCES,
+        network=testing.MemoryNetwork(delay_ms=delay_ms),
     )
+    for node in deployment.nodes:
+        node.table.delay_ms = store_delay_ms
     await deployment.start()
     bench = Bench(deployment=deployment)
     before = bench.read_owners()
@@ -190,17 +215,25 @@
 }
 
 
+def run(name: str, *, standby: bool = True, **size) -> Result:
+    """Measure one loss, with a standby or with claims alone."""
+    choose = shards.Candidates.choose_standby
+    if not standby:
+        shards.Candidates.choose_standby = _choose_nobody
+    try:
+        return testing.run_manual(measure(name, **size))
+    finally:
+        shards.Candidates.choose_standby = choose
+
+
 def main() -> None:
     """Print the table."""
     absl.logging.set_verbosity(absl.logging.ERROR)
-    choose = shards.Candidates.choose_standby
     print("| loss | unavailable ms | churn | baseline ms | churn |")
     print("|---|---|---|---|---|")
     for name in LOSSES:
-        shards.Candidates.choose_standby = choose
-        mine = testing.run_manual(measure(name))
-        shards.Candidates.choose_standby = _choose_nobody
-        plain = testing.run_manual(measure(name))
+        mine = run(name)
+        plain = run(name, standby=False)
         print(
             f"| {name} | {mine.unavailable_ms} | {mine.churn} "
             f"| {plain.unavailable_ms} | {plain.churn} |"
--- a/benchmarks/path.py
+++ b/benchmarks/path.py
@@ -48,7 +48,12 @@
         self.url = url
         self.headers = headers
         self.times = histogram.HdrHistogram(1, 60_000_000, 3)
-        self.elapsed_s = 0.0
+        self.rounds_s: list[float] = []
+
+    @property
+    def elapsed_s(self) -> float:
+        """Return the time that all rounds took."""
+        return sum(self.rounds_s)
 
     async def send(self, session: aiohttp.ClientSession, key: str) -> None:
         """Send one request and record how long it took."""
@@ -71,7 +76,7 @@
                 await self.send(session, KEYS[number % len(KEYS)])
 
         await asyncio.gather(*(work(n) for n in range(concurrency)))
-        self.elapsed_s += time.perf_counter() - started
+        self.rounds_s.append(time.perf_counter() - started)
 
 
 def make_ways(site: _site.Site) -> list[Way]:
@@ -138,26 +143,29 @@
         )
 
 
-async def measure() -> None:
-    """Run all ways in turn, several rounds each."""
+async def measure(concurrencies=CONCURRENCIES) -> dict[int, list[Way]]:
+    """Run all ways in turn, several rounds each; return them."""
+    measured = {}
     site = _site.Site(service_ms=0)
     await site.start()
     async with aiohttp.ClientSession() as session:
         await asyncio.sleep(2)
-        for concurrency in CONCURRENCIES:
+        for concurrency in concurrencies:
             ways = make_ways(site)
             for way in ways:
                 await way.run(session, concurrency)
-                way.elapsed_s = 0.0
+                way.rounds_s.clear()
                 way.times.reset()
             for _ in range(ROUNDS):
                 for way in ways:
                     await way.run(session, concurrency)
-            report(ways, concurrency)
+            measured[concurrency] = ways
     await site.stop()
+    return measured
 
 
 if __name__ == "__main__":
     logging.set_verbosity(logging.WARNING)
     standard_logging.getLogger("aiohttp").setLevel("ERROR")
-    asyncio.run(measure())
+    for concurrency, ways in asyncio.run(measure()).items():
+        report(ways, concurrency)
--- a/benchmarks/planning.py
+++ b/benchmarks/planning.py
@@ -66,6 +66,19 @@
 CHURN_WEIGHTS = (0, 0.25, 0.5, 1, 2)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Summary:
+    """Figures of one trial; the module's docstring explains them."""
+
+    mean: float
+    p95: float
+    floor: float
+    moved_per_hour: float
+    moved_at_loss: float
+    moved_at_return: float
+    splits: int
+
+
 class Trial:
     """One planner against one load."""
 
@@ -204,17 +217,26 @@
         self.imbalances.append(max(levels.values()) / mean - 1)
         self.floors.append(max(0, self.hottest / mean - 1))
 
+    def summarize(self):
+        """Return the figures of all steps."""
+        hours = STEPS / HOUR_S
+        return Summary(
+            mean=statistics.mean(self.imbalances),
+            p95=statistics.quantiles(self.imbalances, n=20)[-1],
+            floor=statistics.mean(self.floors),
+            moved_per_hour=self.moved["balance"] / KEYS / hours,
+            moved_at_loss=self.moved["loss"] / KEYS,
+            moved_at_return=self.moved["return"] / KEYS,
+            splits=len(self.splits),
+        )
+
     def print_row(self, name):
         """Print one line of a table."""
-        hours = STEPS / HOUR_S
-        p95 = statistics.quantiles(self.imbalances, n=20)[-1]
+        row = self.summarize()
         print(
-            f"{name:18} {statistics.mean(self.imbalances):6.2f} {p95:6.2f}"
-            f" {statistics.mean(self.floors):6.2f}"
-            f" {self.moved['balance'] / KEYS / hours:8.2f}"
-            f" {self.moved['loss'] / KEYS:6.3f}"
-            f" {self.moved['return'] / KEYS:7.3f}"
-            f" {len(self.splits):6}"
+            f"{name:18} {row.mean:6.2f} {row.p95:6.2f} {row.floor:6.2f}"
+            f" {row.moved_per_hour:8.2f} {row.moved_at_loss:6.3f}"
+            f" {row.moved_at_return:7.3f} {row.splits:6}"
         )
 
 
@@ -231,7 +253,7 @@
         )
         for planner in shards.PLANNERS.names():
             for splitting in (False, True):
-                trial = _run(site, skew, planner, splitting)
+                trial = run_trial(site, skew, planner, splitting)
                 suffix = " + split" if splitting else ""
                 trial.print_row(planner + suffix)
 
@@ -239,13 +261,36 @@
         print(f"\nweighed + split, {chosen.name}, Zipf {skew}")
         for churn_weight in CHURN_WEIGHTS:
             site = dataclasses.replace(chosen, churn_weight=churn_weight)
-            trial = _run(site, skew, "weighed", True)
+            trial = run_trial(site, skew, "weighed", True)
             trial.print_row(f"churn_weight {churn_weight}")
 
 
-def _run(site, skew, planner, splitting):
+class FixedTrial(Trial):
+    """Plain hashing with fixed owners: a lost server's keys wait for it."""
+
+    unserved = 0
+
+    def replan(self, step):
+        """Keep every partition where its number puts it."""
+        names = list(self.weights)
+        self.owners = {
+            partition: names[partition % len(names)]
+            for partition in range(self.site.partitions)
+        }
+
+    def serve(self):
+        """Run a second of requests; the lost server runs none."""
+        levels = super().serve()
+        if self.down:
+            self.unserved += levels.pop(self.lost)
+        return levels
+
+
+def run_trial(site, skew, planner, splitting, make=Trial):
+    """Return a trial after all its steps."""
+
     async def run():
-        trial = Trial(
+        trial = make(
             site=site,
             skew=skew,
             planner=planner,
--- /dev/null
+++ b/benchmarks/report.py
@@ -0,0 +1,180 @@
+"""Writes the measures as JSON, Markdown and plots into ``out/``.
+
+Run as ``make bench``, or ``python benchmarks/report.py`` where the extra
+``bench`` is installed.
+"""
+
+import dataclasses
+import logging as standard_logging
+import pathlib
+
+import absl.logging
+import matplotlib
+import measures
+import msgspec
+
+matplotlib.use("Agg")
+from matplotlib import pyplot  # noqa: E402 - after the choice of backend
+
+OUT = pathlib.Path(__file__).parent / "out"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Report:
+    """All figures of one run; only `path` depends on the machine."""
+
+    balance: list[measures.Balance]
+    losses: list[measures.Loss]
+    goodput: list[measures.Goodput]
+    path: list[measures.Path]
+
+
+def format_balance(rows: list[measures.Balance]) -> list[str]:
+    """Return the table of imbalance and churn."""
+    lines = [
+        "| service | Zipf | way | imbalance mean | p95 | floor "
+        "| moved/h | at loss | at return | unserved |",
+        "|---|---|---|---|---|---|---|---|---|---|",
+    ]
+    for row in rows:
+        found = row.figures
+        unserved = "-" if row.unserved is None else f"{row.unserved:.1%}"
+        lines.append(
+            f"| {row.site} | {row.skew} | {row.way} | {found.mean:.2f} "
+            f"| {found.p95:.2f} | {found.floor:.2f} "
+            f"| {found.moved_per_hour:.2f} | {found.moved_at_loss:.3f} "
+            f"| {found.moved_at_return:.3f} | {unserved} |"
+        )
+    return lines
+
+
+def format_losses(rows: list[measures.Loss]) -> list[str]:
+    """Return the table of unavailable time."""
+    lines = [
+        "| service | loss | way | unavailable ms | partitions moved |",
+        "|---|---|---|---|---|",
+    ]
+    for row in rows:
+        lines.append(
+            f"| {row.site} | {row.loss} | {row.way} "
+            f"| {row.unavailable_ms:.0f} | {row.churn}/{row.partitions} |"
+        )
+    return lines
+
+
+def format_goodput(rows: list[measures.Goodput]) -> list[str]:
+    """Return the table of goodput."""
+    lines = [
+        "| service | load | way | goodput/capacity | high answered |",
+        "|---|---|---|---|---|",
+    ]
+    for row in rows:
+        lines.append(
+            f"| {row.site} | {row.load} | {row.way} "
+            f"| {row.good / row.capacity:.3f} "
+            f"| {row.high_good / row.high_offered:.3f} |"
+        )
+    return lines
+
+
+def format_path(rows: list[measures.Path]) -> list[str]:
+    """Return the table of loopback ratios."""
+    lines = ["| way | ratio | lowest round | highest |", "|---|---|---|---|"]
+    for row in rows:
+        lines.append(
+            f"| {row.way} | {row.ratio:.2f} | {row.lowest:.2f} "
+            f"| {row.highest:.2f} |"
+        )
+    return lines
+
+
+def format_report(report: Report) -> str:
+    """Return the report as Markdown."""
+    lines = [
+        "## Manual time: the same on every machine",
+        "",
+        "### Imbalance and churn, keys skewed and moving",
+        "",
+        *format_balance(report.balance),
+        "",
+        "![imbalance](imbalance.png)",
+        "",
+        "### Unavailable time",
+        "",
+        *format_losses(report.losses),
+        "",
+        "![unavailable time](unavailable.png)",
+        "",
+        f"### Goodput, Zipf {measures.LOAD_SKEW}",
+        "",
+        *format_goodput(report.goodput),
+        "",
+        "![goodput](goodput.png)",
+        "",
+        "## Loopback: ratios within one run on one machine",
+        "",
+        *format_path(report.path),
+        "",
+    ]
+    return "\n".join(lines)
+
+
+def plot_bars(name: str, label: str, bars: dict[str, float]) -> None:
+    """Write one plot of named bars."""
+    figure, axes = pyplot.subplots(figsize=(9, 1 + len(bars) / 4))
+    axes.barh(list(bars), list(bars.values()))
+    axes.invert_yaxis()
+    axes.set_xlabel(label)
+    figure.tight_layout()
+    figure.savefig(OUT / f"{name}.png")
+    pyplot.close(figure)
+
+
+def plot(report: Report) -> None:
+    """Write all plots."""
+    plot_bars(
+        "imbalance",
+        "mean imbalance",
+        {
+            f"{r.site}, {r.skew}, {r.way}": r.figures.mean
+            for r in report.balance
+        },
+    )
+    plot_bars(
+        "unavailable",
+        "unavailable time, ms",
+        {
+            f"{r.site}, {r.loss}, {r.way}": r.unavailable_ms
+            for r in report.losses
+        },
+    )
+    plot_bars(
+        "goodput",
+        "goodput/capacity",
+        {
+            f"{r.site}, {r.load}, {r.way}": r.good / r.capacity
+            for r in report.goodput
+        },
+    )
+
+
+def main() -> None:
+    """Measure everything and write the report."""
+    absl.logging.set_verbosity(absl.logging.ERROR)
+    standard_logging.getLogger("aiohttp").setLevel("ERROR")
+    OUT.mkdir(exist_ok=True)
+    report = Report(
+        balance=measures.measure_balance(),
+        losses=measures.measure_losses(),
+        goodput=measures.measure_goodput(),
+        path=measures.measure_path(),
+    )
+    content = msgspec.json.format(msgspec.json.encode(report))
+    (OUT / "report.json").write_bytes(content + b"\n")
+    (OUT / "report.md").write_text(format_report(report))
+    plot(report)
+    print(f"wrote {OUT}/report.md and report.json")
+
+
+if __name__ == "__main__":
+    main()
