Report drains, edits and orders too, and count failed probes

Cause: a time of the last failed probe hid that a planned stop fails one probe of thousands; goodput against capacity passed 1, as answers after the load's end counted. Both are now given against what was sent.

--- a/benchmarks/histories.py
+++ b/benchmarks/histories.py
@@ -128,11 +128,17 @@
     return testing.run_manual(fill())
 
 
-def report(policy: str, delay_ms: int, fault: str) -> None:
-    """Print one line of the comparison."""
+def tally_policy(policy: str, delay_ms: int, fault: str) -> Tally:
+    """Return what a policy shows over all seeds."""
     tally = Tally()
     for seed in SEEDS:
         testing.run_manual(run_scenario(policy, delay_ms, fault, seed, tally))
+    return tally
+
+
+def report(policy: str, delay_ms: int, fault: str) -> None:
+    """Print one line of the comparison."""
+    tally = tally_policy(policy, delay_ms, fault)
     total = sum(tally.outcomes.values())
     seconds = len(SEEDS) * ORDERS * ORDER_GAP_MS / base.MS_PER_S
     print(
--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -38,10 +38,13 @@
         Longest time from the loss for which a key was not served.
     churn : int
         Partitions that changed owner.
+    failed : int
+        Probes that failed.
     """
 
     unavailable_ms: int
     churn: int
+    failed: int
 
 
 def _choose_nobody(self, shard, passed_over):
@@ -61,6 +64,7 @@
         self.deployment = deployment
         self.lost_nodes: list[testing.Node] = []
         self.stopping: asyncio.Task | None = None
+        self.failed = 0
 
     def find_leader(self) -> testing.Node:
         """Return the leader's instance."""
@@ -151,6 +155,7 @@
                 if not isinstance(outcome, base.Answered):
                     failed_at = max(failed_at, sent_at + PROBE_MS)
                     streak = 0
+                    self.failed += 1
             done = streak >= 10 * len(KEYS)
             if done and clock.now() - lost_at >= at_least_ms:
                 return failed_at - lost_at
@@ -198,7 +203,9 @@
     unavailable_ms = await bench.measure_unavailable(at_least_ms)
     after = bench.read_owners()
     churn = sum(after[p] != owner for p, owner in before.items())
-    return Result(unavailable_ms=unavailable_ms, churn=churn)
+    return Result(
+        unavailable_ms=unavailable_ms, churn=churn, failed=bench.failed
+    )
 
 
 #: How long to probe at least, where that is more than usual.
--- a/benchmarks/measures.py
+++ b/benchmarks/measures.py
@@ -8,9 +8,12 @@
 import dataclasses
 
 import goodput
+import histories
 import losses
+import moves
 import path
 import planning
+import propagation
 
 from tarragonhinge import testing
 
@@ -59,6 +62,7 @@
     loss: str
     way: str
     unavailable_ms: float
+    failed_probes: int
     churn: int
     partitions: int
 
@@ -77,6 +81,25 @@
     high_good: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Drain:
+    """Time to empty a draining server."""
+
+    site: str
+    partitions: int
+    emptied_ms: int
+    longest_held_ms: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Orders:
+    """Outcomes of orders that are sent once, by history policy."""
+
+    policy: str
+    outcomes: dict[str, int]
+    twice: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Path:
     """Rate of one way as a ratio to direct calls of the same round."""
@@ -142,6 +165,7 @@
                         loss=name,
                         way=way,
                         unavailable_ms=result.unavailable_ms,
+                        failed_probes=result.failed,
                         churn=result.churn,
                         partitions=size.site.partitions,
                     )
@@ -183,6 +207,47 @@
     return rows
 
 
+def measure_drains() -> list[Drain]:
+    """Return what emptying a draining server takes."""
+    rows = []
+    for size in SIZES:
+        own, emptied_ms, held_ms = testing.run_manual(
+            moves.measure(size.site.partitions, size.site.servers)
+        )
+        rows.append(
+            Drain(
+                site=size.site.name,
+                partitions=own,
+                emptied_ms=emptied_ms,
+                longest_held_ms=max(held_ms),
+            )
+        )
+    return rows
+
+
+def measure_edits() -> list[propagation.Result]:
+    """Return how long edits take to be in force."""
+    cases = ("normal", "half of the pollers lost")
+    return [testing.run_manual(propagation.run_case(c)) for c in cases]
+
+
+def measure_orders() -> list[Orders]:
+    """Return what becomes of orders when the leader is lost."""
+    rows = []
+    for policy in histories.POLICIES:
+        tally = histories.tally_policy(
+            policy, histories.ZONE_DELAY_MS, "leader"
+        )
+        rows.append(
+            Orders(
+                policy=policy,
+                outcomes=dict(sorted(tally.outcomes.items())),
+                twice=tally.twice,
+            )
+        )
+    return rows
+
+
 def measure_path() -> list[Path]:
     """Return what each way through the router keeps of the direct rate."""
     ways = asyncio.run(path.measure((CONCURRENCY,)))[CONCURRENCY]
--- a/benchmarks/moves.py
+++ b/benchmarks/moves.py
@@ -19,8 +19,9 @@
 LEAVING = base.ServerId("s0")
 
 
-async def _measure(partitions):
-    row = testing.make_row(servers=SERVERS, partitions=partitions)
+async def measure(partitions, servers=SERVERS):
+    """Return the number of own partitions, and the times in ms."""
+    row = testing.make_row(servers=servers, partitions=partitions)
     deployment = testing.Deployment(row=row)
     await deployment.start()
     node = deployment.find_leaders()[0]
@@ -44,7 +45,7 @@
     """Print one line for each number of partitions."""
     print("partitions  own  emptied ms  held ms: most  mean")
     for partitions in PARTITIONS:
-        own, emptied_ms, held = testing.run_manual(_measure(partitions))
+        own, emptied_ms, held = testing.run_manual(measure(partitions))
         print(
             f"{partitions:10} {own:4} {emptied_ms:11} {max(held):14}"
             f" {statistics.mean(held):5.0f}"
--- a/benchmarks/propagation.py
+++ b/benchmarks/propagation.py
@@ -51,7 +51,8 @@
     return clock.now() - accepted_at
 
 
-async def _run_case(case):
+async def run_case(case: str) -> Result:
+    """Make edits one after another and return what they took."""
     deployment = testing.Deployment(instances=INSTANCES)
     await deployment.start()
     live = list(deployment.nodes)
@@ -81,7 +82,7 @@
 def main():
     """Run all cases and print their figures."""
     for case in ("normal", "half of the pollers lost"):
-        result = testing.run_manual(_run_case(case))
+        result = testing.run_manual(run_case(case))
         times_ms = result.times_ms
         print(
             f"{case}: {INSTANCES} instances, {EDITS} edits, in force after "
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -7,11 +7,13 @@
 import dataclasses
 import logging as standard_logging
 import pathlib
+import statistics
 
 import absl.logging
 import matplotlib
 import measures
 import msgspec
+import propagation
 
 matplotlib.use("Agg")
 from matplotlib import pyplot  # noqa: E402 - after the choice of backend
@@ -26,6 +28,9 @@
     balance: list[measures.Balance]
     losses: list[measures.Loss]
     goodput: list[measures.Goodput]
+    drains: list[measures.Drain]
+    edits: list[propagation.Result]
+    orders: list[measures.Orders]
     path: list[measures.Path]
 
 
@@ -51,13 +56,15 @@
 def format_losses(rows: list[measures.Loss]) -> list[str]:
     """Return the table of unavailable time."""
     lines = [
-        "| service | loss | way | unavailable ms | partitions moved |",
-        "|---|---|---|---|---|",
+        "| service | loss | way | last failure at ms | failed probes "
+        "| partitions moved |",
+        "|---|---|---|---|---|---|",
     ]
     for row in rows:
         lines.append(
             f"| {row.site} | {row.loss} | {row.way} "
-            f"| {row.unavailable_ms:.0f} | {row.churn}/{row.partitions} |"
+            f"| {row.unavailable_ms:.0f} | {row.failed_probes} "
+            f"| {row.churn}/{row.partitions} |"
         )
     return lines
 
@@ -65,18 +72,50 @@
 def format_goodput(rows: list[measures.Goodput]) -> list[str]:
     """Return the table of goodput."""
     lines = [
-        "| service | load | way | goodput/capacity | high answered |",
+        "| service | load | way | in time/offered | of high priority |",
         "|---|---|---|---|---|",
     ]
     for row in rows:
         lines.append(
             f"| {row.site} | {row.load} | {row.way} "
-            f"| {row.good / row.capacity:.3f} "
+            f"| {row.good / row.offered:.3f} "
             f"| {row.high_good / row.high_offered:.3f} |"
         )
     return lines
 
 
+def format_drains(rows: list[measures.Drain]) -> list[str]:
+    """Return the table of draining servers."""
+    lines = [
+        "| service | partitions | emptied ms | longest held ms |",
+        "|---|---|---|---|",
+    ]
+    for row in rows:
+        lines.append(
+            f"| {row.site} | {row.partitions} | {row.emptied_ms} "
+            f"| {row.longest_held_ms} |"
+        )
+    return lines
+
+
+def format_edits(rows: list[propagation.Result]) -> list[str]:
+    """Return the table of edits."""
+    lines = ["| case | median ms | longest ms |", "|---|---|---|"]
+    for row in rows:
+        median_ms = statistics.median(row.times_ms)
+        lines.append(f"| {row.case} | {median_ms:.0f} | {row.times_ms[-1]} |")
+    return lines
+
+
+def format_orders(rows: list[measures.Orders]) -> list[str]:
+    """Return the table of orders."""
+    lines = ["| history | outcomes | run twice |", "|---|---|---|"]
+    for row in rows:
+        outcomes = ", ".join(f"{k} {v}" for k, v in row.outcomes.items())
+        lines.append(f"| {row.policy} | {outcomes} | {row.twice} |")
+    return lines
+
+
 def format_path(rows: list[measures.Path]) -> list[str]:
     """Return the table of loopback ratios."""
     lines = ["| way | ratio | lowest round | highest |", "|---|---|---|---|"]
@@ -111,6 +150,18 @@
         "",
         "![goodput](goodput.png)",
         "",
+        "### A draining server is emptied",
+        "",
+        *format_drains(report.drains),
+        "",
+        "### An edit comes into force",
+        "",
+        *format_edits(report.edits),
+        "",
+        "### Orders while the leader is lost",
+        "",
+        *format_orders(report.orders),
+        "",
         "## Loopback: ratios within one run on one machine",
         "",
         *format_path(report.path),
@@ -142,7 +193,7 @@
     )
     plot_bars(
         "unavailable",
-        "unavailable time, ms",
+        "last failure after the loss, ms",
         {
             f"{r.site}, {r.loss}, {r.way}": r.unavailable_ms
             for r in report.losses
@@ -150,9 +201,9 @@
     )
     plot_bars(
         "goodput",
-        "goodput/capacity",
+        "answered in time/offered",
         {
-            f"{r.site}, {r.load}, {r.way}": r.good / r.capacity
+            f"{r.site}, {r.load}, {r.way}": r.good / r.offered
             for r in report.goodput
         },
     )
@@ -167,6 +218,9 @@
         balance=measures.measure_balance(),
         losses=measures.measure_losses(),
         goodput=measures.measure_goodput(),
+        drains=measures.measure_drains(),
+        edits=measures.measure_edits(),
+        orders=measures.measure_orders(),
         path=measures.measure_path(),
     )
     content = msgspec.json.format(msgspec.json.encode(report))
