--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -130,7 +130,7 @@
 def format_report(report: Report) -> str:
     """Return the report as Markdown."""
     lines = [
-        "## Manual time: the same on every machine",
+        "## Manual time: the same figures in every run",
         "",
         "### Imbalance and churn, keys skewed and moving",
         "",
