--- a/benchmarks/losses.py
+++ b/benchmarks/losses.py
@@ -38,10 +38,13 @@
         Longest time from the loss for which a key was not served.
     churn : int
         Partitions that changed owner.
+    failed : int
+        Probes that failed.
     """
 
     unavailable_ms: int
     churn: int
+    failed: int
 
 
 def _choose_nobody(self, shard, passed_over):
@@ -61,6 +64,7 @@
         self.deployment = deployment
         self.lost_nodes: list[testing.Node] = []
         self.stopping: asyncio.Task | None = None
+        self.failed = 0
 
     def find_leader(self) -> testing.Node:
         """Return the leader's instance."""
@@ -151,18 +155,44 @@
                 if not isinstance(outcome, base.Answered):
                     failed_at = max(failed_at, sent_at + PROBE_MS)
                     streak = 0
+                    self.failed += 1
             done = streak >= 10 * len(KEYS)
             if done and clock.now() - lost_at >= at_least_ms:
                 return failed_at - lost_at
         return LIMIT_MS
 
 
-async def measure(name: str) -> Result:
-    """Return the cost of one loss."""
+async def measure(
+    name: str,
+    *,
+    servers: int = SERVERS,
+    partitions: int = 24,
+    delay_ms: int = 1,
+    store_delay_ms: int = 5,
+    **changes,
+) -> Result:
+    """Return the cost of one loss.
+
+    Parameters
+    ----------
+    name : str
+        One of `LOSSES`.
+    servers, partitions : int
+        Size of the shard.
+    delay_ms, store_delay_ms : int
+        One-way delays between all ends, and to the store.
+    **changes
+        Columns of the row.
+    """
     deployment = testing.Deployment(
-        row=testing.make_row(servers=SERVERS, partitions=24),
+        row=testing.make_row(
+            servers=servers, partitions=partitions, **changes
+        ),
         instances=INSTANCES,
+        network=testing.MemoryNetwork(delay_ms=delay_ms),
     )
+    for node in deployment.nodes:
+        node.table.delay_ms = store_delay_ms
     await deployment.start()
     bench = Bench(deployment=deployment)
     before = bench.read_owners()
@@ -173,7 +203,9 @@
     unavailable_ms = await bench.measure_unavailable(at_least_ms)
     after = bench.read_owners()
     churn = sum(after[p] != owner for p, owner in before.items())
-    return Result(unavailable_ms=unavailable_ms, churn=churn)
+    return Result(
+        unavailable_ms=unavailable_ms, churn=churn, failed=bench.failed
+    )
 
 
 #: How long to probe at least, where that is more than usual.
@@ -190,17 +222,25 @@
 }
 
 
+def run(name: str, *, standby: bool = True, **size) -> Result:
+    """Measure one loss, with a standby or with claims alone."""
+    choose = shards.Candidates.choose_standby
+    if not standby:
+        shards.Candidates.choose_standby = _choose_nobody
+    try:
+        return testing.run_manual(measure(name, **size))
+    finally:
+        shards.Candidates.choose_standby = choose
+
+
 def main() -> None:
     """Print the table."""
     absl.logging.set_verbosity(absl.logging.ERROR)
-    choose = shards.Candidates.choose_standby
     print("| loss | unavailable ms | churn | baseline ms | churn |")
     print("|---|---|---|---|---|")
     for name in LOSSES:
-        shards.Candidates.choose_standby = choose
-        mine = testing.run_manual(measure(name))
-        shards.Candidates.choose_standby = _choose_nobody
-        plain = testing.run_manual(measure(name))
+        mine = run(name)
+        plain = run(name, standby=False)
         print(
             f"| {name} | {mine.unavailable_ms} | {mine.churn} "
             f"| {plain.unavailable_ms} | {plain.churn} |"
