--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -9,211 +9,29 @@
 """
 
 import asyncio
-import contextlib
-import dataclasses
-import json
-import pathlib
 import subprocess
 import sys
-import tempfile
 import time
 import tracemalloc
 
+import bench_site
 import fits
 import msgspec
 import uuid6
 
 from tarragonhinge import base
 from tarragonhinge import configuration
-from tarragonhinge import daemon
-from tarragonhinge import demo
 from tarragonhinge import dispatch
 from tarragonhinge import membership
-from tarragonhinge import peers
 from tarragonhinge import propagation
-from tarragonhinge import settings
-
-REGION = base.RegionName("centro")
-ZONE = base.ZoneName("centro-a")
-SETTLE_S = 3.0
-MEASURE_S = 4.0
-SERVERS = 16
-HERE = pathlib.Path(__file__).parent
-
-
-def _make_options(name: str) -> settings.Settings:
-    host = "127.0.0.1"
-    return settings.Settings(
-        name=base.InstanceId(name),
-        region=REGION,
-        zone=ZONE,
-        callers=demo.find_free_address(host),
-        peers=demo.find_free_address(host),
-        operators=demo.find_free_address(host),
-        table=base.Address(""),
-        instances=base.Address(""),
-    )
-
-
-def _make_entry(options: settings.Settings) -> membership.InstanceEntry:
-    return membership.InstanceEntry(
-        instance=options.name,
-        address=options.peers,
-        region=options.region,
-        zone=options.zone,
-    )
-
-
-def _format_settings(options: settings.Settings) -> str:
-    """Return a settings file for an instance in its own process."""
-    return f"""
-[instance]
-name = {options.name}
-region = {options.region}
-zone = {options.zone}
-[listen]
-callers = {options.callers}
-peers = {options.peers}
-operators = {options.operators}
-[platform]
-table = {options.table}
-instances = {options.instances}
-"""
-
-
-class Bench:
-    """One instance beside stand-ins in another process."""
-
-    def __init__(self, *, addresses: dict, options: settings.Settings) -> None:
-        self.servers = addresses["servers"]
-        platform = addresses["platform"]
-        self.options = dataclasses.replace(
-            options, table=platform, instances=platform
-        )
-        self.instance = daemon.Instance(
-            options=self.options,
-            platform=daemon.connect_platform(self.options),
-            transport=peers.ZmqTransport(address=self.options.peers),
-            seed=0,
-        )
-        self.listeners = daemon.Listeners(
-            instance=self.instance, shutdown_timeout_s=0.1
-        )
-
-    def make_row(
-        self, number: int, *, servers: int, partitions: int
-    ) -> configuration.ServiceRow:
-        """Return a row on the first of the stand-in servers."""
-        entries = [
-            configuration.ServerEntry(
-                server=base.ServerId(f"s{index}"),
-                address=self.servers[index],
-                region=REGION,
-                zone=ZONE,
-            )
-            for index in range(servers)
-        ]
-        return configuration.ServiceRow(
-            service=base.ServiceName(f"service{number}"),
-            partitions=partitions,
-            homes=[REGION],
-            servers=entries,
-            slots=100,
-            queue=1000,
-        )
-
-    async def store(self, rows: list[configuration.ServiceRow]) -> None:
-        """Store a table."""
-        await self.instance.store.apply_edit(
-            rows, expected=base.TableVersion(0)
-        )
-
-    async def start(self) -> None:
-        """Start the instance and let it settle."""
-        if not self.instance.instances.list_all():
-            self.instance.instances.replace([self.instance.me])
-        await self.instance.start()
-        await self.listeners.start()
-        await asyncio.sleep(SETTLE_S)
-
-    async def measure_idle(self) -> float:
-        """Return milliseconds of processor time for each second."""
-        began, cpu = time.monotonic(), time.process_time()
-        await asyncio.sleep(MEASURE_S)
-        spent = time.process_time() - cpu
-        return spent * base.MS_PER_S / (time.monotonic() - began)
-
-    async def stop(self) -> None:
-        """Stop the instance."""
-        await self.instance.kill()
-        await self.listeners.stop()
-
-
-@contextlib.asynccontextmanager
-async def _open_bench(
-    rows, *, options=None, listed="[]", neighbour=None, leads=True
-):
-    """Start stand-ins and instances; `rows` takes the bench.
-
-    The neighbour is a second instance in its own process; the shard is
-    led by whichever starts first.
-    """
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        str(HERE / "neighbours.py"),
-        str(SERVERS),
-        listed,
-        stdin=subprocess.PIPE,
-        stdout=subprocess.PIPE,
-    )
-    bench = Bench(
-        addresses=json.loads(await process.stdout.readline()),
-        options=options or _make_options("i0"),
-    )
-    other = None
-    try:
-        if neighbour is not None and not leads:
-            await bench.store(rows(bench))
-            other = await _start_neighbour(bench, neighbour)
-            await asyncio.sleep(SETTLE_S)
-        else:
-            await bench.store(rows(bench))
-        await bench.start()
-        if neighbour is not None and other is None:
-            other = await _start_neighbour(bench, neighbour)
-            await asyncio.sleep(SETTLE_S)
-        yield bench
-    finally:
-        await bench.stop()
-        if other is not None:
-            other.kill()
-            await other.wait()
-        process.stdin.close()
-        await process.wait()
-
-
-async def _start_neighbour(bench, options):
-    """Start a second instance in its own process."""
-    options = dataclasses.replace(
-        options, table=bench.options.table, instances=bench.options.instances
-    )
-    with tempfile.NamedTemporaryFile("w", suffix=".ini", delete=False) as file:
-        file.write(_format_settings(options))
-    code = "from tarragonhinge import cli; cli.main()"
-    return await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-c",
-        code,
-        "serve",
-        f"--settings={file.name}",
-        stderr=subprocess.DEVNULL,
-    )
 
 
 async def _measure_idle(sizes, make_rows):
     values = []
     for size in sizes:
-        async with _open_bench(lambda b, n=size: make_rows(b, n)) as bench:
+        async with bench_site.open_bench(
+            lambda b, n=size: make_rows(b, n)
+        ) as bench:
             values.append(await bench.measure_idle())
     return list(sizes), values
 
@@ -266,14 +84,14 @@
     """Return the cost of a request, entry and leader in one."""
     rates, values = (50, 100, 200, 400), []
     note = ""
-    async with _open_bench(
+    async with bench_site.open_bench(
         lambda b: [b.make_row(0, servers=8, partitions=64)]
     ) as bench:
         for rate in rates:
             cpu = time.process_time()
             output = await _run_callers(bench.options.callers, rate)
             spent = time.process_time() - cpu
-            values.append(spent * base.MS_PER_S / MEASURE_S)
+            values.append(spent * base.MS_PER_S / bench_site.MEASURE_S)
             note = f"at {rate}/s: {output}"
     fit = fits.Fit(
         name="request a second (entry and leader in one)",
@@ -287,10 +105,10 @@
 async def _run_callers(address, rate) -> str:
     process = await asyncio.create_subprocess_exec(
         sys.executable,
-        str(HERE / "callers.py"),
+        str(bench_site.HERE / "callers.py"),
         f"http://{address}/service0",
         str(rate),
-        str(MEASURE_S),
+        str(bench_site.MEASURE_S),
         stdout=subprocess.PIPE,
     )
     output, _ = await process.communicate()
@@ -302,12 +120,12 @@
 
     The other role is taken by a second instance in its own process.
     """
-    other = _make_options("i1")
-    first = _make_options("i0")
+    other = bench_site.make_options("i1")
+    first = bench_site.make_options("i0")
     listed = msgspec.json.encode(
-        [_make_entry(options) for options in (first, other)]
+        [bench_site.make_entry(options) for options in (first, other)]
     )
-    async with _open_bench(
+    async with bench_site.open_bench(
         lambda b: [b.make_row(0, servers=8, partitions=64)],
         options=first,
         listed=listed.decode(),
@@ -320,7 +138,7 @@
             cpu = time.process_time()
             note = await _run_callers(target.callers, rate)
             spent = time.process_time() - cpu
-            values.append(spent * base.MS_PER_S / MEASURE_S)
+            values.append(spent * base.MS_PER_S / bench_site.MEASURE_S)
         assert bool(bench.instance.coordinator.leaders) == (role == "leader")
     fit = fits.Fit(
         name=f"request a second ({role} alone)",
@@ -334,15 +152,15 @@
 async def measure_reports() -> fits.Fit:
     """Return a poller's cost of one more report a second."""
     rates, values = (0, 50, 100, 200), []
-    async with _open_bench(lambda b: []) as bench:
+    async with bench_site.open_bench(lambda b: []) as bench:
         for rate in rates:
             began, cpu = time.monotonic(), time.process_time()
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(HERE / "reporters.py"),
+                str(bench_site.HERE / "reporters.py"),
                 bench.options.peers,
                 str(rate),
-                str(MEASURE_S),
+                str(bench_site.MEASURE_S),
             )
             await process.wait()
             spent = time.process_time() - cpu
@@ -362,13 +180,16 @@
     times_ms, lengths = [], []
     decoder = msgspec.json.Decoder(configuration.OperatorsTable)
     entry = configuration.ServerEntry(
-        server="s", address="127.0.0.1:80", region=REGION, zone=ZONE
+        server="s",
+        address="127.0.0.1:80",
+        region=bench_site.REGION,
+        zone=bench_site.ZONE,
     )
     for size in sizes:
         rows = [
             configuration.ServiceRow(
                 service=f"service{number}",
-                homes=[REGION],
+                homes=[bench_site.REGION],
                 servers=[entry] * 12,
             )
             for number in range(size)
@@ -428,8 +249,8 @@
                 address=base.Address(
                     f"10.0.{number // 250}.{number % 250}:80"
                 ),
-                region=REGION,
-                zone=ZONE,
+                region=bench_site.REGION,
+                zone=bench_site.ZONE,
             )
             for number in range(size)
         ]
