Show tests each step of a deployment as it is taken

Faults at fixed times miss the step that they are meant for. The fakes now report each message, write, request and move to a probe, before anything follows from it; a second region, joining instances, a lagging list, a mute table and servers that misreport are added. Monitors of several shards can watch one deployment.

--- a/tarragonhinge/shards/_moves.py
+++ b/tarragonhinge/shards/_moves.py
@@ -1,5 +1,6 @@
 """Partitions that are on their way from one server to another."""
 
+from collections.abc import Callable
 import dataclasses
 import enum
 
@@ -56,9 +57,15 @@
     ----------
     limit : int
         Partitions of one server that may be held at once.
+
+    Attributes
+    ----------
+    on_start : callable or None
+        Called with each move that begins.
     """
 
     def __init__(self, *, limit: int = HELD_PER_SERVER) -> None:
+        self.on_start: Callable[[Move], None] | None = None
         self._limit = limit
         self._moves: dict[base.PartitionId, Move] = {}
         self._counts: dict[base.ServerId, int] = {}
@@ -86,6 +93,8 @@
         """Hold the requests of a partition."""
         self._moves[move.partition] = move
         self._counts[move.source] = self._counts.get(move.source, 0) + 1
+        if self.on_start is not None:
+            self.on_start(move)
 
     def revoke(self, partition: base.PartitionId) -> None:
         """Begin to withdraw the grant of a held partition."""
--- a/tarragonhinge/shards/_owners.py
+++ b/tarragonhinge/shards/_owners.py
@@ -11,6 +11,7 @@
 from tarragonhinge.shards import _keeper
 from tarragonhinge.shards import _loads
 from tarragonhinge.shards import _mover
+from tarragonhinge.shards import _moves
 from tarragonhinge.shards import _recorder
 from tarragonhinge.shards import _splitter
 from tarragonhinge.shards import _timing
@@ -94,6 +95,11 @@
             clock=clock,
         )
 
+    @property
+    def moves(self) -> _moves.MoveBook:
+        """Return the moves under way."""
+        return self._mover.book
+
     @property
     def moved_count(self) -> int:
         """Return the assignments that this leadership has recorded."""
--- a/tarragonhinge/testing/__init__.py
+++ b/tarragonhinge/testing/__init__.py
@@ -6,8 +6,11 @@
 from tarragonhinge.testing._deployment import find_sent_to
 from tarragonhinge.testing._deployment import make_row
 from tarragonhinge.testing._deployment import Node
+from tarragonhinge.testing._deployment import OTHER_REGION
+from tarragonhinge.testing._deployment import REGION
 from tarragonhinge.testing._faults import FaultDriver
 from tarragonhinge.testing._faults import FAULTS
+from tarragonhinge.testing._faults import make_key
 from tarragonhinge.testing._faults import RECOVERIES
 from tarragonhinge.testing._faults import REQUESTS
 from tarragonhinge.testing._loop import ManualLoop
@@ -16,6 +19,10 @@
 from tarragonhinge.testing._network import MemoryNetwork
 from tarragonhinge.testing._network import MemoryTransport
 from tarragonhinge.testing._operators import OperatorsSite
+from tarragonhinge.testing._probe import Probe
+from tarragonhinge.testing._probe import Sighting
+from tarragonhinge.testing._probe import Stage
+from tarragonhinge.testing._servers import HEADER_ATTEMPT
 from tarragonhinge.testing._servers import make_client_factory
 from tarragonhinge.testing._servers import MemoryServer
 from tarragonhinge.testing._servers import MemoryServerClient
@@ -25,7 +32,10 @@
 
 __all__ = [
     "FAULTS",
+    "HEADER_ATTEMPT",
+    "OTHER_REGION",
     "RECOVERIES",
+    "REGION",
     "REQUESTS",
     "WALL_ORIGIN_MS",
     "Deployment",
@@ -41,9 +51,13 @@
     "Node",
     "OperatorsSite",
     "OwnershipMonitor",
+    "Probe",
     "Run",
+    "Sighting",
+    "Stage",
     "find_sent_to",
     "make_client_factory",
+    "make_key",
     "make_row",
     "run_manual",
 ]
--- a/tarragonhinge/testing/_deployment.py
+++ b/tarragonhinge/testing/_deployment.py
@@ -17,12 +17,18 @@
 from tarragonhinge.testing import _clock
 from tarragonhinge.testing import _monitor
 from tarragonhinge.testing import _network
+from tarragonhinge.testing import _probe
 from tarragonhinge.testing import _servers
 from tarragonhinge.testing import _stores
 
 REGION = base.RegionName("centro")
+#: Where instances and servers of a second region stand.
+OTHER_REGION = base.RegionName("sur")
 SERVICE = base.ServiceName("balances")
 
+#: Time for the balancer to notice a leaving instance.
+NOTICE_MS = 3000
+
 
 def make_row(*, servers: int = 3, **changes) -> configuration.ServiceRow:
     """Return a row with servers ``s0``, ``s1``, and so on."""
@@ -65,21 +71,29 @@
         pool: dict[base.ServerId, _servers.MemoryServer],
         timing: shards.Timing,
         rate: float = 1.0,
+        region: base.RegionName = REGION,
+        notice_ms: int = NOTICE_MS,
     ) -> None:
         self.address = base.Address(f"node-{number}")
         self.clock = _clock.ManualClock(offset_ms=1000 * number, rate=rate)
-        self.table = _stores.FaultyTable(table=table, clock=self.clock)
+        self.table = _stores.FaultyTable(
+            table=table,
+            clock=self.clock,
+            node=self.address,
+            probe=network.probe,
+        )
         self.network = network
         options = settings.Settings(
             name=base.InstanceId(f"i{number}"),
-            region=REGION,
-            zone=base.ZoneName(f"centro-{'ab'[number % 2]}"),
+            region=region,
+            zone=base.ZoneName(f"{region}-{'ab'[number % 2]}"),
             callers=base.Address(""),
             peers=self.address,
             operators=base.Address(""),
             table=base.Address(""),
             instances=base.Address(""),
             timing=timing,
+            notice_ms=notice_ms,
         )
         self.instance = daemon.Instance(
             options=options,
@@ -126,6 +140,10 @@
         Durations; the defaults if None.
     rates : sequence of float
         Rates of the clocks of servers and then of instances, in turn.
+    other_instances : int
+        Instances in a second region; its servers stand in the row.
+    notice_ms : int
+        How long a leaving instance goes on taking requests.
     """
 
     def __init__(
@@ -136,6 +154,8 @@
         network: _network.MemoryNetwork | None = None,
         timing: shards.Timing | None = None,
         rates: Sequence[float] = (1.0,),
+        other_instances: int = 0,
+        notice_ms: int = NOTICE_MS,
     ) -> None:
         self.timing = timing or shards.Timing()
         self.rates = itertools.cycle(rates)
@@ -154,7 +174,12 @@
             )
             for entry in self.row.servers
         }
-        self.nodes = [self._make_node(number) for number in range(instances)]
+        self._notice_ms = notice_ms
+        self._regions = [REGION] * instances
+        self._regions += [OTHER_REGION] * other_instances
+        self.nodes = [
+            self._make_node(number) for number in range(len(self._regions))
+        ]
 
     def _make_node(self, number: int) -> Node:
         return Node(
@@ -166,8 +191,20 @@
             pool=self.servers,
             timing=self.timing,
             rate=next(self.rates),
+            region=self._regions[number],
+            notice_ms=self._notice_ms,
         )
 
+    async def join(self) -> Node:
+        """Start a further instance in the first region."""
+        self._regions.append(REGION)
+        node = self._make_node(len(self.nodes))
+        self.nodes.append(node)
+        entry = node.instance.me
+        self.instance_list.entries[entry.instance] = entry
+        await node.instance.start()
+        return node
+
     @property
     def shard(self) -> base.ShardId:
         """Return the only shard."""
@@ -196,10 +233,12 @@
         """Let manual time pass."""
         await asyncio.sleep(duration_ms / base.MS_PER_S)
 
-    def watch(self) -> _monitor.OwnershipMonitor:
-        """Return a new monitor of the shard."""
+    def watch(
+        self, shard: base.ShardId | None = None
+    ) -> _monitor.OwnershipMonitor:
+        """Return a new monitor of a shard, the first one by default."""
         return _monitor.OwnershipMonitor(
-            shard=self.shard,
+            shard=shard or self.shard,
             servers=self.servers,
             table=self.table,
             timing=self.timing,
@@ -253,6 +292,8 @@
         deadline_ms: int = 2000,
         idempotency_key: str = "",
         body: bytes = b"",
+        query: str = "",
+        headers: Sequence[tuple[str, str]] = (),
     ) -> base.Outcome:
         """Send a request through an entry and return its outcome."""
         place = routing.locate_key(self.row, key)
@@ -261,11 +302,15 @@
             partition=place.partition,
             key_hash=place.key_hash,
             method=method,
-            path=f"/{self.row.service}/{key}",
+            path=f"/{self.row.service}/{key}{query}",
+            headers=list(headers),
             body=body,
             time_left_ms=deadline_ms,
             idempotency_key=idempotency_key,
         )
+        received = _probe.Stage.REQUEST_RECEIVED
+        self.network.probe.report(received, node.address, content=request)
+        await node.clock.wait_running()
         return await node.instance.entry.route(
             request, idempotent=method in self.row.idempotent_methods
         )
--- a/tarragonhinge/testing/_monitor.py
+++ b/tarragonhinge/testing/_monitor.py
@@ -1,6 +1,7 @@
 """Checks of ownership while a deployment runs."""
 
 import collections
+from collections.abc import Callable
 
 from tarragonhinge import base
 from tarragonhinge import shards
@@ -35,6 +36,7 @@
         timing: shards.Timing,
     ) -> None:
         self.check_count = 0
+        self.record_failures: list[str] = []
         self.run_count = 0
         self._shard = shard
         self._servers = servers
@@ -44,10 +46,15 @@
         self._superseded_at: dict[base.Term, int] = {}
         self._runs: collections.Counter[str] = collections.Counter()
         self._failures: list[str] = []
-        table.on_write = self.check_record
+        table.on_write = _chain(table.on_write, self.check_record)
         for server in servers.values():
-            server.on_grant = self.check_grants
-            server.on_run = self.check_run
+            server.on_grant = _chain(server.on_grant, self.check_grants)
+            server.on_run = _chain(server.on_run, self.check_run)
+
+    @property
+    def failures(self) -> list[str]:
+        """Return all failures seen so far."""
+        return list(self._failures)
 
     def verify(self) -> None:
         """Check now and raise the first failure seen so far.
@@ -78,32 +85,34 @@
         if record is None or last is None:
             return
         if record.term < last.term:
-            self._fail(f"term fell from {last.term} to {record.term}")
+            self._fail_record(f"term fell from {last.term} to {record.term}")
         if record.term > last.term:
             self._superseded_at[last.term] = _read_time()
         for partition, old in last.owners.items():
             new = record.owners.get(partition)
             if new != old and (new is None or new.epoch <= old.epoch):
-                self._fail(f"{partition} fell from {old} to {new}")
+                self._fail_record(f"{partition} fell from {old} to {new}")
 
     def check_copy(self, recorder: shards.ShardRecorder) -> None:
         """Check that what a leader acknowledged is in the table."""
         copy = recorder.record
         stored = self._last
         if stored is None:
-            self._fail(f"{copy} was never stored")
+            self._fail_record(f"{copy} was never stored")
             return
         if recorder.confirmed and stored.term < copy.term:
-            self._fail(f"term {copy.term} was never stored")
+            self._fail_record(f"term {copy.term} was never stored")
         for partition, mine in copy.owners.items():
             held = stored.owners.get(partition)
             if held is None or held.epoch < mine.epoch:
-                self._fail(f"{partition} lost its owner {mine}")
+                self._fail_record(f"{partition} lost its owner {mine}")
             elif held.epoch == mine.epoch and held.server != mine.server:
-                self._fail(f"{partition} is {held}, not {mine}")
+                self._fail_record(f"{partition} is {held}, not {mine}")
 
     def check_run(self, name: base.ServerId, run: _servers.Run) -> None:
         """Check that a request ran once, at its owner, under authority."""
+        if run.fence.shard != self._shard:
+            return
         self.run_count += 1
         self.check_grants()
         record = self._read_record()
@@ -131,9 +140,25 @@
         row = self._table.get_row(shards.make_record_key(self._shard))
         return shards.decode_record(row.value) if row.version else None
 
+    def _fail_record(self, text: str) -> None:
+        self.record_failures.append(f"at {_read_time()} ms: {text}")
+        self._fail(text)
+
     def _fail(self, text: str) -> None:
         self._failures.append(f"at {_read_time()} ms: {text}")
 
 
+def _chain(first: Callable | None, second: Callable) -> Callable:
+    """Return a callback that calls both."""
+    if first is None:
+        return second
+
+    def call(*arguments) -> None:
+        first(*arguments)
+        second(*arguments)
+
+    return call
+
+
 def _read_time() -> int:
     return base.Clock().now()
--- a/tarragonhinge/testing/_network.py
+++ b/tarragonhinge/testing/_network.py
@@ -9,6 +9,7 @@
 from tarragonhinge import base
 from tarragonhinge import peers
 from tarragonhinge.testing import _clock
+from tarragonhinge.testing import _probe
 
 
 class MemoryNetwork:
@@ -42,6 +43,7 @@
         self.loss = loss
         self.duplication = duplication
         self.rng = random.Random(seed)
+        self.probe = _probe.Probe()
         self.transports: dict[str, MemoryTransport] = {}
         self.bytes_sent: collections.Counter[str] = collections.Counter()
         self._cuts: set[tuple[str, str]] = set()
@@ -143,9 +145,14 @@
         target = self.network.transports.get(address)
         if target is None:
             return await _wait_for_ever()
-        await target.clock.wait_running()
         message = peers.decode_message(kind, body)
+        probe = self.network.probe
+        arrived = _probe.Stage.PEER_ARRIVED
+        probe.report(arrived, self.address, address, message)
+        await target.clock.wait_running()
         reply = await target._handlers[type(message)](message)
+        replied = _probe.Stage.PEER_REPLIED
+        probe.report(replied, address, self.address, reply)
         await target.clock.wait_running()
         kind = peers.get_kind(reply)
         body = peers.encode_message(reply)
--- a/tarragonhinge/testing/_servers.py
+++ b/tarragonhinge/testing/_servers.py
@@ -11,6 +11,10 @@
 from tarragonhinge import standins
 from tarragonhinge.testing import _clock
 from tarragonhinge.testing import _network
+from tarragonhinge.testing import _probe
+
+#: Header field that tells attempts of one request apart.
+HEADER_ATTEMPT = "Attempt"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -25,12 +29,15 @@
         Its fencing token.
     path, idempotency_key : str
         Which request it was.
+    attempt : str
+        The caller's name of the attempt, from a header field.
     """
 
     at_ms: int
     fence: servers.Fence
     path: str
     idempotency_key: str
+    attempt: str = ""
 
 
 class MemoryServer:
@@ -46,6 +53,11 @@
         How long it works on a request.
     dialect : str
         How it takes grants.
+
+    Attributes
+    ----------
+    stated_in_flight : int or None
+        What it reports in place of the truth.
     """
 
     def __init__(
@@ -63,6 +75,7 @@
         self.up = True
         self.draining = False
         self.shedding = False
+        self.stated_in_flight: int | None = None
         self.running = 0
         self.most_running = 0
         self.runs: list[Run] = []
@@ -92,10 +105,15 @@
             term=reply.term,
             server_incarnation=reply.server_incarnation,
             clock_ms=reply.clock_ms,
-            in_flight=self.running,
+            in_flight=self._count_stated(),
             draining=self.draining,
         )
 
+    def _count_stated(self) -> int:
+        if self.stated_in_flight is not None:
+            return self.stated_in_flight
+        return self.running
+
     async def run(self, request: servers.ServerRequest) -> base.Outcome:
         """Run a request if its fencing token is valid."""
         if not self.grants.owns(request.fence, now=self.clock.now()):
@@ -118,6 +136,7 @@
             fence=request.fence,
             path=request.path,
             idempotency_key=request.idempotency_key,
+            attempt=dict(request.headers).get(HEADER_ATTEMPT, ""),
         )
         self.runs.append(run)
         if self.on_run is not None:
@@ -173,6 +192,10 @@
         self._network = network
         self._clock = clock
 
+    def _report(self, stage: _probe.Stage, content: object) -> None:
+        probe = self._network.probe
+        probe.report(stage, self._node, self._server.name, content)
+
     async def send_grants(
         self, request: servers.GrantRequest, *, timeout_ms: int
     ) -> servers.GrantReply | None:
@@ -190,10 +213,12 @@
         await self._clock.wait_running()
         if not await self._network.carry(self._node, self._server.name):
             return None
+        self._report(_probe.Stage.GRANT_ARRIVED, request)
         await self._server.clock.wait_running()
         if not self._server.up:
             return None
         reply = self._server.take_grants(request)
+        self._report(_probe.Stage.GRANT_ANSWERED, reply)
         if not await self._network.carry(self._server.name, self._node):
             return None
         return reply
@@ -202,6 +227,7 @@
         self, request: servers.ServerRequest, *, timeout_ms: int
     ) -> base.Outcome:
         """Send a request and return its tagged outcome."""
+        self._report(_probe.Stage.REQUEST_ADMITTED, request)
         exchange = asyncio.create_task(self._exchange_request(request))
         done, _ = await asyncio.wait(
             {exchange}, timeout=timeout_ms / base.MS_PER_S
@@ -217,10 +243,12 @@
         await self._clock.wait_running()
         if not await self._network.carry(self._node, self._server.name):
             return base.Unknown(reason=base.UnknownReason.ANSWER_LOST)
+        self._report(_probe.Stage.REQUEST_SENT, request)
         await self._server.clock.wait_running()
         if not self._server.up:
             return base.NotRun(reason=base.NotRunReason.SERVER_UNREACHABLE)
         outcome = await self._server.run(request)
+        self._report(_probe.Stage.REQUEST_ANSWERED, request)
         await self._server.clock.wait_running()
         if not self._server.up:
             return base.Unknown(reason=base.UnknownReason.ANSWER_LOST)
--- a/tarragonhinge/testing/_stores.py
+++ b/tarragonhinge/testing/_stores.py
@@ -6,6 +6,7 @@
 from tarragonhinge import membership
 from tarragonhinge import stores
 from tarragonhinge.testing import _clock
+from tarragonhinge.testing import _probe
 
 
 class FaultyTable(stores.TableClient):
@@ -19,6 +20,19 @@
         Clock of the process.
     delay_ms : int
         Time each way.
+    node : str
+        Address of the process.
+    probe : Probe or None
+        Told of each step.
+
+    Attributes
+    ----------
+    down : bool
+        True if nothing reaches the table.
+    mute : bool
+        True if the table takes writes but no answer comes back.
+    lose_answers : int
+        Number of writes whose answer gets lost.
     """
 
     def __init__(
@@ -27,12 +41,17 @@
         table: stores.MemoryTable,
         clock: _clock.ManualClock,
         delay_ms: int = 5,
+        node: str = "",
+        probe: _probe.Probe | None = None,
     ) -> None:
         self.table = table
         self.clock = clock
         self.delay_ms = delay_ms
         self.down = False
+        self.mute = False
         self.lose_answers = 0
+        self._node = node
+        self._probe = probe or _probe.Probe()
 
     async def _travel(self) -> None:
         await asyncio.sleep(self.delay_ms / base.MS_PER_S)
@@ -45,6 +64,10 @@
             return stores.Unavailable()
         rows = await self.table.read(keys)
         await self._travel()
+        if self.mute:
+            return stores.Unavailable()
+        self._probe.report(_probe.Stage.TABLE_READ, self._node, content=rows)
+        await self.clock.wait_running()
         return rows
 
     async def transact(
@@ -52,22 +75,37 @@
     ) -> stores.TransactResult:
         """Apply a transaction; its answer may be lost."""
         await self._travel()
+        self._report(_probe.Stage.TABLE_ASKED, transaction)
+        await self.clock.wait_running()
         if self.down:
             return stores.Unavailable()
         result = await self.table.transact(transaction)
+        self._report(_probe.Stage.TABLE_WRITTEN, transaction)
         await self._travel()
+        if self.mute:
+            return stores.Unavailable(maybe_written=True)
         if self.lose_answers:
             self.lose_answers -= 1
             return stores.Unavailable(maybe_written=True)
+        self._report(_probe.Stage.TABLE_ANSWERED, transaction)
+        await self.clock.wait_running()
         return result
 
+    def _report(
+        self, stage: _probe.Stage, transaction: stores.Transaction
+    ) -> None:
+        self._probe.report(stage, self._node, content=transaction)
+
 
 class MemoryInstanceList(membership.InstanceList):
     """The platform's list, shared by all processes of a test."""
 
     def __init__(self) -> None:
         self.entries: dict[base.InstanceId, membership.InstanceEntry] = {}
+        self.stale: list[membership.InstanceEntry] | None = None
 
     async def fetch(self) -> list[membership.InstanceEntry] | None:
-        """Return the list."""
+        """Return the list, or an old one while it lags."""
+        if self.stale is not None:
+            return list(self.stale)
         return list(self.entries.values())
