--- /dev/null
+++ b/tarragonhinge/faults/_load.py
@@ -0,0 +1,214 @@
+"""Callers that go on sending while faults strike."""
+
+import asyncio
+from collections.abc import Iterator
+import dataclasses
+import itertools
+
+from tarragonhinge import base
+from tarragonhinge import membership
+from tarragonhinge import testing
+
+#: Periods between two new reads and between two new orders.
+READ_PERIOD_MS = 60
+ORDER_PERIOD_MS = 90
+
+#: Deadline that callers give, and how much longer they wait.
+DEADLINE_MS = 500
+PATIENCE_MS = 200
+
+#: Pause before a request is repeated.
+REPEAT_MS = 40
+
+#: Answers after which the same order can't be learned of any more.
+FINAL = frozenset(
+    {base.UnknownReason.HISTORY_LOST, base.UnknownReason.EARLIER_UNKNOWN}
+)
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Request:
+    """One request of a caller, repeated until it is answered.
+
+    Parameters
+    ----------
+    number : int
+        Tells requests apart; it stands in their paths.
+    key : str
+        The key of the service.
+    method : str
+        Orders are POSTs.
+    idempotency_key : str
+        The name of an order; empty for reads.
+    """
+
+    number: int
+    key: str
+    method: str
+    idempotency_key: str
+
+    @property
+    def query(self) -> str:
+        """Return the end of the path."""
+        return f"?n={self.number}"
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Attempt:
+    """One sending of a request.
+
+    Parameters
+    ----------
+    name : str
+        Unique name, which a server records when it runs the attempt.
+    request : Request
+        What was sent.
+    entry : str
+        Address of the instance that took it.
+    started_at, ended_at : int
+        True times.
+    outcome : Outcome or None
+        What the caller was told; None if it hung up before.
+    """
+
+    name: str
+    request: Request
+    entry: str
+    started_at: int
+    ended_at: int = 0
+    outcome: base.Outcome | None = None
+
+
+class CallerLoad:
+    """Idempotent reads and keyed orders through all entries in turn.
+
+    Parameters
+    ----------
+    deployment : Deployment
+        What they call.
+    keys : list of str
+        Keys that requests use.
+    """
+
+    def __init__(
+        self, *, deployment: testing.Deployment, keys: list[str]
+    ) -> None:
+        self.deployment = deployment
+        self.attempts: list[Attempt] = []
+        self.requests: list[Request] = []
+        self.answered: set[int] = set()
+        self.keys = keys
+        self._numbers = itertools.count()
+        self._turns = itertools.count()
+        self._stopped = False
+        self._callers: set[asyncio.Task] = set()
+
+    def start(self) -> None:
+        """Begin to send."""
+        self._spawn(self._send_many("GET", READ_PERIOD_MS))
+        self._spawn(self._send_many("POST", ORDER_PERIOD_MS))
+
+    async def stop(self) -> None:
+        """Send nothing new and let pending attempts end."""
+        self._stopped = True
+        await asyncio.gather(*self._callers)
+
+    def _spawn(self, coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._callers.add(task)
+        task.add_done_callback(self._callers.discard)
+
+    async def _send_many(self, method: str, period_ms: int) -> None:
+        keys: Iterator[str] = itertools.cycle(self.keys)
+        while not self._stopped:
+            request = self.make_request(method, next(keys))
+            self._spawn(self._call(request))
+            await self.deployment.wait(period_ms)
+
+    def make_request(self, method: str, key: str) -> Request:
+        """Return a new request."""
+        number = next(self._numbers)
+        name = testing.make_key(number) if method == "POST" else ""
+        request = Request(
+            number=number, key=key, method=method, idempotency_key=name
+        )
+        self.requests.append(request)
+        return request
+
+    def repeat_answered(self) -> None:
+        """Send again each order that was answered in the last requests."""
+        for request in self.requests[-20:]:
+            if request.idempotency_key and request.number in self.answered:
+                self._spawn(self._call(request))
+
+    async def _call(self, request: Request) -> None:
+        """Repeat a request until it is answered or can't be learned of."""
+        while not self._stopped:
+            entries = self.list_entries()
+            if entries:
+                node = entries[next(self._turns) % len(entries)]
+                outcome = await self.attempt(node, request)
+                if _is_final(outcome):
+                    return
+            await self.deployment.wait(REPEAT_MS)
+
+    def list_entries(self) -> list[testing.Node]:
+        """Return the instances that a balancer sends callers to."""
+        return [
+            node
+            for node in self.deployment.nodes
+            if node.address in self.deployment.network.transports
+            and node.instance.is_ready()
+        ]
+
+    async def attempt(
+        self, node: testing.Node, request: Request
+    ) -> base.Outcome | None:
+        """Send a request once and note what the caller was told."""
+        attempt = Attempt(
+            name=f"{request.number}/{len(self.attempts)}",
+            request=request,
+            entry=node.address,
+            started_at=base.Clock().now(),
+        )
+        self.attempts.append(attempt)
+        # The HTTP side of an entry counts what it has in flight.
+        node.instance.front.in_flight += 1
+        try:
+            async with asyncio.timeout(
+                (DEADLINE_MS + PATIENCE_MS) / base.MS_PER_S
+            ):
+                attempt.outcome = await self._send(node, attempt)
+        except TimeoutError:
+            pass
+        finally:
+            node.instance.front.in_flight -= 1
+        attempt.ended_at = base.Clock().now()
+        if isinstance(attempt.outcome, base.Answered):
+            self.answered.add(request.number)
+        return attempt.outcome
+
+    async def _send(
+        self, node: testing.Node, attempt: Attempt
+    ) -> base.Outcome:
+        request = attempt.request
+        return await self.deployment.send(
+            node,
+            request.key,
+            method=request.method,
+            deadline_ms=DEADLINE_MS,
+            idempotency_key=request.idempotency_key,
+            query=request.query,
+            headers=[(testing.HEADER_ATTEMPT, attempt.name)],
+        )
+
+
+def _is_final(outcome: base.Outcome | None) -> bool:
+    if isinstance(outcome, base.Unknown):
+        return outcome.reason in FINAL
+    return isinstance(outcome, base.Answered)
+
+
+def is_leaving(node: testing.Node) -> bool:
+    """Return whether an instance has announced that it leaves."""
+    return node.instance.state is membership.InstanceState.LEAVING
--- /dev/null
+++ b/tarragonhinge/faults/_trial.py
@@ -0,0 +1,305 @@
+"""One deployment under load, to which a cell's fault happens."""
+
+import asyncio
+import dataclasses
+
+import msgspec
+
+from tarragonhinge import base
+from tarragonhinge import configuration
+from tarragonhinge.faults import _load
+from tarragonhinge.faults import _promise
+from tarragonhinge import routing
+from tarragonhinge import shards
+from tarragonhinge import testing
+
+#: Durations in force; agreements for an outage are kept short.
+TIMING = shards.Timing(outage_lease_ms=6000)
+
+#: Balancers notice a leaving instance within this time.
+NOTICE_MS = 300
+
+PARTITIONS = 4
+
+#: Period at which ownership is checked besides at each grant and run.
+CHECK_PERIOD_MS = 100
+
+#: How long an operator waits for one instance to take an edit.
+EDIT_TIMEOUT_MS = 1500
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Place:
+    """Who takes the step at which a fault strikes.
+
+    Parameters
+    ----------
+    node : str
+        Address of the instance that takes it.
+    server : str
+        The server concerned; empty for the one that owns the first key.
+    """
+
+    node: str
+    server: str = ""
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class AcceptedEdit:
+    """An edit that an instance has acknowledged to its operator.
+
+    Parameters
+    ----------
+    version : TableVersion
+        The version that it made.
+    at_ms : int
+        True time of the acknowledgement.
+    rows : list of ServiceRow
+        Its content.
+    """
+
+    version: base.TableVersion
+    at_ms: int
+    rows: list[configuration.ServiceRow]
+
+
+def _make_row(*, two_regions: bool) -> configuration.ServiceRow:
+    row = testing.make_row(servers=2, partitions=PARTITIONS)
+    if not two_regions:
+        return row
+    other = configuration.ServerEntry(
+        server=base.ServerId("s2"),
+        address=base.Address("127.0.0.1:7002"),
+        region=testing.OTHER_REGION,
+        zone=base.ZoneName("sur-a"),
+    )
+    return msgspec.structs.replace(
+        row,
+        homes=[testing.REGION, testing.OTHER_REGION],
+        servers=[*row.servers, other],
+    )
+
+
+class Trial:
+    """Deployment, load, monitors and what has happened so far.
+
+    Parameters
+    ----------
+    two_regions : bool
+        True for instances, servers and partitions in two regions.
+    """
+
+    def __init__(self, *, two_regions: bool = False) -> None:
+        row = _make_row(two_regions=two_regions)
+        self.two_regions = two_regions
+        self.deployment = testing.Deployment(
+            row=row,
+            timing=TIMING,
+            other_instances=2 if two_regions else 0,
+            notice_ms=NOTICE_MS,
+        )
+        regions = row.list_regions()
+        self.monitors = [
+            self.deployment.watch(base.make_shard_id(row.service, region))
+            for region in regions
+        ]
+        self.driver = testing.FaultDriver(deployment=self.deployment)
+        self.keys = _choose_keys(row)
+        self.load = _load.CallerLoad(
+            deployment=self.deployment, keys=list(self.keys.values())
+        )
+        self.accepted: list[AcceptedEdit] = []
+        self.editing: asyncio.Task | None = None
+        self.drained: dict[base.ServerId, int] = {}
+        self.breaches: list[_promise.Breach] = []
+        self._versions: dict[testing.Node, int] = {}
+        self._edits = 0
+        for node in self.deployment.nodes:
+            self._watch_node(node)
+
+    @property
+    def probe(self) -> testing.Probe:
+        """Return what reports the deployment's steps."""
+        return self.deployment.network.probe
+
+    def note(self, promise: _promise.Promise, text: str) -> None:
+        """Record a broken promise."""
+        now = base.Clock().now()
+        breach = _promise.Breach(promise=promise, text=f"{text} ({now} ms)")
+        self.breaches.append(breach)
+
+    def find_leader(self) -> testing.Node:
+        """Return the instance that leads the first region's shard.
+
+        Without a leader it is the first instance.
+        """
+        leaders = self.deployment.find_leaders()
+        return leaders[0] if leaders else self.deployment.nodes[0]
+
+    def find_node(self, address: str) -> testing.Node:
+        """Return the instance at an address."""
+        return next(n for n in self.deployment.nodes if n.address == address)
+
+    def get_number(self, address: str) -> int:
+        """Return the number of the instance at an address."""
+        return self.deployment.nodes.index(self.find_node(address))
+
+    def find_server(self, place: Place) -> testing.MemoryServer:
+        """Return the server that a fault at a place concerns."""
+        if place.server:
+            return self.deployment.servers[base.ServerId(place.server)]
+        shard = self.deployment.shard
+        for server in self.deployment.servers.values():
+            if server.list_owned(shard):
+                return server
+        return next(iter(self.deployment.servers.values()))
+
+    def lose_node(self, address: str) -> None:
+        """Lose a process until it is replaced."""
+        node = self.find_node(address)
+        node.halt()
+        self.driver.killed.add(self.get_number(address))
+
+    def drain(self, server: testing.MemoryServer) -> None:
+        """Let a server ask for no new work from now on."""
+        server.draining = True
+        self.drained.setdefault(server.name, base.Clock().now())
+
+    async def stop_node(self, node: testing.Node) -> int:
+        """Stop an instance gracefully; return how much it cut off.
+
+        The platform replaces it.
+        """
+        number = self.get_number(node.address)
+        stopping = asyncio.create_task(node.instance.stop())
+        while not _load.is_leaving(node):
+            await asyncio.sleep(0)
+        leaving = testing.Stage.INSTANCE_LEAVING
+        self.probe.report(leaving, node.address)
+        cut_off = await stopping
+        await self.deployment.restart(number)
+        return cut_off
+
+    def _watch_node(self, node: testing.Node) -> None:
+        """Report moves and new versions of an instance to the probe."""
+
+        def watch_moves(leader: shards.ShardLeader) -> None:
+            held = testing.Stage.MOVE_HELD
+            leader.owners.moves.on_start = lambda move: self.probe.report(
+                held, node.address, move.source, move
+            )
+
+        def report_version(table: configuration.OperatorsTable) -> None:
+            stage = testing.Stage.VERSION_IN_FORCE
+            self.probe.report(stage, node.address, content=table.version)
+
+        node.instance.coordinator.leaderships.subscribe(watch_moves)
+        node.instance.view.changes.subscribe(report_version)
+
+    # Edits ---------------------------------------------------------------
+
+    def start_edit(self, node: testing.Node) -> None:
+        """Let an operator edit the table through an instance."""
+        self.editing = asyncio.create_task(self.edit(node))
+
+    async def edit(self, node: testing.Node) -> None:
+        """Edit until the edit is accepted, through other instances too."""
+        self._edits += 1
+        edit_id = f"edit-{self._edits}"
+        queue = 100 + self._edits
+        base_version: base.TableVersion | None = None
+        while True:
+            if base_version is None:
+                table = await self._within(node.instance.store.load())
+                if not isinstance(table, configuration.OperatorsTable):
+                    node = await self._choose_editor(node)
+                    continue
+                base_version = table.version
+                rows = [
+                    msgspec.structs.replace(row, queue=queue)
+                    for row in table.rows
+                ]
+            result = await self._propose(node, rows, base_version, edit_id)
+            if isinstance(result, configuration.Accepted):
+                self.accepted.append(
+                    AcceptedEdit(
+                        version=result.version,
+                        at_ms=base.Clock().now(),
+                        rows=rows,
+                    )
+                )
+                return
+            if isinstance(result, configuration.EditConflict):
+                base_version = None
+                edit_id += "-again"
+            node = await self._choose_editor(node)
+
+    async def _propose(
+        self,
+        node: testing.Node,
+        rows: list[configuration.ServiceRow],
+        expected: base.TableVersion,
+        edit_id: str,
+    ):
+        proposed = testing.Stage.EDIT_PROPOSED
+        self.probe.report(proposed, node.address, content=edit_id)
+        await asyncio.sleep(0)
+        note = configuration.EditNote(edit_id=edit_id)
+        return await self._within(
+            node.instance.editor.apply(rows, expected=expected, note=note)
+        )
+
+    async def _within(self, coroutine):
+        """Return a result; None if the operator's patience ends first."""
+        try:
+            async with asyncio.timeout(EDIT_TIMEOUT_MS / base.MS_PER_S):
+                return await coroutine
+        except TimeoutError:
+            return None
+
+    async def _choose_editor(self, last: testing.Node) -> testing.Node:
+        await self.deployment.wait(100)
+        others = [n for n in self.load.list_entries() if n is not last]
+        return others[0] if others else last
+
+    # Checks --------------------------------------------------------------
+
+    async def check_copies(self) -> None:
+        """Compare leaders' copies with the table until cancelled."""
+        while True:
+            for node in self.deployment.nodes:
+                self._check_node(node)
+                self._check_version(node)
+            for monitor in self.monitors:
+                monitor.check_grants()
+            await self.deployment.wait(CHECK_PERIOD_MS)
+
+    def _check_node(self, node: testing.Node) -> None:
+        for shard, leader in node.instance.coordinator.leaders.items():
+            regions = self.deployment.row.list_regions()
+            _, region = base.split_shard_id(shard)
+            monitor = self.monitors[regions.index(region)]
+            monitor.check_copy(leader.recorder)
+
+    def _check_version(self, node: testing.Node) -> None:
+        version = node.instance.view.current.version
+        last = self._versions.get(node, 0)
+        if version < last:
+            self.note(
+                _promise.Promise.CONFIGURATION,
+                f"{node.address} fell from version {last} to {version}",
+            )
+        self._versions[node] = version
+
+
+def _choose_keys(
+    row: configuration.ServiceRow,
+) -> dict[base.PartitionId, str]:
+    """Return a key of each partition."""
+    keys: dict[base.PartitionId, str] = {}
+    number = 0
+    while len(keys) < row.partitions:
+        key = f"k{number}"
+        keys.setdefault(routing.locate_key(row, key).partition, key)
+        number += 1
+    return keys
--- a/tarragonhinge/testing/_deployment.py
+++ b/tarragonhinge/testing/_deployment.py
@@ -252,6 +252,10 @@
             if end not in reaches:
                 self.network.cut_both(node.address, end)
 
+    def list_nodes(self, region: base.RegionName) -> list[Node]:
+        """Return the instances of a region."""
+        return [n for n in self.nodes if n.instance.me.region == region]
+
     def find_leadership(self, node: Node) -> shards.ShardLeader:
         """Return an instance's leadership of the shard."""
         return node.instance.coordinator.leaders[self.shard]
