--- a/tarragonhinge/faults/_cell.py
+++ b/tarragonhinge/faults/_cell.py
@@ -139,6 +139,7 @@
             await self.trial.deployment.wait(hold_ms)
         for fault in self.faults:
             fault.heal(self.trial)
+        self.trial.healed_at = base.Clock().now()
 
     def _must_serve(self) -> bool:
         """Return whether keys are to be served while the fault lasts."""
--- a/tarragonhinge/faults/_ending.py
+++ b/tarragonhinge/faults/_ending.py
@@ -18,11 +18,14 @@
 #: How long the load goes on after the leaving server's time.
 LATE_MS = 300
 
+#: How long servers work on a request, so that some are in flight.
+SERVICE_MS = 60
+
 #: Bound on a planned stop.
 STOP_LIMIT_MS = 6000
 
-#: Fewest answers to reads and to orders that make a cell count.
-FEWEST = 20
+#: Fewest answered reads and orders run that make a cell count.
+FEWEST = 15
 
 
 async def end_trial(trial: _trial.Trial) -> None:
@@ -46,6 +49,8 @@
 
 async def _stop_leader(trial: _trial.Trial) -> None:
     """Stop the leader as planned, and see whether it cuts off requests."""
+    for server in trial.deployment.servers.values():
+        server.service_ms = SERVICE_MS
     started_at = base.Clock().now()
     stopping = asyncio.create_task(trial.stop_node(trial.find_leader()))
     done, _ = await asyncio.wait(
@@ -58,13 +63,18 @@
         return
     if stopping.result():
         trial.note(promise, f"{stopping.result()} requests were cut off")
+    await trial.deployment.wait(_load.DEADLINE_MS + _load.PATIENCE_MS)
+    old = trial.list_sent_before_heal()
     for attempt in trial.load.attempts:
-        inside = started_at <= attempt.started_at and attempt.ended_at
-        if inside and attempt.started_at <= ended_at and _is_cut_off(attempt):
-            trial.note(promise, f"cut off: {attempt}")
+        inside = started_at < attempt.ended_at
+        inside = inside and attempt.started_at < ended_at
+        if inside and attempt.request.number not in old:
+            if _is_cut_off(attempt):
+                trial.note(promise, f"cut off: {attempt}")
 
 
 def _is_cut_off(attempt: _load.Attempt) -> bool:
+    """Return whether a caller was left without a definite outcome."""
     outcome = attempt.outcome
     if outcome is None:
         return True
@@ -181,7 +191,7 @@
         orders += 1
         if request.idempotency_key not in counts:
             trial.note(_promise.Promise.ONCE, f"{request} never ran")
-    if min(orders, len(trial.load.answered) - orders) < FEWEST:
+    if min(len(counts), len(trial.load.answered) - orders) < FEWEST:
         trial.note(_promise.Promise.REACHED, "the load was too small")
 
 
--- a/tarragonhinge/faults/_load.py
+++ b/tarragonhinge/faults/_load.py
@@ -10,8 +10,8 @@
 from tarragonhinge import testing
 
 #: Periods between two new reads and between two new orders.
-READ_PERIOD_MS = 60
-ORDER_PERIOD_MS = 90
+READ_PERIOD_MS = 80
+ORDER_PERIOD_MS = 110
 
 #: Deadline that callers give, and how much longer they wait.
 DEADLINE_MS = 500
--- a/tarragonhinge/faults/_move_steps.py
+++ b/tarragonhinge/faults/_move_steps.py
@@ -7,7 +7,7 @@
 from tarragonhinge import testing
 
 #: How long a server works on a request while it is emptied.
-SERVICE_MS = 120
+SERVICE_MS = 300
 
 
 class _MoveStep(_step.Step):
@@ -44,8 +44,11 @@
         """Return leader and source as the request ends."""
         if seen.stage is not testing.Stage.REQUEST_ANSWERED:
             return None
+        fence = seen.content.fence
+        if fence.shard != trial.deployment.shard:
+            return None
         leader = trial.deployment.find_leadership(trial.find_node(seen.source))
-        if seen.content.fence.partition not in leader.owners.moves:
+        if fence.partition not in leader.owners.moves:
             return None
         return _trial.Place(node=seen.source, server=seen.target)
 
--- a/tarragonhinge/faults/_process_faults.py
+++ b/tarragonhinge/faults/_process_faults.py
@@ -66,9 +66,9 @@
 
     def strike(self, trial, place):
         """Pause the leader, whoever takes the step."""
-        leader = trial.find_leader()
-        self.hit_node(leader.address)
-        leader.clock.pause()
+        holder = trial.find_holder(place)
+        self.hit_node(holder.address)
+        holder.clock.pause()
 
     def heal(self, trial):
         """Resume all processes."""
