--- a/tarragonhinge/configuration/_cells.py
+++ b/tarragonhinge/configuration/_cells.py
@@ -92,6 +92,27 @@
     return _row.KeySource(text)
 
 
+def parse_flag(text: str) -> bool:
+    """Return the value of a cell that says yes or no.
+
+    Spreadsheets may have turned it into TRUE or FALSE.
+
+    Raises
+    ------
+    ValueError
+        If it says neither.
+    """
+    known = {"yes": True, "true": True, "no": False, "false": False}
+    if text.lower() not in known:
+        raise ValueError(text)
+    return known[text.lower()]
+
+
+def format_flag(value: bool) -> str:
+    """Return the cell of a value that is true or false."""
+    return "yes" if value else "no"
+
+
 def parse_server(text: str) -> _row.ServerEntry:
     """Return a backend server from its text form.
 
--- a/tarragonhinge/configuration/_columns.py
+++ b/tarragonhinge/configuration/_columns.py
@@ -176,6 +176,16 @@
         "bytes/s",
     ),
     _make_float("retry_ratio", "retries allowed for each request", 10),
+    _make_name(
+        "history", "policy that keeps idempotency keys over a leader's loss"
+    ),
+    ColumnSpec(
+        name="cancels",
+        meaning="whether servers give up a request whose connection closes",
+        allowed="yes or no",
+        parse=_cells.parse_flag,
+        format=_cells.format_flag,
+    ),
     _make_name("dialect", "grant dialect of its servers"),
     _make_name("planner", "policy that plans moves"),
     _make_float(
--- a/tarragonhinge/testing/__init__.py
+++ b/tarragonhinge/testing/__init__.py
@@ -15,6 +15,7 @@
 from tarragonhinge.testing._faults import REQUESTS
 from tarragonhinge.testing._loop import ManualLoop
 from tarragonhinge.testing._loop import run_manual
+from tarragonhinge.testing._loop import spawn
 from tarragonhinge.testing._monitor import OwnershipMonitor
 from tarragonhinge.testing._network import MemoryNetwork
 from tarragonhinge.testing._network import MemoryTransport
@@ -60,4 +61,5 @@
     "make_key",
     "make_row",
     "run_manual",
+    "spawn",
 ]
--- a/tarragonhinge/testing/_loop.py
+++ b/tarragonhinge/testing/_loop.py
@@ -73,3 +73,8 @@
         gathered = asyncio.gather(*tasks, return_exceptions=True)
         loop.run_until_complete(gathered)
     gc.collect()
+
+
+def spawn(coroutine: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
+    """Start a coroutine beside the test."""
+    return asyncio.create_task(coroutine)
--- a/tarragonhinge/testing/_operators.py
+++ b/tarragonhinge/testing/_operators.py
@@ -52,6 +52,7 @@
                     known=configuration.KnownNames(
                         planners=frozenset({"balanced"}),
                         dialects=frozenset({"lapsing"}),
+                        histories=frozenset({"standby"}),
                     ),
                 ),
                 view=self.view,
