--- a/tarragonhinge/dispatch/_memories.py
+++ b/tarragonhinge/dispatch/_memories.py
@@ -18,6 +18,10 @@
 
 FOLLOW_UP_TIMEOUT_MS = 1000
 
+#: How often, and after what pause, a refused outcome is sent again.
+FOLLOW_UP_TRIES = 30
+FOLLOW_UP_RETRY_MS = 100
+
 RECOVERY_RETRY_MS = 200
 
 
@@ -234,9 +238,17 @@
     async def _follow_up(
         self, address: base.Address, message: _messages.HistoryFollowUp
     ) -> None:
-        await self._transport.call(
-            address, message, timeout_ms=FOLLOW_UP_TIMEOUT_MS
-        )
+        """Tell the next leader an outcome until it has taken it.
+
+        A refusal can be quicker than the handover that it follows.
+        """
+        for _ in range(FOLLOW_UP_TRIES):
+            reply = await self._transport.call(
+                address, message, timeout_ms=FOLLOW_UP_TIMEOUT_MS
+            )
+            if isinstance(reply, _messages.HistoryBatchAck) and reply.accepted:
+                return
+            await self._clock.sleep(FOLLOW_UP_RETRY_MS)
 
     async def _on_follow_up(
         self, message: _messages.HistoryFollowUp
--- a/tarragonhinge/faults/_cell.py
+++ b/tarragonhinge/faults/_cell.py
@@ -116,6 +116,7 @@
     def _strike(self) -> None:
         for fault in self.faults:
             fault.strike(self.trial, self._place)
+        self.step.finish(self.trial)
         self._struck.set()
 
     async def _wait_struck(self) -> bool:
@@ -139,7 +140,6 @@
             await self.trial.deployment.wait(hold_ms)
         for fault in self.faults:
             fault.heal(self.trial)
-        self.trial.healed_at = base.Clock().now()
 
     def _must_serve(self) -> bool:
         """Return whether keys are to be served while the fault lasts."""
--- a/tarragonhinge/faults/_ending.py
+++ b/tarragonhinge/faults/_ending.py
@@ -64,24 +64,13 @@
     if stopping.result():
         trial.note(promise, f"{stopping.result()} requests were cut off")
     await trial.deployment.wait(_load.DEADLINE_MS + _load.PATIENCE_MS)
-    old = trial.list_sent_before_heal()
+    old = trial.load.list_doubtful(started_at)
     for attempt in trial.load.attempts:
         inside = started_at < attempt.ended_at
         inside = inside and attempt.started_at < ended_at
-        if inside and attempt.request.number not in old:
-            if _is_cut_off(attempt):
-                trial.note(promise, f"cut off: {attempt}")
-
-
-def _is_cut_off(attempt: _load.Attempt) -> bool:
-    """Return whether a caller was left without a definite outcome."""
-    outcome = attempt.outcome
-    if outcome is None:
-        return True
-    return (
-        isinstance(outcome, base.Unknown)
-        and outcome.reason not in _load.FINAL
-    )
+        known = attempt.request.number not in old
+        if inside and known and _load.is_doubtful(attempt.outcome):
+            trial.note(promise, f"cut off: {attempt}")
 
 
 # Configuration -----------------------------------------------------------
--- a/tarragonhinge/faults/_load.py
+++ b/tarragonhinge/faults/_load.py
@@ -152,6 +152,17 @@
                     return
             await self.deployment.wait(REPEAT_MS)
 
+    def list_doubtful(self, now: int) -> set[int]:
+        """Return the requests whose outcome was unknown before `now`.
+
+        The repetition of an order is told what is remembered of it.
+        """
+        return {
+            attempt.request.number
+            for attempt in self.attempts
+            if 0 < attempt.ended_at < now and is_doubtful(attempt.outcome)
+        }
+
     def list_entries(self) -> list[testing.Node]:
         """Return the instances that a balancer sends callers to."""
         return [
@@ -209,6 +220,11 @@
     return isinstance(outcome, base.Answered)
 
 
+def is_doubtful(outcome: base.Outcome | None) -> bool:
+    """Return whether a caller can't tell whether its request ran."""
+    return outcome is None or isinstance(outcome, base.Unknown)
+
+
 def is_leaving(node: testing.Node) -> bool:
     """Return whether an instance has announced that it leaves."""
     return node.instance.state is membership.InstanceState.LEAVING
--- a/tarragonhinge/faults/_move_steps.py
+++ b/tarragonhinge/faults/_move_steps.py
@@ -8,6 +8,7 @@
 
 #: How long a server works on a request while it is emptied.
 SERVICE_MS = 300
+USUAL_MS = 5
 
 
 class _MoveStep(_step.Step):
@@ -20,6 +21,11 @@
         await trial.deployment.wait(SERVICE_MS)
         trial.drain(server)
 
+    def finish(self, trial):
+        """Let the server work at its usual pace."""
+        for server in trial.deployment.servers.values():
+            server.service_ms = min(server.service_ms, USUAL_MS)
+
 
 @_step.STEPS.register("move-hold")
 class MoveHold(_MoveStep):
--- a/tarragonhinge/faults/_step.py
+++ b/tarragonhinge/faults/_step.py
@@ -28,6 +28,9 @@
     async def drive(self, trial: _trial.Trial) -> None:  # noqa: B027
         """Make the step happen; the load alone does by default."""
 
+    def finish(self, trial: _trial.Trial) -> None:  # noqa: B027
+        """Undo what only served to reach the step."""
+
     @abc.abstractmethod
     def find_place(
         self, trial: _trial.Trial, seen: testing.Sighting
--- a/tarragonhinge/faults/_trial.py
+++ b/tarragonhinge/faults/_trial.py
@@ -110,7 +110,6 @@
         )
         self.accepted: list[AcceptedEdit] = []
         self.editing: asyncio.Task | None = None
-        self.healed_at = 0
         self.drained: dict[base.ServerId, int] = {}
         self.breaches: list[_promise.Breach] = []
         self._versions: dict[testing.Node, int] = {}
@@ -174,17 +173,6 @@
                 return node
         return self.find_node(place.node)
 
-    def list_sent_before_heal(self) -> set[int]:
-        """Return the requests first sent while a fault lasted.
-
-        What their callers learn later may be what the fault left.
-        """
-        return {
-            attempt.request.number
-            for attempt in self.load.attempts
-            if attempt.started_at < self.healed_at
-        }
-
     def drain(self, server: testing.MemoryServer) -> None:
         """Let a server ask for no new work from now on."""
         server.draining = True
--- a/tarragonhinge/routing/_directory.py
+++ b/tarragonhinge/routing/_directory.py
@@ -4,7 +4,7 @@
 from tarragonhinge import membership
 
 #: How long an instance that gave no answer is passed over.
-SUSPECT_MS = 3000
+SUSPECT_MS = 1000
 
 
 class LeaderDirectory:
--- a/tarragonhinge/shards/_leader.py
+++ b/tarragonhinge/shards/_leader.py
@@ -25,6 +25,10 @@
 #: Silence of the standby, in leases, after which it is replaced.
 STANDBY_LEASES = 3
 
+#: Part of the lease that is left when a leader that hears nobody falls
+#: silent.
+UNHEARD_PART = 4
+
 #: Chooses a standby for a shard: ``(shard, former) -> Holder or None``.
 StandbyChooser = Callable[
     [base.ShardId, _record.Holder | None], _record.Holder | None
@@ -250,7 +254,19 @@
                 await self._call_standby(standby)
             if standby is None or self._is_standby_silent():
                 await self._replace_standby()
-            await self._clock.sleep(self._timing.heartbeat_ms)
+            await self._clock.sleep(self._get_beat_ms())
+
+    def _get_beat_ms(self) -> int:
+        """Return the pause before the next heartbeat.
+
+        A leader that hears neither its standby nor the table falls
+        silent for long enough to be replaced: its heartbeats may still
+        arrive, and would keep the standby waiting.
+        """
+        left_ms = self.authority.get_remaining_ms()
+        if left_ms >= self._timing.lease_ms // UNHEARD_PART:
+            return self._timing.heartbeat_ms
+        return self._timing.silence_ms + self._timing.heartbeat_ms
 
     async def _call_standby(self, standby: _record.Holder) -> None:
         sent_at = self._clock.now()
--- a/tarragonhinge/shards/_mover.py
+++ b/tarragonhinge/shards/_mover.py
@@ -122,6 +122,8 @@
         source = self._index.owners.get(partition)
         if source is None or partition in self.book:
             return
+        if not self._pool.may_withdraw():
+            return
         if source in self._list_usable() and self.book.has_room(source):
             self._start_move(partition, None, merges=True)
             self.wake()
@@ -165,13 +167,18 @@
         if not usable:
             self._end_moves([m.partition for m in self.book.list_moves()])
         elif self._authority.is_valid():
-            if self._clock.now() >= self._retry_at:
+            if self._may_start():
                 self._start_evacuations(usable)
                 self._start_rebalancing(usable)
             self._advance_moves()
             await self._assign(usable)
         self._push_wanted()
 
+    def _may_start(self) -> bool:
+        """Return whether requests may be held for moves that begin now."""
+        retrying = self._clock.now() < self._retry_at
+        return self._pool.may_withdraw() and not retrying
+
     def _refresh(self) -> None:
         owners = self._recorder.record.owners
         if self._index.update(owners, self._listed):
--- a/tarragonhinge/shards/_pool.py
+++ b/tarragonhinge/shards/_pool.py
@@ -75,6 +75,14 @@
             and keeper.state is _keeper.ServerState.REACHABLE
         )
 
+    def may_withdraw(self) -> bool:
+        """Return whether a server can be relieved of a partition now.
+
+        Until grants of earlier leaders have lapsed, a partition that is
+        held could not be given to another server.
+        """
+        return self._clock.now() >= self._inherited_until
+
     def _has_ended(self, server: base.ServerId) -> bool:
         """Return whether a server that left the row holds no grant."""
         return server in self._lost or self._dialect.may_reassign(
