--- a/tarragonhinge/faults/_ending.py
+++ b/tarragonhinge/faults/_ending.py
@@ -1,6 +1,7 @@
 """What every cell does and checks once its faults are healed."""
 
 import asyncio
+import uuid
 
 from tarragonhinge import base
 from tarragonhinge import configuration
@@ -52,7 +53,9 @@
     for server in trial.deployment.servers.values():
         server.service_ms = SERVICE_MS
     started_at = base.Clock().now()
-    stopping = asyncio.create_task(trial.stop_node(trial.find_leader()))
+    leader = trial.find_leader()
+    horizon = _read_horizon(trial, leader)
+    stopping = asyncio.create_task(trial.stop_node(leader))
     done, _ = await asyncio.wait(
         {stopping}, timeout=STOP_LIMIT_MS / base.MS_PER_S
     )
@@ -69,10 +72,33 @@
         inside = started_at < attempt.ended_at
         inside = inside and attempt.started_at < ended_at
         known = attempt.request.number not in old
-        if inside and known and _load.is_doubtful(attempt.outcome):
+        if not inside or not known:
+            continue
+        if _load.is_doubtful(attempt.outcome) and not _is_too_old(
+            attempt, horizon
+        ):
             trial.note(promise, f"cut off: {attempt}")
 
 
+def _read_horizon(trial: _trial.Trial, leader: testing.Node) -> int:
+    """Return the time before which a leader knows of no orders."""
+    histories = leader.instance.dispatcher.dump()["histories"]
+    return histories[trial.deployment.shard]["horizon"]
+
+
+def _is_too_old(attempt: _load.Attempt, horizon: int) -> bool:
+    """Return whether an order was refused for an earlier loss.
+
+    A leader that lacks its predecessor's history refuses orders that
+    might have run under it, whether or not an instance stops.
+    """
+    lost = base.Unknown(reason=base.UnknownReason.HISTORY_LOST)
+    if attempt.outcome != lost:
+        return False
+    minted_ms = uuid.UUID(attempt.request.idempotency_key).int >> 80
+    return minted_ms < horizon
+
+
 # Configuration -----------------------------------------------------------
 
 
--- a/tarragonhinge/faults/_load.py
+++ b/tarragonhinge/faults/_load.py
@@ -18,7 +18,11 @@
 PATIENCE_MS = 200
 
 #: Pause before a request is repeated.
-REPEAT_MS = 40
+REPEAT_MS = 60
+
+#: How often a caller repeats a request whose outcome is unknown: what is
+#: remembered of an order does not change.
+UNKNOWN_LIMIT = 6
 
 #: Answers after which the same order can't be learned of any more.
 FINAL = frozenset(
@@ -143,13 +147,15 @@
 
     async def _call(self, request: Request) -> None:
         """Repeat a request until it is answered or can't be learned of."""
-        while not self._stopped:
+        told_unknown = 0
+        while not self._stopped and told_unknown < UNKNOWN_LIMIT:
             entries = self.list_entries()
             if entries:
                 node = entries[next(self._turns) % len(entries)]
                 outcome = await self.attempt(node, request)
                 if _is_final(outcome):
                     return
+                told_unknown += isinstance(outcome, base.Unknown)
             await self.deployment.wait(REPEAT_MS)
 
     def list_doubtful(self, now: int) -> set[int]:
