--- a/tarragonhinge/faults/_ending.py
+++ b/tarragonhinge/faults/_ending.py
@@ -20,13 +20,17 @@
 LATE_MS = 300
 
 #: How long servers work on a request, so that some are in flight.
-SERVICE_MS = 60
+SERVICE_MS = 30
+
+#: Time before a planned stop, so that none of the requests in flight
+#: has spent its deadline on an earlier fault.
+CALM_MS = _load.DEADLINE_MS + _load.PATIENCE_MS
 
 #: Bound on a planned stop.
 STOP_LIMIT_MS = 6000
 
 #: Fewest answered reads and orders run that make a cell count.
-FEWEST = 15
+FEWEST = 8
 
 
 async def end_trial(trial: _trial.Trial) -> None:
@@ -35,6 +39,7 @@
         trial.drain(trial.find_server(_trial.Place(node="")))
     drained_at = max(trial.drained.values())
     edit = asyncio.create_task(trial.edit(trial.load.list_entries()[-1]))
+    await trial.deployment.wait(CALM_MS)
     await _stop_leader(trial)
     left_ms = drained_at + LEAVING_MS + LATE_MS - base.Clock().now()
     await trial.deployment.wait(max(LATE_MS, left_ms))
