--- a/tarragonhinge/faults/_ending.py
+++ b/tarragonhinge/faults/_ending.py
@@ -20,12 +20,15 @@
 LATE_MS = 300
 
 #: How long servers work on a request, so that some are in flight.
-SERVICE_MS = 30
+SERVICE_MS = 15
 
 #: Time before a planned stop, so that none of the requests in flight
 #: has spent its deadline on an earlier fault.
 CALM_MS = _load.DEADLINE_MS + _load.PATIENCE_MS
 
+#: How long callers send more, from before to after a handover.
+BURST_MS = 600
+
 #: Bound on a planned stop.
 STOP_LIMIT_MS = 6000
 
@@ -57,15 +60,20 @@
     """Stop the leader as planned, and see whether it cuts off requests."""
     for server in trial.deployment.servers.values():
         server.service_ms = SERVICE_MS
+    promise = _promise.Promise.PLANNED_STOP
+    if not trial.deployment.find_leaders():
+        trial.note(promise, "no instance leads that could be stopped")
+        return
     started_at = base.Clock().now()
     leader = trial.find_leader()
     horizon = _read_horizon(trial, leader)
+    trial.load.start_burst(BURST_MS)
+    await trial.deployment.wait(BURST_MS // 4)
     stopping = asyncio.create_task(trial.stop_node(leader))
     done, _ = await asyncio.wait(
         {stopping}, timeout=STOP_LIMIT_MS / base.MS_PER_S
     )
     ended_at = base.Clock().now()
-    promise = _promise.Promise.PLANNED_STOP
     if not done:
         trial.note(promise, f"the stop took {STOP_LIMIT_MS} ms")
         return
@@ -88,7 +96,7 @@
 def _read_horizon(trial: _trial.Trial, leader: testing.Node) -> int:
     """Return the time before which a leader knows of no orders."""
     histories = leader.instance.dispatcher.dump()["histories"]
-    return histories[trial.deployment.shard]["horizon"]
+    return histories.get(trial.deployment.shard, {}).get("horizon", 0)
 
 
 def _is_too_old(attempt: _load.Attempt, horizon: int) -> bool:
--- a/tarragonhinge/faults/_load.py
+++ b/tarragonhinge/faults/_load.py
@@ -2,16 +2,17 @@
 
 import asyncio
 from collections.abc import Iterator
+import contextlib
 import dataclasses
 import itertools
 
 from tarragonhinge import base
-from tarragonhinge import membership
 from tarragonhinge import testing
 
 #: Periods between two new reads and between two new orders.
 READ_PERIOD_MS = 80
 ORDER_PERIOD_MS = 110
+BURST_PERIOD_MS = 25
 
 #: Deadline that callers give, and how much longer they wait.
 DEADLINE_MS = 500
@@ -112,6 +113,16 @@
         self._spawn(self._send_many("GET", READ_PERIOD_MS))
         self._spawn(self._send_many("POST", ORDER_PERIOD_MS))
 
+    def start_burst(self, duration_ms: int) -> None:
+        """Send many more requests for a while."""
+        for method in ("GET", "POST"):
+            self._spawn(self._send_burst(method, duration_ms))
+
+    async def _send_burst(self, method: str, duration_ms: int) -> None:
+        sending = self._send_many(method, BURST_PERIOD_MS)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(sending, duration_ms / base.MS_PER_S)
+
     async def stop(self) -> None:
         """Send nothing new and let pending attempts end."""
         self._stopped = True
@@ -191,13 +202,11 @@
         self.attempts.append(attempt)
         # The HTTP side of an entry counts what it has in flight.
         node.instance.front.in_flight += 1
+        limit_ms = DEADLINE_MS + PATIENCE_MS
         try:
-            async with asyncio.timeout(
-                (DEADLINE_MS + PATIENCE_MS) / base.MS_PER_S
-            ):
-                attempt.outcome = await self._send(node, attempt)
-        except TimeoutError:
-            pass
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(limit_ms / base.MS_PER_S):
+                    attempt.outcome = await self._send(node, attempt)
         finally:
             node.instance.front.in_flight -= 1
         attempt.ended_at = base.Clock().now()
@@ -229,8 +238,3 @@
 def is_doubtful(outcome: base.Outcome | None) -> bool:
     """Return whether a caller can't tell whether its request ran."""
     return outcome is None or isinstance(outcome, base.Unknown)
-
-
-def is_leaving(node: testing.Node) -> bool:
-    """Return whether an instance has announced that it leaves."""
-    return node.instance.state is membership.InstanceState.LEAVING
--- /dev/null
+++ b/tarragonhinge/faults/tests/test_checks.py
@@ -0,0 +1,129 @@
+"""Each check of a cell fails once what it guards is broken."""
+
+import msgspec
+import pytest
+
+from tarragonhinge import base
+from tarragonhinge import daemon
+from tarragonhinge import dispatch
+from tarragonhinge import faults
+from tarragonhinge.faults import _step
+from tarragonhinge import shards
+from tarragonhinge import standins
+from tarragonhinge import stores
+from tarragonhinge import testing
+
+Promise = faults.Promise
+
+
+def _skip_fences(monkeypatch):
+    def ignore(self, fence, *, now):
+        return True
+
+    monkeypatch.setattr(standins.GrantTable, "owns", ignore)
+
+
+def _never_lapse(monkeypatch):
+    store = standins.GrantTable._store
+
+    def store_for_ever(self, request, held):
+        store(self, request, held)
+        held.expires_at = 1 << 60
+
+    monkeypatch.setattr(standins.GrantTable, "_store", store_for_ever)
+
+
+def _write_always(monkeypatch):
+    transact = stores.MemoryTable.transact
+
+    async def skip_checks(self, transaction):
+        bare = msgspec.structs.replace(transaction, checks=[])
+        return await transact(self, bare)
+
+    monkeypatch.setattr(stores.MemoryTable, "transact", skip_checks)
+
+
+def _forget_orders(monkeypatch):
+    history = dispatch.RequestHistory
+    monkeypatch.setattr(history, "find", lambda self, key, fingerprint: None)
+
+
+def _hide_draining(monkeypatch):
+    take_grants = testing.MemoryServer.take_grants
+
+    def hide(self, request):
+        reply = take_grants(self, request)
+        return msgspec.structs.replace(reply, draining=False)
+
+    monkeypatch.setattr(testing.MemoryServer, "take_grants", hide)
+
+
+def _stop_at_once(monkeypatch):
+    async def stop(self):
+        self.state = type(self.state).LEAVING
+        left = self.count_work()
+        self.clock.pause()
+        await self.transport.stop()
+        return left
+
+    monkeypatch.setattr(daemon.Instance, "stop", stop)
+
+
+def _cut_answers(monkeypatch):
+    run = testing.MemoryServer.run
+
+    async def cut(self, request):
+        outcome = await run(self, request)
+        if isinstance(outcome, base.Answered):
+            return base.Answered(status=200, body=outcome.body[:-1])
+        return outcome
+
+    monkeypatch.setattr(testing.MemoryServer, "run", cut)
+
+
+def _deny_runs(monkeypatch):
+    run = testing.MemoryServer.run
+
+    async def deny(self, request):
+        outcome = await run(self, request)
+        if request.path.endswith("5"):
+            return base.NotRun(reason=base.NotRunReason.FENCED)
+        return outcome
+
+    monkeypatch.setattr(testing.MemoryServer, "run", deny)
+
+
+def _never_take_over(monkeypatch):
+    standby = shards.ShardStandby
+    monkeypatch.setattr(standby, "is_leader_silent", lambda self: False)
+
+
+def _never_reach(monkeypatch):
+    step = _step.STEPS.find("renew")
+    monkeypatch.setattr(step, "find_place", lambda self, trial, seen: None)
+
+
+@pytest.mark.parametrize(
+    ("breaks", "step", "fault", "promise"),
+    [
+        (_skip_fences, "dispatch-sent", "server-frozen", Promise.ONE_OWNER),
+        (_never_lapse, "renew", "server-frozen", Promise.ONE_OWNER),
+        (_write_always, "move-record", "lease-lapsed", Promise.ASSIGNMENT),
+        (_write_always, "renew", "racing-edits", Promise.CONFIGURATION),
+        (_forget_orders, "dispatch-answered", "process-lost", Promise.ONCE),
+        (_hide_draining, "renew", "process-paused", Promise.LEAVING),
+        (_stop_at_once, "renew", "process-paused", Promise.PLANNED_STOP),
+        (_cut_answers, "renew", "process-paused", Promise.WHOLE_ANSWER),
+        (_deny_runs, "renew", "process-paused", Promise.TRUE_REFUSAL),
+        (_never_take_over, "renew", "process-lost", Promise.SERVED),
+        (_never_reach, "renew", "process-paused", Promise.REACHED),
+    ],
+)
+def test_check_fails_without_its_guard(
+    breaks, step, fault, promise, monkeypatch
+):
+    cell = faults.Cell(step=step, faults=(fault,))
+    assert faults.run_cell(cell) == []
+    breaks(monkeypatch)
+    seen = {breach.promise for breach in faults.run_cell(cell)}
+    assert promise in seen
--- a/tarragonhinge/shards/_leader.py
+++ b/tarragonhinge/shards/_leader.py
@@ -230,6 +230,7 @@
             self.authority.extend(
                 sent_at=sent_at, lease_ms=self._timing.lease_ms
             )
+            self.owners.retry_writes()
         elif not self.recorder.confirmed and self._confirming is None:
             self._confirming = asyncio.create_task(self._confirm())
 
--- a/tarragonhinge/shards/_mover.py
+++ b/tarragonhinge/shards/_mover.py
@@ -112,6 +112,13 @@
         self._pool.set_inherited(until)
         self.wake()
 
+    def retry_now(self) -> None:
+        """Try a refused write again, since the table has been reached."""
+        if self._clock.now() < self._retry_at:
+            self._retry_at = self._clock.now()
+            self._retry_ms = RETRY_BASE_MS
+            self.wake()
+
     def count_usable(self) -> int:
         """Return the number of servers that may be given partitions."""
         return len(self._list_usable())
--- a/tarragonhinge/shards/_owners.py
+++ b/tarragonhinge/shards/_owners.py
@@ -117,6 +117,10 @@
             keeper.set_inherited(until)
         self._mover.set_inherited(until)
 
+    def retry_writes(self) -> None:
+        """Try refused writes again, since the table has been reached."""
+        self._mover.retry_now()
+
     # Serving -------------------------------------------------------------
 
     def resolve(
