--- a/tarragonhinge/admission/__init__.py
+++ b/tarragonhinge/admission/__init__.py
@@ -1,5 +1,51 @@
 """Limits: slots, queues, rates and shares."""
 
+from tarragonhinge.admission._bucket import BURST_MS
+from tarragonhinge.admission._bucket import TokenBucket
+from tarragonhinge.admission._discipline import Discipline
+from tarragonhinge.admission._discipline import DISCIPLINES
+from tarragonhinge.admission._gate import ServiceGate
+from tarragonhinge.admission._health import list_avoided
+from tarragonhinge.admission._health import ServerHealth
+from tarragonhinge.admission._lingering import LingeringCount
+from tarragonhinge.admission._picker import Candidate
+from tarragonhinge.admission._picker import Picker
+from tarragonhinge.admission._picker import PICKERS
+from tarragonhinge.admission._recent import IN_FORCE_LIMIT_MS
+from tarragonhinge.admission._recent import RecentTables
+from tarragonhinge.admission._shares import compute_connections
+from tarragonhinge.admission._shares import compute_share
+from tarragonhinge.admission._shares import compute_slots
+from tarragonhinge.admission._shares import limit_slots
+from tarragonhinge.admission._shares import list_sharers
+from tarragonhinge.admission._shares import ShardShare
+from tarragonhinge.admission._shares import split_whole
+from tarragonhinge.admission._slots import RETRY_FLOOR_MS
 from tarragonhinge.admission._slots import ServerSlots
+from tarragonhinge.admission._window import ShedWindow
 
-__all__ = ["ServerSlots"]
+__all__ = [
+    "Candidate",
+    "PICKERS",
+    "Picker",
+    "ServerHealth",
+    "list_avoided",
+    "BURST_MS",
+    "DISCIPLINES",
+    "Discipline",
+    "IN_FORCE_LIMIT_MS",
+    "LingeringCount",
+    "RETRY_FLOOR_MS",
+    "RecentTables",
+    "ServerSlots",
+    "ServiceGate",
+    "ShardShare",
+    "ShedWindow",
+    "TokenBucket",
+    "compute_connections",
+    "compute_share",
+    "compute_slots",
+    "limit_slots",
+    "list_sharers",
+    "split_whole",
+]
--- a/tarragonhinge/configuration/_columns.py
+++ b/tarragonhinge/configuration/_columns.py
@@ -147,6 +147,15 @@
     _make_int("slots", "requests that a server runs at once", 1, 10_000),
     _make_int("connections", "connections that a server takes", 1, 100_000),
     _make_int("queue", "requests that may wait for a server", 0, 100_000),
+    _make_int(
+        "ramp_ms",
+        "time over which a restarted server's slots open; 0 for at once",
+        0,
+        600_000,
+        "ms",
+    ),
+    _make_name("picker", "policy that picks a server where there is no key"),
+    _make_name("discipline", "order in which waiting requests get slots"),
     _make_float(
         "rate",
         "requests that the service admits; 0 for no limit",
@@ -190,7 +199,7 @@
     _make_name("planner", "policy that plans moves"),
     _make_float(
         "churn_weight",
-        "cost of moving a partition against a unit of imbalance",
+        "cost of moving a partition, in loads of an average one",
         1_000_000,
     ),
 )
--- a/tarragonhinge/configuration/tests/test_store.py
+++ b/tarragonhinge/configuration/tests/test_store.py
@@ -12,11 +12,7 @@
 from tarragonhinge import testing
 
 ROW = testing.make_row()
-KNOWN = configuration.KnownNames(
-    planners=frozenset({"balanced"}),
-    dialects=frozenset({"lapsing"}),
-    histories=frozenset({"standby"}),
-)
+KNOWN = testing.KNOWN_NAMES
 
 
 class Site:
--- a/tarragonhinge/daemon/_samples.py
+++ b/tarragonhinge/daemon/_samples.py
@@ -80,15 +80,16 @@
 
 
 def _read_servers(instance: _instance.Instance) -> Iterator[catalog.Sample]:
-    for name, slots in instance.dispatcher.dump()["slots"].items():
-        shard, _, server = name.rpartition("/")
+    for shard, limits in instance.dispatcher.dump()["limits"].items():
         if shard not in instance.coordinator.leaders:
             continue
-        for metric, value in (
-            (catalog.SERVER_RUNNING, slots["running"]),
-            (catalog.SERVER_WAITING, slots["waiting"]),
-        ):
-            yield _Sample(metric=metric, value=value, labels=(shard, server))
+        for server, slots in limits["servers"].items():
+            labels = (shard, server)
+            for metric, value in (
+                (catalog.SERVER_RUNNING, slots["running"]),
+                (catalog.SERVER_WAITING, slots["waiting"]),
+            ):
+                yield _Sample(metric=metric, value=value, labels=labels)
 
 
 def compute_imbalance(leader: shards.ShardLeader) -> float:
--- a/tarragonhinge/dispatch/_sender.py
+++ b/tarragonhinge/dispatch/_sender.py
@@ -1,27 +1,42 @@
 """Sends a request to the owner of its key, within the server's limits."""
 
+import asyncio
+
+import msgspec
+
 from tarragonhinge import admission
 from tarragonhinge import base
+from tarragonhinge import configuration
+from tarragonhinge.dispatch import _limits
 from tarragonhinge.dispatch import _messages
+from tarragonhinge.dispatch import _priority
 from tarragonhinge import servers
 from tarragonhinge import shards
 
 #: Period at which a request that waits for an owner looks again.
 OWNER_POLL_MS = 10
 
+#: HTTP statuses from here on tell that the server failed.
+ERROR_STATUS = 500
+
 
 class Sender:
     """Waits for the owner and for a slot, then sends.
 
     Parameters
     ----------
+    view : TableView
+        Versions of the operators' table.
     clock : Clock
         This process's clock.
     """
 
-    def __init__(self, *, clock: base.Clock) -> None:
+    def __init__(
+        self, *, view: configuration.TableView, clock: base.Clock
+    ) -> None:
         self._clock = clock
-        self._slots: dict[str, admission.ServerSlots] = {}
+        self._tables = admission.RecentTables(view=view, clock=clock)
+        self._limits: dict[base.ShardId, _limits.ShardLimits] = {}
 
     async def send(
         self,
@@ -30,19 +45,111 @@
         *,
         deadline_at: int,
     ) -> base.Outcome:
-        """Send a request once and return its outcome."""
-        keeper = await self._wait_owner(leader, request, deadline_at)
-        if isinstance(keeper, base.NotRun):
-            return keeper
-        slots = self._find_slots(leader, keeper.entry.server)
-        refusal = await slots.acquire(deadline_at=deadline_at)
+        """Send a request once and return its outcome.
+
+        A request whose partition moves while it waits for a slot waits
+        again, at the new owner.
+        """
+        limits = self._find_limits(leader)
+        refusal = limits.gate.admit()
         if refusal is not None:
             return refusal
+        priority = _priority.read_priority(leader.row, request.headers)
+        while True:
+            request = _place(leader, limits, request, priority)
+            keeper = await self._wait_owner(leader, request, deadline_at)
+            if isinstance(keeper, base.NotRun):
+                return keeper
+            slots = limits.find_slots(keeper)
+            refusal = await slots.acquire(
+                deadline_at=deadline_at, priority=priority
+            )
+            if refusal is not None:
+                return refusal
+            refusal = await self._enter(limits, slots, deadline_at, priority)
+            if refusal is not None:
+                return refusal
+            partition = _resolve(leader, request)
+            if leader.owners.find_owner(partition) is keeper:
+                return await self._run(
+                    leader, keeper, limits, request, deadline_at
+                )
+            slots.release(service_ms=None)
+            limits.gate.leave(service_ms=None)
+
+    def _find_limits(self, leader: shards.ShardLeader) -> _limits.ShardLimits:
+        limits = self._limits.get(leader.shard)
+        if limits is None:
+            limits = _limits.ShardLimits(
+                shard=leader.shard,
+                row=leader.row,
+                tables=self._tables,
+                clock=self._clock,
+            )
+            self._limits[leader.shard] = limits
+        limits.update(leader)
+        return limits
+
+    async def _enter(
+        self,
+        limits: _limits.ShardLimits,
+        slots: admission.ServerSlots,
+        deadline_at: int,
+        priority: int,
+    ) -> base.NotRun | None:
+        """Pass the service's gate while holding a slot."""
+        try:
+            refusal = await limits.gate.enter(
+                deadline_at=deadline_at, priority=priority
+            )
+        except asyncio.CancelledError:
+            slots.release(service_ms=None)
+            raise
+        if refusal is not None:
+            slots.release(service_ms=None)
+        return refusal
+
+    async def _run(
+        self,
+        leader: shards.ShardLeader,
+        keeper: shards.GrantKeeper,
+        limits: _limits.ShardLimits,
+        request: _messages.ForwardRequest,
+        deadline_at: int,
+    ) -> base.Outcome:
+        """Send a request that has a slot."""
+        slots = limits.find_slots(keeper)
         started_at = self._clock.now()
         try:
-            return await self._dispatch(leader, keeper, request, deadline_at)
-        finally:
-            slots.release(service_ms=self._clock.now() - started_at)
+            outcome = await self._dispatch(
+                leader, keeper, request, deadline_at
+            )
+        except (asyncio.CancelledError, Exception):
+            self._settle(slots, None, started_at)
+            limits.gate.leave(service_ms=None)
+            raise
+        self._settle(slots, outcome, started_at)
+        limits.gate.leave(service_ms=self._clock.now() - started_at)
+        return outcome
+
+    def _settle(
+        self,
+        slots: admission.ServerSlots,
+        outcome: base.Outcome | None,
+        started_at: int,
+    ) -> None:
+        """Give the slot back and learn from how the request ended."""
+        service_ms = self._clock.now() - started_at
+        slots.health.record(failed=_has_failed(outcome))
+        if isinstance(outcome, base.Answered):
+            slots.window.record_success()
+            slots.release(service_ms=service_ms)
+        elif isinstance(outcome, base.NotRun):
+            if outcome.reason is base.NotRunReason.SERVER_SHED:
+                slots.window.record_shed(sent_at=started_at)
+            slots.release(service_ms=None)
+        else:
+            slots.release(service_ms=service_ms, lingers=True)
 
     async def _wait_owner(
         self,
@@ -66,20 +173,6 @@
                 )
             await leader.owners.wait_change(OWNER_POLL_MS)
 
-    def _find_slots(
-        self, leader: shards.ShardLeader, server: base.ServerId
-    ) -> admission.ServerSlots:
-        name = f"{leader.shard}/{server}"
-        slots = self._slots.get(name)
-        if slots is None:
-            slots = admission.ServerSlots(
-                slots=leader.row.slots,
-                queue=leader.row.queue,
-                clock=self._clock,
-            )
-            self._slots[name] = slots
-        return slots
-
     async def _dispatch(
         self,
         leader: shards.ShardLeader,
@@ -114,10 +207,34 @@
 
     def dump(self) -> dict:
         """Return the state that decides, for operators."""
-        return {
-            name: {"running": s.running, "waiting": s.count_waiting()}
-            for name, s in self._slots.items()
-        }
+        return {name: limits.dump() for name, limits in self._limits.items()}
+
+
+def _has_failed(outcome: base.Outcome | None) -> bool:
+    """Return whether an outcome speaks against the server.
+
+    A server that sheds is loaded, not ill.
+    """
+    if isinstance(outcome, base.Answered):
+        return outcome.status >= ERROR_STATUS
+    if isinstance(outcome, base.NotRun):
+        return outcome.reason is base.NotRunReason.SERVER_UNREACHABLE
+    return True
+
+
+def _place(
+    leader: shards.ShardLeader,
+    limits: _limits.ShardLimits,
+    request: _messages.ForwardRequest,
+    priority: int,
+) -> _messages.ForwardRequest:
+    """Choose the partition of a request that has no key."""
+    if leader.row.key_source is not configuration.KeySource.NONE:
+        return request
+    partition = limits.pick_partition(leader, priority)
+    if partition is None:
+        return request
+    return msgspec.structs.replace(request, partition=partition)
 
 
 def _resolve(
--- a/tarragonhinge/routing/_entry.py
+++ b/tarragonhinge/routing/_entry.py
@@ -12,6 +12,7 @@
 from tarragonhinge import dispatch
 from tarragonhinge import peers
 from tarragonhinge.routing import _directory
+from tarragonhinge.routing import _links
 from tarragonhinge.routing import _retry
 
 #: Bound on telling a leader that a caller has gone.
@@ -59,6 +60,8 @@
         This run of the process; names requests towards leaders.
     rng : random.Random or None
         Source of jitter.
+    links : LinkBudgets or None
+        Budgets of bytes to other regions; none are kept if None.
     """
 
     def __init__(
@@ -71,6 +74,7 @@
         view: configuration.TableView | None = None,
         origin: base.IncarnationId | None = None,
         rng: random.Random | None = None,
+        links: _links.LinkBudgets | None = None,
     ) -> None:
         self.counts = RouteCounts()
         self._view = view
@@ -83,6 +87,7 @@
         self._transport = transport
         self._dispatcher = dispatcher
         self._clock = clock
+        self._links = links
 
     async def route(
         self, request: dispatch.ForwardRequest, *, idempotent: bool
@@ -146,6 +151,9 @@
     async def _forward(
         self, address: base.Address, request: dispatch.ForwardRequest
     ) -> base.Outcome:
+        refusal = self._links.admit(request) if self._links else None
+        if refusal is not None:
+            return refusal
         named = msgspec.structs.replace(
             request, origin=self._origin, sequence=next(self._sequence)
         )
@@ -157,7 +165,10 @@
             self._cancel(address, named.sequence)
             raise
         if not isinstance(reply, peers.PeerFailure):
-            return dispatch.decode_outcome(reply)
+            outcome = dispatch.decode_outcome(reply)
+            if self._links:
+                self._links.charge_answer(request, outcome)
+            return outcome
         self.counts.lost += 1
         self._directory.suspect(address)
         proven = (
--- a/tarragonhinge/shards/__init__.py
+++ b/tarragonhinge/shards/__init__.py
@@ -25,6 +25,7 @@
 from tarragonhinge.shards._record import make_record_key
 from tarragonhinge.shards._record import ShardRecord
 from tarragonhinge.shards._recorder import ShardRecorder
+from tarragonhinge.shards._report import ServerReport
 from tarragonhinge.shards._standby import ShardStandby
 from tarragonhinge.shards._timing import Timing
 from tarragonhinge.shards._weighed import WeighedPlanner
@@ -46,6 +47,7 @@
     "LeaderReply",
     "LeaderState",
     "Planner",
+    "ServerReport",
     "ServerState",
     "ShardCoordinator",
     "ShardLeader",
--- a/tarragonhinge/testing/__init__.py
+++ b/tarragonhinge/testing/__init__.py
@@ -13,12 +13,15 @@
 from tarragonhinge.testing._faults import make_key
 from tarragonhinge.testing._faults import RECOVERIES
 from tarragonhinge.testing._faults import REQUESTS
+from tarragonhinge.testing._load import OpenLoad
+from tarragonhinge.testing._load import Sample
 from tarragonhinge.testing._loop import ManualLoop
 from tarragonhinge.testing._loop import run_manual
 from tarragonhinge.testing._loop import spawn
 from tarragonhinge.testing._monitor import OwnershipMonitor
 from tarragonhinge.testing._network import MemoryNetwork
 from tarragonhinge.testing._network import MemoryTransport
+from tarragonhinge.testing._operators import KNOWN_NAMES
 from tarragonhinge.testing._operators import OperatorsSite
 from tarragonhinge.testing._probe import Probe
 from tarragonhinge.testing._probe import Sighting
@@ -32,6 +35,7 @@
 from tarragonhinge.testing._stores import MemoryInstanceList
 
 __all__ = [
+    "KNOWN_NAMES",
     "FAULTS",
     "HEADER_ATTEMPT",
     "OTHER_REGION",
@@ -52,8 +56,10 @@
     "Node",
     "OperatorsSite",
     "OwnershipMonitor",
+    "OpenLoad",
     "Probe",
     "Run",
+    "Sample",
     "Sighting",
     "Stage",
     "find_sent_to",
--- a/tarragonhinge/testing/_operators.py
+++ b/tarragonhinge/testing/_operators.py
@@ -8,6 +8,16 @@
 from tarragonhinge.testing import _stores
 
 
+#: Names that the tables of tests may give.
+KNOWN_NAMES = configuration.KnownNames(
+    planners=frozenset({"balanced", "weighed"}),
+    dialects=frozenset({"lapsing"}),
+    histories=frozenset({"standby"}),
+    pickers=frozenset({"least_loaded"}),
+    disciplines=frozenset({"priority"}),
+)
+
+
 class OperatorsSite:
     """The real application over stores in memory.
 
@@ -49,11 +59,7 @@
             table=operators.TableApi(
                 editor=configuration.TableEditor(
                     store=self.store,
-                    known=configuration.KnownNames(
-                        planners=frozenset({"balanced"}),
-                        dialects=frozenset({"lapsing"}),
-                        histories=frozenset({"standby"}),
-                    ),
+                    known=KNOWN_NAMES,
                 ),
                 view=self.view,
             ),
--- a/tarragonhinge/testing/_servers.py
+++ b/tarragonhinge/testing/_servers.py
@@ -76,6 +76,7 @@
         self.draining = False
         self.shedding = False
         self.stated_in_flight: int | None = None
+        self.status = 200
         self.running = 0
         self.most_running = 0
         self.runs: list[Run] = []
@@ -128,7 +129,7 @@
         finally:
             self.running -= 1
         body = f"{self.name} {request.method} {request.path}".encode()
-        return base.Answered(status=200, body=body)
+        return base.Answered(status=self.status, body=body)
 
     def _note_run(self, request: servers.ServerRequest) -> None:
         run = Run(
