--- a/tarragonhinge/faults/_cell.py
+++ b/tarragonhinge/faults/_cell.py
@@ -6,6 +6,7 @@
 from tarragonhinge import base
 from tarragonhinge.faults import _ending
 from tarragonhinge.faults import _fault
+from tarragonhinge.faults import _load
 from tarragonhinge.faults import _promise
 from tarragonhinge.faults import _step
 from tarragonhinge.faults import _trial
@@ -174,7 +175,8 @@
                     outcome = await self.trial.load.attempt(node, request)
                     if isinstance(outcome, base.Answered):
                         return True
-                    await self.trial.deployment.wait(10)
+                    pause_ms = _load.choose_pause_ms(outcome)
+                    await self.trial.deployment.wait(pause_ms)
         except TimeoutError:
             return False
 
--- a/tarragonhinge/faults/_load.py
+++ b/tarragonhinge/faults/_load.py
@@ -161,13 +161,14 @@
         told_unknown = 0
         while not self._stopped and told_unknown < UNKNOWN_LIMIT:
             entries = self.list_entries()
+            outcome = None
             if entries:
                 node = entries[next(self._turns) % len(entries)]
                 outcome = await self.attempt(node, request)
                 if _is_final(outcome):
                     return
                 told_unknown += isinstance(outcome, base.Unknown)
-            await self.deployment.wait(REPEAT_MS)
+            await self.deployment.wait(choose_pause_ms(outcome))
 
     def list_doubtful(self, now: int) -> set[int]:
         """Return the requests whose outcome was unknown before `now`.
@@ -235,6 +236,15 @@
     return isinstance(outcome, base.Answered)
 
 
+def choose_pause_ms(outcome: base.Outcome | None) -> int:
+    """Return how long a caller waits, as a refusal for load asks it to."""
+    if not isinstance(outcome, base.NotRun):
+        return REPEAT_MS
+    if outcome.reason is not base.NotRunReason.OVERLOADED:
+        return REPEAT_MS
+    return max(REPEAT_MS, min(outcome.retry_after_ms or 0, DEADLINE_MS))
+
+
 def is_doubtful(outcome: base.Outcome | None) -> bool:
     """Return whether a caller can't tell whether its request ran."""
     return outcome is None or isinstance(outcome, base.Unknown)
--- a/tarragonhinge/faults/_server_faults.py
+++ b/tarragonhinge/faults/_server_faults.py
@@ -2,8 +2,9 @@
 
 from tarragonhinge.faults import _fault
 
-#: How long a cold server works on a request, and a warm one.
-COLD_SERVICE_MS = 100
+#: How long a cold server works on a request, and a warm one; a cold one
+#: can still carry the load of its keys.
+COLD_SERVICE_MS = 40
 WARM_SERVICE_MS = 5
 
 #: What a misreporting server says of its load.
