--- a/tarragonhinge/shards/tests/test_outages.py
+++ b/tarragonhinge/shards/tests/test_outages.py
@@ -1,5 +1,8 @@
 """Outages of the store: serving goes on, and ownership holds."""
 
+import collections
+
+import msgspec
 import pytest
 
 from tarragonhinge import base
@@ -128,24 +131,34 @@
     testing.run_manual(scenario())
 
 
+async def _return_without_the_standby():
+    """A leader is back at the store; its standby leads without it."""
+    deployment, monitor = await _start()
+    leader = deployment.find_leaders()[0]
+    standby = deployment.find_standby()
+    before = _read_record(deployment)
+    deployment.isolate(standby, reaches=[S0])
+    deployment.network.cut_both(leader.address, S0)
+    leader.table.down = False
+    await _watch(deployment, monitor, 6000)
+    record = _read_record(deployment)
+    assert record.term == before.term + 2
+    assert record.owners == before.owners
+    await _watch(deployment, monitor, TIMING.outage_lease_ms)
+    owners = _read_record(deployment).owners.values()
+    assert {assignment.server for assignment in owners} == {S1}
+
+
 def test_a_leader_back_at_the_store_raises_its_term_before_it_moves():
-    async def scenario():
-        deployment, monitor = await _start()
-        leader = deployment.find_leaders()[0]
-        standby = deployment.find_standby()
-        before = _read_record(deployment)
-        deployment.isolate(standby, reaches=[S0])
-        deployment.network.cut_both(leader.address, S0)
-        leader.table.down = False
-        await _watch(deployment, monitor, 6000)
-        record = _read_record(deployment)
-        assert record.term == before.term + 2
-        assert record.owners == before.owners
-        await _watch(deployment, monitor, TIMING.outage_lease_ms)
-        owners = _read_record(deployment).owners.values()
-        assert {assignment.server for assignment in owners} == {S1}
+    testing.run_manual(_return_without_the_standby())
 
-    testing.run_manual(scenario())
+
+def test_a_move_under_an_agreement_is_noticed(monkeypatch):
+    monkeypatch.setattr(
+        shards.OutageAgreement, "may_be_held", lambda self: False
+    )
+    with pytest.raises(AssertionError, match=r"at \d+ ms"):
+        testing.run_manual(_return_without_the_standby())
 
 
 async def _strand_pair_with_server():
@@ -166,11 +179,20 @@
     testing.run_manual(_strand_pair_with_server())
 
 
+def test_a_stranger_that_waits_a_short_lease_is_noticed(monkeypatch):
+    def bound(self, record, promised_until):
+        return self._clock.now() + TIMING.add_margin(TIMING.lease_ms)
+
+    monkeypatch.setattr(shards.ClaimMaker, "bound_earlier", bound)
+    with pytest.raises(AssertionError, match=r"at \d+ ms"):
+        testing.run_manual(_strand_pair_with_server())
+
+
 def test_an_island_needs_its_bound(monkeypatch):
     def extend(self, reply, sent_at):
-        self.authority.extend(sent_at=sent_at, lease_ms=reply.lease_ms)
+        self._authority.extend(sent_at=sent_at, lease_ms=reply.lease_ms)
 
-    monkeypatch.setattr(shards.ShardLeader, "_extend_by_standby", extend)
+    monkeypatch.setattr(shards.StandbyLink, "_extend", extend)
     with pytest.raises(AssertionError, match=r"at \d+ ms"):
         testing.run_manual(_strand_pair_with_server())
 
@@ -195,7 +217,42 @@
 
 def test_an_ignored_promise_is_noticed(monkeypatch):
     monkeypatch.setattr(
-        shards.ShardCoordinator, "_get_promise", lambda self, shard: 0
+        shards.ShardRoles, "get_promise", lambda self, shard: 0
     )
     with pytest.raises(AssertionError, match=r"at \d+ ms"):
         testing.run_manual(_take_over_from_a_promised_island())
+
+
+@pytest.mark.parametrize("outage_ms", [5000, 20_000])
+def test_instances_come_back_to_the_store_spread_over_time(
+    outage_ms, monkeypatch
+):
+    asked_at = []
+    read = testing.FaultyTable.read
+
+    async def note_read(self, keys):
+        if keys[0].startswith("shards/"):
+            asked_at.append(base.Clock().now() // 100)
+        return await read(self, keys)
+
+    monkeypatch.setattr(testing.FaultyTable, "read", note_read)
+    instances = 12
+
+    async def scenario():
+        row = testing.make_row(servers=2, partitions=2)
+        rows = [
+            msgspec.structs.replace(row, service=f"service{number}")
+            for number in range(24)
+        ]
+        deployment = testing.Deployment(row=row, instances=instances)
+        await deployment.start(rows=rows, settle_ms=8000)
+        _set_store(deployment, down=True)
+        await deployment.wait(outage_ms)
+        asked_at.clear()
+        _set_store(deployment, down=False)
+        await deployment.wait(2500)
+
+    testing.run_manual(scenario())
+    bursts = collections.Counter(asked_at)
+    assert len(asked_at) >= instances
+    assert max(bursts.values()) <= instances // 2
--- a/tarragonhinge/testing/_network.py
+++ b/tarragonhinge/testing/_network.py
@@ -50,6 +50,7 @@
         self.probe = _probe.Probe()
         self.transports: dict[str, MemoryTransport] = {}
         self.bytes_sent: collections.Counter[str] = collections.Counter()
+        self.call_count = 0
         self._cuts: set[tuple[str, str]] = set()
 
     def cut(self, source: str, target: str) -> None:
@@ -131,6 +132,7 @@
         """Send a message and return the peer's reply."""
         body = peers.encode_message(message)
         kind = peers.get_kind(message)
+        self.network.call_count += 1
         exchange = self._spawn(self._exchange(address, kind, body))
         if self.network.duplicates():
             self._spawn(self._exchange(address, kind, body))
