--- a/tarragonhinge/shards/_coordinator.py
+++ b/tarragonhinge/shards/_coordinator.py
@@ -224,6 +224,10 @@
     ) -> _messages.HandoverAck:
         if self._claimant.stopping or message.shard in self._claimant.claiming:
             return _messages.HandoverAck(accepted=False)
+        own = self.leaders.get(message.shard)
+        if own is not None and own.record.term >= message.term:
+            # The sender was paused while this instance took over from it.
+            return _messages.HandoverAck(accepted=False)
         record = _record.decode_record(message.record)
         accepted = await self._claimant.claim(
             message.shard, record, message.row_version, handed_over=True
