--- a/tarragonhinge/shards/_link.py
+++ b/tarragonhinge/shards/_link.py
@@ -19,6 +19,10 @@
 #: Silence of the standby, in leases, after which it is replaced.
 STANDBY_LEASES = 3
 
+#: Part of the lease that is left when a leader that hears nobody falls
+#: silent.
+UNHEARD_PART = 4
+
 #: Chooses a standby for a shard: ``(shard, former) -> Holder or None``.
 StandbyChooser = Callable[
     [base.ShardId, _record.Holder | None], _record.Holder | None
@@ -89,7 +93,19 @@
                 await self._call(standby)
             if standby is None or self.is_silent():
                 await self._replace()
-            await self._clock.sleep(self._timing.heartbeat_ms)
+            await self._clock.sleep(self._get_pause_ms())
+
+    def _get_pause_ms(self) -> int:
+        """Return the pause before the next heartbeat.
+
+        A leader that hears neither its standby nor the table falls
+        silent for long enough to be replaced: its heartbeats may still
+        arrive, and would keep the standby waiting.
+        """
+        left_ms = self._authority.get_remaining_ms()
+        if left_ms >= self._timing.lease_ms // UNHEARD_PART:
+            return self._timing.heartbeat_ms
+        return self._timing.silence_ms + self._timing.heartbeat_ms
 
     async def _call(self, standby: _record.Holder) -> None:
         sent_at = self._clock.now()
--- a/tarragonhinge/testing/__init__.py
+++ b/tarragonhinge/testing/__init__.py
@@ -6,6 +6,8 @@
 from tarragonhinge.testing._deployment import find_sent_to
 from tarragonhinge.testing._deployment import make_row
 from tarragonhinge.testing._deployment import Node
+from tarragonhinge.testing._deployment import OTHER_REGION
+from tarragonhinge.testing._deployment import REGION
 from tarragonhinge.testing._faults import FaultDriver
 from tarragonhinge.testing._faults import FAULTS
 from tarragonhinge.testing._faults import make_key
@@ -21,6 +23,10 @@
 from tarragonhinge.testing._network import MemoryTransport
 from tarragonhinge.testing._operators import KNOWN_NAMES
 from tarragonhinge.testing._operators import OperatorsSite
+from tarragonhinge.testing._probe import Probe
+from tarragonhinge.testing._probe import Sighting
+from tarragonhinge.testing._probe import Stage
+from tarragonhinge.testing._servers import HEADER_ATTEMPT
 from tarragonhinge.testing._servers import make_client_factory
 from tarragonhinge.testing._servers import MemoryServer
 from tarragonhinge.testing._servers import MemoryServerClient
@@ -31,7 +37,10 @@
 __all__ = [
     "KNOWN_NAMES",
     "FAULTS",
+    "HEADER_ATTEMPT",
+    "OTHER_REGION",
     "RECOVERIES",
+    "REGION",
     "REQUESTS",
     "WALL_ORIGIN_MS",
     "Deployment",
@@ -48,8 +57,11 @@
     "OperatorsSite",
     "OwnershipMonitor",
     "OpenLoad",
+    "Probe",
     "Run",
     "Sample",
+    "Sighting",
+    "Stage",
     "find_sent_to",
     "make_client_factory",
     "make_key",
