Put first owners off until all servers had time to answer

Cause: with real processes all 32 partitions of a new shard went to the server that answered the first heartbeat (seen as 32, 0, 0, 0 on four idle servers); every answer wakes the mover, which placed what was unassigned on the servers known by then. Moves for balance are few by design, and none are made on idle servers, so it stayed so. Ruled out: the planner, which spreads evenly over what it is given. Now a shard without any owner waits for servers that have not been heard, at most 300 ms.

--- a/benchmarks/process_site.py
+++ b/benchmarks/process_site.py
@@ -51,7 +51,7 @@
         How it is started.
     log : Path
         Where its standard error goes.
-    operators : Address
+    operators : str
         Where a daemon tells its state; empty for a stand-in.
     """
 
@@ -62,7 +62,7 @@
         address: base.Address,
         command: list[str],
         log: pathlib.Path,
-        operators: base.Address = base.Address(""),
+        operators: str = "",
     ) -> None:
         self.name = name
         self.address = address
@@ -198,13 +198,20 @@
         self.session = aiohttp.ClientSession(timeout=timeout)
         for process in (self.platform, *self.servers):
             process.start()
-        while await self.ask(f"{self.platform.address}/instances") is None:
-            await asyncio.sleep(0.1)
+        await self._wait_platform()
         await self._store_table()
         for process in self.daemons:
             process.start()
         self._balancer = asyncio.create_task(self._check_health())
 
+    async def _wait_platform(self) -> None:
+        for _ in range(100):
+            url = f"{self.platform.address}/instances"
+            if await self.ask(url) is not None:
+                return
+            await asyncio.sleep(0.1)
+        raise RuntimeError("the platform did not start")
+
     async def _store_table(self) -> None:
         row = configuration.ServiceRow(
             service=SERVICE,
--- a/tarragonhinge/shards/_mover.py
+++ b/tarragonhinge/shards/_mover.py
@@ -267,6 +267,9 @@
         if self._clock.now() < self._retry_at:
             return
         self._hold_orphans(usable)
+        if not self._index.owners and self._pool.awaits_first_answers():
+            # The first server to answer would be given everything.
+            return
         chosen = self._list_released(usable)
         if chosen:
             await self._write_owners(chosen)
--- a/tarragonhinge/shards/_pool.py
+++ b/tarragonhinge/shards/_pool.py
@@ -7,6 +7,10 @@
 from tarragonhinge.shards import _moves
 from tarragonhinge.shards import _ramp
 
+#: Longest time for which the first owners are put off for servers that
+#: have not answered yet; more than the default bound on a heartbeat.
+FIRST_ANSWERS_MS = 300
+
 
 class ServerPool:
     """Which servers may own partitions, and which certainly don't.
@@ -67,6 +71,16 @@
             }
         )
 
+    def awaits_first_answers(self) -> bool:
+        """Return whether servers may be about to answer the first time."""
+        if self._clock.now() - self._started_at >= FIRST_ANSWERS_MS:
+            return False
+        return any(
+            keeper.state is _keeper.ServerState.UNSEEN
+            for name, keeper in self.keepers.items()
+            if name in self._weights and name not in self._lost
+        )
+
     def is_reachable(self, server: base.ServerId) -> bool:
         """Return whether a server answers under this leader's term."""
         keeper = self.keepers.get(server)
--- a/tarragonhinge/shards/tests/test_ownership.py
+++ b/tarragonhinge/shards/tests/test_ownership.py
@@ -181,3 +181,23 @@
         assert deployment.find_leaders() == [leader]
 
     testing.run_manual(scenario())
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("up", [4, 3])
+def test_first_owners_are_spread_although_answers_come_apart(seed, up):
+    """The first server to answer must not be given everything."""
+
+    async def scenario():
+        deployment = testing.Deployment(
+            row=testing.make_row(servers=4, partitions=24),
+            network=testing.MemoryNetwork(jitter_ms=50, seed=seed),
+        )
+        live = list(deployment.servers.values())[:up]
+        for server in deployment.servers.values():
+            server.up = server in live
+        await deployment.start(settle_ms=2000)
+        owned = [len(s.list_owned(deployment.shard)) for s in live]
+        assert owned == [24 // up] * up
+
+    testing.run_manual(scenario())
