--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -21,8 +21,8 @@
 import process_callers
 import process_site
 
-#: Bound on everything.
-LIMIT_S = 88.0
+#: Bound on everything but the end of the last orders and processes.
+LIMIT_S = 80.0
 
 #: Bound on the wait for a settled state.
 SETTLE_S = 12.0
@@ -285,8 +285,10 @@
         await callers.stop()
         await bench.check_orders()
     finally:
-        await callers.stop()
-        await site.stop()
+        try:
+            await callers.stop()
+        finally:
+            await site.stop()
     return bench.broken + callers.broken
 
 
--- a/tarragonhinge/cli/_main.py
+++ b/tarragonhinge/cli/_main.py
@@ -6,6 +6,7 @@
 from absl import flags
 from absl import logging
 import fire
+from fire import decorators
 
 from tarragonhinge import base
 from tarragonhinge.cli import _errors
@@ -14,10 +15,16 @@
 from tarragonhinge import peers
 from tarragonhinge import settings
 
+#: Takes an argument as it stands; fire would try to read "a-1" as Python.
+_verbatim = decorators.SetParseFn(
+    str, "path", "settings", "address", "token_file"
+)
+
 
 class SettingsCommands:
     """Commands on settings files."""
 
+    @_verbatim
     def check(self, path: str) -> None:
         """Check a settings file and list every problem."""
         settings.load_settings(str(path))
@@ -46,6 +53,7 @@
         self.keys = KeyCommands()
         self.table = _table.TableCommands()
 
+    @_verbatim
     def serve(self, settings: str) -> None:  # noqa: A002
         """Run an instance with a settings file until it is stopped."""
         _serve(str(settings))
@@ -56,6 +64,7 @@
 
         sys.exit(asyncio.run(demo.run_demo(kill_leader=kill == "leader")))
 
+    @_verbatim
     def dump(self, address: str, token_file: str = "") -> None:
         """Print the state of a running instance as JSON."""
         state = _operators.fetch_state(str(address), str(token_file))
--- a/tarragonhinge/daemon/tests/test_process.py
+++ b/tarragonhinge/daemon/tests/test_process.py
@@ -51,6 +51,7 @@
         (["serve", "--settings=missing.ini"], 2, "settings example"),
         (["dump", "--address=127.0.0.1:1"], 2, "operators"),
         (["settings", "example"], 0, "[instance]"),
+        (["serve", "--settings=missing-1.ini"], 2, "missing-1.ini"),
     ],
 )
 def test_commands_end_with_a_status_and_a_remedy(arguments, status, said):
@@ -63,3 +64,4 @@
     )
     assert done.returncode == status, done.stderr
     assert said in done.stdout + done.stderr
+    assert "SyntaxWarning" not in done.stderr
