--- a/tarragonhinge/admission/tests/test_queue.py
+++ b/tarragonhinge/admission/tests/test_queue.py
@@ -152,3 +152,28 @@
         assert bench.slots.count_waiting() == 0
 
     testing.run_manual(scenario())
+
+
+def test_a_server_that_was_frozen_is_used_again_after_one_answer():
+    """Cut requests must not outweigh the answers that come after them."""
+
+    async def scenario():
+        clock = testing.ManualClock()
+        slots = admission.ServerSlots(slots=4, queue=100, clock=clock)
+
+        async def send(service_ms, lingers=False):
+            refusal = await slots.acquire(deadline_at=clock.now() + 400)
+            if refusal is None:
+                await clock.sleep(service_ms)
+                slots.release(service_ms=service_ms, lingers=lingers)
+            return refusal
+
+        for _ in range(10):
+            assert await send(3) is None
+        await asyncio.gather(*(send(400, lingers=True) for _ in range(4)))
+        assert await send(3) is not None
+        await clock.sleep(2000)
+        slots.take_report(0, sent_at=clock.now(), incarnation="one")
+        assert [await send(3) for _ in range(10)] == [None] * 10
+
+    testing.run_manual(scenario())
