--- a/tarragonhinge/base/_outcomes.py
+++ b/tarragonhinge/base/_outcomes.py
@@ -17,12 +17,10 @@
     MOVING = "moving"
     OVERLOADED = "overloaded"
     DEADLINE = "deadline"
-    STOPPING = "stopping"
     FENCED = "fenced"
     SERVER_UNREACHABLE = "server_unreachable"
     SERVER_SHED = "server_shed"
     KEY_REUSED = "key_reused"
-    KEY_TOO_OLD = "key_too_old"
 
 
 class UnknownReason(enum.Enum):
--- a/tarragonhinge/routing/_retry.py
+++ b/tarragonhinge/routing/_retry.py
@@ -23,7 +23,6 @@
     {
         base.NotRunReason.NOT_LEADER,
         base.NotRunReason.NO_LEADER,
-        base.NotRunReason.STOPPING,
     }
 )
 
--- a/tarragonhinge/routing/tests/test_failure_points.py
+++ b/tarragonhinge/routing/tests/test_failure_points.py
@@ -19,10 +19,7 @@
 }
 
 #: Reasons that only an entry sees, which sends the request on.
-REDIRECTS = {base.NotRunReason.NOT_LEADER, base.NotRunReason.STOPPING}
-
-#: Reasons that nothing gives.
-UNUSED = {base.NotRunReason.KEY_TOO_OLD}
+REDIRECTS = {base.NotRunReason.NOT_LEADER}
 
 
 def _render(point):
@@ -72,7 +69,7 @@
 def test_the_table_covers_every_reason():
     covered = {point.reason for point in failure_points.POINTS}
     everything = {*base.NotRunReason, *base.UnknownReason}
-    assert everything - covered == AT_THE_FRONT | REDIRECTS | UNUSED
+    assert everything - covered == AT_THE_FRONT | REDIRECTS
 
 
 def test_the_document_shows_the_table():
