--- a/benchmarks/neighbours.py
+++ b/benchmarks/neighbours.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from tarragonhinge import base
-from tarragonhinge import daemon
+from tarragonhinge import http1
 from tarragonhinge import demo
 from tarragonhinge import membership
 from tarragonhinge import standins
@@ -20,7 +20,7 @@
 
 async def _serve(application) -> str:
     address = demo.find_free_address("127.0.0.1")
-    await daemon.listen(application, address, shutdown_timeout_s=0.1)
+    await http1.listen(application, address, shutdown_timeout_s=0.1)
     return address
 
 
--- a/benchmarks/process_standins.py
+++ b/benchmarks/process_standins.py
@@ -18,7 +18,7 @@
 import msgspec
 
 from tarragonhinge import base
-from tarragonhinge import daemon
+from tarragonhinge import http1
 from tarragonhinge import membership
 from tarragonhinge import standins
 
@@ -95,7 +95,7 @@
 async def run(kind: str, address: str, *arguments: str) -> None:
     """Serve one stand-in until standard input is closed."""
     application = MAKERS[kind](*arguments)
-    await daemon.listen(
+    await http1.listen(
         application, base.Address(address), shutdown_timeout_s=0.1
     )
     await asyncio.to_thread(sys.stdin.read)
--- /dev/null
+++ b/tarragonhinge/__main__.py
@@ -0,0 +1,5 @@
+"""Runs the command line as ``python -m tarragonhinge``."""
+
+from tarragonhinge import cli
+
+cli.main()
--- a/tarragonhinge/base/_clock.py
+++ b/tarragonhinge/base/_clock.py
@@ -37,6 +37,14 @@
         """Return milliseconds since the Unix epoch."""
         return Millis(time.time_ns() // 1_000_000)
 
+    def read_boot(self) -> Millis:
+        """Return a monotonic reading that goes on while suspended.
+
+        `now` stands still while the machine is suspended; what others
+        may have done meanwhile is judged by this reading.
+        """
+        return Millis(time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000)
+
     async def sleep(self, duration_ms: int) -> None:
         """Suspend the calling task for a duration on this clock."""
         await asyncio.sleep(max(0, duration_ms) / MS_PER_S / self._rate)
--- /dev/null
+++ b/tarragonhinge/catalog/_view.py
@@ -0,0 +1,90 @@
+"""What an instance knows of routes, servers and owners of keys."""
+
+from collections.abc import Iterable
+
+import reactivex
+from reactivex import subject
+
+from tarragonhinge import base
+from tarragonhinge.catalog import _owner_map
+from tarragonhinge.catalog import _routing_table
+from tarragonhinge.catalog import _server
+
+
+class View:
+    """The newest routing table, servers and owners that arrived here.
+
+    A routing table is never replaced by an older one.
+
+    Attributes
+    ----------
+    table : RoutingTable or None
+        The version in force.
+    servers : dict
+        Entries of backend servers by id.
+    owners : dict
+        Owner maps by service.
+    """
+
+    def __init__(self) -> None:
+        self.table: _routing_table.RoutingTable | None = None
+        self.servers: dict[base.ServerId, _server.ServerEntry] = {}
+        self.owners: dict[base.ServiceName, _owner_map.OwnerMap] = {}
+        self._changes: subject.Subject[None] = subject.Subject()
+
+    @property
+    def changes(self) -> reactivex.Observable[None]:
+        """Emits None after each change."""
+        return self._changes
+
+    def set_table(self, table: _routing_table.RoutingTable) -> bool:
+        """Put a version in force; return False if it is not newer."""
+        if self.table is not None and table.version <= self.table.version:
+            return False
+        self.table = table
+        self._changes.on_next(None)
+        return True
+
+    def set_servers(
+        self, entries: dict[base.ServerId, _server.ServerEntry]
+    ) -> None:
+        """Replace all entries of servers."""
+        self.servers = dict(entries)
+        self._changes.on_next(None)
+
+    def set_owners(
+        self, service: base.ServiceName, owners: _owner_map.OwnerMap
+    ) -> None:
+        """Replace the owner map of a service."""
+        self.owners[service] = owners
+        self._changes.on_next(None)
+
+    def list_servers(
+        self, service: base.ServiceName
+    ) -> list[_server.ServerEntry]:
+        """Return the servers of a service that take new work."""
+        return [
+            entry
+            for entry in self.servers.values()
+            if entry.service == service
+            and entry.state is _server.ServerState.READY
+        ]
+
+    def is_complete(self) -> bool:
+        """Return whether requests of every keyed service can be placed."""
+        if self.table is None or not self.servers:
+            return False
+        return all(self._has_owners(name) for name in self.table.list_keyed())
+
+    def _has_owners(self, service: base.ServiceName) -> bool:
+        owners = self.owners.get(service)
+        if owners is not None and owners.segments:
+            return True
+        return not self.list_servers(service)
+
+
+def index_servers(
+    entries: Iterable[_server.ServerEntry],
+) -> dict[base.ServerId, _server.ServerEntry]:
+    """Return entries by server id."""
+    return {entry.server: entry for entry in entries}
--- a/tarragonhinge/cli/_main.py
+++ b/tarragonhinge/cli/_main.py
@@ -1,6 +1,7 @@
 """Commands of ``tarragonhinge``."""
 
 import asyncio
+import pathlib
 import sys
 
 from absl import flags
@@ -58,6 +59,14 @@
         """Run an instance with a settings file until it is stopped."""
         _serve(str(settings))
 
+    @_verbatim
+    def run(self, settings: str = "") -> None:  # noqa: A002
+        """Run an instance on the platform until it is stopped.
+
+        Without ``--settings`` the environment names the settings file.
+        """
+        _run(str(settings))
+
     def demo(self, kill: str = "") -> None:
         """Show the whole path; ``--kill=leader`` loses the leader."""
         from tarragonhinge import demo
@@ -78,6 +87,13 @@
     sys.exit(asyncio.run(daemon.serve(options)))
 
 
+def _run(path: str) -> None:
+    from tarragonhinge import platform
+
+    located = pathlib.Path(path) if path else platform.locate_node_file()
+    sys.exit(asyncio.run(platform.run_instance(located)))
+
+
 def main() -> None:
     """Run the command line."""
     flags.FLAGS(["tarragonhinge"])
--- /dev/null
+++ b/tarragonhinge/coordination/_claim.py
@@ -0,0 +1,49 @@
+"""When an instance claims the coordination."""
+
+import random
+
+#: Longest delay of a claim by an instance in the store's region, and by
+#: one elsewhere: the coordinator writes often, so a near one is better.
+NEAR_DELAY_MS = 120
+FAR_DELAY_MS = 500
+
+#: Round trip to the store up to which an instance counts as near.
+NEAR_STORE_MS = 20
+
+#: A leadership that ends sooner was of an instance that the others don't
+#: reach; it does not claim again for a while.
+SHORT_REIGN_MS = 6_000
+BACKOFF_MS = 10_000
+
+
+class ClaimPolicy:
+    """Decides whether and how soon to claim.
+
+    Answers the loss of the coordinator, after which all instances want
+    to claim at once, and an instance that is cut off from the others
+    and would take the coordination again and again.
+
+    Parameters
+    ----------
+    rng : random.Random
+        Spreads the claims.
+    """
+
+    def __init__(self, *, rng: random.Random) -> None:
+        self._rng = rng
+        self._silent_until = 0
+
+    def compute_delay_ms(self, *, store_ms: int) -> int:
+        """Return how long to wait before a claim."""
+        if store_ms <= NEAR_STORE_MS:
+            return self._rng.randint(0, NEAR_DELAY_MS)
+        return self._rng.randint(NEAR_DELAY_MS, FAR_DELAY_MS)
+
+    def may_claim(self, *, now: int) -> bool:
+        """Return whether a claim is allowed."""
+        return now >= self._silent_until
+
+    def record_reign(self, *, began_at: int, ended_at: int) -> None:
+        """Learn how long the own leadership lasted."""
+        if ended_at - began_at < SHORT_REIGN_MS:
+            self._silent_until = ended_at + BACKOFF_MS
--- /dev/null
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -0,0 +1,207 @@
+"""The duties of the one instance that coordinates."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+import struct
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge.coordination import _authority
+from tarragonhinge.coordination import _leadership
+from tarragonhinge import events
+from tarragonhinge import feeds
+from tarragonhinge import ranges
+from tarragonhinge import relay
+from tarragonhinge import stores
+
+#: Interval at which new keyed services are looked for.
+TICK_MS = 100
+
+#: Interval of the coordinator's own reports.
+REPORT_MS = 1_000
+
+
+class Coordinator:
+    """Reads the store for all instances, and owns the keys.
+
+    Parameters
+    ----------
+    term : Term
+        The leadership.
+    condition : RowCheck
+        Holds only while the claim stands.
+    store : RowStore
+        The store.
+    codec : CatalogCodec
+        Decodes rows.
+    view : View
+        What the instance knows.
+    grants : GrantClient
+        Delivers grants to servers.
+    make_report : callable
+        Returns the instance's own report.
+    log : EventLog
+        Where events are written.
+    clock : Clock
+        This process's clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        term: base.Term,
+        condition: stores.RowCheck,
+        store: stores.RowStore,
+        codec: feeds.CatalogCodec,
+        view: catalog.View,
+        grants: ranges.GrantClient,
+        make_report: Callable[[], relay.Report],
+        log: events.EventLog,
+        clock: base.Clock,
+    ) -> None:
+        self.term = term
+        self._condition = condition
+        self._store = store
+        self._view = view
+        self._grants = grants
+        self._make_report = make_report
+        self._log = log
+        self._clock = clock
+        self._claimed_at = clock.read_boot()
+        self._feed = feeds.CatalogFeed(
+            store=store, codec=codec, view=view, log=log, clock=clock
+        )
+        self._claims = feeds.TableFollower(
+            store=store,
+            table=_leadership.TABLE,
+            handle=self._take_claims,
+            log=log,
+            clock=clock,
+        )
+        self._deposed = asyncio.Event()
+        self.hub = relay.Hub(
+            term=term,
+            view=view,
+            get_store_age=self.get_store_age,
+            take_report=self._take_report,
+            clock=clock,
+        )
+        self._authority = _authority.Authority(
+            get_proof_age=self._get_proof_age,
+            is_outage_agreed=self.hub.is_outage_agreed,
+        )
+        self._leaders: dict[base.ServiceName, ranges.RangeLeader] = {}
+
+    def _get_proof_age(self) -> base.Millis:
+        age_ms = self._claims.get_age_ms()
+        if age_ms is None:
+            return base.Millis(self._clock.read_boot() - self._claimed_at)
+        return base.Millis(age_ms)
+
+    def get_store_age(self) -> int:
+        """Return how long ago the store answered, in milliseconds."""
+        age_ms = self._feed.get_age_ms()
+        if age_ms is None:
+            return self._get_proof_age()
+        return min(age_ms, self._get_proof_age())
+
+    def is_acting(self) -> bool:
+        """Return whether the leadership is still proven."""
+        return self._authority.may_act()
+
+    def _take_claims(
+        self, rows: Sequence[stores.StoredRow], is_whole: bool
+    ) -> None:
+        """Notice the claim of another instance."""
+        for row in rows:
+            if (
+                row.key == _leadership.KEY
+                and row.version > self._condition.version
+            ):
+                self._deposed.set()
+
+    def _take_report(self, report: relay.Report) -> None:
+        for service, packed in report.keys.items():
+            leader = self._leaders.get(service)
+            if leader is not None:
+                keys = struct.unpack(f"!{len(packed) // 2}H", packed)
+                leader.record_keys(keys)
+        for speed in report.speeds:
+            entry = self._view.servers.get(speed.server)
+            if entry is not None and entry.service in self._leaders:
+                self._leaders[entry.service].record_speed(
+                    speed.server, count=speed.count, mean_ms=speed.mean_ms
+                )
+
+    async def run(self) -> None:
+        """Coordinate until cancelled or deposed."""
+        tasks = [
+            asyncio.create_task(coroutine)
+            for coroutine in (
+                self._feed.run(),
+                self._claims.run(),
+                self.hub.run(),
+                self._lead(),
+                self._report(),
+                self._deposed.wait(),
+            )
+        ]
+        try:
+            done, _ = await asyncio.wait(
+                tasks, return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in done:
+                self._raise_unless_deposed(task)
+        finally:
+            for task in tasks:
+                task.cancel()
+            self.hub.depose(self.term)
+
+    def _raise_unless_deposed(self, task: asyncio.Task) -> None:
+        error = task.exception()
+        if error is None:
+            return
+        if isinstance(error, BaseExceptionGroup):
+            _, rest = error.split(ranges.LeadershipLostError)
+            if rest is None:
+                return
+        raise error
+
+    async def _report(self) -> None:
+        """Take the reports of this instance itself."""
+        while True:
+            await self._clock.sleep(REPORT_MS)
+            self._take_report(self._make_report())
+
+    async def _lead(self) -> None:
+        """Lead each keyed service of the table in force."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                table = self._view.table
+                names = table.list_keyed() if table is not None else []
+                for name in names:
+                    if name not in self._leaders:
+                        leader = self._make_leader(name)
+                        self._leaders[name] = leader
+                        group.create_task(leader.run())
+                await self._clock.sleep(TICK_MS)
+
+    def _make_leader(self, service: base.ServiceName) -> ranges.RangeLeader:
+        return ranges.RangeLeader(
+            service=service,
+            recorder=ranges.RangeRecorder(
+                store=self._store,
+                service=service,
+                term=self.term,
+                condition=self._condition,
+                clock=self._clock,
+            ),
+            view=self._view,
+            grants=self._grants,
+            get_store_age=self.get_store_age,
+            may_renew=self._authority.may_act,
+            inherited_until=self._claimed_at + _authority.AUTHORITY_MS,
+            log=self._log,
+            clock=self._clock,
+        )
--- /dev/null
+++ b/tarragonhinge/coordination/_member.py
@@ -0,0 +1,372 @@
+"""An instance's part in the fleet: follower or coordinator."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+import contextlib
+import random
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge.coordination import _claim
+from tarragonhinge.coordination import _coordinator
+from tarragonhinge.coordination import _leadership
+from tarragonhinge import events
+from tarragonhinge import feeds
+from tarragonhinge import ranges
+from tarragonhinge import relay
+from tarragonhinge import stores
+
+#: Pause after a call to the store without an answer.
+RETRY_MS = 300
+
+#: Time without a coordinator after which an instance reads the store
+#: itself.
+SOLO_AFTER_MS = 700
+
+#: Interval of attempts to reach the coordinator while reading alone.
+SOLO_RETRY_MS = 1_500
+
+#: Time without word from the store or the coordinator after which an
+#: instance does not vouch for what it knows.
+SILENCE_MS = 5_000
+
+
+class Member:
+    """Keeps the view of one instance up to date.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        Name of this instance.
+    incarnation : IncarnationId
+        This run of its process.
+    address : Address
+        Where it listens for other instances.
+    store : RowStore
+        The store.
+    codec : CatalogCodec
+        Decodes rows.
+    view : View
+        What is kept up to date.
+    grants : GrantClient
+        Delivers grants while this instance coordinates.
+    make_report : callable
+        Returns what this instance saw since the last report.
+    log : EventLog
+        Where events are written.
+    clock : Clock
+        This process's clock.
+    rng : random.Random
+        Spreads claims and retries.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: base.InstanceId,
+        incarnation: base.IncarnationId,
+        address: base.Address,
+        store: stores.RowStore,
+        codec: feeds.CatalogCodec,
+        view: catalog.View,
+        grants: ranges.GrantClient,
+        make_report: Callable[[], relay.Report],
+        log: events.EventLog,
+        clock: base.Clock,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._instance = instance
+        self._incarnation = incarnation
+        self._address = address
+        self._store = store
+        self._codec = codec
+        self._view = view
+        self._grants = grants
+        self._make_report = make_report
+        self._log = log
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self._policy = _claim.ClaimPolicy(rng=self._rng)
+        self._store_ms = 0
+        self._left_version = 0
+        self._subscription: relay.Subscription | None = None
+        self._coordinator: _coordinator.Coordinator | None = None
+        self._solo: asyncio.Task | None = None
+        self._solo_feed: feeds.CatalogFeed | None = None
+        self._fleet_size = 1
+
+    @property
+    def fleet_size(self) -> int:
+        """Number of instances, as far as is known."""
+        if self._coordinator is not None:
+            return self._coordinator.hub.fleet_size
+        if self._subscription is not None:
+            self._fleet_size = max(1, self._subscription.fleet_size)
+        return self._fleet_size
+
+    def get_silence_ms(self) -> int | None:
+        """Return how old the view is at most; None before the first."""
+        ages = []
+        if self._coordinator is not None and self._coordinator.is_acting():
+            ages.append(0)
+        if self._subscription is not None:
+            heard_at = self._subscription.heard_at
+            if heard_at is not None:
+                ages.append(self._clock.read_boot() - heard_at)
+        if self._solo_feed is not None:
+            age_ms = self._solo_feed.get_age_ms()
+            if age_ms is not None:
+                ages.append(age_ms)
+        return min(ages, default=None)
+
+    def is_current(self) -> bool:
+        """Return whether the view is recent enough to serve by."""
+        silence_ms = self.get_silence_ms()
+        return silence_ms is not None and silence_ms < SILENCE_MS
+
+    async def serve_peer(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve a connection of another instance."""
+        coordinator = self._coordinator
+        if coordinator is None:
+            with contextlib.suppress(OSError):
+                writer.write(
+                    relay.encode_frame(relay.Deposed(term=base.Term(0)))
+                )
+                await writer.drain()
+                writer.close()
+            return
+        try:
+            await relay.read_message(reader)
+        except (OSError, EOFError, base.CodecError):
+            writer.close()
+            return
+        await coordinator.hub.serve(reader, writer)
+
+    async def run(self) -> None:
+        """Follow or coordinate until cancelled."""
+        solo_timer = asyncio.create_task(self._go_solo_late())
+        try:
+            while True:
+                row = await self._read_claim()
+                if isinstance(row, stores.Unavailable):
+                    await self._clock.sleep(
+                        int(RETRY_MS * self._rng.uniform(0.7, 1.3))
+                    )
+                    continue
+                leadership = _decode(row)
+                end = relay.End.UNREACHABLE
+                if leadership is not None and not self._is_own(leadership):
+                    solo_timer.cancel()
+                    end = await self._follow(leadership)
+                    solo_timer = asyncio.create_task(self._go_solo_late())
+                if end is relay.End.DEPOSED and not self._has_left(row):
+                    # Its address answers, but it does not coordinate.
+                    end = relay.End.UNREACHABLE
+                if end in (relay.End.UNREACHABLE, relay.End.STORE_LOST):
+                    await self._try_claim(row)
+                elif end is relay.End.DEPOSED:
+                    await self._clock.sleep(RETRY_MS // 3)
+        finally:
+            solo_timer.cancel()
+            self._stop_solo()
+
+    def _has_left(self, row: stores.StoredRow) -> bool:
+        """Return whether a coordinator sent this instance away once only."""
+        is_first = self._left_version != row.version
+        self._left_version = row.version
+        return is_first
+
+    def _is_own(self, leadership: _leadership.Leadership) -> bool:
+        return leadership.incarnation == self._incarnation
+
+    async def _read_claim(
+        self,
+    ) -> stores.StoredRow | None | stores.Unavailable:
+        """Return the row of the claim, None if there is none."""
+        began_at = self._clock.now()
+        result = await self._store.read(_leadership.TABLE)
+        if isinstance(result, stores.Unavailable):
+            return result
+        self._store_ms = self._clock.now() - began_at
+        rows = [r for r in result.rows if r.key == _leadership.KEY]
+        return rows[0] if rows else None
+
+    async def _reach_store(self) -> bool:
+        """Return whether the store answers this instance."""
+        row = await self._read_claim()
+        return not isinstance(row, stores.Unavailable)
+
+    async def _follow(self, leadership: _leadership.Leadership) -> relay.End:
+        """Take what the coordinator passes on, until that ends."""
+        subscription = relay.Subscription(
+            instance=self._instance,
+            address=leadership.address,
+            view=self._view,
+            make_report=self._make_report,
+            reach_store=self._reach_store,
+            on_update=self._stop_solo,
+            log=self._log,
+            clock=self._clock,
+        )
+        self._subscription = subscription
+        end = await subscription.run()
+        self._log.write(
+            events.DependencyChanged(
+                dependency=f"coordinator/{leadership.instance}",
+                reachable=False,
+                silent_ms=self.get_silence_ms() or -1,
+            )
+        )
+        return end
+
+    async def _try_claim(self, row: stores.StoredRow | None) -> None:
+        """Claim the coordination, and coordinate if that succeeds."""
+        if not self._policy.may_claim(now=self._clock.read_boot()):
+            await self._clock.sleep(SOLO_RETRY_MS)
+            return
+        await self._clock.sleep(
+            self._policy.compute_delay_ms(store_ms=self._store_ms)
+        )
+        present = await self._read_claim()
+        if isinstance(present, stores.Unavailable):
+            return
+        version = row.version if row is not None else 0
+        if (present.version if present is not None else 0) != version:
+            return
+        former = _decode(present)
+        term = base.Term(1 if former is None else former.term + 1)
+        claim = _leadership.Leadership(
+            term=term,
+            instance=self._instance,
+            incarnation=self._incarnation,
+            address=self._address,
+        )
+        result = await self._store.write(
+            checks=[
+                stores.RowCheck(
+                    table=_leadership.TABLE,
+                    key=_leadership.KEY,
+                    version=version,
+                )
+            ],
+            puts=[
+                stores.RowPut(
+                    table=_leadership.TABLE,
+                    key=_leadership.KEY,
+                    value=_leadership.encode_leadership(claim),
+                )
+            ],
+        )
+        if isinstance(result, stores.Conflict):
+            return
+        present = await self._read_claim()
+        if isinstance(present, stores.StoredRow):
+            stored = _decode(present)
+            if stored is not None and self._is_own(stored):
+                await self._coordinate(stored.term, present.version)
+
+    async def _coordinate(self, term: base.Term, version: int) -> None:
+        """Coordinate until deposed."""
+        began_at = self._clock.read_boot()
+        self._stop_solo()
+        self._note_leadership(term, leads=True, reason="claimed")
+        coordinator = _coordinator.Coordinator(
+            term=term,
+            condition=stores.RowCheck(
+                table=_leadership.TABLE, key=_leadership.KEY, version=version
+            ),
+            store=self._store,
+            codec=self._codec,
+            view=self._view,
+            grants=self._grants,
+            make_report=self._make_report,
+            log=self._log,
+            clock=self._clock,
+        )
+        self._coordinator = coordinator
+        reason = "deposed"
+        try:
+            await coordinator.run()
+        except Exception as error:
+            reason = "failed"
+            self._log.write(
+                events.TaskFailed(task="coordinator", problem=repr(error))
+            )
+        finally:
+            self._coordinator = None
+            self._fleet_size = max(1, coordinator.hub.fleet_size)
+            self._note_leadership(term, leads=False, reason=reason)
+        if reason == "deposed":
+            self._policy.record_reign(
+                began_at=began_at, ended_at=self._clock.read_boot()
+            )
+
+    def _note_leadership(
+        self, term: base.Term, *, leads: bool, reason: str
+    ) -> None:
+        self._log.write(
+            events.LeadershipChanged(term=term, leads=leads, reason=reason)
+        )
+
+    async def _go_solo_late(self) -> None:
+        """Read the store alone if there is no coordinator for a while."""
+        await self._clock.sleep(SOLO_AFTER_MS)
+        if self._solo is None and self._coordinator is None:
+            self._solo = asyncio.create_task(self._run_solo())
+
+    async def _run_solo(self) -> None:
+        feed = feeds.CatalogFeed(
+            store=self._store,
+            codec=self._codec,
+            view=self._view,
+            log=self._log,
+            clock=self._clock,
+        )
+        self._solo_feed = feed
+        owners = feeds.TableFollower(
+            store=self._store,
+            table=ranges.TABLE,
+            handle=self._take_records,
+            log=self._log,
+            clock=self._clock,
+        )
+        await asyncio.gather(feed.run(), owners.run())
+
+    def _take_records(
+        self, rows: Sequence[stores.StoredRow], is_whole: bool
+    ) -> None:
+        """Learn the recorded holders of keys."""
+        for row in rows:
+            try:
+                record = ranges.decode_record(row.value)
+            except base.CodecError as error:
+                self._log.write(
+                    events.RowIgnored(
+                        table=row.table, key=row.key, problem=error.problem
+                    )
+                )
+                continue
+            self._view.set_owners(
+                base.ServiceName(row.key),
+                catalog.OwnerMap(segments=record.segments),
+            )
+
+    def _stop_solo(self) -> None:
+        if self._solo is not None:
+            self._solo.cancel()
+            self._solo = None
+            self._solo_feed = None
+
+
+def _decode(
+    row: stores.StoredRow | None,
+) -> _leadership.Leadership | None:
+    """Return a claim; a damaged one counts as none."""
+    if row is None:
+        return None
+    with contextlib.suppress(base.CodecError):
+        return _leadership.decode_leadership(row.value)
+    return None
--- a/tarragonhinge/daemon/__init__.py
+++ b/tarragonhinge/daemon/__init__.py
@@ -2,7 +2,6 @@
 
 from tarragonhinge.daemon._instance import Instance
 from tarragonhinge.daemon._instance import make_http_client
-from tarragonhinge.daemon._listeners import listen
 from tarragonhinge.daemon._listeners import Listeners
 from tarragonhinge.daemon._platform import connect_platform
 from tarragonhinge.daemon._platform import Platform
@@ -13,7 +12,6 @@
     "Listeners",
     "Platform",
     "connect_platform",
-    "listen",
     "make_http_client",
     "serve",
 ]
--- a/tarragonhinge/demo/_site.py
+++ b/tarragonhinge/demo/_site.py
@@ -8,6 +8,7 @@
 from tarragonhinge import base
 from tarragonhinge import configuration
 from tarragonhinge import daemon
+from tarragonhinge import http1
 from tarragonhinge import peers
 from tarragonhinge import settings
 from tarragonhinge import standins
@@ -133,7 +134,7 @@
         self, name: str, application: web.Application
     ) -> base.Address:
         address = find_free_address("127.0.0.1")
-        self._runners[name] = await daemon.listen(
+        self._runners[name] = await http1.listen(
             application, address, shutdown_timeout_s=0.1
         )
         return address
--- /dev/null
+++ b/tarragonhinge/feeds/__init__.py
@@ -0,0 +1,15 @@
+"""Follows the platform's store."""
+
+from tarragonhinge.feeds._catalog_feed import CatalogFeed
+from tarragonhinge.feeds._codec import CatalogCodec
+from tarragonhinge.feeds._follower import RETRY_BASE_MS
+from tarragonhinge.feeds._follower import TableFollower
+from tarragonhinge.feeds._follower import WATCH_MS
+
+__all__ = [
+    "RETRY_BASE_MS",
+    "WATCH_MS",
+    "CatalogCodec",
+    "CatalogFeed",
+    "TableFollower",
+]
--- /dev/null
+++ b/tarragonhinge/feeds/_catalog_feed.py
@@ -0,0 +1,181 @@
+"""Keeps a view up to date from the store."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Sequence
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge import events
+from tarragonhinge.feeds import _codec
+from tarragonhinge.feeds import _follower
+from tarragonhinge import stores
+
+#: Time after the store's return for which entries that lapsed meanwhile
+#: are kept: servers that live write again within about 2 s.
+LAPSE_GRACE_MS = 2_200
+
+#: Entries that go within this time after the store's return are taken
+#: to have lapsed while it was away.
+LAPSE_NOTICE_MS = 500
+
+
+class CatalogFeed:
+    """Follows the routing table and the servers' entries.
+
+    Parameters
+    ----------
+    store : RowStore
+        The store.
+    codec : CatalogCodec
+        Decodes rows.
+    view : View
+        What is kept up to date.
+    log : EventLog
+        Where events are written.
+    clock : Clock
+        This process's clock.
+    on_change : callable
+        Called after each change of the view.
+    """
+
+    def __init__(
+        self,
+        *,
+        store: stores.RowStore,
+        codec: _codec.CatalogCodec,
+        view: catalog.View,
+        log: events.EventLog,
+        clock: base.Clock,
+        on_change: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._codec = codec
+        self._view = view
+        self._log = log
+        self._clock = clock
+        self._on_change = on_change
+        self._lapsed: dict[base.ServerId, int] = {}
+        self._routing = _follower.TableFollower(
+            store=store,
+            table=codec.routing_table,
+            handle=self._take_routing,
+            log=log,
+            clock=clock,
+        )
+        self._servers = _follower.TableFollower(
+            store=store,
+            table=codec.servers_table,
+            handle=self._take_servers,
+            log=log,
+            clock=clock,
+        )
+
+    def get_age_ms(self) -> int | None:
+        """Return the age of what is known; None if nothing is."""
+        ages = [self._routing.get_age_ms(), self._servers.get_age_ms()]
+        return None if None in ages else max(ages)
+
+    async def run(self) -> None:
+        """Follow both tables until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._routing.run())
+            group.create_task(self._servers.run())
+            group.create_task(self._drop_lapsed())
+
+    def _take_routing(
+        self, rows: Sequence[stores.StoredRow], is_whole: bool
+    ) -> None:
+        for row in rows:
+            if row.key != self._codec.routing_key or row.dropped:
+                continue
+            try:
+                table = self._codec.decode_routing(row.value)
+            except base.CodecError as error:
+                self._ignore(row, error)
+                continue
+            if self._view.set_table(table):
+                self._log.write(
+                    events.TableInForce(
+                        version=table.version,
+                        routes=len(table.routes),
+                        source="store",
+                    )
+                )
+                self._on_change()
+
+    def _take_servers(
+        self, rows: Sequence[stores.StoredRow], is_whole: bool
+    ) -> None:
+        entries = {} if is_whole else dict(self._view.servers)
+        for row in rows:
+            server = base.ServerId(row.key)
+            if row.dropped:
+                entries.pop(server, None)
+                continue
+            try:
+                entries[server] = self._codec.decode_server(row.key, row.value)
+            except base.CodecError as error:
+                entries.pop(server, None)
+                self._ignore(row, error)
+        self._keep_lapsed(entries)
+        self._report(entries)
+        self._view.set_servers(entries)
+        self._on_change()
+
+    def _keep_lapsed(
+        self, entries: dict[base.ServerId, catalog.ServerEntry]
+    ) -> None:
+        """Keep for a while the entries that went during a silence."""
+        returned_at = self._servers.returned_at
+        now = self._clock.read_boot()
+        for server, entry in self._view.servers.items():
+            if server in entries:
+                self._lapsed.pop(server, None)
+                continue
+            if server in self._lapsed:
+                entries[server] = entry
+            elif returned_at is not None and (
+                now - returned_at < LAPSE_NOTICE_MS
+            ):
+                self._lapsed[server] = returned_at + LAPSE_GRACE_MS
+                entries[server] = entry
+
+    async def _drop_lapsed(self) -> None:
+        while True:
+            await self._clock.sleep(LAPSE_NOTICE_MS // 2)
+            now = self._clock.read_boot()
+            ended = [s for s, end in self._lapsed.items() if end <= now]
+            if not ended:
+                continue
+            entries = dict(self._view.servers)
+            for server in ended:
+                del self._lapsed[server]
+                entries.pop(server, None)
+            self._report(entries)
+            self._view.set_servers(entries)
+            self._on_change()
+
+    def _report(
+        self, entries: dict[base.ServerId, catalog.ServerEntry]
+    ) -> None:
+        known = self._view.servers
+        for server in known.keys() | entries.keys():
+            entry, former = entries.get(server), known.get(server)
+            if entry == former:
+                continue
+            shown = entry or former
+            self._log.write(
+                events.ServerSeen(
+                    server=server,
+                    service=shown.service,
+                    state=shown.state.value if entry else "gone",
+                    born_ms=shown.born_ms,
+                )
+            )
+
+    def _ignore(self, row: stores.StoredRow, error: base.CodecError) -> None:
+        self._log.write(
+            events.RowIgnored(
+                table=row.table, key=row.key, problem=error.problem
+            )
+        )
--- /dev/null
+++ b/tarragonhinge/gateway/_front.py
@@ -0,0 +1,73 @@
+"""Listener for callers."""
+
+import asyncio
+
+from tarragonhinge import base
+from tarragonhinge.gateway import _gateway
+from tarragonhinge import http1
+
+#: Connections that wait to be accepted.
+BACKLOG = 2_048
+
+
+class Front:
+    """Accepts callers' connections and serves each in a task of its own.
+
+    Parameters
+    ----------
+    address : Address
+        Where to listen.
+    gateway : Gateway
+        Answers the requests.
+    """
+
+    def __init__(
+        self, *, address: base.Address, gateway: _gateway.Gateway
+    ) -> None:
+        self._address = address
+        self._gateway = gateway
+        self._server: asyncio.Server | None = None
+        self._connections: dict[http1.CallerConnection, asyncio.Task] = {}
+        self.is_stopping = False
+
+    async def start(self) -> None:
+        """Listen."""
+        host, port = http1.split_address(self._address)
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept, host, port, backlog=BACKLOG
+        )
+
+    def _accept(self) -> http1.Pipe:
+        pipe = http1.Pipe()
+        connection = http1.CallerConnection(
+            pipe=pipe,
+            handle=self._gateway.handle,
+            is_concurrent=self._gateway.is_concurrent,
+            get_limits=self._gateway.get_limits,
+            is_stopping=lambda: self.is_stopping,
+        )
+        task = asyncio.create_task(connection.run())
+        self._connections[connection] = task
+        task.add_done_callback(lambda _: self._connections.pop(connection))
+        return pipe
+
+    def count_busy(self) -> int:
+        """Return the connections with a request that is not answered."""
+        return sum(not c.is_idle for c in self._connections)
+
+    def close_idle(self) -> None:
+        """Close the connections without a request."""
+        for connection in list(self._connections):
+            if connection.is_idle:
+                connection.close()
+
+    async def stop(self) -> None:
+        """Stop to accept, and close all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._connections.values()):
+            task.cancel()
+        await asyncio.gather(
+            *self._connections.values(), return_exceptions=True
+        )
--- /dev/null
+++ b/tarragonhinge/gateway/_gateway.py
@@ -0,0 +1,444 @@
+"""Path of a request through an instance."""
+
+import asyncio
+import collections
+import random
+
+import msgspec
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge import events
+from tarragonhinge.gateway import _admission
+from tarragonhinge.gateway import _dialect
+from tarragonhinge.gateway import _job
+from tarragonhinge.gateway import _links
+from tarragonhinge.gateway import _options
+from tarragonhinge.gateway import _outcomes
+from tarragonhinge.gateway import _owner_finder
+from tarragonhinge.gateway import _placement
+from tarragonhinge.gateway import _refusals
+from tarragonhinge.gateway import _repeats
+from tarragonhinge.gateway import _sender
+from tarragonhinge.gateway import _splitter
+from tarragonhinge.gateway import _tallies
+from tarragonhinge import http1
+from tarragonhinge import servers
+
+#: Silence, in multiples of the expected time and of the objective, after
+#: which an idempotent request is sent to another server.
+SILENCE_FACTOR = 3.0
+SILENCE_OBJECTIVES = 1.2
+
+_NotRunCause = _outcomes.NotRunCause
+
+
+class _Report(msgspec.Struct, frozen=True, kw_only=True):
+    """Body of an answer of the instance's own."""
+
+    error: str
+    ran: str
+    remedy: str
+
+
+class Gateway:
+    """Routes, places, sends and answers the requests of callers.
+
+    Parameters
+    ----------
+    options : InstanceOptions
+        Settings.
+    view : View
+        Routes, servers and owners of keys.
+    dialect : Dialect
+        Header fields of the platform.
+    log : EventLog
+        Where events are written.
+    clock : Clock
+        This process's clock.
+    rng : random.Random
+        Spreads the times to come back.
+
+    Attributes
+    ----------
+    fleet_size : int
+        Number of instances that share the budget of repeats.
+    """
+
+    def __init__(
+        self,
+        *,
+        options: _options.InstanceOptions,
+        view: catalog.View,
+        dialect: _dialect.Dialect,
+        log: events.EventLog,
+        clock: base.Clock,
+        rng: random.Random | None = None,
+    ) -> None:
+        self._options = options
+        self._view = view
+        self._dialect = dialect
+        self._log = log
+        self._clock = clock
+        self._rng = rng or random.Random()
+        self.links = _links.ServerLinks(
+            view=view,
+            zone=options.zone,
+            zones=dict(options.zones),
+            clock=clock,
+        )
+        self.owners = _owner_finder.OwnerFinder(view=view, clock=clock)
+        self.tallies = _tallies.Tallies()
+        self.fleet_size = 1
+        self.in_flight = 0
+        self._sender = _sender.Sender(dialect=dialect, clock=clock)
+        self._budgets: dict[base.ServiceName, _repeats.RepeatBudget] = {}
+        self._splitters: dict[str, _splitter.TargetSplitter] = (
+            collections.defaultdict(_splitter.TargetSplitter)
+        )
+        self._deadlines: dict[str, _admission.UsualDeadline] = (
+            collections.defaultdict(_admission.UsualDeadline)
+        )
+
+    def is_concurrent(self, request: http1.Request) -> bool:
+        """Return whether a request may run beside those sent before it."""
+        route = self._match(request)
+        if route is None:
+            return True
+        return route.kind is catalog.RequestKind.IDEMPOTENT
+
+    def get_limits(self) -> catalog.CallerLimits:
+        """Return the limits on callers in force."""
+        if self._view.table is None:
+            return catalog.CallerLimits()
+        return self._view.table.limits
+
+    def _match(self, request: http1.Request) -> catalog.Route | None:
+        if self._view.table is None:
+            return None
+        host, path = _split_target(request)
+        return self._view.table.match(host=host, path=path)
+
+    async def handle(self, request: http1.Request) -> http1.Answer:
+        """Return the final answer to a request of a caller."""
+        facts = self._dialect.read_request(dict(request.fields))
+        trace = events.Trace(log=self._log, clock=self._clock)
+        self.in_flight += 1
+        try:
+            answer, end, is_ordinary = await self._serve(request, facts, trace)
+        except asyncio.CancelledError:
+            self._end(trace, facts, "caller_left", status=0)
+            raise
+        except Exception as error:
+            self._log.write(
+                events.TaskFailed(task="request", problem=repr(error))
+            )
+            self._end(trace, facts, "failed", status=502)
+            refused = _refusals.Refused(status=502, reason="internal")
+            return _make_answer(refused)
+        finally:
+            self.in_flight -= 1
+        trace.add(end)
+        self.tallies.record(
+            outcome=end.outcome, reason=end.reason, elapsed_ms=end.elapsed_ms
+        )
+        trace.finish(is_ordinary=is_ordinary)
+        return answer
+
+    def _end(
+        self,
+        trace: events.Trace,
+        facts: _dialect.RequestFacts,
+        outcome: str,
+        *,
+        status: int,
+    ) -> None:
+        elapsed_ms = trace.compute_elapsed_ms()
+        trace.add(
+            events.Ended(
+                request=facts.attempt,
+                outcome=outcome,
+                status=status,
+                reason="",
+                elapsed_ms=elapsed_ms,
+            )
+        )
+        self.tallies.record(outcome=outcome, reason="", elapsed_ms=elapsed_ms)
+        trace.finish(is_ordinary=False)
+
+    async def _serve(
+        self,
+        request: http1.Request,
+        facts: _dialect.RequestFacts,
+        trace: events.Trace,
+    ) -> tuple[http1.Answer, events.Ended, bool]:
+        route = self._match(request)
+        if route is None:
+            return self._finish(trace, facts, self._reject_unrouted())
+        job = self._make_job(request, facts, route, trace)
+        self._budget(job).record_request()
+        self.owners.record(job)
+        result = await self._try_servers(job)
+        return self._finish(trace, facts, result, job=job)
+
+    def _reject_unrouted(self) -> _refusals.Refused:
+        if self._view.table is None:
+            return _refusals.Refused(
+                status=503, reason="no_table", retry_ms=1000
+            )
+        return _refusals.Refused(status=404, reason="no_route")
+
+    def _make_job(
+        self,
+        request: http1.Request,
+        facts: _dialect.RequestFacts,
+        route: catalog.Route,
+        trace: events.Trace,
+    ) -> _job.Job:
+        """Divide by weight, and fix the time of the final answer."""
+        name = self._splitters[route.name].pick(route.targets)
+        service = self._view.table.find_service(name)
+        if service is None:
+            service = catalog.Service(name=name, max_connections=1)
+        now = self._clock.now()
+        deadline_ms = route.timeout_ms
+        if facts.deadline_ms is not None:
+            deadline_ms = facts.deadline_ms
+        job = _job.Job(
+            request=request,
+            facts=facts,
+            route=route,
+            service=service,
+            ends_at=now + min(deadline_ms, route.timeout_ms),
+            is_return=self._deadlines[route.name].is_return(deadline_ms),
+            trace=trace,
+        )
+        trace.add(
+            events.Received(
+                request=facts.attempt,
+                method=request.method,
+                path=request.target,
+                route=route.name,
+                service=name,
+                deadline_ms=deadline_ms,
+                key=job.key,
+                table_version=self._view.table.version,
+            )
+        )
+        return job
+
+    def _budget(self, job: _job.Job) -> _repeats.RepeatBudget:
+        name = job.service.name
+        if name not in self._budgets:
+            self._budgets[name] = _repeats.RepeatBudget(
+                ratio=self._options.repeat_ratio,
+                slack=self._options.repeat_slack,
+                window_ms=self._options.repeat_window_ms,
+                clock=self._clock,
+            )
+        return self._budgets[name]
+
+    async def _try_servers(
+        self, job: _job.Job
+    ) -> http1.Answer | _refusals.Refused:
+        """Send the request until there is a final answer."""
+        failure: _outcomes.AttemptOutcome | None = None
+        while True:
+            placed = await self._place(job)
+            if isinstance(placed, _refusals.Refused):
+                return _refusals.conclude(job, failure, placed)
+            if job.sent and not self._budget(job).take(
+                instances=self.fleet_size
+            ):
+                return _refusals.conclude(
+                    job, failure, _refusals.Refused.after_budget()
+                )
+            link, expected_ms = placed
+            began_at = self._clock.now()
+            outcome = await self._sender.send(
+                job, link, silence_ms=self._compute_silence(job, expected_ms)
+            )
+            if isinstance(outcome, _outcomes.Whole) and not outcome.failed:
+                return outcome.answer
+            failure = outcome
+            repeats = self._may_repeat(job, outcome)
+            self._note_failure(job, link, outcome, began_at, repeats)
+            if not repeats:
+                return _refusals.conclude(job, outcome, None)
+
+    def _compute_silence(self, job: _job.Job, expected_ms: float) -> float:
+        """Return the time without an answer after which to try again."""
+        if not job.is_idempotent or job.key is not None:
+            return float(job.route.timeout_ms)
+        return max(
+            SILENCE_FACTOR * expected_ms,
+            SILENCE_OBJECTIVES * job.route.objective_ms,
+        )
+
+    def _may_repeat(
+        self, job: _job.Job, outcome: _outcomes.AttemptOutcome
+    ) -> bool:
+        """Return whether another attempt is allowed and can help."""
+        if self._clock.now() >= job.ends_at:
+            return False
+        if isinstance(outcome, _outcomes.NotRun):
+            if job.sent >= 2 * job.route.max_attempts:
+                return False
+            if outcome.cause is _NotRunCause.MISDIRECTED:
+                return True
+            # Only its owner may run a keyed request.
+            return job.key is None and len(job.tried) < 3
+        if not job.is_idempotent:
+            return False
+        return job.sent < job.route.max_attempts
+
+    def _note_failure(
+        self,
+        job: _job.Job,
+        link: _links.ServerLink,
+        outcome: _outcomes.AttemptOutcome,
+        began_at: int,
+        repeats: bool,
+    ) -> None:
+        server = link.entry.server
+        job.tried.add(server)
+        if not isinstance(outcome, _outcomes.NotRun):
+            job.may_have_run = True
+        elif outcome.cause is _NotRunCause.MISDIRECTED:
+            self.owners.note_misdirected(job)
+        elif outcome.cause is _NotRunCause.UNSENT:
+            self._log.write(
+                events.ServerAvoided(
+                    server=server,
+                    reason=outcome.detail,
+                    for_ms=link.load.get_pause_ms(),
+                )
+            )
+        name = _refusals.describe(outcome)
+        self.tallies.record_attempt(name)
+        job.trace.add(
+            events.Tried(
+                request=job.facts.attempt,
+                server=server,
+                outcome=name,
+                elapsed_ms=self._clock.now() - began_at,
+                repeats=repeats,
+            )
+        )
+
+    async def _place(
+        self, job: _job.Job
+    ) -> tuple[_links.ServerLink, float] | _refusals.Refused:
+        """Return the server for the next attempt, or why there is none."""
+        segment = None
+        if job.key is not None:
+            segment = await self.owners.wait_owner(job)
+            if segment is None:
+                return _refusals.Refused(
+                    status=503,
+                    reason="no_owner",
+                    retry_ms=_owner_finder.RETRY_MS,
+                )
+            link = self.links.find(segment.server)
+            links = [link] if link is not None else []
+        else:
+            ready = self.links.list_ready(job.service.name)
+            links = [
+                link for link in ready if link.entry.server not in job.tried
+            ] or ready
+        left_ms = job.ends_at - self._clock.now()
+        limit_ms = _admission.compute_limit_ms(
+            objective_ms=job.route.objective_ms,
+            left_ms=left_ms,
+            is_return=job.is_return,
+        )
+        decision = _placement.place(
+            [link.make_candidate() for link in links],
+            objective_ms=job.route.objective_ms,
+            limit_ms=limit_ms,
+        )
+        if isinstance(decision, _placement.Refusal):
+            return _refusals.Refused(
+                status=503,
+                reason=decision.reason.value,
+                retry_ms=_admission.compute_retry_ms(
+                    expected_ms=decision.expected_ms,
+                    limit_ms=limit_ms,
+                    rng=self._rng,
+                ),
+            )
+        link = self.links.find(decision.server)
+        job.trace.add(
+            events.Placed(
+                request=job.facts.attempt,
+                server=decision.server,
+                expected_ms=int(decision.expected_ms),
+                in_flight=link.load.in_flight,
+                others=round(link.load.estimate_others(), 1),
+                report_age_ms=link.load.get_report_age_ms(),
+                fence=segment.fence if segment is not None else None,
+            )
+        )
+        return link, decision.expected_ms
+
+    def _finish(
+        self,
+        trace: events.Trace,
+        facts: _dialect.RequestFacts,
+        result: http1.Answer | _refusals.Refused,
+        job: _job.Job | None = None,
+    ) -> tuple[http1.Answer, events.Ended, bool]:
+        """Return the caller's answer and the event that tells of it."""
+        elapsed_ms = trace.compute_elapsed_ms()
+        if isinstance(result, _refusals.Refused):
+            end = events.Ended(
+                request=facts.attempt,
+                outcome="refused" if result.is_not_run else "failed",
+                status=result.status,
+                reason=result.reason,
+                elapsed_ms=elapsed_ms,
+                retry_after_ms=result.retry_ms,
+            )
+            return _make_answer(result), end, result.status == 404
+        is_late = job is not None and elapsed_ms > job.route.objective_ms
+        is_fine = result.status < 500 and not is_late and len(job.tried) == 0
+        end = events.Ended(
+            request=facts.attempt,
+            outcome="late" if is_late else "answered",
+            status=result.status,
+            reason="",
+            elapsed_ms=elapsed_ms,
+        )
+        answer = http1.Answer(
+            status=result.status,
+            fields=servers.drop_hop_fields(result.fields),
+            body=result.body,
+        )
+        return answer, end, is_fine
+
+
+def _split_target(request: http1.Request) -> tuple[str, str]:
+    """Return host and path, also of a target in absolute form."""
+    target = request.target
+    host = request.find("host") or ""
+    if not target.startswith("/"):
+        _, separator, rest = target.partition("://")
+        if separator:
+            host, slash, path = rest.partition("/")
+            target = slash + path
+    return host, target.partition("?")[0]
+
+
+def _make_answer(refused: _refusals.Refused) -> http1.Answer:
+    fields = [("content-type", "application/json")]
+    if refused.retry_ms:
+        seconds = refused.retry_ms / base.MS_PER_S
+        fields.append(("retry-after", f"{seconds:.3f}"))
+    report = _Report(
+        error=refused.reason,
+        ran="no" if refused.is_not_run else "unknown",
+        remedy=refused.get_remedy(),
+    )
+    return http1.Answer(
+        status=refused.status, fields=fields, body=msgspec.json.encode(report)
+    )
--- /dev/null
+++ b/tarragonhinge/gateway/_health.py
@@ -0,0 +1,68 @@
+"""Health checks and metrics over HTTP."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+import prometheus_client
+
+from tarragonhinge import base
+from tarragonhinge import http1
+
+
+class HealthServer:
+    """Answers the balancer's health checks, and scrapes.
+
+    Parameters
+    ----------
+    address : Address
+        Where health checks arrive.
+    ready_path : str
+        Path of the readiness check.
+    metrics_address : Address
+        Where scrapes arrive.
+    is_ready : callable
+        Whether callers should be sent here.
+    registry : CollectorRegistry
+        The metrics.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: base.Address,
+        ready_path: str,
+        metrics_address: base.Address,
+        is_ready: Callable[[], bool],
+        registry: prometheus_client.CollectorRegistry,
+    ) -> None:
+        self._address = address
+        self._ready_path = ready_path
+        self._metrics_address = metrics_address
+        self._is_ready = is_ready
+        self._registry = registry
+        self._runners: list[web.AppRunner] = []
+
+    async def start(self) -> None:
+        """Listen."""
+        health = web.Application()
+        health.router.add_get(self._ready_path, self._answer_ready)
+        metrics = web.Application()
+        metrics.router.add_get("/metrics", self._answer_metrics)
+        self._runners = [
+            await http1.listen(health, self._address),
+            await http1.listen(metrics, self._metrics_address),
+        ]
+
+    async def _answer_ready(self, _: web.Request) -> web.Response:
+        return web.Response(status=200 if self._is_ready() else 503)
+
+    async def _answer_metrics(self, _: web.Request) -> web.Response:
+        return web.Response(
+            body=prometheus_client.generate_latest(self._registry),
+            content_type="text/plain",
+        )
+
+    async def stop(self) -> None:
+        """Close the listeners."""
+        for runner in self._runners:
+            await runner.cleanup()
--- /dev/null
+++ b/tarragonhinge/gateway/_links.py
@@ -0,0 +1,156 @@
+"""Connections to, and estimates of, every backend server."""
+
+import dataclasses
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge.gateway import _placement
+from tarragonhinge.gateway import _server_load
+from tarragonhinge import http1
+
+#: Time on the network, there and back, before a connection measured it.
+_TRAVEL_MS = {
+    _placement.Distance.ZONE: 1.0,
+    _placement.Distance.REGION: 3.0,
+    _placement.Distance.REMOTE: 42.0,
+}
+
+#: Part of a server's connections that one instance may open.
+CONNECTION_PART = 0.25
+
+#: Most connections of one instance to one server.
+CONNECTION_LIMIT = 24
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ServerLink:
+    """One incarnation of a server as this instance reaches it.
+
+    Parameters
+    ----------
+    entry : ServerEntry
+        What the server says of itself.
+    distance : Distance
+        How far away it stands.
+    pool : ConnectionPool
+        Connections.
+    load : ServerLoad
+        Estimates.
+    """
+
+    entry: catalog.ServerEntry
+    distance: _placement.Distance
+    pool: http1.ConnectionPool
+    load: _server_load.ServerLoad
+
+    def get_travel_ms(self) -> float:
+        """Return the time on the network, there and back."""
+        return self.pool.connect_ms or _TRAVEL_MS[self.distance]
+
+    def make_candidate(self) -> _placement.Candidate:
+        """Return the estimates that placement needs."""
+        return _placement.Candidate(
+            server=self.entry.server,
+            distance=self.distance,
+            travel_ms=self.get_travel_ms(),
+            wait_ms=self.load.estimate_wait_ms(),
+            service_ms=self.load.estimate_service_ms(),
+            error_ratio=self.load.health.compute_error_ratio(),
+            is_paused=self.load.is_paused(),
+        )
+
+
+class ServerLinks:
+    """Links to the servers of the view, made on first use.
+
+    Parameters
+    ----------
+    view : View
+        Which servers there are.
+    zone : ZoneName
+        Where this instance stands.
+    zones : mapping
+        The region of each availability zone.
+    clock : Clock
+        This process's clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: catalog.View,
+        zone: base.ZoneName,
+        zones: dict[base.ZoneName, base.RegionName],
+        clock: base.Clock,
+    ) -> None:
+        self._view = view
+        self._zone = zone
+        self._zones = zones
+        self._clock = clock
+        self._links: dict[base.ServerId, ServerLink] = {}
+        self._times: dict[base.ServiceName, _server_load.ServiceTime] = {}
+        view.changes.subscribe(self._prune)
+
+    def _prune(self, _: None) -> None:
+        """Close the links to incarnations that are gone."""
+        for server, link in list(self._links.items()):
+            entry = self._view.servers.get(server)
+            if not link.entry.is_same_incarnation(entry):
+                link.pool.close()
+                del self._links[server]
+
+    def find(self, server: base.ServerId) -> ServerLink | None:
+        """Return the link to a server, or None if there is no entry."""
+        entry = self._view.servers.get(server)
+        if entry is None:
+            return None
+        link = self._links.get(server)
+        if link is None:
+            link = self._make(entry)
+            self._links[server] = link
+        return link
+
+    def list_ready(self, service: base.ServiceName) -> list[ServerLink]:
+        """Return links to the servers that take new work, nearest first."""
+        entries = self._view.list_servers(service)
+        links = [self.find(entry.server) for entry in entries]
+        return sorted(links, key=lambda link: link.distance.value != "zone")
+
+    def list_keyed(self) -> list[ServerLink]:
+        """Return the links that exist to servers that own keys."""
+        if self._view.table is None:
+            return []
+        keyed = set(self._view.table.list_keyed())
+        return [x for x in self._links.values() if x.entry.service in keyed]
+
+    def _make(self, entry: catalog.ServerEntry) -> ServerLink:
+        service = None
+        if self._view.table is not None:
+            service = self._view.table.find_service(entry.service)
+        limit = service.max_connections if service else CONNECTION_LIMIT
+        load = _server_load.ServerLoad(
+            slots=entry.slots,
+            service_time=self._times.setdefault(
+                entry.service, _server_load.ServiceTime()
+            ),
+            clock=self._clock,
+        )
+        if entry.cold_ms:
+            load.set_cold(entry.cold_ms)
+        return ServerLink(
+            entry=entry,
+            distance=self._measure(entry.zone),
+            pool=http1.ConnectionPool(
+                address=entry.address,
+                clock=self._clock,
+                limit=min(CONNECTION_LIMIT, int(limit * CONNECTION_PART)),
+            ),
+            load=load,
+        )
+
+    def _measure(self, zone: base.ZoneName) -> _placement.Distance:
+        if zone == self._zone:
+            return _placement.Distance.ZONE
+        if self._zones.get(zone) == self._zones.get(self._zone):
+            return _placement.Distance.REGION
+        return _placement.Distance.REMOTE
--- /dev/null
+++ b/tarragonhinge/gateway/_options.py
@@ -0,0 +1,59 @@
+"""Settings of an instance on the platform."""
+
+from collections.abc import Mapping
+import dataclasses
+
+from tarragonhinge import base
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceOptions:
+    """Where an instance stands and what it must keep to.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        Its name.
+    zone, region : str
+        Where it stands.
+    zones : mapping
+        The region of each availability zone.
+    callers, health, peers : Address
+        Where it listens for callers, health checks and other instances.
+    store : Address
+        Where the row store listens.
+    memory_mb : int
+        Memory that the process may use.
+    descriptors : int
+        Files and sockets that the process may open.
+    drain_ms : int
+        Time after which a leaving server gets no new work.
+    stop_ms : int
+        Time from SIGTERM to SIGKILL.
+    grant_limit_ms : int
+        Longest time for which keys may be granted.
+    repeat_ratio, repeat_slack : float
+        Repeats that are allowed for each request, and besides.
+    repeat_window_ms : int
+        Time over which repeats are counted.
+    server_heartbeat_ms : int
+        How often servers write their entries.
+    """
+
+    instance: base.InstanceId
+    zone: base.ZoneName
+    region: base.RegionName
+    zones: Mapping[base.ZoneName, base.RegionName]
+    callers: base.Address
+    health: base.Address
+    peers: base.Address
+    store: base.Address
+    memory_mb: int = 300
+    descriptors: int = 1024
+    drain_ms: int = 2_500
+    stop_ms: int = 6_000
+    grant_limit_ms: int = 10_000
+    repeat_ratio: float = 0.2
+    repeat_slack: float = 0.0
+    repeat_window_ms: int = 10_000
+    server_heartbeat_ms: int = 1_000
--- /dev/null
+++ b/tarragonhinge/gateway/_reporter.py
@@ -0,0 +1,48 @@
+"""What an instance reports to the coordinator."""
+
+import struct
+
+from tarragonhinge import base
+from tarragonhinge.gateway import _links
+from tarragonhinge.gateway import _owner_finder
+from tarragonhinge import relay
+
+
+class Reporter:
+    """Collects the keys and service times seen since the last report.
+
+    Parameters
+    ----------
+    owners : OwnerFinder
+        Counts keys.
+    links : ServerLinks
+        Measure service times.
+    """
+
+    def __init__(
+        self,
+        *,
+        owners: _owner_finder.OwnerFinder,
+        links: _links.ServerLinks,
+    ) -> None:
+        self._owners = owners
+        self._links = links
+
+    def make_report(self) -> relay.Report:
+        """Return the next report."""
+        keys = {
+            service: struct.pack(f"!{len(found)}H", *found)
+            for service, found in self._owners.take_samples().items()
+        }
+        speeds = []
+        for link in self._links.list_keyed():
+            count, mean_ms = link.load.take_latencies()
+            if count:
+                speeds.append(
+                    relay.ServerSpeed(
+                        server=base.ServerId(link.entry.server),
+                        count=count,
+                        mean_ms=round(mean_ms, 1),
+                    )
+                )
+        return relay.Report(keys=keys, speeds=speeds)
--- /dev/null
+++ b/tarragonhinge/gateway/_tallies.py
@@ -0,0 +1,47 @@
+"""Counters and latency histograms of requests."""
+
+import prometheus_client
+
+#: Upper bounds of the latency histogram, in seconds.
+BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 1.6, 2.5, 5.0, 10.0)
+
+
+class Tallies:
+    """Metrics of the requests of one instance.
+
+    Attributes
+    ----------
+    registry : CollectorRegistry
+        Holds them for scrapes.
+    """
+
+    def __init__(self) -> None:
+        self.registry = prometheus_client.CollectorRegistry()
+        self._requests = prometheus_client.Counter(
+            "tarragonhinge_gateway_requests",
+            "Requests of callers by outcome and reason.",
+            ["outcome", "reason"],
+            registry=self.registry,
+        )
+        self._attempts = prometheus_client.Counter(
+            "tarragonhinge_gateway_attempts_failed",
+            "Attempts at servers that gave no answer for the caller.",
+            ["outcome"],
+            registry=self.registry,
+        )
+        self._latency = prometheus_client.Histogram(
+            "tarragonhinge_gateway_latency_seconds",
+            "Time from a request's last byte to its final answer.",
+            ["outcome"],
+            buckets=BUCKETS_S,
+            registry=self.registry,
+        )
+
+    def record(self, *, outcome: str, reason: str, elapsed_ms: int) -> None:
+        """Count the end of a request."""
+        self._requests.labels(outcome=outcome, reason=reason).inc()
+        self._latency.labels(outcome=outcome).observe(elapsed_ms / 1000)
+
+    def record_attempt(self, outcome: str) -> None:
+        """Count an attempt that failed."""
+        self._attempts.labels(outcome=outcome).inc()
--- /dev/null
+++ b/tarragonhinge/platform/__init__.py
@@ -0,0 +1,21 @@
+"""Translates between the platform's protocol and the product."""
+
+from tarragonhinge.platform._codec import PlatformCodec
+from tarragonhinge.platform._dialect import PlatformDialect
+from tarragonhinge.platform._errors import NodeFileError
+from tarragonhinge.platform._grants import PlatformGrants
+from tarragonhinge.platform._node_file import locate_node_file
+from tarragonhinge.platform._node_file import parse_node_file
+from tarragonhinge.platform._row_store import PlatformStore
+from tarragonhinge.platform._run import run_instance
+
+__all__ = [
+    "NodeFileError",
+    "PlatformCodec",
+    "PlatformDialect",
+    "PlatformGrants",
+    "PlatformStore",
+    "locate_node_file",
+    "parse_node_file",
+    "run_instance",
+]
--- /dev/null
+++ b/tarragonhinge/platform/_codec.py
@@ -0,0 +1,22 @@
+"""Decodes the rows that the operator and the servers write."""
+
+from tarragonhinge import catalog
+from tarragonhinge import feeds
+from tarragonhinge.platform import _server_codec
+from tarragonhinge.platform import _table_codec
+
+
+class PlatformCodec(feeds.CatalogCodec):
+    """Rows as the platform's pages define them."""
+
+    routing_table = _table_codec.TABLE
+    routing_key = _table_codec.KEY
+    servers_table = _server_codec.TABLE
+
+    def decode_routing(self, value: bytes) -> catalog.RoutingTable:
+        """Decode a routing table."""
+        return _table_codec.decode_table(value)
+
+    def decode_server(self, key: str, value: bytes) -> catalog.ServerEntry:
+        """Decode the entry of a server."""
+        return _server_codec.decode_server(key, value)
--- /dev/null
+++ b/tarragonhinge/platform/_node_file.py
@@ -0,0 +1,164 @@
+"""The settings file that the platform writes for each process.
+
+Lines of the form ``name=value``; lists are joined by commas.  Entries
+that this module does not name are ignored, since new ones may come.
+"""
+
+import os
+import pathlib
+
+from tarragonhinge import base
+from tarragonhinge import gateway
+from tarragonhinge.platform import _errors
+from tarragonhinge import settings
+
+#: Variable of the environment that holds the path of the file.
+PATH_VARIABLE = "TARRAGONHINGE_NODE_FILE"
+
+_EXPECTED = "an instance is started with the file that the platform wrote"
+
+
+def locate_node_file() -> pathlib.Path:
+    """Return the path of the settings file.
+
+    Raises
+    ------
+    NodeFileError
+        If the environment does not name it.
+    """
+    path = os.environ.get(PATH_VARIABLE, "")
+    if not path:
+        raise _errors.NodeFileError(
+            problem=f"{PATH_VARIABLE} is not set",
+            remedy="set it to the path of the instance's settings file",
+        )
+    return pathlib.Path(path)
+
+
+def parse_lines(text: str) -> dict[str, str]:
+    """Return the entries of a settings file.
+
+    Examples
+    --------
+    >>> parse_lines("b.c = x,y")
+    {'b.c': 'x,y'}
+    """
+    entries = {}
+    for line in text.splitlines():
+        name, separator, value = line.partition("=")
+        if separator and not name.lstrip().startswith("#"):
+            entries[name.strip()] = value.strip()
+    return entries
+
+
+class _Reader:
+    """Reads entries and names the one that is missing or wrong."""
+
+    def __init__(self, entries: dict[str, str]) -> None:
+        self._entries = entries
+
+    def read_text(self, name: str) -> str:
+        value = self._entries.get(name, "")
+        if not value:
+            raise _errors.NodeFileError(
+                problem=f"{name} is missing", remedy=_EXPECTED
+            )
+        return value
+
+    def read_address(self, name: str) -> base.Address:
+        value = self.read_text(name)
+        try:
+            return settings.parse_address(value)
+        except ValueError as error:
+            raise _errors.NodeFileError(
+                problem=f"{name}={value!r} is no address",
+                remedy="set it to IP:PORT",
+            ) from error
+
+    def read_number(self, name: str, default: float | None = None) -> float:
+        if default is not None and not self._entries.get(name):
+            return default
+        value = self.read_text(name)
+        try:
+            number = float(value)
+        except ValueError:
+            number = -1.0
+        if not 0 <= number < float("inf"):
+            raise _errors.NodeFileError(
+                problem=f"{name}={value!r} is out of range",
+                remedy="set it to a number of 0 or more",
+            )
+        return number
+
+    def read_port(self, name: str) -> int:
+        first = self.read_text(name).partition(",")[0]
+        if not first.isdigit() or not 0 < int(first) < 65_536:
+            raise _errors.NodeFileError(
+                problem=f"{name}={first!r} is no port",
+                remedy="set it to FIRST,LAST, each from 1 to 65535",
+            )
+        return int(first)
+
+    def read_zones(self) -> dict[base.ZoneName, base.RegionName]:
+        prefix = "zones."
+        return {
+            base.ZoneName(name.removeprefix(prefix)): base.RegionName(value)
+            for name, value in self._entries.items()
+            if name.startswith(prefix)
+        }
+
+
+def parse_node_file(text: str) -> gateway.InstanceOptions:
+    """Decode a settings file.
+
+    Raises
+    ------
+    NodeFileError
+        If an entry is missing or wrong; the message names it, its value
+        and the remedy.
+    """
+    reader = _Reader(parse_lines(text))
+    ip = reader.read_text("ip")
+    peer_port = reader.read_port("internalPorts")
+    return gateway.InstanceOptions(
+        instance=base.InstanceId(reader.read_text("node")),
+        zone=base.ZoneName(reader.read_text("zone")),
+        region=base.RegionName(reader.read_text("region")),
+        zones=reader.read_zones(),
+        # Named for the side of the instance that callers see.
+        callers=reader.read_address("listen.front"),
+        health=reader.read_address("listen.ready"),
+        peers=base.Address(f"{ip}:{peer_port}"),
+        store=reader.read_address("platform.address"),
+        memory_mb=int(reader.read_number("limits.memoryMb", 300)),
+        descriptors=int(reader.read_number("limits.maxFds", 1024)),
+        # Bounds without a unit in their name: seconds or milliseconds.
+        drain_ms=int(reader.read_number("bounds.drain", 2500)),
+        stop_ms=int(reader.read_number("bounds.grace", 6) * base.MS_PER_S),
+        # The longest time for which keys may be granted.
+        grant_limit_ms=int(reader.read_number("bounds.holdMax", 10_000)),
+        repeat_ratio=reader.read_number("bounds.retryRatio", 0.2),
+        repeat_window_ms=int(
+            reader.read_number("bounds.budgetWindow", 10) * base.MS_PER_S
+        ),
+        repeat_slack=reader.read_number("bounds.retrySlack", 0),
+        # How often backend servers write their entries.
+        server_heartbeat_ms=int(reader.read_number("heartbeat", 1000)),
+    )
+
+
+def load_node_file(path: pathlib.Path) -> gateway.InstanceOptions:
+    """Read and decode a settings file.
+
+    Raises
+    ------
+    NodeFileError
+        If it can't be read or decoded.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise _errors.NodeFileError(
+            problem=f"{path} cannot be read: {error}", remedy=_EXPECTED
+        ) from error
+    return parse_node_file(text)
--- /dev/null
+++ b/tarragonhinge/platform/_run.py
@@ -0,0 +1,196 @@
+"""Runs one instance on the platform."""
+
+import asyncio
+import pathlib
+import signal
+import uuid
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge import coordination
+from tarragonhinge import events
+from tarragonhinge import gateway
+from tarragonhinge.platform import _codec
+from tarragonhinge.platform import _dialect
+from tarragonhinge.platform import _errors
+from tarragonhinge.platform import _grants
+from tarragonhinge.platform import _node_file
+from tarragonhinge.platform import _row_store
+
+#: Path of the readiness check.
+READY_PATH = "/tarragonhinge/readyz"
+
+#: Port of the metrics, named in ``deploy/system.toml``.
+METRICS_PORT = 9464
+
+#: Time from SIGTERM for which new requests are still read: the balancer
+#: sends no new connection after two misses, a second apart.
+NOTICE_MS = 3_200
+
+#: Time before SIGKILL at which what is left is cut off.
+RESERVE_MS = 300
+
+#: Interval at which readiness is worked out and a stop looks for its end.
+TICK_MS = 50
+
+
+class PlatformInstance:
+    """One instance with all its parts.
+
+    Parameters
+    ----------
+    options : InstanceOptions
+        Settings.
+    clock : Clock
+        This process's clock.
+    """
+
+    def __init__(
+        self, *, options: gateway.InstanceOptions, clock: base.Clock
+    ) -> None:
+        self._options = options
+        self._clock = clock
+        self.log = events.EventLog(instance=options.instance, clock=clock)
+        self._view = catalog.View()
+        self._store = _row_store.PlatformStore(address=options.store)
+        self._grants = _grants.PlatformGrants()
+        self.gateway = gateway.Gateway(
+            options=options,
+            view=self._view,
+            dialect=_dialect.PlatformDialect(),
+            log=self.log,
+            clock=clock,
+        )
+        reporter = gateway.Reporter(
+            owners=self.gateway.owners, links=self.gateway.links
+        )
+        self._member = coordination.Member(
+            instance=options.instance,
+            incarnation=base.IncarnationId(uuid.uuid4().hex),
+            address=options.peers,
+            store=self._store,
+            codec=_codec.PlatformCodec(),
+            view=self._view,
+            grants=self._grants,
+            make_report=reporter.make_report,
+            log=self.log,
+            clock=clock,
+        )
+        self._front = gateway.Front(
+            address=options.callers, gateway=self.gateway
+        )
+        host = options.peers.rpartition(":")[0]
+        self._health = gateway.HealthServer(
+            address=options.health,
+            ready_path=READY_PATH,
+            metrics_address=base.Address(f"{host}:{METRICS_PORT}"),
+            is_ready=self.is_ready,
+            registry=self.gateway.tallies.registry,
+        )
+        self._peers: asyncio.Server | None = None
+        self._tasks: list[asyncio.Task] = []
+        self._was_ready = False
+        self._is_stopping = False
+
+    def is_ready(self) -> bool:
+        """Return whether callers should be sent here."""
+        return (
+            not self._is_stopping
+            and self._view.is_complete()
+            and self._member.is_current()
+        )
+
+    async def start(self) -> None:
+        """Listen and join the fleet."""
+        host, _, port = self._options.peers.rpartition(":")
+        self._peers = await asyncio.start_server(
+            self._member.serve_peer, host, int(port)
+        )
+        await self._health.start()
+        await self._front.start()
+        self._tasks = [
+            asyncio.create_task(self._member.run()),
+            asyncio.create_task(self._watch()),
+        ]
+        self.log.write(
+            events.Started(
+                zone=self._options.zone,
+                callers=self._options.callers,
+            )
+        )
+
+    async def _watch(self) -> None:
+        """Keep derived figures up to date and log what changes."""
+        while True:
+            self.gateway.fleet_size = self._member.fleet_size
+            ready = self.is_ready()
+            if ready != self._was_ready:
+                self._was_ready = ready
+                self.log.write(
+                    events.Readiness(ready=ready, reason=self._explain())
+                )
+            await self._clock.sleep(TICK_MS)
+
+    def _explain(self) -> str:
+        if self._is_stopping:
+            return "stopping"
+        if not self._view.is_complete():
+            return "view_incomplete"
+        return "current" if self._member.is_current() else "view_stale"
+
+    async def stop(self) -> None:
+        """Finish what was read, then end."""
+        began_at = self._clock.now()
+        self._is_stopping = True
+        self._front.is_stopping = True
+        self.log.write(
+            events.Stopping(reason="signal", in_flight=self.gateway.in_flight)
+        )
+        limit_ms = self._options.stop_ms - RESERVE_MS
+        while True:
+            elapsed_ms = self._clock.now() - began_at
+            if elapsed_ms >= NOTICE_MS:
+                self._front.close_idle()
+            is_idle = self._front.count_busy() == 0
+            if (elapsed_ms >= NOTICE_MS and is_idle) or elapsed_ms > limit_ms:
+                break
+            await self._clock.sleep(TICK_MS)
+        self.log.write(
+            events.Stopped(
+                cut_off=self._front.count_busy(),
+                elapsed_ms=self._clock.now() - began_at,
+            )
+        )
+        self.log.flush()
+
+    def reload(self, path: pathlib.Path) -> None:
+        """Check settings that have changed; a restart applies them."""
+        outcome = "unchanged"
+        try:
+            options = _node_file.load_node_file(path)
+            if options != self._options:
+                outcome = "changed; in force after a restart"
+        except _errors.NodeFileError as error:
+            outcome = f"rejected: {error}"
+        self.log.write(events.Reloaded(outcome=outcome))
+
+
+async def run_instance(path: pathlib.Path) -> int:
+    """Run an instance until SIGTERM or SIGINT; return the exit status.
+
+    Raises
+    ------
+    NodeFileError
+        If the settings file is missing or wrong.
+    """
+    options = _node_file.load_node_file(path)
+    instance = PlatformInstance(options=options, clock=base.Clock())
+    loop = asyncio.get_running_loop()
+    stopped = asyncio.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped.set)
+    loop.add_signal_handler(signal.SIGHUP, instance.reload, path)
+    await instance.start()
+    await stopped.wait()
+    await instance.stop()
+    return 0
--- /dev/null
+++ b/tarragonhinge/platform/_server_codec.py
@@ -0,0 +1,60 @@
+"""Decodes what backend servers write of themselves into the store."""
+
+import msgspec
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+
+#: The table that servers write to; the key is the server's id.
+TABLE = "servers"
+
+_STATES = {
+    "ready": catalog.ServerState.READY,
+    "draining": catalog.ServerState.DRAINING,
+}
+
+
+class _Entry(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    slots: int
+    state: str
+    # Wall time of the start in milliseconds, not a duration.
+    born: int
+    # Milliseconds for which the server is still slow.
+    warm_ms: float = msgspec.field(name="warmupLeft", default=0.0)
+
+
+_decoder = msgspec.json.Decoder(_Entry)
+
+
+def decode_server(key: str, value: bytes) -> catalog.ServerEntry:
+    """Decode the entry of a server.
+
+    Raises
+    ------
+    CodecError
+        If another writer left something else there.
+    """
+    try:
+        entry = _decoder.decode(value)
+        state = _STATES[entry.state]
+        host, _, port = entry.address.rpartition(":")
+        if not host or not 0 < int(port) < 65_536 or entry.slots < 1:
+            raise ValueError(entry.address)
+    except (msgspec.DecodeError, ValueError, KeyError) as error:
+        raise base.CodecError(
+            problem=f"{TABLE}/{key} cannot be decoded: {error}",
+            remedy="no request is sent there until the server writes again",
+        ) from error
+    return catalog.ServerEntry(
+        server=base.ServerId(key),
+        service=base.ServiceName(entry.service),
+        address=base.Address(entry.address),
+        zone=base.ZoneName(entry.zone),
+        slots=entry.slots,
+        state=state,
+        born_ms=entry.born,
+        cold_ms=int(entry.warm_ms),
+    )
--- /dev/null
+++ b/tarragonhinge/platform/_table_codec.py
@@ -0,0 +1,118 @@
+"""Decodes the operator's configuration into a routing table."""
+
+import msgspec
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+
+#: Where the newest configuration stands in the store.
+TABLE = "op"
+KEY = "config"
+
+#: Requests of other kinds are never repeated.
+_KINDS = {"safe": catalog.RequestKind.IDEMPOTENT}
+
+
+class _Part(msgspec.Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(msgspec.Struct, rename={"objective_ms": "goalLatency"}):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    # Milliseconds, though its name does not say so.
+    timeout: int
+    objective_ms: int = 0
+    priority: int = 0
+    max_attempts: int = msgspec.field(name="maxAttempts", default=1)
+    # Services among which the requests are divided, not servers.
+    backends: list[_Part] = []
+    service: str = ""
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_connections: int = msgspec.field(name="maxConns", default=64)
+    # Whether keys belong to servers.
+    sharded: bool = False
+    # Seconds.
+    warm: float = 0.0
+
+
+class _Limits(msgspec.Struct):
+    header_bytes: int = msgspec.field(name="maxHeaderBytes", default=16_384)
+    body_bytes: int = msgspec.field(name="maxBodyBytes", default=1 << 20)
+    # Milliseconds.
+    header_ms: int = msgspec.field(name="headerTimeout", default=3000)
+    idle_ms: int = msgspec.field(name="idleTimeout", default=15_000)
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+_decoder = msgspec.json.Decoder(_Config, strict=False)
+
+
+def decode_table(value: bytes) -> catalog.RoutingTable:
+    """Decode a stored configuration.
+
+    Raises
+    ------
+    CodecError
+        If it is not one.
+    """
+    try:
+        config = _decoder.decode(value)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise base.CodecError(
+            problem=f"{TABLE}/{KEY} cannot be decoded: {error}",
+            remedy="write a valid configuration; the last one stays in force",
+        ) from error
+    limits = config.limits
+    return catalog.RoutingTable(
+        version=base.TableVersion(config.version),
+        routes=tuple(_make_route(route) for route in config.routes),
+        services=tuple(_make_service(s) for s in config.services),
+        limits=catalog.CallerLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            header_timeout_ms=limits.header_ms,
+            idle_timeout_ms=limits.idle_ms,
+        ),
+    )
+
+
+def _make_route(route: _Route) -> catalog.Route:
+    parts = route.backends or [_Part(service=route.service)]
+    return catalog.Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        kind=_KINDS.get(route.kind, catalog.RequestKind.NON_IDEMPOTENT),
+        timeout_ms=route.timeout,
+        objective_ms=route.objective_ms or route.timeout,
+        priority=route.priority,
+        max_attempts=max(1, route.max_attempts),
+        targets=tuple(
+            catalog.Target(
+                service=base.ServiceName(part.service), weight=part.weight
+            )
+            for part in parts
+        ),
+    )
+
+
+def _make_service(service: _Service) -> catalog.Service:
+    return catalog.Service(
+        name=base.ServiceName(service.name),
+        max_connections=service.max_connections,
+        keyed=service.sharded,
+        warm_ms=int(service.warm * base.MS_PER_S),
+    )
--- /dev/null
+++ b/tarragonhinge/ranges/_grants.py
@@ -0,0 +1,80 @@
+"""Grants of key ranges, and the interface that delivers them."""
+
+import abc
+import dataclasses
+import enum
+
+from tarragonhinge import base
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Grant:
+    """Keys that a server holds for a time from the grant's arrival.
+
+    Parameters
+    ----------
+    first, last : int
+        The keys, both inclusive.
+    fence : int
+        Fencing token; a server refuses a lower one than it has seen.
+    hold_ms : int
+        How long the keys are held.
+    handover : str
+        What the last holder gave with its release, or empty.
+    """
+
+    first: int
+    last: int
+    fence: int
+    hold_ms: int
+    handover: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Release:
+    """Keys that a server stops to hold.
+
+    Parameters
+    ----------
+    first, last : int
+        The keys, both inclusive.
+    fence : int
+        Fencing token above that of the grant, so that the server refuses
+        a renewal that arrives later.
+    """
+
+    first: int
+    last: int
+    fence: int
+
+
+class GrantResult(enum.Enum):
+    """How a grant ended."""
+
+    HELD = "held"
+    FENCED = "fenced"
+    UNKNOWN = "unknown"
+
+
+class GrantClient(abc.ABC):
+    """Delivers grants and releases to servers."""
+
+    @abc.abstractmethod
+    async def grant(self, address: base.Address, grant: Grant) -> GrantResult:
+        """Grant a range, or renew it."""
+
+    @abc.abstractmethod
+    async def release(
+        self, address: base.Address, release: Release, *, wait_ms: int
+    ) -> str | None:
+        """Take a range back.
+
+        Returns
+        -------
+        str or None
+            The handover for the next holder, which may be empty, once
+            the work on the keys has ended; None without an answer.
+        """
+
+    async def close(self) -> None:  # noqa: B027
+        """Release connections."""
--- /dev/null
+++ b/tarragonhinge/ranges/_lease_book.py
@@ -0,0 +1,114 @@
+"""All leases of one service."""
+
+from collections.abc import Iterable
+import dataclasses
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge.ranges import _lease
+
+
+class LeaseBook:
+    """Leases in order of their keys, published as an owner map.
+
+    Parameters
+    ----------
+    service : ServiceName
+        The service.
+    view : View
+        Where the owner map is published.
+    """
+
+    def __init__(
+        self, *, service: base.ServiceName, view: catalog.View
+    ) -> None:
+        self._service = service
+        self._view = view
+        self.leases: list[_lease.Lease] = []
+
+    def adopt(
+        self, owners: catalog.OwnerMap, *, arrived_by: int, now: int
+    ) -> None:
+        """Take over what a record says."""
+        self.leases = [
+            _lease.Lease(
+                first=segment.first,
+                last=segment.last,
+                server=segment.server,
+                born_ms=segment.born_ms,
+                fence=segment.fence,
+                arrived_by=arrived_by,
+                renew_at=now,
+            )
+            for segment in owners.segments
+        ]
+        self.publish()
+
+    def add(self, lease: _lease.Lease) -> None:
+        """Add a lease of keys that have none."""
+        self.leases.append(lease)
+        self.leases.sort(key=lambda lease: lease.first)
+
+    def split(
+        self, lease: _lease.Lease, pieces: Iterable[tuple[int, int]]
+    ) -> list[_lease.Lease]:
+        """Replace a lease by pieces of it; return them in order.
+
+        Keys of the lease that no piece covers stay together on either
+        side.
+        """
+        ranges = sorted(pieces)
+        if ranges[0][0] > lease.first:
+            ranges.insert(0, (lease.first, ranges[0][0] - 1))
+        if ranges[-1][1] < lease.last:
+            ranges.append((ranges[-1][1] + 1, lease.last))
+        parts = [
+            dataclasses.replace(lease, first=first, last=last)
+            for first, last in ranges
+        ]
+        self.leases.remove(lease)
+        self.leases.extend(parts)
+        self.leases.sort(key=lambda lease: lease.first)
+        return parts
+
+    def merge(self, left: _lease.Lease, right: _lease.Lease) -> _lease.Lease:
+        """Replace two adjacent leases of one holder by one."""
+        merged = dataclasses.replace(
+            left,
+            last=right.last,
+            arrived_by=max(left.arrived_by, right.arrived_by),
+        )
+        self.leases.remove(left)
+        self.leases.remove(right)
+        self.add(merged)
+        return merged
+
+    def list_mergeable(
+        self,
+    ) -> list[tuple[_lease.Lease, _lease.Lease]]:
+        """Return neighbours of one holder that rest."""
+        pairs = []
+        used: set[int] = set()
+        for left, right in zip(self.leases, self.leases[1:], strict=False):
+            if left.first in used or left.last + 1 != right.first:
+                continue
+            same = (left.server, left.born_ms) == (right.server, right.born_ms)
+            if same and not (
+                left.is_moving
+                or right.is_moving
+                or left.renewal
+                or right.renewal
+            ):
+                pairs.append((left, right))
+                used.add(right.first)
+        return pairs
+
+    def make_map(self) -> catalog.OwnerMap:
+        """Return the leases as an owner map."""
+        return catalog.OwnerMap(
+            segments=[lease.make_segment() for lease in self.leases]
+        )
+
+    def publish(self) -> None:
+        """Let requests be placed by the leases as they are."""
+        self._view.set_owners(self._service, self.make_map())
--- /dev/null
+++ b/tarragonhinge/ranges/_renewer.py
@@ -0,0 +1,158 @@
+"""Keeps grants alive."""
+
+import asyncio
+from collections.abc import Callable
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge import events
+from tarragonhinge.ranges import _grants
+from tarragonhinge.ranges import _lease
+from tarragonhinge.ranges import _lease_book
+from tarragonhinge.ranges import _recorder
+
+#: How long a grant lasts without renewal.  It bounds the time for which
+#: the keys of a silent server are unserved.
+HOLD_MS = 4_000
+
+#: Interval of renewals: two may fail before a grant lapses.
+RENEW_MS = 1_300
+
+#: Time after which a renewal without an answer is repeated.
+REPEAT_MS = 250
+
+#: Interval at which due renewals are looked for.
+TICK_MS = 100
+
+
+class Renewer:
+    """Renews the grants of all leases that rest.
+
+    Parameters
+    ----------
+    service : ServiceName
+        The service.
+    book : LeaseBook
+        The leases.
+    recorder : RangeRecorder
+        Records new fencing tokens.
+    view : View
+        Entries of servers.
+    grants : GrantClient
+        Delivers grants.
+    may_renew : callable
+        Whether no other instance can have moved keys meanwhile.
+    log : EventLog
+        Where events are written.
+    clock : Clock
+        This process's clock.
+    hold_ms : int
+        How long a grant lasts.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: base.ServiceName,
+        book: _lease_book.LeaseBook,
+        recorder: _recorder.RangeRecorder,
+        view: catalog.View,
+        grants: _grants.GrantClient,
+        may_renew: Callable[[], bool],
+        log: events.EventLog,
+        clock: base.Clock,
+        hold_ms: int,
+    ) -> None:
+        self._service = service
+        self._book = book
+        self._recorder = recorder
+        self._view = view
+        self._grants = grants
+        self._may_renew = may_renew
+        self._log = log
+        self._clock = clock
+        self.hold_ms = hold_ms
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self) -> None:
+        """Renew until cancelled."""
+        try:
+            while True:
+                if self._may_renew():
+                    self._start_due()
+                await self._clock.sleep(TICK_MS)
+        finally:
+            for task in self._tasks:
+                task.cancel()
+
+    def _start_due(self) -> None:
+        now = self._clock.read_boot()
+        for lease in self._book.leases:
+            if lease.renew_at > now or lease.is_moving or lease.renewal:
+                continue
+            if self.find_holder(lease) is None:
+                continue
+            task = asyncio.create_task(self._renew(lease))
+            lease.renewal = task
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    def find_holder(self, lease: _lease.Lease) -> catalog.ServerEntry | None:
+        """Return the holder's entry, if it still runs."""
+        entry = self._view.servers.get(lease.server)
+        if entry is None or entry.born_ms != lease.born_ms:
+            return None
+        return entry
+
+    async def _renew(self, lease: _lease.Lease) -> None:
+        try:
+            result = await self.grant_once(lease)
+            now = self._clock.read_boot()
+            if result is _grants.GrantResult.HELD:
+                lease.renew_at = now + RENEW_MS
+            elif result is _grants.GrantResult.FENCED:
+                await self.refence(lease)
+                lease.renew_at = now
+            else:
+                lease.renew_at = now + REPEAT_MS
+        finally:
+            lease.renewal = None
+
+    async def grant_once(
+        self, lease: _lease.Lease, *, handover: str = ""
+    ) -> _grants.GrantResult:
+        """Send one grant and account for when it can have arrived."""
+        entry = self.find_holder(lease)
+        if entry is None:
+            return _grants.GrantResult.UNKNOWN
+        lease.address = entry.address
+        try:
+            result = await self._grants.grant(
+                entry.address,
+                _grants.Grant(
+                    first=lease.first,
+                    last=lease.last,
+                    fence=lease.fence,
+                    hold_ms=self.hold_ms,
+                    handover=handover,
+                ),
+            )
+        finally:
+            lease.arrived_by = max(lease.arrived_by, self._clock.read_boot())
+        if result is not _grants.GrantResult.HELD:
+            self._log.write(
+                events.GrantFailed(
+                    service=self._service,
+                    server=lease.server,
+                    first=lease.first,
+                    last=lease.last,
+                    fence=lease.fence,
+                    outcome=result.value,
+                )
+            )
+        return result
+
+    async def refence(self, lease: _lease.Lease) -> None:
+        """Record a higher fencing token for the same holder."""
+        lease.fence = self._recorder.take_fence()
+        await self._recorder.commit([lease.make_segment()])
--- /dev/null
+++ b/tarragonhinge/relay/__init__.py
@@ -0,0 +1,27 @@
+"""Passes on what the coordinator reads from the store."""
+
+from tarragonhinge.relay._frames import encode_frame
+from tarragonhinge.relay._frames import read_message
+from tarragonhinge.relay._hub import Hub
+from tarragonhinge.relay._messages import Beat
+from tarragonhinge.relay._messages import Deposed
+from tarragonhinge.relay._messages import Hello
+from tarragonhinge.relay._messages import Report
+from tarragonhinge.relay._messages import ServerSpeed
+from tarragonhinge.relay._messages import Update
+from tarragonhinge.relay._subscription import End
+from tarragonhinge.relay._subscription import Subscription
+
+__all__ = [
+    "Beat",
+    "Deposed",
+    "End",
+    "Hello",
+    "Hub",
+    "Report",
+    "ServerSpeed",
+    "Subscription",
+    "Update",
+    "encode_frame",
+    "read_message",
+]
--- /dev/null
+++ b/tarragonhinge/relay/_frames.py
@@ -0,0 +1,66 @@
+"""Frames of messages on a TCP connection.
+
+A frame is its length in four bytes, in network order, and a compressed
+message: repeated names make a routing table ten times smaller.
+"""
+
+import asyncio
+import zlib
+
+import msgspec
+
+from tarragonhinge import base
+from tarragonhinge.relay import _messages
+
+#: Largest frame that is taken.
+FRAME_LIMIT_BYTES = 4 << 20
+
+#: Messages from this size on are compressed.
+COMPRESSION_BYTES = 200
+
+_LENGTH_BYTES = 4
+_PLAIN = b"\x00"
+_COMPRESSED = b"\x01"
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(_messages.Message)
+
+
+def encode_frame(message: _messages.Message) -> bytes:
+    """Return the bytes of a message."""
+    body = _encoder.encode(message)
+    if len(body) >= COMPRESSION_BYTES:
+        body = _COMPRESSED + zlib.compress(body)
+    else:
+        body = _PLAIN + body
+    return len(body).to_bytes(_LENGTH_BYTES, "big") + body
+
+
+async def read_message(reader: asyncio.StreamReader) -> _messages.Message:
+    """Return the next message.
+
+    Raises
+    ------
+    CodecError
+        If the bytes are no message.
+    OSError, EOFError
+        If the connection ends.
+    """
+    length = int.from_bytes(await reader.readexactly(_LENGTH_BYTES), "big")
+    if not 0 < length <= FRAME_LIMIT_BYTES:
+        raise base.CodecError(
+            problem=f"a frame of {length} bytes is out of range",
+            remedy="run one version of the program on all instances",
+        )
+    frame = await reader.readexactly(length)
+    try:
+        body = frame[1:]
+        if frame[:1] == _COMPRESSED:
+            inflater = zlib.decompressobj()
+            body = inflater.decompress(body, FRAME_LIMIT_BYTES)
+        return _decoder.decode(body)
+    except (zlib.error, msgspec.DecodeError) as error:
+        raise base.CodecError(
+            problem=f"a frame cannot be decoded: {error}",
+            remedy="run one version of the program on all instances",
+        ) from error
--- /dev/null
+++ b/tarragonhinge/relay/_hub.py
@@ -0,0 +1,222 @@
+"""The coordinator's side of the relay."""
+
+import asyncio
+from collections.abc import Callable
+import contextlib
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge.relay import _frames
+from tarragonhinge.relay import _messages
+
+#: Interval of beats; each crosses regions, so they are rare.
+BEAT_MS = 600
+
+#: Changes within this time go in one message, so that a storm of
+#: versions is passed on as few.
+GATHER_MS = 20
+GATHER_TABLE_MS = 250
+
+#: Bytes that may wait for one subscriber before it is cut off.
+BACKLOG_BYTES = 4 << 20
+
+#: Time after which a subscriber's word on the store is too old.
+SILENCE_REPORT_MS = 2_500
+
+
+class _Subscriber:
+    """One instance that is subscribed."""
+
+    def __init__(self, *, writer: asyncio.StreamWriter) -> None:
+        self._writer = writer
+        self.silent_at: int | None = None
+
+    def send(self, frame: bytes) -> None:
+        """Send a frame; a subscriber that does not read is cut off."""
+        if self._writer.transport.get_write_buffer_size() > BACKLOG_BYTES:
+            self._writer.transport.abort()
+            return
+        self._writer.write(frame)
+
+    def close(self) -> None:
+        """Close once everything is sent."""
+        self._writer.close()
+
+
+class Hub:
+    """Passes on what the coordinator knows, and takes reports.
+
+    Parameters
+    ----------
+    term : Term
+        The coordinator's leadership.
+    view : View
+        What is passed on.
+    get_store_age : callable
+        Returns how long ago the store answered, in milliseconds.
+    take_report : callable
+        Takes reports.
+    clock : Clock
+        This process's clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        term: base.Term,
+        view: catalog.View,
+        get_store_age: Callable[[], int],
+        take_report: Callable[[_messages.Report], None],
+        clock: base.Clock,
+    ) -> None:
+        self._term = term
+        self._view = view
+        self._get_store_age = get_store_age
+        self._take_report = take_report
+        self._clock = clock
+        self._subscribers: set[_Subscriber] = set()
+        self._sent_table: base.TableVersion | None = None
+        self._sent_servers: dict[base.ServerId, catalog.ServerEntry] = {}
+        self._sent_owners: dict[base.ServiceName, catalog.OwnerMap] = {}
+        self._table_sent_at = 0
+        self._changed = asyncio.Event()
+        self._subscription = view.changes.subscribe(
+            lambda _: self._changed.set()
+        )
+
+    @property
+    def fleet_size(self) -> int:
+        """Number of subscribed instances, and this one."""
+        return len(self._subscribers) + 1
+
+    def is_outage_agreed(self) -> bool:
+        """Return whether no subscriber reaches the store either."""
+        now = self._clock.read_boot()
+        return all(
+            s.silent_at is not None and now - s.silent_at < SILENCE_REPORT_MS
+            for s in self._subscribers
+        )
+
+    async def run(self) -> None:
+        """Send changes and beats until cancelled."""
+        try:
+            async with asyncio.TaskGroup() as group:
+                group.create_task(self._send_changes())
+                group.create_task(self._send_beats())
+        finally:
+            self._subscription.dispose()
+
+    def depose(self, term: base.Term) -> None:
+        """Send all subscribers away."""
+        frame = _frames.encode_frame(_messages.Deposed(term=term))
+        for subscriber in list(self._subscribers):
+            subscriber.send(frame)
+            subscriber.close()
+        self._subscribers.clear()
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        """Serve one subscriber until its connection ends."""
+        subscriber = _Subscriber(writer=writer)
+        subscriber.send(_frames.encode_frame(self._make_beat()))
+        subscriber.send(_frames.encode_frame(self._make_whole()))
+        self._subscribers.add(subscriber)
+        try:
+            while True:
+                message = await _frames.read_message(reader)
+                if isinstance(message, _messages.Report):
+                    subscriber.silent_at = None
+                    if message.is_store_silent:
+                        subscriber.silent_at = self._clock.read_boot()
+                    self._take_report(message)
+        except (OSError, EOFError, base.CodecError):
+            return
+        finally:
+            self._subscribers.discard(subscriber)
+            with contextlib.suppress(OSError):
+                writer.close()
+
+    def _make_beat(self) -> _messages.Beat:
+        return _messages.Beat(
+            term=self._term,
+            store_age_ms=self._get_store_age(),
+            fleet_size=self.fleet_size,
+        )
+
+    def _make_whole(self) -> _messages.Update:
+        return _messages.Update(
+            is_whole=True,
+            table=self._view.table,
+            servers=list(self._view.servers.values()),
+            segments={
+                name: list(owners.segments)
+                for name, owners in self._view.owners.items()
+            },
+        )
+
+    async def _send_beats(self) -> None:
+        while True:
+            frame = _frames.encode_frame(self._make_beat())
+            for subscriber in list(self._subscribers):
+                subscriber.send(frame)
+            await self._clock.sleep(BEAT_MS)
+
+    async def _send_changes(self) -> None:
+        self._note_sent()
+        while True:
+            await self._changed.wait()
+            await self._clock.sleep(GATHER_MS)
+            self._changed.clear()
+            update = self._make_update()
+            if update is not None:
+                frame = _frames.encode_frame(update)
+                for subscriber in list(self._subscribers):
+                    subscriber.send(frame)
+
+    def _note_sent(self) -> None:
+        if self._view.table is not None:
+            self._sent_table = self._view.table.version
+        self._sent_servers = dict(self._view.servers)
+        self._sent_owners = dict(self._view.owners)
+
+    def _make_update(self) -> _messages.Update | None:
+        """Return what differs from what was sent last."""
+        view = self._view
+        table = self._take_table()
+        servers = [
+            entry
+            for server, entry in view.servers.items()
+            if self._sent_servers.get(server) != entry
+        ]
+        gone = [s for s in self._sent_servers if s not in view.servers]
+        segments = {}
+        for name, owners in view.owners.items():
+            former = self._sent_owners.get(name)
+            known = set(former.segments) if former is not None else set()
+            changed = [s for s in owners.segments if s not in known]
+            if changed:
+                segments[name] = changed
+        self._sent_servers = dict(view.servers)
+        self._sent_owners = dict(view.owners)
+        if not (table or servers or gone or segments):
+            return None
+        return _messages.Update(
+            table=table, servers=servers, gone=gone, segments=segments
+        )
+
+    def _take_table(self) -> catalog.RoutingTable | None:
+        """Return a new version, at most one in `GATHER_TABLE_MS`."""
+        table = self._view.table
+        if table is None or table.version == self._sent_table:
+            return None
+        now = self._clock.now()
+        wait_ms = self._table_sent_at + GATHER_TABLE_MS - now
+        if self._sent_table is not None and wait_ms > 0:
+            asyncio.get_running_loop().call_later(
+                wait_ms / base.MS_PER_S, self._changed.set
+            )
+            return None
+        self._sent_table = table.version
+        self._table_sent_at = now
+        return table
--- /dev/null
+++ b/tarragonhinge/relay/_subscription.py
@@ -0,0 +1,176 @@
+"""An instance's side of the relay."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import contextlib
+import enum
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge import events
+from tarragonhinge.relay import _frames
+from tarragonhinge.relay import _hub
+from tarragonhinge.relay import _messages
+
+#: Silence after which the coordinator counts as lost: two beats and the
+#: delay of a link between regions.
+SILENCE_MS = 2 * _hub.BEAT_MS + 250
+
+#: Time to connect.
+CONNECT_MS = 700
+
+#: Interval of reports.
+REPORT_MS = 1_000
+
+#: Age of the coordinator's contact with the store from which an instance
+#: tries to reach the store itself.
+STORE_AGE_MS = 2_200
+
+
+class End(enum.Enum):
+    """Why a subscription ended."""
+
+    UNREACHABLE = "unreachable"
+    LOST = "lost"
+    DEPOSED = "deposed"
+    STORE_LOST = "store_lost"
+
+
+class Subscription:
+    """Takes what the coordinator passes on.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        Name of this instance.
+    address : Address
+        Where the coordinator listens.
+    view : View
+        What is kept up to date.
+    make_report : callable
+        Returns the next report.
+    reach_store : callable
+        Returns whether the store answers this instance.
+    on_update : callable
+        Called after each update.
+    log : EventLog
+        Where events are written.
+    clock : Clock
+        This process's clock.
+
+    Attributes
+    ----------
+    heard_at : int or None
+        When the coordinator was last heard of (boot time).
+    fleet_size : int
+        Number of instances, as the coordinator says.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: base.InstanceId,
+        address: base.Address,
+        view: catalog.View,
+        make_report: Callable[[], _messages.Report],
+        reach_store: Callable[[], Awaitable[bool]],
+        on_update: Callable[[], None],
+        log: events.EventLog,
+        clock: base.Clock,
+    ) -> None:
+        self._instance = instance
+        self._address = address
+        self._view = view
+        self._make_report = make_report
+        self._reach_store = reach_store
+        self._on_update = on_update
+        self._log = log
+        self._clock = clock
+        self._store_age_ms = 0
+        self._is_store_silent = False
+        self.heard_at: int | None = None
+        self.fleet_size = 1
+
+    async def run(self) -> End:
+        """Follow the coordinator; return why that ended."""
+        host, _, port = self._address.rpartition(":")
+        try:
+            async with asyncio.timeout(CONNECT_MS / base.MS_PER_S):
+                reader, writer = await asyncio.open_connection(host, int(port))
+        except (OSError, TimeoutError):
+            return End.UNREACHABLE
+        reporter = asyncio.create_task(self._send_reports(writer))
+        try:
+            writer.write(
+                _frames.encode_frame(_messages.Hello(instance=self._instance))
+            )
+            return await self._read(reader)
+        finally:
+            reporter.cancel()
+            with contextlib.suppress(OSError):
+                writer.transport.abort()
+
+    async def _read(self, reader: asyncio.StreamReader) -> End:
+        while True:
+            try:
+                async with asyncio.timeout(SILENCE_MS / base.MS_PER_S):
+                    message = await _frames.read_message(reader)
+            except (OSError, EOFError, TimeoutError, base.CodecError):
+                return End.LOST
+            if isinstance(message, _messages.Deposed):
+                return End.DEPOSED
+            self.heard_at = self._clock.read_boot()
+            if isinstance(message, _messages.Update):
+                self._apply(message)
+                self._on_update()
+            elif isinstance(message, _messages.Beat):
+                self.fleet_size = message.fleet_size
+                if await self._is_store_lost_there(message.store_age_ms):
+                    return End.STORE_LOST
+
+    async def _is_store_lost_there(self, age_ms: int) -> bool:
+        """Return whether only the coordinator has lost the store."""
+        if age_ms < STORE_AGE_MS:
+            self._is_store_silent = False
+            return False
+        reached = await self._reach_store()
+        self._is_store_silent = not reached
+        return reached
+
+    def _apply(self, update: _messages.Update) -> None:
+        table = update.table
+        if table is not None and self._view.set_table(table):
+            self._log.write(
+                events.TableInForce(
+                    version=table.version,
+                    routes=len(table.routes),
+                    source="coordinator",
+                )
+            )
+        if update.is_whole or update.servers or update.gone:
+            entries = {} if update.is_whole else dict(self._view.servers)
+            entries.update(catalog.index_servers(update.servers))
+            for server in update.gone:
+                entries.pop(server, None)
+            self._view.set_servers(entries)
+        for name, segments in update.segments.items():
+            owners = catalog.OwnerMap()
+            if not update.is_whole and name in self._view.owners:
+                owners = self._view.owners[name]
+            self._view.set_owners(name, owners.replace(segments))
+
+    async def _send_reports(self, writer: asyncio.StreamWriter) -> None:
+        while True:
+            await self._clock.sleep(REPORT_MS)
+            report = self._make_report()
+            if self._is_store_silent:
+                report = _replace_silent(report)
+            if report != _messages.Report():
+                writer.write(_frames.encode_frame(report))
+
+
+def _replace_silent(report: _messages.Report) -> _messages.Report:
+    return _messages.Report(
+        keys=report.keys, speeds=report.speeds, is_store_silent=True
+    )
--- a/tarragonhinge/servers/__init__.py
+++ b/tarragonhinge/servers/__init__.py
@@ -6,6 +6,7 @@
 from tarragonhinge.servers._dialect import LapsingDialect
 from tarragonhinge.servers._dialect import UncheckedDialect
 from tarragonhinge.servers._dialect import UntilTokenDialect
+from tarragonhinge.servers._fields import drop_hop_fields
 from tarragonhinge.servers._fields import HOP_HEADERS
 from tarragonhinge.servers._http import HttpServerClient
 from tarragonhinge.servers._messages import Fence
@@ -44,4 +45,5 @@
     "ServerRequest",
     "UncheckedDialect",
     "UntilTokenDialect",
+    "drop_hop_fields",
 ]
--- a/tarragonhinge/stores/__init__.py
+++ b/tarragonhinge/stores/__init__.py
@@ -8,6 +8,13 @@
 from tarragonhinge.stores._memory import MemoryObjects
 from tarragonhinge.stores._memory import MemoryTable
 from tarragonhinge.stores._objects import ObjectClient
+from tarragonhinge.stores._row_store import HistoryLost
+from tarragonhinge.stores._row_store import RowCheck
+from tarragonhinge.stores._row_store import RowPut
+from tarragonhinge.stores._row_store import RowStore
+from tarragonhinge.stores._row_store import Snapshot
+from tarragonhinge.stores._row_store import StoredRow
+from tarragonhinge.stores._row_store import WatchResult
 from tarragonhinge.stores._rows import Check
 from tarragonhinge.stores._rows import Committed
 from tarragonhinge.stores._rows import Conflict
@@ -24,6 +31,7 @@
     "Committed",
     "Committer",
     "Conflict",
+    "HistoryLost",
     "HttpObjectClient",
     "HttpTableClient",
     "MemoryObjects",
@@ -33,9 +41,15 @@
     "ReadRequest",
     "ReadResult",
     "Row",
+    "RowCheck",
+    "RowPut",
+    "RowStore",
+    "Snapshot",
+    "StoredRow",
     "TableClient",
     "TransactResult",
     "Transaction",
     "Unavailable",
+    "WatchResult",
     "make_write_id",
 ]
--- a/tarragonhinge/stores/_rows.py
+++ b/tarragonhinge/stores/_rows.py
@@ -60,7 +60,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Committed:
-    """The transaction took effect."""
+    """The transaction took effect.
+
+    Parameters
+    ----------
+    version : int
+        Version of the rows that were written, if the service tells it.
+    """
+
+    version: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tarragonhinge/testing/_clock.py
+++ b/tarragonhinge/testing/_clock.py
@@ -29,6 +29,10 @@
         seconds = asyncio.get_running_loop().time()
         return base.Millis(WALL_ORIGIN_MS + int(seconds * base.MS_PER_S))
 
+    def read_boot(self) -> base.Millis:
+        """Return the reading of manual time."""
+        return self.now()
+
     async def sleep(self, duration_ms: int) -> None:
         """Suspend the calling task, and longer while paused."""
         await super().sleep(duration_ms)
