--- a/tarragonhinge/ranges/_key_load.py
+++ b/tarragonhinge/ranges/_key_load.py
@@ -13,6 +13,10 @@
 #: Counts below this are forgotten.
 LEAST_COUNT = 0.02
 
+#: Requests a second over all keys that are assumed at least, so that
+#: ranges count by their width before any load is known.
+LEAST_TOTAL = 1.0
+
 #: Part of all requests that is taken to be spread over all keys, since
 #: most keys are requested too rarely to be counted.
 SPREAD_PART = 0.1
@@ -70,7 +74,8 @@
         self.total = sum(rates.values())
         counted = 1.0 - SPREAD_PART
         self.rates = [rates[key] * counted for key in self.keys]
-        self.floor = self.total * SPREAD_PART / catalog.KEY_COUNT
+        spread = max(LEAST_TOTAL, self.total * SPREAD_PART)
+        self.floor = spread / catalog.KEY_COUNT
         self._sums = [0.0]
         for rate in self.rates:
             self._sums.append(self._sums[-1] + rate)
--- a/tarragonhinge/ranges/_leader.py
+++ b/tarragonhinge/ranges/_leader.py
@@ -23,8 +23,7 @@
 #: Interval of plans for balance.
 PLAN_MS = 1_000
 
-#: Time from the first server on for which others are waited for before
-#: keys are divided among them.
+#: Time without a new server after which keys are first divided.
 GATHER_MS = 700
 
 #: Interval of merges.
@@ -195,7 +194,7 @@
         if not capacities:
             return
         now = self._clock.read_boot()
-        if now - min(self._seen_at.values()) < GATHER_MS:
+        if now - max(self._seen_at.values()) < GATHER_MS:
             return
         leases = []
         for first, last, server in _planner.divide_evenly(capacities):
--- a/tarragonhinge/ranges/_lease_book.py
+++ b/tarragonhinge/ranges/_lease_book.py
@@ -54,14 +54,15 @@
     ) -> list[_lease.Lease]:
         """Replace a lease by pieces of it; return them in order.
 
-        Keys of the lease that no piece covers stay together on either
-        side.
+        Keys of the lease that no piece covers stay in parts of their own.
         """
-        ranges = sorted(pieces)
-        if ranges[0][0] > lease.first:
-            ranges.insert(0, (lease.first, ranges[0][0] - 1))
-        if ranges[-1][1] < lease.last:
-            ranges.append((ranges[-1][1] + 1, lease.last))
+        ranges, first = [], lease.first
+        for piece in [*sorted(pieces), (lease.last + 1, lease.last)]:
+            if first < piece[0]:
+                ranges.append((first, piece[0] - 1))
+            if piece[0] <= piece[1]:
+                ranges.append(piece)
+            first = piece[1] + 1
         parts = [
             dataclasses.replace(lease, first=first, last=last)
             for first, last in ranges
