--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -27,8 +27,8 @@
 
 #: Silence, in multiples of the expected time and of the objective, after
 #: which an idempotent request is sent to another server.
-SILENCE_FACTOR = 3.0
-SILENCE_OBJECTIVES = 1.2
+SILENCE_FACTOR = 4.0
+SILENCE_OBJECTIVES = 1.6
 
 _NotRunCause = _outcomes.NotRunCause
 
@@ -247,16 +247,14 @@
             placed = await self._place(job)
             if isinstance(placed, _refusals.Refused):
                 return _refusals.conclude(job, failure, placed)
-            if job.sent and not self._budget(job).take(
-                instances=self.fleet_size
-            ):
+            if job.sent and not self._take_repeat(job):
                 return _refusals.conclude(
                     job, failure, _refusals.Refused.after_budget()
                 )
             link, expected_ms = placed
             began_at = self._clock.now()
             outcome = await self._sender.send(
-                job, link, silence_ms=self._compute_silence(job, expected_ms)
+                job, link, patience=self._make_patience(job, expected_ms)
             )
             if isinstance(outcome, _outcomes.Whole) and not outcome.failed:
                 return outcome.answer
@@ -266,14 +264,33 @@
             if not repeats:
                 return _refusals.conclude(job, outcome, None)
 
-    def _compute_silence(self, job: _job.Job, expected_ms: float) -> float:
-        """Return the time without an answer after which to try again."""
-        if not job.is_idempotent or job.key is not None:
-            return float(job.route.timeout_ms)
-        return max(
-            SILENCE_FACTOR * expected_ms,
-            SILENCE_OBJECTIVES * job.route.objective_ms,
-        )
+    def _take_repeat(self, job: _job.Job) -> bool:
+        """Pay for a repeat from the budget, unless that was done."""
+        if job.is_repeat_paid:
+            job.is_repeat_paid = False
+            return True
+        return self._budget(job).take(instances=self.fleet_size)
+
+    def _make_patience(
+        self, job: _job.Job, expected_ms: float
+    ) -> _sender.Patience:
+        """Return when to send a request to another server."""
+
+        def may_give_up() -> bool:
+            left_ms = job.ends_at - self._clock.now()
+            if left_ms < expected_ms or job.sent >= job.route.max_attempts:
+                return False
+            job.is_repeat_paid = self._take_repeat(job)
+            return job.is_repeat_paid
+
+        silence_ms = float(job.route.timeout_ms)
+        # Only its owner can answer for a key, so waiting on is best.
+        if job.is_idempotent and job.key is None:
+            silence_ms = max(
+                SILENCE_FACTOR * expected_ms,
+                SILENCE_OBJECTIVES * job.route.objective_ms,
+            )
+        return _sender.Patience(silence_ms=silence_ms, may_give_up=may_give_up)
 
     def _may_repeat(
         self, job: _job.Job, outcome: _outcomes.AttemptOutcome
--- a/tarragonhinge/gateway/_job.py
+++ b/tarragonhinge/gateway/_job.py
@@ -35,6 +35,8 @@
         Whether a server may have run it without an answer.
     tried : set
         Servers that failed it.
+    is_repeat_paid : bool
+        Whether the budget has paid for the next attempt.
     distrusted : tuple or None
         Holder and fencing token that refused its key.
     distrusted_until : int
@@ -51,6 +53,7 @@
     sent: int = 0
     may_have_run: bool = False
     tried: set[base.ServerId] = dataclasses.field(default_factory=set)
+    is_repeat_paid: bool = False
     distrusted: tuple[base.ServerId, int] | None = None
     distrusted_until: int = 0
 
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -1,6 +1,8 @@
 """Sends a request to one server and classifies what comes back."""
 
 import asyncio
+from collections.abc import Callable
+import dataclasses
 
 from tarragonhinge import base
 from tarragonhinge.gateway import _dialect
@@ -17,6 +19,23 @@
 LEAST_LEFT_MS = 5
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Patience:
+    """When a request is given up at one server for another.
+
+    Parameters
+    ----------
+    silence_ms : float
+        Time without an answer.
+    may_give_up : callable
+        Called then; whether it is sent to another server.  If not, the
+        answer is waited for to the end.
+    """
+
+    silence_ms: float
+    may_give_up: Callable[[], bool]
+
+
 class Sender:
     """Sends requests and learns from the answers.
 
@@ -35,7 +54,7 @@
         self._clock = clock
 
     async def send(
-        self, job: _job.Job, link: _links.ServerLink, *, silence_ms: float
+        self, job: _job.Job, link: _links.ServerLink, *, patience: Patience
     ) -> _outcomes.AttemptOutcome:
         """Send a request once.
 
@@ -48,13 +67,13 @@
             The request.
         link : ServerLink
             The server.
-        silence_ms : float
-            Time without an answer after which the attempt is given up.
+        patience : Patience
+            When to send the request elsewhere.
         """
         link.load.in_flight += 1
         sent_at = self._clock.now()
         try:
-            result = await self._exchange(job, link, silence_ms)
+            result = await self._exchange(job, link, patience)
         finally:
             link.load.in_flight -= 1
         if isinstance(result, http1.Answer):
@@ -62,7 +81,7 @@
         return result
 
     async def _exchange(
-        self, job: _job.Job, link: _links.ServerLink, silence_ms: float
+        self, job: _job.Job, link: _links.ServerLink, patience: Patience
     ) -> http1.Answer | _outcomes.NotRun | _outcomes.Lost:
         """Return the answer, or why there is none."""
         try:
@@ -76,33 +95,46 @@
             return _make_unsent("no time left")
         job.sent += 1
         keeps = False
+        exchange = asyncio.create_task(
+            connection.exchange(
+                self._make_request(job, link, left_ms),
+                recognize=lambda fields: self._is_own(job, fields),
+            )
+        )
         try:
-            async with asyncio.timeout(
-                min(left_ms, silence_ms) / base.MS_PER_S
-            ):
-                answer = await connection.exchange(
-                    self._make_request(job, link, left_ms),
-                    recognize=lambda fields: self._is_own(job, fields),
-                )
+            cause = await self._wait(exchange, left_ms, patience)
+            if cause is not None:
+                link.load.record_silence()
+                return _outcomes.Lost(cause=cause)
+            answer = exchange.result()
             keeps = not answer.closes
             return answer
-        except TimeoutError:
-            link.load.record_silence()
-            cause = _outcomes.LostCause.SILENT
-            if left_ms <= silence_ms:
-                cause = _outcomes.LostCause.TIMEOUT
-            return _outcomes.Lost(cause=cause)
         except http1.ExchangeError as error:
             link.load.record_silence()
             return _outcomes.Lost(
                 cause=_outcomes.LostCause.BROKEN, detail=error.problem
             )
         finally:
+            exchange.cancel()
             if keeps:
                 link.pool.give_back(connection)
             else:
                 link.pool.drop(connection)
 
+    async def _wait(
+        self, exchange: asyncio.Task, left_ms: int, patience: Patience
+    ) -> _outcomes.LostCause | None:
+        """Return None once an exchange has ended, or why it is given up."""
+        if patience.silence_ms < left_ms:
+            await asyncio.wait(
+                [exchange], timeout=patience.silence_ms / base.MS_PER_S
+            )
+            if not exchange.done() and patience.may_give_up():
+                return _outcomes.LostCause.SILENT
+            left_ms -= patience.silence_ms
+        await asyncio.wait([exchange], timeout=left_ms / base.MS_PER_S)
+        return None if exchange.done() else _outcomes.LostCause.TIMEOUT
+
     def _is_own(self, job: _job.Job, fields: http1.FieldList) -> bool:
         """Return whether an answer may belong to a request."""
         attempt = self._dialect.read_answer(dict(fields)).attempt
