Merge neighbouring leases before a renewal of either can begin

The merge was carried out in a task of its own; a renewal that began before it was copied into the merged lease and never cleared, so nothing renewed the lease. Change: the merge is made at once; cut and merged leases start without a renewal.

--- a/benchmarks/neighbours.py
+++ b/benchmarks/neighbours.py
@@ -13,7 +13,6 @@
 
 from tarragonhinge import base
 from tarragonhinge import http1
-from tarragonhinge import demo
 from tarragonhinge import membership
 from tarragonhinge import standins
 
--- a/tarragonhinge/ranges/_leader.py
+++ b/tarragonhinge/ranges/_leader.py
@@ -332,13 +332,12 @@
         """Join neighbours of one holder, so that fewer are renewed."""
         for left, right in self._book.list_mergeable():
             if self._renewer.find_holder(left) is not None:
-                self._group.create_task(self._merge_two(left, right))
+                # At once, before a renewal of either can begin.
+                merged = self._book.merge(left, right)
+                merged.renew_at = self._clock.read_boot() + _renewer.RENEW_MS
+                self._group.create_task(self._settle_merged(merged))
 
-    async def _merge_two(
-        self, left: _lease.Lease, right: _lease.Lease
-    ) -> None:
-        merged = self._book.merge(left, right)
-        merged.renew_at = self._clock.read_boot() + _renewer.RENEW_MS
+    async def _settle_merged(self, merged: _lease.Lease) -> None:
         await self._renewer.refence(merged)
         merged.renew_at = self._clock.read_boot()
         self._book.publish()
--- a/tarragonhinge/ranges/_lease_book.py
+++ b/tarragonhinge/ranges/_lease_book.py
@@ -64,7 +64,7 @@
                 ranges.append(piece)
             first = piece[1] + 1
         parts = [
-            dataclasses.replace(lease, first=first, last=last)
+            dataclasses.replace(lease, first=first, last=last, renewal=None)
             for first, last in ranges
         ]
         self.leases.remove(lease)
@@ -78,6 +78,7 @@
             left,
             last=right.last,
             arrived_by=max(left.arrived_by, right.arrived_by),
+            renewal=None,
         )
         self.leases.remove(left)
         self.leases.remove(right)
--- /dev/null
+++ b/tarragonhinge/ranges/tests/leading.py
@@ -0,0 +1,137 @@
+"""A service whose keys are led by real modules on manual time."""
+
+import asyncio
+import contextlib
+import os
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge import events
+from tarragonhinge import ranges
+from tarragonhinge import stores
+from tarragonhinge import testing
+
+SERVICE = base.ServiceName("balances")
+
+CLAIM = stores.RowPut(table="claims", key="coordinator", value=b"")
+
+
+def make_log(clock):
+    """Return a log that nobody reads."""
+    descriptor = os.open(os.devnull, os.O_WRONLY)
+    return events.EventLog(
+        instance=base.InstanceId("i1"), clock=clock, descriptor=descriptor
+    )
+
+
+class LedService:
+    """Servers, a store, and one leader at a time."""
+
+    def __init__(self, *, servers=4):
+        self.clock = testing.ManualClock()
+        self.rows = testing.MemoryRows()
+        self.fleet = testing.KeyFleet(clock=self.clock)
+        self.view = catalog.View()
+        self.log = make_log(self.clock)
+        self.leader = None
+        self.task = None
+        self.term = 0
+        self._born = 0
+        for number in range(servers):
+            self.start_server(f"s{number}")
+
+    def start_server(self, name, *, address=None):
+        self._born += 1
+        entry = catalog.ServerEntry(
+            server=base.ServerId(name),
+            service=SERVICE,
+            address=base.Address(address or f"10.0.0.{name[1:]}:80"),
+            zone=base.ZoneName("z"),
+            slots=2,
+            born_ms=self._born,
+        )
+        self.fleet.start(entry)
+        self.list_entry(entry)
+        return entry
+
+    def list_entry(self, entry):
+        self.view.set_servers({**self.view.servers, entry.server: entry})
+
+    def drop_entry(self, name):
+        entries = dict(self.view.servers)
+        entries.pop(name, None)
+        self.view.set_servers(entries)
+
+    def find_server(self, name):
+        return next(
+            s for s in reversed(self.fleet.servers) if s.entry.server == name
+        )
+
+    def put_record(self, segments, *, next_fence):
+        """Store a record as a former leader would have left it."""
+        record = ranges.RangeRecord(
+            term=base.Term(0), next_fence=next_fence, segments=segments
+        )
+        put = stores.RowPut(
+            table=ranges.TABLE,
+            key=SERVICE,
+            value=ranges.encode_record(record),
+        )
+        self.rows.apply([], [put])
+
+    def make_leader(self):
+        """Claim, and return a leader with its store and its grants."""
+        self.term += 1
+        row = self.rows.rows.get((CLAIM.table, CLAIM.key))
+        self.rows.apply(
+            [
+                stores.RowCheck(
+                    table=CLAIM.table,
+                    key=CLAIM.key,
+                    version=row.version if row else 0,
+                )
+            ],
+            [CLAIM],
+        )
+        store = testing.MemoryRowStore(rows=self.rows, clock=self.clock)
+        grants = testing.MemoryGrants(fleet=self.fleet, clock=self.clock)
+        condition = stores.RowCheck(
+            table=CLAIM.table, key=CLAIM.key, version=self.rows.version
+        )
+        leader = ranges.RangeLeader(
+            service=SERVICE,
+            recorder=ranges.RangeRecorder(
+                store=store,
+                service=SERVICE,
+                term=base.Term(self.term),
+                condition=condition,
+                clock=self.clock,
+            ),
+            view=self.view,
+            grants=grants,
+            get_store_age=lambda: 0,
+            may_renew=lambda: True,
+            inherited_until=self.clock.now() + 3_000,
+            log=self.log,
+            clock=self.clock,
+        )
+        return leader, store, grants
+
+    def start_leader(self):
+        self.leader, self.store, self.grants = self.make_leader()
+        self.task = asyncio.create_task(self.leader.run())
+        return self.leader
+
+    async def stop_leader(self):
+        self.task.cancel()
+        with contextlib.suppress(asyncio.CancelledError, BaseExceptionGroup):
+            await self.task
+
+    async def run_for(self, duration_ms, *, step_ms=50):
+        """Let time pass, and check ownership all the while."""
+        ends_at = self.clock.now() + duration_ms
+        while self.clock.now() < ends_at:
+            await self.clock.sleep(step_ms)
+            self.fleet.check()
+            if self.task is not None and self.task.done():
+                raise AssertionError(self.task.exception())
--- a/tarragonhinge/testing/__init__.py
+++ b/tarragonhinge/testing/__init__.py
@@ -13,6 +13,9 @@
 from tarragonhinge.testing._faults import make_key
 from tarragonhinge.testing._faults import RECOVERIES
 from tarragonhinge.testing._faults import REQUESTS
+from tarragonhinge.testing._key_servers import KeyFleet
+from tarragonhinge.testing._key_servers import KeyServer
+from tarragonhinge.testing._key_servers import MemoryGrants
 from tarragonhinge.testing._load import OpenLoad
 from tarragonhinge.testing._load import Sample
 from tarragonhinge.testing._loop import ManualLoop
@@ -26,6 +29,9 @@
 from tarragonhinge.testing._probe import Probe
 from tarragonhinge.testing._probe import Sighting
 from tarragonhinge.testing._probe import Stage
+from tarragonhinge.testing._row_store import MemoryRows
+from tarragonhinge.testing._row_store import MemoryRowStore
+from tarragonhinge.testing._row_store import StoreFaults
 from tarragonhinge.testing._servers import HEADER_ATTEMPT
 from tarragonhinge.testing._servers import make_client_factory
 from tarragonhinge.testing._servers import MemoryServer
@@ -46,10 +52,15 @@
     "Deployment",
     "FaultDriver",
     "FaultyTable",
+    "KeyFleet",
+    "KeyServer",
     "ManualClock",
     "ManualLoop",
+    "MemoryGrants",
     "MemoryInstanceList",
     "MemoryNetwork",
+    "MemoryRowStore",
+    "MemoryRows",
     "MemoryServer",
     "MemoryServerClient",
     "MemoryTransport",
@@ -62,6 +73,7 @@
     "Sample",
     "Sighting",
     "Stage",
+    "StoreFaults",
     "find_sent_to",
     "make_client_factory",
     "make_key",
--- /dev/null
+++ b/tarragonhinge/testing/_row_store.py
@@ -0,0 +1,173 @@
+"""Row store in memory, with the faults of the platform's store."""
+
+import asyncio
+from collections.abc import Sequence
+import dataclasses
+
+from tarragonhinge import base
+from tarragonhinge import stores
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class StoreFaults:
+    """What is wrong with the store for one client.
+
+    Parameters
+    ----------
+    is_down : bool
+        Whether no call is answered or carried out.
+    loses_answers : bool
+        Whether writes are carried out and not answered.
+    late_ms : int
+        Delay after which unanswered writes are carried out, if their
+        condition still holds; 0 for at once.
+    delay_ms : int
+        Time that each call takes.
+    """
+
+    is_down: bool = False
+    loses_answers: bool = False
+    late_ms: int = 0
+    delay_ms: int = 4
+
+
+class MemoryRows:
+    """The rows that all clients share."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], stores.StoredRow] = {}
+        self.version = 0
+        self._changed = asyncio.Event()
+
+    def apply(
+        self,
+        checks: Sequence[stores.RowCheck],
+        puts: Sequence[stores.RowPut],
+        drops: Sequence[tuple[str, str]] = (),
+    ) -> bool:
+        """Carry out a transaction if all its checks hold."""
+        for check in checks:
+            row = self.rows.get((check.table, check.key))
+            present = row.version if row and not row.dropped else 0
+            if present != check.version:
+                return False
+        self.version += 1
+        for put in puts:
+            self.rows[put.table, put.key] = stores.StoredRow(
+                table=put.table,
+                key=put.key,
+                value=put.value,
+                version=self.version,
+            )
+        for table, key in drops:
+            self.rows[table, key] = stores.StoredRow(
+                table=table, key=key, version=self.version, dropped=True
+            )
+        self._changed.set()
+        self._changed = asyncio.Event()
+        return True
+
+    def list_rows(
+        self, table: str, *, after: int = -1
+    ) -> tuple[stores.StoredRow, ...]:
+        """Return the rows of a table that changed after a version."""
+        return tuple(
+            row
+            for row in self.rows.values()
+            if row.table == table and row.version > after
+        )
+
+    async def wait_change(self, wait_ms: int) -> None:
+        """Return after the next transaction or the wait."""
+        try:
+            async with asyncio.timeout(wait_ms / base.MS_PER_S):
+                await self._changed.wait()
+        except TimeoutError:
+            return
+
+
+class MemoryRowStore(stores.RowStore):
+    """One client's access to shared rows.
+
+    Parameters
+    ----------
+    rows : MemoryRows
+        The rows.
+    clock : Clock
+        The client's clock.
+
+    Attributes
+    ----------
+    faults : StoreFaults
+        What is wrong at present.
+    """
+
+    #: Time after which a call without an answer fails.
+    TIMEOUT_MS = 900
+
+    def __init__(self, *, rows: MemoryRows, clock: base.Clock) -> None:
+        self._rows = rows
+        self._clock = clock
+        self._late: set[asyncio.Task] = set()
+        self.faults = StoreFaults()
+
+    async def _reach(self) -> bool:
+        await self._clock.sleep(self.faults.delay_ms)
+        if self.faults.is_down:
+            await self._clock.sleep(self.TIMEOUT_MS)
+            return False
+        return True
+
+    async def read(self, table: str) -> stores.Snapshot | stores.Unavailable:
+        """Return all rows of a table."""
+        if not await self._reach():
+            return stores.Unavailable()
+        rows = [r for r in self._rows.list_rows(table) if not r.dropped]
+        return stores.Snapshot(rows=tuple(rows), version=self._rows.version)
+
+    async def watch(
+        self, table: str, *, after: int, wait_ms: int
+    ) -> stores.WatchResult:
+        """Return the changes of a table after a version."""
+        if not await self._reach():
+            return stores.Unavailable()
+        ends_at = self._clock.now() + wait_ms
+        while not (rows := self._rows.list_rows(table, after=after)):
+            left_ms = ends_at - self._clock.now()
+            if left_ms <= 0:
+                break
+            await self._rows.wait_change(left_ms)
+            if self.faults.is_down:
+                await self._clock.sleep(self.TIMEOUT_MS)
+                return stores.Unavailable()
+        return stores.Snapshot(rows=rows, version=self._rows.version)
+
+    async def write(
+        self,
+        *,
+        checks: Sequence[stores.RowCheck],
+        puts: Sequence[stores.RowPut],
+    ) -> stores.TransactResult:
+        """Write rows together if all checks hold."""
+        if not await self._reach():
+            return stores.Unavailable(maybe_written=True)
+        if self.faults.loses_answers:
+            if self.faults.late_ms:
+                task = asyncio.create_task(self._apply_late(checks, puts))
+                self._late.add(task)
+                task.add_done_callback(self._late.discard)
+            else:
+                self._rows.apply(checks, puts)
+            await self._clock.sleep(self.TIMEOUT_MS)
+            return stores.Unavailable(maybe_written=True)
+        if self._rows.apply(checks, puts):
+            return stores.Committed(version=self._rows.version)
+        return stores.Conflict()
+
+    async def _apply_late(
+        self,
+        checks: Sequence[stores.RowCheck],
+        puts: Sequence[stores.RowPut],
+    ) -> None:
+        await self._clock.sleep(self.faults.late_ms)
+        self._rows.apply(checks, puts)
