--- a/benchmarks/neighbours.py
+++ b/benchmarks/neighbours.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from tarragonhinge import base
+from tarragonhinge import demo
 from tarragonhinge import http1
 from tarragonhinge import membership
 from tarragonhinge import standins
--- a/tarragonhinge/ranges/tests/test_leader.py
+++ b/tarragonhinge/ranges/tests/test_leader.py
@@ -159,6 +159,8 @@
             for first, fence in ((0, 1), (32_768, 2))
         ]
         site.put_record(halves, next_fence=3)
+        # Long enough for the first look of the leader to merge.
+        await site.run_for(5_000)
         site.start_leader()
         await site.run_for(2_000)
         assert len(site.view.owners[leading.SERVICE].segments) == 1
