Bind grants to the process that holds the keys

Change: renewals go over one kept connection to each holder; where it is new, a higher fencing token is recorded first. A new incarnation is asked to release too.

--- a/tarragonhinge/platform/_grants.py
+++ b/tarragonhinge/platform/_grants.py
@@ -1,4 +1,4 @@
-"""Grants of key ranges to backend servers over HTTP."""
+"""Orders to backend servers that hold keys, over HTTP."""
 
 import asyncio
 
@@ -6,31 +6,58 @@
 import msgspec
 
 from tarragonhinge import base
+from tarragonhinge import http1
 from tarragonhinge import ranges
 
 _ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 _HANDOVER = "Tarragonhinge-Duty-Handover"
+# Makes any other server at the address refuse the order.
+_EXPECT = "Tarragonhinge-Expect-Instance"
 
 #: Bound on a grant; renewals are three times as frequent as needed.
 GRANT_TIMEOUT_MS = 700
 
+#: Time to open a connection.
+CONNECT_TIMEOUT_MS = 500
 
-class PlatformGrants(ranges.GrantClient):
-    """Tells servers which keys they hold."""
+
+class _Line:
+    """The kept connection to one holder, one grant at a time."""
 
     def __init__(self) -> None:
+        self.lock = asyncio.Lock()
+        self.connection: http1.ServerConnection | None = None
+
+    def is_open(self) -> bool:
+        return self.connection is not None and self.connection.is_reusable()
+
+    def close(self) -> None:
+        if self.connection is not None:
+            self.connection.close()
+            self.connection = None
+
+
+class PlatformGrants(ranges.GrantClient):
+    """Tells servers which keys they hold.
+
+    Parameters
+    ----------
+    clock : Clock
+        This process's clock.
+    """
+
+    def __init__(self, *, clock: base.Clock) -> None:
+        self._clock = clock
+        self._lines: dict[ranges.Holder, _Line] = {}
         self._session: aiohttp.ClientSession | None = None
 
-    def _open(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=4),
-                skip_auto_headers=["User-Agent", "Accept", "Accept-Encoding"],
-            )
-        return self._session
+    def is_connected(self, holder: ranges.Holder) -> bool:
+        """Return whether the next grant goes over a kept connection."""
+        line = self._lines.get(holder)
+        return line is not None and (line.lock.locked() or line.is_open())
 
     async def grant(
-        self, address: base.Address, grant: ranges.Grant
+        self, holder: ranges.Holder, grant: ranges.Grant
     ) -> ranges.GrantResult:
         """Grant a range, or renew it."""
         body = {
@@ -42,17 +69,65 @@
         }
         if grant.handover:
             body["handoff"] = grant.handover
-        status, _ = await self._post(
-            address, "grant", body, timeout_ms=GRANT_TIMEOUT_MS
-        )
+        line = self._lines.setdefault(holder, _Line())
+        was_connected = self.is_connected(holder)
+        async with line.lock:
+            if was_connected and not line.is_open():
+                # The token may be of the process that has ended.
+                return ranges.GrantResult.UNKNOWN
+            status = await self._send(line, holder, body)
         if status == 200:
             return ranges.GrantResult.HELD
         if status == 409:
             return ranges.GrantResult.FENCED
         return ranges.GrantResult.UNKNOWN
 
+    async def _send(
+        self, line: _Line, holder: ranges.Holder, body: dict
+    ) -> int:
+        """Return the status of a grant, 0 without an answer."""
+        keeps = False
+        try:
+            async with asyncio.timeout(GRANT_TIMEOUT_MS / base.MS_PER_S):
+                if not line.is_open():
+                    line.close()
+                    pipe = await http1.connect(
+                        holder.address, timeout_ms=CONNECT_TIMEOUT_MS
+                    )
+                    line.connection = http1.ServerConnection(
+                        pipe=pipe, clock=self._clock
+                    )
+                answer = await line.connection.exchange(
+                    http1.Request(
+                        method="POST",
+                        target="/tarragonhinge/grant",
+                        fields=[
+                            ("host", holder.address),
+                            ("content-type", "application/json"),
+                            (_EXPECT, holder.server),
+                        ],
+                        body=msgspec.json.encode(body),
+                    ),
+                    recognize=lambda _: True,
+                )
+            keeps = not answer.closes
+            return answer.status
+        except (TimeoutError, OSError, http1.ExchangeError):
+            return 0
+        finally:
+            if not keeps:
+                line.close()
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=4),
+                skip_auto_headers=["User-Agent", "Accept", "Accept-Encoding"],
+            )
+        return self._session
+
     async def release(
-        self, address: base.Address, release: ranges.Release, *, wait_ms: int
+        self, holder: ranges.Holder, release: ranges.Release, *, wait_ms: int
     ) -> str | None:
         """Take a range back; return the handover once its work ended."""
         body = {
@@ -60,29 +135,30 @@
             "to": release.last,
             "fence": release.fence,
         }
-        status, handover = await self._post(
-            address, "release", body, timeout_ms=wait_ms
-        )
-        return handover if status == 200 else None
-
-    async def _post(
-        self, address: base.Address, call: str, body: dict, *, timeout_ms: int
-    ) -> tuple[int, str]:
-        """Return the status, 0 without an answer, and the handover."""
-        timeout = aiohttp.ClientTimeout(total=timeout_ms / base.MS_PER_S)
+        timeout = aiohttp.ClientTimeout(total=wait_ms / base.MS_PER_S)
         try:
             async with self._open().post(
-                f"http://{address}/tarragonhinge/{call}",
+                f"http://{holder.address}/tarragonhinge/release",
                 data=msgspec.json.encode(body),
-                headers={"Content-Type": "application/json"},
+                headers={
+                    "Content-Type": "application/json",
+                    _EXPECT: holder.server,
+                },
                 timeout=timeout,
             ) as answer:
                 await answer.read()
-                return answer.status, answer.headers.get(_HANDOVER, "")
+                if answer.status == 421:
+                    # Another server has the address: the holder ended.
+                    return ""
+                if answer.status != 200:
+                    return None
+                return answer.headers.get(_HANDOVER, "")
         except _ERRORS:
-            return 0, ""
+            return None
 
     async def close(self) -> None:
         """Release connections."""
+        for line in self._lines.values():
+            line.close()
         if self._session is not None:
             await self._session.close()
--- a/tarragonhinge/platform/_run.py
+++ b/tarragonhinge/platform/_run.py
@@ -53,7 +53,7 @@
         self.log = events.EventLog(instance=options.instance, clock=clock)
         self._view = catalog.View()
         self._store = _row_store.PlatformStore(address=options.store)
-        self._grants = _grants.PlatformGrants()
+        self._grants = _grants.PlatformGrants(clock=clock)
         self.gateway = gateway.Gateway(
             options=options,
             view=self._view,
--- a/tarragonhinge/ranges/__init__.py
+++ b/tarragonhinge/ranges/__init__.py
@@ -3,6 +3,7 @@
 from tarragonhinge.ranges._grants import Grant
 from tarragonhinge.ranges._grants import GrantClient
 from tarragonhinge.ranges._grants import GrantResult
+from tarragonhinge.ranges._grants import Holder
 from tarragonhinge.ranges._grants import Release
 from tarragonhinge.ranges._key_load import KeyLoad
 from tarragonhinge.ranges._key_load import LoadProfile
@@ -26,6 +27,7 @@
     "Grant",
     "GrantClient",
     "GrantResult",
+    "Holder",
     "KeyLoad",
     "LeadershipLostError",
     "LoadProfile",
--- a/tarragonhinge/ranges/_grants.py
+++ b/tarragonhinge/ranges/_grants.py
@@ -48,6 +48,22 @@
     fence: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Holder:
+    """Where orders to a server go.
+
+    Parameters
+    ----------
+    server : ServerId
+        Its id.
+    address : Address
+        Where it listens.
+    """
+
+    server: base.ServerId
+    address: base.Address
+
+
 class GrantResult(enum.Enum):
     """How a grant ended."""
 
@@ -60,12 +76,21 @@
     """Delivers grants and releases to servers."""
 
     @abc.abstractmethod
-    async def grant(self, address: base.Address, grant: Grant) -> GrantResult:
+    def is_connected(self, holder: Holder) -> bool:
+        """Return whether the next grant goes over a kept connection.
+
+        A connection ends with the process that it leads to.  So while
+        it is kept, no other server and no other incarnation can take
+        the holder's place unnoticed.
+        """
+
+    @abc.abstractmethod
+    async def grant(self, holder: Holder, grant: Grant) -> GrantResult:
         """Grant a range, or renew it."""
 
     @abc.abstractmethod
     async def release(
-        self, address: base.Address, release: Release, *, wait_ms: int
+        self, holder: Holder, release: Release, *, wait_ms: int
     ) -> str | None:
         """Take a range back.
 
--- a/tarragonhinge/ranges/_mover.py
+++ b/tarragonhinge/ranges/_mover.py
@@ -159,14 +159,13 @@
     async def _take_back(self, lease: _lease.Lease, fence: int) -> str | None:
         """Return once the holder surely holds the keys no more."""
         while True:
+            # A new incarnation is asked too: the last grants may have
+            # reached it before its entry did.
             entry = self._view.servers.get(lease.server)
-            if entry is not None and entry.born_ms != lease.born_ms:
-                # A new incarnation holds nothing of the former one's.
-                return None
             address = self._find_address(lease, entry)
             if address is not None:
                 handover = await self._grants.release(
-                    address,
+                    _grants.Holder(server=lease.server, address=address),
                     _grants.Release(
                         first=lease.first, last=lease.last, fence=fence
                     ),
--- a/tarragonhinge/ranges/_renewer.py
+++ b/tarragonhinge/ranges/_renewer.py
@@ -106,6 +106,7 @@
 
     async def _renew(self, lease: _lease.Lease) -> None:
         try:
+            await self._refence_unless_connected(lease)
             result = await self.grant_once(lease)
             now = self._clock.read_boot()
             if result is _grants.GrantResult.HELD:
@@ -118,6 +119,19 @@
         finally:
             lease.renewal = None
 
+    async def _refence_unless_connected(self, lease: _lease.Lease) -> None:
+        """Take a new fencing token where another server may answer.
+
+        Over a new connection a grant may reach another incarnation, or
+        another server at the holder's address, which must not get keys
+        with a fencing token that the holder had.
+        """
+        entry = self.find_holder(lease)
+        if entry is not None and not self._grants.is_connected(
+            _make_holder(entry)
+        ):
+            await self.refence(lease)
+
     async def grant_once(
         self, lease: _lease.Lease, *, handover: str = ""
     ) -> _grants.GrantResult:
@@ -128,7 +142,7 @@
         lease.address = entry.address
         try:
             result = await self._grants.grant(
-                entry.address,
+                _make_holder(entry),
                 _grants.Grant(
                     first=lease.first,
                     last=lease.last,
@@ -156,3 +170,7 @@
         """Record a higher fencing token for the same holder."""
         lease.fence = self._recorder.take_fence()
         await self._recorder.commit([lease.make_segment()])
+
+
+def _make_holder(entry: catalog.ServerEntry) -> _grants.Holder:
+    return _grants.Holder(server=entry.server, address=entry.address)
--- a/tarragonhinge/ranges/tests/test_leader.py
+++ b/tarragonhinge/ranges/tests/test_leader.py
@@ -170,3 +170,27 @@
         _check(site)
 
     testing.run_manual(run())
+
+
+@pytest.mark.parametrize("moment_ms", range(0, 1_400, 100))
+@pytest.mark.parametrize("name", ["s1", "s9"])
+def test_restart_at_the_address_of_the_holder(name, moment_ms):
+    """A renewal that reaches the successor bears a new fencing token."""
+
+    async def run():
+        site = leading.LedService()
+        await _settle(site)
+        await site.run_for(moment_ms)
+        known = dict(site.view.servers)
+        address = known["s1"].address
+        entry = site.start_server(name, address=address)
+        site.view.set_servers(known)
+        # The store learns of the new server a heartbeat later.
+        await site.run_for(1_500)
+        site.drop_entry("s1")
+        site.list_entry(entry)
+        await site.run_for(8_000)
+        assert site.fleet.count_unheld() == 0
+        _check(site)
+
+    testing.run_manual(run())
--- a/tarragonhinge/testing/_key_servers.py
+++ b/tarragonhinge/testing/_key_servers.py
@@ -128,6 +128,7 @@
         self._clock = clock
         self.servers: list[KeyServer] = []
         self.violations: list[str] = []
+        self._taken: list[tuple[int, int, int, KeyServer]] = []
 
     def start(self, entry: catalog.ServerEntry) -> KeyServer:
         """Start a server; one that had the address has ended."""
@@ -158,6 +159,18 @@
                     f"{self._clock.now()}: {left} and {right}"
                 )
 
+    def note_taken(self, server: KeyServer, grant: ranges.Grant) -> None:
+        """Check a grant's fencing token against those of other servers."""
+        for first, last, fence, other in self._taken:
+            overlaps = first <= grant.last and grant.first <= last
+            if other is not server and overlaps and fence >= grant.fence:
+                self.violations.append(
+                    f"{self._clock.now()}: {server.entry.server} took "
+                    f"{grant.first}-{grant.last} with {grant.fence}, "
+                    f"{other.entry.server} had {fence}"
+                )
+        self._taken.append((grant.first, grant.last, grant.fence, server))
+
     def count_unheld(self) -> int:
         """Return how many keys no server holds."""
         held = sum(
@@ -189,8 +202,15 @@
         self._fleet = fleet
         self._clock = clock
         self._late: set[asyncio.Task] = set()
+        self._lines: dict[base.Address, KeyServer] = {}
         self.is_cut_off = False
 
+    def is_connected(self, holder: ranges.Holder) -> bool:
+        """Return whether the same process answered the last grant."""
+        server = self._fleet.find(holder.address)
+        line = self._lines.get(holder.address)
+        return server is not None and line is server
+
     def _find(self, address: base.Address) -> KeyServer | None:
         server = self._fleet.find(address)
         if server is None or self.is_cut_off or server.faults.is_silent:
@@ -198,17 +218,23 @@
         return server
 
     async def grant(
-        self, address: base.Address, grant: ranges.Grant
+        self, holder: ranges.Holder, grant: ranges.Grant
     ) -> ranges.GrantResult:
         """Grant a range, or renew it."""
         await self._clock.sleep(self.TRAVEL_MS)
-        server = self._find(address)
+        server = self._find(holder.address)
+        if self._lines.pop(holder.address, server) is not server:
+            # The kept connection led to a process that has ended.
+            return ranges.GrantResult.UNKNOWN
         if server is None or server.faults.late_ms:
             if server is not None:
                 self._apply_late(server, grant)
             await self._clock.sleep(self.TIMEOUT_MS)
             return ranges.GrantResult.UNKNOWN
+        self._lines[holder.address] = server
         result = server.apply_grant(grant, arrived_at=self._clock.now())
+        if result is ranges.GrantResult.HELD:
+            self._fleet.note_taken(server, grant)
         self._fleet.check()
         await self._clock.sleep(self.TRAVEL_MS)
         return result
@@ -227,11 +253,11 @@
         task.add_done_callback(self._late.discard)
 
     async def release(
-        self, address: base.Address, release: ranges.Release, *, wait_ms: int
+        self, holder: ranges.Holder, release: ranges.Release, *, wait_ms: int
     ) -> str | None:
         """Take a range back."""
         await self._clock.sleep(self.TRAVEL_MS)
-        server = self._find(address)
+        server = self._find(holder.address)
         if server is None or server.faults.late_ms:
             await self._clock.sleep(wait_ms)
             return None
