Plan beyond a server that one key fills, and leave such a key alone

Change: the next busiest server is looked at; a key that fills its server is left alone on a fast one; a move brings a server to the mean and no further, and nothing is moved on within one plan.

--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -19,7 +19,7 @@
 TICK_MS = 100
 
 #: Interval of the coordinator's own reports.
-REPORT_MS = 1_000
+REPORT_MS = 500
 
 
 class Coordinator:
--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -5,6 +5,7 @@
 from tarragonhinge.events._beliefs import GrantFailed
 from tarragonhinge.events._beliefs import LeadershipChanged
 from tarragonhinge.events._beliefs import LinesDropped
+from tarragonhinge.events._beliefs import Planned
 from tarragonhinge.events._beliefs import Readiness
 from tarragonhinge.events._beliefs import Reloaded
 from tarragonhinge.events._beliefs import RowIgnored
@@ -37,6 +38,7 @@
     "LeadershipChanged",
     "LinesDropped",
     "Placed",
+    "Planned",
     "Readiness",
     "Received",
     "Reloaded",
--- a/tarragonhinge/events/_beliefs.py
+++ b/tarragonhinge/events/_beliefs.py
@@ -100,6 +100,19 @@
     reason: str
 
 
+class Planned(_event.Event, frozen=True, kw_only=True, tag="planned"):
+    """Loads were compared, and moves planned where they pay."""
+
+    service: str
+    requests_per_s: float
+    busiest: str
+    use: float
+    mean_use: float
+    service_ms: int
+    mean_service_ms: int
+    moves: int
+
+
 class GrantFailed(_event.Event, frozen=True, kw_only=True, tag="grant_failed"):
     """A grant was refused or not answered."""
 
--- a/tarragonhinge/ranges/_key_load.py
+++ b/tarragonhinge/ranges/_key_load.py
@@ -8,7 +8,10 @@
 from tarragonhinge import catalog
 
 #: Time after which a request counts half.
-HALF_LIFE_MS = 3_000
+HALF_LIFE_MS = 2_000
+
+#: Age of the first count below which rates are not scaled up further.
+LEAST_AGE_MS = 1_000
 
 #: Counts below this are forgotten.
 LEAST_COUNT = 0.02
@@ -35,10 +38,13 @@
         self._clock = clock
         self._counts: dict[int, float] = {}
         self._faded_at = clock.now()
+        self._begun_at: int | None = None
 
     def add(self, keys: Iterable[int]) -> None:
         """Count requests."""
         counts = self._counts
+        if self._begun_at is None:
+            self._begun_at = self._clock.now()
         for key in keys:
             counts[key] = counts.get(key, 0.0) + 1.0
 
@@ -53,9 +59,17 @@
             if count * factor > LEAST_COUNT
         }
 
+    def _compute_filling(self) -> float:
+        """Return the part of the memory that has filled since the start."""
+        if self._begun_at is None:
+            return 1.0
+        age_ms = max(LEAST_AGE_MS, self._clock.now() - self._begun_at)
+        return 1 - 0.5 ** (age_ms / HALF_LIFE_MS)
+
     def make_profile(self) -> "LoadProfile":
         """Return the rates as they are now."""
         per_s = math.log(2) / HALF_LIFE_MS * base.MS_PER_S
+        per_s /= self._compute_filling()
         rates = {key: count * per_s for key, count in self._counts.items()}
         return LoadProfile(rates=rates)
 
@@ -87,6 +101,13 @@
             bisect.bisect_right(self.keys, last),
         )
 
+    def find_heaviest(self, first: int, last: int) -> int | None:
+        """Return the counted key of a range that is requested most."""
+        low, high = self.find_span(first, last)
+        if low == high:
+            return None
+        return self.keys[max(range(low, high), key=self.rates.__getitem__)]
+
     def sum_range(self, first: int, last: int) -> float:
         """Return the requests a second for a range."""
         low, high = self.find_span(first, last)
--- a/tarragonhinge/ranges/_leader.py
+++ b/tarragonhinge/ranges/_leader.py
@@ -21,7 +21,7 @@
 TICK_MS = 100
 
 #: Interval of plans for balance.
-PLAN_MS = 1_000
+PLAN_MS = 500
 
 #: Time without a new server after which keys are first divided.
 GATHER_MS = 700
@@ -30,7 +30,7 @@
 MERGE_MS = 3_000
 
 #: Moves for balance that may be under way at once.
-ACTIVE_LIMIT = 6
+ACTIVE_LIMIT = 8
 
 #: Time for which moved keys stay where they are.
 REST_MS = 2_000
@@ -93,6 +93,7 @@
         self._get_store_age = get_store_age
         self._may_renew = may_renew
         self._inherited_until = inherited_until
+        self._log = log
         self._clock = clock
         self._load = _key_load.KeyLoad(clock=clock)
         self._speeds = _speeds.SpeedBook()
@@ -278,7 +279,23 @@
             if lease.is_moving or now - lease.settled_at < REST_MS
         }
         balance = self._make_balance()
+        if not balance.capacity:
+            return
+        busiest = max(balance.capacity, key=balance.get_use)
+        use, mean_use = balance.get_use(busiest), balance.get_mean_use()
         moves = _planner.plan_moves(balance, resting=resting)
+        self._log.write(
+            events.Planned(
+                service=self._service,
+                requests_per_s=round(balance.profile.total, 1),
+                busiest=busiest,
+                use=round(use, 2),
+                mean_use=round(mean_use, 2),
+                service_ms=int(self._speeds.get_service_ms(busiest)),
+                mean_service_ms=int(self._speeds.get_mean_ms()),
+                moves=len(moves),
+            )
+        )
         by_lease: dict[_lease.Lease, list[_planner.PlannedMove]] = {}
         for move in moves:
             lease = self._find_lease(move)
--- a/tarragonhinge/ranges/_planner.py
+++ b/tarragonhinge/ranges/_planner.py
@@ -25,7 +25,10 @@
 FILL_PART = 0.7
 
 #: Moves of one plan.
-MOVE_LIMIT = 6
+MOVE_LIMIT = 10
+
+#: Factor in speed for which a key that fills its server is moved.
+FASTER = 1.25
 
 #: Segments for each server beyond which none is cut in three.
 SEGMENTS_PER_SERVER = 5
@@ -39,7 +42,7 @@
 #: Part of the wanted load that a move may exceed it by.
 EXCESS_PART = 1.15
 
-#: Least and greatest part of a piece that is worth a move.
+#: Least part of the wanted load that is worth a move.
 LEAST_PART = 0.3
 
 
@@ -158,6 +161,15 @@
         """Return the utilization of a server."""
         return self.demand[server] / self.capacity[server]
 
+    def get_mean_use(self) -> float:
+        """Return the utilization of all servers together."""
+        return sum(self.demand.values()) / sum(self.capacity.values())
+
+    def list_busiest(self) -> list[base.ServerId]:
+        """Return the servers that hold keys, the busiest first."""
+        servers = [s for s, ranges in self.held.items() if ranges]
+        return sorted(servers, key=self.get_use, reverse=True)
+
     def find_idlest(self, extra: float = 0.0) -> base.ServerId:
         """Return the server that is least used with `extra` more."""
         return min(
@@ -190,46 +202,111 @@
     balance : Balance
         Present loads; the moves are applied to it.
     resting : mapping, optional
-        First keys of segments that must stay where they are for now.
+        First keys of ranges that must stay where they are for now.
     """
     moves: list[PlannedMove] = []
     if len(balance.capacity) < 2:
         return moves
+    still = dict(resting or {})
     while len(moves) < MOVE_LIMIT:
-        move = _plan_one(balance, resting or {})
+        move = _fill_empty(balance, still) or _relieve_busy(balance, still)
         if move is None:
             break
         balance.move(move)
+        # What has arrived by this plan must not be moved on by it.
+        still[move.first] = True
         moves.append(move)
     return moves
 
 
-def _plan_one(
+def _fill_empty(
     balance: Balance, resting: Mapping[int, bool]
 ) -> PlannedMove | None:
-    empty = [s for s, ranges in balance.held.items() if not ranges]
-    source = max(balance.capacity, key=balance.get_use)
-    if empty:
-        target = empty[0]
-        total = sum(balance.capacity.values())
-        part = balance.capacity[target] / total
-        want = FILL_PART * part * sum(balance.demand.values())
-    else:
-        target = balance.find_idlest()
-        use, least = balance.get_use(source), balance.get_use(target)
-        if use < BUSY or use - least < GAP:
+    """Give a server without keys its part, from the busiest server."""
+    target = next((s for s, held in balance.held.items() if not held), None)
+    if target is None:
+        return None
+    part = balance.capacity[target] / sum(balance.capacity.values())
+    want = FILL_PART * part * sum(balance.demand.values())
+    for source in balance.list_busiest():
+        piece = _find_piece(balance, source, want, resting)
+        if piece is None:
+            piece = _halve_widest(balance, source, resting)
+        if piece is not None:
+            return _make_move(piece, source, target)
+    return None
+
+
+def _halve_widest(
+    balance: Balance, source: base.ServerId, resting: Mapping[int, bool]
+) -> tuple[int, int] | None:
+    ranges = [r for r in balance.held[source] if not resting.get(r[0])]
+    first, last = max(ranges, key=lambda r: r[1] - r[0], default=(0, 0))
+    if first == last:
+        return None
+    return (first + last) // 2 + 1, last
+
+
+def _relieve_busy(
+    balance: Balance, resting: Mapping[int, bool]
+) -> PlannedMove | None:
+    """Move what exceeds the mean from a busy server to an idle one."""
+    mean = balance.get_mean_use()
+    for source in balance.list_busiest():
+        use = balance.get_use(source)
+        if use < BUSY or use - mean < GAP / 2:
             return None
-        has, gets = balance.capacity[source], balance.capacity[target]
-        want = (use - least) * has * gets / (has + gets)
-    piece = _find_piece(balance, source, want, resting)
-    if piece is None and empty:
-        widest = max(balance.held[source], key=lambda r: r[1] - r[0])
-        middle = (widest[0] + widest[1]) // 2
-        if widest[0] == widest[1]:
+        target = balance.find_idlest()
+        if use - balance.get_use(target) < GAP:
             return None
-        piece = (middle + 1, widest[1])
-    if piece is None:
-        return None
+        want = min(
+            (use - mean) * balance.capacity[source],
+            (mean - balance.get_use(target)) * balance.capacity[target],
+        )
+        piece = _find_piece(balance, source, want, resting)
+        if piece is not None:
+            return _make_move(piece, source, target)
+        move = _isolate_key(balance, source, resting)
+        if move is not None:
+            return move
+    return None
+
+
+def _isolate_key(
+    balance: Balance, source: base.ServerId, resting: Mapping[int, bool]
+) -> PlannedMove | None:
+    """Leave a key that fills a server alone there, or on a faster one.
+
+    One key can't be divided.  What else its server holds goes to others,
+    and a key that is alone goes to the fastest server, in turn for what
+    that one holds.
+    """
+    for first, last in balance.held[source]:
+        key = balance.profile.find_heaviest(first, last)
+        if key is None or resting.get(first):
+            continue
+        if (
+            balance.profile.sum_range(key, key)
+            < BUSY * (balance.capacity[source])
+        ):
+            continue
+        sides = [(first, key - 1), (key + 1, last)]
+        rests = [side for side in sides if side[0] <= side[1]]
+        if rests:
+            piece = max(
+                rests, key=lambda side: balance.profile.sum_range(*side)
+            )
+            return _make_move(piece, source, balance.find_idlest())
+        target = max(balance.capacity, key=lambda s: balance.capacity[s])
+        gain = balance.capacity[target] / balance.capacity[source]
+        if gain >= FASTER and balance.get_use(target) < 1:
+            return _make_move((first, last), source, target)
+    return None
+
+
+def _make_move(
+    piece: tuple[int, int], source: base.ServerId, target: base.ServerId
+) -> PlannedMove:
     return PlannedMove(
         first=piece[0], last=piece[1], source=source, target=target
     )
@@ -242,11 +319,11 @@
     resting: Mapping[int, bool],
 ) -> tuple[int, int] | None:
     """Return adjacent keys that carry about the wanted load."""
+    if want <= 0:
+        return None
     count = sum(len(ranges) for ranges in balance.held.values())
     may_cut_twice = count < SEGMENTS_PER_SERVER * len(balance.capacity)
     best, best_score = None, 0.0
-    if want <= 0:
-        return None
     for first, last in balance.held[source]:
         if resting.get(first):
             continue
@@ -260,7 +337,7 @@
             width = (piece[1] - piece[0] + 1) / catalog.KEY_COUNT
             score = min(load, want) / want
             score -= CUT_COST * cuts + WIDTH_COST * width
-            if score > best_score or best is None:
+            if best is None or score > best_score:
                 best, best_score = piece, score
     return best
 
@@ -282,5 +359,9 @@
             end += 1
         pieces.append((begin_key, profile.keys[end]))
         pieces.append((begin_key, last))
-        pieces.append((first, profile.keys[begin]))
+        pieces.append((first, begin_key))
+        if begin_key < last:
+            pieces.append((begin_key + 1, last))
+        if begin_key > first:
+            pieces.append((first, begin_key - 1))
     return pieces
--- a/tarragonhinge/relay/_subscription.py
+++ b/tarragonhinge/relay/_subscription.py
@@ -21,7 +21,7 @@
 CONNECT_MS = 700
 
 #: Interval of reports.
-REPORT_MS = 1_000
+REPORT_MS = 500
 
 #: Age of the coordinator's contact with the store from which an instance
 #: tries to reach the store itself.
