Tell all instances the load of busy servers

Failed trials: new requests up to 1.15 or 0.8 of the objective, others' load fading faster, moves from 0.45 of a server's capacity: no gain.

--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -1,7 +1,6 @@
 """The duties of the one instance that coordinates."""
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Sequence
 import struct
 
@@ -21,6 +20,9 @@
 #: Interval of the coordinator's own reports.
 REPORT_MS = 500
 
+#: Interval at which its own sight of busy servers is passed on.
+LOADS_MS = 80
+
 
 class Coordinator:
     """Reads the store for all instances, and owns the keys.
@@ -39,8 +41,8 @@
         What the instance knows.
     grants : GrantClient
         Delivers grants to servers.
-    make_report : callable
-        Returns the instance's own report.
+    own : relay.Exchange
+        The instance's own reports and loads.
     log : EventLog
         Where events are written.
     clock : Clock
@@ -56,7 +58,7 @@
         codec: feeds.CatalogCodec,
         view: catalog.View,
         grants: ranges.GrantClient,
-        make_report: Callable[[], relay.Report],
+        own: relay.Exchange,
         log: events.EventLog,
         clock: base.Clock,
     ) -> None:
@@ -65,7 +67,7 @@
         self._store = store
         self._view = view
         self._grants = grants
-        self._make_report = make_report
+        self._own = own
         self._log = log
         self._clock = clock
         self._claimed_at = clock.read_boot()
@@ -85,6 +87,7 @@
             view=view,
             get_store_age=self.get_store_age,
             take_report=self._take_report,
+            take_loads=own.take_loads,
             clock=clock,
         )
         self._authority = _authority.Authority(
@@ -144,6 +147,7 @@
                 self.hub.run(),
                 self._lead(),
                 self._report(),
+                self._pass_loads(),
                 self._deposed.wait(),
             )
         ]
@@ -172,7 +176,13 @@
         """Take the reports of this instance itself."""
         while True:
             await self._clock.sleep(REPORT_MS)
-            self._take_report(self._make_report())
+            self._take_report(self._own.make_report())
+
+    async def _pass_loads(self) -> None:
+        """Pass on the loads that this instance itself sees."""
+        while True:
+            await self._clock.sleep(LOADS_MS)
+            self.hub.pass_loads(self._own.make_loads())
 
     async def _lead(self) -> None:
         """Lead each keyed service of the table in force."""
--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -1,7 +1,6 @@
 """An instance's part in the fleet: follower or coordinator."""
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Sequence
 import contextlib
 import random
@@ -51,8 +50,8 @@
         What is kept up to date.
     grants : GrantClient
         Delivers grants while this instance coordinates.
-    make_report : callable
-        Returns what this instance saw since the last report.
+    own : relay.Exchange
+        What this instance reports and what it takes from reports.
     log : EventLog
         Where events are written.
     clock : Clock
@@ -71,7 +70,7 @@
         codec: feeds.CatalogCodec,
         view: catalog.View,
         grants: ranges.GrantClient,
-        make_report: Callable[[], relay.Report],
+        own: relay.Exchange,
         log: events.EventLog,
         clock: base.Clock,
         rng: random.Random | None = None,
@@ -83,7 +82,7 @@
         self._codec = codec
         self._view = view
         self._grants = grants
-        self._make_report = make_report
+        self._own = own
         self._log = log
         self._clock = clock
         self._rng = rng or random.Random()
@@ -205,7 +204,7 @@
             instance=self._instance,
             address=leadership.address,
             view=self._view,
-            make_report=self._make_report,
+            own=self._own,
             reach_store=self._reach_store,
             on_update=self._stop_solo,
             log=self._log,
@@ -282,7 +281,7 @@
             codec=self._codec,
             view=self._view,
             grants=self._grants,
-            make_report=self._make_report,
+            own=self._own,
             log=self._log,
             clock=self._clock,
         )
--- a/tarragonhinge/gateway/_admission.py
+++ b/tarragonhinge/gateway/_admission.py
@@ -14,7 +14,7 @@
 NEW_PART = 1.0
 
 #: The same for a caller that comes back.
-RETURN_PART = 1.8
+RETURN_PART = 1.3
 
 #: Part of the time left that an expected end may use.
 DEADLINE_PART = 0.85
--- a/tarragonhinge/gateway/_reporter.py
+++ b/tarragonhinge/gateway/_reporter.py
@@ -8,7 +8,7 @@
 from tarragonhinge import relay
 
 
-class Reporter:
+class Reporter(relay.Exchange):
     """Collects the keys and service times seen since the last report.
 
     Parameters
@@ -46,3 +46,21 @@
                     )
                 )
         return relay.Report(keys=keys, speeds=speeds)
+
+    def make_loads(self) -> relay.Loads:
+        """Return the loads of busy servers seen since the last call."""
+        seen = []
+        for link in self._links.list_keyed():
+            total = link.load.take_seen()
+            if total is not None:
+                seen.append(
+                    relay.SeenLoad(server=link.entry.server, total=total)
+                )
+        return relay.Loads(seen=seen)
+
+    def take_loads(self, loads: relay.Loads) -> None:
+        """Learn loads that other instances have seen."""
+        for seen in loads.seen:
+            link = self._links.find(seen.server)
+            if link is not None:
+                link.load.record_seen(seen.total)
--- a/tarragonhinge/gateway/_server_load.py
+++ b/tarragonhinge/gateway/_server_load.py
@@ -84,6 +84,8 @@
         self._paused_until = 0
         self._cold_until = 0
         self._unreported = (0, 0.0)
+        self._unpassed: int | None = None
+        self._was_busy = False
 
     def set_cold(self, cold_ms: int) -> None:
         """Note for how long the server is slow after its start."""
@@ -143,7 +145,7 @@
         if load is not None:
             waiting = load.waiting
             self.slots = max(1, load.slots)
-            self._note_report(load.running + load.waiting)
+            self._note_own(load)
         if waiting == 0 and not failed:
             self._count += 1
             weight = max(LATENCY_WEIGHT, 1 / self._count)
@@ -152,11 +154,29 @@
             count, total_ms = self._unreported
             self._unreported = (count + 1, total_ms + latency_ms)
 
+    def take_seen(self) -> int | None:
+        """Return the last load of a busy server, once."""
+        seen, self._unpassed = self._unpassed, None
+        return seen
+
+    def record_seen(self, total: int) -> None:
+        """Learn the load that another instance has seen."""
+        self._note_report(total)
+
     def take_latencies(self) -> tuple[int, float]:
         """Return count and mean of the latencies since the last call."""
         (count, total_ms), self._unreported = self._unreported, (0, 0.0)
         return count, total_ms / max(1, count)
 
+    def _note_own(self, load: _dialect.ReportedLoad) -> None:
+        """Learn from an answer's report; a busy server is told of."""
+        total = load.running + load.waiting
+        self._note_report(total)
+        # The first sight of a free slot ends what the others believe.
+        if total >= load.slots or self._was_busy:
+            self._unpassed = total
+        self._was_busy = total >= load.slots
+
     def _note_report(self, total: int) -> None:
         self._others = max(0.0, total - self.in_flight)
         if self._reported_at is None:
@@ -167,7 +187,7 @@
     def record_shed(self, load: _dialect.ReportedLoad | None) -> None:
         """Learn from a refusal: the server is full."""
         if load is not None:
-            self._note_report(load.running + load.waiting)
+            self._note_own(load)
         self._full_until = self._clock.now() + int(self.estimate_service_ms())
 
     def record_silence(self) -> None:
--- a/tarragonhinge/platform/_run.py
+++ b/tarragonhinge/platform/_run.py
@@ -72,7 +72,7 @@
             codec=_codec.PlatformCodec(),
             view=self._view,
             grants=self._grants,
-            make_report=reporter.make_report,
+            own=reporter,
             log=self.log,
             clock=clock,
         )
--- a/tarragonhinge/relay/__init__.py
+++ b/tarragonhinge/relay/__init__.py
@@ -1,12 +1,15 @@
 """Passes on what the coordinator reads from the store."""
 
+from tarragonhinge.relay._exchange import Exchange
 from tarragonhinge.relay._frames import encode_frame
 from tarragonhinge.relay._frames import read_message
 from tarragonhinge.relay._hub import Hub
 from tarragonhinge.relay._messages import Beat
 from tarragonhinge.relay._messages import Deposed
 from tarragonhinge.relay._messages import Hello
+from tarragonhinge.relay._messages import Loads
 from tarragonhinge.relay._messages import Report
+from tarragonhinge.relay._messages import SeenLoad
 from tarragonhinge.relay._messages import ServerSpeed
 from tarragonhinge.relay._messages import Update
 from tarragonhinge.relay._subscription import End
@@ -16,9 +19,12 @@
     "Beat",
     "Deposed",
     "End",
+    "Exchange",
     "Hello",
     "Hub",
+    "Loads",
     "Report",
+    "SeenLoad",
     "ServerSpeed",
     "Subscription",
     "Update",
--- a/tarragonhinge/relay/_hub.py
+++ b/tarragonhinge/relay/_hub.py
@@ -17,6 +17,9 @@
 GATHER_MS = 20
 GATHER_TABLE_MS = 250
 
+#: Interval at which loads of servers are passed on.
+GATHER_LOADS_MS = 80
+
 #: Bytes that may wait for one subscriber before it is cut off.
 BACKLOG_BYTES = 4 << 20
 
@@ -56,6 +59,8 @@
         Returns how long ago the store answered, in milliseconds.
     take_report : callable
         Takes reports.
+    take_loads : callable
+        Takes loads of servers that others have seen.
     clock : Clock
         This process's clock.
     """
@@ -67,12 +72,16 @@
         view: catalog.View,
         get_store_age: Callable[[], int],
         take_report: Callable[[_messages.Report], None],
+        take_loads: Callable[[_messages.Loads], None],
         clock: base.Clock,
     ) -> None:
         self._term = term
         self._view = view
         self._get_store_age = get_store_age
         self._take_report = take_report
+        self._take_loads = take_loads
+        self._loads: dict[base.ServerId, int] = {}
+        self._has_loads = asyncio.Event()
         self._clock = clock
         self._subscribers: set[_Subscriber] = set()
         self._sent_table: base.TableVersion | None = None
@@ -103,6 +112,7 @@
             async with asyncio.TaskGroup() as group:
                 group.create_task(self._send_changes())
                 group.create_task(self._send_beats())
+                group.create_task(self._send_loads())
         finally:
             self._subscription.dispose()
 
@@ -130,6 +140,9 @@
                     if message.is_store_silent:
                         subscriber.silent_at = self._clock.read_boot()
                     self._take_report(message)
+                elif isinstance(message, _messages.Loads):
+                    self._take_loads(message)
+                    self.pass_loads(message)
         except (OSError, EOFError, base.CodecError):
             return
         finally:
@@ -157,11 +170,36 @@
 
     async def _send_beats(self) -> None:
         while True:
-            frame = _frames.encode_frame(self._make_beat())
-            for subscriber in list(self._subscribers):
-                subscriber.send(frame)
+            self._send(self._make_beat())
             await self._clock.sleep(BEAT_MS)
 
+    def pass_loads(self, loads: _messages.Loads) -> None:
+        """Pass on what an instance has seen."""
+        self._loads.update((seen.server, seen.total) for seen in loads.seen)
+        if self._loads:
+            self._has_loads.set()
+
+    async def _send_loads(self) -> None:
+        while True:
+            await self._has_loads.wait()
+            await self._clock.sleep(GATHER_LOADS_MS)
+            self._has_loads.clear()
+            loads, self._loads = self._loads, {}
+            self._send(
+                _messages.Loads(
+                    seen=[
+                        _messages.SeenLoad(server=server, total=total)
+                        for server, total in loads.items()
+                    ]
+                )
+            )
+
+    def _send(self, message: _messages.Message) -> None:
+        """Send a message to all subscribers."""
+        frame = _frames.encode_frame(message)
+        for subscriber in list(self._subscribers):
+            subscriber.send(frame)
+
     async def _send_changes(self) -> None:
         self._note_sent()
         while True:
@@ -170,9 +208,7 @@
             self._changed.clear()
             update = self._make_update()
             if update is not None:
-                frame = _frames.encode_frame(update)
-                for subscriber in list(self._subscribers):
-                    subscriber.send(frame)
+                self._send(update)
 
     def _note_sent(self) -> None:
         if self._view.table is not None:
--- a/tarragonhinge/relay/_messages.py
+++ b/tarragonhinge/relay/_messages.py
@@ -43,6 +43,25 @@
     is_store_silent: bool = False
 
 
+class SeenLoad(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Requests that a server had, running and waiting."""
+
+    server: base.ServerId
+    total: int
+
+
+class Loads(msgspec.Struct, frozen=True, kw_only=True, tag="loads"):
+    """Load that instances have just seen at busy servers.
+
+    Parameters
+    ----------
+    seen : list of SeenLoad
+        The newest load of each server.
+    """
+
+    seen: list[SeenLoad]
+
+
 class Update(msgspec.Struct, frozen=True, kw_only=True, tag="update"):
     """What changed, or everything.
 
@@ -97,4 +116,4 @@
     term: base.Term
 
 
-Message = Hello | Report | Update | Beat | Deposed
+Message = Hello | Report | Loads | Update | Beat | Deposed
--- a/tarragonhinge/relay/_subscription.py
+++ b/tarragonhinge/relay/_subscription.py
@@ -9,6 +9,7 @@
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import events
+from tarragonhinge.relay import _exchange
 from tarragonhinge.relay import _frames
 from tarragonhinge.relay import _hub
 from tarragonhinge.relay import _messages
@@ -23,6 +24,9 @@
 #: Interval of reports.
 REPORT_MS = 500
 
+#: Interval at which loads of busy servers are told.
+LOADS_MS = 80
+
 #: Age of the coordinator's contact with the store from which an instance
 #: tries to reach the store itself.
 STORE_AGE_MS = 2_200
@@ -48,8 +52,8 @@
         Where the coordinator listens.
     view : View
         What is kept up to date.
-    make_report : callable
-        Returns the next report.
+    own : Exchange
+        What this instance reports and what it takes from reports.
     reach_store : callable
         Returns whether the store answers this instance.
     on_update : callable
@@ -73,7 +77,7 @@
         instance: base.InstanceId,
         address: base.Address,
         view: catalog.View,
-        make_report: Callable[[], _messages.Report],
+        own: _exchange.Exchange,
         reach_store: Callable[[], Awaitable[bool]],
         on_update: Callable[[], None],
         log: events.EventLog,
@@ -82,7 +86,7 @@
         self._instance = instance
         self._address = address
         self._view = view
-        self._make_report = make_report
+        self._own = own
         self._reach_store = reach_store
         self._on_update = on_update
         self._log = log
@@ -100,14 +104,18 @@
                 reader, writer = await asyncio.open_connection(host, int(port))
         except (OSError, TimeoutError):
             return End.UNREACHABLE
-        reporter = asyncio.create_task(self._send_reports(writer))
+        senders = [
+            asyncio.create_task(self._send_reports(writer)),
+            asyncio.create_task(self._send_loads(writer)),
+        ]
         try:
             writer.write(
                 _frames.encode_frame(_messages.Hello(instance=self._instance))
             )
             return await self._read(reader)
         finally:
-            reporter.cancel()
+            for sender in senders:
+                sender.cancel()
             with contextlib.suppress(OSError):
                 writer.transport.abort()
 
@@ -124,6 +132,8 @@
             if isinstance(message, _messages.Update):
                 self._apply(message)
                 self._on_update()
+            elif isinstance(message, _messages.Loads):
+                self._own.take_loads(message)
             elif isinstance(message, _messages.Beat):
                 self.fleet_size = message.fleet_size
                 if await self._is_store_lost_there(message.store_age_ms):
@@ -160,10 +170,17 @@
                 owners = self._view.owners[name]
             self._view.set_owners(name, owners.replace(segments))
 
+    async def _send_loads(self, writer: asyncio.StreamWriter) -> None:
+        while True:
+            await self._clock.sleep(LOADS_MS)
+            loads = self._own.make_loads()
+            if loads.seen:
+                writer.write(_frames.encode_frame(loads))
+
     async def _send_reports(self, writer: asyncio.StreamWriter) -> None:
         while True:
             await self._clock.sleep(REPORT_MS)
-            report = self._make_report()
+            report = self._own.make_report()
             if self._is_store_silent:
                 report = _replace_silent(report)
             if report != _messages.Report():
