Tell only loads that differ from the estimate

Change: a load is told if it differs by two requests or more from the estimate, and at the first sight of a free slot.

--- a/tarragonhinge/gateway/_server_load.py
+++ b/tarragonhinge/gateway/_server_load.py
@@ -20,6 +20,9 @@
 #: Answers that the mean of the whole service counts as.
 PRIOR_ANSWERS = 4
 
+#: Requests by which a load must differ from the estimate to be told.
+NEWS = 2
+
 #: Time constant with which a report of others' requests ages.
 REPORT_DECAY_MS = 500.0
 
@@ -169,13 +172,18 @@
         return count, total_ms / max(1, count)
 
     def _note_own(self, load: _dialect.ReportedLoad) -> None:
-        """Learn from an answer's report; a busy server is told of."""
+        """Learn from an answer's report; what is news to others is told.
+
+        News is a load that differs from the estimate, which is much the
+        same at all instances, and the first sight of a free slot.
+        """
         total = load.running + load.waiting
+        error = abs(total - self.in_flight - self.estimate_others())
         self._note_report(total)
-        # The first sight of a free slot ends what the others believe.
-        if total >= load.slots or self._was_busy:
+        is_busy = total >= load.slots
+        if is_busy != self._was_busy or (is_busy and error >= NEWS):
             self._unpassed = total
-        self._was_busy = total >= load.slots
+        self._was_busy = is_busy
 
     def _note_report(self, total: int) -> None:
         self._others = max(0.0, total - self.in_flight)
