Tell a former coordinator of its successor

Cause: a test with the coordinator alone cut off from the store: it never learnt of its successor, and took an outage as agreed once its last subscriber had left, so it would have renewed grants without end. Change: a new coordinator tells the former one; an outage counts as agreed only while most of the subscribers ever seen are still there. Tests of the callers' and servers' connections, the decisions, the path of a request against a stand-in server, the codecs and the coordination. The tests found that a head that arrives at once was not bounded (431).

--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -137,6 +137,10 @@
                     speed.server, count=speed.count, mean_ms=speed.mean_ms
                 )
 
+    def step_down(self) -> None:
+        """End the leadership."""
+        self._deposed.set()
+
     async def run(self) -> None:
         """Coordinate until cancelled or deposed."""
         tasks = [
--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -23,6 +23,10 @@
 #: itself.
 SOLO_AFTER_MS = 700
 
+#: Interval and number of attempts to tell a former coordinator.
+NOTIFY_MS = 700
+NOTIFY_ATTEMPTS = 8
+
 #: Interval of attempts to reach the coordinator while reading alone.
 SOLO_RETRY_MS = 1_500
 
@@ -89,12 +93,18 @@
         self._policy = _claim.ClaimPolicy(rng=self._rng)
         self._store_ms = 0
         self._left_version = 0
+        self._successor = base.Address("")
         self._subscription: relay.Subscription | None = None
         self._coordinator: _coordinator.Coordinator | None = None
         self._solo: asyncio.Task | None = None
         self._solo_feed: feeds.CatalogFeed | None = None
         self._fleet_size = 1
 
+    @property
+    def is_coordinator(self) -> bool:
+        """Whether this instance coordinates."""
+        return self._coordinator is not None
+
     @property
     def fleet_size(self) -> int:
         """Number of instances, as far as is known."""
@@ -138,12 +148,41 @@
                 writer.close()
             return
         try:
-            await relay.read_message(reader)
+            message = await relay.read_message(reader)
         except (OSError, EOFError, base.CodecError):
             writer.close()
             return
+        if isinstance(message, relay.Deposed):
+            self._note_successor(message)
+            writer.close()
+            return
         await coordinator.hub.serve(reader, writer)
 
+    def _note_successor(self, deposed: relay.Deposed) -> None:
+        """Learn of another coordinator, also while the store is away."""
+        coordinator = self._coordinator
+        if coordinator is not None and deposed.term > coordinator.term:
+            self._successor = deposed.address
+            coordinator.step_down()
+
+    async def _notify_former(
+        self, former: _leadership.Leadership, term: base.Term
+    ) -> None:
+        """Tell a former coordinator, which may not reach the store."""
+        frame = relay.encode_frame(
+            relay.Deposed(term=term, address=self._address)
+        )
+        host, _, port = former.address.rpartition(":")
+        for _ in range(NOTIFY_ATTEMPTS):
+            with contextlib.suppress(OSError, TimeoutError):
+                async with asyncio.timeout(NOTIFY_MS / base.MS_PER_S):
+                    _, writer = await asyncio.open_connection(host, int(port))
+                    writer.write(frame)
+                    await writer.drain()
+                    writer.close()
+                return
+            await self._clock.sleep(NOTIFY_MS)
+
     async def run(self) -> None:
         """Follow or coordinate until cancelled."""
         solo_timer = asyncio.create_task(self._go_solo_late())
@@ -151,6 +190,7 @@
             while True:
                 row = await self._read_claim()
                 if isinstance(row, stores.Unavailable):
+                    await self._follow_successor()
                     await self._clock.sleep(
                         int(RETRY_MS * self._rng.uniform(0.7, 1.3))
                     )
@@ -159,7 +199,7 @@
                 end = relay.End.UNREACHABLE
                 if leadership is not None and not self._is_own(leadership):
                     solo_timer.cancel()
-                    end = await self._follow(leadership)
+                    end = await self._follow(leadership.address)
                     solo_timer = asyncio.create_task(self._go_solo_late())
                 if end is relay.End.DEPOSED and not self._has_left(row):
                     # Its address answers, but it does not coordinate.
@@ -172,6 +212,12 @@
             solo_timer.cancel()
             self._stop_solo()
 
+    async def _follow_successor(self) -> None:
+        """Follow the coordinator that made itself known, if any."""
+        if self._successor:
+            address, self._successor = self._successor, base.Address("")
+            await self._follow(address)
+
     def _has_left(self, row: stores.StoredRow) -> bool:
         """Return whether a coordinator sent this instance away once only."""
         is_first = self._left_version != row.version
@@ -198,11 +244,11 @@
         row = await self._read_claim()
         return not isinstance(row, stores.Unavailable)
 
-    async def _follow(self, leadership: _leadership.Leadership) -> relay.End:
+    async def _follow(self, address: base.Address) -> relay.End:
         """Take what the coordinator passes on, until that ends."""
         subscription = relay.Subscription(
             instance=self._instance,
-            address=leadership.address,
+            address=address,
             view=self._view,
             own=self._own,
             reach_store=self._reach_store,
@@ -214,7 +260,7 @@
         end = await subscription.run()
         self._log.write(
             events.DependencyChanged(
-                dependency=f"coordinator/{leadership.instance}",
+                dependency=f"coordinator/{address}",
                 reachable=False,
                 silent_ms=self.get_silence_ms() or -1,
             )
@@ -265,9 +311,14 @@
         if isinstance(present, stores.StoredRow):
             stored = _decode(present)
             if stored is not None and self._is_own(stored):
-                await self._coordinate(stored.term, present.version)
+                await self._coordinate(stored.term, present.version, former)
 
-    async def _coordinate(self, term: base.Term, version: int) -> None:
+    async def _coordinate(
+        self,
+        term: base.Term,
+        version: int,
+        former: _leadership.Leadership | None,
+    ) -> None:
         """Coordinate until deposed."""
         began_at = self._clock.read_boot()
         self._stop_solo()
@@ -286,6 +337,9 @@
             clock=self._clock,
         )
         self._coordinator = coordinator
+        notifier = None
+        if former is not None and not self._is_own(former):
+            notifier = asyncio.create_task(self._notify_former(former, term))
         reason = "deposed"
         try:
             await coordinator.run()
@@ -295,6 +349,8 @@
                 events.TaskFailed(task="coordinator", problem=repr(error))
             )
         finally:
+            if notifier is not None:
+                notifier.cancel()
             self._coordinator = None
             self._fleet_size = max(1, coordinator.hub.fleet_size)
             self._note_leadership(term, leads=False, reason=reason)
--- /dev/null
+++ b/tarragonhinge/coordination/tests/fleet.py
@@ -0,0 +1,173 @@
+"""Instances of one fleet in one process, with the store in memory."""
+
+import asyncio
+import contextlib
+import os
+import random
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge import coordination
+from tarragonhinge import events
+from tarragonhinge import feeds
+from tarragonhinge import relay
+from tarragonhinge import stores
+from tarragonhinge import testing
+
+SERVICE = base.ServiceName("keys")
+
+#: Bound on a wait for something that must come to pass.
+PATIENCE_S = 20
+
+
+class PlainCodec(feeds.CatalogCodec):
+    """Rows hold a version, or the address of a server."""
+
+    routing_table = "routes"
+    routing_key = "newest"
+    servers_table = "backends"
+
+    def decode_routing(self, value):
+        if not value.isdigit():
+            raise base.CodecError(problem="no number", remedy="none")
+        return catalog.RoutingTable(
+            version=base.TableVersion(int(value)),
+            services=(
+                catalog.Service(name=SERVICE, max_connections=9, keyed=True),
+            ),
+        )
+
+    def decode_server(self, key, value):
+        if not value:
+            raise base.CodecError(problem="empty", remedy="none")
+        return catalog.ServerEntry(
+            server=base.ServerId(key),
+            service=SERVICE,
+            address=base.Address(value.decode()),
+            zone=base.ZoneName("z"),
+            slots=2,
+            born_ms=1,
+        )
+
+
+class SilentExchange(relay.Exchange):
+    """An instance that sees no request."""
+
+    def make_report(self):
+        return relay.Report()
+
+    def make_loads(self):
+        return relay.Loads(seen=[])
+
+    def take_loads(self, loads):
+        pass
+
+
+class FleetMember:
+    """One instance's part in the fleet, with its listener."""
+
+    def __init__(self, fleet, number):
+        self.fleet = fleet
+        self.number = number
+        self.view = catalog.View()
+        self.store = testing.MemoryRowStore(rows=fleet.rows, clock=fleet.clock)
+        self.grants = testing.MemoryGrants(
+            fleet=fleet.servers, clock=fleet.clock
+        )
+        self.task = None
+
+    async def start(self):
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        name = base.InstanceId(f"e{self.number}")
+        self.member = coordination.Member(
+            instance=name,
+            incarnation=base.IncarnationId(f"run-{self.number}"),
+            address=base.Address(f"127.0.0.1:{port}"),
+            store=self.store,
+            codec=PlainCodec(),
+            view=self.view,
+            grants=self.grants,
+            own=SilentExchange(),
+            log=events.EventLog(
+                instance=name,
+                clock=self.fleet.clock,
+                descriptor=os.open(os.devnull, os.O_WRONLY),
+            ),
+            clock=self.fleet.clock,
+            rng=random.Random(self.number),
+        )
+        self.task = asyncio.create_task(self.member.run())
+        return self
+
+    async def _serve(self, reader, writer):
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.member.serve_peer(reader, writer)
+
+    @property
+    def leads(self):
+        return self.member.is_coordinator
+
+    async def stop(self):
+        self.server.close()
+        self.task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await self.task
+
+
+class Fleet:
+    """Instances, servers with keys, and the store."""
+
+    def __init__(self, size):
+        self.clock = base.Clock()
+        self.rows = testing.MemoryRows()
+        self.servers = testing.KeyFleet(clock=self.clock)
+        self.size = size
+        self.members = []
+
+    async def __aenter__(self):
+        self.put("routes", "newest", b"1")
+        for number in range(3):
+            self.start_server(f"s{number}")
+        for number in range(self.size):
+            self.members.append(await FleetMember(self, number).start())
+        return self
+
+    async def __aexit__(self, *_):
+        for member in self.members:
+            await member.stop()
+
+    def put(self, table, key, value):
+        self.rows.apply([], [stores.RowPut(table=table, key=key, value=value)])
+
+    def drop(self, table, key):
+        self.rows.apply([], [], [(table, key)])
+
+    def start_server(self, name):
+        address = f"10.0.0.{name[1:]}:80"
+        self.put("backends", name, address.encode())
+        self.servers.start(PlainCodec().decode_server(name, address.encode()))
+
+    def find_leaders(self):
+        return [m for m in self.members if m.leads]
+
+    async def wait(self, condition, what):
+        """Return once a condition holds; keys never have two holders."""
+        async with asyncio.timeout(PATIENCE_S):
+            while not condition():
+                self.servers.check()
+                await asyncio.sleep(0.02)
+        assert self.servers.violations == [], what
+
+    def is_settled(self):
+        return (
+            len(self.find_leaders()) == 1
+            and all(m.view.is_complete() for m in self.members)
+            and all(m.member.is_current() for m in self.members)
+            and self.servers.count_unheld() == 0
+        )
+
+    async def lose(self, member):
+        """End an instance without a word."""
+        self.members.remove(member)
+        await member.stop()
--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -193,6 +193,9 @@
                 deadline.begin()
                 parser.receive_data(data)
             elif isinstance(event, h11.Request):
+                # The parser bounds only a head that comes in pieces.
+                if _measure_head(event) > limits.header_bytes:
+                    raise _ReadEndedError(431)
                 head = event
             elif isinstance(event, h11.Data):
                 body += event.data
@@ -297,6 +300,12 @@
         return max(1.0, self._limits.header_timeout_ms - elapsed_ms)
 
 
+def _measure_head(head: h11.Request) -> int:
+    """Return the bytes of a request's line and fields."""
+    size = len(head.method) + len(head.target)
+    return size + sum(len(name) + len(value) for name, value in head.headers)
+
+
 def _frame(
     exchange: _Exchange, answer: _messages.Answer, *, closes: bool
 ) -> tuple[bytes, bool]:
--- a/tarragonhinge/http1/_server_connection.py
+++ b/tarragonhinge/http1/_server_connection.py
@@ -136,7 +136,8 @@
                 status=head.status_code,
                 fields=_messages.decode_fields(head.headers),
                 body=bytes(body),
-                closes=parser.their_state is not h11.DONE,
+                closes=parser.their_state is not h11.DONE
+                or self._pipe.is_ended,
             ),
             bytes(trailing),
         )
--- /dev/null
+++ b/tarragonhinge/http1/tests/test_caller_connection.py
@@ -0,0 +1,224 @@
+"""What a caller's connection accepts, answers and refuses."""
+
+import asyncio
+
+import pytest
+
+from tarragonhinge import catalog
+from tarragonhinge import http1
+
+LIMITS = catalog.CallerLimits(
+    header_bytes=1_000,
+    body_bytes=2_000,
+    header_timeout_ms=200,
+    idle_timeout_ms=200,
+)
+
+
+class _Site:
+    """A listener whose handler can be held back."""
+
+    def __init__(self):
+        self.requests = []
+        self.gates = {}
+        self.cancelled = []
+        self.running = 0
+        self.most_running = 0
+        self.is_stopping = False
+        self.arrived = asyncio.Semaphore(0)
+
+    async def wait_requests(self, count):
+        for _ in range(count):
+            await self.arrived.acquire()
+
+    async def handle(self, request):
+        self.requests.append(request)
+        self.arrived.release()
+        self.running += 1
+        self.most_running = max(self.most_running, self.running)
+        try:
+            gate = self.gates.get(request.target)
+            if gate is not None:
+                await gate.wait()
+        except asyncio.CancelledError:
+            self.cancelled.append(request.target)
+            raise
+        finally:
+            self.running -= 1
+        body = f"{request.method} {request.target}".encode()
+        return http1.Answer(status=200, fields=[("x-a", "1")], body=body)
+
+    def accept(self):
+        pipe = http1.Pipe()
+        connection = http1.CallerConnection(
+            pipe=pipe,
+            handle=self.handle,
+            is_concurrent=lambda request: request.method == "GET",
+            get_limits=lambda: LIMITS,
+            is_stopping=lambda: self.is_stopping,
+        )
+        self.task = asyncio.create_task(connection.run())
+        return pipe
+
+    async def __aenter__(self):
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(self.accept, "127.0.0.1", 0)
+        address = self.server.sockets[0].getsockname()
+        self.reader, self.writer = await asyncio.open_connection(*address[:2])
+        return self
+
+    async def __aexit__(self, *_):
+        self.writer.close()
+        self.server.close()
+
+    def send(self, text):
+        self.writer.write(text.encode("latin-1"))
+
+    async def read_answer(self):
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        fields = head.decode().lower()
+        length = int(fields.split("content-length: ")[1].split("\r\n")[0])
+        return fields, (await self.reader.readexactly(length)).decode()
+
+
+def _get(target, extra=""):
+    return f"GET {target} HTTP/1.1\r\nHost: a\r\n{extra}\r\n"
+
+
+def _post(target, body="", extra=""):
+    length = f"Content-Length: {len(body)}\r\n"
+    return f"POST {target} HTTP/1.1\r\nHost: a\r\n{length}{extra}\r\n{body}"
+
+
+def test_answers_come_in_the_order_of_the_requests():
+    async def run():
+        async with _Site() as site:
+            site.gates = {f"/{n}": asyncio.Event() for n in (1, 2, 3)}
+            site.send(_get("/1") + _get("/2") + _get("/3"))
+            await site.wait_requests(3)
+            for gate in reversed(site.gates.values()):
+                gate.set()
+            bodies = [(await site.read_answer())[1] for _ in range(3)]
+            assert bodies == ["GET /1", "GET /2", "GET /3"]
+            assert site.most_running == 3
+
+    asyncio.run(run())
+
+
+def test_a_request_that_may_not_be_repeated_waits_for_those_before():
+    async def run():
+        async with _Site() as site:
+            site.gates["/1"] = asyncio.Event()
+            site.send(_get("/1") + _post("/2", "x"))
+            await site.wait_requests(1)
+            for _ in range(50):
+                await asyncio.sleep(0)
+            assert [r.target for r in site.requests] == ["/1"]
+            site.gates["/1"].set()
+            await site.read_answer()
+            assert (await site.read_answer())[1] == "POST /2"
+
+    asyncio.run(run())
+
+
+def test_the_handler_is_cancelled_when_the_caller_leaves():
+    async def run():
+        async with _Site() as site:
+            site.gates["/1"] = asyncio.Event()
+            site.send(_get("/1"))
+            await site.wait_requests(1)
+            site.writer.close()
+            await asyncio.wait([site.task])
+            assert site.cancelled == ["/1"]
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("text", "status"),
+    [
+        ("nonsense\r\n\r\n", "400"),
+        ("GET / HTTP/1.1\r\n\r\n", "400"),
+        ("GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", "400"),
+        (_get("/", "X: " + "y" * 1_200 + "\r\n"), "431"),
+        (_post("/", "z" * 2_001), "413"),
+        ("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n", "400"),
+        (
+            "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n"
+            "Content-Length: 4\r\n\r\nabcd",
+            "400",
+        ),
+        (
+            "POST / HTTP/1.1\r\nHost: a\r\n"
+            "Transfer-Encoding: chunked\r\n\r\nzz\r\n",
+            "400",
+        ),
+        ("GET / HTTP/1.1\r\nHost: a\r\nX", "408"),
+    ],
+)
+def test_what_is_not_proper_is_answered_and_closed(text, status):
+    async def run():
+        async with _Site() as site:
+            site.send(text)
+            head, _ = await site.read_answer()
+            assert head.startswith(f"http/1.1 {status}")
+            assert "connection: close" in head
+            assert await site.reader.read() == b""
+            assert site.requests == []
+
+    asyncio.run(run())
+
+
+def test_the_answer_before_an_improper_request_is_whole():
+    async def run():
+        async with _Site() as site:
+            site.send(_get("/1") + "nonsense\r\n\r\n")
+            assert (await site.read_answer())[1] == "GET /1"
+            assert (await site.read_answer())[0].startswith("http/1.1 400")
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("text", "body"),
+    [
+        (_post("/a", "hello"), b"hello"),
+        (
+            "POST /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n"
+            "\r\n5\r\nhello\r\n0\r\n\r\n",
+            b"hello",
+        ),
+        (_post("/a"), b""),
+    ],
+)
+def test_bodies_are_read_whole(text, body):
+    async def run():
+        async with _Site() as site:
+            site.send(text + _get("/b"))
+            await site.read_answer()
+            assert (await site.read_answer())[1] == "GET /b"
+            assert site.requests[0].body == body
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("stops", [False, True])
+def test_connections_end_with_the_answer_while_stopping(stops):
+    async def run():
+        async with _Site() as site:
+            site.is_stopping = stops
+            site.send(_get("/1"))
+            head, _ = await site.read_answer()
+            assert ("connection: close" in head) is stops
+
+    asyncio.run(run())
+
+
+def test_head_gets_no_body():
+    async def run():
+        async with _Site() as site:
+            site.send("HEAD /1 HTTP/1.1\r\nHost: a\r\n\r\n" + _get("/2"))
+            await site.reader.readuntil(b"\r\n\r\n")
+            assert (await site.read_answer())[1] == "GET /2"
+
+    asyncio.run(run())
--- /dev/null
+++ b/tarragonhinge/http1/tests/test_server_connection.py
@@ -0,0 +1,144 @@
+"""Only the whole answer to the own request is taken from a server."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from tarragonhinge import base
+from tarragonhinge import http1
+
+OWN = "HTTP/1.1 200 OK\r\nid: 7\r\nContent-Length: 2\r\n\r\nok"
+STRAY = "HTTP/1.1 200 OK\r\nid: 6\r\nContent-Length: 3\r\n\r\nold"
+UNFRAMED = "HTTP/1.1 200 OK\r\nid: 7\r\n\r\nok"
+
+
+class _Server:
+    """Sends given bytes once it has read a request."""
+
+    def __init__(self, script, *, closes=False):
+        self.script = script
+        self.closes = closes
+        self.received = b""
+
+    async def serve(self, reader, writer):
+        with contextlib.suppress(OSError, EOFError):
+            self.received = await reader.readuntil(b"\r\n\r\n")
+            for part in self.script:
+                writer.write(part.encode())
+                await writer.drain()
+                await asyncio.sleep(0)
+            if self.closes:
+                writer.close()
+            else:
+                await reader.read()
+                writer.close()
+
+    @contextlib.asynccontextmanager
+    async def connect(self):
+        server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        pipe = await http1.connect(
+            base.Address(f"{host}:{port}"), timeout_ms=5_000
+        )
+        yield http1.ServerConnection(pipe=pipe, clock=base.Clock())
+        pipe.abort()
+        server.close()
+
+
+async def _exchange(connection):
+    request = http1.Request(
+        method="GET", target="/a?b=c", fields=[("host", "h")]
+    )
+    return await connection.exchange(
+        request, recognize=lambda fields: dict(fields).get("id") == "7"
+    )
+
+
+@pytest.mark.parametrize(
+    ("script", "closes", "is_reusable"),
+    [
+        ([OWN], False, True),
+        ([OWN[:30], OWN[30:]], False, True),
+        ([STRAY + OWN], False, False),
+        ([STRAY, OWN], False, False),
+        ([OWN + "HTTP/1.1 junk"], False, False),
+        ([UNFRAMED], True, False),
+    ],
+)
+def test_whole_answers(script, closes, is_reusable):
+    async def run():
+        async with _Server(script, closes=closes).connect() as connection:
+            answer = await _exchange(connection)
+            assert (answer.status, answer.body) == (200, b"ok")
+            assert (not answer.closes) is is_reusable
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("script", "closes"),
+    [
+        ([OWN[:-1]], True),
+        ([""], True),
+        (["nonsense\r\n\r\n"], False),
+        ([STRAY], True),
+        ([STRAY] * 6, False),
+    ],
+)
+def test_anything_else_is_no_answer(script, closes):
+    async def run():
+        async with _Server(script, closes=closes).connect() as connection:
+            with pytest.raises(http1.ExchangeError) as caught:
+                await _exchange(connection)
+            assert caught.value.sent
+
+    asyncio.run(run())
+
+
+def test_unasked_bytes_end_an_idle_connection():
+    async def run():
+        server = _Server([OWN, "late"])
+        async with server.connect() as connection:
+            answer = await _exchange(connection)
+            for _ in range(1_000):
+                if answer.closes or not connection.is_reusable():
+                    break
+                await asyncio.sleep(0.001)
+            assert answer.closes or not connection.is_reusable()
+            assert server.received.startswith(b"GET /a?b=c HTTP/1.1\r\n")
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("fresh", [True, False])
+def test_old_idle_connections_are_not_used_for_what_may_not_be_repeated(
+    fresh,
+):
+    async def run():
+        accepted = []
+
+        async def serve(reader, writer):
+            accepted.append(writer)
+            with contextlib.suppress(OSError, EOFError):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(OWN.encode())
+                await reader.read()
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()[:2]
+        clock = base.Clock()
+        pool = http1.ConnectionPool(
+            address=base.Address(f"{host}:{port}"), clock=clock, limit=4
+        )
+        connection = await pool.take(fresh=fresh)
+        await _exchange(connection)
+        connection.used_at = clock.now() - 2_000
+        pool.give_back(connection)
+        again = await pool.take(fresh=fresh)
+        assert (again is connection) is not fresh
+        pool.drop(again)
+        pool.close()
+        server.close()
+
+    asyncio.run(run())
--- /dev/null
+++ b/tarragonhinge/platform/tests/test_codecs.py
@@ -0,0 +1,180 @@
+"""What the platform says is decoded once, and foreign words name nothing."""
+
+import pytest
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge import gateway
+from tarragonhinge import platform
+
+NODE = """
+node=edge-a-1
+ip=10.1.0.34
+zone=centro-a
+region=centro
+zones.centro-a=centro
+zones.sur-a=sur
+listen.front=10.1.0.34:8548
+listen.ready=10.1.0.34:8542
+internalPorts=7540,7555
+bounds.drain=2500
+bounds.grace=6
+bounds.retryRatio=0.2
+bounds.retrySlack=64
+platform.address=10.200.1.7:8541
+something.new=later
+"""
+
+CONFIG = b"""{"version": 7, "extra": 1, "routes": [
+  {"name": "r1", "host": "A.example", "prefix": "/x/", "kind": "safe",
+   "timeout": 2500, "goalLatency": 800, "priority": 2, "maxAttempts": 2,
+   "backends": [{"service": "s1", "weight": 90},
+                {"service": "s2", "weight": 10}]},
+  {"name": "r2", "host": "a.example", "prefix": "/x/y/", "kind": "unsafe",
+   "timeout": 2500, "maxAttempts": 2, "service": "s3"},
+  {"name": "r3", "host": "a.example", "prefix": "/z/", "kind": "later",
+   "timeout": 2500, "service": "s3"}],
+ "services": [{"name": "s1", "maxConns": 130, "sharded": true, "warm": 2.0},
+              {"name": "s2"}, {"name": "s3"}],
+ "limits": {"maxHeaderBytes": 16384, "idleTimeout": 15000}}"""
+
+SERVER = (
+    b'{"service":"s1","address":"10.128.0.9:8080","zone":"centro-a",'
+    b'"version":"v1","slots":2,"state":"ready","warmupLeft":1500,'
+    b'"seq":4,"born":1772215932454}'
+)
+
+
+def test_settings():
+    options = platform.parse_node_file(NODE)
+    assert options.instance == "edge-a-1"
+    assert options.peers == "10.1.0.34:7540"
+    assert options.stop_ms == 6_000
+    assert options.zones == {"centro-a": "centro", "sur-a": "sur"}
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ("node=edge-a-1", "", "node"),
+        ("listen.front=10.1.0.34:8548", "listen.front=here", "listen.front"),
+        ("internalPorts=7540,7555", "internalPorts=no", "internalPorts"),
+        ("bounds.grace=6", "bounds.grace=-1", "bounds.grace"),
+        ("bounds.grace=6", "bounds.grace=soon", "bounds.grace"),
+        ("bounds.grace=6", "bounds.grace=nan", "bounds.grace"),
+        ("platform.address=10.200.1.7:8541", "", "platform.address"),
+    ],
+)
+def test_a_wrong_setting_is_named(old, new, named):
+    with pytest.raises(platform.NodeFileError, match=named):
+        platform.parse_node_file(NODE.replace(old, new))
+
+
+def test_routes():
+    table = platform.PlatformCodec().decode_routing(CONFIG)
+    assert table.version == 7
+    first, second, third = table.routes
+    assert [t.weight for t in first.targets] == [90, 10]
+    assert first.kind is catalog.RequestKind.IDEMPOTENT
+    assert second.kind is catalog.RequestKind.NON_IDEMPOTENT
+    assert third.kind is catalog.RequestKind.NON_IDEMPOTENT
+    assert table.list_keyed() == ["s1"]
+    assert table.find_service("s1").warm_ms == 2_000
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "expected"),
+    [
+        ("a.example", "/x/1", "r1"),
+        ("A.EXAMPLE:80", "/x/1", "r1"),
+        ("a.example", "/x/y/1", "r2"),
+        ("a.example", "/x", None),
+        ("a.example", "/", None),
+        ("b.example", "/x/1", None),
+        ("", "/x/1", None),
+    ],
+)
+def test_the_longest_prefix_wins(host, path, expected):
+    table = platform.PlatformCodec().decode_routing(CONFIG)
+    route = table.match(host=host, path=path)
+    assert (route.name if route else None) == expected
+
+
+def test_server():
+    entry = platform.PlatformCodec().decode_server("i-1", SERVER)
+    assert (entry.server, entry.born_ms, entry.cold_ms) == (
+        "i-1",
+        1772215932454,
+        1500,
+    )
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff\xfe",
+        b"[]",
+        b"null",
+        SERVER.replace(b'"ready"', b'"asleep"'),
+        SERVER.replace(b'"slots":2', b'"slots":"two"'),
+        SERVER.replace(b'"slots":2', b'"slots":0'),
+        SERVER.replace(b":8080", b""),
+        SERVER.replace(b'"service":"s1",', b""),
+        SERVER.replace(b"1772215932454", b"1.5"),
+    ],
+)
+def test_entries_of_other_writers_name_nothing(value):
+    with pytest.raises(base.CodecError):
+        platform.PlatformCodec().decode_server("i-1", value)
+
+
+@pytest.mark.parametrize("value", [b"", b"{}", b'{"version": "no"}'])
+def test_an_unreadable_configuration_is_rejected(value):
+    with pytest.raises(base.CodecError):
+        platform.PlatformCodec().decode_routing(value)
+
+
+@pytest.mark.parametrize(
+    ("fields", "expected"),
+    [
+        ({}, gateway.RequestFacts(attempt="")),
+        (
+            {
+                "tarragonhinge-request-attempt-id": "9c",
+                "tarragonhinge-deadline-ms": "2500",
+                "tarragonhinge-shard-key": "65535",
+            },
+            gateway.RequestFacts(attempt="9c", deadline_ms=2500, key=65_535),
+        ),
+        (
+            {
+                "tarragonhinge-deadline-ms": "-3",
+                "tarragonhinge-shard-key": "65536",
+            },
+            gateway.RequestFacts(attempt=""),
+        ),
+    ],
+)
+def test_request_fields(fields, expected):
+    assert platform.PlatformDialect().read_request(fields) == expected
+
+
+@pytest.mark.parametrize(
+    ("load", "expected"),
+    [("3,1,8", (3, 1, 8)), ("3,1", None), ("a,b,c", None), ("", None)],
+)
+def test_answer_fields(load, expected):
+    facts = platform.PlatformDialect().read_answer(
+        {
+            "tarragonhinge-upstream-load": load,
+            "tarragonhinge-not-executed": "1",
+        }
+    )
+    assert facts.not_run
+    assert not facts.sealed
+    if expected is None:
+        assert facts.load is None
+    else:
+        seen = facts.load
+        assert (seen.running, seen.waiting, seen.slots) == expected
--- a/tarragonhinge/relay/_hub.py
+++ b/tarragonhinge/relay/_hub.py
@@ -23,6 +23,9 @@
 #: Bytes that may wait for one subscriber before it is cut off.
 BACKLOG_BYTES = 4 << 20
 
+#: Part of the subscribers ever seen that must agree on an outage.
+AGREEING_PART = 0.5
+
 #: Time after which a subscriber's word on the store is too old.
 SILENCE_REPORT_MS = 2_500
 
@@ -84,6 +87,7 @@
         self._has_loads = asyncio.Event()
         self._clock = clock
         self._subscribers: set[_Subscriber] = set()
+        self._most_subscribers = 0
         self._sent_table: base.TableVersion | None = None
         self._sent_servers: dict[base.ServerId, catalog.ServerEntry] = {}
         self._sent_owners: dict[base.ServiceName, catalog.OwnerMap] = {}
@@ -99,8 +103,14 @@
         return len(self._subscribers) + 1
 
     def is_outage_agreed(self) -> bool:
-        """Return whether no subscriber reaches the store either."""
+        """Return whether no subscriber reaches the store either.
+
+        Those that left may have followed another coordinator, so most
+        of the fleet must still be here.
+        """
         now = self._clock.read_boot()
+        if len(self._subscribers) < AGREEING_PART * self._most_subscribers:
+            return False
         return all(
             s.silent_at is not None and now - s.silent_at < SILENCE_REPORT_MS
             for s in self._subscribers
@@ -132,6 +142,9 @@
         subscriber.send(_frames.encode_frame(self._make_beat()))
         subscriber.send(_frames.encode_frame(self._make_whole()))
         self._subscribers.add(subscriber)
+        self._most_subscribers = max(
+            self._most_subscribers, len(self._subscribers)
+        )
         try:
             while True:
                 message = await _frames.read_message(reader)
--- a/tarragonhinge/relay/_messages.py
+++ b/tarragonhinge/relay/_messages.py
@@ -111,9 +111,12 @@
     ----------
     term : Term
         The newest leadership that the sender knows.
+    address : Address
+        Where its coordinator listens, or empty if that is not known.
     """
 
     term: base.Term
+    address: base.Address = base.Address("")
 
 
 Message = Hello | Report | Loads | Update | Beat | Deposed
