Give up an attempt only if another server would take the request

Change: before it is given up, placement must find another server. Placement and admission of attempts stand in a module of their own.

--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -16,7 +16,7 @@
 from tarragonhinge.gateway import _options
 from tarragonhinge.gateway import _outcomes
 from tarragonhinge.gateway import _owner_finder
-from tarragonhinge.gateway import _placement
+from tarragonhinge.gateway import _placer
 from tarragonhinge.gateway import _refusals
 from tarragonhinge.gateway import _repeats
 from tarragonhinge.gateway import _sender
@@ -80,7 +80,6 @@
         self._dialect = dialect
         self._log = log
         self._clock = clock
-        self._rng = rng or random.Random()
         self.links = _links.ServerLinks(
             view=view,
             zone=options.zone,
@@ -88,6 +87,12 @@
             clock=clock,
         )
         self.owners = _owner_finder.OwnerFinder(view=view, clock=clock)
+        self._placer = _placer.Placer(
+            links=self.links,
+            owners=self.owners,
+            clock=clock,
+            rng=rng or random.Random(),
+        )
         self.tallies = _tallies.Tallies()
         self.fleet_size = 1
         self.in_flight = 0
@@ -244,17 +249,17 @@
         """Send the request until there is a final answer."""
         failure: _outcomes.AttemptOutcome | None = None
         while True:
-            placed = await self._place(job)
+            placed = await self._placer.place(job)
             if isinstance(placed, _refusals.Refused):
                 return _refusals.conclude(job, failure, placed)
             if job.sent and not self._take_repeat(job):
                 return _refusals.conclude(
                     job, failure, _refusals.Refused.after_budget()
                 )
-            link, expected_ms = placed
+            link = placed.link
             began_at = self._clock.now()
             outcome = await self._sender.send(
-                job, link, patience=self._make_patience(job, expected_ms)
+                job, link, patience=self._make_patience(job, placed)
             )
             if isinstance(outcome, _outcomes.Whole) and not outcome.failed:
                 return outcome.answer
@@ -272,13 +277,17 @@
         return self._budget(job).take(instances=self.fleet_size)
 
     def _make_patience(
-        self, job: _job.Job, expected_ms: float
+        self, job: _job.Job, placed: _placer.Placed
     ) -> _sender.Patience:
         """Return when to send a request to another server."""
 
         def may_give_up() -> bool:
             left_ms = job.ends_at - self._clock.now()
-            if left_ms < expected_ms or job.sent >= job.route.max_attempts:
+            if (
+                left_ms < placed.expected_ms
+                or job.sent >= job.route.max_attempts
+                or not self._placer.has_other(job, placed.link)
+            ):
                 return False
             job.is_repeat_paid = self._take_repeat(job)
             return job.is_repeat_paid
@@ -287,7 +296,7 @@
         # Only its owner can answer for a key, so waiting on is best.
         if job.is_idempotent and job.key is None:
             silence_ms = max(
-                SILENCE_FACTOR * expected_ms,
+                SILENCE_FACTOR * placed.expected_ms,
                 SILENCE_OBJECTIVES * job.route.objective_ms,
             )
         return _sender.Patience(silence_ms=silence_ms, may_give_up=may_give_up)
@@ -343,61 +352,6 @@
             )
         )
 
-    async def _place(
-        self, job: _job.Job
-    ) -> tuple[_links.ServerLink, float] | _refusals.Refused:
-        """Return the server for the next attempt, or why there is none."""
-        segment = None
-        if job.key is not None:
-            segment = await self.owners.wait_owner(job)
-            if segment is None:
-                return _refusals.Refused(
-                    status=503,
-                    reason="no_owner",
-                    retry_ms=_owner_finder.RETRY_MS,
-                )
-            link = self.links.find(segment.server)
-            links = [link] if link is not None else []
-        else:
-            ready = self.links.list_ready(job.service.name)
-            links = [
-                link for link in ready if link.entry.server not in job.tried
-            ] or ready
-        left_ms = job.ends_at - self._clock.now()
-        limit_ms = _admission.compute_limit_ms(
-            objective_ms=job.route.objective_ms,
-            left_ms=left_ms,
-            is_return=job.is_return,
-        )
-        decision = _placement.place(
-            [link.make_candidate() for link in links],
-            objective_ms=job.route.objective_ms,
-            limit_ms=limit_ms,
-        )
-        if isinstance(decision, _placement.Refusal):
-            return _refusals.Refused(
-                status=503,
-                reason=decision.reason.value,
-                retry_ms=_admission.compute_retry_ms(
-                    expected_ms=decision.expected_ms,
-                    limit_ms=limit_ms,
-                    rng=self._rng,
-                ),
-            )
-        link = self.links.find(decision.server)
-        job.trace.add(
-            events.Placed(
-                request=job.facts.attempt,
-                server=decision.server,
-                expected_ms=int(decision.expected_ms),
-                in_flight=link.load.in_flight,
-                others=round(link.load.estimate_others(), 1),
-                report_age_ms=link.load.get_report_age_ms(),
-                fence=segment.fence if segment is not None else None,
-            )
-        )
-        return link, decision.expected_ms
-
     def _finish(
         self,
         trace: events.Trace,
--- /dev/null
+++ b/tarragonhinge/gateway/_placer.py
@@ -0,0 +1,137 @@
+"""Finds the server for the next attempt of a request."""
+
+import dataclasses
+import random
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge import events
+from tarragonhinge.gateway import _admission
+from tarragonhinge.gateway import _job
+from tarragonhinge.gateway import _links
+from tarragonhinge.gateway import _owner_finder
+from tarragonhinge.gateway import _placement
+from tarragonhinge.gateway import _refusals
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Placed:
+    """The server that takes an attempt.
+
+    Parameters
+    ----------
+    link : ServerLink
+        The server.
+    expected_ms : float
+        Expected time to its answer.
+    """
+
+    link: _links.ServerLink
+    expected_ms: float
+
+
+class Placer:
+    """Applies placement and admission to what is known now.
+
+    Parameters
+    ----------
+    links : ServerLinks
+        Estimates of the servers.
+    owners : OwnerFinder
+        Holders of keys.
+    clock : Clock
+        This process's clock.
+    rng : random.Random
+        Spreads the times to come back.
+    """
+
+    def __init__(
+        self,
+        *,
+        links: _links.ServerLinks,
+        owners: _owner_finder.OwnerFinder,
+        clock: base.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._links = links
+        self._owners = owners
+        self._clock = clock
+        self._rng = rng
+
+    async def place(self, job: _job.Job) -> Placed | _refusals.Refused:
+        """Return the server for the next attempt, or why there is none."""
+        if job.key is None:
+            return self._choose(job, self._list_ready(job), None)
+        segment = await self._owners.wait_owner(job)
+        if segment is None:
+            return _refusals.Refused(
+                status=503,
+                reason="no_owner",
+                retry_ms=_owner_finder.RETRY_MS,
+            )
+        link = self._links.find(segment.server)
+        return self._choose(job, [link] if link else [], segment)
+
+    def has_other(self, job: _job.Job, link: _links.ServerLink) -> bool:
+        """Return whether another server would take the request now."""
+        others = [
+            other
+            for other in self._links.list_ready(job.service.name)
+            if other is not link and other.entry.server not in job.tried
+        ]
+        decision = self._decide(job, others, self._compute_limit(job))
+        return isinstance(decision, _placement.Choice)
+
+    def _list_ready(self, job: _job.Job) -> list[_links.ServerLink]:
+        """Return the servers that have not failed the request, or all."""
+        ready = self._links.list_ready(job.service.name)
+        untried = [x for x in ready if x.entry.server not in job.tried]
+        return untried or ready
+
+    def _compute_limit(self, job: _job.Job) -> float:
+        return _admission.compute_limit_ms(
+            objective_ms=job.route.objective_ms,
+            left_ms=job.ends_at - self._clock.now(),
+            is_return=job.is_return,
+        )
+
+    def _decide(
+        self, job: _job.Job, links: list[_links.ServerLink], limit_ms: float
+    ) -> _placement.Choice | _placement.Refusal:
+        return _placement.place(
+            [link.make_candidate() for link in links],
+            objective_ms=job.route.objective_ms,
+            limit_ms=limit_ms,
+        )
+
+    def _choose(
+        self,
+        job: _job.Job,
+        links: list[_links.ServerLink],
+        segment: catalog.Segment | None,
+    ) -> Placed | _refusals.Refused:
+        limit_ms = self._compute_limit(job)
+        decision = self._decide(job, links, limit_ms)
+        if isinstance(decision, _placement.Refusal):
+            return _refusals.Refused(
+                status=503,
+                reason=decision.reason.value,
+                retry_ms=_admission.compute_retry_ms(
+                    expected_ms=decision.expected_ms,
+                    limit_ms=limit_ms,
+                    rng=self._rng,
+                ),
+            )
+        link = next(x for x in links if x.entry.server == decision.server)
+        job.trace.add(
+            events.Placed(
+                request=job.facts.attempt,
+                server=decision.server,
+                expected_ms=int(decision.expected_ms),
+                in_flight=link.load.in_flight,
+                others=round(link.load.estimate_others(), 1),
+                report_age_ms=link.load.get_report_age_ms(),
+                fence=segment.fence if segment is not None else None,
+            )
+        )
+        return Placed(link=link, expected_ms=decision.expected_ms)
--- a/tarragonhinge/platform/tests/test_path.py
+++ b/tarragonhinge/platform/tests/test_path.py
@@ -28,7 +28,7 @@
         prefix=f"/{name}/",
         kind=kind,
         timeout_ms=1_500,
-        objective_ms=1_000,
+        objective_ms=600,
         priority=1,
         max_attempts=3,
         targets=(catalog.Target(service=base.ServiceName(service)),),
@@ -222,6 +222,25 @@
     _run(check)
 
 
+def test_an_attempt_is_not_given_up_where_no_other_server_takes_it():
+    async def check(site):
+        first, second = site.servers
+        first.work.clear()
+        await second.stop()
+        load = site.gateway.links.find(second.name).load
+        for _ in range(5):
+            load.record_unreachable()
+        task = asyncio.create_task(site.ask(SAFE))
+        await first.arrived.wait()
+        # Longer than the silence after which another server is tried.
+        await asyncio.sleep(1.2)
+        first.work.set()
+        assert (await task).status == 200
+        assert site.count_runs() == 1
+
+    _run(check)
+
+
 def test_all_servers_full_is_refused_with_a_time_to_come_back():
     async def check(site):
         for server in site.servers:
