--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STAMP := $(VENV)/.installed
 BENCH_STAMP := $(VENV)/.installed-bench
 
-.PHONY: demo test lint format bench clean
+.PHONY: demo test lint format bench soak clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -37,5 +37,9 @@
 bench: $(BENCH_STAMP)
 	$(BIN)/python benchmarks/report.py
 
+# Real processes under faults; SOAK holds arguments (docs/SOAK.md).
+soak: $(STAMP)
+	$(BIN)/python -m tarragonhinge.platform.soak $(SOAK)
+
 clean:
 	rm -rf $(VENV) build *.egg-info
--- a/tarragonhinge/cli/_main.py
+++ b/tarragonhinge/cli/_main.py
@@ -67,6 +67,14 @@
         """
         _run(str(settings))
 
+    @decorators.SetParseFn(str)
+    def explain(self, *files: str, id: str) -> None:  # noqa: A002
+        """Tell from logs what happened to the request with an id.
+
+        Without files the logs are read from standard input.
+        """
+        _explain(str(id), [str(name) for name in files])
+
     def demo(self, kill: str = "") -> None:
         """Show the whole path; ``--kill=leader`` loses the leader."""
         from tarragonhinge import demo
@@ -94,6 +102,31 @@
     sys.exit(asyncio.run(platform.run_instance(located)))
 
 
+def _explain(request: str, files: list[str]) -> None:
+    from tarragonhinge import events
+
+    texts: list[str] = []
+    for name in files:
+        try:
+            content = pathlib.Path(name).read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            raise _errors.CommandError(
+                problem=f"{name} cannot be read: {error}",
+                remedy="name files that hold the output of instances",
+            ) from error
+        texts.extend(content.splitlines())
+    if not files:
+        texts = sys.stdin.read().splitlines()
+    story = events.tell_story(events.parse_lines(texts), request)
+    if not story:
+        raise _errors.CommandError(
+            problem=f"no line tells of the request {request}",
+            remedy="name the logs of all instances; a request that was "
+            "answered in time leaves no line",
+        )
+    print("\n".join(story))
+
+
 def main() -> None:
     """Run the command line."""
     flags.FLAGS(["tarragonhinge"])
--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -24,7 +24,11 @@
 from tarragonhinge.events._requests import Held
 from tarragonhinge.events._requests import Placed
 from tarragonhinge.events._requests import Received
+from tarragonhinge.events._requests import Rejected
 from tarragonhinge.events._requests import Tried
+from tarragonhinge.events._story import Line
+from tarragonhinge.events._story import parse_lines
+from tarragonhinge.events._story import tell_story
 from tarragonhinge.events._trace import Trace
 
 __all__ = [
@@ -41,6 +45,7 @@
     "Planned",
     "Readiness",
     "Received",
+    "Rejected",
     "Reloaded",
     "RequestEvent",
     "RowIgnored",
@@ -52,6 +57,9 @@
     "Stopping",
     "TableInForce",
     "TaskFailed",
+    "Line",
     "Trace",
+    "parse_lines",
+    "tell_story",
     "Tried",
 ]
--- a/tarragonhinge/events/_log.py
+++ b/tarragonhinge/events/_log.py
@@ -54,8 +54,18 @@
         self.dropped = 0
         os.set_blocking(descriptor, False)
 
-    def write(self, event: _event.Event) -> None:
-        """Write an event, or count it as dropped."""
+    def write(
+        self, event: _event.Event, *, happened_at: int | None = None
+    ) -> None:
+        """Write an event, or count it as dropped.
+
+        Parameters
+        ----------
+        event : Event
+            What happened.
+        happened_at : int, optional
+            When, by the clock; by default now.
+        """
         self._fill()
         if self._tokens < 1 or len(self._buffer) > BUFFER_BYTES:
             self.dropped += 1
@@ -65,7 +75,7 @@
             count, self._unreported = self._unreported, 0
             self._append(_beliefs.LinesDropped(count=count))
         self._tokens -= 1
-        self._append(event)
+        self._append(event, happened_at)
         if self._timer is None:
             self._timer = asyncio.get_running_loop().call_later(
                 FLUSH_MS / base.MS_PER_S, self.flush
@@ -77,11 +87,15 @@
         self._tokens = min(BURST_LINES, self._tokens + earned)
         self._filled_at = now
 
-    def _append(self, event: _event.Event) -> None:
+    def _append(
+        self, event: _event.Event, happened_at: int | None = None
+    ) -> None:
+        now = self._clock.now()
+        age_ms = 0 if happened_at is None else now - happened_at
         head = msgspec.json.encode(
             {
-                "at": self._clock.read_wall(),
-                "up": self._clock.now(),
+                "at": self._clock.read_wall() - age_ms,
+                "up": now - age_ms,
                 "instance": self._instance,
             }
         )
--- a/tarragonhinge/events/_requests.py
+++ b/tarragonhinge/events/_requests.py
@@ -26,6 +26,19 @@
     fence: int | None = None
 
 
+class Rejected(_event.RequestEvent, frozen=True, kw_only=True, tag="rejected"):
+    """No server would answer in time, by the estimates that decided."""
+
+    reason: str
+    servers: int
+    server: str
+    expected_ms: int
+    limit_ms: int
+    in_flight: int
+    others: float
+    report_age_ms: int
+
+
 class Held(_event.RequestEvent, frozen=True, kw_only=True, tag="held"):
     """The request waits until its key has a holder."""
 
--- a/tarragonhinge/events/_trace.py
+++ b/tarragonhinge/events/_trace.py
@@ -22,7 +22,7 @@
     def __init__(self, *, log: _log.EventLog, clock: base.Clock) -> None:
         self._log = log
         self._clock = clock
-        self._steps: list[_event.RequestEvent] = []
+        self._steps: list[tuple[int, _event.RequestEvent]] = []
         self.begun_at = clock.now()
 
     def compute_elapsed_ms(self) -> int:
@@ -32,11 +32,11 @@
     def add(self, step: _event.RequestEvent) -> None:
         """Keep a step."""
         if len(self._steps) < STEP_LIMIT:
-            self._steps.append(step)
+            self._steps.append((self._clock.now(), step))
 
     def finish(self, *, is_ordinary: bool) -> None:
         """Write the steps unless the request went as usual."""
         if not is_ordinary:
-            for step in self._steps:
-                self._log.write(step)
+            for happened_at, step in self._steps:
+                self._log.write(step, happened_at=happened_at)
         self._steps = []
--- /dev/null
+++ b/tarragonhinge/events/tests/test_events.py
@@ -0,0 +1,180 @@
+"""Logs are bounded, never block, and tell the story of a request."""
+
+import json
+import os
+
+import pytest
+
+from tarragonhinge import base
+from tarragonhinge import events
+from tarragonhinge.events import _log
+from tarragonhinge import testing
+
+
+def _run(check):
+    async def run():
+        reader, writer = os.pipe()
+        os.set_blocking(reader, False)
+        clock = testing.ManualClock()
+        log = events.EventLog(
+            instance=base.InstanceId("e1"), clock=clock, descriptor=writer
+        )
+        try:
+            await check(log, clock, reader)
+        finally:
+            os.close(reader)
+            os.close(writer)
+
+    testing.run_manual(run())
+
+
+def _read(reader):
+    try:
+        content = os.read(reader, 1 << 20)
+    except BlockingIOError:
+        return []
+    return [json.loads(line) for line in content.splitlines()]
+
+
+def _event(number=0):
+    return events.Reloaded(outcome=f"unchanged {number}")
+
+
+def test_one_line_for_each_event():
+    async def check(log, clock, reader):
+        log.write(_event(1))
+        log.write(_event(2))
+        await clock.sleep(_log.FLUSH_MS)
+        lines = _read(reader)
+        assert [line["event"] for line in lines] == ["reloaded"] * 2
+        assert {line["instance"] for line in lines} == {"e1"}
+        assert all("at" in line and "up" in line for line in lines)
+
+    _run(check)
+
+
+def test_the_volume_is_bounded_and_what_is_left_out_is_counted():
+    async def check(log, clock, reader):
+        for number in range(_log.BURST_LINES + 500):
+            log.write(_event(number))
+            log.flush()
+            _read(reader)
+        assert log.dropped == 500
+        await clock.sleep(1_000)
+        log.write(_event())
+        log.flush()
+        first, second = _read(reader)
+        assert (first["event"], first["count"]) == ("lines_dropped", 500)
+        assert second["event"] == "reloaded"
+
+    _run(check)
+
+
+def test_a_reader_that_does_not_read_slows_nothing():
+    async def check(log, clock, reader):
+        for _ in range(20):
+            for _ in range(300):
+                log.write(events.TaskFailed(task="t", problem="x" * 400))
+            await clock.sleep(1_000)
+        assert log.dropped > 0
+        assert len(log._buffer) < 2 * _log.BUFFER_BYTES
+
+    _run(check)
+
+
+def test_a_reader_that_is_gone_is_no_error():
+    async def run():
+        reader, writer = os.pipe()
+        log = events.EventLog(
+            instance=base.InstanceId("e1"),
+            clock=testing.ManualClock(),
+            descriptor=writer,
+        )
+        os.close(reader)
+        log.write(_event())
+        log.flush()
+        assert log.dropped == 1
+        os.close(writer)
+
+    testing.run_manual(run())
+
+
+@pytest.mark.parametrize("is_ordinary", [True, False])
+def test_steps_are_written_if_the_end_is_not_ordinary(is_ordinary):
+    async def check(log, clock, reader):
+        trace = events.Trace(log=log, clock=clock)
+        trace.add(
+            events.Ended(
+                request="a1",
+                outcome="refused",
+                status=503,
+                reason="overload",
+                elapsed_ms=3,
+            )
+        )
+        trace.finish(is_ordinary=is_ordinary)
+        log.flush()
+        assert bool(_read(reader)) is not is_ordinary
+
+    _run(check)
+
+
+def test_steps_bear_the_time_at_which_they_happened():
+    async def check(log, clock, reader):
+        trace = events.Trace(log=log, clock=clock)
+        for number in range(3):
+            trace.add(events.Held(request="a1", key=number, reason="moving"))
+            await clock.sleep(100)
+        trace.finish(is_ordinary=False)
+        log.flush()
+        ups = [line["up"] for line in _read(reader)]
+        assert [up - ups[0] for up in ups] == [0, 100, 200]
+
+    _run(check)
+
+
+def _line(instance, up, offset, event, **entries):
+    return json.dumps(
+        {
+            "at": up + offset,
+            "up": up,
+            "instance": instance,
+            "event": event,
+            **entries,
+        }
+    )
+
+
+def test_the_story_bears_clocks_that_differ_or_step():
+    texts = [
+        _line("e1", 1_000, 50_000, "started"),
+        _line("e1", 2_000, 50_000, "received", request="a1", key=7),
+        # The wall clock was stepped back here.
+        _line("e1", 2_010, 41_000, "placed", request="a1", server="s1"),
+        "12.5 e1 " + _line("e1", 2_200, 50_000, "ended", request="a1"),
+        _line("e2", 800, 51_300, "segment_moved", source="s1", target="s2"),
+        _line("e2", 810, 51_300, "segment_moved", source="s8", target="s9"),
+        _line("e1", 2_020, 50_000, "received", request="a2"),
+        "Traceback (most recent call last):",
+        "{broken",
+    ]
+    story = events.tell_story(events.parse_lines(texts), "a1")
+    words = [text.split()[3] for text in story]
+    assert words == [
+        "started",
+        "received",
+        "placed",
+        "segment_moved",
+        "ended",
+    ]
+    assert events.tell_story(events.parse_lines(texts), "none") == []
+
+
+def test_event_names_are_unique():
+    found = [
+        value
+        for value in vars(events).values()
+        if isinstance(value, type) and issubclass(value, events.Event)
+    ]
+    tags = [t.__struct_config__.tag for t in found]
+    assert len(set(tags)) == len(tags)
--- a/tarragonhinge/gateway/_placer.py
+++ b/tarragonhinge/gateway/_placer.py
@@ -113,6 +113,7 @@
         limit_ms = self._compute_limit(job)
         decision = self._decide(job, links, limit_ms)
         if isinstance(decision, _placement.Refusal):
+            self._note_rejected(job, links, decision, limit_ms)
             return _refusals.Refused(
                 status=503,
                 reason=decision.reason.value,
@@ -135,3 +136,31 @@
             )
         )
         return Placed(link=link, expected_ms=decision.expected_ms)
+
+    def _note_rejected(
+        self,
+        job: _job.Job,
+        links: list[_links.ServerLink],
+        refusal: _placement.Refusal,
+        limit_ms: float,
+    ) -> None:
+        """Keep the estimates of the server that came closest."""
+        nearest = min(
+            links,
+            key=lambda x: x.make_candidate().compute_expected_ms(),
+            default=None,
+        )
+        load = nearest.load if nearest is not None else None
+        job.trace.add(
+            events.Rejected(
+                request=job.facts.attempt,
+                reason=refusal.reason.value,
+                servers=len(links),
+                server=nearest.entry.server if nearest else "",
+                expected_ms=int(refusal.expected_ms),
+                limit_ms=int(limit_ms),
+                in_flight=load.in_flight if load else 0,
+                others=round(load.estimate_others(), 1) if load else 0.0,
+                report_age_ms=load.get_report_age_ms() if load else -1,
+            )
+        )
--- /dev/null
+++ b/tarragonhinge/platform/soak/__init__.py
@@ -0,0 +1,8 @@
+"""Fault soak: the real programs as processes, disturbed from outside."""
+
+from tarragonhinge.platform.soak._run import run_seed
+from tarragonhinge.platform.soak._run import run_seeds
+from tarragonhinge.platform.soak._run import SoakOptions
+from tarragonhinge.platform.soak._run import SoakResult
+
+__all__ = ["SoakOptions", "SoakResult", "run_seed", "run_seeds"]
--- /dev/null
+++ b/tarragonhinge/platform/soak/__main__.py
@@ -0,0 +1,33 @@
+"""Command line of the soak: ``python -m tarragonhinge.platform.soak``."""
+
+import asyncio
+import sys
+
+import fire
+
+from tarragonhinge.platform import soak
+
+
+def run(
+    first: int = 1,
+    seeds: int = 10,
+    seconds: float = 12.0,
+    instances: int = 4,
+    per_s: float = 40.0,
+    parallel: int = 4,
+) -> None:
+    """Run seeds from `first` on and exit with 1 if a promise was broken."""
+    results = asyncio.run(
+        soak.run_seeds(
+            list(range(first, first + seeds)),
+            options=soak.SoakOptions(
+                seconds=seconds, instances=instances, per_s=per_s
+            ),
+            parallel=parallel,
+        )
+    )
+    sys.exit(any(result.broken for result in results))
+
+
+if __name__ == "__main__":
+    fire.Fire(run)
--- a/tarragonhinge/platform/tests/test_path.py
+++ b/tarragonhinge/platform/tests/test_path.py
@@ -12,7 +12,7 @@
 from tarragonhinge import gateway
 from tarragonhinge import http1
 from tarragonhinge import platform
-from tarragonhinge.platform.tests import standin_server
+from tarragonhinge.platform import standins
 
 SAFE = "/safe/a"
 UNSAFE = "/unsafe/a"
@@ -60,8 +60,7 @@
 
     def __init__(self, names=("i-1", "i-2"), *, is_keyed=False):
         self.servers = [
-            standin_server.StandInServer(name, is_keyed=is_keyed)
-            for name in names
+            standins.StandInServer(name, is_keyed=is_keyed) for name in names
         ]
         self.service = base.ServiceName("keys" if is_keyed else "plain")
         self.view = catalog.View()
@@ -315,7 +314,7 @@
 
 def test_keyed_requests_go_to_the_holder_only():
     async def check(site):
-        site.servers[1].held.append((0, 65_535, 1))
+        site.servers[1].hold(0, 65_535)
         site.set_owner("i-2", 1)
         for key in ("0", "4096", "65535"):
             answer = await site.ask(KEYED, tarragonhinge_shard_key=key)
@@ -335,7 +334,7 @@
         )
         await asyncio.sleep(0.02)
         assert not task.done()
-        second.held.append((0, 65_535, 2))
+        second.hold(0, 65_535, 2)
         site.set_owner("i-2", 2)
         assert (await task).status == 200
         assert (first.seen, len(second.ran)) == ([], 1)
@@ -351,7 +350,7 @@
             site.ask(KEYED, tarragonhinge_shard_key="7")
         )
         await first.arrived.wait()
-        second.held.append((0, 65_535, 2))
+        second.hold(0, 65_535, 2)
         site.set_owner("i-2", 2)
         assert (await task).status == 200
         assert (len(first.seen), len(second.ran)) == (1, 1)
--- /dev/null
+++ b/tarragonhinge/platform/tests/test_process.py
@@ -0,0 +1,131 @@
+"""The program as a process: its start, its signals, its faults."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+
+import pytest
+
+from tarragonhinge import base
+from tarragonhinge import http1
+from tarragonhinge.platform import standins
+
+#: Time in which a process must come to something, in seconds.
+PATIENCE_S = 30
+
+NODE = """\
+node=e1
+ip={ip}
+zone=za
+region=ra
+zones.za=ra
+listen.front={ip}:8100
+listen.ready={ip}:8101
+internalPorts=8102,8103
+platform.address={ip}:8000
+"""
+
+PROBE = """
+import runpy, signal, sys, types
+stub = types.ModuleType("tarragonhinge.cli")
+stub.main = lambda: print(signal.getsignal(signal.SIGHUP).name)
+sys.modules["tarragonhinge.cli"] = stub
+import tarragonhinge
+tarragonhinge.cli = stub
+runpy.run_module("tarragonhinge", run_name="__main__")
+"""
+
+
+def test_news_of_changed_settings_does_not_end_a_process_that_starts():
+    done = subprocess.run(
+        [sys.executable, "-c", PROBE],
+        capture_output=True,
+        text=True,
+        check=True,
+    )
+    assert done.stdout.strip() == "SIG_IGN"
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "named"),
+    [
+        ("ip={ip}\n", "", "ip"),
+        ("listen.front={ip}:8100", "listen.front={ip}:x", "listen.front"),
+        (NODE, "", "ip"),
+    ],
+)
+def test_a_wrong_setting_ends_the_process_at_once(tmp_path, old, new, named):
+    path = tmp_path / "node.conf"
+    path.write_text(NODE.replace(old, new, 1).format(ip="127.98.0.1"))
+    done = subprocess.run(
+        [sys.executable, "-m", "tarragonhinge", "run", f"--settings={path}"],
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=PATIENCE_S,
+    )
+    assert done.returncode == 2
+    assert named in done.stderr
+
+
+def test_without_settings_the_variable_is_named():
+    environment = {k: v for k, v in os.environ.items() if "NODE_FILE" not in k}
+    done = subprocess.run(
+        [sys.executable, "-m", "tarragonhinge", "run"],
+        capture_output=True,
+        text=True,
+        check=False,
+        timeout=PATIENCE_S,
+        env=environment,
+    )
+    assert done.returncode == 2
+    assert "TARRAGONHINGE_NODE_FILE" in done.stderr
+
+
+async def _read_event(stream, name):
+    async with asyncio.timeout(PATIENCE_S):
+        while line := await stream.readline():
+            event = json.loads(line)
+            if event["event"] == name:
+                return event
+    raise AssertionError(f"the process ended without {name}")
+
+
+def test_reload_and_graceful_stop(tmp_path):
+    async def run():
+        ip = "127.98.0.2"
+        path = tmp_path / "node.conf"
+        path.write_text(NODE.format(ip=ip))
+        store = standins.StandInStore()
+        runner = await http1.listen(
+            store.make_application(), base.Address(f"{ip}:8000")
+        )
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "tarragonhinge",
+            "run",
+            f"--settings={path}",
+            stdout=asyncio.subprocess.PIPE,
+        )
+        try:
+            await _read_event(process.stdout, "started")
+            path.write_text("node=e1\n")
+            process.send_signal(signal.SIGHUP)
+            event = await _read_event(process.stdout, "reloaded")
+            assert event["outcome"].startswith("rejected: ip is missing")
+            process.send_signal(signal.SIGTERM)
+            assert await _read_event(process.stdout, "stopping")
+            event = await _read_event(process.stdout, "stopped")
+            assert event["cut_off"] == 0
+            assert await process.wait() == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            await runner.cleanup()
+
+    asyncio.run(run())
