--- a/tarragonhinge/gateway/_tallies.py
+++ b/tarragonhinge/gateway/_tallies.py
@@ -1,5 +1,7 @@
 """Counters and latency histograms of requests."""
 
+from collections.abc import Callable
+
 import prometheus_client
 
 #: Upper bounds of the latency histogram, in seconds.
@@ -37,6 +39,13 @@
             registry=self.registry,
         )
 
+    def watch(self, name: str, help_: str, read: Callable[[], float]) -> None:
+        """Add a gauge that is read when it is scraped."""
+        gauge = prometheus_client.Gauge(
+            f"tarragonhinge_gateway_{name}", help_, registry=self.registry
+        )
+        gauge.set_function(read)
+
     def record(self, *, outcome: str, reason: str, elapsed_ms: int) -> None:
         """Count the end of a request."""
         self._requests.labels(outcome=outcome, reason=reason).inc()
--- a/tarragonhinge/platform/_run.py
+++ b/tarragonhinge/platform/_run.py
@@ -41,16 +41,22 @@
     ----------
     options : InstanceOptions
         Settings.
+    log : EventLog
+        Where events are written.
     clock : Clock
         This process's clock.
     """
 
     def __init__(
-        self, *, options: gateway.InstanceOptions, clock: base.Clock
+        self,
+        *,
+        options: gateway.InstanceOptions,
+        log: events.EventLog,
+        clock: base.Clock,
     ) -> None:
         self._options = options
         self._clock = clock
-        self.log = events.EventLog(instance=options.instance, clock=clock)
+        self.log = log
         self._view = catalog.View()
         self._store = _row_store.PlatformStore(address=options.store)
         self._grants = _grants.PlatformGrants(clock=clock)
@@ -87,11 +93,52 @@
             is_ready=self.is_ready,
             registry=self.gateway.tallies.registry,
         )
+        self._watch_gauges()
         self._peers: asyncio.Server | None = None
         self._tasks: list[asyncio.Task] = []
         self._was_ready = False
         self._is_stopping = False
 
+    def _watch_gauges(self) -> None:
+        """Add what is read when it is scraped."""
+        watch = self.gateway.tallies.watch
+        watch("ready", "Whether callers should be sent here.", self.is_ready)
+        watch(
+            "in_flight",
+            "Requests of callers that are not answered yet.",
+            lambda: self.gateway.in_flight,
+        )
+        watch(
+            "table_version",
+            "Version of the routing table in force.",
+            lambda: self._view.table.version if self._view.table else 0,
+        )
+        watch(
+            "coordinates",
+            "Whether this instance coordinates.",
+            lambda: self._member.is_coordinator,
+        )
+        watch(
+            "fleet_size",
+            "Instances, as the coordinator counts them.",
+            lambda: self._member.fleet_size,
+        )
+        watch(
+            "view_age_seconds",
+            "Age of what is known of routes, servers and keys.",
+            lambda: (self._member.get_silence_ms() or 0) / base.MS_PER_S,
+        )
+        watch(
+            "store_calls",
+            "Calls to the platform's store since the start.",
+            lambda: self._store.calls,
+        )
+        watch(
+            "log_lines_dropped",
+            "Lines left out of the log since the start.",
+            lambda: self.log.dropped,
+        )
+
     def is_ready(self) -> bool:
         """Return whether callers should be sent here."""
         return (
@@ -184,7 +231,9 @@
         If the settings file is missing or wrong.
     """
     options = _node_file.load_node_file(path)
-    instance = PlatformInstance(options=options, clock=base.Clock())
+    clock = base.Clock()
+    log = events.EventLog(instance=options.instance, clock=clock)
+    instance = PlatformInstance(options=options, log=log, clock=clock)
     loop = asyncio.get_running_loop()
     stopped = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- /dev/null
+++ b/tarragonhinge/platform/tests/test_metrics.py
@@ -0,0 +1,43 @@
+"""The page of metrics against what an instance gives."""
+
+import asyncio
+import os
+import pathlib
+import re
+
+import prometheus_client
+
+from tarragonhinge import base
+from tarragonhinge import events
+from tarragonhinge import platform
+from tarragonhinge.platform import _run
+from tarragonhinge.platform.tests import test_codecs
+
+PAGE = pathlib.Path(__file__).parents[3] / "docs" / "METRICS.md"
+
+
+def test_the_page_gives_every_metric():
+    async def run():
+        clock = base.Clock()
+        log = events.EventLog(
+            instance=base.InstanceId("e1"),
+            clock=clock,
+            descriptor=os.open(os.devnull, os.O_WRONLY),
+        )
+        instance = _run.PlatformInstance(
+            options=platform.parse_node_file(test_codecs.NODE),
+            log=log,
+            clock=clock,
+        )
+        registry = instance.gateway.tallies.registry
+        return prometheus_client.generate_latest(registry).decode()
+
+    text = asyncio.run(run())
+    given = {
+        (name + ("_total" if kind == "counter" else ""), kind)
+        for name, kind in re.findall(r"# TYPE (\S+?)(?:_total)? (\w+)", text)
+        if not name.endswith("_created")
+    }
+    page = PAGE.read_text(encoding="utf-8")
+    told = set(re.findall(r"`(tarragonhinge_gateway_\w+)` \| (\w+)", page))
+    assert given == told
