--- a/tarragonhinge/gateway/_front.py
+++ b/tarragonhinge/gateway/_front.py
@@ -56,6 +56,11 @@
         """Return the connections with a request that is not answered."""
         return sum(not c.is_idle for c in self._connections)
 
+    def stop_accepting(self) -> None:
+        """Take no new connection; those that are open go on."""
+        if self._server is not None:
+            self._server.close()
+
     def close_idle(self) -> None:
         """Close the connections without a request."""
         for connection in list(self._connections):
@@ -64,8 +69,7 @@
 
     async def stop(self) -> None:
         """Stop to accept, and close all connections."""
-        if self._server is not None:
-            self._server.close()
+        self.stop_accepting()
         for task in list(self._connections.values()):
             task.cancel()
         await asyncio.gather(
--- a/tarragonhinge/platform/_run.py
+++ b/tarragonhinge/platform/_run.py
@@ -197,6 +197,8 @@
         while True:
             elapsed_ms = self._clock.now() - began_at
             if elapsed_ms >= NOTICE_MS:
+                # What is read from here on might not be finished.
+                self._front.stop_accepting()
                 self._front.close_idle()
             is_idle = self._front.count_busy() == 0
             if (elapsed_ms >= NOTICE_MS and is_idle) or elapsed_ms > limit_ms:
@@ -208,6 +210,16 @@
                 elapsed_ms=self._clock.now() - began_at,
             )
         )
+        await self._close()
+
+    async def _close(self) -> None:
+        """Release what is open."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._front.stop()
+        await self._grants.close()
+        await self._store.close()
         self.log.flush()
 
     def reload(self, path: pathlib.Path) -> None:
--- a/tarragonhinge/platform/tests/test_process.py
+++ b/tarragonhinge/platform/tests/test_process.py
@@ -94,6 +94,96 @@
     raise AssertionError(f"the process ended without {name}")
 
 
+def _write_rows(store, server):
+    """Let the operator and a server write what an instance needs."""
+    entry = {
+        "service": "books",
+        "address": server.address,
+        "zone": "za",
+        "slots": 2,
+        "state": "ready",
+        "born": 1,
+    }
+    store.put("servers", server.name, json.dumps(entry).encode())
+    route = {
+        "name": "r",
+        "host": "h.example",
+        "prefix": "/x/",
+        "kind": "unsafe",
+        "timeout": 9000,
+        "service": "books",
+    }
+    config = {
+        "version": 1,
+        "routes": [route],
+        "services": [{"name": "books"}],
+    }
+    store.put("op", "config", json.dumps(config).encode())
+
+
+async def _ask(ip):
+    """Send a request; return the connection, which its writer keeps open."""
+    reader, writer = await asyncio.open_connection(ip, 8100)
+    writer.write(
+        b"POST /x/1 HTTP/1.1\r\nHost: h.example\r\n"
+        b"Tarragonhinge-Request-Attempt-Id: a1\r\n"
+        b"Content-Length: 0\r\n\r\n"
+    )
+    await writer.drain()
+    return reader, writer
+
+
+def test_a_stop_finishes_what_was_read_and_takes_nothing_too_late(tmp_path):
+    """A request that was read 5 s after SIGTERM was cut off once."""
+
+    async def run():
+        ip = "127.98.0.3"
+        path = tmp_path / "node.conf"
+        path.write_text(NODE.format(ip=ip))
+        store = standins.StandInStore()
+        server = await standins.StandInServer().start(ip)
+        server.work.clear()
+        _write_rows(store, server)
+        runner = await http1.listen(
+            store.make_application(), base.Address(f"{ip}:8000")
+        )
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "tarragonhinge",
+            "run",
+            f"--settings={path}",
+            stdout=asyncio.subprocess.PIPE,
+        )
+        try:
+            await _read_event(process.stdout, "readiness")
+            reader, writer = await _ask(ip)
+            await server.arrived.wait()
+            process.send_signal(signal.SIGTERM)
+            await _read_event(process.stdout, "stopping")
+            with pytest.raises(ConnectionError):
+                async with asyncio.timeout(PATIENCE_S):
+                    while True:
+                        _, probe = await asyncio.open_connection(ip, 8100)
+                        probe.close()
+                        await asyncio.sleep(0.05)
+            server.work.set()
+            async with asyncio.timeout(PATIENCE_S):
+                answer = await reader.read()
+            writer.close()
+            assert answer.startswith(b"HTTP/1.1 200")
+            event = await _read_event(process.stdout, "stopped")
+            assert event["cut_off"] == 0
+        finally:
+            if process.returncode is None:
+                process.kill()
+                await process.wait()
+            await server.stop()
+            await runner.cleanup()
+
+    asyncio.run(run())
+
+
 def test_reload_and_graceful_stop(tmp_path):
     async def run():
         ip = "127.98.0.2"
