Answer all that runs when a stop begins, and begin nothing behind it

Change: while stopping, only the last answer of a connection ends it, and a request behind one that runs is not begun.

--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -113,6 +113,9 @@
                     h11.SERVER, max_incomplete_event_size=limits.header_bytes
                 )
                 request = await self._read_request(parser, limits)
+                if self._queue and self._is_stopping():
+                    # The answer before it ends the connection.
+                    return
                 await self._start(request, parser)
         except _ReadEndedError as end:
             if end.status is None:
@@ -253,7 +256,12 @@
             if exchange.answer.cancelled() or not self._queue:
                 return
             answer = exchange.answer.result()
-            closes = exchange.closes or answer.closes or self._is_stopping()
+            is_last = len(self._queue) == 1
+            closes = (
+                exchange.closes
+                or answer.closes
+                or (is_last and self._is_stopping())
+            )
             data, keeps = _frame(exchange, answer, closes=closes)
             self._pipe.write(data)
             self._queue.popleft()
--- a/tarragonhinge/http1/tests/test_caller_connection.py
+++ b/tarragonhinge/http1/tests/test_caller_connection.py
@@ -214,6 +214,30 @@
     asyncio.run(run())
 
 
+def test_requests_that_run_when_a_stop_begins_are_all_answered():
+    async def run():
+        async with _Site() as site:
+            site.gates = {f"/{n}": asyncio.Event() for n in (1, 2, 3)}
+            site.send(_get("/1") + _get("/2"))
+            await site.wait_requests(2)
+            site.is_stopping = True
+            # The answers before it end the connection: it is not begun.
+            site.send(_get("/3"))
+            await asyncio.sleep(0.05)
+            site.gates["/1"].set()
+            head, body = await site.read_answer()
+            assert body == "GET /1"
+            assert "connection: close" not in head
+            site.gates["/2"].set()
+            head, body = await site.read_answer()
+            assert body == "GET /2"
+            assert "connection: close" in head
+            assert await site.reader.read() == b""
+            assert [r.target for r in site.requests] == ["/1", "/2"]
+
+    asyncio.run(run())
+
+
 def test_head_gets_no_body():
     async def run():
         async with _Site() as site:
