--- a/tarragonhinge/platform/tests/test_process.py
+++ b/tarragonhinge/platform/tests/test_process.py
@@ -1,6 +1,7 @@
 """The program as a process: its start, its signals, its faults."""
 
 import asyncio
+import contextlib
 import json
 import os
 import signal
@@ -85,6 +86,29 @@
     assert "TARRAGONHINGE_NODE_FILE" in done.stderr
 
 
+@contextlib.asynccontextmanager
+async def _run_process(path, store, ip):
+    """Run an instance beside a store, and end both."""
+    runner = await http1.listen(
+        store.make_application(), base.Address(f"{ip}:8000")
+    )
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-m",
+        "tarragonhinge",
+        "run",
+        f"--settings={path}",
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        yield process
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+        await runner.cleanup()
+
+
 async def _read_event(stream, name):
     async with asyncio.timeout(PATIENCE_S):
         while line := await stream.readline():
@@ -144,18 +168,7 @@
         server = await standins.StandInServer().start(ip)
         server.work.clear()
         _write_rows(store, server)
-        runner = await http1.listen(
-            store.make_application(), base.Address(f"{ip}:8000")
-        )
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "tarragonhinge",
-            "run",
-            f"--settings={path}",
-            stdout=asyncio.subprocess.PIPE,
-        )
-        try:
+        async with _run_process(path, store, ip) as process:
             await _read_event(process.stdout, "readiness")
             reader, writer = await _ask(ip)
             await server.arrived.wait()
@@ -174,12 +187,7 @@
             assert answer.startswith(b"HTTP/1.1 200")
             event = await _read_event(process.stdout, "stopped")
             assert event["cut_off"] == 0
-        finally:
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
-            await server.stop()
-            await runner.cleanup()
+        await server.stop()
 
     asyncio.run(run())
 
@@ -190,18 +198,7 @@
         path = tmp_path / "node.conf"
         path.write_text(NODE.format(ip=ip))
         store = standins.StandInStore()
-        runner = await http1.listen(
-            store.make_application(), base.Address(f"{ip}:8000")
-        )
-        process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "tarragonhinge",
-            "run",
-            f"--settings={path}",
-            stdout=asyncio.subprocess.PIPE,
-        )
-        try:
+        async with _run_process(path, store, ip) as process:
             await _read_event(process.stdout, "started")
             path.write_text("node=e1\n")
             process.send_signal(signal.SIGHUP)
@@ -212,10 +209,5 @@
             event = await _read_event(process.stdout, "stopped")
             assert event["cut_off"] == 0
             assert await process.wait() == 0
-        finally:
-            if process.returncode is None:
-                process.kill()
-                await process.wait()
-            await runner.cleanup()
 
     asyncio.run(run())
