--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -30,6 +30,12 @@
 SILENCE_FACTOR = 4.0
 SILENCE_OBJECTIVES = 1.6
 
+#: Servers that may refuse a request before it is refused itself.
+REFUSED_LIMIT = 3
+
+#: Sends of a request, refused ones too, in multiples of its attempts.
+SENT_FACTOR = 2
+
 _NotRunCause = _outcomes.NotRunCause
 
 
@@ -308,12 +314,12 @@
         if self._clock.now() >= job.ends_at:
             return False
         if isinstance(outcome, _outcomes.NotRun):
-            if job.sent >= 2 * job.route.max_attempts:
+            if job.sent >= SENT_FACTOR * job.route.max_attempts:
                 return False
             if outcome.cause is _NotRunCause.MISDIRECTED:
                 return True
             # Only its owner may run a keyed request.
-            return job.key is None and len(job.tried) < 3
+            return job.key is None and len(job.tried) < REFUSED_LIMIT
         if not job.is_idempotent:
             return False
         return job.sent < job.route.max_attempts
--- a/tarragonhinge/gateway/_server_load.py
+++ b/tarragonhinge/gateway/_server_load.py
@@ -17,6 +17,12 @@
 #: Weight of one new latency in the mean.
 LATENCY_WEIGHT = 0.1
 
+#: The same for the mean of a service, which more answers make up.
+SERVICE_WEIGHT = 0.025
+
+#: Answers whose latencies a server's mean counts at most.
+MEAN_ANSWERS = 20
+
 #: Answers that the mean of the whole service counts as.
 PRIOR_ANSWERS = 4
 
@@ -47,7 +53,7 @@
     def record(self, latency_ms: float) -> None:
         """Learn from an answer."""
         self.count += 1
-        weight = max(LATENCY_WEIGHT / 4, 1 / self.count)
+        weight = max(SERVICE_WEIGHT, 1 / self.count)
         self.mean_ms += weight * (latency_ms - self.mean_ms)
 
 
@@ -109,7 +115,7 @@
 
     def estimate_service_ms(self) -> float:
         """Return the time for one request that need not wait."""
-        count = min(self._count, int(2 / LATENCY_WEIGHT))
+        count = min(self._count, MEAN_ANSWERS)
         prior_ms = self._service_time.mean_ms
         mean_ms = (self._mean_ms * count + prior_ms * PRIOR_ANSWERS) / (
             count + PRIOR_ANSWERS
