Try a server with a free slot whatever its estimate

Latencies measured across a paused process had raised the estimated service time above the objective; every request was refused for it, so no answer ever corrected it. Change: a request is refused for waiting, not for the estimate alone.

--- a/tarragonhinge/gateway/_placement.py
+++ b/tarragonhinge/gateway/_placement.py
@@ -100,9 +100,14 @@
     *,
     objective_ms: float,
     limit_ms: float,
+    admits_idle: bool = True,
 ) -> Choice | Refusal:
     """Choose the server with the least cost.
 
+    A server with a free slot takes a request even if its estimate is
+    above the limit: without answers an estimate that is wrong would
+    never be corrected.
+
     Parameters
     ----------
     candidates : sequence of Candidate
@@ -111,6 +116,9 @@
         Latency objective of the route.
     limit_ms : float
         Expected time from which the request is refused.
+    admits_idle : bool
+        Whether the caller waits long enough for a server with a free
+        slot to be tried in any case.
     """
     if not candidates:
         return Refusal(reason=RefusalReason.NO_SERVER)
@@ -123,7 +131,12 @@
         success = max(HEALTH_FLOOR, 1 - candidate.error_ratio)
         return candidate.compute_expected_ms() / success + penalty_ms
 
-    in_time = [c for c in usable if c.compute_expected_ms() <= limit_ms]
+    in_time = [
+        c
+        for c in usable
+        if c.compute_expected_ms() <= limit_ms
+        or (admits_idle and c.wait_ms <= 0)
+    ]
     if not in_time:
         least_ms = min(c.compute_expected_ms() for c in usable)
         return Refusal(reason=RefusalReason.OVERLOAD, expected_ms=least_ms)
--- a/tarragonhinge/gateway/_placer.py
+++ b/tarragonhinge/gateway/_placer.py
@@ -102,6 +102,7 @@
             [link.make_candidate() for link in links],
             objective_ms=job.route.objective_ms,
             limit_ms=limit_ms,
+            admits_idle=limit_ms >= job.route.objective_ms,
         )
 
     def _choose(
--- a/tarragonhinge/gateway/tests/test_decisions.py
+++ b/tarragonhinge/gateway/tests/test_decisions.py
@@ -55,6 +55,23 @@
         assert decision.server == expected
 
 
+@pytest.mark.parametrize(
+    ("wait_ms", "admits_idle", "is_sent"),
+    [(0.0, True, True), (0.0, False, False), (50.0, True, False)],
+)
+def test_a_free_server_is_tried_whatever_its_estimate(
+    wait_ms, admits_idle, is_sent
+):
+    """Refusals for an estimate alone once went on for ever."""
+    decision = _placement.place(
+        [_candidate("slow", _ZONE, wait_ms, service_ms=1_700.0)],
+        objective_ms=800,
+        limit_ms=800,
+        admits_idle=admits_idle,
+    )
+    assert isinstance(decision, _placement.Choice) is is_sent
+
+
 def test_a_server_that_fails_requests_looks_slow():
     decision = _placement.place(
         [
