--- a/tarragonhinge/gateway/_server_load.py
+++ b/tarragonhinge/gateway/_server_load.py
@@ -32,6 +32,9 @@
 #: Time constant with which a report of others' requests ages.
 REPORT_DECAY_MS = 500.0
 
+#: The same for the mean of the reports: if nobody sends, nothing is there.
+MEAN_DECAY_MS = 3_000.0
+
 #: Weight of one report in the mean of others' requests.
 REPORT_WEIGHT = 0.2
 
@@ -104,8 +107,11 @@
         """Return the likely number of other instances' requests."""
         if self._reported_at is None:
             return 0.0
-        fade = math.exp(-self.get_report_age_ms() / REPORT_DECAY_MS)
-        return self._others_mean + (self._others - self._others_mean) * fade
+        age_ms = self.get_report_age_ms()
+        mean = self._others_mean * math.exp(-age_ms / MEAN_DECAY_MS)
+        return mean + (self._others - mean) * math.exp(
+            -age_ms / REPORT_DECAY_MS
+        )
 
     def get_report_age_ms(self) -> int:
         """Return the age of the last report; -1 if there is none."""
--- a/tarragonhinge/gateway/tests/test_decisions.py
+++ b/tarragonhinge/gateway/tests/test_decisions.py
@@ -200,6 +200,19 @@
     _run(check)
 
 
+def test_a_server_that_nobody_reports_on_is_taken_to_be_idle():
+    async def check(clock):
+        load = _load(clock)
+        for _ in range(30):
+            load.record_seen(10)
+        await clock.sleep(1_000)
+        assert load.estimate_wait_ms() > 0
+        await clock.sleep(10_000)
+        assert load.estimate_wait_ms() <= 0
+
+    _run(check)
+
+
 def test_only_news_about_a_busy_server_is_told():
     async def check(clock):
         load = _load(clock)
