Remove code that nothing uses

Two methods of the owner map, one of the pipe, an event that is never written, and a callback of the catalog's feed that nobody passes.

--- a/tarragonhinge/catalog/_owner_map.py
+++ b/tarragonhinge/catalog/_owner_map.py
@@ -50,10 +50,6 @@
             return None
         return msgspec.structs.replace(self, first=low, last=high)
 
-    def is_held_by(self, other: "Segment") -> bool:
-        """Return whether both segments name one holder's incarnation."""
-        return (self.server, self.born_ms) == (other.server, other.born_ms)
-
 
 class OwnerMap:
     """Segments of one service, in order and without overlap.
@@ -75,11 +71,6 @@
             return None
         return self.segments[index]
 
-    def list_overlaps(self, first: int, last: int) -> list[Segment]:
-        """Return the parts of segments within a range."""
-        parts = (segment.cut(first, last) for segment in self.segments)
-        return [part for part in parts if part is not None]
-
     def replace(self, segments: Iterable[Segment]) -> "OwnerMap":
         """Return a map in which `segments` cover what they overlap."""
         kept = list(self.segments)
--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -1,6 +1,5 @@
 """Structured events: one line for each decision or change of belief."""
 
-from tarragonhinge.events._beliefs import ClockStepped
 from tarragonhinge.events._beliefs import DependencyChanged
 from tarragonhinge.events._beliefs import GrantFailed
 from tarragonhinge.events._beliefs import LeadershipChanged
@@ -32,7 +31,6 @@
 from tarragonhinge.events._trace import Trace
 
 __all__ = [
-    "ClockStepped",
     "DependencyChanged",
     "Ended",
     "Event",
--- a/tarragonhinge/events/_beliefs.py
+++ b/tarragonhinge/events/_beliefs.py
@@ -134,14 +134,6 @@
     for_ms: int
 
 
-class ClockStepped(
-    _event.Event, frozen=True, kw_only=True, tag="clock_stepped"
-):
-    """The wall clock moved against the monotonic one."""
-
-    by_ms: int
-
-
 class TaskFailed(_event.Event, frozen=True, kw_only=True, tag="task_failed"):
     """A background task ended by an error and is started again."""
 
--- a/tarragonhinge/feeds/_catalog_feed.py
+++ b/tarragonhinge/feeds/_catalog_feed.py
@@ -1,7 +1,6 @@
 """Keeps a view up to date from the store."""
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Sequence
 
 from tarragonhinge import base
@@ -35,8 +34,6 @@
         Where events are written.
     clock : Clock
         This process's clock.
-    on_change : callable
-        Called after each change of the view.
     """
 
     def __init__(
@@ -47,13 +44,11 @@
         view: catalog.View,
         log: events.EventLog,
         clock: base.Clock,
-        on_change: Callable[[], None] = lambda: None,
     ) -> None:
         self._codec = codec
         self._view = view
         self._log = log
         self._clock = clock
-        self._on_change = on_change
         self._lapsed: dict[base.ServerId, int] = {}
         self._routing = _follower.TableFollower(
             store=store,
@@ -101,7 +96,6 @@
                         source="store",
                     )
                 )
-                self._on_change()
 
     def _take_servers(
         self, rows: Sequence[stores.StoredRow], is_whole: bool
@@ -120,7 +114,6 @@
         self._keep_lapsed(entries)
         self._report(entries)
         self._view.set_servers(entries)
-        self._on_change()
 
     def _keep_lapsed(
         self, entries: dict[base.ServerId, catalog.ServerEntry]
@@ -153,7 +146,6 @@
                 entries.pop(server, None)
             self._report(entries)
             self._view.set_servers(entries)
-            self._on_change()
 
     def _report(
         self, entries: dict[base.ServerId, catalog.ServerEntry]
--- a/tarragonhinge/http1/_pipe.py
+++ b/tarragonhinge/http1/_pipe.py
@@ -97,11 +97,6 @@
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
 
-    @property
-    def has_unread(self) -> bool:
-        """Whether bytes have arrived that nobody has read."""
-        return bool(self._unread)
-
     @property
     def is_usable(self) -> bool:
         """Whether nothing has arrived or ended, as on an idle connection."""
