Refuse at once what no holder serves, and ask a refusing holder once

A request was sent up to four times to a holder that had refused its key, since the owner map can't be corrected while the coordinator is frozen or the store is away; and a new coordinator, which counts its followers up from one, gave each instance a large part of the allowance. Change: a holder that refused is asked by one request at a time, never twice by the same; requests for keys that have been unserved for longer than a handover takes are refused at once, with a time to come back that grows with the outage; the budget is divided by the largest fleet known in its window.

--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -98,7 +98,7 @@
         self._coordinator: _coordinator.Coordinator | None = None
         self._solo: asyncio.Task | None = None
         self._solo_feed: feeds.CatalogFeed | None = None
-        self._fleet_size = 1
+        self._fleet_size: int | None = None
 
     @property
     def is_coordinator(self) -> bool:
@@ -106,12 +106,12 @@
         return self._coordinator is not None
 
     @property
-    def fleet_size(self) -> int:
-        """Number of instances, as far as is known."""
+    def fleet_size(self) -> int | None:
+        """Number of instances, None until a coordinator has told it."""
         if self._coordinator is not None:
             return self._coordinator.hub.fleet_size
         if self._subscription is not None:
-            self._fleet_size = max(1, self._subscription.fleet_size)
+            self._fleet_size = self._subscription.fleet_size
         return self._fleet_size
 
     def get_silence_ms(self) -> int | None:
@@ -352,7 +352,7 @@
             if notifier is not None:
                 notifier.cancel()
             self._coordinator = None
-            self._fleet_size = max(1, coordinator.hub.fleet_size)
+            self._fleet_size = coordinator.hub.fleet_size
             self._note_leadership(term, leads=False, reason=reason)
         if reason == "deposed":
             self._policy.record_reign(
--- a/tarragonhinge/events/_requests.py
+++ b/tarragonhinge/events/_requests.py
@@ -40,10 +40,11 @@
 
 
 class Held(_event.RequestEvent, frozen=True, kw_only=True, tag="held"):
-    """The request waits until its key has a holder."""
+    """The key of the request has no holder that may be asked."""
 
     key: int
     reason: str
+    unserved_ms: int
 
 
 class Tried(_event.RequestEvent, frozen=True, kw_only=True, tag="tried"):
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -11,6 +11,7 @@
 from tarragonhinge import events
 from tarragonhinge.gateway import _admission
 from tarragonhinge.gateway import _dialect
+from tarragonhinge.gateway import _fleet_size
 from tarragonhinge.gateway import _job
 from tarragonhinge.gateway import _links
 from tarragonhinge.gateway import _options
@@ -67,7 +68,7 @@
 
     Attributes
     ----------
-    fleet_size : int
+    fleet_size : FleetSize
         Number of instances that share the budget of repeats.
     """
 
@@ -100,7 +101,7 @@
             rng=rng or random.Random(),
         )
         self.tallies = _tallies.Tallies()
-        self.fleet_size = 1
+        self.fleet_size = _fleet_size.FleetSize(clock=clock)
         self.in_flight = 0
         self._sender = _sender.Sender(dialect=dialect, clock=clock)
         self._budgets: dict[base.ServiceName, _repeats.RepeatBudget] = {}
@@ -267,6 +268,7 @@
             outcome = await self._sender.send(
                 job, link, patience=self._make_patience(job, placed)
             )
+            self._note_owner(job, placed, outcome)
             if isinstance(outcome, _outcomes.Whole) and not outcome.failed:
                 return outcome.answer
             failure = outcome
@@ -280,7 +282,7 @@
         if job.is_repeat_paid:
             job.is_repeat_paid = False
             return True
-        return self._budget(job).take(instances=self.fleet_size)
+        return self._budget(job).take(instances=self.fleet_size.get())
 
     def _make_patience(
         self, job: _job.Job, placed: _placer.Placed
@@ -324,6 +326,23 @@
             return False
         return job.sent < job.route.max_attempts
 
+    def _note_owner(
+        self,
+        job: _job.Job,
+        placed: _placer.Placed,
+        outcome: _outcomes.AttemptOutcome,
+    ) -> None:
+        """Learn whether the holder of a key takes its requests."""
+        if placed.segment is None:
+            return
+        if isinstance(outcome, _outcomes.Whole):
+            self.owners.note_answered(placed.segment)
+        elif (
+            isinstance(outcome, _outcomes.NotRun)
+            and outcome.cause is _NotRunCause.MISDIRECTED
+        ):
+            self.owners.note_misdirected(job, placed.segment)
+
     def _note_failure(
         self,
         job: _job.Job,
@@ -336,8 +355,6 @@
         job.tried.add(server)
         if not isinstance(outcome, _outcomes.NotRun):
             job.may_have_run = True
-        elif outcome.cause is _NotRunCause.MISDIRECTED:
-            self.owners.note_misdirected(job)
         elif outcome.cause is _NotRunCause.UNSENT:
             self._log.write(
                 events.ServerAvoided(
--- a/tarragonhinge/gateway/_job.py
+++ b/tarragonhinge/gateway/_job.py
@@ -37,10 +37,8 @@
         Servers that failed it.
     is_repeat_paid : bool
         Whether the budget has paid for the next attempt.
-    distrusted : tuple or None
+    refused_by : tuple or None
         Holder and fencing token that refused its key.
-    distrusted_until : int
-        Until when that holder is not asked again.
     """
 
     request: http1.Request
@@ -54,8 +52,7 @@
     may_have_run: bool = False
     tried: set[base.ServerId] = dataclasses.field(default_factory=set)
     is_repeat_paid: bool = False
-    distrusted: tuple[base.ServerId, int] | None = None
-    distrusted_until: int = 0
+    refused_by: tuple[base.ServerId, int] | None = None
 
     @property
     def is_idempotent(self) -> bool:
--- a/tarragonhinge/gateway/_placer.py
+++ b/tarragonhinge/gateway/_placer.py
@@ -24,10 +24,13 @@
         The server.
     expected_ms : float
         Expected time to its answer.
+    segment : Segment or None
+        Under which it holds the request's key.
     """
 
     link: _links.ServerLink
     expected_ms: float
+    segment: catalog.Segment | None = None
 
 
 class Placer:
@@ -67,7 +70,7 @@
             return _refusals.Refused(
                 status=503,
                 reason="no_owner",
-                retry_ms=_owner_finder.RETRY_MS,
+                retry_ms=self._owners.compute_retry_ms(job),
             )
         link = self._links.find(segment.server)
         return self._choose(job, [link] if link else [], segment)
@@ -136,7 +139,9 @@
                 fence=segment.fence if segment is not None else None,
             )
         )
-        return Placed(link=link, expected_ms=decision.expected_ms)
+        return Placed(
+            link=link, expected_ms=decision.expected_ms, segment=segment
+        )
 
     def _note_rejected(
         self,
--- a/tarragonhinge/gateway/tests/test_decisions.py
+++ b/tarragonhinge/gateway/tests/test_decisions.py
@@ -8,6 +8,7 @@
 from tarragonhinge import catalog
 from tarragonhinge.gateway import _admission
 from tarragonhinge.gateway import _dialect
+from tarragonhinge.gateway import _fleet_size
 from tarragonhinge.gateway import _placement
 from tarragonhinge.gateway import _repeats
 from tarragonhinge.gateway import _server_load
@@ -151,6 +152,33 @@
     _run(check)
 
 
+@pytest.mark.parametrize(
+    ("sizes", "expected"),
+    [
+        # Until the first word of a coordinator, the share is small.
+        ([], 64),
+        ([(0, 1)], 1),
+        ([(0, 12)], 12),
+        # A new coordinator counts up from one.
+        ([(13_000, 12), (1_000, 1), (1_000, 3)], 12),
+        ([(13_000, 12), (1_000, 30)], 30),
+        # Instances that left count until the window has passed.
+        ([(13_000, 12), (1_000, 8), (13_000, 8)], 8),
+    ],
+)
+def test_the_fleet_is_as_large_as_it_was_lately(sizes, expected):
+    """A new coordinator's count once gave each the whole allowance."""
+
+    async def check(clock):
+        fleet = _fleet_size.FleetSize(clock=clock)
+        for pause_ms, size in sizes:
+            await clock.sleep(pause_ms)
+            fleet.record(size)
+        assert fleet.get() == expected
+
+    _run(check)
+
+
 def test_returns_are_told_from_new_requests():
     usual = _admission.UsualDeadline()
     assert [usual.is_return(d) for d in (5_000, 4_990, 4_000, 5_000)] == [
--- a/tarragonhinge/platform/_run.py
+++ b/tarragonhinge/platform/_run.py
@@ -121,7 +121,7 @@
         watch(
             "fleet_size",
             "Instances, as the coordinator counts them.",
-            lambda: self._member.fleet_size,
+            lambda: self._member.fleet_size or 0,
         )
         watch(
             "view_age_seconds",
@@ -169,7 +169,8 @@
     async def _watch(self) -> None:
         """Keep derived figures up to date and log what changes."""
         while True:
-            self.gateway.fleet_size = self._member.fleet_size
+            if self._member.fleet_size is not None:
+                self.gateway.fleet_size.record(self._member.fleet_size)
             ready = self.is_ready()
             if ready != self._was_ready:
                 self._was_ready = ready
--- a/tarragonhinge/relay/_subscription.py
+++ b/tarragonhinge/relay/_subscription.py
@@ -67,8 +67,8 @@
     ----------
     heard_at : int or None
         When the coordinator was last heard of (boot time).
-    fleet_size : int
-        Number of instances, as the coordinator says.
+    fleet_size : int or None
+        Number of instances, once the coordinator has told it.
     """
 
     def __init__(
@@ -94,7 +94,7 @@
         self._store_age_ms = 0
         self._is_store_silent = False
         self.heard_at: int | None = None
-        self.fleet_size = 1
+        self.fleet_size: int | None = None
 
     async def run(self) -> End:
         """Follow the coordinator; return why that ended."""
--- a/tarragonhinge/testing/__init__.py
+++ b/tarragonhinge/testing/__init__.py
@@ -8,6 +8,7 @@
 from tarragonhinge.testing._deployment import Node
 from tarragonhinge.testing._deployment import OTHER_REGION
 from tarragonhinge.testing._deployment import REGION
+from tarragonhinge.testing._event_log import make_event_log
 from tarragonhinge.testing._faults import FaultDriver
 from tarragonhinge.testing._faults import FAULTS
 from tarragonhinge.testing._faults import make_key
@@ -76,6 +77,7 @@
     "StoreFaults",
     "find_sent_to",
     "make_client_factory",
+    "make_event_log",
     "make_key",
     "make_row",
     "run_manual",
--- /dev/null
+++ b/tarragonhinge/testing/_event_log.py
@@ -0,0 +1,17 @@
+"""A log of events for tests."""
+
+import os
+
+from tarragonhinge import base
+from tarragonhinge import events
+
+
+def make_event_log(
+    clock: base.Clock, *, instance: str = "i1"
+) -> events.EventLog:
+    """Return a log whose lines nobody reads."""
+    return events.EventLog(
+        instance=base.InstanceId(instance),
+        clock=clock,
+        descriptor=os.open(os.devnull, os.O_WRONLY),
+    )
