Send versions as changes, and let a wide link coordinate

Change: versions are passed on as what changed; a subscriber begins with what was sent before, so that the next change applies; instances with a link under 50 Mbit/s claim 400 ms later. With it: grants last no longer than the settings allow (the limit was read and not applied), renewals come in thirds of that; settings that nothing uses are no longer read.

--- a/tarragonhinge/catalog/__init__.py
+++ b/tarragonhinge/catalog/__init__.py
@@ -12,6 +12,8 @@
 from tarragonhinge.catalog._server import ServerEntry
 from tarragonhinge.catalog._server import ServerState
 from tarragonhinge.catalog._service import Service
+from tarragonhinge.catalog._table_delta import compute_delta
+from tarragonhinge.catalog._table_delta import RoutingDelta
 from tarragonhinge.catalog._view import index_servers
 from tarragonhinge.catalog._view import View
 
@@ -21,6 +23,7 @@
     "OwnerMap",
     "RequestKind",
     "Route",
+    "RoutingDelta",
     "RoutingTable",
     "Segment",
     "SegmentState",
@@ -29,5 +32,6 @@
     "Service",
     "Target",
     "View",
+    "compute_delta",
     "index_servers",
 ]
--- a/tarragonhinge/coordination/_claim.py
+++ b/tarragonhinge/coordination/_claim.py
@@ -1,5 +1,6 @@
 """When an instance claims the coordination."""
 
+import math
 import random
 
 #: Longest delay of a claim by an instance in the store's region, and by
@@ -10,6 +11,11 @@
 #: Round trip to the store up to which an instance counts as near.
 NEAR_STORE_MS = 20
 
+#: Bandwidth below which an instance claims later: a routing table of 150
+#: routes sent to 60 others takes 1.4 s over a link of 10 Mbit/s.
+NARROW_LINK_MBPS = 50.0
+NARROW_DELAY_MS = 400
+
 #: A leadership that ends sooner was of an instance that the others don't
 #: reach; it does not claim again for a while.
 SHORT_REIGN_MS = 6_000
@@ -20,24 +26,33 @@
     """Decides whether and how soon to claim.
 
     Answers the loss of the coordinator, after which all instances want
-    to claim at once, and an instance that is cut off from the others
-    and would take the coordination again and again.
+    to claim at once, an instance that is cut off from the others and
+    would take the coordination again and again, and one whose link is
+    too narrow to pass a storm of versions on.
 
     Parameters
     ----------
     rng : random.Random
         Spreads the claims.
+    link_mbps : float
+        Bandwidth of the instance's link.
     """
 
-    def __init__(self, *, rng: random.Random) -> None:
+    def __init__(
+        self, *, rng: random.Random, link_mbps: float = math.inf
+    ) -> None:
         self._rng = rng
+        self._link_delay_ms = 0
+        if link_mbps < NARROW_LINK_MBPS:
+            self._link_delay_ms = NARROW_DELAY_MS
         self._silent_until = 0
 
     def compute_delay_ms(self, *, store_ms: int) -> int:
         """Return how long to wait before a claim."""
+        delay_ms = self._rng.randint(NEAR_DELAY_MS, FAR_DELAY_MS)
         if store_ms <= NEAR_STORE_MS:
-            return self._rng.randint(0, NEAR_DELAY_MS)
-        return self._rng.randint(NEAR_DELAY_MS, FAR_DELAY_MS)
+            delay_ms = self._rng.randint(0, NEAR_DELAY_MS)
+        return delay_ms + self._link_delay_ms
 
     def may_claim(self, *, now: int) -> bool:
         """Return whether a claim is allowed."""
--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -47,6 +47,8 @@
         Where events are written.
     clock : Clock
         This process's clock.
+    grant_limit_ms : int
+        Longest time for which keys may be granted.
     """
 
     def __init__(
@@ -61,6 +63,7 @@
         own: relay.Exchange,
         log: events.EventLog,
         clock: base.Clock,
+        grant_limit_ms: int,
     ) -> None:
         self.term = term
         self._condition = condition
@@ -70,6 +73,7 @@
         self._own = own
         self._log = log
         self._clock = clock
+        self._grant_limit_ms = grant_limit_ms
         self._claimed_at = clock.read_boot()
         self._feed = feeds.CatalogFeed(
             store=store, codec=codec, view=view, log=log, clock=clock
@@ -218,4 +222,5 @@
             inherited_until=self._claimed_at + _authority.AUTHORITY_MS,
             log=self._log,
             clock=self._clock,
+            grant_limit_ms=self._grant_limit_ms,
         )
--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Sequence
 import contextlib
+import math
 import random
 
 from tarragonhinge import base
@@ -62,6 +63,10 @@
         This process's clock.
     rng : random.Random
         Spreads claims and retries.
+    link_mbps : float
+        Bandwidth of this instance's link.
+    grant_limit_ms : int
+        Longest time for which keys may be granted.
     """
 
     def __init__(
@@ -78,6 +83,8 @@
         log: events.EventLog,
         clock: base.Clock,
         rng: random.Random | None = None,
+        link_mbps: float = math.inf,
+        grant_limit_ms: int = 10_000,
     ) -> None:
         self._instance = instance
         self._incarnation = incarnation
@@ -90,7 +97,8 @@
         self._log = log
         self._clock = clock
         self._rng = rng or random.Random()
-        self._policy = _claim.ClaimPolicy(rng=self._rng)
+        self._grant_limit_ms = grant_limit_ms
+        self._policy = _claim.ClaimPolicy(rng=self._rng, link_mbps=link_mbps)
         self._store_ms = 0
         self._left_version = 0
         self._successor = base.Address("")
@@ -335,6 +343,7 @@
             own=self._own,
             log=self._log,
             clock=self._clock,
+            grant_limit_ms=self._grant_limit_ms,
         )
         self._coordinator = coordinator
         notifier = None
--- a/tarragonhinge/coordination/tests/test_member.py
+++ b/tarragonhinge/coordination/tests/test_member.py
@@ -105,6 +105,26 @@
     assert policy.may_claim(now=reigned_ms + later_ms) is expected
 
 
+@pytest.mark.parametrize(
+    ("store_ms", "link_mbps", "least_ms", "most_ms"),
+    [
+        (8, 200.0, 0, 120),
+        (45, 200.0, 120, 500),
+        # A narrow link carries no storm of versions to the whole fleet.
+        (8, 10.0, 400, 520),
+        (45, 10.0, 520, 900),
+    ],
+)
+def test_instances_that_can_do_most_claim_first(
+    store_ms, link_mbps, least_ms, most_ms
+):
+    policy = coordination.ClaimPolicy(
+        rng=random.Random(1), link_mbps=link_mbps
+    )
+    delays = [policy.compute_delay_ms(store_ms=store_ms) for _ in range(50)]
+    assert least_ms <= min(delays) <= max(delays) <= most_ms
+
+
 @pytest.mark.parametrize(
     ("age_ms", "agreed", "expected"),
     [
--- a/tarragonhinge/gateway/_options.py
+++ b/tarragonhinge/gateway/_options.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Mapping
 import dataclasses
+import math
 
 from tarragonhinge import base
 
@@ -22,12 +23,8 @@
         Where it listens for callers, health checks and other instances.
     store : Address
         Where the row store listens.
-    memory_mb : int
-        Memory that the process may use.
-    descriptors : int
-        Files and sockets that the process may open.
-    drain_ms : int
-        Time after which a leaving server gets no new work.
+    link_mbps : float
+        Bandwidth of the instance's link.
     stop_ms : int
         Time from SIGTERM to SIGKILL.
     grant_limit_ms : int
@@ -36,8 +33,6 @@
         Repeats that are allowed for each request, and besides.
     repeat_window_ms : int
         Time over which repeats are counted.
-    server_heartbeat_ms : int
-        How often servers write their entries.
     """
 
     instance: base.InstanceId
@@ -48,12 +43,9 @@
     health: base.Address
     peers: base.Address
     store: base.Address
-    memory_mb: int = 300
-    descriptors: int = 1024
-    drain_ms: int = 2_500
+    link_mbps: float = math.inf
     stop_ms: int = 6_000
     grant_limit_ms: int = 10_000
     repeat_ratio: float = 0.2
     repeat_slack: float = 0.0
     repeat_window_ms: int = 10_000
-    server_heartbeat_ms: int = 1_000
--- a/tarragonhinge/platform/_node_file.py
+++ b/tarragonhinge/platform/_node_file.py
@@ -4,6 +4,7 @@
 that this module does not name are ignored, since new ones may come.
 """
 
+import math
 import os
 import pathlib
 
@@ -130,10 +131,8 @@
         health=reader.read_address("listen.ready"),
         peers=base.Address(f"{ip}:{peer_port}"),
         store=reader.read_address("platform.address"),
-        memory_mb=int(reader.read_number("limits.memoryMb", 300)),
-        descriptors=int(reader.read_number("limits.maxFds", 1024)),
+        link_mbps=reader.read_number("limits.linkMbps", math.inf),
         # Bounds without a unit in their name: seconds or milliseconds.
-        drain_ms=int(reader.read_number("bounds.drain", 2500)),
         stop_ms=int(reader.read_number("bounds.grace", 6) * base.MS_PER_S),
         # The longest time for which keys may be granted.
         grant_limit_ms=int(reader.read_number("bounds.holdMax", 10_000)),
@@ -142,8 +141,6 @@
             reader.read_number("bounds.budgetWindow", 10) * base.MS_PER_S
         ),
         repeat_slack=reader.read_number("bounds.retrySlack", 0),
-        # How often backend servers write their entries.
-        server_heartbeat_ms=int(reader.read_number("heartbeat", 1000)),
     )
 
 
--- a/tarragonhinge/platform/_run.py
+++ b/tarragonhinge/platform/_run.py
@@ -81,6 +81,8 @@
             own=reporter,
             log=self.log,
             clock=clock,
+            link_mbps=options.link_mbps,
+            grant_limit_ms=options.grant_limit_ms,
         )
         self._front = gateway.Front(
             address=options.callers, gateway=self.gateway
--- a/tarragonhinge/ranges/_leader.py
+++ b/tarragonhinge/ranges/_leader.py
@@ -69,8 +69,8 @@
         Where events are written.
     clock : Clock
         This process's clock.
-    hold_ms : int
-        How long a grant lasts.
+    grant_limit_ms : int
+        Longest time for which keys may be granted.
     """
 
     def __init__(
@@ -85,7 +85,7 @@
         inherited_until: int,
         log: events.EventLog,
         clock: base.Clock,
-        hold_ms: int = _renewer.HOLD_MS,
+        grant_limit_ms: int = _renewer.HOLD_MS,
     ) -> None:
         self._service = service
         self._recorder = recorder
@@ -107,7 +107,7 @@
             may_renew=may_renew,
             log=log,
             clock=clock,
-            hold_ms=hold_ms,
+            hold_ms=min(_renewer.HOLD_MS, grant_limit_ms),
         )
         self._mover = _mover.Mover(
             service=service,
@@ -351,7 +351,8 @@
             if self._renewer.find_holder(left) is not None:
                 # At once, before a renewal of either can begin.
                 merged = self._book.merge(left, right)
-                merged.renew_at = self._clock.read_boot() + _renewer.RENEW_MS
+                now = self._clock.read_boot()
+                merged.renew_at = now + self._renewer.renew_ms
                 self._group.create_task(self._settle_merged(merged))
 
     async def _settle_merged(self, merged: _lease.Lease) -> None:
--- a/tarragonhinge/ranges/_mover.py
+++ b/tarragonhinge/ranges/_mover.py
@@ -194,7 +194,7 @@
             now = self._clock.read_boot()
             if result is _grants.GrantResult.HELD:
                 lease.is_moving = False
-                lease.renew_at = now + _renewer.RENEW_MS
+                lease.renew_at = now + self._renewer.renew_ms
                 self._book.publish()
                 return True
             if result is _grants.GrantResult.FENCED:
--- a/tarragonhinge/ranges/_renewer.py
+++ b/tarragonhinge/ranges/_renewer.py
@@ -15,8 +15,8 @@
 #: the keys of a silent server are unserved.
 HOLD_MS = 4_000
 
-#: Interval of renewals: two may fail before a grant lapses.
-RENEW_MS = 1_300
+#: Renewals in the time of a grant: two may fail before it lapses.
+RENEWALS = 3
 
 #: Time after which a renewal without an answer is repeated.
 REPEAT_MS = 250
@@ -48,6 +48,11 @@
         This process's clock.
     hold_ms : int
         How long a grant lasts.
+
+    Attributes
+    ----------
+    renew_ms : int
+        Interval of renewals.
     """
 
     def __init__(
@@ -72,6 +77,7 @@
         self._log = log
         self._clock = clock
         self.hold_ms = hold_ms
+        self.renew_ms = hold_ms // RENEWALS
         self._tasks: set[asyncio.Task] = set()
 
     async def run(self) -> None:
@@ -110,7 +116,7 @@
             result = await self.grant_once(lease)
             now = self._clock.read_boot()
             if result is _grants.GrantResult.HELD:
-                lease.renew_at = now + RENEW_MS
+                lease.renew_at = now + self.renew_ms
             elif result is _grants.GrantResult.FENCED:
                 await self.refence(lease)
                 lease.renew_at = now
--- a/tarragonhinge/ranges/tests/leading.py
+++ b/tarragonhinge/ranges/tests/leading.py
@@ -69,7 +69,7 @@
         )
         self.rows.apply([], [put])
 
-    def make_leader(self):
+    def make_leader(self, **options):
         """Claim, and return a leader with its store and its grants."""
         self.term += 1
         row = self.rows.rows.get((CLAIM.table, CLAIM.key))
@@ -104,11 +104,12 @@
             inherited_until=self.clock.now() + 3_000,
             log=self.log,
             clock=self.clock,
+            **options,
         )
         return leader, store, grants
 
-    def start_leader(self):
-        self.leader, self.store, self.grants = self.make_leader()
+    def start_leader(self, **options):
+        self.leader, self.store, self.grants = self.make_leader(**options)
         self.task = asyncio.create_task(self.leader.run())
         return self.leader
 
--- a/tarragonhinge/ranges/tests/test_leader.py
+++ b/tarragonhinge/ranges/tests/test_leader.py
@@ -194,3 +194,18 @@
         _check(site)
 
     testing.run_manual(run())
+
+
+@pytest.mark.parametrize(
+    ("limit_ms", "expected_ms"), [(10_000, 4_000), (1_500, 1_500)]
+)
+def test_grants_last_no_longer_than_is_allowed(limit_ms, expected_ms):
+    async def run():
+        site = leading.LedService()
+        site.start_leader(grant_limit_ms=limit_ms)
+        await site.run_for(3 * SETTLED_MS)
+        assert site.grants.longest_ms == expected_ms
+        assert site.fleet.count_unheld() == 0
+        _check(site)
+
+    testing.run_manual(run())
--- a/tarragonhinge/relay/_hub.py
+++ b/tarragonhinge/relay/_hub.py
@@ -88,9 +88,9 @@
         self._clock = clock
         self._subscribers: set[_Subscriber] = set()
         self._most_subscribers = 0
-        self._sent_table: base.TableVersion | None = None
-        self._sent_servers: dict[base.ServerId, catalog.ServerEntry] = {}
-        self._sent_owners: dict[base.ServiceName, catalog.OwnerMap] = {}
+        self._sent_table = view.table
+        self._sent_servers = dict(view.servers)
+        self._sent_owners = dict(view.owners)
         self._table_sent_at = 0
         self._changed = asyncio.Event()
         self._subscription = view.changes.subscribe(
@@ -171,13 +171,14 @@
         )
 
     def _make_whole(self) -> _messages.Update:
+        """Return what was sent so far, to which the next change applies."""
         return _messages.Update(
             is_whole=True,
-            table=self._view.table,
-            servers=list(self._view.servers.values()),
+            table=self._sent_table,
+            servers=list(self._sent_servers.values()),
             segments={
                 name: list(owners.segments)
-                for name, owners in self._view.owners.items()
+                for name, owners in self._sent_owners.items()
             },
         )
 
@@ -214,7 +215,6 @@
             subscriber.send(frame)
 
     async def _send_changes(self) -> None:
-        self._note_sent()
         while True:
             await self._changed.wait()
             await self._clock.sleep(GATHER_MS)
@@ -223,16 +223,10 @@
             if update is not None:
                 self._send(update)
 
-    def _note_sent(self) -> None:
-        if self._view.table is not None:
-            self._sent_table = self._view.table.version
-        self._sent_servers = dict(self._view.servers)
-        self._sent_owners = dict(self._view.owners)
-
     def _make_update(self) -> _messages.Update | None:
         """Return what differs from what was sent last."""
         view = self._view
-        table = self._take_table()
+        table, delta = self._take_table()
         servers = [
             entry
             for server, entry in view.servers.items()
@@ -248,24 +242,35 @@
                 segments[name] = changed
         self._sent_servers = dict(view.servers)
         self._sent_owners = dict(view.owners)
-        if not (table or servers or gone or segments):
+        if not (table or delta or servers or gone or segments):
             return None
         return _messages.Update(
-            table=table, servers=servers, gone=gone, segments=segments
+            table=table,
+            table_delta=delta,
+            servers=servers,
+            gone=gone,
+            segments=segments,
         )
 
-    def _take_table(self) -> catalog.RoutingTable | None:
-        """Return a new version, at most one in `GATHER_TABLE_MS`."""
-        table = self._view.table
-        if table is None or table.version == self._sent_table:
-            return None
+    def _take_table(
+        self,
+    ) -> tuple[catalog.RoutingTable | None, catalog.RoutingDelta | None]:
+        """Return a new version, at most one in `GATHER_TABLE_MS`.
+
+        It is returned as a whole or as a delta; a storm of versions of a
+        long table would otherwise fill a narrow link.
+        """
+        table, sent = self._view.table, self._sent_table
+        if table is None or (sent and table.version == sent.version):
+            return None, None
         now = self._clock.now()
         wait_ms = self._table_sent_at + GATHER_TABLE_MS - now
-        if self._sent_table is not None and wait_ms > 0:
+        if sent is not None and wait_ms > 0:
             asyncio.get_running_loop().call_later(
                 wait_ms / base.MS_PER_S, self._changed.set
             )
-            return None
-        self._sent_table = table.version
+            return None, None
+        self._sent_table = table
         self._table_sent_at = now
-        return table
+        delta = catalog.compute_delta(sent, table) if sent else None
+        return (table, None) if delta is None else (None, delta)
--- a/tarragonhinge/relay/_messages.py
+++ b/tarragonhinge/relay/_messages.py
@@ -70,7 +70,9 @@
     is_whole : bool
         Whether the receiver replaces all that it knows.
     table : RoutingTable or None
-        A new version of the routing table.
+        A version of the routing table.
+    table_delta : RoutingDelta or None
+        The same as a change of the version that was sent before.
     servers : list of ServerEntry
         New and changed entries.
     gone : list of ServerId
@@ -81,6 +83,7 @@
 
     is_whole: bool = False
     table: catalog.RoutingTable | None = None
+    table_delta: catalog.RoutingDelta | None = None
     servers: list[catalog.ServerEntry] = []
     gone: list[base.ServerId] = []
     segments: dict[base.ServiceName, list[catalog.Segment]] = {}
--- a/tarragonhinge/relay/_subscription.py
+++ b/tarragonhinge/relay/_subscription.py
@@ -93,6 +93,7 @@
         self._clock = clock
         self._store_age_ms = 0
         self._is_store_silent = False
+        self._table: catalog.RoutingTable | None = None
         self.heard_at: int | None = None
         self.fleet_size: int | None = None
 
@@ -130,7 +131,8 @@
                 return End.DEPOSED
             self.heard_at = self._clock.read_boot()
             if isinstance(message, _messages.Update):
-                self._apply(message)
+                if not self._apply(message):
+                    return End.LOST
                 self._on_update()
             elif isinstance(message, _messages.Loads):
                 self._own.take_loads(message)
@@ -148,16 +150,10 @@
         self._is_store_silent = not reached
         return reached
 
-    def _apply(self, update: _messages.Update) -> None:
-        table = update.table
-        if table is not None and self._view.set_table(table):
-            self._log.write(
-                events.TableInForce(
-                    version=table.version,
-                    routes=len(table.routes),
-                    source="coordinator",
-                )
-            )
+    def _apply(self, update: _messages.Update) -> bool:
+        """Take a change; return False if it applies to nothing known."""
+        if not self._apply_table(update):
+            return False
         if update.is_whole or update.servers or update.gone:
             entries = {} if update.is_whole else dict(self._view.servers)
             entries.update(catalog.index_servers(update.servers))
@@ -169,6 +165,27 @@
             if not update.is_whole and name in self._view.owners:
                 owners = self._view.owners[name]
             self._view.set_owners(name, owners.replace(segments))
+        return True
+
+    def _apply_table(self, update: _messages.Update) -> bool:
+        """Take a version; the view may know a newer one already."""
+        table, delta = update.table, update.table_delta
+        if delta is not None:
+            table = delta.apply(self._table) if self._table else None
+            if table is None:
+                return False
+        if table is None:
+            return True
+        self._table = table
+        if self._view.set_table(table):
+            self._log.write(
+                events.TableInForce(
+                    version=table.version,
+                    routes=len(table.routes),
+                    source="coordinator",
+                )
+            )
+        return True
 
     async def _send_loads(self, writer: asyncio.StreamWriter) -> None:
         while True:
--- /dev/null
+++ b/tarragonhinge/relay/tests/test_relay.py
@@ -0,0 +1,156 @@
+"""What the coordinator passes on reaches its subscribers in order."""
+
+import asyncio
+import contextlib
+
+import pytest
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge import relay
+from tarragonhinge import testing
+
+ROUTES = 150
+
+
+def _make_table(version, *, extra=0):
+    routes = tuple(
+        catalog.Route(
+            name=f"r{number}",
+            host="h",
+            prefix=f"/{number}/",
+            kind=catalog.RequestKind.IDEMPOTENT,
+            timeout_ms=1_000,
+            objective_ms=500,
+            priority=1,
+            max_attempts=2,
+            targets=(catalog.Target(service=base.ServiceName("s")),),
+        )
+        for number in range(ROUTES + extra)
+    )
+    return catalog.RoutingTable(
+        version=base.TableVersion(version), routes=routes
+    )
+
+
+class _Exchange(relay.Exchange):
+    """Nothing to report."""
+
+    def make_report(self):
+        return relay.Report()
+
+    def make_loads(self):
+        return relay.Loads(seen=[])
+
+    def take_loads(self, loads):
+        """Ignore them."""
+
+
+class _Site:
+    """A hub on loopback and its subscribers."""
+
+    def __init__(self):
+        self.clock = base.Clock()
+        self.view = catalog.View()
+        self.view.set_table(_make_table(1))
+        self.log = testing.make_event_log(self.clock)
+        self.sent_bytes = 0
+
+    async def __aenter__(self):
+        self.hub = relay.Hub(
+            term=base.Term(1),
+            view=self.view,
+            get_store_age=lambda: 0,
+            take_report=lambda report: None,
+            take_loads=lambda loads: None,
+            clock=self.clock,
+        )
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = base.Address(f"127.0.0.1:{port}")
+        self.tasks = [asyncio.create_task(self.hub.run())]
+        return self
+
+    async def _serve(self, reader, writer):
+        write = writer.write
+
+        def count_and_write(data):
+            self.sent_bytes += len(data)
+            write(data)
+
+        writer.write = count_and_write
+        await self.hub.serve(reader, writer)
+
+    def subscribe(self, view):
+        async def reach_store():
+            return True
+
+        subscription = relay.Subscription(
+            instance=base.InstanceId("i2"),
+            address=self.address,
+            view=view,
+            own=_Exchange(),
+            reach_store=reach_store,
+            on_update=lambda: None,
+            log=self.log,
+            clock=self.clock,
+        )
+        self.tasks.append(asyncio.create_task(subscription.run()))
+        return subscription
+
+    async def __aexit__(self, *_):
+        for task in self.tasks:
+            task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(*self.tasks)
+        self.server.close()
+
+
+async def _wait(check):
+    clock = base.Clock()
+    async with asyncio.timeout(20):
+        while not check():
+            await clock.sleep(10)
+
+
+def _knows(view, version):
+    return view.table is not None and view.table.version == version
+
+
+def test_a_storm_of_versions_is_passed_on_as_changes():
+    """Whole tables of a storm once filled a link of 10 Mbit/s."""
+
+    async def run():
+        async with _Site() as site:
+            view = catalog.View()
+            site.subscribe(view)
+            await _wait(lambda: _knows(view, 1))
+            whole_bytes = site.sent_bytes
+            for number in range(2, 6):
+                site.view.set_table(_make_table(number, extra=number))
+                await _wait(lambda n=number: _knows(view, n))
+            assert view.table == site.view.table
+            assert site.sent_bytes - whole_bytes < whole_bytes
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("known", [None, 1, 3, 9])
+def test_changes_apply_to_what_the_hub_sent(known):
+    """The subscriber's own view may be older or newer than that."""
+
+    async def run():
+        async with _Site() as site:
+            view = catalog.View()
+            if known is not None:
+                view.set_table(_make_table(known))
+            site.subscribe(view)
+            site.view.set_table(_make_table(3, extra=1))
+            await _wait(lambda: site.hub.fleet_size == 2)
+            site.view.set_table(_make_table(4, extra=2))
+            expected = max(4, known or 0)
+            await _wait(lambda: _knows(view, expected))
+            if expected == 4:
+                assert view.table == site.view.table
+
+    asyncio.run(run())
--- a/tarragonhinge/testing/_key_servers.py
+++ b/tarragonhinge/testing/_key_servers.py
@@ -190,6 +190,11 @@
         The servers.
     clock : Clock
         The instance's clock.
+
+    Attributes
+    ----------
+    longest_ms : int
+        Longest time for which a grant was asked to last.
     """
 
     #: Time after which an order without an answer is given up.
@@ -204,6 +209,7 @@
         self._late: set[asyncio.Task] = set()
         self._lines: dict[base.Address, KeyServer] = {}
         self.is_cut_off = False
+        self.longest_ms = 0
 
     def is_connected(self, holder: ranges.Holder) -> bool:
         """Return whether the same process answered the last grant."""
@@ -221,6 +227,7 @@
         self, holder: ranges.Holder, grant: ranges.Grant
     ) -> ranges.GrantResult:
         """Grant a range, or renew it."""
+        self.longest_ms = max(self.longest_ms, grant.hold_ms)
         await self._clock.sleep(self.TRAVEL_MS)
         server = self._find(holder.address)
         if self._lines.pop(holder.address, server) is not server:
