--- a/tarragonhinge/gateway/_dialect.py
+++ b/tarragonhinge/gateway/_dialect.py
@@ -55,12 +55,15 @@
         Whether the server states that the request did not run.
     load : ReportedLoad or None
         The server's load.
+    server : ServerId or None
+        The server that refused the request as meant for another one.
     """
 
     attempt: str
     sealed: bool = False
     not_run: bool = False
     load: ReportedLoad | None = None
+    server: base.ServerId | None = None
 
 
 class Dialect(abc.ABC):
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -320,6 +320,8 @@
                 return False
             if outcome.cause is _NotRunCause.MISDIRECTED:
                 return True
+            if outcome.cause is _NotRunCause.REPLACED and job.key is not None:
+                return True
             # Only its owner may run a keyed request.
             return job.key is None and len(job.tried) < REFUSED_LIMIT
         if not job.is_idempotent:
@@ -337,9 +339,9 @@
             return
         if isinstance(outcome, _outcomes.Whole):
             self.owners.note_answered(placed.segment)
-        elif (
-            isinstance(outcome, _outcomes.NotRun)
-            and outcome.cause is _NotRunCause.MISDIRECTED
+        elif isinstance(outcome, _outcomes.NotRun) and outcome.cause in (
+            _NotRunCause.MISDIRECTED,
+            _NotRunCause.REPLACED,
         ):
             self.owners.note_misdirected(job, placed.segment)
 
@@ -355,11 +357,11 @@
         job.tried.add(server)
         if not isinstance(outcome, _outcomes.NotRun):
             job.may_have_run = True
-        elif outcome.cause is _NotRunCause.UNSENT:
+        elif outcome.cause in (_NotRunCause.UNSENT, _NotRunCause.REPLACED):
             self._log.write(
                 events.ServerAvoided(
                     server=server,
-                    reason=outcome.detail,
+                    reason=outcome.detail or outcome.cause.value,
                     for_ms=link.load.get_pause_ms(),
                 )
             )
--- a/tarragonhinge/gateway/_outcomes.py
+++ b/tarragonhinge/gateway/_outcomes.py
@@ -15,10 +15,15 @@
 
 
 class NotRunCause(enum.Enum):
-    """Why a server certainly did not run a request."""
+    """Why a server certainly did not run a request.
+
+    MISDIRECTED: it does not hold the key; REPLACED: another server
+    listens at its address; UNSENT: no connection could be opened.
+    """
 
     SHED = "shed"
     MISDIRECTED = "misdirected"
+    REPLACED = "replaced"
     UNSENT = "unsent"
 
 
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -167,12 +167,15 @@
     ) -> _outcomes.AttemptOutcome:
         facts = self._dialect.read_answer(dict(answer.fields))
         if facts.not_run or answer.status == 421:
-            if answer.status == 421:
+            if facts.server not in (None, link.entry.server):
+                cause = _outcomes.NotRunCause.REPLACED
+                link.load.record_unreachable()
+            elif answer.status == 421:
                 cause = _outcomes.NotRunCause.MISDIRECTED
             else:
                 cause = _outcomes.NotRunCause.SHED
                 link.load.record_shed(facts.load)
-            return _outcomes.NotRun(cause=cause, detail=str(answer.status))
+            return _outcomes.NotRun(cause=cause)
         failed = answer.status >= 500 or answer.status in PROMISES
         is_valid = facts.sealed and facts.attempt == job.facts.attempt
         if not is_valid and not failed:
--- a/tarragonhinge/platform/_dialect.py
+++ b/tarragonhinge/platform/_dialect.py
@@ -10,6 +10,8 @@
 # Proves that the body is a server's own; bears no key of ours.
 _SEAL = "tarragonhinge-upstream-seal"
 _LOAD = "tarragonhinge-upstream-load"
+# In refusals and health checks only: the server that answers.
+_SERVER = "tarragonhinge-instance-id"
 # Present if the server did not run the request, whatever its value.
 _NOT_RUN = "tarragonhinge-not-executed"
 
@@ -54,6 +56,9 @@
             sealed=bool(fields.get(_SEAL)),
             not_run=_NOT_RUN in fields,
             load=_parse_load(fields.get(_LOAD)),
+            server=base.ServerId(fields[_SERVER])
+            if _SERVER in fields
+            else None,
         )
 
 
--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -138,7 +138,11 @@
         self.arrived.set()
         expected = fields.get("tarragonhinge-expect-instance", self.name)
         key = int(fields.get("tarragonhinge-shard-key", -1))
-        if expected != self.name or (self.is_keyed and not self.holds(key)):
+        if expected != self.name:
+            own = [*_NOT_RUN, ("Tarragonhinge-Instance-Id", self.name)]
+            self._write(writer, 421, own, "no")
+            return True
+        if self.is_keyed and not self.holds(key):
             self._write(writer, 421, _NOT_RUN, "no")
             return True
         mode = self.modes.pop(0) if self.modes else self.mode
--- a/tarragonhinge/platform/tests/test_path.py
+++ b/tarragonhinge/platform/tests/test_path.py
@@ -259,11 +259,14 @@
 
 
 def test_another_server_at_the_address_does_not_run_it():
+    """It is asked once only: each of its refusals costs a repeat."""
+
     async def check(site):
         site.servers[0].name = "i-9"
         for _ in range(4):
             assert (await site.ask(UNSAFE)).status == 200
         assert site.servers[0].ran == []
+        assert len(site.servers[0].seen) == 1
 
     _run(check)
 
