Begin a move only once the store has just taken a write

Change: moves for load, and away from a server that leaves and still serves, begin within 250 ms of a write that the store confirmed; a write that changes nothing asks for that. Moves away from a lost server begin at once.

--- a/tarragonhinge/ranges/_leader.py
+++ b/tarragonhinge/ranges/_leader.py
@@ -168,9 +168,8 @@
         if not is_store_near:
             return
         self._vacate()
-        if now - self._planned_at >= PLAN_MS:
+        if now - self._planned_at >= PLAN_MS and self._balance():
             self._planned_at = now
-            self._balance()
         if now - self._merged_at >= MERGE_MS:
             self._merged_at = now
             self._merge()
@@ -253,6 +252,10 @@
                 and entry.service == self._service
             ):
                 continue
+            if entry is not None and not self._recorder.confirm():
+                # The holder serves on for a while; the store may not be
+                # there to record another one.
+                continue
             pieces = _planner.divide_by_load(
                 lease.first,
                 lease.last,
@@ -267,11 +270,11 @@
                 reason="holder_gone" if entry is None else "holder_leaves",
             )
 
-    def _balance(self) -> None:
-        """Start moves that even out the load."""
+    def _balance(self) -> bool:
+        """Start moves that even out the load; False to plan again soon."""
         self._load.fade()
         if self._mover.active >= ACTIVE_LIMIT:
-            return
+            return True
         now = self._clock.read_boot()
         resting = {
             lease.first: True
@@ -280,10 +283,12 @@
         }
         balance = self._make_balance()
         if not balance.capacity:
-            return
+            return True
         busiest = max(balance.capacity, key=balance.get_use)
         use, mean_use = balance.get_use(busiest), balance.get_mean_use()
         moves = _planner.plan_moves(balance, resting=resting)
+        if moves and not self._recorder.confirm():
+            return False
         self._log.write(
             events.Planned(
                 service=self._service,
@@ -312,6 +317,7 @@
                 ),
                 reason="balance",
             )
+        return True
 
     def _find_lease(self, move: _planner.PlannedMove) -> _lease.Lease | None:
         """Return the lease that a planned move takes a piece of."""
--- a/tarragonhinge/ranges/_recorder.py
+++ b/tarragonhinge/ranges/_recorder.py
@@ -12,6 +12,9 @@
 RETRY_MS = 150
 RETRY_CAP_MS = 1_000
 
+#: Age of the last write up to which another one is expected to succeed.
+CONFIRMED_MS = 250
+
 
 class LeadershipLostError(base.TarragonhingeError):
     """Another instance coordinates now."""
@@ -59,6 +62,8 @@
         self._next_fence = 1
         self._pending: list[tuple[list[catalog.Segment], asyncio.Future]] = []
         self._wake = asyncio.Event()
+        self._written_at: int | None = None
+        self._is_writing = False
         self.owners = catalog.OwnerMap()
 
     async def load(self) -> None:
@@ -81,6 +86,26 @@
         self._next_fence += 1
         return fence
 
+    def confirm(self) -> bool:
+        """Return whether the store has just taken a write.
+
+        If it has not, a write that changes nothing is begun, so that a
+        later call can tell.  A move that begins without it may leave its
+        keys released and unserved until an outage ends.
+        """
+        now = self._clock.read_boot()
+        if (
+            self._written_at is not None
+            and now - self._written_at < CONFIRMED_MS
+        ):
+            return True
+        if not self._is_writing and not self._pending:
+            self._pending.append(
+                ([], asyncio.get_running_loop().create_future())
+            )
+            self._wake.set()
+        return False
+
     async def commit(self, segments: Sequence[catalog.Segment]) -> None:
         """Return once new holders are recorded.
 
@@ -103,6 +128,7 @@
             if not batch:
                 continue
             changed = [s for segments, _ in batch for s in segments]
+            self._is_writing = True
             try:
                 await self._write(self.owners.replace(changed))
             except LeadershipLostError as error:
@@ -110,6 +136,9 @@
                     if not future.done():
                         future.set_exception(error)
                 raise
+            finally:
+                self._is_writing = False
+            self._written_at = self._clock.read_boot()
             for _, future in batch:
                 if not future.done():
                     future.set_result(None)
--- a/tarragonhinge/ranges/tests/test_leader.py
+++ b/tarragonhinge/ranges/tests/test_leader.py
@@ -1,5 +1,6 @@
 """The leader of a service keeps every key with one holder."""
 
+import msgspec
 import pytest
 
 from tarragonhinge import catalog
@@ -142,6 +143,36 @@
     testing.run_manual(run())
 
 
+@pytest.mark.parametrize("cause", ["load", "leaving"])
+def test_nothing_moves_while_the_store_is_out(cause):
+    """Moves that began in an outage left their keys unserved in it."""
+
+    async def run():
+        site = leading.LedService()
+        await _settle(site)
+        site.store.faults.is_down = True
+        if cause == "leaving":
+            entry = site.view.servers["s1"]
+            leaving = catalog.ServerState.DRAINING
+            site.list_entry(msgspec.structs.replace(entry, state=leaving))
+        for _ in range(8):
+            site.leader.record_keys(HOT * 2)
+            await site.run_for(500)
+            assert site.fleet.count_unheld() == 0
+        site.store.faults.is_down = False
+        for _ in range(8):
+            site.leader.record_keys(HOT * 2)
+            await site.run_for(500)
+        segments = site.view.owners[leading.SERVICE].segments
+        assert len(segments) > 4 or cause == "leaving"
+        assert site.fleet.count_unheld() == 0
+        if cause == "leaving":
+            assert not site.find_server("s1").list_held()
+        _check(site)
+
+    testing.run_manual(run())
+
+
 def test_inherited_neighbours_are_merged_and_renewed():
     """A renewal that began beside the merge once stopped all others."""
 
