Leave a coordinator that alone lost the store sooner, and tell the others

The store turned the coordinator away at 2.5 s; followers left it at 5.1 s, and one with a narrow link waited 0.4 s to 0.9 s to claim before it looked for the successor. Then its connection took 0.9 s to open. Change: beats tell at once when a call to the store fails; the watch that proves the leadership waits 0.7 s instead of 1.4 s; followers stay with the coordinator while they wait to claim, so that the first successor's word reaches them through it; a server that began to leave while a connection was opened gets no request. Tests: relay test_a_coordinator_that_alone_lost_the_store_is_left, platform test_a_server_that_leaves_while_it_is_connected_to_gets_nothing.

--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -20,6 +20,10 @@
 #: Interval of the coordinator's own reports.
 REPORT_MS = 500
 
+#: Longest wait of the watch that proves the leadership, and by which the
+#: other instances tell whether the coordinator reaches the store.
+PROOF_WATCH_MS = 700
+
 #: Interval at which its own sight of busy servers is passed on.
 LOADS_MS = 80
 
@@ -84,12 +88,14 @@
             handle=self._take_claims,
             log=log,
             clock=clock,
+            watch_ms=PROOF_WATCH_MS,
         )
         self._deposed = asyncio.Event()
         self.hub = relay.Hub(
             term=term,
             view=view,
             get_store_age=self.get_store_age,
+            is_store_failing=lambda: self._claims.is_failing,
             take_report=self._take_report,
             take_loads=own.take_loads,
             clock=clock,
--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -212,8 +212,16 @@
                 if end is relay.End.DEPOSED and not self._has_left(row):
                     # Its address answers, but it does not coordinate.
                     end = relay.End.UNREACHABLE
-                if end in (relay.End.UNREACHABLE, relay.End.STORE_LOST):
-                    await self._try_claim(row)
+                if end is relay.End.UNREACHABLE:
+                    await self._try_claim(
+                        row,
+                        delay_ms=self._policy.compute_delay_ms(
+                            store_ms=self._store_ms
+                        ),
+                    )
+                elif end is relay.End.STORE_LOST:
+                    # The subscription has waited before it ended.
+                    await self._try_claim(row, delay_ms=0)
                 elif end is relay.End.DEPOSED:
                     await self._clock.sleep(RETRY_MS // 3)
         finally:
@@ -252,6 +260,12 @@
         row = await self._read_claim()
         return not isinstance(row, stores.Unavailable)
 
+    def _compute_leave_ms(self) -> int:
+        """Return when to claim from a coordinator that lost the store."""
+        if not self._policy.may_claim(now=self._clock.read_boot()):
+            return SOLO_RETRY_MS
+        return self._policy.compute_delay_ms(store_ms=self._store_ms)
+
     async def _follow(self, address: base.Address) -> relay.End:
         """Take what the coordinator passes on, until that ends."""
         subscription = relay.Subscription(
@@ -260,6 +274,7 @@
             view=self._view,
             own=self._own,
             reach_store=self._reach_store,
+            compute_leave_ms=self._compute_leave_ms,
             on_update=self._stop_solo,
             log=self._log,
             clock=self._clock,
@@ -275,14 +290,14 @@
         )
         return end
 
-    async def _try_claim(self, row: stores.StoredRow | None) -> None:
+    async def _try_claim(
+        self, row: stores.StoredRow | None, *, delay_ms: int
+    ) -> None:
         """Claim the coordination, and coordinate if that succeeds."""
         if not self._policy.may_claim(now=self._clock.read_boot()):
             await self._clock.sleep(SOLO_RETRY_MS)
             return
-        await self._clock.sleep(
-            self._policy.compute_delay_ms(store_ms=self._store_ms)
-        )
+        await self._clock.sleep(delay_ms)
         present = await self._read_claim()
         if isinstance(present, stores.Unavailable):
             return
--- a/tarragonhinge/feeds/_follower.py
+++ b/tarragonhinge/feeds/_follower.py
@@ -41,6 +41,8 @@
         This process's clock.
     rng : random.Random
         Spreads the retries.
+    watch_ms : int
+        Longest time that one watch waits.
 
     Attributes
     ----------
@@ -59,9 +61,11 @@
         log: events.EventLog,
         clock: base.Clock,
         rng: random.Random | None = None,
+        watch_ms: int = WATCH_MS,
     ) -> None:
         self._store = store
         self._table = table
+        self._watch_ms = watch_ms
         self._handle = handle
         self._log = log
         self._clock = clock
@@ -72,6 +76,11 @@
         self.confirmed_at: int | None = None
         self.returned_at: int | None = None
 
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last call ended without an answer or refused."""
+        return self._failures > 0
+
     def get_age_ms(self) -> int | None:
         """Return how long ago the store last answered; None for never."""
         if self.confirmed_at is None:
@@ -98,7 +107,7 @@
         if self._version is None:
             return await self._store.read(self._table)
         return await self._store.watch(
-            self._table, after=self._version, wait_ms=WATCH_MS
+            self._table, after=self._version, wait_ms=self._watch_ms
         )
 
     def _confirm(self) -> None:
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -112,7 +112,9 @@
         self.tallies = _tallies.Tallies()
         self.fleet_size = _fleet_size.FleetSize(clock=clock)
         self.in_flight = 0
-        self._sender = _sender.Sender(dialect=dialect, clock=clock)
+        self._sender = _sender.Sender(
+            dialect=dialect, links=self.links, clock=clock
+        )
         self._budgets: dict[base.ServiceName, _repeats.RepeatBudget] = {}
         self._splitters: dict[str, _splitter.TargetSplitter] = (
             collections.defaultdict(_splitter.TargetSplitter)
--- a/tarragonhinge/gateway/_links.py
+++ b/tarragonhinge/gateway/_links.py
@@ -116,6 +116,16 @@
         links = [self.find(entry.server) for entry in entries]
         return sorted(links, key=lambda link: link.distance.value != "zone")
 
+    def takes_work(self, link: ServerLink, *, keyed: bool) -> bool:
+        """Return whether a server still takes new work.
+
+        A holder of keys that leaves serves them until they have moved.
+        """
+        entry = self._view.servers.get(link.entry.server)
+        if not link.entry.is_same_incarnation(entry):
+            return False
+        return keyed or entry.state is catalog.ServerState.READY
+
     def list_keyed(self) -> list[ServerLink]:
         """Return the links that exist to servers that own keys."""
         if self._view.table is None:
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -43,14 +43,21 @@
     ----------
     dialect : Dialect
         Header fields of the platform.
+    links : ServerLinks
+        Which servers take work.
     clock : Clock
         This process's clock.
     """
 
     def __init__(
-        self, *, dialect: _dialect.Dialect, clock: base.Clock
+        self,
+        *,
+        dialect: _dialect.Dialect,
+        links: _links.ServerLinks,
+        clock: base.Clock,
     ) -> None:
         self._dialect = dialect
+        self._links = links
         self._clock = clock
 
     async def send(
@@ -93,6 +100,10 @@
         if left_ms < LEAST_LEFT_MS:
             link.pool.give_back(connection)
             return _make_unsent("no time left")
+        if not self._links.takes_work(link, keyed=job.key is not None):
+            # It began to leave while the connection was opened.
+            link.pool.give_back(connection)
+            return _make_unsent("the server leaves")
         job.sent += 1
         keeps = False
         exchange = asyncio.create_task(
--- a/tarragonhinge/platform/tests/test_path.py
+++ b/tarragonhinge/platform/tests/test_path.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import contextlib
+import unittest.mock
 
+import msgspec
 import pytest
 
 from tarragonhinge import base
@@ -258,6 +260,29 @@
     _run(check)
 
 
+def test_a_server_that_leaves_while_it_is_connected_to_gets_nothing():
+    """A connection once took a second to open, past the time to drain."""
+
+    async def check(site):
+        connect = http1.ConnectionPool.take
+        first = base.ServerId("i-1")
+
+        async def take(pool, *, fresh):
+            connection = await connect(pool, fresh=fresh)
+            entry = site.view.servers[first]
+            state = catalog.ServerState.DRAINING
+            leaving = msgspec.structs.replace(entry, state=state)
+            site.view.set_servers({**site.view.servers, first: leaving})
+            return connection
+
+        with unittest.mock.patch.object(http1.ConnectionPool, "take", take):
+            assert (await site.ask(UNSAFE)).status == 200
+        assert site.servers[0].ran == []
+        assert len(site.servers[1].ran) == 1
+
+    _run(check)
+
+
 def test_another_server_at_the_address_does_not_run_it():
     """It is asked once only: each of its refusals costs a repeat."""
 
--- a/tarragonhinge/relay/_hub.py
+++ b/tarragonhinge/relay/_hub.py
@@ -12,6 +12,9 @@
 #: Interval of beats; each crosses regions, so they are rare.
 BEAT_MS = 600
 
+#: Interval at which the state of the store is looked at between beats.
+LOOK_MS = 100
+
 #: Changes within this time go in one message, so that a storm of
 #: versions is passed on as few.
 GATHER_MS = 20
@@ -60,6 +63,8 @@
         What is passed on.
     get_store_age : callable
         Returns how long ago the store answered, in milliseconds.
+    is_store_failing : callable
+        Returns whether the last call to the store failed.
     take_report : callable
         Takes reports.
     take_loads : callable
@@ -74,6 +79,7 @@
         term: base.Term,
         view: catalog.View,
         get_store_age: Callable[[], int],
+        is_store_failing: Callable[[], bool],
         take_report: Callable[[_messages.Report], None],
         take_loads: Callable[[_messages.Loads], None],
         clock: base.Clock,
@@ -81,6 +87,7 @@
         self._term = term
         self._view = view
         self._get_store_age = get_store_age
+        self._is_store_failing = is_store_failing
         self._take_report = take_report
         self._take_loads = take_loads
         self._loads: dict[base.ServerId, int] = {}
@@ -167,6 +174,7 @@
         return _messages.Beat(
             term=self._term,
             store_age_ms=self._get_store_age(),
+            is_store_failing=self._is_store_failing(),
             fleet_size=self.fleet_size,
         )
 
@@ -183,9 +191,16 @@
         )
 
     async def _send_beats(self) -> None:
+        """Send a beat at intervals, and when the store fails or returns."""
         while True:
-            self._send(self._make_beat())
-            await self._clock.sleep(BEAT_MS)
+            beat = self._make_beat()
+            self._send(beat)
+            ends_at = self._clock.now() + BEAT_MS
+            while (
+                self._clock.now() < ends_at
+                and self._is_store_failing() == beat.is_store_failing
+            ):
+                await self._clock.sleep(LOOK_MS)
 
     def pass_loads(self, loads: _messages.Loads) -> None:
         """Pass on what an instance has seen."""
--- a/tarragonhinge/relay/_messages.py
+++ b/tarragonhinge/relay/_messages.py
@@ -98,12 +98,15 @@
         Its leadership.
     store_age_ms : int
         How long ago the store answered it.
+    is_store_failing : bool
+        Whether its last call to the store failed.
     fleet_size : int
         Instances that are subscribed, and itself.
     """
 
     term: base.Term
     store_age_ms: int
+    is_store_failing: bool = False
     fleet_size: int
 
 
--- a/tarragonhinge/relay/_subscription.py
+++ b/tarragonhinge/relay/_subscription.py
@@ -28,8 +28,12 @@
 LOADS_MS = 80
 
 #: Age of the coordinator's contact with the store from which an instance
-#: tries to reach the store itself.
-STORE_AGE_MS = 2_200
+#: tries to reach the store itself: the coordinator's watch waits 700 ms,
+#: and 900 ms without an answer are no delay of the network.
+STORE_AGE_MS = 1_650
+
+#: Time that the coordinator gets to reach the store again.
+RECOVERY_MS = 300
 
 
 class End(enum.Enum):
@@ -56,6 +60,9 @@
         What this instance reports and what it takes from reports.
     reach_store : callable
         Returns whether the store answers this instance.
+    compute_leave_ms : callable
+        Returns how long to stay with a coordinator that alone has lost
+        the store, so that one instance succeeds it and tells the others.
     on_update : callable
         Called after each update.
     log : EventLog
@@ -79,6 +86,7 @@
         view: catalog.View,
         own: _exchange.Exchange,
         reach_store: Callable[[], Awaitable[bool]],
+        compute_leave_ms: Callable[[], int],
         on_update: Callable[[], None],
         log: events.EventLog,
         clock: base.Clock,
@@ -88,6 +96,10 @@
         self._view = view
         self._own = own
         self._reach_store = reach_store
+        self._compute_leave_ms = compute_leave_ms
+        self._probe: asyncio.Task | None = None
+        self._leaving: asyncio.TimerHandle | None = None
+        self._left = asyncio.Event()
         self._on_update = on_update
         self._log = log
         self._clock = clock
@@ -105,7 +117,11 @@
                 reader, writer = await asyncio.open_connection(host, int(port))
         except (OSError, TimeoutError):
             return End.UNREACHABLE
-        senders = [
+        reading = asyncio.create_task(self._read(reader))
+        leaving = asyncio.create_task(self._left.wait())
+        tasks = [
+            reading,
+            leaving,
             asyncio.create_task(self._send_reports(writer)),
             asyncio.create_task(self._send_loads(writer)),
         ]
@@ -113,10 +129,14 @@
             writer.write(
                 _frames.encode_frame(_messages.Hello(instance=self._instance))
             )
-            return await self._read(reader)
+            await asyncio.wait(
+                [reading, leaving], return_when=asyncio.FIRST_COMPLETED
+            )
+            return reading.result() if reading.done() else End.STORE_LOST
         finally:
-            for sender in senders:
-                sender.cancel()
+            self._stay()
+            for task in tasks:
+                task.cancel()
             with contextlib.suppress(OSError):
                 writer.transport.abort()
 
@@ -138,17 +158,35 @@
                 self._own.take_loads(message)
             elif isinstance(message, _messages.Beat):
                 self.fleet_size = message.fleet_size
-                if await self._is_store_lost_there(message.store_age_ms):
-                    return End.STORE_LOST
+                self._watch_store(message)
 
-    async def _is_store_lost_there(self, age_ms: int) -> bool:
-        """Return whether only the coordinator has lost the store."""
-        if age_ms < STORE_AGE_MS:
+    def _watch_store(self, beat: _messages.Beat) -> None:
+        """Look at the store where the coordinator has lost it."""
+        if not beat.is_store_failing and beat.store_age_ms < STORE_AGE_MS:
             self._is_store_silent = False
-            return False
+            self._stay()
+        elif self._probe is None and self._leaving is None:
+            self._probe = asyncio.create_task(self._probe_store())
+
+    async def _probe_store(self) -> None:
+        """Leave the coordinator if only that one has lost the store."""
         reached = await self._reach_store()
+        self._probe = None
         self._is_store_silent = not reached
-        return reached
+        if reached:
+            delay_ms = RECOVERY_MS + self._compute_leave_ms()
+            self._leaving = asyncio.get_running_loop().call_later(
+                delay_ms / base.MS_PER_S, self._left.set
+            )
+
+    def _stay(self) -> None:
+        """Give up leaving, and finding out whether to."""
+        if self._probe is not None:
+            self._probe.cancel()
+            self._probe = None
+        if self._leaving is not None:
+            self._leaving.cancel()
+            self._leaving = None
 
     def _apply(self, update: _messages.Update) -> bool:
         """Take a change; return False if it applies to nothing known."""
--- a/tarragonhinge/relay/tests/test_relay.py
+++ b/tarragonhinge/relay/tests/test_relay.py
@@ -55,12 +55,16 @@
         self.view.set_table(_make_table(1))
         self.log = testing.make_event_log(self.clock)
         self.sent_bytes = 0
+        self.is_failing = False
+        self.leave_ms = 0
+        self.reaches_store = True
 
     async def __aenter__(self):
         self.hub = relay.Hub(
             term=base.Term(1),
             view=self.view,
             get_store_age=lambda: 0,
+            is_store_failing=lambda: self.is_failing,
             take_report=lambda report: None,
             take_loads=lambda loads: None,
             clock=self.clock,
@@ -83,7 +87,7 @@
 
     def subscribe(self, view):
         async def reach_store():
-            return True
+            return self.reaches_store
 
         subscription = relay.Subscription(
             instance=base.InstanceId("i2"),
@@ -91,11 +95,13 @@
             view=view,
             own=_Exchange(),
             reach_store=reach_store,
+            compute_leave_ms=lambda: self.leave_ms,
             on_update=lambda: None,
             log=self.log,
             clock=self.clock,
         )
-        self.tasks.append(asyncio.create_task(subscription.run()))
+        self.following = asyncio.create_task(subscription.run())
+        self.tasks.append(self.following)
         return subscription
 
     async def __aexit__(self, *_):
@@ -154,3 +160,35 @@
                 assert view.table == site.view.table
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("reaches_store", "returns", "expected"),
+    [
+        (True, False, relay.End.STORE_LOST),
+        # An outage for all: nobody could succeed.
+        (False, False, None),
+        # The coordinator reaches the store again.
+        (True, True, None),
+    ],
+)
+def test_a_coordinator_that_alone_lost_the_store_is_left(
+    reaches_store, returns, expected
+):
+    async def run():
+        async with _Site() as site:
+            view = catalog.View()
+            site.reaches_store = reaches_store
+            site.leave_ms = 600 if returns else 0
+            site.subscribe(view)
+            await _wait(lambda: _knows(view, 1))
+            site.is_failing = True
+            if returns:
+                await site.clock.sleep(300)
+                site.is_failing = False
+            done, _ = await asyncio.wait([site.following], timeout=2)
+            assert bool(done) is (expected is not None)
+            if done:
+                assert site.following.result() is expected
+
+    asyncio.run(run())
