--- a/tarragonhinge/platform/_server_codec.py
+++ b/tarragonhinge/platform/_server_codec.py
@@ -56,5 +56,5 @@
         slots=entry.slots,
         state=state,
         born_ms=entry.born,
-        cold_ms=int(entry.warm_ms),
+        cold_ms=max(0, int(entry.warm_ms)),
     )
