Guess the load of a holder of keys that nobody has heard of

Change: until a report of its load comes, the requests of the other instances are estimated from the own ones.

--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -95,10 +95,12 @@
         self._dialect = dialect
         self._log = log
         self._clock = clock
+        self.fleet_size = _fleet_size.FleetSize(clock=clock)
         self.links = _links.ServerLinks(
             view=view,
             zone=options.zone,
             zones=dict(options.zones),
+            fleet_size=self.fleet_size,
             clock=clock,
         )
         self._waiter = _view_waiter.ViewWaiter(view=view)
@@ -110,7 +112,6 @@
             rng=rng or random.Random(),
         )
         self.tallies = _tallies.Tallies()
-        self.fleet_size = _fleet_size.FleetSize(clock=clock)
         self.in_flight = 0
         self._sender = _sender.Sender(
             dialect=dialect, links=self.links, clock=clock
--- a/tarragonhinge/gateway/_links.py
+++ b/tarragonhinge/gateway/_links.py
@@ -4,6 +4,7 @@
 
 from tarragonhinge import base
 from tarragonhinge import catalog
+from tarragonhinge.gateway import _fleet_size
 from tarragonhinge.gateway import _placement
 from tarragonhinge.gateway import _server_load
 from tarragonhinge import http1
@@ -71,6 +72,8 @@
         Where this instance stands.
     zones : mapping
         The region of each availability zone.
+    fleet_size : FleetSize
+        Number of instances.
     clock : Clock
         This process's clock.
     """
@@ -81,11 +84,13 @@
         view: catalog.View,
         zone: base.ZoneName,
         zones: dict[base.ZoneName, base.RegionName],
+        fleet_size: _fleet_size.FleetSize,
         clock: base.Clock,
     ) -> None:
         self._view = view
         self._zone = zone
         self._zones = zones
+        self._fleet_size = fleet_size
         self._clock = clock
         self._links: dict[base.ServerId, ServerLink] = {}
         self._times: dict[base.ServiceName, _server_load.ServiceTime] = {}
@@ -137,6 +142,7 @@
         service = None
         if self._view.table is not None:
             service = self._view.table.find_service(entry.service)
+        is_keyed = service is not None and service.keyed
         limit = service.max_connections if service else CONNECTION_LIMIT
         load = _server_load.ServerLoad(
             slots=entry.slots,
@@ -144,6 +150,7 @@
                 entry.service, _server_load.ServiceTime()
             ),
             clock=self._clock,
+            get_sharers=self._fleet_size.get if is_keyed else lambda: 1,
         )
         if entry.cold_ms:
             load.set_cold(entry.cold_ms)
--- a/tarragonhinge/gateway/_server_load.py
+++ b/tarragonhinge/gateway/_server_load.py
@@ -5,6 +5,7 @@
 other instances returns to its mean.
 """
 
+from collections.abc import Callable
 import math
 
 from tarragonhinge import admission
@@ -35,6 +36,10 @@
 #: The same for the mean of the reports: if nobody sends, nothing is there.
 MEAN_DECAY_MS = 3_000.0
 
+#: Requests at a holder of keys that are expected before it is heard of:
+#: the two that run and as many that wait.
+PRIOR_REQUESTS = 4.0
+
 #: Weight of one report in the mean of others' requests.
 REPORT_WEIGHT = 0.2
 
@@ -71,6 +76,9 @@
         Mean of the service.
     clock : Clock
         This process's clock.
+    get_sharers : callable
+        Returns how many instances send to the server alike; 1 if the
+        others place their requests elsewhere.
 
     Attributes
     ----------
@@ -79,8 +87,14 @@
     """
 
     def __init__(
-        self, *, slots: int, service_time: ServiceTime, clock: base.Clock
+        self,
+        *,
+        slots: int,
+        service_time: ServiceTime,
+        clock: base.Clock,
+        get_sharers: Callable[[], int] = lambda: 1,
     ) -> None:
+        self._get_sharers = get_sharers
         self.slots = max(1, slots)
         self.in_flight = 0
         self.health = admission.ServerHealth(clock=clock)
@@ -106,13 +120,27 @@
     def estimate_others(self) -> float:
         """Return the likely number of other instances' requests."""
         if self._reported_at is None:
-            return 0.0
+            return self._guess_others()
         age_ms = self.get_report_age_ms()
         mean = self._others_mean * math.exp(-age_ms / MEAN_DECAY_MS)
         return mean + (self._others - mean) * math.exp(
             -age_ms / REPORT_DECAY_MS
         )
 
+    def _guess_others(self) -> float:
+        """Return the likely requests of others from this one's own.
+
+        A server that has just been given keys is sent requests by all
+        instances at once, before any has an answer.  The total is taken
+        to be exponentially distributed, and the own requests to be an
+        instance's part of it.
+        """
+        sharers = self._get_sharers()
+        if sharers <= 1:
+            return 0.0
+        total = (1 + self.in_flight) / (1 / PRIOR_REQUESTS + 1 / sharers)
+        return max(0.0, total - self.in_flight)
+
     def get_report_age_ms(self) -> int:
         """Return the age of the last report; -1 if there is none."""
         if self._reported_at is None:
--- a/tarragonhinge/gateway/tests/test_decisions.py
+++ b/tarragonhinge/gateway/tests/test_decisions.py
@@ -241,6 +241,39 @@
     _run(check)
 
 
+def test_a_holder_that_nobody_has_heard_of_is_not_flooded():
+    """Nine instances once sent 22 requests to a server that took ten.
+
+    Each request takes 150 ms, all come within the first 100 ms, before
+    any answer, and the objective is 600 ms.
+    """
+
+    async def check(clock):
+        loads = [
+            _server_load.ServerLoad(
+                slots=2,
+                service_time=_server_load.ServiceTime(),
+                clock=clock,
+                get_sharers=lambda: 9,
+            )
+            for _ in range(9)
+        ]
+        rng = random.Random(3)
+        for _ in range(100):
+            await clock.sleep(1)
+            load = rng.choice(loads)
+            candidate = _candidate("s", _ZONE, load.estimate_wait_ms())
+            decision = _placement.place(
+                [candidate], objective_ms=600, limit_ms=600
+            )
+            if isinstance(decision, _placement.Choice):
+                load.in_flight += 1
+        # Two slots and a queue of eight.
+        assert 5 <= sum(load.in_flight for load in loads) <= 10
+
+    _run(check)
+
+
 def test_only_news_about_a_busy_server_is_told():
     async def check(clock):
         load = _load(clock)
