Renew each lease only over the connection that took its token

A holder has several leases. When its process ended and another took its address, the first renewal recorded a higher token and opened a connection; the others then went over that connection with their old tokens. A grant of a move that was sent again for want of an answer had the same fault. Change: each lease knows the connection over which its token was taken; a grant goes over that one, or the token is raised first. A move raises the token before it sends a grant again over another connection.

--- a/tarragonhinge/platform/_grants.py
+++ b/tarragonhinge/platform/_grants.py
@@ -19,12 +19,23 @@
 CONNECT_TIMEOUT_MS = 500
 
 
+_RESULTS = {
+    200: ranges.GrantResult.HELD,
+    409: ranges.GrantResult.FENCED,
+}
+
+
 class _Line:
     """The kept connection to one holder, one grant at a time."""
 
     def __init__(self) -> None:
         self.lock = asyncio.Lock()
         self.connection: http1.ServerConnection | None = None
+        self.number = ranges.LineNumber(0)
+
+    def open(self, connection: http1.ServerConnection) -> None:
+        self.connection = connection
+        self.number = ranges.LineNumber(self.number + 1)
 
     def is_open(self) -> bool:
         return self.connection is not None and self.connection.is_reusable()
@@ -49,14 +60,23 @@
         self._lines: dict[ranges.Holder, _Line] = {}
         self._session: aiohttp.ClientSession | None = None
 
-    def is_connected(self, holder: ranges.Holder) -> bool:
-        """Return whether the next grant goes over a kept connection."""
-        line = self._lines.get(holder)
-        return line is not None and (line.lock.locked() or line.is_open())
+    def is_kept(self, holder: ranges.Holder, line: ranges.LineNumber) -> bool:
+        """Return whether a connection is still the one to a holder."""
+        present = self._lines.get(holder)
+        # A connection that is in use is not open for others.
+        return (
+            present is not None
+            and (present.lock.locked() or present.is_open())
+            and present.number == line
+        )
 
     async def grant(
-        self, holder: ranges.Holder, grant: ranges.Grant
-    ) -> ranges.GrantResult:
+        self,
+        holder: ranges.Holder,
+        grant: ranges.Grant,
+        *,
+        line: ranges.LineNumber | None,
+    ) -> ranges.GrantReply:
         """Grant a range, or renew it."""
         body = {
             "from": grant.first,
@@ -67,18 +87,17 @@
         }
         if grant.handover:
             body["handoff"] = grant.handover
-        line = self._lines.setdefault(holder, _Line())
-        was_connected = self.is_connected(holder)
-        async with line.lock:
-            if was_connected and not line.is_open():
-                # The token may be of the process that has ended.
-                return ranges.GrantResult.UNKNOWN
-            status = await self._send(line, holder, body)
-        if status == 200:
-            return ranges.GrantResult.HELD
-        if status == 409:
-            return ranges.GrantResult.FENCED
-        return ranges.GrantResult.UNKNOWN
+        present = self._lines.setdefault(holder, _Line())
+        async with present.lock:
+            if line is not None and not (
+                present.is_open() and present.number == line
+            ):
+                # The token may be of a process that has ended.
+                return ranges.GrantReply(result=ranges.GrantResult.UNKNOWN)
+            status = await self._send(present, holder, body)
+            number = present.number if present.is_open() else None
+        result = _RESULTS.get(status, ranges.GrantResult.UNKNOWN)
+        return ranges.GrantReply(result=result, line=number)
 
     async def _send(
         self, line: _Line, holder: ranges.Holder, body: dict
@@ -92,8 +111,8 @@
                     pipe = await http1.connect(
                         holder.address, timeout_ms=CONNECT_TIMEOUT_MS
                     )
-                    line.connection = http1.ServerConnection(
-                        pipe=pipe, clock=self._clock
+                    line.open(
+                        http1.ServerConnection(pipe=pipe, clock=self._clock)
                     )
                 answer = await line.connection.exchange(
                     http1.Request(
--- a/tarragonhinge/ranges/__init__.py
+++ b/tarragonhinge/ranges/__init__.py
@@ -2,8 +2,10 @@
 
 from tarragonhinge.ranges._grants import Grant
 from tarragonhinge.ranges._grants import GrantClient
+from tarragonhinge.ranges._grants import GrantReply
 from tarragonhinge.ranges._grants import GrantResult
 from tarragonhinge.ranges._grants import Holder
+from tarragonhinge.ranges._grants import LineNumber
 from tarragonhinge.ranges._grants import Release
 from tarragonhinge.ranges._grants import WAIT_MS as GRANT_WAIT_MS
 from tarragonhinge.ranges._key_load import KeyLoad
@@ -28,10 +30,12 @@
     "GRANT_WAIT_MS",
     "Grant",
     "GrantClient",
+    "GrantReply",
     "GrantResult",
     "Holder",
     "KeyLoad",
     "LeadershipLostError",
+    "LineNumber",
     "LoadProfile",
     "PlannedMove",
     "RangeLeader",
--- a/tarragonhinge/ranges/_grants.py
+++ b/tarragonhinge/ranges/_grants.py
@@ -3,12 +3,16 @@
 import abc
 import dataclasses
 import enum
+from typing import NewType
 
 from tarragonhinge import base
 
 #: Longest wait for the answer to a grant.
 WAIT_MS = 700
 
+#: Number of a connection to a holder; each new connection has another.
+LineNumber = NewType("LineNumber", int)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Grant:
@@ -75,12 +79,28 @@
     UNKNOWN = "unknown"
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class GrantReply:
+    """How a grant ended, and over which connection.
+
+    Parameters
+    ----------
+    result : GrantResult
+        How it ended.
+    line : LineNumber or None
+        The connection that is kept, None if there is none.
+    """
+
+    result: GrantResult
+    line: LineNumber | None = None
+
+
 class GrantClient(abc.ABC):
     """Delivers grants and releases to servers."""
 
     @abc.abstractmethod
-    def is_connected(self, holder: Holder) -> bool:
-        """Return whether the next grant goes over a kept connection.
+    def is_kept(self, holder: Holder, line: LineNumber) -> bool:
+        """Return whether a connection is still the one to a holder.
 
         A connection ends with the process that it leads to.  So while
         it is kept, no other server and no other incarnation can take
@@ -88,8 +108,21 @@
         """
 
     @abc.abstractmethod
-    async def grant(self, holder: Holder, grant: Grant) -> GrantResult:
-        """Grant a range, or renew it."""
+    async def grant(
+        self, holder: Holder, grant: Grant, *, line: LineNumber | None
+    ) -> GrantReply:
+        """Grant a range, or renew it.
+
+        Parameters
+        ----------
+        holder : Holder
+            The server.
+        grant : Grant
+            What it is granted.
+        line : LineNumber or None
+            The only connection over which the grant may be sent; None
+            for a grant whose fencing token no server has seen.
+        """
 
     @abc.abstractmethod
     async def release(
--- a/tarragonhinge/ranges/_lease.py
+++ b/tarragonhinge/ranges/_lease.py
@@ -5,6 +5,7 @@
 
 from tarragonhinge import base
 from tarragonhinge import catalog
+from tarragonhinge.ranges import _grants
 
 #: Factor by which a server's clock may be slow, and the time that a
 #: grant is on its way after its connection was closed.
@@ -41,6 +42,8 @@
         When the holder was last changed (boot time).
     renewal : Task or None
         The renewal under way.
+    line : LineNumber or None
+        The connection over which the holder took the fencing token.
     granted_ms : int
         For how long the last grant was asked.
     is_unanswered : bool
@@ -59,6 +62,7 @@
     is_moving: bool = False
     settled_at: int = 0
     renewal: asyncio.Task | None = None
+    line: _grants.LineNumber | None = None
     granted_ms: int = 0
     is_unanswered: bool = False
     address: base.Address | None = None
--- a/tarragonhinge/ranges/_mover.py
+++ b/tarragonhinge/ranges/_mover.py
@@ -138,6 +138,7 @@
                 target = choose(lease)
             lease.server, lease.born_ms = target.server, target.born_ms
             lease.fence = fence
+            lease.line = None
             lease.settled_at = self._clock.read_boot()
             await self._recorder.commit([lease.make_segment()])
             if await self._grant(lease, handover or ""):
@@ -204,3 +205,6 @@
             if now >= ends_at or self._renewer.find_holder(lease) is None:
                 return False
             await self._clock.sleep(REPEAT_MS)
+            # The holder may have taken the grant, and another server its
+            # address.
+            await self._renewer.refence_unless_connected(lease)
--- a/tarragonhinge/ranges/_renewer.py
+++ b/tarragonhinge/ranges/_renewer.py
@@ -115,7 +115,7 @@
 
     async def _renew(self, lease: _lease.Lease) -> None:
         try:
-            await self._refence_unless_connected(lease)
+            await self.refence_unless_connected(lease)
             result = await self.grant_once(lease)
             now = self._clock.read_boot()
             if result is _grants.GrantResult.HELD:
@@ -133,16 +133,18 @@
         now = self._clock.read_boot()
         lease.renew_at = now + lease.granted_ms // RENEWALS
 
-    async def _refence_unless_connected(self, lease: _lease.Lease) -> None:
+    async def refence_unless_connected(self, lease: _lease.Lease) -> None:
         """Take a new fencing token where another server may answer.
 
-        Over a new connection a grant may reach another incarnation, or
-        another server at the holder's address, which must not get keys
-        with a fencing token that the holder had.
+        Over another connection a grant may reach another incarnation,
+        or another server at the holder's address, which must not get
+        keys with a fencing token that the holder had.
         """
         entry = self.find_holder(lease)
-        if entry is not None and not self._grants.is_connected(
-            _make_holder(entry)
+        if entry is None:
+            return
+        if lease.line is None or not self._grants.is_kept(
+            _make_holder(entry), lease.line
         ):
             await self.refence(lease)
 
@@ -155,9 +157,9 @@
             return _grants.GrantResult.UNKNOWN
         lease.address = entry.address
         hold_ms = lease.granted_ms = self._compute_hold(lease)
-        result = _grants.GrantResult.UNKNOWN
+        reply = _grants.GrantReply(result=_grants.GrantResult.UNKNOWN)
         try:
-            result = await self._grants.grant(
+            reply = await self._grants.grant(
                 _make_holder(entry),
                 _grants.Grant(
                     first=lease.first,
@@ -166,12 +168,15 @@
                     hold_ms=hold_ms,
                     handover=handover,
                 ),
+                line=lease.line,
             )
         finally:
             lease.note_grant(
                 arrived_by=self._clock.read_boot(), hold_ms=hold_ms
             )
+            result = reply.result
             lease.is_unanswered = result is _grants.GrantResult.UNKNOWN
+            lease.line = reply.line
         if result is not _grants.GrantResult.HELD:
             self._log.write(
                 events.GrantFailed(
@@ -202,6 +207,7 @@
     async def refence(self, lease: _lease.Lease) -> None:
         """Record a higher fencing token for the same holder."""
         lease.fence = self._recorder.take_fence()
+        lease.line = None
         await self._recorder.commit([lease.make_segment()])
 
 
--- a/tarragonhinge/testing/_key_servers.py
+++ b/tarragonhinge/testing/_key_servers.py
@@ -208,14 +208,19 @@
         self._clock = clock
         self._late: set[asyncio.Task] = set()
         self._lines: dict[base.Address, KeyServer] = {}
+        self._numbers: dict[base.Address, int] = {}
         self.is_cut_off = False
         self.longest_ms = 0
 
-    def is_connected(self, holder: ranges.Holder) -> bool:
-        """Return whether the same process answered the last grant."""
+    def is_kept(self, holder: ranges.Holder, line: ranges.LineNumber) -> bool:
+        """Return whether a connection is still the one to a holder."""
         server = self._fleet.find(holder.address)
-        line = self._lines.get(holder.address)
-        return server is not None and line is server
+        present = self._lines.get(holder.address)
+        return (
+            server is not None
+            and present is server
+            and self._numbers[holder.address] == line
+        )
 
     def _find(self, address: base.Address) -> KeyServer | None:
         server = self._fleet.find(address)
@@ -224,13 +229,29 @@
         return server
 
     async def grant(
+        self,
+        holder: ranges.Holder,
+        grant: ranges.Grant,
+        *,
+        line: ranges.LineNumber | None,
+    ) -> ranges.GrantReply:
+        """Grant a range, or renew it."""
+        if line is not None and not self.is_kept(holder, line):
+            return ranges.GrantReply(result=ranges.GrantResult.UNKNOWN)
+        result = await self._send(holder, grant)
+        number = None
+        if result is not ranges.GrantResult.UNKNOWN:
+            number = ranges.LineNumber(self._numbers[holder.address])
+        return ranges.GrantReply(result=result, line=number)
+
+    async def _send(
         self, holder: ranges.Holder, grant: ranges.Grant
     ) -> ranges.GrantResult:
-        """Grant a range, or renew it."""
         self.longest_ms = max(self.longest_ms, grant.hold_ms)
         await self._clock.sleep(self.TRAVEL_MS)
         server = self._find(holder.address)
-        if self._lines.pop(holder.address, server) is not server:
+        was_open = self._lines.pop(holder.address, None)
+        if was_open not in (None, server):
             # The kept connection led to a process that has ended.
             return ranges.GrantResult.UNKNOWN
         if server is None or server.faults.late_ms:
@@ -238,6 +259,10 @@
                 self._apply_late(server, grant)
             await self._clock.sleep(self.TIMEOUT_MS)
             return ranges.GrantResult.UNKNOWN
+        if was_open is None:
+            self._numbers[holder.address] = (
+                self._numbers.get(holder.address, 0) + 1
+            )
         self._lines[holder.address] = server
         result = server.apply_grant(grant, arrived_at=self._clock.now())
         if result is ranges.GrantResult.HELD:
