--- a/tarragonhinge/ranges/_mover.py
+++ b/tarragonhinge/ranges/_mover.py
@@ -138,7 +138,7 @@
                 target = choose(lease)
             lease.server, lease.born_ms = target.server, target.born_ms
             lease.fence = fence
-            lease.line = None
+            lease.line, lease.is_unanswered = None, False
             lease.settled_at = self._clock.read_boot()
             await self._recorder.commit([lease.make_segment()])
             if await self._grant(lease, handover or ""):
