--- a/tarragonhinge/configuration/_cells.py
+++ b/tarragonhinge/configuration/_cells.py
@@ -24,8 +24,6 @@
 WEIGHT_MIN = 0.01
 WEIGHT_MAX = 1000.0
 
-_MAX_PORT = 65535
-
 
 def parse_name(text: str) -> str:
     """Return a name of ASCII letters, digits, dots, dashes, underscores."""
