Record whether the caller or the instance ended a connection

Cause: a request that a stop aborts and one whose caller disconnects both ended with outcome caller_left and no reason, so that the log of a lost request did not show who had closed its connection. Change: handlers are cancelled with the cause as the message; requests that the instance cuts off end with outcome cut_off. Test: test_request_without_response_is_recorded_with_cause fails on the code before (no cut_off, no reason).

--- a/tarragonhinge/events/_request_events.py
+++ b/tarragonhinge/events/_request_events.py
@@ -127,16 +127,18 @@
 
 
 class Ended(_event.RequestEvent, frozen=True, kw_only=True, tag="ended"):
-    """The request ended with a response, or the caller disconnected.
+    """The request ended with a response, or without one.
 
     Parameters
     ----------
     outcome : str
-        Outcome of the request.
+        Outcome of the request; ``caller_left`` if the caller disconnected,
+        ``cut_off`` if this instance closed the connection.
     status : int
-        Status of the response.
+        Status of the response; 0 if there was none.
     reason : str
-        Reason of a refusal or failure; empty otherwise.
+        Reason of a refusal or failure, or why there was no response; empty
+        otherwise.
     elapsed_ms : int
         Time since the request was received.
     retry_after_ms : int
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -168,8 +168,12 @@
             response, ended, is_ordinary = await self._serve(
                 request, metadata, trace
             )
-        except asyncio.CancelledError:
-            self._record_end(trace, metadata, "caller_left", status=0)
+        except asyncio.CancelledError as error:
+            cause = error.args[0] if error.args else ""
+            outcome = "cut_off"
+            if cause == http1.DISCONNECTED:
+                outcome = "caller_left"
+            self._record_end(trace, metadata, outcome, reason=cause)
             raise
         except Exception as error:
             self._log.write(
@@ -195,7 +199,8 @@
         metadata: _dialect.RequestMetadata,
         outcome: str,
         *,
-        status: int,
+        status: int = 0,
+        reason: str = "",
     ) -> None:
         elapsed_ms = trace.compute_elapsed_ms()
         trace.add(
@@ -203,11 +208,13 @@
                 request=metadata.attempt,
                 outcome=outcome,
                 status=status,
-                reason="",
+                reason=reason,
                 elapsed_ms=elapsed_ms,
             )
         )
-        self.metrics.record(outcome=outcome, reason="", elapsed_ms=elapsed_ms)
+        self.metrics.record(
+            outcome=outcome, reason=reason, elapsed_ms=elapsed_ms
+        )
         trace.finish(is_ordinary=False)
 
     async def _serve(
--- a/tarragonhinge/http1/__init__.py
+++ b/tarragonhinge/http1/__init__.py
@@ -1,6 +1,8 @@
 """HTTP/1.1 connections to callers and to backend servers."""
 
 from tarragonhinge.http1._caller_connection import CallerConnection
+from tarragonhinge.http1._caller_connection import CONNECTION_CLOSED
+from tarragonhinge.http1._caller_connection import DISCONNECTED
 from tarragonhinge.http1._errors import ExchangeError
 from tarragonhinge.http1._listen import listen
 from tarragonhinge.http1._listen import split_address
@@ -13,6 +15,8 @@
 from tarragonhinge.http1._tcp_stream import TcpStream
 
 __all__ = [
+    "CONNECTION_CLOSED",
+    "DISCONNECTED",
     "CallerConnection",
     "ConnectionPool",
     "ExchangeError",
--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -21,6 +21,11 @@
 #: is closed.
 LINGER_MS = 1_000
 
+#: Messages with which handlers are cancelled: the caller disconnected, or the
+#: connection is closed by this side.
+DISCONNECTED = "disconnected"
+CONNECTION_CLOSED = "connection_closed"
+
 Handler = Callable[[_messages.HttpRequest], Awaitable[_messages.HttpResponse]]
 
 
@@ -62,7 +67,8 @@
         The open connection.
     handle : callable
         Coroutine function that returns the response to a request.  It is
-        cancelled if the caller disconnects.
+        cancelled, with the cause as the message, if the caller disconnects
+        or the connection is closed.
     is_concurrent : callable
         Returns whether a request may be handled concurrently with earlier
         ones.
@@ -110,10 +116,13 @@
             await writer
         finally:
             writer.cancel()
-            for task in self._tasks:
-                task.cancel()
+            self._cancel_handlers(CONNECTION_CLOSED)
             self._stream.close()
 
+    def _cancel_handlers(self, cause: str) -> None:
+        for task in self._tasks:
+            task.cancel(cause)
+
     async def _read_requests(self) -> None:
         """Read until the caller disconnects or sends an invalid request."""
         try:
@@ -130,8 +139,7 @@
         except _ReadEndedError as end:
             if end.status is None:
                 # The caller has disconnected and can receive no response.
-                for task in self._tasks:
-                    task.cancel()
+                self._cancel_handlers(DISCONNECTED)
                 self._queue.clear()
             else:
                 await self._reject(end.status)
@@ -289,8 +297,7 @@
 
     async def _close_gracefully(self) -> None:
         """Close once the caller has received the last response."""
-        for task in self._tasks:
-            task.cancel()
+        self._cancel_handlers(CONNECTION_CLOSED)
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(LINGER_MS / base.MS_PER_S):
                 await self._stream.drain()
--- a/tarragonhinge/platform/tests/test_path.py
+++ b/tarragonhinge/platform/tests/test_path.py
@@ -224,6 +224,29 @@
     _run(check)
 
 
+@pytest.mark.parametrize(
+    ("cause", "outcome"),
+    [
+        (http1.DISCONNECTED, "caller_left"),
+        (http1.CONNECTION_CLOSED, "cut_off"),
+    ],
+)
+def test_request_without_response_is_recorded_with_cause(cause, outcome):
+    async def check(testbed):
+        testbed.servers[0].work_allowed.clear()
+        task = asyncio.create_task(testbed.send(SAFE))
+        await testbed.servers[0].request_arrived.wait()
+        task.cancel(cause)
+        await asyncio.wait([task])
+        count = testbed.gateway.metrics.registry.get_sample_value(
+            "tarragonhinge_gateway_requests_total",
+            {"outcome": outcome, "reason": cause},
+        )
+        assert count == 1
+
+    _run(check)
+
+
 def test_slow_attempt_continues_without_alternative_server():
     async def check(testbed):
         first, second = testbed.servers
