--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -5,13 +5,14 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
-import dataclasses
 
 import h11
 
 from tarragonhinge import base
 from tarragonhinge import catalog
+from tarragonhinge.http1 import _exchange
 from tarragonhinge.http1 import _messages
+from tarragonhinge.http1 import _read_deadline
 from tarragonhinge.http1 import _tcp_stream
 
 #: Largest number of pipelined requests of one connection.
@@ -24,16 +25,6 @@
 Handler = Callable[[_messages.HttpRequest], Awaitable[_messages.HttpResponse]]
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Exchange:
-    """A received request and the parser that encodes its response."""
-
-    parser: h11.Connection
-    response: asyncio.Future[_messages.HttpResponse]
-    method: str = ""
-    closes: bool = False
-
-
 class _ReadEndedError(Exception):
     """No more requests can be read.
 
@@ -88,7 +79,9 @@
         self._get_limits = get_limits
         self._is_stopping = is_stopping
         self._unparsed = b""
-        self._queue: collections.deque[_Exchange] = collections.deque()
+        self._queue: collections.deque[_exchange.Exchange] = (
+            collections.deque()
+        )
         self._changed = asyncio.Event()
         self._is_read_ended = False
         self._tasks: set[asyncio.Task] = set()
@@ -150,7 +143,9 @@
         preceding = [exchange.response for exchange in self._queue]
         future: asyncio.Future = asyncio.get_running_loop().create_future()
         self._queue.append(
-            _Exchange(parser=parser, response=future, method=request.method)
+            _exchange.Exchange(
+                parser=parser, response=future, method=request.method
+            )
         )
         task = asyncio.create_task(
             self._run_request(
@@ -189,7 +184,9 @@
         self._unparsed = b""
         head: h11.Request | None = None
         body = bytearray()
-        deadline = _ReadDeadline(limits=limits, has_started=has_started)
+        deadline = _read_deadline.ReadDeadline(
+            limits=limits, has_started=has_started
+        )
         while True:
             try:
                 event = parser.next_event()
@@ -233,7 +230,7 @@
         )
 
     async def _read_bytes(
-        self, deadline: "_ReadDeadline", has_head: bool
+        self, deadline: _read_deadline.ReadDeadline, has_head: bool
     ) -> bytes:
         timeout_ms = deadline.compute_timeout_ms(has_head=has_head)
         while True:
@@ -254,7 +251,7 @@
             _messages.HttpResponse(status=status, fields=[], closes=True)
         )
         self._queue.append(
-            _Exchange(parser=parser, response=future, closes=True)
+            _exchange.Exchange(parser=parser, response=future, closes=True)
         )
         self._changed.set()
 
@@ -277,7 +274,7 @@
                 or response.closes
                 or (is_last and self._is_stopping())
             )
-            data, keep_open = _encode_response(
+            data, keep_open = _exchange.encode_response(
                 exchange, response, closes=closes
             )
             self._stream.write(data)
@@ -297,63 +294,7 @@
         self._stream.close()
 
 
-class _ReadDeadline:
-    """Timeouts for reading one request."""
-
-    def __init__(
-        self, *, limits: catalog.CallerLimits, has_started: bool
-    ) -> None:
-        self._limits = limits
-        self._loop = asyncio.get_running_loop()
-        self._started_at = self._loop.time() if has_started else None
-
-    @property
-    def has_started(self) -> bool:
-        """Whether a byte of the request has been received."""
-        return self._started_at is not None
-
-    def start(self) -> None:
-        """Record the arrival of the first byte, unless recorded before."""
-        if self._started_at is None:
-            self._started_at = self._loop.time()
-
-    def compute_timeout_ms(self, *, has_head: bool) -> float:
-        """Return the timeout for the next bytes, in milliseconds."""
-        if self._started_at is None or has_head:
-            return self._limits.idle_timeout_ms
-        elapsed_ms = (self._loop.time() - self._started_at) * base.MS_PER_S
-        return max(1.0, self._limits.header_timeout_ms - elapsed_ms)
-
-
 def _count_head_bytes(head: h11.Request) -> int:
     """Return the size of a request's head, without delimiters."""
     size = len(head.method) + len(head.target)
     return size + sum(len(name) + len(value) for name, value in head.headers)
-
-
-def _encode_response(
-    exchange: _Exchange, response: _messages.HttpResponse, *, closes: bool
-) -> tuple[bytes, bool]:
-    """Return the encoded response and whether to keep the connection."""
-    parser = exchange.parser
-    fields = [*response.fields, ("content-length", str(len(response.body)))]
-    if closes:
-        fields.append(("connection", "close"))
-    if parser.our_state is h11.IDLE:
-        # The parser can't encode a response to a request that it rejected.
-        head = [f"HTTP/1.1 {response.status} Error\r\n"]
-        head += [f"{name}: {value}\r\n" for name, value in fields]
-        return ("".join(head) + "\r\n").encode(
-            "latin-1"
-        ) + response.body, False
-    data = parser.send(
-        h11.Response(
-            status_code=response.status,
-            headers=_messages.encode_fields(fields),
-        )
-    )
-    has_body = exchange.method != "HEAD" and response.status not in (204, 304)
-    if response.body and has_body:
-        data += parser.send(h11.Data(data=response.body))
-    data += parser.send(h11.EndOfMessage())
-    return data, parser.our_state is h11.DONE
