Handle no request that is read from a closing connection

Cause: the reader of a caller's connection did not know that the writer had decided to close it. A request that arrived in the turn of the event loop in which the last response was written, or while that response waited in the write buffer (up to 1 s), or in the turn of close(), was passed on to a server, and its response had no connection left. A request behind one with Connection: close, or behind one of HTTP/1.0, was passed on as well, though the response before it ends the connection. Once reading had ended (by a stop or a rejection), nobody noticed that the caller left, so that its requests ran on. Change: a connection is open or closing; requests are started on an open one only. On a closing one the reader reads on, without handling, until the caller disconnects, which ends the handlers as before.

--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
+import enum
 
 import h11
 
@@ -25,6 +26,15 @@
 Handler = Callable[[_messages.HttpRequest], Awaitable[_messages.HttpResponse]]
 
 
+class _State(enum.Enum):
+    """Whether requests are started."""
+
+    OPEN = "open"
+    #: What is read is not handled any more; the last response that is due
+    #: closes the connection.
+    CLOSING = "closing"
+
+
 class _ReadEndedError(Exception):
     """No more requests can be read.
 
@@ -83,7 +93,7 @@
             collections.deque()
         )
         self._changed = asyncio.Event()
-        self._is_read_ended = False
+        self._state = _State.OPEN
         self._tasks: set[asyncio.Task] = set()
 
     @property
@@ -93,44 +103,56 @@
 
     def close(self) -> None:
         """Close the connection."""
+        self._state = _State.CLOSING
         self._stream.close()
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
+        reader = asyncio.create_task(self._read())
         writer = asyncio.create_task(self._write_responses())
         try:
-            await self._read_requests()
-            await writer
+            ended, _ = await asyncio.wait(
+                [reader, writer], return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in ended:
+                task.result()
         finally:
-            writer.cancel()
-            for task in self._tasks:
+            self._state = _State.CLOSING
+            tasks = [reader, writer, *self._tasks]
+            for task in tasks:
                 task.cancel()
             self._stream.close()
+            await asyncio.wait(tasks)
 
-    async def _read_requests(self) -> None:
-        """Read until the caller disconnects or sends an invalid request."""
+    async def _read(self) -> None:
+        """Read until the caller disconnects."""
         try:
-            while True:
-                limits = self._get_limits()
-                parser = h11.Connection(
-                    h11.SERVER, max_incomplete_event_size=limits.header_bytes
-                )
-                request = await self._read_request(parser, limits)
-                if self._queue and self._is_stopping():
-                    # The response to an earlier request closes the connection.
-                    return
-                await self._start_request(request, parser)
+            await self._read_requests()
         except _ReadEndedError as end:
             if end.status is None:
-                # The caller has disconnected and can receive no response.
-                for task in self._tasks:
-                    task.cancel()
-                self._queue.clear()
-            else:
-                await self._reject(end.status)
-        finally:
-            self._is_read_ended = True
-            self._changed.set()
+                return
+            if self._state is _State.OPEN:
+                self._reject(end.status)
+        while await self._stream.read():
+            pass
+
+    async def _read_requests(self) -> None:
+        """Start the received requests until the connection is to close."""
+        while self._state is _State.OPEN:
+            limits = self._get_limits()
+            parser = h11.Connection(
+                h11.SERVER, max_incomplete_event_size=limits.header_bytes
+            )
+            request = await self._read_request(parser, limits)
+            if self._queue and self._is_stopping():
+                # The response to an earlier request closes the connection.
+                self._state = _State.CLOSING
+            if self._state is not _State.OPEN:
+                return
+            if parser.their_state is h11.MUST_CLOSE:
+                # The caller sends no more requests (RFC 9112, 9.6).
+                self._state = _State.CLOSING
+            await self._start_request(request, parser)
 
     async def _start_request(
         self, request: _messages.HttpRequest, parser: h11.Connection
@@ -193,7 +215,10 @@
             except h11.RemoteProtocolError as error:
                 raise _ReadEndedError(error.error_status_hint) from error
             if event is h11.NEED_DATA:
-                if parser.they_are_waiting_for_100_continue:
+                if (
+                    parser.they_are_waiting_for_100_continue
+                    and self._state is _State.OPEN
+                ):
                     self._stream.write(
                         parser.send(
                             h11.InformationalResponse(
@@ -243,43 +268,39 @@
                 status = 408 if deadline.has_started else None
                 raise _ReadEndedError(status) from None
 
-    async def _reject(self, status: int) -> None:
+    def _reject(self, status: int) -> None:
         """Queue an error response behind the pending responses."""
+        self._state = _State.CLOSING
         parser = h11.Connection(h11.SERVER)
         future: asyncio.Future = asyncio.get_running_loop().create_future()
-        future.set_result(
-            _messages.HttpResponse(status=status, fields=[], closes=True)
-        )
-        self._queue.append(
-            _exchange.Exchange(parser=parser, response=future, closes=True)
-        )
+        future.set_result(_messages.HttpResponse(status=status, fields=[]))
+        self._queue.append(_exchange.Exchange(parser=parser, response=future))
         self._changed.set()
 
     async def _write_responses(self) -> None:
         """Write the responses in the order of their requests."""
         while True:
             while not self._queue:
-                if self._is_read_ended:
-                    return
                 self._changed.clear()
                 await self._changed.wait()
             exchange = self._queue[0]
             await asyncio.wait([exchange.response])
-            if exchange.response.cancelled() or not self._queue:
+            if exchange.response.cancelled():
                 return
             response = exchange.response.result()
             is_last = len(self._queue) == 1
-            closes = (
-                exchange.closes
-                or response.closes
-                or (is_last and self._is_stopping())
-            )
+            if response.closes or (is_last and self._is_stopping()):
+                self._state = _State.CLOSING
             data, keep_open = _exchange.encode_response(
-                exchange, response, closes=closes
+                exchange,
+                response,
+                closes=response.closes
+                or (is_last and self._state is _State.CLOSING),
             )
             self._stream.write(data)
             self._queue.popleft()
             if not keep_open:
+                self._state = _State.CLOSING
                 await self._close_gracefully()
                 return
             await self._stream.drain()
--- a/tarragonhinge/http1/_exchange.py
+++ b/tarragonhinge/http1/_exchange.py
@@ -15,7 +15,6 @@
     parser: h11.Connection
     response: asyncio.Future[_messages.HttpResponse]
     method: str = ""
-    closes: bool = False
 
 
 def encode_response(
