Count a partial request and an unsent response as not idle

Cause: a caller's connection was idle unless a complete request was queued. Once a stop closes idle connections, it closed those on which part of a request had arrived, in the parser or not read yet; and a response that was still in the write buffer did not count, nor did one whose connection had been closed behind it, so that the process could exit before sending it. Writing pauses only above 64 KiB unless told otherwise, so that draining did not wait for a shorter response. Change: a request counts from its first byte until its response is passed to the kernel. What has been read behind the last response does not count. A stop is bounded as before by the header timeout and by its own limit.

--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -4,7 +4,6 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
-import contextlib
 import enum
 
 import h11
@@ -19,10 +18,6 @@
 #: Largest number of pipelined requests of one connection.
 PIPELINE_LIMIT = 16
 
-#: Time that the caller has to receive the last response before the connection
-#: is closed.
-LINGER_MS = 1_000
-
 Handler = Callable[[_messages.HttpRequest], Awaitable[_messages.HttpResponse]]
 
 
@@ -89,6 +84,7 @@
         self._get_limits = get_limits
         self._is_stopping = is_stopping
         self._unparsed = b""
+        self._is_receiving = False
         self._queue: collections.deque[_exchange.Exchange] = (
             collections.deque()
         )
@@ -98,8 +94,16 @@
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being read or handled."""
-        return not self._queue and not self._unparsed
+        """Whether no request is being read or handled.
+
+        A request counts from its first byte until its response is passed to
+        the kernel.
+        """
+        if self._queue or self._stream.unsent_bytes:
+            return False
+        if self._state is _State.CLOSING:
+            return True
+        return not self._is_receiving and not self._stream.has_unread
 
     def close(self) -> None:
         """Close the connection."""
@@ -202,12 +206,10 @@
         """Return the next complete request."""
         if self._unparsed:
             parser.receive_data(self._unparsed)
-        has_started = bool(self._unparsed)
-        self._unparsed = b""
         head: h11.Request | None = None
         body = bytearray()
         deadline = _read_deadline.ReadDeadline(
-            limits=limits, has_started=has_started
+            limits=limits, has_started=self._is_receiving
         )
         while True:
             try:
@@ -227,9 +229,9 @@
                         )
                     )
                 data = await self._read_bytes(deadline, head is not None)
-                if not data and not has_started:
+                if not data and not self._is_receiving:
                     raise _ReadEndedError(None)
-                has_started = True
+                self._is_receiving = True
                 deadline.start()
                 parser.receive_data(data)
             elif isinstance(event, h11.Request):
@@ -247,6 +249,7 @@
                 raise _ReadEndedError(None)
         trailing, _ = parser.trailing_data
         self._unparsed = bytes(trailing)
+        self._is_receiving = bool(trailing)
         return _messages.HttpRequest(
             method=head.method.decode("latin-1"),
             target=head.target.decode("latin-1"),
@@ -306,12 +309,10 @@
             await self._stream.drain()
 
     async def _close_gracefully(self) -> None:
-        """Close once the caller has received the last response."""
+        """Close once the last response is passed to the kernel."""
         for task in self._tasks:
             task.cancel()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(LINGER_MS / base.MS_PER_S):
-                await self._stream.drain()
+        await self._stream.drain()
         self._stream.close()
 
 
--- a/tarragonhinge/http1/_tcp_stream.py
+++ b/tarragonhinge/http1/_tcp_stream.py
@@ -60,8 +60,9 @@
         self.error: Exception | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
-        """Store the transport and configure its socket."""
+        """Configure the transport and its socket."""
         self._transport = transport
+        transport.set_write_buffer_limits(high=0)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             configure_socket(sock)
@@ -92,11 +93,11 @@
             self._drain_waiter.set_result(None)
 
     def pause_writing(self) -> None:
-        """Make `drain` wait, since the write buffer is full."""
+        """Make `drain` wait, since bytes are in the write buffer."""
         self._is_write_paused = True
 
     def resume_writing(self) -> None:
-        """Let `drain` return, since the write buffer has room."""
+        """Let `drain` return, since the write buffer is empty."""
         self._is_write_paused = False
         if self._drain_waiter is not None and not self._drain_waiter.done():
             self._drain_waiter.set_result(None)
@@ -115,6 +116,11 @@
             or self._transport.is_closing()
         )
 
+    @property
+    def has_unread(self) -> bool:
+        """Whether bytes have arrived that are not read yet."""
+        return bool(self._unread)
+
     @property
     def unsent_bytes(self) -> int:
         """Number of written bytes that are not yet passed to the kernel."""
@@ -144,7 +150,7 @@
             self._transport.write(data)
 
     async def drain(self) -> None:
-        """Wait until the write buffer has room."""
+        """Wait until the written bytes are passed to the kernel."""
         while self._is_write_paused and self.error is None:
             if self._transport is None or self._transport.is_closing():
                 return
--- a/tarragonhinge/http1/tests/test_connection_end.py
+++ b/tarragonhinge/http1/tests/test_connection_end.py
@@ -1,6 +1,7 @@
 """No request is handled on a connection that closes, and none is lost."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -76,6 +77,9 @@
     def get_write_buffer_size(self):
         return len(self.buffer)
 
+    def set_write_buffer_limits(self, high=None, low=None):
+        pass
+
     def pause_reading(self):
         pass
 
@@ -86,9 +90,10 @@
 class _Connection:
     """A caller's connection whose requests wait for a gate per target."""
 
-    def __init__(self):
+    def __init__(self, *, is_connected=True):
         self.handled = []
         self.cancelled = []
+        self.arrived = asyncio.Event()
         self.gates = {}
         self.is_stopping = False
         self.responses = {}
@@ -101,7 +106,8 @@
             get_limits=lambda: LIMITS,
             is_stopping=lambda: self.is_stopping,
         )
-        stream.connection_made(self.transport)
+        if is_connected:
+            stream.connection_made(self.transport)
         self.stream = stream
         self.task = asyncio.create_task(self.connection.run())
 
@@ -110,6 +116,7 @@
 
     async def handle(self, request):
         self.handled.append(request.target)
+        self.arrived.set()
         gate = self.gates.get(request.target)
         try:
             if gate is not None:
@@ -240,3 +247,115 @@
         assert site.task.done()
 
     run_manual(run())
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "G",
+        "GET /1 HTTP/1.1\r\nHost: a\r\n",
+        _post("/1", "body")[:-1],
+        "POST /1 HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n",
+    ],
+)
+def test_connection_with_partial_request_is_not_idle(text):
+    """A stop would close it while the rest of the request arrives."""
+
+    async def run():
+        site = _Connection()
+        await _settle()
+        assert site.connection.is_idle
+        site.send(text)
+        assert not site.connection.is_idle
+        await _settle()
+        assert not site.connection.is_idle
+
+    run_manual(run())
+
+
+def test_connection_with_partial_request_behind_response_is_not_idle():
+    async def run():
+        site = _Connection()
+        site.send(_get("/1") + "GET /2")
+        await _settle()
+        assert site.count_responses() == 1
+        assert not site.connection.is_idle
+        site.send(" HTTP/1.1\r\nHost: a\r\n\r\n")
+        await _settle()
+        assert site.count_responses() == 2
+        assert site.connection.is_idle
+
+    run_manual(run())
+
+
+def test_partial_request_behind_last_response_does_not_hold_a_stop():
+    async def run():
+        site = _Connection()
+        site.is_stopping = True
+        site.send(_get("/1") + "GET /2")
+        await _settle()
+        assert site.count_responses() == 1
+        assert site.connection.is_idle
+
+    run_manual(run())
+
+
+def test_partial_request_ends_at_header_timeout_during_stop():
+    async def run():
+        site = _Connection()
+        site.is_stopping = True
+        site.send("GET /1")
+        await asyncio.sleep(1)
+        assert site.transport.received.startswith(b"HTTP/1.1 408")
+        assert site.connection.is_idle
+
+    run_manual(run())
+
+
+@pytest.mark.parametrize("is_stopping", [False, True])
+def test_connection_with_unsent_response_is_not_idle(is_stopping):
+    """The end of the process would lose the response."""
+
+    async def run():
+        site = _Connection()
+        site.is_stopping = is_stopping
+        site.transport.is_slow = True
+        site.send(_get("/1"))
+        await asyncio.sleep(2)
+        assert not site.connection.is_idle
+        assert not site.task.done()
+        site.transport.flush()
+        await _settle()
+        assert site.connection.is_idle
+
+    run_manual(run())
+
+
+def test_short_response_is_not_idle_until_sent():
+    """A transport pauses writing above 64 KiB only, unless told otherwise."""
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        near, far = socket.socketpair()
+        near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4_096)
+        far.setblocking(False)
+        site = _Connection(is_connected=False)
+        site.is_stopping = True
+        site.responses["/1"] = http1.HttpResponse(
+            status=200, fields=[], body=b"x" * 40_000
+        )
+        await loop.create_connection(lambda: site.stream, sock=near)
+        await loop.sock_sendall(far, _get("/1").encode())
+        await site.arrived.wait()
+        await _settle()
+        assert site.stream.unsent_bytes
+        assert not site.connection.is_idle
+        assert not site.task.done()
+        received = b""
+        while data := await loop.sock_recv(far, 65_536):
+            received += data
+        assert received.endswith(b"\r\n\r\n" + b"x" * 40_000)
+        far.close()
+        await asyncio.wait([site.task])
+
+    asyncio.run(run())
