--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -4,23 +4,20 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
-import contextlib
-import dataclasses
+import enum
 
 import h11
 
 from tarragonhinge import base
 from tarragonhinge import catalog
+from tarragonhinge.http1 import _exchange
 from tarragonhinge.http1 import _messages
+from tarragonhinge.http1 import _read_deadline
 from tarragonhinge.http1 import _tcp_stream
 
 #: Largest number of pipelined requests of one connection.
 PIPELINE_LIMIT = 16
 
-#: Time that the caller has to receive the last response before the connection
-#: is closed.
-LINGER_MS = 1_000
-
 #: Messages with which handlers are cancelled: the caller disconnected, or the
 #: connection is closed by this side.
 DISCONNECTED = "disconnected"
@@ -29,14 +26,13 @@
 Handler = Callable[[_messages.HttpRequest], Awaitable[_messages.HttpResponse]]
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class _Exchange:
-    """A received request and the parser that encodes its response."""
+class _State(enum.Enum):
+    """Whether requests are started."""
 
-    parser: h11.Connection
-    response: asyncio.Future[_messages.HttpResponse]
-    method: str = ""
-    closes: bool = False
+    OPEN = "open"
+    #: What is read is not handled any more; the last response that is due
+    #: closes the connection.
+    CLOSING = "closing"
 
 
 class _ReadEndedError(Exception):
@@ -94,58 +90,88 @@
         self._get_limits = get_limits
         self._is_stopping = is_stopping
         self._unparsed = b""
-        self._queue: collections.deque[_Exchange] = collections.deque()
+        self._is_receiving = False
+        self._queue: collections.deque[_exchange.Exchange] = (
+            collections.deque()
+        )
         self._changed = asyncio.Event()
-        self._is_read_ended = False
+        self._state = _State.OPEN
         self._tasks: set[asyncio.Task] = set()
 
     @property
     def is_idle(self) -> bool:
-        """Whether no request is being read or handled."""
-        return not self._queue and not self._unparsed
+        """Whether no request is being read or handled.
+
+        A request counts from its first byte until its response is passed to
+        the kernel.
+        """
+        if self._queue or self._stream.unsent_bytes:
+            return False
+        if self._state is _State.CLOSING:
+            return True
+        return not self._is_receiving and not self._stream.has_unread
 
     def close(self) -> None:
         """Close the connection."""
+        self._state = _State.CLOSING
         self._stream.close()
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
+        reader = asyncio.create_task(self._read())
         writer = asyncio.create_task(self._write_responses())
         try:
-            await self._read_requests()
-            await writer
+            ended, _ = await asyncio.wait(
+                [reader, writer], return_when=asyncio.FIRST_COMPLETED
+            )
+            for task in ended:
+                task.result()
         finally:
+            self._state = _State.CLOSING
+            tasks = [reader, writer, *self._tasks]
+            # The reader ends if the caller disconnects.
+            has_left = reader.done() and not writer.done()
+            self._cancel_handlers(
+                DISCONNECTED if has_left else CONNECTION_CLOSED
+            )
+            reader.cancel()
             writer.cancel()
-            self._cancel_handlers(CONNECTION_CLOSED)
             self._stream.close()
+            await asyncio.wait(tasks)
 
     def _cancel_handlers(self, cause: str) -> None:
         for task in self._tasks:
             task.cancel(cause)
 
-    async def _read_requests(self) -> None:
-        """Read until the caller disconnects or sends an invalid request."""
+    async def _read(self) -> None:
+        """Read until the caller disconnects."""
         try:
-            while True:
-                limits = self._get_limits()
-                parser = h11.Connection(
-                    h11.SERVER, max_incomplete_event_size=limits.header_bytes
-                )
-                request = await self._read_request(parser, limits)
-                if self._queue and self._is_stopping():
-                    # The response to an earlier request closes the connection.
-                    return
-                await self._start_request(request, parser)
+            await self._read_requests()
         except _ReadEndedError as end:
             if end.status is None:
-                # The caller has disconnected and can receive no response.
-                self._cancel_handlers(DISCONNECTED)
-                self._queue.clear()
-            else:
-                await self._reject(end.status)
-        finally:
-            self._is_read_ended = True
-            self._changed.set()
+                return
+            if self._state is _State.OPEN:
+                self._reject(end.status)
+        while await self._stream.read():
+            pass
+
+    async def _read_requests(self) -> None:
+        """Start the received requests until the connection is to close."""
+        while self._state is _State.OPEN:
+            limits = self._get_limits()
+            parser = h11.Connection(
+                h11.SERVER, max_incomplete_event_size=limits.header_bytes
+            )
+            request = await self._read_request(parser, limits)
+            if self._queue and self._is_stopping():
+                # The response to an earlier request closes the connection.
+                self._state = _State.CLOSING
+            if self._state is not _State.OPEN:
+                return
+            if parser.their_state is h11.MUST_CLOSE:
+                # The caller sends no more requests (RFC 9112, 9.6).
+                self._state = _State.CLOSING
+            await self._start_request(request, parser)
 
     async def _start_request(
         self, request: _messages.HttpRequest, parser: h11.Connection
@@ -158,7 +184,9 @@
         preceding = [exchange.response for exchange in self._queue]
         future: asyncio.Future = asyncio.get_running_loop().create_future()
         self._queue.append(
-            _Exchange(parser=parser, response=future, method=request.method)
+            _exchange.Exchange(
+                parser=parser, response=future, method=request.method
+            )
         )
         task = asyncio.create_task(
             self._run_request(
@@ -193,18 +221,21 @@
         """Return the next complete request."""
         if self._unparsed:
             parser.receive_data(self._unparsed)
-        has_started = bool(self._unparsed)
-        self._unparsed = b""
         head: h11.Request | None = None
         body = bytearray()
-        deadline = _ReadDeadline(limits=limits, has_started=has_started)
+        deadline = _read_deadline.ReadDeadline(
+            limits=limits, has_started=self._is_receiving
+        )
         while True:
             try:
                 event = parser.next_event()
             except h11.RemoteProtocolError as error:
                 raise _ReadEndedError(error.error_status_hint) from error
             if event is h11.NEED_DATA:
-                if parser.they_are_waiting_for_100_continue:
+                if (
+                    parser.they_are_waiting_for_100_continue
+                    and self._state is _State.OPEN
+                ):
                     self._stream.write(
                         parser.send(
                             h11.InformationalResponse(
@@ -213,9 +244,9 @@
                         )
                     )
                 data = await self._read_bytes(deadline, head is not None)
-                if not data and not has_started:
+                if not data and not self._is_receiving:
                     raise _ReadEndedError(None)
-                has_started = True
+                self._is_receiving = True
                 deadline.start()
                 parser.receive_data(data)
             elif isinstance(event, h11.Request):
@@ -233,6 +264,7 @@
                 raise _ReadEndedError(None)
         trailing, _ = parser.trailing_data
         self._unparsed = bytes(trailing)
+        self._is_receiving = bool(trailing)
         return _messages.HttpRequest(
             method=head.method.decode("latin-1"),
             target=head.target.decode("latin-1"),
@@ -241,7 +273,7 @@
         )
 
     async def _read_bytes(
-        self, deadline: "_ReadDeadline", has_head: bool
+        self, deadline: _read_deadline.ReadDeadline, has_head: bool
     ) -> bytes:
         timeout_ms = deadline.compute_timeout_ms(has_head=has_head)
         while True:
@@ -254,113 +286,51 @@
                 status = 408 if deadline.has_started else None
                 raise _ReadEndedError(status) from None
 
-    async def _reject(self, status: int) -> None:
+    def _reject(self, status: int) -> None:
         """Queue an error response behind the pending responses."""
+        self._state = _State.CLOSING
         parser = h11.Connection(h11.SERVER)
         future: asyncio.Future = asyncio.get_running_loop().create_future()
-        future.set_result(
-            _messages.HttpResponse(status=status, fields=[], closes=True)
-        )
-        self._queue.append(
-            _Exchange(parser=parser, response=future, closes=True)
-        )
+        future.set_result(_messages.HttpResponse(status=status, fields=[]))
+        self._queue.append(_exchange.Exchange(parser=parser, response=future))
         self._changed.set()
 
     async def _write_responses(self) -> None:
         """Write the responses in the order of their requests."""
         while True:
             while not self._queue:
-                if self._is_read_ended:
-                    return
                 self._changed.clear()
                 await self._changed.wait()
             exchange = self._queue[0]
             await asyncio.wait([exchange.response])
-            if exchange.response.cancelled() or not self._queue:
+            if exchange.response.cancelled():
                 return
             response = exchange.response.result()
             is_last = len(self._queue) == 1
-            closes = (
-                exchange.closes
-                or response.closes
-                or (is_last and self._is_stopping())
-            )
-            data, keep_open = _encode_response(
-                exchange, response, closes=closes
+            if response.closes or (is_last and self._is_stopping()):
+                self._state = _State.CLOSING
+            data, keep_open = _exchange.encode_response(
+                exchange,
+                response,
+                closes=response.closes
+                or (is_last and self._state is _State.CLOSING),
             )
             self._stream.write(data)
             self._queue.popleft()
             if not keep_open:
+                self._state = _State.CLOSING
                 await self._close_gracefully()
                 return
             await self._stream.drain()
 
     async def _close_gracefully(self) -> None:
-        """Close once the caller has received the last response."""
+        """Close once the last response is passed to the kernel."""
         self._cancel_handlers(CONNECTION_CLOSED)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(LINGER_MS / base.MS_PER_S):
-                await self._stream.drain()
+        await self._stream.drain()
         self._stream.close()
 
 
-class _ReadDeadline:
-    """Timeouts for reading one request."""
-
-    def __init__(
-        self, *, limits: catalog.CallerLimits, has_started: bool
-    ) -> None:
-        self._limits = limits
-        self._loop = asyncio.get_running_loop()
-        self._started_at = self._loop.time() if has_started else None
-
-    @property
-    def has_started(self) -> bool:
-        """Whether a byte of the request has been received."""
-        return self._started_at is not None
-
-    def start(self) -> None:
-        """Record the arrival of the first byte, unless recorded before."""
-        if self._started_at is None:
-            self._started_at = self._loop.time()
-
-    def compute_timeout_ms(self, *, has_head: bool) -> float:
-        """Return the timeout for the next bytes, in milliseconds."""
-        if self._started_at is None or has_head:
-            return self._limits.idle_timeout_ms
-        elapsed_ms = (self._loop.time() - self._started_at) * base.MS_PER_S
-        return max(1.0, self._limits.header_timeout_ms - elapsed_ms)
-
-
 def _count_head_bytes(head: h11.Request) -> int:
     """Return the size of a request's head, without delimiters."""
     size = len(head.method) + len(head.target)
     return size + sum(len(name) + len(value) for name, value in head.headers)
-
-
-def _encode_response(
-    exchange: _Exchange, response: _messages.HttpResponse, *, closes: bool
-) -> tuple[bytes, bool]:
-    """Return the encoded response and whether to keep the connection."""
-    parser = exchange.parser
-    fields = [*response.fields, ("content-length", str(len(response.body)))]
-    if closes:
-        fields.append(("connection", "close"))
-    if parser.our_state is h11.IDLE:
-        # The parser can't encode a response to a request that it rejected.
-        head = [f"HTTP/1.1 {response.status} Error\r\n"]
-        head += [f"{name}: {value}\r\n" for name, value in fields]
-        return ("".join(head) + "\r\n").encode(
-            "latin-1"
-        ) + response.body, False
-    data = parser.send(
-        h11.Response(
-            status_code=response.status,
-            headers=_messages.encode_fields(fields),
-        )
-    )
-    has_body = exchange.method != "HEAD" and response.status not in (204, 304)
-    if response.body and has_body:
-        data += parser.send(h11.Data(data=response.body))
-    data += parser.send(h11.EndOfMessage())
-    return data, parser.our_state is h11.DONE
