Refuse requests that a stop can't wait for

What callers saw: a request sent to an instance about 3 s after its SIGTERM was passed on to a server, and 2.6 s later its connection was closed without a response. Cause: all requests that arrived within 3.2 s of SIGTERM were accepted, whatever their deadline, and aborted 5.7 s after it. Change: the schedule of a stop is a module of its own. After it a request is served only if its deadline lies before the abort, and refused otherwise; it never runs, and the caller may send it to another instance at once. Test: test_stop_does_not_cut_off_request_that_it_cannot_wait_for gets a closed connection instead of a 503 on the code before; so does test_stop_finishes_request_of_which_a_part_was_read.

--- a/tarragonhinge/gateway/_caller_listener.py
+++ b/tarragonhinge/gateway/_caller_listener.py
@@ -28,7 +28,6 @@
         self._gateway = gateway
         self._server: asyncio.Server | None = None
         self._connections: dict[http1.CallerConnection, asyncio.Task] = {}
-        self.is_stopping = False
 
     async def start(self) -> None:
         """Start to listen."""
@@ -45,7 +44,7 @@
             handle=self._gateway.handle,
             is_concurrent=self._gateway.is_concurrent,
             get_limits=self._gateway.get_limits,
-            is_stopping=lambda: self.is_stopping,
+            is_stopping=lambda: self._gateway.shutdown.has_begun,
         )
         task = asyncio.create_task(connection.run())
         self._connections[connection] = task
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -22,6 +22,7 @@
 from tarragonhinge.gateway import _refusals
 from tarragonhinge.gateway import _retry_budget
 from tarragonhinge.gateway import _sender
+from tarragonhinge.gateway import _shutdown
 from tarragonhinge.gateway import _splitter
 from tarragonhinge.gateway import _view_waiter
 from tarragonhinge import http1
@@ -87,6 +88,8 @@
         Finds the owners of keys.
     metrics : RequestMetrics
         Metrics of the requests.
+    shutdown : Shutdown
+        Graceful stop of the instance.
     in_flight : int
         Number of requests without a final response so far.
     """
@@ -123,6 +126,9 @@
             rng=rng or random.Random(),
         )
         self.metrics = _metrics.RequestMetrics()
+        self.shutdown = _shutdown.Shutdown(
+            kill_after_ms=options.stop_ms, clock=clock
+        )
         self.in_flight = 0
         self._sender = _sender.Sender(
             dialect=dialect, links=self.links, clock=clock
@@ -228,6 +234,9 @@
         if route is None:
             return self._finish(trace, metadata, self._reject_unrouted())
         job = self._make_job(request, metadata, route, trace)
+        if not self.shutdown.admits(job.deadline_at):
+            refused = _refusals.Refused.for_stopping_instance()
+            return self._finish(trace, metadata, refused, job=job)
         self._get_retry_budget(job).record_request()
         self.owners.record_key(job)
         result = await self._try_servers(job)
--- a/tarragonhinge/gateway/_refusals.py
+++ b/tarragonhinge/gateway/_refusals.py
@@ -14,6 +14,10 @@
 #: Retry-After of a refusal for which no delay is estimated.
 DEFAULT_RETRY_AFTER_MS = 400
 
+#: Retry-After of a refusal by a stopping instance, since the load balancer
+#: sends the retry to another one.
+STOPPING_RETRY_AFTER_MS = 10
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Refused:
@@ -47,6 +51,15 @@
             retry_after_ms=DEFAULT_RETRY_AFTER_MS,
         )
 
+    @classmethod
+    def for_stopping_instance(cls) -> "Refused":
+        """Return the refusal of a request that the stop can't wait for."""
+        return cls(
+            status=503,
+            reason="stopping",
+            retry_after_ms=STOPPING_RETRY_AFTER_MS,
+        )
+
     def get_remedy(self) -> str:
         """Return the remedy stated to the caller."""
         if self.status == 404:
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -23,14 +23,6 @@
 #: Port of the metrics endpoint, as configured in ``deploy/system.toml``.
 METRICS_PORT = 9464
 
-#: Time after SIGTERM for which new requests are still accepted: the load
-#: balancer stops opening connections after two failed readiness probes, which
-#: are one second apart.
-STOP_NOTICE_MS = 3_200
-
-#: Time before SIGKILL at which the remaining requests are aborted.
-KILL_MARGIN_MS = 300
-
 #: Interval at which readiness is updated, and at which a stop checks whether
 #: all requests have ended.
 UPDATE_INTERVAL_MS = 50
@@ -101,7 +93,6 @@
         self._peers: asyncio.Server | None = None
         self._tasks: list[asyncio.Task] = []
         self._was_ready = False
-        self._is_stopping = False
 
     def _register_gauges(self) -> None:
         """Register the gauges that are evaluated on each scrape."""
@@ -146,7 +137,7 @@
     def is_ready(self) -> bool:
         """Return whether the instance should receive requests."""
         return (
-            not self._is_stopping
+            not self.gateway.shutdown.has_begun
             and self._view.is_complete()
             and self._member.is_current()
         )
@@ -186,7 +177,7 @@
             await self._clock.sleep(UPDATE_INTERVAL_MS)
 
     def _explain_readiness(self) -> str:
-        if self._is_stopping:
+        if self.gateway.shutdown.has_begun:
             return "stopping"
         if not self._view.is_complete():
             return "view_incomplete"
@@ -194,29 +185,22 @@
 
     async def stop(self) -> None:
         """Stop after the accepted requests have finished, or in time."""
-        began_at = self._clock.now()
-        self._is_stopping = True
-        self._caller_listener.is_stopping = True
+        shutdown = self.gateway.shutdown
+        shutdown.begin()
         self.log.write(
             events.Stopping(reason="signal", in_flight=self.gateway.in_flight)
         )
-        limit_ms = self._options.stop_ms - KILL_MARGIN_MS
-        while True:
-            elapsed_ms = self._clock.now() - began_at
-            if elapsed_ms >= STOP_NOTICE_MS:
-                # Requests accepted later might not finish before SIGKILL.
+        while not shutdown.is_time_up():
+            if shutdown.is_notice_over():
                 self._caller_listener.stop_accepting()
                 self._caller_listener.close_idle()
-            is_idle = self._caller_listener.count_busy() == 0
-            if (
-                elapsed_ms >= STOP_NOTICE_MS and is_idle
-            ) or elapsed_ms > limit_ms:
-                break
+                if self._caller_listener.count_busy() == 0:
+                    break
             await self._clock.sleep(UPDATE_INTERVAL_MS)
         self.log.write(
             events.Stopped(
                 cut_off=self._caller_listener.count_busy(),
-                elapsed_ms=self._clock.now() - began_at,
+                elapsed_ms=shutdown.compute_elapsed_ms(),
             )
         )
         await self._close()
