Move attempts and retries of a request to a module of their own

Change: Retrier has the loop over servers, the retry budget and the failover policy; nothing else changes. Tests of gateway and of the path pass unchanged.

--- /dev/null
+++ b/tarragonhinge/gateway/_retrier.py
@@ -0,0 +1,232 @@
+"""Sends a request to servers, one after the other, until one answers."""
+
+from tarragonhinge import base
+from tarragonhinge import events
+from tarragonhinge.gateway import _fleet_size
+from tarragonhinge.gateway import _job
+from tarragonhinge.gateway import _links
+from tarragonhinge.gateway import _metrics
+from tarragonhinge.gateway import _options
+from tarragonhinge.gateway import _outcomes
+from tarragonhinge.gateway import _owner_finder
+from tarragonhinge.gateway import _placer
+from tarragonhinge.gateway import _refusals
+from tarragonhinge.gateway import _retry_budget
+from tarragonhinge.gateway import _sender
+from tarragonhinge import http1
+
+#: An idempotent request is sent to another server after the larger of these
+#: multiples of its expected latency and of its latency objective has passed
+#: without a response.
+FAILOVER_LATENCY_FACTOR = 4.0
+FAILOVER_OBJECTIVE_FACTOR = 1.6
+
+#: Number of servers that may refuse a request before the caller gets a
+#: refusal.
+MAX_REFUSING_SERVERS = 3
+
+#: Maximum number of times that a request is sent, including refused sends, as
+#: a multiple of the attempts that its route allows.
+MAX_SENDS_PER_ATTEMPT = 2
+
+_NotRunCause = _outcomes.NotRunCause
+
+
+class Retrier:
+    """Places a request, sends it, and retries it within the retry budget.
+
+    Parameters
+    ----------
+    options : InstanceOptions
+        Settings of the instance, with the limits of the retry budget.
+    placer : Placer
+        Chooses the server for each attempt.
+    sender : Sender
+        Sends an attempt.
+    owners : OwnerFinder
+        Owners of keys, which learns from the outcomes.
+    fleet_size : FleetSize
+        Number of instances that share the retry budget.
+    metrics : RequestMetrics
+        Metrics of the requests.
+    log : EventLog
+        Destination of log events.
+    clock : Clock
+        This process's clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        options: _options.InstanceOptions,
+        placer: _placer.Placer,
+        sender: _sender.Sender,
+        owners: _owner_finder.OwnerFinder,
+        fleet_size: _fleet_size.FleetSize,
+        metrics: _metrics.RequestMetrics,
+        log: events.EventLog,
+        clock: base.Clock,
+    ) -> None:
+        self._options = options
+        self._placer = placer
+        self._sender = sender
+        self._owners = owners
+        self._fleet_size = fleet_size
+        self._metrics = metrics
+        self._log = log
+        self._clock = clock
+        self._retry_budgets: dict[
+            base.ServiceName, _retry_budget.RetryBudget
+        ] = {}
+
+    async def run(
+        self, job: _job.Job
+    ) -> http1.HttpResponse | _refusals.Refused:
+        """Send the request to servers until there is a final response."""
+        self._get_retry_budget(job).record_request()
+        failure: _outcomes.AttemptOutcome | None = None
+        while True:
+            placement = await self._placer.place(job)
+            if isinstance(placement, _refusals.Refused):
+                return _refusals.make_final_response(job, failure, placement)
+            if job.sent_count and not self._take_retry(job):
+                return _refusals.make_final_response(
+                    job, failure, _refusals.Refused.for_exhausted_budget()
+                )
+            link = placement.link
+            began_at = self._clock.now()
+            outcome = await self._sender.send(
+                job, link, failover=self._make_failover_policy(job, placement)
+            )
+            self._record_owner_outcome(job, placement, outcome)
+            if isinstance(outcome, _outcomes.Answered) and not outcome.failed:
+                return outcome.response
+            failure = outcome
+            will_retry = self._may_retry(job, outcome)
+            self._record_failed_attempt(
+                job, link, outcome, began_at, will_retry
+            )
+            if not will_retry:
+                return _refusals.make_final_response(job, outcome, None)
+
+    def _get_retry_budget(self, job: _job.Job) -> _retry_budget.RetryBudget:
+        name = job.service.name
+        if name not in self._retry_budgets:
+            self._retry_budgets[name] = _retry_budget.RetryBudget(
+                ratio=self._options.retry_ratio,
+                slack=self._options.retry_slack,
+                window_ms=self._options.retry_window_ms,
+                clock=self._clock,
+            )
+        return self._retry_budgets[name]
+
+    def _take_retry(self, job: _job.Job) -> bool:
+        """Charge the retry budget, unless the retry is already paid."""
+        if job.is_retry_paid:
+            job.is_retry_paid = False
+            return True
+        return self._get_retry_budget(job).take(
+            instances=self._fleet_size.get()
+        )
+
+    def _make_failover_policy(
+        self, job: _job.Job, placement: _placer.Placement
+    ) -> _sender.FailoverPolicy:
+        """Return the policy for failing a request over to another server."""
+
+        def try_fail_over() -> bool:
+            left_ms = job.deadline_at - self._clock.now()
+            if (
+                left_ms < placement.expected_ms
+                or job.sent_count >= job.route.max_attempts
+                or not self._placer.has_alternative(job, placement.link)
+            ):
+                return False
+            job.is_retry_paid = self._take_retry(job)
+            return job.is_retry_paid
+
+        silence_timeout_ms = float(job.route.timeout_ms)
+        # A keyed request has no failover, since only the owner of its key may
+        # run it.
+        if job.is_idempotent and job.key is None:
+            silence_timeout_ms = max(
+                FAILOVER_LATENCY_FACTOR * placement.expected_ms,
+                FAILOVER_OBJECTIVE_FACTOR * job.route.objective_ms,
+            )
+        return _sender.FailoverPolicy(
+            silence_timeout_ms=silence_timeout_ms, try_fail_over=try_fail_over
+        )
+
+    def _may_retry(
+        self, job: _job.Job, outcome: _outcomes.AttemptOutcome
+    ) -> bool:
+        """Return whether another attempt is allowed and may succeed."""
+        if self._clock.now() >= job.deadline_at:
+            return False
+        if isinstance(outcome, _outcomes.NotRun):
+            if (
+                job.sent_count
+                >= MAX_SENDS_PER_ATTEMPT * job.route.max_attempts
+            ):
+                return False
+            if outcome.cause is _NotRunCause.MISDIRECTED:
+                return True
+            if outcome.cause is _NotRunCause.REPLACED and job.key is not None:
+                return True
+            # Only the owner of its key may run a keyed request.
+            return (
+                job.key is None
+                and len(job.failed_servers) < MAX_REFUSING_SERVERS
+            )
+        if not job.is_idempotent:
+            return False
+        return job.sent_count < job.route.max_attempts
+
+    def _record_owner_outcome(
+        self,
+        job: _job.Job,
+        placement: _placer.Placement,
+        outcome: _outcomes.AttemptOutcome,
+    ) -> None:
+        """Record whether the owner of a key accepts its requests."""
+        if placement.segment is None:
+            return
+        if isinstance(outcome, _outcomes.Answered):
+            self._owners.record_answered(placement.segment)
+        elif isinstance(outcome, _outcomes.NotRun) and outcome.cause in (
+            _NotRunCause.MISDIRECTED,
+            _NotRunCause.REPLACED,
+        ):
+            self._owners.record_misdirected(job, placement.segment)
+
+    def _record_failed_attempt(
+        self,
+        job: _job.Job,
+        link: _links.ServerLink,
+        outcome: _outcomes.AttemptOutcome,
+        began_at: int,
+        will_retry: bool,
+    ) -> None:
+        server = link.entry.server
+        job.failed_servers.add(server)
+        if not isinstance(outcome, _outcomes.NotRun):
+            job.may_have_run = True
+        elif outcome.cause in (_NotRunCause.UNSENT, _NotRunCause.REPLACED):
+            self._log.write(
+                events.ServerAvoided(
+                    server=server,
+                    reason=outcome.detail or outcome.cause.value,
+                    for_ms=link.load.get_cooldown_ms(),
+                )
+            )
+        name = _refusals.get_outcome_name(outcome)
+        self._metrics.record_attempt(name)
+        job.trace.add(
+            events.Tried(
+                request=job.metadata.attempt,
+                server=server,
+                outcome=name,
+                elapsed_ms=self._clock.now() - began_at,
+                repeats=will_retry,
+            )
+        )
