Keep an attempt open after a failover to another server

What callers saw: a safe request whose server had not answered in 1.6 times its objective was given up there and sent to a second server; if that one refused it, the caller got a 502 (earlier_attempt_unknown), while the first server worked on the request. Cause: the connection to the first server was closed as soon as the failover began, before it was known whether the second would take it. Change: both attempts go on, and the first valid response is returned; the other attempt is cancelled. If neither server ran the request, it is refused with a 503 instead of a 502.

--- a/tarragonhinge/gateway/_outcomes.py
+++ b/tarragonhinge/gateway/_outcomes.py
@@ -41,7 +41,7 @@
 
     BROKEN: the connection failed; GARBLED: the response lacks the server's
     seal or belongs to another attempt; SILENT: no response arrived
-    before the request was failed over to another server; TIMEOUT: no
+    before the request was also sent to another server; TIMEOUT: no
     response arrived before the deadline.
     """
 
--- a/tarragonhinge/gateway/_retrier.py
+++ b/tarragonhinge/gateway/_retrier.py
@@ -1,4 +1,6 @@
-"""Sends a request to servers, one after the other, until one answers."""
+"""Sends a request to servers until one answers."""
+
+import asyncio
 
 from tarragonhinge import base
 from tarragonhinge import events
@@ -84,6 +86,11 @@
     ) -> http1.HttpResponse | _refusals.Refused:
         """Send the request to servers until there is a final response."""
         self._get_retry_budget(job).record_request()
+        return await self._try_servers(job)
+
+    async def _try_servers(
+        self, job: _job.Job
+    ) -> http1.HttpResponse | _refusals.Refused:
         failure: _outcomes.AttemptOutcome | None = None
         while True:
             placement = await self._placer.place(job)
@@ -95,13 +102,19 @@
                 )
             link = placement.link
             began_at = self._clock.now()
-            outcome = await self._sender.send(
-                job, link, failover=self._make_failover_policy(job, placement)
-            )
+            attempt = asyncio.create_task(self._sender.send(job, link))
+            try:
+                if await self._is_failover_due(job, placement, attempt):
+                    return await self._fail_over(job, link, attempt, began_at)
+                outcome = await attempt
+            finally:
+                attempt.cancel()
             self._record_owner_outcome(job, placement, outcome)
             if isinstance(outcome, _outcomes.Answered) and not outcome.failed:
                 return outcome.response
             failure = outcome
+            if not isinstance(outcome, _outcomes.NotRun):
+                job.may_have_run = True
             will_retry = self._may_retry(job, outcome)
             self._record_failed_attempt(
                 job, link, outcome, began_at, will_retry
@@ -129,33 +142,83 @@
             instances=self._fleet_size.get()
         )
 
-    def _make_failover_policy(
-        self, job: _job.Job, placement: _placer.Placement
-    ) -> _sender.FailoverPolicy:
-        """Return the policy for failing a request over to another server."""
+    async def _is_failover_due(
+        self,
+        job: _job.Job,
+        placement: _placer.Placement,
+        attempt: asyncio.Task[_outcomes.AttemptOutcome],
+    ) -> bool:
+        """Wait for an attempt; return whether to try another server too.
 
-        def try_fail_over() -> bool:
-            left_ms = job.deadline_at - self._clock.now()
-            if (
-                left_ms < placement.expected_ms
-                or job.sent_count >= job.route.max_attempts
-                or not self._placer.has_alternative(job, placement.link)
-            ):
-                return False
-            job.is_retry_paid = self._take_retry(job)
-            return job.is_retry_paid
-
-        silence_timeout_ms = float(job.route.timeout_ms)
-        # A keyed request has no failover, since only the owner of its key may
-        # run it.
-        if job.is_idempotent and job.key is None:
-            silence_timeout_ms = max(
-                FAILOVER_LATENCY_FACTOR * placement.expected_ms,
-                FAILOVER_OBJECTIVE_FACTOR * job.route.objective_ms,
-            )
-        return _sender.FailoverPolicy(
-            silence_timeout_ms=silence_timeout_ms, try_fail_over=try_fail_over
+        A keyed request has no failover, since only the owner of its key may
+        run it.
+        """
+        if not job.is_idempotent or job.key is not None:
+            return False
+        silence_timeout_ms = max(
+            FAILOVER_LATENCY_FACTOR * placement.expected_ms,
+            FAILOVER_OBJECTIVE_FACTOR * job.route.objective_ms,
+        )
+        await asyncio.wait(
+            [attempt], timeout=silence_timeout_ms / base.MS_PER_S
         )
+        left_ms = job.deadline_at - self._clock.now()
+        if (
+            attempt.done()
+            or left_ms < placement.expected_ms
+            or job.sent_count >= job.route.max_attempts
+            or not self._placer.has_alternative(job, placement.link)
+        ):
+            return False
+        job.is_retry_paid = self._take_retry(job)
+        return job.is_retry_paid
+
+    async def _fail_over(
+        self,
+        job: _job.Job,
+        link: _links.ServerLink,
+        attempt: asyncio.Task[_outcomes.AttemptOutcome],
+        began_at: int,
+    ) -> http1.HttpResponse | _refusals.Refused:
+        """Return the first response of a silent server and other servers.
+
+        The attempt at the silent server continues, since the others may
+        refuse the request.
+        """
+        link.load.record_failed_attempt()
+        silence = _outcomes.OutcomeUnknown(cause=_outcomes.UnknownCause.SILENT)
+        self._record_failed_attempt(
+            job, link, silence, began_at, will_retry=True
+        )
+        others = asyncio.create_task(self._try_servers(job))
+        pending = {attempt, others}
+        try:
+            while pending:
+                done, pending = await asyncio.wait(
+                    pending, return_when=asyncio.FIRST_COMPLETED
+                )
+                if attempt in done:
+                    outcome = attempt.result()
+                    if (
+                        isinstance(outcome, _outcomes.Answered)
+                        and not outcome.failed
+                    ):
+                        return outcome.response
+                if others in done:
+                    result = others.result()
+                    if (
+                        isinstance(result, http1.HttpResponse)
+                        and result.status < 500
+                    ):
+                        return result
+        finally:
+            others.cancel()
+        if isinstance(result, http1.HttpResponse):
+            return result
+        if isinstance(outcome, _outcomes.NotRun):
+            return result
+        job.may_have_run = True
+        return _refusals.make_final_response(job, outcome, result)
 
     def _may_retry(
         self, job: _job.Job, outcome: _outcomes.AttemptOutcome
@@ -209,9 +272,10 @@
     ) -> None:
         server = link.entry.server
         job.failed_servers.add(server)
-        if not isinstance(outcome, _outcomes.NotRun):
-            job.may_have_run = True
-        elif outcome.cause in (_NotRunCause.UNSENT, _NotRunCause.REPLACED):
+        if isinstance(outcome, _outcomes.NotRun) and outcome.cause in (
+            _NotRunCause.UNSENT,
+            _NotRunCause.REPLACED,
+        ):
             self._log.write(
                 events.ServerAvoided(
                     server=server,
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -1,8 +1,6 @@
 """Sends a request to one server and classifies the outcome."""
 
 import asyncio
-from collections.abc import Callable
-import dataclasses
 
 from tarragonhinge import base
 from tarragonhinge.gateway import _dialect
@@ -19,24 +17,6 @@
 MIN_TIME_LEFT_MS = 5
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class FailoverPolicy:
-    """When to give up an attempt and send the request to another server.
-
-    Parameters
-    ----------
-    silence_timeout_ms : float
-        Time without a response after which to fail over.
-    try_fail_over : callable
-        Called after `silence_timeout_ms` without a response.  Returns
-        whether the request is sent to another server; otherwise the response
-        is awaited until the deadline.
-    """
-
-    silence_timeout_ms: float
-    try_fail_over: Callable[[], bool]
-
-
 class Sender:
     """Sends requests and updates the load estimates from the responses.
 
@@ -62,16 +42,12 @@
         self._clock = clock
 
     async def send(
-        self,
-        job: _job.Job,
-        link: _links.ServerLink,
-        *,
-        failover: FailoverPolicy,
+        self, job: _job.Job, link: _links.ServerLink
     ) -> _outcomes.AttemptOutcome:
-        """Send a request once.
+        """Send a request once and wait for the response.
 
-        If the caller disconnects meanwhile, the connection to the server
-        is closed, so that the server cancels the request.
+        If this is cancelled, the connection to the server is closed, so that
+        the server cancels the request.
 
         Parameters
         ----------
@@ -79,13 +55,11 @@
             The request.
         link : ServerLink
             Link to the server.
-        failover : FailoverPolicy
-            When to send the request to another server.
         """
         link.load.in_flight += 1
         sent_at = self._clock.now()
         try:
-            result = await self._exchange(job, link, failover)
+            result = await self._exchange(job, link)
         finally:
             link.load.in_flight -= 1
         if isinstance(result, http1.HttpResponse):
@@ -93,7 +67,7 @@
         return result
 
     async def _exchange(
-        self, job: _job.Job, link: _links.ServerLink, failover: FailoverPolicy
+        self, job: _job.Job, link: _links.ServerLink
     ) -> http1.HttpResponse | _outcomes.NotRun | _outcomes.OutcomeUnknown:
         """Return the response, or the reason why there is none."""
         try:
@@ -118,10 +92,12 @@
             )
         )
         try:
-            cause = await self._wait_for_response(exchange, left_ms, failover)
-            if cause is not None:
+            await asyncio.wait([exchange], timeout=left_ms / base.MS_PER_S)
+            if not exchange.done():
                 link.load.record_failed_attempt()
-                return _outcomes.OutcomeUnknown(cause=cause)
+                return _outcomes.OutcomeUnknown(
+                    cause=_outcomes.UnknownCause.TIMEOUT
+                )
             response = exchange.result()
             is_reusable = not response.closes
             return response
@@ -137,20 +113,6 @@
             else:
                 link.pool.discard(connection)
 
-    async def _wait_for_response(
-        self, exchange: asyncio.Task, left_ms: int, failover: FailoverPolicy
-    ) -> _outcomes.UnknownCause | None:
-        """Return None if the exchange ended, or why it was given up."""
-        if failover.silence_timeout_ms < left_ms:
-            await asyncio.wait(
-                [exchange], timeout=failover.silence_timeout_ms / base.MS_PER_S
-            )
-            if not exchange.done() and failover.try_fail_over():
-                return _outcomes.UnknownCause.SILENT
-            left_ms -= failover.silence_timeout_ms
-        await asyncio.wait([exchange], timeout=left_ms / base.MS_PER_S)
-        return None if exchange.done() else _outcomes.UnknownCause.TIMEOUT
-
     def _matches_attempt(self, job: _job.Job, fields: http1.FieldList) -> bool:
         """Return whether a response may belong to this attempt.
 
--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -28,13 +28,13 @@
     ----------
     mode : str
         How requests are handled: ``ok``, ``shed`` (rejected as not
-        executed), ``hang`` (neither executed nor answered), ``cut``
-        (truncated response), ``reset`` (connection reset after the
-        execution), ``stray`` (the response to another attempt comes
-        first), ``unsealed`` (response without a seal), ``foreign``
-        (response to another attempt only), ``error`` (status 500),
-        ``busy_error`` (status 503 without the field that denies the
-        execution), ``silent`` (executed, no response).
+        executed), ``late_shed`` (the same once work is allowed), ``hang``
+        (neither executed nor answered), ``cut`` (truncated response),
+        ``reset`` (connection reset after the execution), ``stray`` (the
+        response to another attempt comes first), ``unsealed`` (response
+        without a seal), ``foreign`` (response to another attempt only),
+        ``error`` (status 500), ``busy_error`` (status 503 without the field
+        that denies the execution), ``silent`` (executed, no response).
     next_modes : list of str
         Modes of the next requests; once empty, `mode` applies.
     executed, abandoned : list of str
@@ -153,7 +153,9 @@
             self._write_response(writer, 421, _NOT_EXECUTED, "no")
             return True
         mode = self.next_modes.pop(0) if self.next_modes else self.mode
-        if mode == "shed":
+        if mode == "late_shed":
+            await self.work_allowed.wait()
+        if mode in ("shed", "late_shed"):
             self._write_response(writer, 503, _NOT_EXECUTED, "full")
             return True
         if mode == "hang":
