Answer 502 where a response can't be made, instead of hanging

Cause: if encoding a response or writing it raised an error, the writer of a caller's connection ended and its reader went on: later requests were read, passed on and never answered. The same held for a handler that raised an error, since its response stayed undone; one way to do so is a deadline of more than 4,300 digits, which int() refuses. A success to a CONNECT request can't be encoded with a body. CONNECT gets a 501 and is not handled.

--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -197,6 +197,11 @@
         except asyncio.CancelledError:
             future.cancel()
             raise
+        except Exception as error:
+            response = _messages.HttpResponse(status=502, fields=[])
+            asyncio.get_running_loop().call_exception_handler(
+                {"message": "handling a request failed", "exception": error}
+            )
         if not future.done():
             future.set_result(response)
 
@@ -238,6 +243,9 @@
                 # The parser limits only a head that arrives in several reads.
                 if _count_head_bytes(event) > limits.header_bytes:
                     raise _ReadEndedError(431)
+                if event.method == b"CONNECT":
+                    # A success would turn the connection into a tunnel.
+                    raise _ReadEndedError(501)
                 head = event
             elif isinstance(event, h11.Data):
                 body += event.data
--- a/tarragonhinge/http1/_exchange.py
+++ b/tarragonhinge/http1/_exchange.py
@@ -17,6 +17,10 @@
     method: str = ""
 
 
+#: Replaces a response that can't be encoded.
+_INVALID_RESPONSE = _messages.HttpResponse(status=502, fields=[])
+
+
 def encode_response(
     exchange: Exchange, response: _messages.HttpResponse, *, closes: bool
 ) -> tuple[bytes, bool]:
@@ -27,19 +31,24 @@
         fields.append(("connection", "close"))
     if parser.our_state is h11.IDLE:
         # The parser can't encode a response to a request that it rejected.
-        head = [f"HTTP/1.1 {response.status} Error\r\n"]
-        head += [f"{name}: {value}\r\n" for name, value in fields]
-        return ("".join(head) + "\r\n").encode(
+        lines = [f"HTTP/1.1 {response.status} Error\r\n"]
+        lines += [f"{name}: {value}\r\n" for name, value in fields]
+        return ("".join(lines) + "\r\n").encode(
             "latin-1"
         ) + response.body, False
-    data = parser.send(
-        h11.Response(
-            status_code=response.status,
-            headers=_messages.encode_fields(fields),
-        )
-    )
+    try:
+        head = _make_head(response.status, fields)
+    except (h11.LocalProtocolError, UnicodeEncodeError):
+        return encode_response(exchange, _INVALID_RESPONSE, closes=closes)
+    data = parser.send(head)
     has_body = exchange.method != "HEAD" and response.status not in (204, 304)
     if response.body and has_body:
         data += parser.send(h11.Data(data=response.body))
     data += parser.send(h11.EndOfMessage())
     return data, parser.our_state is h11.DONE
+
+
+def _make_head(status: int, fields: _messages.FieldList) -> h11.Response:
+    return h11.Response(
+        status_code=status, headers=_messages.encode_fields(fields)
+    )
