Read on behind the last response, so that no reset destroys it

Cause: a connection was closed as soon as its last response had been passed to the kernel. A request that the caller had sent behind it then made the kernel reset the connection and drop what the caller had not received yet. Change: the sending side is closed first; what arrives is discarded until the caller closes, for 1 s at most (RFC 9112, 9.6). Such a connection is idle, so that a stop does not wait for it, and closing idle connections leaves it alone. Closing the sending side of a socket that was reset raises OSError, as its test showed without the exception's handling.

--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -18,6 +18,10 @@
 #: Largest number of pipelined requests of one connection.
 PIPELINE_LIMIT = 16
 
+#: Longest time for which a connection is read on, without handling anything,
+#: after its last response.
+LINGER_MS = 1_000
+
 Handler = Callable[[_messages.HttpRequest], Awaitable[_messages.HttpResponse]]
 
 
@@ -106,9 +110,10 @@
         return not self._is_receiving and not self._stream.has_unread
 
     def close(self) -> None:
-        """Close the connection."""
-        self._state = _State.CLOSING
-        self._stream.close()
+        """Close the connection unless it is closing already."""
+        if self._state is _State.OPEN:
+            self._state = _State.CLOSING
+            self._stream.close()
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
@@ -120,6 +125,11 @@
             )
             for task in ended:
                 task.result()
+            if not reader.done():
+                # Unread bytes would reset the connection, and the caller
+                # might lose the last response (RFC 9112, 9.6).
+                self._stream.write_eof()
+                await asyncio.wait([reader], timeout=LINGER_MS / base.MS_PER_S)
         finally:
             self._state = _State.CLOSING
             tasks = [reader, writer, *self._tasks]
@@ -312,16 +322,11 @@
             self._queue.popleft()
             if not keep_open:
                 self._state = _State.CLOSING
-                await self._close_gracefully()
-                return
+                for task in self._tasks:
+                    task.cancel()
             await self._stream.drain()
-
-    async def _close_gracefully(self) -> None:
-        """Close once the last response is passed to the kernel."""
-        for task in self._tasks:
-            task.cancel()
-        await self._stream.drain()
-        self._stream.close()
+            if not keep_open:
+                return
 
 
 def _count_head_bytes(head: h11.Request) -> int:
--- a/tarragonhinge/http1/_tcp_stream.py
+++ b/tarragonhinge/http1/_tcp_stream.py
@@ -157,6 +157,13 @@
             self._drain_waiter = asyncio.get_running_loop().create_future()
             await self._drain_waiter
 
+    def write_eof(self) -> None:
+        """Close the sending side after sending the written bytes."""
+        if self._transport is not None and not self._transport.is_closing():
+            # A socket that the peer has reset is no longer connected.
+            with contextlib.suppress(OSError):
+                self._transport.write_eof()
+
     def close(self) -> None:
         """Close the connection after sending the written bytes."""
         if self._transport is not None:
--- a/tarragonhinge/http1/tests/test_caller_connection.py
+++ b/tarragonhinge/http1/tests/test_caller_connection.py
@@ -25,6 +25,7 @@
         self.running = 0
         self.max_running = 0
         self.is_stopping = False
+        self.body = b""
         self.arrived = asyncio.Semaphore(0)
 
     async def wait_requests(self, count):
@@ -45,7 +46,7 @@
             raise
         finally:
             self.running -= 1
-        body = f"{request.method} {request.target}".encode()
+        body = self.body or f"{request.method} {request.target}".encode()
         return http1.HttpResponse(status=200, fields=[("x-a", "1")], body=body)
 
     def accept(self):
--- a/tarragonhinge/http1/tests/test_connection_end.py
+++ b/tarragonhinge/http1/tests/test_connection_end.py
@@ -1,6 +1,7 @@
 """No request is handled on a connection that closes, and none is lost."""
 
 import asyncio
+import errno
 import socket
 
 import pytest
@@ -250,3 +251,84 @@
         assert isinstance(site.task.exception(), RuntimeError)
 
     run_manual(run())
+
+
+def test_request_behind_last_response_does_not_reset_connection():
+    """A reset discards what the caller has not received yet."""
+
+    async def run():
+        loop = asyncio.get_running_loop()
+        async with test_caller_connection._Site() as site:
+            site.is_stopping = True
+            site.body = b"x" * 200_000
+            caller = socket.socket()
+            caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+            caller.setblocking(False)
+            address = site.server.sockets[0].getsockname()
+            await loop.sock_connect(caller, address)
+            await loop.sock_sendall(caller, _get("/1").encode())
+            await site.wait_requests(1)
+            await asyncio.sleep(0.05)
+            await loop.sock_sendall(caller, _get("/2").encode())
+            received = b""
+            while data := await loop.sock_recv(caller, 65_536):
+                received += data
+            caller.close()
+            assert received.endswith(b"\r\n\r\n" + site.body)
+            assert [r.target for r in site.requests] == ["/1"]
+
+    asyncio.run(run())
+
+
+def test_lingering_connection_is_idle_but_not_closed_early():
+    """A stop neither waits for it nor resets it."""
+
+    async def run():
+        site = caller_side.CallerSide()
+        site.is_stopping = True
+        site.send(_get("/1"))
+        await caller_side.settle()
+        assert site.transport.has_sent_eof
+        site.send(_get("/2"))
+        await caller_side.settle()
+        assert site.connection.is_idle
+        site.connection.close()
+        await caller_side.settle()
+        assert not site.transport.is_closing()
+        site.stream.eof_received()
+        await caller_side.settle()
+        assert site.task.done()
+        assert site.handled == ["/1"]
+
+    run_manual(run())
+
+
+def test_lingering_connection_ends_if_caller_does_not_close():
+    async def run():
+        site = caller_side.CallerSide()
+        site.is_stopping = True
+        site.send(_get("/1"))
+        await asyncio.sleep(10)
+        assert site.task.done()
+        assert site.transport.is_closing()
+
+    run_manual(run())
+
+
+def test_connection_reset_behind_last_response_ends_without_error():
+    """The socket is then no longer connected; asyncio passes that on."""
+
+    async def run():
+        site = caller_side.CallerSide()
+        site.is_stopping = True
+
+        def fail():
+            raise OSError(errno.ENOTCONN, "not connected")
+
+        site.transport.write_eof = fail
+        site.send(_get("/1"))
+        await asyncio.sleep(10)
+        assert site.task.done()
+        assert site.task.exception() is None
+
+    run_manual(run())
