Count a caller's idle time from the last response it was sent

Cause: the idle timeout ran from the moment at which the connection began to wait for the next request, while earlier ones were still handled. Behind a long request, a connection was closed well before the timeout, in which callers may use it again. A request that arrived in the turn of the timeout had left the socket and was dropped unseen, and an unsent response left the connections for which a stop waits. Change: the time counts from the last response; a connection with unread or unsent bytes is not idle.

--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -94,6 +94,7 @@
         self._is_stopping = is_stopping
         self._unparsed = b""
         self._is_receiving = False
+        self._answered_at = 0.0
         self._queue: collections.deque[_exchange.Exchange] = (
             collections.deque()
         )
@@ -293,10 +294,17 @@
                 async with asyncio.timeout(timeout_ms / base.MS_PER_S):
                     return await self._stream.read()
             except TimeoutError:
-                if self._queue:
+                if (
+                    self._queue
+                    or self._stream.has_unread
+                    or self._stream.unsent_bytes
+                ):
                     continue
-                status = 408 if deadline.has_started else None
-                raise _ReadEndedError(status) from None
+                if deadline.has_started:
+                    raise _ReadEndedError(408) from None
+                timeout_ms = deadline.compute_idle_ms(self._answered_at)
+                if timeout_ms <= 0:
+                    raise _ReadEndedError(None) from None
 
     def _reject(self, status: int) -> None:
         """Queue an error response behind the pending responses."""
@@ -335,6 +343,7 @@
                 for task in self._tasks:
                     task.cancel()
             await self._stream.drain()
+            self._answered_at = asyncio.get_running_loop().time()
             if not keep_open:
                 return
 
--- a/tarragonhinge/http1/_read_deadline.py
+++ b/tarragonhinge/http1/_read_deadline.py
@@ -14,7 +14,8 @@
     ) -> None:
         self._limits = limits
         self._loop = asyncio.get_running_loop()
-        self._started_at = self._loop.time() if has_started else None
+        self._created_at = self._loop.time()
+        self._started_at = self._created_at if has_started else None
 
     @property
     def has_started(self) -> bool:
@@ -32,3 +33,15 @@
             return self._limits.idle_timeout_ms
         elapsed_ms = (self._loop.time() - self._started_at) * base.MS_PER_S
         return max(1.0, self._limits.header_timeout_ms - elapsed_ms)
+
+    def compute_idle_ms(self, answered_at: float) -> float:
+        """Return what is left of the idle timeout, in milliseconds.
+
+        Parameters
+        ----------
+        answered_at : float
+            Time of the event loop at which the last response was sent.
+        """
+        since = max(self._created_at, answered_at)
+        idle_ms = (self._loop.time() - since) * base.MS_PER_S
+        return self._limits.idle_timeout_ms - idle_ms
