--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import contextlib
 import enum
 
 import h11
@@ -23,6 +24,14 @@
 DISCONNECTED = "disconnected"
 CONNECTION_CLOSED = "connection_closed"
 
+#: Interval at which a connection with so many requests checks whether its
+#: caller has disconnected.
+END_CHECK_MS = 100
+
+#: Longest time for which a connection is read on, without handling anything,
+#: after its last response.
+LINGER_MS = 1_000
+
 Handler = Callable[[_messages.HttpRequest], Awaitable[_messages.HttpResponse]]
 
 
@@ -91,10 +100,12 @@
         self._is_stopping = is_stopping
         self._unparsed = b""
         self._is_receiving = False
+        self._answered_at = 0.0
         self._queue: collections.deque[_exchange.Exchange] = (
             collections.deque()
         )
         self._changed = asyncio.Event()
+        self._has_room = asyncio.Event()
         self._state = _State.OPEN
         self._tasks: set[asyncio.Task] = set()
 
@@ -112,9 +123,10 @@
         return not self._is_receiving and not self._stream.has_unread
 
     def close(self) -> None:
-        """Close the connection."""
-        self._state = _State.CLOSING
-        self._stream.close()
+        """Close the connection unless it is closing already."""
+        if self._state is _State.OPEN:
+            self._state = _State.CLOSING
+            self._stream.close()
 
     async def run(self) -> None:
         """Serve the connection until it ends."""
@@ -126,6 +138,11 @@
             )
             for task in ended:
                 task.result()
+            if not reader.done():
+                # Unread bytes would reset the connection, and the caller
+                # might lose the last response (RFC 9112, 9.6).
+                self._stream.write_eof()
+                await asyncio.wait([reader], timeout=LINGER_MS / base.MS_PER_S)
         finally:
             self._state = _State.CLOSING
             tasks = [reader, writer, *self._tasks]
@@ -197,7 +214,10 @@
         task.add_done_callback(self._tasks.discard)
         self._changed.set()
         while len(self._queue) >= PIPELINE_LIMIT and not self._stream.is_ended:
-            await asyncio.wait([self._queue[0].response], timeout=0.1)
+            self._has_room.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(END_CHECK_MS / base.MS_PER_S):
+                    await self._has_room.wait()
 
     async def _run_request(
         self,
@@ -212,6 +232,11 @@
         except asyncio.CancelledError:
             future.cancel()
             raise
+        except Exception as error:
+            response = _messages.HttpResponse(status=502, fields=[])
+            asyncio.get_running_loop().call_exception_handler(
+                {"message": "handling a request failed", "exception": error}
+            )
         if not future.done():
             future.set_result(response)
 
@@ -253,6 +278,9 @@
                 # The parser limits only a head that arrives in several reads.
                 if _count_head_bytes(event) > limits.header_bytes:
                     raise _ReadEndedError(431)
+                if event.method == b"CONNECT":
+                    # A success would turn the connection into a tunnel.
+                    raise _ReadEndedError(501)
                 head = event
             elif isinstance(event, h11.Data):
                 body += event.data
@@ -281,10 +309,17 @@
                 async with asyncio.timeout(timeout_ms / base.MS_PER_S):
                     return await self._stream.read()
             except TimeoutError:
-                if self._queue:
+                if (
+                    self._queue
+                    or self._stream.has_unread
+                    or self._stream.unsent_bytes
+                ):
                     continue
-                status = 408 if deadline.has_started else None
-                raise _ReadEndedError(status) from None
+                if deadline.has_started:
+                    raise _ReadEndedError(408) from None
+                timeout_ms = deadline.compute_idle_ms(self._answered_at)
+                if timeout_ms <= 0:
+                    raise _ReadEndedError(None) from None
 
     def _reject(self, status: int) -> None:
         """Queue an error response behind the pending responses."""
@@ -317,17 +352,14 @@
             )
             self._stream.write(data)
             self._queue.popleft()
+            self._has_room.set()
             if not keep_open:
                 self._state = _State.CLOSING
-                await self._close_gracefully()
-                return
+                self._cancel_handlers(CONNECTION_CLOSED)
             await self._stream.drain()
-
-    async def _close_gracefully(self) -> None:
-        """Close once the last response is passed to the kernel."""
-        self._cancel_handlers(CONNECTION_CLOSED)
-        await self._stream.drain()
-        self._stream.close()
+            self._answered_at = asyncio.get_running_loop().time()
+            if not keep_open:
+                return
 
 
 def _count_head_bytes(head: h11.Request) -> int:
