Answer the requests that a stop aborts, instead of closing

What callers saw: at the end of a stop the connections of the remaining requests were closed, also of those that no server had begun to work on: neither a response nor a refusal. Cause: the abort cancelled the connections, not the requests. Change: at the end of a stop the gateway ends its requests with a response: 504 if they were sent to a server, else 503. Then the process waits up to 150 ms until the responses are written. Test: test_request_that_outlasts_the_stop_gets_a_response, both cases get a closed connection on the code before.

--- a/tarragonhinge/events/_process_events.py
+++ b/tarragonhinge/events/_process_events.py
@@ -39,7 +39,7 @@
     Parameters
     ----------
     cut_off : int
-        Number of connections whose requests were aborted.
+        Number of requests that were aborted.
     elapsed_ms : int
         Duration of the stop.
     """
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -31,6 +31,9 @@
 #: which comes from the coordinator or the store.
 FIRST_TABLE_TIMEOUT_MS = 400
 
+#: Message with which requests are cancelled at the end of a stop.
+STOP_ENDED = "stop_ended"
+
 #: Retry-After of a refusal by a process without a routing table.
 NO_TABLE_RETRY_AFTER_MS = 600
 
@@ -73,8 +76,6 @@
         Metrics of the requests.
     shutdown : Shutdown
         Graceful stop of the instance.
-    in_flight : int
-        Number of requests without a final response so far.
     """
 
     def __init__(
@@ -112,7 +113,7 @@
         self.shutdown = _shutdown.Shutdown(
             kill_after_ms=options.stop_ms, clock=clock
         )
-        self.in_flight = 0
+        self._handlers: set[asyncio.Task] = set()
         self._retrier = _retrier.Retrier(
             options=options,
             placer=self._placer,
@@ -132,6 +133,24 @@
             collections.defaultdict(_admission.RetryDetector)
         )
 
+    @property
+    def in_flight(self) -> int:
+        """Number of requests without a final response so far."""
+        return len(self._handlers)
+
+    def abort_requests(self) -> int:
+        """End the requests in flight with a response of this instance.
+
+        Returns
+        -------
+        int
+            Number of requests.
+        """
+        handlers = list(self._handlers)
+        for handler in handlers:
+            handler.cancel(STOP_ENDED)
+        return len(handlers)
+
     def is_concurrent(self, request: http1.HttpRequest) -> bool:
         """Return whether a request may run concurrently with earlier ones.
 
@@ -158,7 +177,8 @@
         """Return the final response to a caller's request."""
         metadata = self._dialect.read_request(dict(request.fields))
         trace = events.Trace(log=self._log, clock=self._clock)
-        self.in_flight += 1
+        handler = asyncio.current_task()
+        self._handlers.add(handler)
         try:
             response, ended, is_ordinary = await self._serve(
                 request, metadata, trace
@@ -178,7 +198,7 @@
             refused = _refusals.Refused(status=502, reason="internal")
             return _make_response(refused)
         finally:
-            self.in_flight -= 1
+            self._handlers.discard(handler)
         trace.add(ended)
         self.metrics.record(
             outcome=ended.outcome,
@@ -218,16 +238,24 @@
         metadata: _dialect.RequestMetadata,
         trace: events.Trace,
     ) -> tuple[http1.HttpResponse, events.Ended, bool]:
-        await self._wait_for_first_table()
-        route = self._match(request)
-        if route is None:
-            return self._finish(trace, metadata, self._reject_unrouted())
-        job = self._make_job(request, metadata, route, trace)
-        if not self.shutdown.admits(job.deadline_at):
-            refused = _refusals.Refused.for_stopping_instance()
-            return self._finish(trace, metadata, refused, job=job)
-        self.owners.record_key(job)
-        result = await self._retrier.run(job)
+        job: _job.Job | None = None
+        try:
+            await self._wait_for_first_table()
+            route = self._match(request)
+            if route is None:
+                return self._finish(trace, metadata, self._reject_unrouted())
+            job = self._make_job(request, metadata, route, trace)
+            if self.shutdown.admits(job.deadline_at):
+                self.owners.record_key(job)
+                result = await self._retrier.run(job)
+            else:
+                result = _refusals.Refused.for_stopping_instance()
+        except asyncio.CancelledError as error:
+            if STOP_ENDED not in error.args:
+                raise
+            asyncio.current_task().uncancel()
+            is_sent = job is not None and job.sent_count > 0
+            result = _refusals.Refused.for_ended_stop(is_sent=is_sent)
         return self._finish(trace, metadata, result, job=job)
 
     async def _wait_for_first_table(self) -> None:
--- a/tarragonhinge/gateway/_refusals.py
+++ b/tarragonhinge/gateway/_refusals.py
@@ -60,6 +60,13 @@
             retry_after_ms=STOPPING_RETRY_AFTER_MS,
         )
 
+    @classmethod
+    def for_ended_stop(cls, *, is_sent: bool) -> "Refused":
+        """Return the response to a request that the stop aborts."""
+        if is_sent:
+            return cls(status=504, reason="stopping")
+        return cls.for_stopping_instance()
+
     def get_remedy(self) -> str:
         """Return the remedy stated to the caller."""
         if self.status == 404:
--- a/tarragonhinge/gateway/_shutdown.py
+++ b/tarragonhinge/gateway/_shutdown.py
@@ -19,6 +19,9 @@
 #: its response is written.
 RESPONSE_MARGIN_MS = 100
 
+#: Time after the abort in which the responses to aborted requests are written.
+ABORT_RESPONSE_MS = 150
+
 
 class Shutdown:
     """Graceful stop of one instance.
@@ -59,6 +62,11 @@
         """Return whether the remaining requests are to be aborted."""
         return self.compute_elapsed_ms() >= self._duration_ms
 
+    def is_over(self) -> bool:
+        """Return whether the process is to end, whatever is in progress."""
+        elapsed_ms = self.compute_elapsed_ms()
+        return elapsed_ms >= self._duration_ms + ABORT_RESPONSE_MS
+
     def admits(self, deadline_at: int) -> bool:
         """Return whether a request that was just read may be served.
 
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -27,6 +27,10 @@
 #: all requests have ended.
 UPDATE_INTERVAL_MS = 50
 
+#: Interval at which the end of a stop checks whether all responses are
+#: written.
+RESPONSE_CHECK_MS = 10
+
 
 class PlatformInstance:
     """One instance with all its components.
@@ -197,10 +201,12 @@
                 if self._caller_listener.count_busy() == 0:
                     break
             await self._clock.sleep(UPDATE_INTERVAL_MS)
+        cut_off = self.gateway.abort_requests()
+        while self._caller_listener.count_busy() and not shutdown.is_over():
+            await self._clock.sleep(RESPONSE_CHECK_MS)
         self.log.write(
             events.Stopped(
-                cut_off=self._caller_listener.count_busy(),
-                elapsed_ms=shutdown.compute_elapsed_ms(),
+                cut_off=cut_off, elapsed_ms=shutdown.compute_elapsed_ms()
             )
         )
         await self._close()
--- a/tarragonhinge/platform/tests/test_stop.py
+++ b/tarragonhinge/platform/tests/test_stop.py
@@ -5,6 +5,8 @@
 import json
 import os
 
+import pytest
+
 from tarragonhinge import base
 from tarragonhinge import http1
 from tarragonhinge import platform
@@ -156,6 +158,38 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("mode", ["ok", "hang"])
+def test_request_that_outlasts_the_stop_gets_a_response(mode):
+    """Its connection was closed, also if no server had begun to work on it."""
+
+    async def run():
+        async with _Testbed() as testbed:
+            testbed.server.mode = mode
+            testbed.writer.write(REQUEST)
+            await testbed.server.request_arrived.wait()
+            await testbed.stop_until(END_MS)
+            received = await testbed.reader.read()
+            assert received.startswith(b"HTTP/1.1 504")
+            assert b"connection: close" in received
+            assert b'"ran":"unknown"' in received
+
+    asyncio.run(run())
+
+
+def test_request_that_was_not_sent_before_the_end_of_a_stop_is_refused():
+    async def run():
+        async with _Testbed() as testbed:
+            testbed.instance.gateway._view.table = None
+            testbed.writer.write(REQUEST)
+            await _wait_until(lambda: testbed.instance.gateway.in_flight)
+            await testbed.stop_until(END_MS)
+            received = await testbed.reader.read()
+            assert received.startswith(b"HTTP/1.1 503")
+            assert b"retry-after" in received
+
+    asyncio.run(run())
+
+
 def test_stop_finishes_request_of_which_a_part_was_read():
     async def run():
         async with _Testbed() as testbed:
