Ignore a server's keep-alive time that is no number

Cause: a Keep-Alive timeout such as a superscript digit, or one of 5,000 digits, made int() raise an error, so that the caller got a 502 instead of the server's response. Change: only a number of at most 9 digits counts. Checked: two of four new cases fail on the old code (the two above).

--- a/tarragonhinge/http1/_server_connection.py
+++ b/tarragonhinge/http1/_server_connection.py
@@ -18,6 +18,9 @@
 #: Largest head of a response.
 HEAD_LIMIT_BYTES = 65_536
 
+#: Largest number of digits of a timeout.
+NUMBER_LIMIT_DIGITS = 9
+
 _REMEDY = "retry the request if it is idempotent"
 
 #: Returns whether a response with these header fields belongs to the
@@ -198,6 +201,13 @@
     """
     for part in value.split(","):
         name, _, seconds = part.strip().partition("=")
-        if name.lower() == "timeout" and seconds.isdigit():
+        if name.lower() == "timeout" and _is_number(seconds):
             return int(seconds) * base.MS_PER_S
     return None
+
+
+def _is_number(text: str) -> bool:
+    """Return whether `int` accepts the text as a number without a sign."""
+    return (
+        text.isascii() and text.isdigit() and len(text) <= NUMBER_LIMIT_DIGITS
+    )
--- a/tarragonhinge/http1/tests/test_server_connection.py
+++ b/tarragonhinge/http1/tests/test_server_connection.py
@@ -25,7 +25,7 @@
         with contextlib.suppress(OSError, EOFError):
             self.received = await reader.readuntil(b"\r\n\r\n")
             for part in self.script:
-                writer.write(part.encode())
+                writer.write(part.encode("latin-1"))
                 await writer.drain()
                 await asyncio.sleep(0)
             if self.closes:
@@ -146,3 +146,20 @@
         server.close()
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("seconds", ["\xb2", "9" * 5_000, "-1", ""])
+def test_invalid_keep_alive_does_not_lose_response(seconds):
+    """An error of int() would replace the server's response by a 502."""
+    script = MATCHING.replace(
+        "id: 7", f"id: 7\r\nKeep-Alive: timeout={seconds}"
+    )
+
+    async def run():
+        server = _ScriptedServer([script])
+        async with server.connect() as connection:
+            response = await _exchange(connection)
+            assert response.body == b"ok"
+            assert connection.keep_alive_ms is None
+
+    asyncio.run(run())
