--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -168,7 +168,7 @@
             if self._queue and self._is_stopping():
                 # The response to an earlier request closes the connection.
                 self._state = _State.CLOSING
-            if self._state is not _State.OPEN:
+            if self._state is not _State.OPEN or self._stream.is_ended:
                 return
             if parser.their_state is h11.MUST_CLOSE:
                 # The caller sends no more requests (RFC 9112, 9.6).
--- a/tarragonhinge/http1/tests/test_connection_end.py
+++ b/tarragonhinge/http1/tests/test_connection_end.py
@@ -332,3 +332,35 @@
         assert site.task.exception() is None
 
     run_manual(run())
+
+
+def test_request_of_caller_that_has_left_is_not_handled():
+    """It waited behind a full pipeline."""
+
+    async def run():
+        site = caller_side.CallerSide()
+        site.gates = {f"/{n}": asyncio.Event() for n in range(40)}
+        site.send("".join(_get(f"/{n}") for n in range(40)))
+        await caller_side.settle()
+        handled = list(site.handled)
+        assert len(handled) < 40
+        site.stream.eof_received()
+        await asyncio.sleep(10)
+        assert site.handled == handled
+        assert sorted(site.cancelled) == sorted(handled)
+        assert site.task.done()
+
+    run_manual(run())
+
+
+def test_request_that_arrives_with_end_of_caller_is_not_handled():
+    async def run():
+        site = caller_side.CallerSide()
+        await caller_side.settle()
+        site.send(_get("/1"))
+        site.stream.eof_received()
+        await caller_side.settle()
+        assert site.handled == []
+        assert site.task.done()
+
+    run_manual(run())
