Write 100 Continue behind the responses that are due before it

Cause: the interim response to a pipelined request was written at once, before the responses to earlier requests, so that a caller takes it for one to the first of them; during a stop, it asked for a body that was not handled. Change: it waits for the earlier responses, and is not written on a closing connection.

--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -19,7 +19,7 @@
 #: Largest number of pipelined requests of one connection.
 PIPELINE_LIMIT = 16
 
-#: Interval at which a connection with so many requests checks whether its
+#: Interval at which a connection that waits for responses checks whether its
 #: caller has disconnected.
 END_CHECK_MS = 100
 
@@ -198,7 +198,14 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         self._changed.set()
-        while len(self._queue) >= PIPELINE_LIMIT and not self._stream.is_ended:
+        await self._wait_for_responses(PIPELINE_LIMIT - 1)
+
+    async def _wait_for_responses(self, limit: int) -> None:
+        """Wait until at most `limit` responses are pending.
+
+        Returns earlier if the caller disconnects.
+        """
+        while len(self._queue) > limit and not self._stream.is_ended:
             self._has_room.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(END_CHECK_MS / base.MS_PER_S):
@@ -242,17 +249,9 @@
             except h11.RemoteProtocolError as error:
                 raise _ReadEndedError(error.error_status_hint) from error
             if event is h11.NEED_DATA:
-                if (
-                    parser.they_are_waiting_for_100_continue
-                    and self._state is _State.OPEN
-                ):
-                    self._stream.write(
-                        parser.send(
-                            h11.InformationalResponse(
-                                status_code=100, headers=[]
-                            )
-                        )
-                    )
+                if parser.they_are_waiting_for_100_continue:
+                    await self._wait_for_responses(0)
+                    self._write_continue(parser)
                 data = await self._read_bytes(deadline, head is not None)
                 if not data and not self._is_receiving:
                     raise _ReadEndedError(None)
@@ -285,6 +284,13 @@
             body=bytes(body),
         )
 
+    def _write_continue(self, parser: h11.Connection) -> None:
+        """Let the caller send the body."""
+        interim = h11.InformationalResponse(status_code=100, headers=[])
+        data = parser.send(interim)
+        if self._state is _State.OPEN:
+            self._stream.write(data)
+
     async def _read_bytes(
         self, deadline: _read_deadline.ReadDeadline, has_head: bool
     ) -> bytes:
--- a/tarragonhinge/http1/tests/test_waiting.py
+++ b/tarragonhinge/http1/tests/test_waiting.py
@@ -102,3 +102,30 @@
         assert site.count_responses() == 2
 
     run_manual(run())
+
+
+@pytest.mark.parametrize("is_stopping", [False, True])
+def test_interim_response_waits_for_earlier_responses(is_stopping):
+    """It would be taken for one to an earlier request."""
+
+    async def run():
+        site = caller_side.CallerSide()
+        site.gates["/1"] = asyncio.Event()
+        site.send(_get("/1"))
+        site.send(
+            "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+            "Expect: 100-continue\r\n\r\n"
+        )
+        await caller_side.settle()
+        assert site.transport.received == b""
+        site.is_stopping = is_stopping
+        site.gates["/1"].set()
+        await asyncio.sleep(1)
+        _, _, behind = site.transport.received.partition(b"\r\n\r\n/1")
+        assert site.count_responses() == 1
+        assert behind.startswith(b"HTTP/1.1 100") is not is_stopping
+        site.send("body")
+        await caller_side.settle()
+        assert site.count_responses() == 2 - is_stopping
+
+    run_manual(run())
