--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -24,7 +24,7 @@
 DISCONNECTED = "disconnected"
 CONNECTION_CLOSED = "connection_closed"
 
-#: Interval at which a connection with so many requests checks whether its
+#: Interval at which a connection that waits for responses checks whether its
 #: caller has disconnected.
 END_CHECK_MS = 100
 
@@ -183,7 +183,7 @@
             if self._queue and self._is_stopping():
                 # The response to an earlier request closes the connection.
                 self._state = _State.CLOSING
-            if self._state is not _State.OPEN:
+            if self._state is not _State.OPEN or self._stream.is_ended:
                 return
             if parser.their_state is h11.MUST_CLOSE:
                 # The caller sends no more requests (RFC 9112, 9.6).
@@ -213,7 +213,14 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         self._changed.set()
-        while len(self._queue) >= PIPELINE_LIMIT and not self._stream.is_ended:
+        await self._wait_for_responses(PIPELINE_LIMIT - 1)
+
+    async def _wait_for_responses(self, limit: int) -> None:
+        """Wait until at most `limit` responses are pending.
+
+        Returns earlier if the caller disconnects.
+        """
+        while len(self._queue) > limit and not self._stream.is_ended:
             self._has_room.clear()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(END_CHECK_MS / base.MS_PER_S):
@@ -257,17 +264,9 @@
             except h11.RemoteProtocolError as error:
                 raise _ReadEndedError(error.error_status_hint) from error
             if event is h11.NEED_DATA:
-                if (
-                    parser.they_are_waiting_for_100_continue
-                    and self._state is _State.OPEN
-                ):
-                    self._stream.write(
-                        parser.send(
-                            h11.InformationalResponse(
-                                status_code=100, headers=[]
-                            )
-                        )
-                    )
+                if parser.they_are_waiting_for_100_continue:
+                    await self._wait_for_responses(0)
+                    self._write_continue(parser)
                 data = await self._read_bytes(deadline, head is not None)
                 if not data and not self._is_receiving:
                     raise _ReadEndedError(None)
@@ -300,6 +299,13 @@
             body=bytes(body),
         )
 
+    def _write_continue(self, parser: h11.Connection) -> None:
+        """Let the caller send the body."""
+        interim = h11.InformationalResponse(status_code=100, headers=[])
+        data = parser.send(interim)
+        if self._state is _State.OPEN:
+            self._stream.write(data)
+
     async def _read_bytes(
         self, deadline: _read_deadline.ReadDeadline, has_head: bool
     ) -> bytes:
