Refuse requests that a stopping daemon cannot wait for

Cause: `Instance.stop` waited for the requests in flight, but the frontend went on to accept: in the 500 ms for redirects after the last request, and during notice and limit with any deadline. Such a request, or one that outlasted the limit, was cut off; its caller waited for the deadline, or lost its connection after a second signal. Change: from SIGTERM on, the frontend compares each deadline with the end of the stop (notice and limit) and answers 503 `stopping` if it lies later; after the last request in flight it refuses all. What is still in flight at the end is answered 504 `answer_lost` before the connections close. The help text of `stop.limit_ms` says what the limit bounds. Tests: the set of reasons given by the frontend has `stopping` in addition.

--- a/tarragonhinge/base/_outcomes.py
+++ b/tarragonhinge/base/_outcomes.py
@@ -30,6 +30,8 @@
     SERVER_SHED = "server_shed"
     #: The idempotency key was used for a different request.
     KEY_REUSED = "key_reused"
+    #: The instance stops, and the deadline lies after the end of the stop.
+    STOPPING = "stopping"
 
 
 class UnknownReason(enum.Enum):
--- a/tarragonhinge/daemon/_instance.py
+++ b/tarragonhinge/daemon/_instance.py
@@ -155,6 +155,7 @@
             view=self.view,
             region=options.region,
             rng=rng,
+            clock=self.clock,
         )
 
     def is_ready(self) -> bool:
@@ -181,7 +182,8 @@
 
         The instance reports that it is not ready, gives the load balancer
         time to notice, hands over its shards, and completes the requests in
-        flight.
+        flight.  It accepts no request whose deadline lies after the end of
+        the stop, and none at all once those in flight are completed.
 
         Returns
         -------
@@ -190,13 +192,18 @@
         """
         self.state = membership.InstanceState.LEAVING
         logging.info("instance leaving name=%s", self.options.name)
-        await self.clock.sleep(self.options.notice_ms)
+        options = self.options
+        self.frontend.limit_deadlines(
+            self.clock.now() + options.notice_ms + options.limit_ms
+        )
+        await self.clock.sleep(options.notice_ms)
         await self.coordinator.hand_over(
-            self.dispatcher.save_history, self.options.limit_ms
+            self.dispatcher.save_history, options.limit_ms
         )
-        stop_at = self.clock.now() + self.options.limit_ms
+        stop_at = self.clock.now() + options.limit_ms
         while self.count_requests_in_flight() and self.clock.now() < stop_at:
             await self.clock.sleep(DRAIN_POLL_PERIOD_MS)
+        self.frontend.limit_deadlines(self.clock.now())
         await self.clock.sleep(REDIRECT_GRACE_MS)
         cut_off = self.count_requests_in_flight()
         await self.kill()
@@ -204,7 +211,8 @@
         return cut_off
 
     async def kill(self) -> None:
-        """Stop immediately, as if the process had crashed."""
+        """Stop immediately; requests in flight are answered as unknown."""
+        await self.frontend.abort()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tarragonhinge/routing/_http_frontend.py
+++ b/tarragonhinge/routing/_http_frontend.py
@@ -19,6 +19,13 @@
 #: Maximum accepted deadline.
 DEADLINE_LIMIT_MS = 600_000
 
+#: Delay after which a caller may retry a request that was refused because
+#: of a stop; meanwhile the load balancer notices the stop.
+STOPPING_RETRY_AFTER_MS = 1_000
+
+#: Time for writing the responses to the requests that a stop cuts off.
+ABORT_TIMEOUT_MS = 1_000
+
 
 class HttpFrontend:
     """Converts HTTP requests to forwarded requests, and outcomes to answers.
@@ -33,6 +40,8 @@
         Region of this instance.
     rng : random.Random
         Source of random partitions for services without keys.
+    clock : Clock or None
+        Clock of this process; by default, a new one.
 
     Attributes
     ----------
@@ -49,14 +58,43 @@
         view: configuration.TableView,
         region: base.RegionName,
         rng: random.Random,
+        clock: base.Clock | None = None,
     ) -> None:
         self.outcomes: collections.Counter[str] = collections.Counter()
         self.in_flight = 0
-        self.stopping = False
         self._entry = entry
         self._view = view
         self._region = region
         self._rng = rng
+        self._clock = clock or base.Clock()
+        self._stop_ends_at: int | None = None
+        self._handlers: set[asyncio.Task] = set()
+        self._is_aborted = False
+
+    def limit_deadlines(self, stop_ends_at: int) -> None:
+        """Refuse the requests whose deadlines the stop cannot wait for.
+
+        Parameters
+        ----------
+        stop_ends_at : int
+            Time at which the requests in flight are cut off.
+        """
+        self._stop_ends_at = stop_ends_at
+
+    async def abort(self) -> None:
+        """Answer the requests in flight as unknown, and refuse all others.
+
+        Returns once the responses are written, or after `ABORT_TIMEOUT_MS`.
+        """
+        self._stop_ends_at = self._clock.now()
+        self._is_aborted = True
+        handlers = list(self._handlers)
+        for handler in handlers:
+            handler.cancel()
+        if handlers:
+            await asyncio.wait(
+                handlers, timeout=ABORT_TIMEOUT_MS / base.MS_PER_S
+            )
 
     def make_application(self) -> web.Application:
         """Return the aiohttp application that serves callers."""
@@ -67,14 +105,20 @@
 
     async def handle(self, request: web.Request) -> web.Response:
         """Handle one request of a caller."""
+        handler = asyncio.current_task()
+        self._handlers.add(handler)
         self.in_flight += 1
         try:
             outcome = await self._serve(request)
         except asyncio.CancelledError:
-            self.outcomes["Cancelled"] += 1
-            raise
+            if not self._is_aborted:
+                self.outcomes["Cancelled"] += 1
+                raise
+            handler.uncancel()
+            outcome = base.Unknown(reason=base.UnknownReason.ANSWER_LOST)
         finally:
             self.in_flight -= 1
+            self._handlers.discard(handler)
         self.outcomes[type(outcome).__name__] += 1
         return self._make_response(outcome)
 
@@ -90,6 +134,11 @@
         body = await _read_body(request, row.body_limit)
         if body is None:
             return base.NotRun(reason=base.NotRunReason.BODY_TOO_LARGE)
+        if not self._can_wait(deadline_ms):
+            return base.NotRun(
+                reason=base.NotRunReason.STOPPING,
+                retry_after_ms=STOPPING_RETRY_AFTER_MS,
+            )
         key = request.headers.get(servers.HEADER_IDEMPOTENCY_KEY, "")
         forwarded = dispatch.ForwardRequest(
             shard=location.shard,
@@ -105,6 +154,12 @@
         idempotent = request.method in row.idempotent_methods
         return await self._entry.route(forwarded, idempotent=idempotent)
 
+    def _can_wait(self, deadline_ms: int) -> bool:
+        """Return whether a request can end before this instance stops."""
+        if self._stop_ends_at is None:
+            return True
+        return self._clock.now() + deadline_ms <= self._stop_ends_at
+
     def _locate(
         self, row: configuration.ServiceRow, request: web.Request
     ) -> _key_location.KeyLocation | None:
--- a/tarragonhinge/routing/tests/test_failure_points.py
+++ b/tarragonhinge/routing/tests/test_failure_points.py
@@ -12,10 +12,12 @@
 
 DOCUMENT = pathlib.Path(__file__).parents[3] / "docs" / "OUTCOMES.md"
 
-#: Reasons given before a request is forwarded; see test_http_frontend.
+#: Reasons given before a request is forwarded; see test_http_frontend and,
+#: for a stop, the tests of the daemon.
 FRONTEND_REASONS = {
     base.NotRunReason.UNKNOWN_SERVICE,
     base.NotRunReason.BODY_TOO_LARGE,
+    base.NotRunReason.STOPPING,
 }
 
 #: Refusals that only the entry sees, which then tries another instance.
--- a/tarragonhinge/routing/tests/test_http_frontend.py
+++ b/tarragonhinge/routing/tests/test_http_frontend.py
@@ -100,6 +100,45 @@
     assert msgspec.json.decode(body)["remedy"]
 
 
+class _SilentEntry(_Entry):
+    """Entry that returns no outcome."""
+
+    def __init__(self):
+        super().__init__(None)
+        self.was_called = asyncio.Event()
+
+    async def route(self, request, *, idempotent):
+        self.was_called.set()
+        await asyncio.get_running_loop().create_future()
+
+
+def test_aborted_request_is_answered_on_open_connection():
+    """Guards against a stop that closes connections without a response."""
+
+    async def run():
+        view = configuration.TableView()
+        view.advance(configuration.OperatorsTable(version=1, rows=[ROW]))
+        entry = _SilentEntry()
+        frontend = routing.HttpFrontend(
+            entry=entry, view=view, region="koshi", rng=random.Random(1)
+        )
+        server = test_utils.TestServer(frontend.make_application())
+        async with test_utils.TestClient(server) as client:
+            sent = asyncio.create_task(client.post("/orders/1"))
+            await entry.was_called.wait()
+            await frontend.abort()
+            answers = [await sent, await client.post("/orders/1")]
+            return [
+                (
+                    answer.status,
+                    (await answer.json(content_type=None))["title"],
+                )
+                for answer in answers
+            ]
+
+    assert asyncio.run(run()) == [(504, "answer_lost"), (503, "stopping")]
+
+
 SMUGGLED = (
     b"GET /orders/2 HTTP/1.1\r\nHost: a\r\nTarragonhinge-Term: 9\r\n\r\n"
 )
--- a/tarragonhinge/settings/_schema.py
+++ b/tarragonhinge/settings/_schema.py
@@ -245,6 +245,6 @@
         parse=make_int_parser(100, 3_600_000),
         allowed="100 to 3600000 ms",
         default="30000",
-        help="bound on a graceful stop",
+        help="time for requests in flight after the notice",
     ),
 )
