Answer cut-off requests at a stop of the daemon, not at a crash

Change: the stop, and a stop that a second signal ends, abort the frontend's requests; kill is a crash again. Tests of daemon, routing, demo and settings pass.

--- a/tarragonhinge/daemon/_instance.py
+++ b/tarragonhinge/daemon/_instance.py
@@ -206,13 +206,13 @@
         self.frontend.limit_deadlines(self.clock.now())
         await self.clock.sleep(REDIRECT_GRACE_MS)
         cut_off = self.count_requests_in_flight()
+        await self.frontend.abort()
         await self.kill()
         logging.info("instance stopped cut_off=%d", cut_off)
         return cut_off
 
     async def kill(self) -> None:
-        """Stop immediately; requests in flight are answered as unknown."""
-        await self.frontend.abort()
+        """Stop immediately, as if the process had crashed."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/tarragonhinge/daemon/_serve.py
+++ b/tarragonhinge/daemon/_serve.py
@@ -50,6 +50,7 @@
         logging.warning(
             "stop ended early cut_off=%d", instance.count_requests_in_flight()
         )
+        await instance.frontend.abort()
         await instance.kill()
         return 1
     second_signal.cancel()
