Ignore numbers of thousands of digits in header fields

Cause: int() raises on more than 4,300 digits. A caller's deadline of that size raised outside the gateway's error handling and left the connection hanging (answered 502 since encoding failures are); a server's load field turned a complete response into a 502. Change: a number of more than 20 digits counts as missing. Test: test_codecs.py, the two new cases raise ValueError without the change.

--- a/tarragonhinge/platform/_dialect.py
+++ b/tarragonhinge/platform/_dialect.py
@@ -20,10 +20,15 @@
 #: Largest shard key.
 _MAX_KEY = 65_535
 
+#: Largest number of digits of a number; `int` raises if there are thousands.
+_MAX_DIGITS = 20
+
 
 def _parse_bounded_int(text: str | None, *, limit: int) -> int | None:
     if text is None or not text.isascii() or not text.isdigit():
         return None
+    if len(text) > _MAX_DIGITS:
+        return None
     value = int(text)
     return value if value <= limit else None
 
--- a/tarragonhinge/platform/tests/test_codecs.py
+++ b/tarragonhinge/platform/tests/test_codecs.py
@@ -156,6 +156,14 @@
             },
             gateway.RequestMetadata(attempt=""),
         ),
+        # More digits than `int` converts.
+        (
+            {
+                "tarragonhinge-deadline-ms": "9" * 5_000,
+                "tarragonhinge-shard-key": "9" * 5_000,
+            },
+            gateway.RequestMetadata(attempt=""),
+        ),
     ],
 )
 def test_parse_request_fields(fields, expected):
@@ -164,7 +172,13 @@
 
 @pytest.mark.parametrize(
     ("load", "expected"),
-    [("3,1,8", (3, 1, 8)), ("3,1", None), ("a,b,c", None), ("", None)],
+    [
+        ("3,1,8", (3, 1, 8)),
+        ("3,1", None),
+        ("a,b,c", None),
+        ("", None),
+        ("3,1," + "9" * 5_000, None),
+    ],
 )
 def test_parse_response_fields(load, expected):
     metadata = platform.PlatformDialect().read_answer(
