Cancel background tasks until they end when an instance stops

Cause: up to Python 3.11 `asyncio.wait_for` drops a cancellation that arrives in the same turn of the event loop as its result. The loops of the daemon call peers through it, so that one could go on after its only cancellation, and the stop waited for it forever, before the listeners closed. Not seen in a real stop.

--- a/tarragonhinge/base/__init__.py
+++ b/tarragonhinge/base/__init__.py
@@ -32,6 +32,7 @@
 from tarragonhinge.base._outcomes import Unknown
 from tarragonhinge.base._outcomes import UnknownReason
 from tarragonhinge.base._registry import Registry
+from tarragonhinge.base._tasks import cancel_tasks
 
 __all__ = [
     "Address",
@@ -61,6 +62,7 @@
     "UnknownReason",
     "WriteId",
     "ZoneName",
+    "cancel_tasks",
     "check_choice",
     "check_range",
     "make_shard_id",
--- a/tarragonhinge/daemon/_instance.py
+++ b/tarragonhinge/daemon/_instance.py
@@ -213,9 +213,7 @@
 
     async def kill(self) -> None:
         """Stop immediately, as if the process had crashed."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await base.cancel_tasks(self._tasks)
         await self.coordinator.stop()
         await self.transport.stop()
         await self._platform.close()
--- a/tarragonhinge/daemon/tests/test_stop.py
+++ b/tarragonhinge/daemon/tests/test_stop.py
@@ -145,3 +145,29 @@
         assert _get_title(sent.result()) == (504, "answer_lost")
 
     testing.run_manual(scenario())
+
+
+def test_instance_stops_although_task_misses_cancellation():
+    """Guards against a stop that waits forever for a background task.
+
+    `asyncio.wait_for` drops a cancellation that arrives in the same turn of
+    the event loop as its result, so that the task continued.
+    """
+
+    async def scenario():
+        deployment = testing.Deployment(row=testing.make_row(), instances=1)
+        instance = deployment.nodes[0].instance
+        replies = [asyncio.get_running_loop().create_future()]
+
+        async def call_peers():
+            while True:
+                await asyncio.wait_for(replies[-1], 1_000)
+                replies.append(asyncio.get_running_loop().create_future())
+
+        instance.propagator.run = call_peers
+        await instance.start()
+        await deployment.wait(10)
+        replies[-1].set_result(None)
+        await asyncio.wait_for(instance.kill(), 60)
+
+    testing.run_manual(scenario())
--- a/tarragonhinge/shards/_claimant.py
+++ b/tarragonhinge/shards/_claimant.py
@@ -107,9 +107,7 @@
     async def stop(self) -> None:
         """Cancel the claims under way and refuse new ones."""
         self.stopping = True
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await base.cancel_tasks(self._tasks)
 
     def spawn(self, shard: base.ShardId, claim: Coroutine) -> None:
         """Run a claim in a task and mark its shard as being claimed."""
--- a/tarragonhinge/shards/_coordinator.py
+++ b/tarragonhinge/shards/_coordinator.py
@@ -153,9 +153,7 @@
 
     async def stop(self) -> None:
         """Stop all leaderships without a handover."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await base.cancel_tasks(self._tasks)
         await self._claimant.stop()
         for leader in list(self.leaders.values()):
             await leader.stop()
--- a/tarragonhinge/shards/_leader.py
+++ b/tarragonhinge/shards/_leader.py
@@ -211,9 +211,7 @@
         self._reader.unwatch(self.shard, self)
         if self._confirming is not None:
             self._tasks.append(self._confirming)
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await base.cancel_tasks(self._tasks)
         await self.owners.stop()
 
     def depose(self) -> None:
--- a/tarragonhinge/shards/_owners.py
+++ b/tarragonhinge/shards/_owners.py
@@ -218,9 +218,7 @@
 
     async def stop(self) -> None:
         """Stop all tasks and close all connections."""
-        for task in self._tasks.values():
-            task.cancel()
-        await asyncio.gather(*self._tasks.values(), return_exceptions=True)
+        await base.cancel_tasks(self._tasks.values())
         for keeper in self.keepers.values():
             await keeper.client.close()
 
