Let the fault soak see requests lost around a stop

Cause: the soak's callers used a connection for one request at a time and only while its instance was ready, no request lasted longer than 50 ms, and nothing compared the end of a request with the work of the servers, so that a violation of the rule LOST could not be seen.

Change: callers use open connections until they are closed and pipeline safe requests, some of them all the time; readiness is probed once a second, as on the platform; a slow route has a timeout of 5 s and requests that last up to 4 s; stops overlap with each other, with reloads and with changes of the routes. The rule LOST is checked from what callers and servers saw.

--- a/tarragonhinge/platform/soak/__main__.py
+++ b/tarragonhinge/platform/soak/__main__.py
@@ -15,13 +15,20 @@
     instances: int = 4,
     per_s: float = 40.0,
     parallel: int = 4,
+    only: tuple[str, ...] = (),
 ) -> None:
-    """Run seeds from `first` on; exit with 1 if a guarantee was violated."""
+    """Run seeds from `first` on; exit with 1 if a guarantee was violated.
+
+    `only` has the names of the disturbances to choose from; all if empty.
+    """
     results = asyncio.run(
         soak.run_seeds(
             list(range(first, first + seeds)),
             options=soak.SoakOptions(
-                seconds=seconds, instances=instances, requests_per_s=per_s
+                seconds=seconds,
+                instances=instances,
+                requests_per_s=per_s,
+                only=(only,) if isinstance(only, str) else tuple(only),
             ),
             parallel=parallel,
         )
--- a/tarragonhinge/platform/soak/_callers.py
+++ b/tarragonhinge/platform/soak/_callers.py
@@ -1,64 +1,63 @@
 """Load generator with persistent connections that records each attempt."""
 
 import asyncio
-import contextlib
-import dataclasses
+import collections
+from collections.abc import Coroutine
 import itertools
 import time
 
+import h11
+
 from tarragonhinge import base
 from tarragonhinge import http1
+from tarragonhinge.platform.soak import _attempts
+from tarragonhinge.platform.soak import _connections
 from tarragonhinge.platform.soak import _instances
 from tarragonhinge.platform.soak import _testbed
 
 #: Statuses which guarantee that the request was not executed.
 NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 
-#: Time that a caller waits for a response, in seconds.
-_DEADLINE_S = 5.0
+#: Interval of the readiness probes and their timeout, in seconds.
+_PROBE_INTERVAL_S = 1.0
+_PROBE_TIMEOUT_S = 0.3
 
-_ATTEMPT_HEADER = "tarragonhinge-request-attempt-id"
+#: Fractions of the requests that need long work, that are sent on an open
+#: connection before earlier responses, and that are followed by others so.
+_LONG_RATIO = 0.03
+_PIPELINED_RATIO = 0.25
+_BURST_RATIO = 0.2
 
+#: Fraction of the requests that open another connection, so that many
+#: connections stay idle for some seconds between two requests.
+_NEW_CONNECTION_RATIO = 0.5
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Attempt:
-    """One attempt of a caller and its result.
+#: Number of callers that pipeline all the time, and their mean rate.
+_STREAM_COUNT = 4
+_STREAM_REQUESTS_PER_S = 20.0
 
-    Parameters
-    ----------
-    attempt_id : str
-        Id of the attempt.
-    kind : str
-        Path prefix of the route.
-    key : int
-        Shard key.
-    instance : InstanceProcess
-        Instance that the attempt was sent to.
-    sent_at, ended_at : float
-        Monotonic times of the start and the end, in seconds.
-    status : int
-        Status of the response; 0 if there was none.
-    body : str
-        Body of the response.
-    is_sent : bool
-        Whether a connection was obtained, so that the request may have been
-        sent.
-    """
+#: Largest number of requests of a connection without a response.
+_PIPELINE_DEPTH = 4
+
+#: Duration of long work on most routes and on the slow route, in
+#: milliseconds.
+_LONG_WORK_MS = (300, 1_500)
+_SLOW_WORK_MS = (200, 4_000)
 
-    attempt_id: str
-    kind: str
-    key: int
-    instance: _instances.InstanceProcess
-    sent_at: float
-    ended_at: float = 0.0
-    status: int = 0
-    body: str = ""
-    is_sent: bool = False
+_ATTEMPT_HEADER = "tarragonhinge-request-attempt-id"
+_SEAL_HEADER = "tarragonhinge-upstream-seal"
+
+_SAFE_PREFIXES = frozenset(
+    {_testbed.KEYED_PREFIX, _testbed.SAFE_PREFIX, _testbed.SLOW_PREFIX}
+)
 
 
 class Callers:
     """Generates requests to the instances that are ready.
 
+    Callers open connections to ready instances only, but use an open
+    connection until it is closed.
+
     Parameters
     ----------
     testbed : Testbed
@@ -73,33 +72,45 @@
         self._testbed = testbed
         self._requests_per_s = requests_per_s
         self._attempt_numbers = itertools.count(1)
-        self._idle: dict[str, list[http1.ServerConnection]] = {}
+        self._connections: dict[str, list[_connections.CallerConnection]] = (
+            collections.defaultdict(list)
+        )
         self._clock = base.Clock()
         self._tasks: set[asyncio.Task] = set()
-        self.attempts: list[Attempt] = []
+        self.attempts: list[_attempts.Attempt] = []
         self.ready: dict[str, bool] = {}
 
     async def run(self) -> None:
         """Send requests until cancelled."""
         prober = asyncio.create_task(self._probe_readiness())
+        streams = [
+            asyncio.create_task(self._run_stream())
+            for _ in range(_STREAM_COUNT)
+        ]
         try:
             while True:
                 await asyncio.sleep(
                     self._testbed.rng.expovariate(self._requests_per_s)
                 )
-                task = asyncio.create_task(self._run_request())
-                self._tasks.add(task)
-                task.add_done_callback(self._tasks.discard)
+                self._start(self._run_request())
         finally:
-            prober.cancel()
+            for task in (prober, *streams):
+                task.cancel()
+
+    def _start(self, coroutine: Coroutine) -> None:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
 
     async def finish(self) -> None:
         """Wait for the requests in flight and close all connections."""
         if self._tasks:
-            await asyncio.wait(self._tasks, timeout=2 * _DEADLINE_S)
-        for idle in self._idle.values():
-            for connection in idle:
-                connection.close()
+            await asyncio.wait(
+                self._tasks, timeout=2 * _attempts.SLOW_DEADLINE_S
+            )
+        for connections in self._connections.values():
+            for connection in connections:
+                connection.give_up()
 
     async def _probe_readiness(self) -> None:
         """Probe the readiness of the instances, as a load balancer does."""
@@ -112,7 +123,7 @@
                 )
                 failed_probes[instance.name] = count
                 self.ready[instance.name] = count < 2
-            await asyncio.sleep(0.3)
+            await asyncio.sleep(_PROBE_INTERVAL_S)
 
     async def _is_ready(self, instance: _instances.InstanceProcess) -> bool:
         request = http1.HttpRequest(
@@ -121,9 +132,10 @@
             fields=[("host", "h"), ("connection", "close")],
         )
         try:
-            async with asyncio.timeout(0.3):
+            async with asyncio.timeout(_PROBE_TIMEOUT_S):
                 stream = await http1.connect(
-                    base.Address(instance.health_address), timeout_ms=300
+                    base.Address(instance.health_address),
+                    timeout_ms=int(_PROBE_TIMEOUT_S * 1000),
                 )
                 connection = http1.ServerConnection(
                     stream=stream, clock=self._clock
@@ -139,24 +151,26 @@
     async def _run_request(self) -> None:
         """Send a request and retry it if it can't be executed twice."""
         rng = self._testbed.rng
-        kind = rng.choice(
+        kind = rng.choices(
             [
-                _testbed.KEYED_PREFIX,
                 _testbed.KEYED_PREFIX,
                 _testbed.SAFE_PREFIX,
                 _testbed.UNSAFE_PREFIX,
-            ]
-        )
+                _testbed.SLOW_PREFIX,
+            ],
+            weights=[8, 5, 4, 3],
+        )[0]
         key = rng.randrange(65_536)
         if rng.random() < 0.3:
             key = 30_000 + rng.randrange(20)
-        ends_at = time.monotonic() + _DEADLINE_S
-        for _ in range(3):
-            attempt = await self._send_to_ready(kind, key)
+        ends_at = time.monotonic() + _attempts.DEADLINE_S
+        for number in range(3):
+            attempt = await self._send_to_any(kind, key, is_retry=number > 0)
             if attempt is None or attempt.status == 200:
                 return
             is_not_executed = (
-                attempt.status in NOT_EXECUTED_STATUSES or not attempt.is_sent
+                attempt.status in NOT_EXECUTED_STATUSES
+                or attempt.ending is _attempts.Ending.UNSENT
             )
             if kind == _testbed.UNSAFE_PREFIX and not is_not_executed:
                 return
@@ -164,20 +178,109 @@
                 return
             await asyncio.sleep(0.2)
 
-    async def _send_to_ready(self, kind: str, key: int) -> Attempt | None:
-        names = [n for n, ready in self.ready.items() if ready]
-        instances = [i for i in self._testbed.instances if i.name in names]
+    async def _send_to_any(
+        self, kind: str, key: int, *, is_retry: bool
+    ) -> _attempts.Attempt | None:
+        """Send an attempt to an instance that is ready or connected."""
+        rng = self._testbed.rng
+        instances = [
+            instance
+            for instance in self._testbed.instances
+            if self.ready.get(instance.name)
+            or (not is_retry and self._list_open(instance))
+        ]
         if not instances:
             return None
-        return await self.send_to(
-            self._testbed.rng.choice(instances), kind, key
-        )
+        instance = rng.choice(instances)
+        connections = [] if is_retry else self._list_open(instance)
+        idle = [c for c in connections if not c.pending_count]
+        busy = [
+            c for c in connections if 0 < c.pending_count < _PIPELINE_DEPTH
+        ]
+        is_safe = kind in _SAFE_PREFIXES
+        if busy and is_safe and rng.random() < _PIPELINED_RATIO:
+            return await self.send_to(instance, kind, key, rng.choice(busy))
+        connection = rng.choice(idle) if idle else None
+        if self.ready.get(instance.name):
+            if rng.random() < _NEW_CONNECTION_RATIO:
+                connection = None
+        elif connection is None:
+            return None
+        if is_safe and rng.random() < _BURST_RATIO and connection:
+            self._start(self._run_burst(instance, connection))
+        return await self.send_to(instance, kind, key, connection)
+
+    def _list_open(
+        self, instance: _instances.InstanceProcess
+    ) -> list[_connections.CallerConnection]:
+        """Drop closed connections and return the open ones."""
+        self._connections[instance.name] = [
+            c for c in self._connections[instance.name] if c.is_open
+        ]
+        return self._connections[instance.name]
+
+    async def _run_burst(
+        self,
+        instance: _instances.InstanceProcess,
+        connection: _connections.CallerConnection,
+    ) -> None:
+        """Send further safe requests on a connection."""
+        rng = self._testbed.rng
+        for _ in range(rng.randint(1, 3)):
+            await asyncio.sleep(rng.choice([0.0, rng.uniform(0.0, 0.1)]))
+            if not connection.is_open:
+                return
+            self._start(self._send_further(instance, connection))
+
+    async def _run_stream(self) -> None:
+        """Pipeline safe requests on one connection after the other."""
+        rng = self._testbed.rng
+        while True:
+            ready = [
+                i for i in self._testbed.instances if self.ready.get(i.name)
+            ]
+            await asyncio.sleep(rng.expovariate(_STREAM_REQUESTS_PER_S))
+            if not ready:
+                continue
+            instance = rng.choice(ready)
+            try:
+                connection = await _connections.connect(
+                    instance.callers_address
+                )
+            except (OSError, TimeoutError):
+                continue
+            try:
+                while connection.is_open:
+                    if connection.pending_count < _PIPELINE_DEPTH:
+                        self._start(self._send_further(instance, connection))
+                    await asyncio.sleep(
+                        rng.expovariate(_STREAM_REQUESTS_PER_S)
+                    )
+            finally:
+                self._connections[instance.name].append(connection)
+
+    async def _send_further(
+        self,
+        instance: _instances.InstanceProcess,
+        connection: _connections.CallerConnection,
+    ) -> None:
+        """Send a short safe request on a connection."""
+        rng = self._testbed.rng
+        kind = rng.choice([_testbed.KEYED_PREFIX, _testbed.SAFE_PREFIX])
+        await self.send_to(instance, kind, rng.randrange(65_536), connection)
 
     async def send_to(
-        self, instance: _instances.InstanceProcess, kind: str, key: int
-    ) -> Attempt:
-        """Send one attempt to an instance and record its result."""
-        attempt = Attempt(
+        self,
+        instance: _instances.InstanceProcess,
+        kind: str,
+        key: int,
+        connection: _connections.CallerConnection | None = None,
+    ) -> _attempts.Attempt:
+        """Send one attempt and record its result.
+
+        A new connection is opened if none is given.
+        """
+        attempt = _attempts.Attempt(
             attempt_id=f"a{next(self._attempt_numbers)}",
             kind=kind,
             key=key,
@@ -185,49 +288,64 @@
             sent_at=time.monotonic(),
         )
         self.attempts.append(attempt)
-        connection = None
-        keep_open = False
-        with contextlib.suppress(OSError, TimeoutError, http1.ExchangeError):
-            async with asyncio.timeout(_DEADLINE_S):
-                connection = await self._acquire_connection(instance)
-                attempt.is_sent = True
-                response = await connection.exchange(
-                    self._make_request(attempt), recognize=lambda _: True
+        try:
+            async with asyncio.timeout(attempt.deadline_s):
+                if connection is None:
+                    connection = await _connections.connect(
+                        instance.callers_address
+                    )
+                    self._connections[instance.name].append(connection)
+                attempt.is_kept = connection.answered_count > 0
+                attempt.is_pipelined = connection.pending_count > 0
+                attempt.sent_at = time.monotonic()
+                response = await (
+                    await connection.send(self._make_request(attempt))
                 )
-                attempt.status = response.status
-                attempt.body = response.body.decode("latin-1")
-                keep_open = not response.closes
+                attempt.ending = _attempts.Ending.CLOSED
+        except (OSError, TimeoutError):
+            response = None
+            attempt.ending = (
+                _attempts.Ending.GAVE_UP
+                if connection
+                else _attempts.Ending.UNSENT
+            )
         attempt.ended_at = time.monotonic()
-        if keep_open:
-            self._idle.setdefault(instance.name, []).append(connection)
-        elif connection is not None:
-            connection.close()
+        if response is not None:
+            attempt.ending = _attempts.Ending.ANSWERED
+            attempt.status = response.status
+            attempt.body = response.body.decode("latin-1")
+            attempt.is_sealed = _SEAL_HEADER in response.fields
+        elif attempt.ending is _attempts.Ending.GAVE_UP:
+            connection.give_up()
+        elif connection is not None and connection.is_given_up:
+            attempt.ending = _attempts.Ending.GAVE_UP
         return attempt
 
-    async def _acquire_connection(
-        self, instance: _instances.InstanceProcess
-    ) -> http1.ServerConnection:
-        idle = self._idle.get(instance.name, [])
-        while idle:
-            connection = idle.pop()
-            if connection.is_reusable():
-                return connection
-            connection.close()
-        stream = await http1.connect(
-            base.Address(instance.callers_address), timeout_ms=1_000
-        )
-        return http1.ServerConnection(stream=stream, clock=self._clock)
-
-    def _make_request(self, attempt: Attempt) -> http1.HttpRequest:
+    def _make_request(self, attempt: _attempts.Attempt) -> list[h11.Event]:
         method = "POST" if attempt.kind == _testbed.UNSAFE_PREFIX else "GET"
-        return http1.HttpRequest(
-            method=method,
-            target=f"{attempt.kind}x",
-            fields=[
-                ("host", _testbed.HOST),
-                (_ATTEMPT_HEADER, attempt.attempt_id),
-                ("tarragonhinge-deadline-ms", str(int(_DEADLINE_S * 1000))),
-                ("tarragonhinge-shard-key", str(attempt.key)),
-            ],
-            body=b"order" if method == "POST" else b"",
-        )
+        body = b"order" if method == "POST" else b""
+        fields = [
+            ("host", _testbed.HOST),
+            (_ATTEMPT_HEADER, attempt.attempt_id),
+            ("tarragonhinge-deadline-ms", str(int(attempt.deadline_s * 1000))),
+            ("tarragonhinge-shard-key", str(attempt.key)),
+            ("content-length", str(len(body))),
+        ]
+        return [
+            h11.Request(
+                method=method,
+                target=f"{attempt.kind}x{self._choose_work(attempt)}",
+                headers=fields,
+            ),
+            h11.Data(data=body),
+            h11.EndOfMessage(),
+        ]
+
+    def _choose_work(self, attempt: _attempts.Attempt) -> str:
+        """Return the query that asks for long work, if any."""
+        rng = self._testbed.rng
+        if attempt.kind == _testbed.SLOW_PREFIX:
+            return f"?work={rng.randint(*_SLOW_WORK_MS)}"
+        if rng.random() < _LONG_RATIO:
+            return f"?work={rng.randint(*_LONG_WORK_MS)}"
+        return ""
--- a/tarragonhinge/platform/soak/_checks.py
+++ b/tarragonhinge/platform/soak/_checks.py
@@ -4,8 +4,11 @@
 import collections
 import time
 
+from tarragonhinge.platform.soak import _attempts
 from tarragonhinge.platform.soak import _callers
+from tarragonhinge.platform.soak import _instances
 from tarragonhinge.platform.soak import _testbed
+from tarragonhinge.platform import standins
 
 #: Longest time for which two servers may own the same key, in seconds.
 _MAX_SHARED_OWNERSHIP_S = 0.5
@@ -22,6 +25,22 @@
 #: Minimum fraction of the requests after the disturbances that must succeed.
 _MIN_SERVED_RATIO = 0.9
 
+#: Bounds of the rule LOST, in seconds: time without unplanned disturbance
+#: before a request; time after the last byte of a request until which its
+#: connection may close unless a server began to work on it; time for which a
+#: reload is planned work; time after SIGTERM until which a request is sent in
+#: time.
+_CONTACT_S = 3.0
+_LOSS_SLACK_S = 0.2
+_CONFIG_APPLY_S = 2.5
+_STOP_NOTICE_S = 3.0
+
+#: Number of requests that may be lost without planned work.
+_MAX_LOST = 3
+
+#: Rounding of times by instances, which measure whole milliseconds.
+_ROUNDING_S = 0.005
+
 
 class Checks:
     """Collects the violated guarantees of one run.
@@ -89,7 +108,7 @@
             self._check_attempt(attempt, executions[attempt.attempt_id])
 
     def _check_attempt(
-        self, attempt: _callers.Attempt, executions: int
+        self, attempt: _attempts.Attempt, executions: int
     ) -> None:
         where = f"{attempt.attempt_id} at {attempt.instance.name}"
         is_unsafe = attempt.kind == _testbed.UNSAFE_PREFIX
@@ -128,9 +147,9 @@
             if drain_at is None or self._testbed.disturbed_at > drain_at - 3:
                 continue
             late = [
-                at
-                for at, _ in server.executions
-                if at > drain_at + _DRAIN_LIMIT_S
+                execution
+                for execution in server.executions
+                if execution.began_at > drain_at + _DRAIN_LIMIT_S
             ]
             if late:
                 self.violations.append(
@@ -153,4 +172,158 @@
         """Check that no process has exited unexpectedly."""
         for instance in self._testbed.instances:
             if instance.has_ended:
-                self.violations.append(f"{instance.name} ended by itself")
+                self.violations.append(
+                    f"{instance.name} ended by itself with status "
+                    f"{instance.exit_status}"
+                )
+
+    def check_lost(self) -> None:
+        """Check that no request was lost (rule LOST)."""
+        executions = collections.defaultdict(list)
+        for server in self._testbed.servers:
+            for execution in server.executions:
+                executions[execution.attempt].append(execution)
+        lost_without_plan = []
+        for attempt in self._callers.attempts:
+            own = executions[attempt.attempt_id]
+            if not _is_cut(attempt, own) or self._is_excused(attempt, own):
+                continue
+            if _is_beside_planned_work(attempt):
+                self.violations.append(f"lost: {_describe(attempt, own)}")
+            if (
+                own
+                and attempt.is_kept
+                and attempt.ending is _attempts.Ending.CLOSED
+                and self._is_in_touch(attempt)
+            ):
+                lost_without_plan.append(_describe(attempt, own))
+        if len(lost_without_plan) > _MAX_LOST:
+            self.violations.append(
+                f"{len(lost_without_plan)} lost in touch: "
+                + ", ".join(lost_without_plan)
+            )
+
+    def _is_excused(
+        self, attempt: _attempts.Attempt, executions: list[standins.Execution]
+    ) -> bool:
+        """Return whether something else explains the end of an attempt."""
+        since, until = attempt.sent_at - _CONTACT_S, attempt.ended_at
+        testbed = self._testbed
+        return (
+            attempt.instance.disruptions.overlap(since, until)
+            or (
+                attempt.kind == _testbed.KEYED_PREFIX
+                and testbed.store_disruptions.overlap(since, until)
+            )
+            or any(
+                execution.state is standins.ExecutionState.BROKEN_OFF
+                or testbed.server_disruptions[execution.server].overlap(
+                    since, until
+                )
+                for execution in executions
+            )
+            or attempt.ended_at - attempt.sent_at
+            >= _get_limit_s(attempt) - _ROUNDING_S
+            or any(
+                _is_too_long(attempt, executions, stopped_at)
+                for stopped_at in attempt.instance.stopped_at
+            )
+        )
+
+    def _is_in_touch(self, attempt: _attempts.Attempt) -> bool:
+        """Return whether the instance was in touch when it cut an attempt."""
+        until = attempt.ended_at
+        since = until - _CONTACT_S
+        instance = attempt.instance
+        return not (
+            self._testbed.store_disruptions.overlap(since, until)
+            or any(
+                since <= at <= until
+                for at in instance.stopped_at + instance.started_at
+            )
+        )
+
+
+def _is_cut(
+    attempt: _attempts.Attempt, executions: list[standins.Execution]
+) -> bool:
+    """Return whether an instance ended an attempt without its response.
+
+    Where no server began to work on it, an attempt counts if its connection
+    was closed later than the slack, since the instance had read it by then.
+    """
+    if attempt.ending is _attempts.Ending.ANSWERED:
+        return not attempt.is_sealed and any(
+            execution.state is standins.ExecutionState.ABANDONED
+            for execution in executions
+        )
+    if attempt.ending is not _attempts.Ending.CLOSED:
+        return False
+    return bool(executions) or (
+        attempt.is_kept
+        and not attempt.is_pipelined
+        and attempt.ended_at - attempt.sent_at > _LOSS_SLACK_S
+    )
+
+
+def _is_beside_planned_work(attempt: _attempts.Attempt) -> bool:
+    """Return whether a stop or a reload may have cut an attempt."""
+    grace_s = _instances.STOP_TIMEOUT_S
+    instance = attempt.instance
+    return any(
+        at <= attempt.ended_at <= at + grace_s + 1
+        for at in instance.stopped_at
+    ) or any(
+        attempt.sent_at - _CONFIG_APPLY_S <= at <= attempt.ended_at
+        for at in instance.reloaded_at
+    )
+
+
+def _is_too_long(
+    attempt: _attempts.Attempt,
+    executions: list[standins.Execution],
+    stopped_at: float,
+) -> bool:
+    """Return whether an attempt was sent in time, but a stop can't await it.
+
+    Its server is still at work in the last sixth of the time until SIGKILL.
+    """
+    grace_s = _instances.STOP_TIMEOUT_S
+    return (
+        stopped_at <= attempt.ended_at <= stopped_at + grace_s + 1
+        and attempt.sent_at <= stopped_at + _STOP_NOTICE_S
+        and any(
+            execution.began_at <= stopped_at + grace_s
+            and execution.ended_at >= stopped_at + grace_s * 5 / 6
+            for execution in executions
+        )
+    )
+
+
+def _get_limit_s(attempt: _attempts.Attempt) -> float:
+    """Return the smaller one of the caller's deadline and the timeout."""
+    is_slow = attempt.kind == _testbed.SLOW_PREFIX
+    timeout_ms = _testbed.SLOW_TIMEOUT_MS if is_slow else _testbed.TIMEOUT_MS
+    return min(attempt.deadline_s, timeout_ms / 1000)
+
+
+def _describe(
+    attempt: _attempts.Attempt, executions: list[standins.Execution]
+) -> str:
+    """Describe an attempt, in times since the last SIGTERM of its instance."""
+    stops = [
+        at for at in attempt.instance.stopped_at if at <= attempt.ended_at
+    ]
+    zero = max(stops, default=attempt.sent_at)
+    work = ", ".join(
+        f"{e.server} {e.began_at - zero:.2f} to {e.ended_at - zero:.2f} s "
+        f"({e.state.value})"
+        for e in executions
+    )
+    return (
+        f"{attempt.attempt_id} {attempt.kind} at {attempt.instance.name} "
+        f"sent {attempt.sent_at - zero:.3f} s after SIGTERM, "
+        f"{attempt.ending.value} {attempt.status} at "
+        f"{attempt.ended_at - zero:.3f} s, kept={attempt.is_kept}, "
+        f"pipelined={attempt.is_pipelined}, work: {work or 'none'}"
+    )
--- a/tarragonhinge/platform/soak/_disturbances.py
+++ b/tarragonhinge/platform/soak/_disturbances.py
@@ -16,6 +16,10 @@
         """Apply the disturbance to a testbed and revert it."""
 
 
+#: Time after the start of an instance from which planned work of a series
+#: concerns it: a stop during the start would find no requests to wait for.
+_SETTLED_S = 3.0
+
 DISTURBANCES: base.Registry[Disturbance] = base.Registry(kind="disturbance")
 
 
@@ -38,9 +42,10 @@
         instance = testbed.rng.choice(testbed.instances)
         if instance.has_ended or instance.is_paused:
             return
-        instance.pause()
-        await asyncio.sleep(testbed.rng.uniform(0.5, 5.0))
-        instance.resume()
+        with instance.disruptions.record():
+            instance.pause()
+            await asyncio.sleep(testbed.rng.uniform(0.5, 5.0))
+            instance.resume()
         testbed.record_resume()
 
 
@@ -54,6 +59,41 @@
             await instance.restart_stopped()
 
 
+@DISTURBANCES.register("stops")
+class OverlappingStops(Disturbance):
+    """Stops all instances but one gracefully, at random moments."""
+
+    async def apply(self, testbed: _testbed.Testbed) -> None:
+        """Apply the disturbance to a testbed and revert it."""
+        count = len(testbed.instances) - 1
+        async with asyncio.TaskGroup() as group:
+            for instance in testbed.rng.sample(testbed.instances, count):
+                group.create_task(instance.restart_stopped())
+                await asyncio.sleep(testbed.rng.uniform(0.0, 4.0))
+
+
+@DISTURBANCES.register("series")
+class PlannedSeries(Disturbance):
+    """Stops, reloads and changes of the configuration that overlap."""
+
+    async def apply(self, testbed: _testbed.Testbed) -> None:
+        """Apply the disturbance to a testbed and revert it."""
+        rng = testbed.rng
+        async with asyncio.TaskGroup() as group:
+            for _ in range(rng.randint(4, 8)):
+                running = [
+                    i for i in testbed.instances if i.has_run_for(_SETTLED_S)
+                ]
+                operation = rng.choice(["stop", "reload", "change"])
+                if operation == "change" or not running:
+                    testbed.change_routes()
+                elif operation == "stop":
+                    group.create_task(rng.choice(running).restart_stopped())
+                else:
+                    rng.choice(running).reload()
+                await asyncio.sleep(rng.uniform(0.0, 1.0))
+
+
 @DISTURBANCES.register("reload")
 class Reload(Disturbance):
     """Signals all instances to reload their settings."""
@@ -69,9 +109,10 @@
 
     async def apply(self, testbed: _testbed.Testbed) -> None:
         """Apply the disturbance to a testbed and revert it."""
-        testbed.store.mode = self.mode
-        await asyncio.sleep(testbed.rng.uniform(1.0, 6.0))
-        testbed.store.mode = "ok"
+        with testbed.store_disruptions.record():
+            testbed.store.mode = self.mode
+            await asyncio.sleep(testbed.rng.uniform(1.0, 6.0))
+            testbed.store.mode = "ok"
 
 
 @DISTURBANCES.register("store_silent")
@@ -114,11 +155,13 @@
 
     async def apply(self, testbed: _testbed.Testbed) -> None:
         """Apply the disturbance to a testbed and revert it."""
-        proxy = testbed.rng.choice(list(testbed.proxies.values()))
-        proxy.mode = self.mode
-        await asyncio.sleep(testbed.rng.uniform(0.5, 5.0))
-        proxy.mode = _proxy.ProxyMode.PASS
-        proxy.reset_all()
+        name = testbed.rng.choice(list(testbed.proxies))
+        proxy = testbed.proxies[name]
+        with testbed.server_disruptions[name].record():
+            proxy.mode = self.mode
+            await asyncio.sleep(testbed.rng.uniform(0.5, 5.0))
+            proxy.mode = _proxy.ProxyMode.PASS
+            proxy.reset_all()
 
 
 @DISTURBANCES.register("path_delay")
@@ -148,7 +191,9 @@
 
     async def apply(self, testbed: _testbed.Testbed) -> None:
         """Apply the disturbance to a testbed and revert it."""
-        testbed.rng.choice(list(testbed.proxies.values())).reset_all()
+        name = testbed.rng.choice(list(testbed.proxies))
+        with testbed.server_disruptions[name].record():
+            testbed.proxies[name].reset_all()
 
 
 @DISTURBANCES.register("server_fault")
@@ -161,8 +206,9 @@
         server.mode = testbed.rng.choice(
             ["shed", "cut", "reset", "stray", "foreign", "unsealed", "error"]
         )
-        await asyncio.sleep(testbed.rng.uniform(0.5, 3.0))
-        server.mode = "ok"
+        with testbed.server_disruptions[server.name].record():
+            await asyncio.sleep(testbed.rng.uniform(0.5, 3.0))
+            server.mode = "ok"
 
 
 @DISTURBANCES.register("server_crash")
@@ -171,7 +217,7 @@
 
     async def apply(self, testbed: _testbed.Testbed) -> None:
         """Apply the disturbance to a testbed and revert it."""
-        service = testbed.rng.choice(["keys", "books"])
+        service = testbed.rng.choice(["keys", "books", "archive"])
         running = testbed.list_active_servers(service)
         if len(running) > 1:
             await testbed.start_server(service)
@@ -184,7 +230,7 @@
 
     async def apply(self, testbed: _testbed.Testbed) -> None:
         """Apply the disturbance to a testbed and revert it."""
-        service = testbed.rng.choice(["keys", "books"])
+        service = testbed.rng.choice(["keys", "books", "archive"])
         for server in testbed.list_active_servers(service)[:2]:
             await testbed.start_server(service)
             await asyncio.sleep(0.5)
--- a/tarragonhinge/platform/soak/_instances.py
+++ b/tarragonhinge/platform/soak/_instances.py
@@ -6,6 +6,9 @@
 import pathlib
 import signal
 import sys
+import time
+
+from tarragonhinge.platform.soak import _spans
 
 _NODE_FILE = """\
 node={name}
@@ -28,7 +31,7 @@
 """
 
 #: Time from SIGTERM to SIGKILL, in seconds.
-_STOP_TIMEOUT_S = 6.0
+STOP_TIMEOUT_S = 6.0
 
 
 class InstanceProcess:
@@ -42,6 +45,13 @@
         Address of the row store, or of a proxy to it.
     folder : Path
         Folder of its settings file and its log.
+
+    Attributes
+    ----------
+    started_at, stopped_at, reloaded_at : list of float
+        Monotonic times of starts, of SIGTERM and of SIGHUP, in seconds.
+    disruptions : Spans
+        Times at which the process was killed, started or paused.
     """
 
     def __init__(
@@ -66,9 +76,14 @@
         # Two concurrent restarts would leave a process running.
         self._restart_lock = asyncio.Lock()
         self.is_paused = False
+        self.started_at: list[float] = []
+        self.stopped_at: list[float] = []
+        self.reloaded_at: list[float] = []
+        self.disruptions = _spans.Spans()
 
     async def start(self) -> None:
         """Start the process."""
+        self.started_at.append(time.monotonic())
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -85,6 +100,16 @@
         """Whether the process has ended."""
         return self._process is None or self._process.returncode is not None
 
+    def has_run_for(self, seconds: float) -> bool:
+        """Return whether the process has run for some time."""
+        started_at = self.started_at[-1]
+        return not self.has_ended and time.monotonic() - started_at >= seconds
+
+    @property
+    def exit_status(self) -> int | None:
+        """Exit status, negative for a signal; None if it has not ended."""
+        return self._process and self._process.returncode
+
     def _signal(self, number: signal.Signals) -> None:
         if not self.has_ended:
             with contextlib.suppress(ProcessLookupError):
@@ -102,6 +127,7 @@
 
     def reload(self) -> None:
         """Signal the process to reload its settings."""
+        self.reloaded_at.append(time.monotonic())
         self._signal(signal.SIGHUP)
 
     async def restart_killed(self, delay_s: float) -> None:
@@ -109,9 +135,10 @@
         if self._restart_lock.locked() or self.has_ended or self.is_paused:
             return
         async with self._restart_lock:
-            await self.kill()
-            await asyncio.sleep(delay_s)
-            await self.start()
+            with self.disruptions.record():
+                await self.kill()
+                await asyncio.sleep(delay_s)
+                await self.start()
 
     async def restart_stopped(self) -> None:
         """Stop the process gracefully and restart it."""
@@ -128,9 +155,10 @@
 
     async def stop(self) -> None:
         """Stop the process as the platform does: SIGTERM, then SIGKILL."""
+        self.stopped_at.append(time.monotonic())
         self._signal(signal.SIGTERM)
         try:
-            async with asyncio.timeout(_STOP_TIMEOUT_S):
+            async with asyncio.timeout(STOP_TIMEOUT_S):
                 await self._process.wait()
         except TimeoutError:
             await self.kill()
--- a/tarragonhinge/platform/soak/_run.py
+++ b/tarragonhinge/platform/soak/_run.py
@@ -35,12 +35,15 @@
     checks_time_limits : bool
         Whether time limits are checked too; they do not hold on a machine
         that is busy with other work.
+    only : tuple of str
+        Names of the disturbances to choose from; all if empty.
     """
 
     seconds: float = 12.0
     instances: int = 4
     requests_per_s: float = 40.0
     checks_time_limits: bool = True
+    only: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -85,7 +88,7 @@
     ]
     try:
         await asyncio.sleep(_STARTUP_S)
-        disturbances = await _disturb(testbed, options.seconds)
+        disturbances = await _disturb(testbed, options)
         await asyncio.sleep(_RECOVERY_S / 2)
         recovered_at = time.monotonic()
         await asyncio.sleep(_RECOVERY_S / 2)
@@ -102,6 +105,7 @@
     if options.checks_time_limits:
         checks.check_recovery(recovered_at)
         checks.check_drained()
+        checks.check_lost()
     return SoakResult(
         seed=seed,
         disturbances=disturbances,
@@ -111,10 +115,12 @@
     )
 
 
-async def _disturb(testbed: _testbed.Testbed, seconds: float) -> list[str]:
+async def _disturb(
+    testbed: _testbed.Testbed, options: SoakOptions
+) -> list[str]:
     """Apply random disturbances, which may overlap; return their names."""
-    names = _disturbances.DISTURBANCES.names()
-    ends_at = time.monotonic() + seconds
+    names = options.only or _disturbances.DISTURBANCES.names()
+    ends_at = time.monotonic() + options.seconds
     disturbances: list[str] = []
     async with asyncio.TaskGroup() as group:
         while time.monotonic() < ends_at:
--- a/tarragonhinge/platform/soak/_testbed.py
+++ b/tarragonhinge/platform/soak/_testbed.py
@@ -10,10 +10,22 @@
 from tarragonhinge import http1
 from tarragonhinge.platform.soak import _instances
 from tarragonhinge.platform.soak import _proxy
+from tarragonhinge.platform.soak import _spans
 from tarragonhinge.platform import standins
 
 HOST = "soak.example"
 KEYED_PREFIX, SAFE_PREFIX, UNSAFE_PREFIX = "/keyed/", "/safe/", "/unsafe/"
+SLOW_PREFIX = "/slow/"
+
+#: Timeout and latency objective of the slow route and of the others.
+SLOW_TIMEOUT_MS, SLOW_OBJECTIVE_MS = 5_000, 1_500
+TIMEOUT_MS, OBJECTIVE_MS = 2_500, 800
+
+#: Services of the servers that are started first.
+_SERVICES = ("keys",) * 4 + ("books",) * 2 + ("archive",) * 2
+
+#: Number of concurrent requests that a server reports as its capacity.
+_SLOTS = 16
 
 #: Interval of the heartbeats of backend servers, in seconds.
 _HEARTBEAT_INTERVAL_S = 0.5
@@ -32,6 +44,13 @@
         Folder of settings files and logs.
     rng : random.Random
         Source of all random choices.
+
+    Attributes
+    ----------
+    server_disruptions : dict of str to Spans
+        Times at which each server or the path to it was disturbed.
+    store_disruptions : Spans
+        Times at which the store was disturbed.
     """
 
     def __init__(
@@ -52,6 +71,8 @@
         self.services: dict[str, str] = {}
         self.instances: list[_instances.InstanceProcess] = []
         self.stopped_servers: set[str] = set()
+        self.server_disruptions: dict[str, _spans.Spans] = {}
+        self.store_disruptions = _spans.Spans()
         self.drain_started_at: dict[str, float] = {}
         self.version = 0
         self.extra_routes: set[str] = set()
@@ -66,7 +87,7 @@
         self._runner = await http1.listen(
             self.store.make_application(), base.Address(f"{host}:8000")
         )
-        for service in ("keys", "keys", "keys", "keys", "books", "books"):
+        for service in _SERVICES:
             await self.start_server(service)
         self.change_routes()
         self._drain_task = asyncio.create_task(self._remove_drained_servers())
@@ -107,7 +128,9 @@
         """Start a server of a service, behind a proxy."""
         self._server_count += 1
         server = standins.StandInServer(
-            f"i-{self._server_count}", is_keyed=service == "keys"
+            f"i-{self._server_count}",
+            is_keyed=service == "keys",
+            slots=_SLOTS,
         )
         server.work_s = self.rng.uniform(0.01, 0.05)
         host = f"127.{self.subnet}.2.1"
@@ -117,6 +140,7 @@
         server.born_ms = int(time.time() * 1000)
         self.servers.append(server)
         self.proxies[server.name] = proxy
+        self.server_disruptions[server.name] = _spans.Spans()
         self.services[server.name] = service
         self._write_entry(server)
         return server
@@ -156,6 +180,7 @@
     async def crash(self, server: standins.StandInServer) -> None:
         """Stop a server; its entry is removed after three heartbeats."""
         self.stopped_servers.add(server.name)
+        self.server_disruptions[server.name].begin()
         await server.stop()
         server.leases = []
         await self.proxies[server.name].stop()
@@ -173,6 +198,7 @@
                     continue
                 if now - drain_at > 4.0:
                     self.stopped_servers.add(server.name)
+                    self.server_disruptions[server.name].begin()
                     self.store.remove("servers", server.name)
                     await server.stop()
                     server.leases = []
@@ -188,6 +214,7 @@
                 ("keyed", KEYED_PREFIX, "safe", "keys"),
                 ("safe", SAFE_PREFIX, "safe", "books"),
                 ("unsafe", UNSAFE_PREFIX, "unsafe", "books"),
+                ("slow", SLOW_PREFIX, "safe", "archive"),
                 *((p, f"/{p}/", "safe", "books") for p in self.extra_routes),
             )
         ]
@@ -197,6 +224,7 @@
             "services": [
                 {"name": "keys", "maxConns": 100, "sharded": True},
                 {"name": "books", "maxConns": 100},
+                {"name": "archive", "maxConns": 100},
             ],
             "limits": {},
         }
@@ -205,13 +233,14 @@
     def _make_route(
         self, name: str, prefix: str, kind: str, service: str
     ) -> dict:
+        is_slow = prefix == SLOW_PREFIX
         return {
             "name": name,
             "host": HOST,
             "prefix": prefix,
             "kind": kind,
-            "timeout": 2500,
-            "goalLatency": 800,
+            "timeout": SLOW_TIMEOUT_MS if is_slow else TIMEOUT_MS,
+            "goalLatency": SLOW_OBJECTIVE_MS if is_slow else OBJECTIVE_MS,
             "priority": 1,
             "maxAttempts": 2,
             "service": service,
--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -2,8 +2,12 @@
 
 import asyncio
 import contextlib
+import dataclasses
+import enum
 import json
+import math
 import time
+import urllib.parse
 
 _CRLF = "\r\n"
 _NOT_EXECUTED = [("Tarragonhinge-Not-Executed", "1")]
@@ -11,6 +15,54 @@
 #: Factor by which grants last longer, as on a server whose clock runs slow.
 _SLOW_CLOCK_FACTOR = 1.02
 
+#: Modes in which a request that was executed is answered properly.
+_ANSWERING_MODES = frozenset({"ok", "error", "busy_error"})
+
+
+class ExecutionState(enum.Enum):
+    """State of an execution.
+
+    RUNNING: not ended. ANSWERED: ended and answered. ABANDONED: the caller
+    closed the connection meanwhile. BROKEN_OFF: the server stopped, or did
+    not answer properly.
+    """
+
+    RUNNING = "running"
+    ANSWERED = "answered"
+    ABANDONED = "abandoned"
+    BROKEN_OFF = "broken off"
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Execution:
+    """Execution of an attempt by a server.
+
+    Parameters
+    ----------
+    attempt : str
+        Id of the attempt.
+    server : str
+        Name of the server.
+    key : int
+        Shard key; -1 if there is none.
+    began_at, ended_at : float
+        Monotonic times in seconds; the end is infinite while it runs.
+    state : ExecutionState
+        Its state.
+    """
+
+    attempt: str
+    server: str
+    key: int
+    began_at: float
+    ended_at: float = math.inf
+    state: ExecutionState = ExecutionState.RUNNING
+
+    def end(self, state: ExecutionState) -> None:
+        """Record the end."""
+        self.ended_at = time.monotonic()
+        self.state = state
+
 
 class StandInServer:
     """Serves requests, grants and releases on a local address.
@@ -42,10 +94,11 @@
         during the execution.
     received : list
         Request line, fields and body of each request.
-    executions : list
-        Start time and key of each execution.
+    executions : list of Execution
+        All executions, in the order of their start.
     work_s : float
-        Duration of an execution, in seconds.
+        Duration of an execution, in seconds; a request overrides it by the
+        parameter ``work`` of its target, in milliseconds.
     """
 
     def __init__(
@@ -59,7 +112,7 @@
         self.executed: list[str] = []
         self.abandoned: list[str] = []
         self.received: list[tuple[str, dict, bytes]] = []
-        self.executions: list[tuple[float, int]] = []
+        self.executions: list[Execution] = []
         self.request_arrived = asyncio.Event()
         self.work_allowed = asyncio.Event()
         self.work_allowed.set()
@@ -160,21 +213,42 @@
             await reader.read()
             return False
         self.executed.append(attempt)
-        self.executions.append((time.monotonic(), key))
+        execution = Execution(
+            attempt=attempt,
+            server=self.name,
+            key=key,
+            began_at=time.monotonic(),
+        )
+        self.executions.append(execution)
         self.running += 1
         try:
-            if not await self._simulate_work(attempt, reader):
+            work_s = self._read_work_s(line.split(" ")[1])
+            if not await self._simulate_work(attempt, work_s, reader):
+                execution.end(ExecutionState.ABANDONED)
                 return False
+        except asyncio.CancelledError:
+            execution.end(ExecutionState.BROKEN_OFF)
+            raise
         finally:
             self.running -= 1
+        execution.end(
+            ExecutionState.ANSWERED
+            if mode in _ANSWERING_MODES
+            else ExecutionState.BROKEN_OFF
+        )
         return await self._respond(mode, attempt, writer, reader)
 
+    def _read_work_s(self, target: str) -> float:
+        query = urllib.parse.urlsplit(target).query
+        work = urllib.parse.parse_qs(query).get("work")
+        return int(work[0]) / 1000 if work else self.work_s
+
     async def _simulate_work(
-        self, attempt: str, reader: asyncio.StreamReader
+        self, attempt: str, work_s: float, reader: asyncio.StreamReader
     ) -> bool:
         """Return False if the caller closes the connection before the end."""
         caller_left = asyncio.create_task(reader.read(1))
-        work_done = asyncio.create_task(self._wait_for_work())
+        work_done = asyncio.create_task(self._wait_for_work(work_s))
         await asyncio.wait(
             {caller_left, work_done}, return_when=asyncio.FIRST_COMPLETED
         )
@@ -187,9 +261,9 @@
             await caller_left
         return True
 
-    async def _wait_for_work(self) -> None:
+    async def _wait_for_work(self, work_s: float) -> None:
         await self.work_allowed.wait()
-        await asyncio.sleep(self.work_s)
+        await asyncio.sleep(work_s)
 
     async def _respond(
         self,
