Count requests lost without planned work as strictly as the rule does

Cause: a request cut at its timeout was excused in the general form of LOST too, which names no such excuse, and the check had no test.

--- a/tarragonhinge/platform/soak/_checks.py
+++ b/tarragonhinge/platform/soak/_checks.py
@@ -186,9 +186,13 @@
         lost_without_plan = []
         for attempt in self._callers.attempts:
             own = executions[attempt.attempt_id]
-            if not _is_cut(attempt, own) or self._is_excused(attempt, own):
+            if not _is_cut(attempt, own) or self._is_disturbed(attempt, own):
                 continue
-            if _is_beside_planned_work(attempt):
+            if (
+                _is_beside_planned_work(attempt)
+                and not _is_out_of_time(attempt)
+                and not _is_too_long(attempt, own)
+            ):
                 self.violations.append(f"lost: {_describe(attempt, own)}")
             if (
                 own
@@ -203,15 +207,16 @@
                 + ", ".join(lost_without_plan)
             )
 
-    def _is_excused(
+    def _is_disturbed(
         self, attempt: _attempts.Attempt, executions: list[standins.Execution]
     ) -> bool:
-        """Return whether something else explains the end of an attempt."""
+        """Return whether something unplanned may have ended an attempt."""
         since, until = attempt.sent_at - _CONTACT_S, attempt.ended_at
         testbed = self._testbed
         return (
             attempt.instance.disruptions.overlap(since, until)
             or (
+                # The store's disturbances excuse keyed requests only.
                 attempt.kind == _testbed.KEYED_PREFIX
                 and testbed.store_disruptions.overlap(since, until)
             )
@@ -222,25 +227,24 @@
                 )
                 for execution in executions
             )
-            or attempt.ended_at - attempt.sent_at
-            >= _get_limit_s(attempt) - _ROUNDING_S
-            or any(
-                _is_too_long(attempt, executions, stopped_at)
-                for stopped_at in attempt.instance.stopped_at
-            )
         )
 
     def _is_in_touch(self, attempt: _attempts.Attempt) -> bool:
-        """Return whether the instance was in touch when it cut an attempt."""
+        """Return whether the instance was in touch when it cut an attempt.
+
+        One that is stopping is not; each request that it loses counts
+        already.
+        """
         until = attempt.ended_at
         since = until - _CONTACT_S
         instance = attempt.instance
-        return not (
-            self._testbed.store_disruptions.overlap(since, until)
-            or any(
-                since <= at <= until
-                for at in instance.stopped_at + instance.started_at
+        started_at = max(at for at in instance.started_at if at <= until)
+        return (
+            started_at < since
+            and not any(
+                started_at <= at <= until for at in instance.stopped_at
             )
+            and not self._testbed.store_disruptions.overlap(since, until)
         )
 
 
@@ -280,37 +284,37 @@
 
 
 def _is_too_long(
-    attempt: _attempts.Attempt,
-    executions: list[standins.Execution],
-    stopped_at: float,
+    attempt: _attempts.Attempt, executions: list[standins.Execution]
 ) -> bool:
     """Return whether an attempt was sent in time, but a stop can't await it.
 
     Its server is still at work in the last sixth of the time until SIGKILL.
     """
     grace_s = _instances.STOP_TIMEOUT_S
-    return (
-        stopped_at <= attempt.ended_at <= stopped_at + grace_s + 1
-        and attempt.sent_at <= stopped_at + _STOP_NOTICE_S
+    return any(
+        at <= attempt.ended_at <= at + grace_s + 1
+        and attempt.sent_at <= at + _STOP_NOTICE_S
         and any(
-            execution.began_at <= stopped_at + grace_s
-            and execution.ended_at >= stopped_at + grace_s * 5 / 6
+            execution.began_at <= at + grace_s
+            and execution.ended_at >= at + grace_s * 5 / 6
             for execution in executions
         )
+        for at in attempt.instance.stopped_at
     )
 
 
-def _get_limit_s(attempt: _attempts.Attempt) -> float:
-    """Return the smaller one of the caller's deadline and the timeout."""
+def _is_out_of_time(attempt: _attempts.Attempt) -> bool:
+    """Return whether the caller's deadline or the timeout was reached."""
     is_slow = attempt.kind == _testbed.SLOW_PREFIX
     timeout_ms = _testbed.SLOW_TIMEOUT_MS if is_slow else _testbed.TIMEOUT_MS
-    return min(attempt.deadline_s, timeout_ms / 1000)
+    limit_s = min(attempt.deadline_s, timeout_ms / 1000)
+    return attempt.ended_at - attempt.sent_at >= limit_s - _ROUNDING_S
 
 
 def _describe(
     attempt: _attempts.Attempt, executions: list[standins.Execution]
 ) -> str:
-    """Describe an attempt, in times since the last SIGTERM of its instance."""
+    """Describe an attempt, in times since SIGTERM or else since its start."""
     stops = [
         at for at in attempt.instance.stopped_at if at <= attempt.ended_at
     ]
@@ -322,7 +326,8 @@
     )
     return (
         f"{attempt.attempt_id} {attempt.kind} at {attempt.instance.name} "
-        f"sent {attempt.sent_at - zero:.3f} s after SIGTERM, "
+        f"sent {attempt.sent_at - zero:.3f} s after "
+        f"{'SIGTERM' if stops else 'its start'}, "
         f"{attempt.ending.value} {attempt.status} at "
         f"{attempt.ended_at - zero:.3f} s, kept={attempt.is_kept}, "
         f"pipelined={attempt.is_pipelined}, work: {work or 'none'}"
