Describe the check of lost requests and name the preceding attempt

Cause: a lost request that had been sent behind another one could not be traced from the message of the check.

--- a/tarragonhinge/platform/soak/_attempts.py
+++ b/tarragonhinge/platform/soak/_attempts.py
@@ -54,6 +54,8 @@
         Whether an earlier request on the connection had been answered.
     is_pipelined : bool
         Whether an earlier request on the connection was unanswered.
+    preceding : Attempt or None
+        The attempt before it on the connection.
     """
 
     attempt_id: str
@@ -68,6 +70,7 @@
     is_sealed: bool = False
     is_kept: bool = False
     is_pipelined: bool = False
+    preceding: "Attempt | None" = None
 
     @property
     def deadline_s(self) -> float:
--- a/tarragonhinge/platform/soak/_callers.py
+++ b/tarragonhinge/platform/soak/_callers.py
@@ -297,6 +297,8 @@
                     self._connections[instance.name].append(connection)
                 attempt.is_kept = connection.answered_count > 0
                 attempt.is_pipelined = connection.pending_count > 0
+                attempt.preceding = connection.last_attempt
+                connection.last_attempt = attempt
                 attempt.sent_at = time.monotonic()
                 response = await (
                     await connection.send(self._make_request(attempt))
--- a/tarragonhinge/platform/soak/_checks.py
+++ b/tarragonhinge/platform/soak/_checks.py
@@ -324,11 +324,19 @@
         f"({e.state.value})"
         for e in executions
     )
+    before = attempt.preceding
+    behind = (
+        f"{before.attempt_id} ({before.ending.value} at "
+        f"{before.ended_at - zero:.3f} s)"
+        if before
+        else "none"
+    )
     return (
         f"{attempt.attempt_id} {attempt.kind} at {attempt.instance.name} "
         f"sent {attempt.sent_at - zero:.3f} s after "
         f"{'SIGTERM' if stops else 'its start'}, "
         f"{attempt.ending.value} {attempt.status} at "
         f"{attempt.ended_at - zero:.3f} s, kept={attempt.is_kept}, "
-        f"pipelined={attempt.is_pipelined}, work: {work or 'none'}"
+        f"pipelined={attempt.is_pipelined}, behind {behind}, "
+        f"work: {work or 'none'}"
     )
--- a/tarragonhinge/platform/soak/_connections.py
+++ b/tarragonhinge/platform/soak/_connections.py
@@ -8,6 +8,8 @@
 
 import h11
 
+from tarragonhinge.platform.soak import _attempts
+
 #: Largest number of bytes that are read at once.
 _READ_CHUNK_BYTES = 65_536
 
@@ -61,6 +63,8 @@
         Whether the caller has closed the connection.
     answered_count : int
         Number of received responses.
+    last_attempt : Attempt or None
+        The attempt that was sent last.
     """
 
     def __init__(self, sock: socket.socket) -> None:
@@ -69,6 +73,7 @@
         self.is_open = True
         self.is_given_up = False
         self.answered_count = 0
+        self.last_attempt: _attempts.Attempt | None = None
         self._reader = asyncio.create_task(self._read_responses())
 
     @property
