Give the soak's callers random choices of their own

Cause: callers and disturbances drew from one source, so that the timing of a request changed which disturbances a seed chose.

Change: the callers have a source of their own, derived from the seed.

--- a/tarragonhinge/platform/soak/_callers.py
+++ b/tarragonhinge/platform/soak/_callers.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Coroutine
 import itertools
+import random
 import time
 
 import h11
@@ -71,6 +72,9 @@
     ) -> None:
         self._testbed = testbed
         self._requests_per_s = requests_per_s
+        # With choices of their own, the callers don't change which
+        # disturbances a seed chooses.
+        self._rng = random.Random(testbed.rng.getrandbits(64))
         self._attempt_numbers = itertools.count(1)
         self._connections: dict[str, list[_connections.CallerConnection]] = (
             collections.defaultdict(list)
@@ -90,7 +94,7 @@
         try:
             while True:
                 await asyncio.sleep(
-                    self._testbed.rng.expovariate(self._requests_per_s)
+                    self._rng.expovariate(self._requests_per_s)
                 )
                 self._start(self._run_request())
         finally:
@@ -150,8 +154,7 @@
 
     async def _run_request(self) -> None:
         """Send a request and retry it if it can't be executed twice."""
-        rng = self._testbed.rng
-        kind = rng.choices(
+        kind = self._rng.choices(
             [
                 _testbed.KEYED_PREFIX,
                 _testbed.SAFE_PREFIX,
@@ -160,9 +163,9 @@
             ],
             weights=[8, 5, 4, 3],
         )[0]
-        key = rng.randrange(65_536)
-        if rng.random() < 0.3:
-            key = 30_000 + rng.randrange(20)
+        key = self._rng.randrange(65_536)
+        if self._rng.random() < 0.3:
+            key = 30_000 + self._rng.randrange(20)
         ends_at = time.monotonic() + _attempts.DEADLINE_S
         for number in range(3):
             attempt = await self._send_to_any(kind, key, is_retry=number > 0)
@@ -182,7 +185,6 @@
         self, kind: str, key: int, *, is_retry: bool
     ) -> _attempts.Attempt | None:
         """Send an attempt to an instance that is ready or connected."""
-        rng = self._testbed.rng
         instances = [
             instance
             for instance in self._testbed.instances
@@ -191,22 +193,24 @@
         ]
         if not instances:
             return None
-        instance = rng.choice(instances)
+        instance = self._rng.choice(instances)
         connections = [] if is_retry else self._list_open(instance)
         idle = [c for c in connections if not c.pending_count]
         busy = [
             c for c in connections if 0 < c.pending_count < _PIPELINE_DEPTH
         ]
         is_safe = kind in _SAFE_PREFIXES
-        if busy and is_safe and rng.random() < _PIPELINED_RATIO:
-            return await self.send_to(instance, kind, key, rng.choice(busy))
-        connection = rng.choice(idle) if idle else None
+        if busy and is_safe and self._rng.random() < _PIPELINED_RATIO:
+            return await self.send_to(
+                instance, kind, key, self._rng.choice(busy)
+            )
+        connection = self._rng.choice(idle) if idle else None
         if self.ready.get(instance.name):
-            if rng.random() < _NEW_CONNECTION_RATIO:
+            if self._rng.random() < _NEW_CONNECTION_RATIO:
                 connection = None
         elif connection is None:
             return None
-        if is_safe and rng.random() < _BURST_RATIO and connection:
+        if is_safe and self._rng.random() < _BURST_RATIO and connection:
             self._start(self._run_burst(instance, connection))
         return await self.send_to(instance, kind, key, connection)
 
@@ -225,24 +229,24 @@
         connection: _connections.CallerConnection,
     ) -> None:
         """Send further safe requests on a connection."""
-        rng = self._testbed.rng
-        for _ in range(rng.randint(1, 3)):
-            await asyncio.sleep(rng.choice([0.0, rng.uniform(0.0, 0.1)]))
+        for _ in range(self._rng.randint(1, 3)):
+            await asyncio.sleep(
+                self._rng.choice([0.0, self._rng.uniform(0.0, 0.1)])
+            )
             if not connection.is_open:
                 return
             self._start(self._send_further(instance, connection))
 
     async def _run_stream(self) -> None:
         """Pipeline safe requests on one connection after the other."""
-        rng = self._testbed.rng
         while True:
             ready = [
                 i for i in self._testbed.instances if self.ready.get(i.name)
             ]
-            await asyncio.sleep(rng.expovariate(_STREAM_REQUESTS_PER_S))
+            await asyncio.sleep(self._rng.expovariate(_STREAM_REQUESTS_PER_S))
             if not ready:
                 continue
-            instance = rng.choice(ready)
+            instance = self._rng.choice(ready)
             try:
                 connection = await _connections.connect(
                     instance.callers_address
@@ -254,7 +258,7 @@
                     if connection.pending_count < _PIPELINE_DEPTH:
                         self._start(self._send_further(instance, connection))
                     await asyncio.sleep(
-                        rng.expovariate(_STREAM_REQUESTS_PER_S)
+                        self._rng.expovariate(_STREAM_REQUESTS_PER_S)
                     )
             finally:
                 self._connections[instance.name].append(connection)
@@ -265,9 +269,10 @@
         connection: _connections.CallerConnection,
     ) -> None:
         """Send a short safe request on a connection."""
-        rng = self._testbed.rng
-        kind = rng.choice([_testbed.KEYED_PREFIX, _testbed.SAFE_PREFIX])
-        await self.send_to(instance, kind, rng.randrange(65_536), connection)
+        kind = self._rng.choice([_testbed.KEYED_PREFIX, _testbed.SAFE_PREFIX])
+        await self.send_to(
+            instance, kind, self._rng.randrange(65_536), connection
+        )
 
     async def send_to(
         self,
@@ -345,9 +350,8 @@
 
     def _choose_work(self, attempt: _attempts.Attempt) -> str:
         """Return the query that asks for long work, if any."""
-        rng = self._testbed.rng
         if attempt.kind == _testbed.SLOW_PREFIX:
-            return f"?work={rng.randint(*_SLOW_WORK_MS)}"
-        if rng.random() < _LONG_RATIO:
-            return f"?work={rng.randint(*_LONG_WORK_MS)}"
+            return f"?work={self._rng.randint(*_SLOW_WORK_MS)}"
+        if self._rng.random() < _LONG_RATIO:
+            return f"?work={self._rng.randint(*_LONG_WORK_MS)}"
         return ""
