--- a/tarragonhinge/platform/soak/_callers.py
+++ b/tarragonhinge/platform/soak/_callers.py
@@ -82,12 +82,15 @@
         self._clock = base.Clock()
         self._tasks: set[asyncio.Task] = set()
         self.attempts: list[_attempts.Attempt] = []
-        self.ready: dict[str, bool] = {}
+        self._is_ready_by_name: dict[str, bool] = {}
 
     async def run(self) -> None:
         """Send requests until cancelled."""
-        prober = asyncio.create_task(self._probe_readiness())
-        streams = [
+        tasks = [
+            asyncio.create_task(self._probe_readiness(instance))
+            for instance in self._testbed.instances
+        ]
+        tasks += [
             asyncio.create_task(self._run_stream())
             for _ in range(_STREAM_COUNT)
         ]
@@ -98,7 +101,7 @@
                 )
                 self._start(self._run_request())
         finally:
-            for task in (prober, *streams):
+            for task in tasks:
                 task.cancel()
 
     def _start(self, coroutine: Coroutine) -> None:
@@ -116,19 +119,27 @@
             for connection in connections:
                 connection.give_up()
 
-    async def _probe_readiness(self) -> None:
-        """Probe the readiness of the instances, as a load balancer does."""
-        failed_probes: dict[str, int] = {}
+    async def _probe_readiness(
+        self, instance: _instances.InstanceProcess
+    ) -> None:
+        """Probe the readiness of an instance, as a load balancer does."""
+        failed_count = 0
         while True:
-            for instance in self._testbed.instances:
-                is_ready = await self._is_ready(instance)
-                count = (
-                    0 if is_ready else failed_probes.get(instance.name, 0) + 1
-                )
-                failed_probes[instance.name] = count
-                self.ready[instance.name] = count < 2
+            is_ready = await self._is_ready(instance)
+            failed_count = 0 if is_ready else failed_count + 1
+            self._is_ready_by_name[instance.name] = failed_count < 2
             await asyncio.sleep(_PROBE_INTERVAL_S)
 
+    def _list_in_rotation(self) -> list[_instances.InstanceProcess]:
+        """Return the instances that get new connections.
+
+        These are all instances if fewer than half are ready, as on the
+        platform.
+        """
+        instances = self._testbed.instances
+        ready = [i for i in instances if self._is_ready_by_name.get(i.name)]
+        return ready if 2 * len(ready) >= len(instances) else instances
+
     async def _is_ready(self, instance: _instances.InstanceProcess) -> bool:
         request = http1.HttpRequest(
             method="GET",
@@ -184,15 +195,14 @@
     async def _send_to_any(
         self, kind: str, key: int, *, is_retry: bool
     ) -> _attempts.Attempt | None:
-        """Send an attempt to an instance that is ready or connected."""
+        """Send an attempt to an instance in rotation or connected."""
+        in_rotation = self._list_in_rotation()
         instances = [
             instance
             for instance in self._testbed.instances
-            if self.ready.get(instance.name)
+            if instance in in_rotation
             or (not is_retry and self._list_open(instance))
         ]
-        if not instances:
-            return None
         instance = self._rng.choice(instances)
         connections = [] if is_retry else self._list_open(instance)
         idle = [c for c in connections if not c.pending_count]
@@ -205,7 +215,7 @@
                 instance, kind, key, self._rng.choice(busy)
             )
         connection = self._rng.choice(idle) if idle else None
-        if self.ready.get(instance.name):
+        if instance in in_rotation:
             if self._rng.random() < _NEW_CONNECTION_RATIO:
                 connection = None
         elif connection is None:
@@ -240,13 +250,8 @@
     async def _run_stream(self) -> None:
         """Pipeline safe requests on one connection after the other."""
         while True:
-            ready = [
-                i for i in self._testbed.instances if self.ready.get(i.name)
-            ]
             await asyncio.sleep(self._rng.expovariate(_STREAM_REQUESTS_PER_S))
-            if not ready:
-                continue
-            instance = self._rng.choice(ready)
+            instance = self._rng.choice(self._list_in_rotation())
             try:
                 connection = await _connections.connect(
                     instance.callers_address
