Tell a reset from a close in the soak's check of lost requests

Cause: a request that no server began to work on counted as lost if its connection ended over 0.2 s later, although the rule concerns requests that the process had read; an instance without processor time had not.

Change: a connection that is closed with unread bytes is reset by the kernel; such an end counts only if a server began to work on the request, and then like any other.

--- a/tarragonhinge/platform/soak/_attempts.py
+++ b/tarragonhinge/platform/soak/_attempts.py
@@ -15,17 +15,24 @@
     """End of an attempt, as its caller sees it.
 
     PENDING: none so far. UNSENT: no connection was obtained. ANSWERED: a
-    complete response. CLOSED: the instance closed the connection. GAVE_UP:
-    the caller closed it at the deadline of this attempt or of another one.
+    complete response. CLOSED: the instance closed the connection. RESET: it
+    closed the connection with bytes that it had not read, which makes the
+    kernel send a reset. GAVE_UP: the caller closed it at the deadline of this
+    attempt or of another one.
     """
 
     PENDING = "pending"
     UNSENT = "unsent"
     ANSWERED = "answered"
     CLOSED = "closed"
+    RESET = "reset"
     GAVE_UP = "gave up"
 
 
+#: Ends without a complete response that the instance caused.
+CUT_ENDINGS = frozenset({Ending.CLOSED, Ending.RESET})
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Attempt:
     """One attempt of a caller and its result.
--- a/tarragonhinge/platform/soak/_callers.py
+++ b/tarragonhinge/platform/soak/_callers.py
@@ -331,6 +331,8 @@
             connection.give_up()
         elif connection is not None and connection.is_given_up:
             attempt.ending = _attempts.Ending.GAVE_UP
+        elif connection is not None and connection.is_reset:
+            attempt.ending = _attempts.Ending.RESET
         return attempt
 
     def _make_request(self, attempt: _attempts.Attempt) -> list[h11.Event]:
--- a/tarragonhinge/platform/soak/_checks.py
+++ b/tarragonhinge/platform/soak/_checks.py
@@ -197,7 +197,7 @@
             if (
                 own
                 and attempt.is_kept
-                and attempt.ending is _attempts.Ending.CLOSED
+                and attempt.ending in _attempts.CUT_ENDINGS
                 and self._is_in_touch(attempt)
             ):
                 lost_without_plan.append(_describe(attempt, own))
@@ -253,18 +253,20 @@
 ) -> bool:
     """Return whether an instance ended an attempt without its response.
 
-    Where no server began to work on it, an attempt counts if its connection
-    was closed later than the slack, since the instance had read it by then.
+    Where no server began to work on it, an attempt counts if the instance had
+    read it (the connection was not reset) and closed the connection later
+    than the slack.
     """
     if attempt.ending is _attempts.Ending.ANSWERED:
         return not attempt.is_sealed and any(
             execution.state is standins.ExecutionState.ABANDONED
             for execution in executions
         )
-    if attempt.ending is not _attempts.Ending.CLOSED:
-        return False
-    return bool(executions) or (
-        attempt.is_kept
+    if executions:
+        return attempt.ending in _attempts.CUT_ENDINGS
+    return (
+        attempt.ending is _attempts.Ending.CLOSED
+        and attempt.is_kept
         and not attempt.is_pipelined
         and attempt.ended_at - attempt.sent_at > _LOSS_SLACK_S
     )
--- a/tarragonhinge/platform/soak/_connections.py
+++ b/tarragonhinge/platform/soak/_connections.py
@@ -61,6 +61,8 @@
         Whether another request can be sent.
     is_given_up : bool
         Whether the caller has closed the connection.
+    is_reset : bool
+        Whether the connection was reset.
     answered_count : int
         Number of received responses.
     last_attempt : Attempt or None
@@ -72,6 +74,7 @@
         self._exchanges: collections.deque[_Exchange] = collections.deque()
         self.is_open = True
         self.is_given_up = False
+        self.is_reset = False
         self.answered_count = 0
         self.last_attempt: _attempts.Attempt | None = None
         self._reader = asyncio.create_task(self._read_responses())
@@ -106,11 +109,13 @@
     async def _read_responses(self) -> None:
         loop = asyncio.get_running_loop()
         try:
-            with contextlib.suppress(OSError, h11.RemoteProtocolError):
+            with contextlib.suppress(h11.RemoteProtocolError):
                 while data := await loop.sock_recv(
                     self._sock, _READ_CHUNK_BYTES
                 ):
                     self._parse(data)
+        except OSError:
+            self.is_reset = True
         finally:
             self.is_open = False
             self._sock.close()
--- a/tarragonhinge/platform/tests/test_soak_checks.py
+++ b/tarragonhinge/platform/tests/test_soak_checks.py
@@ -99,6 +99,7 @@
         pytest.param({}, id="accepted late"),
         pytest.param(OWN_FAILURE, id="own failure"),
         pytest.param(EARLY, id="cut early"),
+        pytest.param({"ending": Ending.RESET}, id="reset"),
         pytest.param({"is_pipelined": True}, id="pipelined and passed on"),
         pytest.param({"is_kept": False}, id="first on its connection"),
         pytest.param(
@@ -150,6 +151,9 @@
         pytest.param(
             {"sent_s": 0.5, "ended_s": 0.6, "work": ()}, id="crossed the close"
         ),
+        pytest.param(
+            {"ending": Ending.RESET, "work": ()}, id="reset, not read"
+        ),
         pytest.param(
             {"is_pipelined": True, "work": ()}, id="behind another one"
         ),
