Count an attempt in its server's load as soon as it is placed

Cause: since attempts are tasks, so that a failover can keep one open, the count of requests in flight was raised in a later turn of the event loop; all requests that were placed in one turn saw the same load and went to the same server. A cancellation before that turn is covered, too. Change: the slot is taken where the attempt is created, and released when it ends or is cancelled. Test: test_requests_of_one_event_loop_turn_are_spread_over_servers gets 3 and 0 requests instead of 2 and 1 without the change, and passes on.

--- a/tarragonhinge/gateway/_retrier.py
+++ b/tarragonhinge/gateway/_retrier.py
@@ -102,7 +102,7 @@
                 )
             link = placement.link
             began_at = self._clock.now()
-            attempt = asyncio.create_task(self._sender.send(job, link))
+            attempt = self._sender.send(job, link)
             try:
                 if await self._is_failover_due(job, placement, attempt):
                     return await self._fail_over(job, link, attempt, began_at)
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -7,6 +7,7 @@
 from tarragonhinge.gateway import _job
 from tarragonhinge.gateway import _links
 from tarragonhinge.gateway import _outcomes
+from tarragonhinge.gateway import _server_load
 from tarragonhinge import http1
 from tarragonhinge import servers
 
@@ -41,13 +42,13 @@
         self._links = links
         self._clock = clock
 
-    async def send(
+    def send(
         self, job: _job.Job, link: _links.ServerLink
-    ) -> _outcomes.AttemptOutcome:
-        """Send a request once and wait for the response.
+    ) -> asyncio.Task[_outcomes.AttemptOutcome]:
+        """Send a request once, and return the task that awaits the response.
 
-        If this is cancelled, the connection to the server is closed, so that
-        the server cancels the request.
+        If the task is cancelled, the connection to the server is closed, so
+        that the server cancels the request.
 
         Parameters
         ----------
@@ -56,12 +57,18 @@
         link : ServerLink
             Link to the server.
         """
-        link.load.in_flight += 1
+        slot = _Slot(load=link.load)
+        attempt = asyncio.create_task(self._run_attempt(job, link, slot))
+        # A task that is cancelled before it starts does not release its slot.
+        attempt.add_done_callback(lambda _: slot.release())
+        return attempt
+
+    async def _run_attempt(
+        self, job: _job.Job, link: _links.ServerLink, slot: "_Slot"
+    ) -> _outcomes.AttemptOutcome:
         sent_at = self._clock.now()
-        try:
-            result = await self._exchange(job, link)
-        finally:
-            link.load.in_flight -= 1
+        result = await self._exchange(job, link)
+        slot.release()
         if isinstance(result, http1.HttpResponse):
             return self._classify(job, link, result, sent_at)
         return result
@@ -177,5 +184,23 @@
         return _outcomes.Answered(response=response, failed=failed)
 
 
+class _Slot:
+    """Counts an attempt as in flight from its placement to its end.
+
+    The attempt starts in a later turn of the event loop; until then, the
+    placement of other requests must see it.
+    """
+
+    def __init__(self, *, load: _server_load.ServerLoad) -> None:
+        self._load: _server_load.ServerLoad | None = load
+        load.in_flight += 1
+
+    def release(self) -> None:
+        """End the count, unless this was done before."""
+        if self._load is not None:
+            self._load.in_flight -= 1
+            self._load = None
+
+
 def _make_unsent(detail: str) -> _outcomes.NotRun:
     return _outcomes.NotRun(cause=_outcomes.NotRunCause.UNSENT, detail=detail)
--- a/tarragonhinge/platform/tests/test_path.py
+++ b/tarragonhinge/platform/tests/test_path.py
@@ -247,6 +247,34 @@
     _run(check)
 
 
+def test_requests_of_one_event_loop_turn_are_spread_over_servers():
+    """The attempts of all of them start after the last one is placed."""
+
+    async def check(testbed):
+        # One request more than a server has slots.
+        await asyncio.gather(*(testbed.send(SAFE) for _ in range(3)))
+        assert [len(s.executed) for s in testbed.servers] == [2, 1]
+
+    _run(check)
+
+
+def test_request_cancelled_before_its_attempt_starts_is_not_counted():
+    async def check(testbed):
+        task = asyncio.create_task(testbed.send(SAFE))
+        # The request is placed in this turn, and its attempt has not started.
+        await asyncio.sleep(0)
+        task.cancel()
+        await asyncio.wait([task])
+        await asyncio.sleep(0)
+        loads = [
+            testbed.gateway.links.find(s.name).load for s in testbed.servers
+        ]
+        assert [load.in_flight for load in loads] == [0, 0]
+        assert [s.received for s in testbed.servers] == [[], []]
+
+    _run(check)
+
+
 def test_slow_attempt_continues_without_alternative_server():
     async def check(testbed):
         first, second = testbed.servers
