Count the time to a failover from the send of the request

Cause: since an attempt stays open after a failover, its time without a response began before its connection was opened, which takes up to 900 ms.

--- a/tarragonhinge/gateway/_retrier.py
+++ b/tarragonhinge/gateway/_retrier.py
@@ -102,9 +102,10 @@
                 )
             link = placement.link
             began_at = self._clock.now()
-            attempt = asyncio.create_task(self._sender.send(job, link))
+            sent: asyncio.Future = asyncio.get_running_loop().create_future()
+            attempt = asyncio.create_task(self._sender.send(job, link, sent))
             try:
-                if await self._is_failover_due(job, placement, attempt):
+                if await self._is_failover_due(job, placement, attempt, sent):
                     return await self._fail_over(job, link, attempt, began_at)
                 outcome = await attempt
             finally:
@@ -147,11 +148,13 @@
         job: _job.Job,
         placement: _placer.Placement,
         attempt: asyncio.Task[_outcomes.AttemptOutcome],
+        sent: asyncio.Future[None],
     ) -> bool:
         """Wait for an attempt; return whether to try another server too.
 
         A keyed request has no failover, since only the owner of its key may
-        run it.
+        run it.  The time without a response counts from `sent`: before it,
+        `sent_count` does not include the attempt.
         """
         if not job.is_idempotent or job.key is not None:
             return False
@@ -159,6 +162,9 @@
             FAILOVER_LATENCY_FACTOR * placement.expected_ms,
             FAILOVER_OBJECTIVE_FACTOR * job.route.objective_ms,
         )
+        await asyncio.wait(
+            [attempt, sent], return_when=asyncio.FIRST_COMPLETED
+        )
         await asyncio.wait(
             [attempt], timeout=silence_timeout_ms / base.MS_PER_S
         )
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -42,7 +42,10 @@
         self._clock = clock
 
     async def send(
-        self, job: _job.Job, link: _links.ServerLink
+        self,
+        job: _job.Job,
+        link: _links.ServerLink,
+        sent: asyncio.Future[None],
     ) -> _outcomes.AttemptOutcome:
         """Send a request once and wait for the response.
 
@@ -55,11 +58,13 @@
             The request.
         link : ServerLink
             Link to the server.
+        sent : Future
+            Gets its result when the request is sent on an open connection.
         """
         link.load.in_flight += 1
         sent_at = self._clock.now()
         try:
-            result = await self._exchange(job, link)
+            result = await self._exchange(job, link, sent)
         finally:
             link.load.in_flight -= 1
         if isinstance(result, http1.HttpResponse):
@@ -67,7 +72,10 @@
         return result
 
     async def _exchange(
-        self, job: _job.Job, link: _links.ServerLink
+        self,
+        job: _job.Job,
+        link: _links.ServerLink,
+        sent: asyncio.Future[None],
     ) -> http1.HttpResponse | _outcomes.NotRun | _outcomes.OutcomeUnknown:
         """Return the response, or the reason why there is none."""
         try:
@@ -84,6 +92,7 @@
             link.pool.release(connection)
             return _make_unsent("the server is draining or gone")
         job.sent_count += 1
+        sent.set_result(None)
         is_reusable = False
         exchange = asyncio.create_task(
             connection.exchange(
