Do not send a request again to a server that still works on it

Change: a server with an open attempt is not chosen for another one. Checked: with a silent first server and a second one that refuses, the first one received the request twice without the change, once with it. test_failover passes.

--- a/tarragonhinge/gateway/_job.py
+++ b/tarragonhinge/gateway/_job.py
@@ -37,6 +37,8 @@
         arrived.
     failed_servers : set
         Servers at which an attempt failed.
+    silent_servers : set
+        Servers at which an attempt goes on after a failover.
     is_retry_paid : bool
         Whether the retry budget was already charged for the next attempt.
     refused_by_grant : tuple or None
@@ -54,6 +56,7 @@
     sent_count: int = 0
     may_have_run: bool = False
     failed_servers: set[base.ServerId] = dataclasses.field(default_factory=set)
+    silent_servers: set[base.ServerId] = dataclasses.field(default_factory=set)
     is_retry_paid: bool = False
     refused_by_grant: tuple[base.ServerId, int] | None = None
 
--- a/tarragonhinge/gateway/_placer.py
+++ b/tarragonhinge/gateway/_placer.py
@@ -87,8 +87,15 @@
         return isinstance(decision, _placement.Choice)
 
     def _list_ready(self, job: _job.Job) -> list[_links.ServerLink]:
-        """Return the ready servers at which no attempt has failed, or all."""
-        ready = self._links.list_ready(job.service.name)
+        """Return the ready servers at which no attempt has failed, or all.
+
+        Servers that may still respond to the request are left out.
+        """
+        ready = [
+            link
+            for link in self._links.list_ready(job.service.name)
+            if link.entry.server not in job.silent_servers
+        ]
         untried = [
             link
             for link in ready
--- a/tarragonhinge/gateway/_retrier.py
+++ b/tarragonhinge/gateway/_retrier.py
@@ -196,6 +196,8 @@
         self._record_failed_attempt(
             job, link, silence, began_at, will_retry=True
         )
+        server = link.entry.server
+        job.silent_servers.add(server)
         others = asyncio.create_task(self._try_servers(job))
         pending = {attempt, others}
         try:
@@ -204,6 +206,7 @@
                     pending, return_when=asyncio.FIRST_COMPLETED
                 )
                 if attempt in done:
+                    job.silent_servers.discard(server)
                     outcome = attempt.result()
                     if (
                         isinstance(outcome, _outcomes.Answered)
--- a/tarragonhinge/platform/tests/test_failover_limits.py
+++ b/tarragonhinge/platform/tests/test_failover_limits.py
@@ -66,3 +66,25 @@
 
     with unittest.mock.patch.object(_server_load, "INITIAL_SERVICE_MS", 20.0):
         test_path._run(check, names=("i-1", "i-2", "i-3"))
+
+
+def test_request_is_not_sent_again_to_server_that_still_works_on_it():
+    """The second server refused it, and the first one got it once more."""
+
+    async def check(testbed):
+        first, second = testbed.servers
+        _set_route(testbed, max_attempts=2)
+        first.work_allowed.clear()
+        second.mode = "shed"
+        task = asyncio.create_task(testbed.send(test_path.SAFE))
+        async with asyncio.timeout(30):
+            await second.request_arrived.wait()
+        await asyncio.sleep(0.5)
+        assert len(first.received) == 1
+        first.work_allowed.set()
+        response = await task
+        assert response.status == 200
+        assert first.executed == ["a1"]
+
+    with unittest.mock.patch.object(_server_load, "INITIAL_SERVICE_MS", 20.0):
+        test_path._run(check)
