Close a connection that a stop finds while it is being accepted

Cause: closing a stream before its transport was known had no effect. A connection that was accepted in the turn of the event loop in which a stop closes idle connections counted as closing, but stayed open: requests on it were read and dropped until the process ended. Change: the stream remembers that it is closed, and closes its transport as soon as it has one.

--- a/tarragonhinge/http1/_tcp_stream.py
+++ b/tarragonhinge/http1/_tcp_stream.py
@@ -56,6 +56,7 @@
         self._drain_waiter: asyncio.Future[None] | None = None
         self._is_write_paused = False
         self._is_read_paused = False
+        self._is_closed = False
         self.is_ended = False
         self.error: Exception | None = None
 
@@ -66,6 +67,8 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             configure_socket(sock)
+        if self._is_closed:
+            transport.close()
 
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes; pause reading if there are too many."""
@@ -166,11 +169,13 @@
 
     def close(self) -> None:
         """Close the connection after sending the written bytes."""
+        self._is_closed = True
         if self._transport is not None:
             self._transport.close()
 
     def abort(self) -> None:
         """Close the connection at once."""
+        self._is_closed = True
         if self._transport is not None:
             self._transport.abort()
 
