--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -43,7 +43,10 @@
         self._clock = clock
 
     def send(
-        self, job: _job.Job, link: _links.ServerLink
+        self,
+        job: _job.Job,
+        link: _links.ServerLink,
+        sent: asyncio.Future[None],
     ) -> asyncio.Task[_outcomes.AttemptOutcome]:
         """Send a request once, and return the task that awaits the response.
 
@@ -56,25 +59,34 @@
             The request.
         link : ServerLink
             Link to the server.
+        sent : Future
+            Gets its result when the request is sent on an open connection.
         """
         slot = _Slot(load=link.load)
-        attempt = asyncio.create_task(self._run_attempt(job, link, slot))
+        attempt = asyncio.create_task(self._run_attempt(job, link, slot, sent))
         # A task that is cancelled before it starts does not release its slot.
         attempt.add_done_callback(lambda _: slot.release())
         return attempt
 
     async def _run_attempt(
-        self, job: _job.Job, link: _links.ServerLink, slot: "_Slot"
+        self,
+        job: _job.Job,
+        link: _links.ServerLink,
+        slot: "_Slot",
+        sent: asyncio.Future[None],
     ) -> _outcomes.AttemptOutcome:
         sent_at = self._clock.now()
-        result = await self._exchange(job, link)
+        result = await self._exchange(job, link, sent)
         slot.release()
         if isinstance(result, http1.HttpResponse):
             return self._classify(job, link, result, sent_at)
         return result
 
     async def _exchange(
-        self, job: _job.Job, link: _links.ServerLink
+        self,
+        job: _job.Job,
+        link: _links.ServerLink,
+        sent: asyncio.Future[None],
     ) -> http1.HttpResponse | _outcomes.NotRun | _outcomes.OutcomeUnknown:
         """Return the response, or the reason why there is none."""
         try:
@@ -91,6 +103,7 @@
             link.pool.release(connection)
             return _make_unsent("the server is draining or gone")
         job.sent_count += 1
+        sent.set_result(None)
         is_reusable = False
         exchange = asyncio.create_task(
             connection.exchange(
