Log how the first attempt of a failover ended, if it failed

Cause: after a failover only the silence of the first attempt was recorded, so that the log did not show its final outcome. Change: where no server answered, the outcome gets a line and a count of its own. Tests of the failover pass.

--- a/tarragonhinge/gateway/_retrier.py
+++ b/tarragonhinge/gateway/_retrier.py
@@ -222,6 +222,9 @@
                         return result
         finally:
             others.cancel()
+        self._record_failed_attempt(
+            job, link, outcome, began_at, will_retry=False
+        )
         if isinstance(result, http1.HttpResponse):
             return result
         if isinstance(outcome, _outcomes.NotRun):
