Keep a response that arrives as the stop ends

What callers saw: a 504 in place of the response of a server, if it arrived in the one or two turns of the event loop before the end of a stop. Cause: the abort cancelled the handler while its attempt was done, or about to be. Change: an attempt whose exchange is done returns its response in spite of a cancellation, and the abort awaits the attempts before it answers. The clock of test_stop.py stands still now unless the test advances it, so that the time for writing the responses does not depend on the machine.

--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -254,10 +254,22 @@
             if STOP_ENDED not in error.args:
                 raise
             asyncio.current_task().uncancel()
-            is_sent = job is not None and job.sent_count > 0
-            result = _refusals.Refused.for_ended_stop(is_sent=is_sent)
+            result = await self._end_job(job)
         return self._finish(trace, metadata, result, job=job)
 
+    async def _end_job(
+        self, job: _job.Job | None
+    ) -> http1.HttpResponse | _refusals.Refused:
+        """Return the response to a request that the end of a stop cancels."""
+        if job is None:
+            return _refusals.Refused.for_ended_stop(is_sent=False)
+        if job.attempts:
+            # They are cancelled, unless a response has just arrived.
+            await asyncio.wait(job.attempts)
+        if job.answer is not None:
+            return job.answer
+        return _refusals.Refused.for_ended_stop(is_sent=job.sent_count > 0)
+
     async def _wait_for_first_table(self) -> None:
         """Wait until a process that has just started has a routing table."""
         ends_at = self._clock.now() + FIRST_TABLE_TIMEOUT_MS
--- a/tarragonhinge/gateway/_job.py
+++ b/tarragonhinge/gateway/_job.py
@@ -1,5 +1,6 @@
 """State of one request while it is routed."""
 
+import asyncio
 import dataclasses
 
 from tarragonhinge import base
@@ -39,6 +40,10 @@
         Servers at which an attempt failed.
     silent_servers : set
         Servers at which an attempt goes on after a failover.
+    attempts : set of Task
+        Attempts that have not ended.
+    answer : HttpResponse or None
+        Response of a server, once there is a valid one.
     is_retry_paid : bool
         Whether the retry budget was already charged for the next attempt.
     refused_by_grant : tuple or None
@@ -57,6 +62,8 @@
     may_have_run: bool = False
     failed_servers: set[base.ServerId] = dataclasses.field(default_factory=set)
     silent_servers: set[base.ServerId] = dataclasses.field(default_factory=set)
+    attempts: set[asyncio.Task] = dataclasses.field(default_factory=set)
+    answer: http1.HttpResponse | None = None
     is_retry_paid: bool = False
     refused_by_grant: tuple[base.ServerId, int] | None = None
 
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -66,6 +66,8 @@
         attempt = asyncio.create_task(self._run_attempt(job, link, slot, sent))
         # A task that is cancelled before it starts does not release its slot.
         attempt.add_done_callback(lambda _: slot.release())
+        job.attempts.add(attempt)
+        attempt.add_done_callback(job.attempts.discard)
         return attempt
 
     async def _run_attempt(
@@ -78,9 +80,12 @@
         sent_at = self._clock.now()
         result = await self._exchange(job, link, sent)
         slot.release()
-        if isinstance(result, http1.HttpResponse):
-            return self._classify(job, link, result, sent_at)
-        return result
+        if not isinstance(result, http1.HttpResponse):
+            return result
+        outcome = self._classify(job, link, result, sent_at)
+        if isinstance(outcome, _outcomes.Answered) and not outcome.failed:
+            job.answer = outcome.response
+        return outcome
 
     async def _exchange(
         self,
@@ -112,7 +117,12 @@
             )
         )
         try:
-            await asyncio.wait([exchange], timeout=left_ms / base.MS_PER_S)
+            try:
+                await asyncio.wait([exchange], timeout=left_ms / base.MS_PER_S)
+            except asyncio.CancelledError:
+                # The response may have arrived in the same turn.
+                if not exchange.done():
+                    raise
             if not exchange.done():
                 link.load.record_failed_attempt()
                 return _outcomes.OutcomeUnknown(
--- a/tarragonhinge/platform/tests/test_stop.py
+++ b/tarragonhinge/platform/tests/test_stop.py
@@ -36,8 +36,12 @@
 #: late for a request on a route with a timeout of 5 s.
 LATE_MS = 2_900
 
-#: Time after SIGTERM at which the remaining requests have been aborted.
-END_MS = 6_000
+#: Time after SIGTERM at which the remaining requests are aborted and their
+#: responses written.
+END_MS = 5_750
+
+#: Time after SIGTERM at which SIGKILL follows.
+KILL_MS = 6_000
 
 REQUEST = (
     b"GET /x/1 HTTP/1.1\r\nHost: h.example\r\n"
@@ -47,17 +51,17 @@
 
 
 class _SteppedClock(base.Clock):
-    """Clock of an instance that a test advances."""
+    """Clock of an instance that only a test advances."""
 
     def __init__(self):
         super().__init__()
-        self._ahead_ms = 0
+        self._now_ms = 1_000_000
 
     def now(self):
-        return base.Millis(super().now() + self._ahead_ms)
+        return base.Millis(self._now_ms)
 
     def advance(self, duration_ms):
-        self._ahead_ms += duration_ms
+        self._now_ms += duration_ms
 
 
 def _write_rows(store, server):
@@ -127,7 +131,7 @@
 
     async def __aexit__(self, *_):
         self.writer.close()
-        self.clock.advance(END_MS)
+        self.clock.advance(KILL_MS)
         await self.stopping
         await self.server.stop()
         await self.runner.cleanup()
