Log why an instance left its coordinator

The log of a follower that lost its coordinator did not say whether the connection failed, fell silent or was closed, and so could not tell a coordinator that stands still from one that is gone. The line now has the reason.

--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -315,6 +315,7 @@
                 dependency=f"coordinator/{address}",
                 reachable=False,
                 silent_ms=self.get_view_age_ms() or -1,
+                reason=end_reason.value,
             )
         )
         return end_reason
--- a/tarragonhinge/events/_process_events.py
+++ b/tarragonhinge/events/_process_events.py
@@ -135,11 +135,14 @@
         Whether it is reachable now.
     silent_ms : int
         Time since its last response; -1 if there was none.
+    reason : str
+        Cause of the change, if known.
     """
 
     dependency: str
     reachable: bool
     silent_ms: int
+    reason: str = ""
 
 
 class LeadershipChanged(
