Show that a silent coordinator is neither replaced nor read around

A claim names a listener that accepts connections and sends nothing, as the kernel does for a process that stands still. Within 20 s no instance claims the coordination, and while claims are rejected none reads the store itself.

--- a/tarragonhinge/coordination/tests/fleet.py
+++ b/tarragonhinge/coordination/tests/fleet.py
@@ -7,6 +7,7 @@
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import coordination
+from tarragonhinge.coordination import _leadership
 from tarragonhinge import feeds
 from tarragonhinge import relay
 from tarragonhinge import stores
@@ -161,6 +162,35 @@
             and self.servers.count_unowned_keys() == 0
         )
 
+    @contextlib.asynccontextmanager
+    async def run_silent_coordinator(self):
+        """Let a process coordinate that accepts connections and stands still.
+
+        The kernel accepts connections for a process that does not run.
+        """
+
+        async def stand_still(reader, writer):
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.Event().wait()
+
+        server = await asyncio.start_server(stand_still, "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        claim = _leadership.Leadership(
+            term=base.Term(99),
+            instance=base.InstanceId("silent"),
+            incarnation=base.IncarnationId("silent"),
+            address=base.Address(f"127.0.0.1:{port}"),
+        )
+        self.put_row(
+            _leadership.TABLE,
+            _leadership.KEY,
+            _leadership.encode_leadership(claim),
+        )
+        try:
+            yield
+        finally:
+            server.close()
+
     async def crash(self, member):
         """Stop an instance without notice."""
         self.members.remove(member)
--- a/tarragonhinge/coordination/tests/test_member.py
+++ b/tarragonhinge/coordination/tests/test_member.py
@@ -101,6 +101,47 @@
     _run(check)
 
 
+def test_a_coordinator_that_stands_still_is_replaced():
+    """An accepted connection is no proof that the coordinator runs."""
+
+    async def check(test_fleet):
+        async with test_fleet.run_silent_coordinator():
+            await test_fleet.wait(
+                lambda: not test_fleet.find_coordinators(),
+                "the change of the coordinator",
+            )
+            test_fleet.put_row("routes", "newest", b"2")
+            await test_fleet.wait(
+                lambda: (
+                    test_fleet.is_settled()
+                    and _collect_table_versions(test_fleet) == {2}
+                ),
+                "the takeover",
+            )
+
+    _run(check)
+
+
+def test_routes_are_read_while_the_coordinator_stands_still():
+    """New routes don't wait for a successor of a silent coordinator."""
+
+    async def check(test_fleet):
+        for member in test_fleet.members:
+            member.store.faults.rejects_writes = True
+        async with test_fleet.run_silent_coordinator():
+            await test_fleet.wait(
+                lambda: not test_fleet.find_coordinators(),
+                "the change of the coordinator",
+            )
+            test_fleet.put_row("routes", "newest", b"2")
+            await test_fleet.wait(
+                lambda: _collect_table_versions(test_fleet) == {2},
+                "a version",
+            )
+
+    _run(check)
+
+
 @pytest.mark.parametrize(
     ("led_ms", "waited_ms", "expected"),
     [(100, 1_000, False), (100, 11_000, True), (60_000, 0, True)],
--- a/tarragonhinge/testing/_row_store.py
+++ b/tarragonhinge/testing/_row_store.py
@@ -23,12 +23,15 @@
         that their checks still hold; 0 for no delay.
     delay_ms : int
         Duration of each call.
+    rejects_writes : bool
+        Whether writes are rejected without an effect.
     """
 
     is_down: bool = False
     loses_answers: bool = False
     late_ms: int = 0
     delay_ms: int = 4
+    rejects_writes: bool = False
 
 
 class MemoryRows:
@@ -177,6 +180,8 @@
         """Write rows atomically if all checks hold."""
         if not await self._reach():
             return stores.Unavailable(maybe_written=True)
+        if self.faults.rejects_writes:
+            return stores.Unavailable()
         if self.faults.loses_answers:
             if self.faults.late_ms:
                 task = asyncio.create_task(self._apply_late(checks, puts))
