--- a/tarragonhinge/relay/_hub.py
+++ b/tarragonhinge/relay/_hub.py
@@ -104,6 +104,7 @@
         self._sent_servers = dict(view.servers)
         self._sent_owners = dict(view.owners)
         self._table_sent_at = 0
+        self._snapshot_frame: bytes | None = None
         self._changed = asyncio.Event()
         self._subscription = view.changes.subscribe(
             lambda _: self._changed.set()
@@ -157,7 +158,7 @@
         """Serve one subscriber until its connection is closed."""
         subscriber = _Subscriber(writer=writer)
         subscriber.send(_frames.encode_frame(self._make_heartbeat()))
-        subscriber.send(_frames.encode_frame(self._make_snapshot()))
+        subscriber.send(self._encode_snapshot())
         self._subscribers.add(subscriber)
         self._max_subscribers = max(
             self._max_subscribers, len(self._subscribers)
@@ -190,8 +191,17 @@
             fleet_size=self.fleet_size,
         )
 
+    def _encode_snapshot(self) -> bytes:
+        """Return the state sent so far, to which the next update applies.
+
+        All instances subscribe to a new coordinator at the same time; the
+        state is encoded once for all of them.
+        """
+        if self._snapshot_frame is None:
+            self._snapshot_frame = _frames.encode_frame(self._make_snapshot())
+        return self._snapshot_frame
+
     def _make_snapshot(self) -> _messages.Update:
-        """Return the state sent so far, to which the next update applies."""
         return _messages.Update(
             is_whole=True,
             table=self._sent_table,
@@ -271,6 +281,7 @@
                 segments[name] = changed
         self._sent_servers = dict(view.servers)
         self._sent_owners = dict(view.owners)
+        self._snapshot_frame = None
         if not (table or delta or servers or removed or segments):
             return None
         return _messages.Update(
