Replace a coordinator that accepts connections but stands still

Cause: an accepted connection counted as a coordinator. The kernel accepts connections for a process that does not run, so each follower waited 1.15 s for a message, took the coordinator for lost rather than unreachable, and connected again. It did not claim, and each attempt restarted the 700 ms after which it would have read the store itself.

Evidence: the coordinator used no processor time from 4.9 s to 10.1 s while its connections rose from 47 to 169; its eight followers logged four silent connections each, made one store call a second and wrote no claim.

Now only a message ends the delay before the store is read, and a connection that brings none within 600 ms (the first heartbeat is sent at once) counts like one that could not be opened, so that the instances claim. After the last message it takes 1.15 s and 0.7 s until the store is read, within the 2.5 s in which a version must be in force.

--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -213,9 +213,9 @@
 
     async def run(self) -> None:
         """Follow the coordinator or coordinate, until cancelled."""
-        standalone_timer = asyncio.create_task(self._start_standalone_later())
         try:
             while True:
+                self._schedule_standalone()
                 row = await self._read_claim()
                 if isinstance(row, stores.Unavailable):
                     await self._follow_successor()
@@ -226,11 +226,8 @@
                 leadership = _decode(row)
                 end_reason = relay.EndReason.UNREACHABLE
                 if leadership is not None and not self._is_own(leadership):
-                    standalone_timer.cancel()
                     end_reason = await self._follow(leadership.address)
-                    standalone_timer = asyncio.create_task(
-                        self._start_standalone_later()
-                    )
+                    self._schedule_standalone()
                 if (
                     end_reason is relay.EndReason.DEPOSED
                     and not self._is_first_deposed_message(row)
@@ -238,7 +235,10 @@
                     # The recorded coordinator is reachable, but has stepped
                     # down.
                     end_reason = relay.EndReason.UNREACHABLE
-                if end_reason is relay.EndReason.UNREACHABLE:
+                if end_reason in (
+                    relay.EndReason.UNREACHABLE,
+                    relay.EndReason.SILENT,
+                ):
                     await self._try_claim(
                         row,
                         delay_ms=self._policy.compute_delay_ms(
@@ -251,7 +251,6 @@
                 elif end_reason is relay.EndReason.DEPOSED:
                     await self._clock.sleep(STORE_RETRY_MS // 3)
         finally:
-            standalone_timer.cancel()
             self._stop_standalone()
 
     async def _follow_successor(self) -> None:
@@ -427,13 +426,17 @@
             events.LeadershipChanged(term=term, leads=leads, reason=reason)
         )
 
-    async def _start_standalone_later(self) -> None:
-        """Start to read the store directly after `STANDALONE_DELAY_MS`."""
-        await self._clock.sleep(STANDALONE_DELAY_MS)
-        if self._standalone_task is None and self._coordinator is None:
+    def _schedule_standalone(self) -> None:
+        """Read the store directly after `STANDALONE_DELAY_MS`.
+
+        Only an update of a coordinator, or the coordination by this instance,
+        ends the delay or the reading; attempts to follow one do not.
+        """
+        if self._standalone_task is None:
             self._standalone_task = asyncio.create_task(self._run_standalone())
 
     async def _run_standalone(self) -> None:
+        await self._clock.sleep(STANDALONE_DELAY_MS)
         feed = feeds.CatalogFeed(
             store=self._store,
             codec=self._codec,
--- a/tarragonhinge/coordination/tests/fleet.py
+++ b/tarragonhinge/coordination/tests/fleet.py
@@ -169,9 +169,11 @@
         The kernel accepts connections for a process that does not run.
         """
 
+        resumed = asyncio.Event()
+
         async def stand_still(reader, writer):
-            with contextlib.suppress(asyncio.CancelledError):
-                await asyncio.Event().wait()
+            await resumed.wait()
+            writer.close()
 
         server = await asyncio.start_server(stand_still, "127.0.0.1", 0)
         port = server.sockets[0].getsockname()[1]
@@ -189,6 +191,7 @@
         try:
             yield
         finally:
+            resumed.set()
             server.close()
 
     async def crash(self, member):
--- a/tarragonhinge/relay/_subscription.py
+++ b/tarragonhinge/relay/_subscription.py
@@ -22,6 +22,11 @@
 #: connection, and key moves and table versions wait for its successor.
 CONNECT_TIMEOUT_MS = 350
 
+#: Time from the start of a subscription within which the first message must
+#: arrive. The coordinator sends a heartbeat at once; a connection alone is no
+#: sign of life, since the kernel accepts it for a process that stands still.
+FIRST_MESSAGE_TIMEOUT_MS = 600
+
 #: Interval between reports.
 REPORT_INTERVAL_MS = 500
 
@@ -41,13 +46,15 @@
 class EndReason(enum.Enum):
     """Reason for the end of a subscription.
 
-    UNREACHABLE: the connection could not be opened. LOST: the connection
-    ended, timed out or brought an update that can't be applied. DEPOSED:
-    the coordinator reported the end of its leadership. STORE_LOST: the
-    coordinator has lost the store, which this instance still reaches.
+    UNREACHABLE: the connection could not be opened. SILENT: the connection
+    brought no message. LOST: the connection ended, timed out later or
+    brought an update that can't be applied. DEPOSED: the coordinator reported
+    the end of its leadership. STORE_LOST: the coordinator has lost the store,
+    which this instance still reaches.
     """
 
     UNREACHABLE = "unreachable"
+    SILENT = "silent"
     LOST = "lost"
     DEPOSED = "deposed"
     STORE_LOST = "store_lost"
@@ -123,12 +130,14 @@
     async def run(self) -> EndReason:
         """Follow the coordinator; return why the subscription ended."""
         host, _, port = self._address.rpartition(":")
+        began_at = self._clock.now()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_MS / base.MS_PER_S):
                 reader, writer = await asyncio.open_connection(host, int(port))
         except (OSError, TimeoutError):
             return EndReason.UNREACHABLE
-        read_task = asyncio.create_task(self._read(reader))
+        first_message_at = began_at + FIRST_MESSAGE_TIMEOUT_MS
+        read_task = asyncio.create_task(self._read(reader, first_message_at))
         leave_task = asyncio.create_task(self._leave_due.wait())
         tasks = [
             read_task,
@@ -155,15 +164,28 @@
             with contextlib.suppress(OSError):
                 writer.transport.abort()
 
-    async def _read(self, reader: asyncio.StreamReader) -> EndReason:
+    async def _read(
+        self, reader: asyncio.StreamReader, first_message_at: int
+    ) -> EndReason:
+        """Apply messages until the subscription ends.
+
+        Parameters
+        ----------
+        reader : StreamReader
+            Connection to the coordinator.
+        first_message_at : int
+            Time by which the first message must arrive.
+        """
+        timeout_ms = max(0, first_message_at - self._clock.now())
         while True:
             try:
-                async with asyncio.timeout(
-                    COORDINATOR_TIMEOUT_MS / base.MS_PER_S
-                ):
+                async with asyncio.timeout(timeout_ms / base.MS_PER_S):
                     message = await _frames.read_message(reader)
             except (OSError, EOFError, TimeoutError, base.CodecError):
+                if self.last_message_at is None:
+                    return EndReason.SILENT
                 return EndReason.LOST
+            timeout_ms = COORDINATOR_TIMEOUT_MS
             if isinstance(message, _messages.Deposed):
                 return EndReason.DEPOSED
             self.last_message_at = self._clock.read_boottime()
