Show what a store that comes back from an older copy breaks

The stand-in stores can be copied and restored, with the header of their era, give versions out again and answer 410 to a read from one that they lack.

--- a/tarragonhinge/coordination/tests/fleet.py
+++ b/tarragonhinge/coordination/tests/fleet.py
@@ -9,6 +9,7 @@
 from tarragonhinge import coordination
 from tarragonhinge.coordination import _leadership
 from tarragonhinge import feeds
+from tarragonhinge import ranges
 from tarragonhinge import relay
 from tarragonhinge import stores
 from tarragonhinge import testing
@@ -76,6 +77,7 @@
         self.task = None
 
     async def start(self):
+        """Join the fleet."""
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         port = self.server.sockets[0].getsockname()[1]
         name = base.InstanceId(f"e{self.number}")
@@ -194,6 +196,30 @@
             resumed.set()
             server.close()
 
+    def read_record(self):
+        """Return the record of the service's keys; None without one."""
+        row = self.rows.rows.get((ranges.TABLE, SERVICE))
+        return ranges.decode_record(row.value) if row is not None else None
+
+    def read_claim(self):
+        """Return the recorded claim of the coordinator."""
+        row = self.rows.rows[_leadership.TABLE, _leadership.KEY]
+        return _leadership.decode_leadership(row.value)
+
+    async def join(self):
+        """Start another instance."""
+        member = FleetMember(self, len(self.members) + 100)
+        self.members.append(await member.start())
+
+    async def restore(self, copied):
+        """Let the store go away and come back from a copy."""
+        for member in self.members:
+            member.store.faults.is_down = True
+        await asyncio.sleep(0.5)
+        self.rows.restore(copied)
+        for member in self.members:
+            member.store.faults.is_down = False
+
     async def crash(self, member):
         """Stop an instance without notice."""
         self.members.remove(member)
--- /dev/null
+++ b/tarragonhinge/coordination/tests/test_restored_store.py
@@ -0,0 +1,120 @@
+"""One coordinator and one owner of each key outlast a restored store."""
+
+import asyncio
+
+import pytest
+
+from tarragonhinge import base
+from tarragonhinge.coordination.tests import fleet
+
+
+def _run(check, size=3):
+    async def run():
+        async with fleet.Fleet(size) as test_fleet:
+            await test_fleet.wait(test_fleet.is_settled, "the start")
+            await check(test_fleet)
+
+    asyncio.run(run())
+
+
+def _find_highest_fence(test_fleet):
+    return max(
+        segment.fence
+        for member in test_fleet.members
+        for segment in member.view.owners[fleet.SERVICE].segments
+    )
+
+
+async def _move_keys(test_fleet):
+    """Let the keys of a server move, which goes on running."""
+    holder = test_fleet.members[0].view.owners[fleet.SERVICE].find(0).server
+    entry = test_fleet.rows.rows["backends", holder].value
+    test_fleet.delete_row("backends", holder)
+
+    def has_moved():
+        return all(
+            holder
+            not in {s.server for s in m.view.owners[fleet.SERVICE].segments}
+            for m in test_fleet.members
+        )
+
+    await test_fleet.wait(
+        lambda: has_moved() and test_fleet.is_settled(), "the move"
+    )
+    test_fleet.put_row("backends", holder, entry)
+
+
+def _is_recorded(test_fleet):
+    """Return whether the record has the owners that the instances know."""
+    record = test_fleet.read_record()
+    if record is None:
+        return False
+    (leader,) = test_fleet.find_coordinators() or [None]
+    if leader is None:
+        return False
+    owners = leader.view.owners[fleet.SERVICE].segments
+    held = {(s.first, s.last, s.server, s.fence) for s in owners}
+    return held == {
+        (s.first, s.last, s.server, s.fence) for s in record.segments
+    }
+
+
+@pytest.mark.parametrize("copies_claim", [True, False])
+def test_coordinator_claims_and_records_again(copies_claim):
+    """What it wrote since the copy is gone, and its versions come again."""
+
+    async def run():
+        async with fleet.Fleet(3) as test_fleet:
+            copied = test_fleet.rows.copy()
+            await test_fleet.wait(test_fleet.is_settled, "the start")
+            if copies_claim:
+                copied = test_fleet.rows.copy()
+            (leader,) = test_fleet.find_coordinators()
+            await _move_keys(test_fleet)
+            fence = _find_highest_fence(test_fleet)
+            await test_fleet.restore(copied)
+            await test_fleet.join()
+            await test_fleet.wait(
+                lambda: test_fleet.is_settled() and _is_recorded(test_fleet),
+                "the new record",
+            )
+            assert test_fleet.find_coordinators() == [leader]
+            assert test_fleet.read_record().next_fence > fence
+
+    asyncio.run(run())
+
+
+def test_successor_waits_for_grants_that_the_copy_lacks():
+    """The record names former holders; others may still hold their keys."""
+
+    async def check(test_fleet):
+        copied = test_fleet.rows.copy()
+        await _move_keys(test_fleet)
+        fence = _find_highest_fence(test_fleet)
+        (leader,) = test_fleet.find_coordinators()
+        await test_fleet.crash(leader)
+        await test_fleet.restore(copied)
+        await test_fleet.wait(
+            lambda: test_fleet.is_settled() and _is_recorded(test_fleet),
+            "the takeover",
+        )
+        assert test_fleet.read_record().next_fence > fence
+
+    _run(check)
+
+
+def test_claim_gets_a_higher_term_than_any_seen():
+    """Also if the store has gone back to a claim of a lower term."""
+
+    async def check(test_fleet):
+        copied = test_fleet.rows.copy()
+        (first,) = test_fleet.find_coordinators()
+        await test_fleet.crash(first)
+        await test_fleet.wait(test_fleet.is_settled, "the takeover")
+        (second,) = test_fleet.find_coordinators()
+        await test_fleet.crash(second)
+        test_fleet.rows.restore(copied)
+        await test_fleet.wait(test_fleet.is_settled, "another takeover")
+        assert test_fleet.read_claim().term > base.Term(2)
+
+    _run(check, size=4)
--- a/tarragonhinge/platform/standins/_store.py
+++ b/tarragonhinge/platform/standins/_store.py
@@ -24,7 +24,7 @@
         ``ok``, ``silent`` (no response), ``busy`` (status 503), ``slow``
         (each call is delayed by 250 ms), ``lost`` (writes are applied
         without a response), ``late`` (writes are applied after 1.5 s
-        without a response).
+        without a response), ``away`` (connections are reset).
     calls : Counter
         Number of calls by name.
     """
@@ -51,14 +51,33 @@
         if self.mode == "silent":
             await asyncio.sleep(60)
         if self.mode == "busy":
-            return web.json_response({"error": "busy"}, status=503)
+            return web.json_response(
+                {"error": "busy"},
+                status=503,
+                headers={"Store-Era": str(self.rows.era)},
+            )
         if self.mode == "slow":
             await asyncio.sleep(0.25)
+        if self.mode == "away":
+            return _reset(request)
         response = await handler(request)
         if self.mode == "silent":
             await asyncio.sleep(60)
+        if self.mode == "away":
+            return _reset(request)
+        response.headers["Store-Era"] = str(self.rows.era)
         return response
 
+    def leave(self) -> None:
+        """Go away: reset all connections, and each new one."""
+        self.mode = "away"
+        self.rows.wake_watches()
+
+    def return_from(self, copied: testing.MemoryRows) -> None:
+        """Come back from a copy of the rows."""
+        self.rows.restore(copied)
+        self.mode = "ok"
+
     def put(self, table: str, key: str, value: bytes) -> None:
         """Write a row on behalf of an operator or a server."""
         self.rows.apply([], [stores.RowPut(table=table, key=key, value=value)])
@@ -74,11 +93,13 @@
 
     async def _watch(self, request: web.Request) -> web.Response:
         table, after = request.query["table"], int(request.query["after"])
+        if after > self.rows.version:
+            return web.json_response({"error": "gone"}, status=410)
         wait_ms = min(int(request.query["waitMs"]), _WAIT_LIMIT_MS)
         ends_at = time.monotonic() + wait_ms / base.MS_PER_S
         while not (rows := self.rows.list_rows(table, after=after)):
             left_s = ends_at - time.monotonic()
-            if left_s <= 0:
+            if left_s <= 0 or self.mode == "away":
                 break
             await self.rows.wait_change(int(left_s * base.MS_PER_S) + 1)
         return self._make_response(sorted(rows, key=lambda row: row.version))
@@ -133,3 +154,10 @@
                 "hasMore": False,
             }
         )
+
+
+def _reset(request: web.Request) -> web.Response:
+    """Reset a connection; the returned response is not sent."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
--- a/tarragonhinge/testing/_row_store.py
+++ b/tarragonhinge/testing/_row_store.py
@@ -43,11 +43,33 @@
         Rows by table and key, including deleted ones.
     version : int
         Version of the last transaction.
+    era : int
+        Number of times that the rows were restored, plus one.
     """
 
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], stores.StoredRow] = {}
         self.version = 0
+        self.era = 1
+        self._changed = asyncio.Event()
+
+    def copy(self) -> "MemoryRows":
+        """Return a copy of the rows as of now."""
+        copied = MemoryRows()
+        copied.rows = dict(self.rows)
+        copied.version = self.version
+        return copied
+
+    def restore(self, copied: "MemoryRows") -> None:
+        """Go back to a copy, whose later versions are given out again."""
+        self.rows = dict(copied.rows)
+        self.version = copied.version
+        self.era += 1
+        self.wake_watches()
+
+    def wake_watches(self) -> None:
+        """Let all watches look at the rows again."""
+        self._changed.set()
         self._changed = asyncio.Event()
 
     def apply(
@@ -89,8 +111,7 @@
             self.rows[table, key] = stores.StoredRow(
                 table=table, key=key, version=self.version, dropped=True
             )
-        self._changed.set()
-        self._changed = asyncio.Event()
+        self.wake_watches()
         return True
 
     def list_rows(
@@ -160,6 +181,8 @@
         """
         if not await self._reach():
             return stores.Unavailable()
+        if after > self._rows.version:
+            return stores.HistoryLost()
         ends_at = self._clock.now() + wait_ms
         while not (rows := self._rows.list_rows(table, after=after)):
             remaining_ms = ends_at - self._clock.now()
