Read tables again when the store comes back from an older copy

Cause: followers ask for changes after the version that they saw last. A store that comes back from a copy gives versions out again. Once its versions lie beyond that one, the rows written again have lower versions and are never seen; before, the store answers 410. The header that states the era was not read.

Versions are now compared within one era only. Any response may be the first to show a later era, which ends pending watches; followers then read the whole table. Responses of an earlier era came late and are discarded. A write states the era of the versions in its checks, is not sent in a later one, and has an unknown outcome if its response shows one. Each table that is read again is logged (store_restored).

--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -361,6 +361,7 @@
                     value=_leadership.encode_leadership(claim),
                 )
             ],
+            era=self._store.era,
         )
         if isinstance(result, stores.Conflict):
             return
--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -17,6 +17,7 @@
 from tarragonhinge.events._process_events import Started
 from tarragonhinge.events._process_events import Stopped
 from tarragonhinge.events._process_events import Stopping
+from tarragonhinge.events._process_events import StoreRestored
 from tarragonhinge.events._process_events import TableInForce
 from tarragonhinge.events._process_events import TaskFailed
 from tarragonhinge.events._request_events import Ended
@@ -54,6 +55,7 @@
     "Started",
     "Stopped",
     "Stopping",
+    "StoreRestored",
     "TableInForce",
     "TaskFailed",
     "Trace",
--- a/tarragonhinge/events/_process_events.py
+++ b/tarragonhinge/events/_process_events.py
@@ -122,6 +122,26 @@
     problem: str
 
 
+class StoreRestored(
+    _event.Event, frozen=True, kw_only=True, tag="store_restored"
+):
+    """A table was read again, since the store came back from an older copy.
+
+    Parameters
+    ----------
+    table : str
+        Name of the table.
+    era : int
+        Era of the store.
+    version : int
+        Version of the store when the table was read.
+    """
+
+    table: str
+    era: int
+    version: int
+
+
 class DependencyChanged(
     _event.Event, frozen=True, kw_only=True, tag="dependency"
 ):
--- a/tarragonhinge/feeds/_follower.py
+++ b/tarragonhinge/feeds/_follower.py
@@ -30,7 +30,7 @@
     """Reads a table once, then watches it for changes.
 
     The table is read again if the store no longer has the history since
-    the last version received.
+    the last version received, or has come back from an older copy.
 
     Parameters
     ----------
@@ -55,6 +55,9 @@
         Time of the store's last response (boot time).
     recovered_at : int or None
         End of the store's last outage (boot time).
+    restored_at : int or None
+        Time of the first read since the store came back from a copy (boot
+        time).
     """
 
     def __init__(
@@ -76,10 +79,12 @@
         self._clock = clock
         self._rng = rng or random.Random()
         self._version: int | None = None
+        self._era: int | None = None
         self._failures = 0
         self._is_lost = False
         self.last_response_at: int | None = None
         self.recovered_at: int | None = None
+        self.restored_at: int | None = None
 
     @property
     def is_failing(self) -> bool:
@@ -108,6 +113,7 @@
                 continue
             is_whole = self._version is None
             self._version = result.version
+            self._record_era(result.era)
             if result.rows or is_whole:
                 self._handle_rows(result.rows, is_whole)
 
@@ -115,9 +121,23 @@
         if self._version is None:
             return await self._store.read(self._table)
         return await self._store.watch(
-            self._table, after=self._version, wait_ms=self._watch_timeout_ms
+            self._table,
+            after=self._version,
+            era=self._era,
+            wait_ms=self._watch_timeout_ms,
         )
 
+    def _record_era(self, era: int) -> None:
+        """Record a restore of the store, which follows an outage."""
+        if self._era not in (None, era):
+            self.restored_at = self.recovered_at = self.last_response_at
+            self._log.write(
+                events.StoreRestored(
+                    table=self._table, era=era, version=self._version
+                )
+            )
+        self._era = era
+
     def _record_response(self) -> None:
         now = self._clock.read_boottime()
         self._failures = 0
--- a/tarragonhinge/platform/_row_store.py
+++ b/tarragonhinge/platform/_row_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 from collections.abc import Sequence
+import dataclasses
 
 import aiohttp
 import msgspec
@@ -17,6 +18,11 @@
 
 _TRANSPORT_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 
+_ERA_HEADER = "Store-Era"
+
+#: Largest number of digits of an era; `int` raises if there are thousands.
+_MAX_ERA_DIGITS = 18
+
 #: Statuses with which the store rejects a call without applying it.
 _NOT_APPLIED_STATUSES = frozenset({429, 503})
 
@@ -38,6 +44,14 @@
     has_more: bool = msgspec.field(name="hasMore", default=False)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Page:
+    """Rows of a response, and the era that its header states."""
+
+    rows: _Rows
+    era: int
+
+
 class PlatformStore(stores.RowStore):
     """HTTP client of the row store.
 
@@ -51,6 +65,7 @@
     """
 
     def __init__(self, *, address: base.Address) -> None:
+        super().__init__()
         self._url = f"http://{address}{_BASE_PATH}"
         self._session: aiohttp.ClientSession | None = None
         self._decoder = msgspec.json.Decoder(_Rows, strict=False)
@@ -65,13 +80,13 @@
 
     async def _get(
         self, call: str, query: dict[str, str], *, wait_ms: int = 0
-    ) -> _Rows | int | None:
+    ) -> _Page | int | None:
         """Call the store.
 
         Returns
         -------
-        _Rows or int or None
-            Decoded body; the status if it is not 200; None if there is no
+        _Page or int or None
+            Decoded response; the status if it is not 200; None if there is no
             valid response.
         """
         self.call_count += 1
@@ -82,50 +97,84 @@
                 params=query,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
+                era = self._read_era(response)
+                if not self._record_era(era):
+                    return None
                 if response.status != 200:
                     return response.status
-                return self._decoder.decode(await response.read())
+                rows = self._decoder.decode(await response.read())
+                return _Page(rows=rows, era=era)
         except (*_TRANSPORT_ERRORS, msgspec.DecodeError):
             return None
 
+    def _read_era(self, response: aiohttp.ClientResponse) -> int:
+        """Return the era that a response states, or else the current one."""
+        text = response.headers.get(_ERA_HEADER, "")
+        if text.isascii() and text.isdigit() and len(text) <= _MAX_ERA_DIGITS:
+            return int(text)
+        return self.era
+
     async def read(self, table: str) -> stores.Snapshot | stores.Unavailable:
         """Read all rows of a table, page by page."""
         rows: list[stores.StoredRow] = []
         query = {"table": table, "part": ""}
+        era: int | None = None
         while True:
             page = await self._get("rows-get", query)
-            if not isinstance(page, _Rows):
+            if not isinstance(page, _Page) or era not in (None, page.era):
                 return stores.Unavailable()
-            rows.extend(_make_row(table, row) for row in page.rows)
-            if not page.has_more or not page.rows:
-                return stores.Snapshot(rows=tuple(rows), version=page.ver)
+            era = page.era
+            content = page.rows
+            rows.extend(_make_row(table, row) for row in content.rows)
+            if not content.has_more or not content.rows:
+                return stores.Snapshot(
+                    rows=tuple(rows), version=content.ver, era=era
+                )
             # Smallest possible key after the last key of this page.
-            query["from"] = page.rows[-1].key + "\x00"
+            query["from"] = content.rows[-1].key + "\x00"
 
     async def watch(
-        self, table: str, *, after: int, wait_ms: int
+        self, table: str, *, after: int, era: int, wait_ms: int
     ) -> stores.WatchResult:
-        """Wait for the changes of a table after a version."""
+        """Wait for the changes of a table after a version of an era."""
         query = {
             "table": table,
             "after": str(after),
             "waitMs": str(wait_ms),
         }
-        page = await self._get("rows-feed", query, wait_ms=wait_ms)
+        call = asyncio.create_task(
+            self._get("rows-feed", query, wait_ms=wait_ms)
+        )
+        era_change = asyncio.create_task(self.wait_for_era_after(era))
+        try:
+            await asyncio.wait(
+                [call, era_change], return_when=asyncio.FIRST_COMPLETED
+            )
+            if self.era != era:
+                return stores.HistoryLost()
+            page = call.result()
+        finally:
+            call.cancel()
+            era_change.cancel()
         if page == 410:
             return stores.HistoryLost()
-        if not isinstance(page, _Rows):
+        if not isinstance(page, _Page):
             return stores.Unavailable()
-        rows = tuple(_make_row(table, row) for row in page.rows)
-        return stores.Snapshot(rows=rows, version=max(page.ver, after))
+        rows = tuple(_make_row(table, row) for row in page.rows.rows)
+        return stores.Snapshot(
+            rows=rows, version=max(page.rows.ver, after), era=era
+        )
 
     async def write(
         self,
         *,
         checks: Sequence[stores.RowCheck],
         puts: Sequence[stores.RowPut],
+        era: int,
     ) -> stores.Committed | stores.Conflict | stores.Unavailable:
         """Write rows in one transaction if all checks hold."""
+        if self.era != era:
+            return stores.Unavailable()
         body = {
             # Versions that the rows must still have.
             "expectedRev": [
@@ -157,7 +206,13 @@
                 headers={"Content-Type": "application/json"},
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
+                self._record_era(self._read_era(response))
                 content = await response.read()
+                if self.era != era:
+                    return stores.Unavailable(
+                        maybe_written=response.status
+                        not in (412, *_NOT_APPLIED_STATUSES)
+                    )
                 if response.status == 200:
                     return stores.Committed(version=_parse_version(content))
                 if response.status == 412:
--- a/tarragonhinge/platform/tests/test_restored_store.py
+++ b/tarragonhinge/platform/tests/test_restored_store.py
@@ -24,6 +24,7 @@
     def __init__(self):
         self.store = standins.StandInStore()
         self.view = catalog.View()
+        self._clock = base.Clock()
 
     async def __aenter__(self):
         self.put_table(1)
@@ -32,13 +33,12 @@
             self.store.make_application(), ADDRESS
         )
         self._client = _row_store.PlatformStore(address=ADDRESS)
-        clock = base.Clock()
         feed = feeds.CatalogFeed(
             store=self._client,
             codec=_codec.PlatformCodec(),
             view=self.view,
-            log=testing.make_event_log(clock),
-            clock=clock,
+            log=testing.make_event_log(self._clock),
+            clock=self._clock,
         )
         self._task = asyncio.create_task(feed.run())
         await self.wait(lambda: self.view.is_complete())
@@ -76,7 +76,7 @@
     async def restore(self, copied):
         """Let the store go away and come back from a copy."""
         self.store.leave()
-        await asyncio.sleep(0.3)
+        await self._clock.sleep(300)
         self.store.return_from(copied)
 
     def has_version(self, version):
@@ -85,7 +85,7 @@
     async def wait(self, check):
         async with asyncio.timeout(TIMEOUT_S):
             while not check():
-                await asyncio.sleep(0.02)
+                await self._clock.sleep(20)
 
 
 @pytest.mark.parametrize("others", [0, 20])
--- a/tarragonhinge/ranges/_recorder.py
+++ b/tarragonhinge/ranges/_recorder.py
@@ -177,6 +177,7 @@
                         table=_record.TABLE, key=self._service, value=value
                     )
                 ],
+                era=self._store.era,
             )
             if await self._is_written(result, value):
                 self.owners = owners
--- a/tarragonhinge/stores/_row_store.py
+++ b/tarragonhinge/stores/_row_store.py
@@ -1,6 +1,7 @@
 """Interface of a row store that supports watching changes."""
 
 import abc
+import asyncio
 from collections.abc import Sequence
 
 import msgspec
@@ -34,10 +35,21 @@
 
 
 class Snapshot(msgspec.Struct, frozen=True, kw_only=True):
-    """All rows of a table, or only the changed ones, as of one version."""
+    """All rows of a table, or only the changed ones, as of one version.
+
+    Parameters
+    ----------
+    rows : tuple of StoredRow
+        The rows.
+    version : int
+        Latest version that the rows include.
+    era : int
+        Era of the store in which the version was given out.
+    """
 
     rows: tuple[StoredRow, ...]
     version: int
+    era: int = 0
 
 
 class RowCheck(msgspec.Struct, frozen=True, kw_only=True):
@@ -57,7 +69,11 @@
 
 
 class HistoryLost(msgspec.Struct, frozen=True, kw_only=True):
-    """The store no longer keeps changes as old as the requested ones."""
+    """The store does not have the changes since the requested version.
+
+    It no longer keeps changes as old as that, or it has been restored from a
+    copy without that version.
+    """
 
 
 WatchResult = Snapshot | HistoryLost | _rows.Unavailable
@@ -67,27 +83,72 @@
     """Client for reads, watches and conditional writes of rows.
 
     Methods do not raise during an outage; they return `Unavailable`.
+
+    The store may come back from an older copy. It then lacks what was written
+    since, gives versions out again, and states a later era in its responses.
+    Versions are comparable within one era only. Responses of an earlier era
+    than the latest one seen are discarded.
     """
 
+    def __init__(self) -> None:
+        self._era = 0
+        self._era_changed = asyncio.Event()
+
+    @property
+    def era(self) -> int:
+        """Latest era that a response has shown; 0 before the first one."""
+        return self._era
+
+    async def wait_for_era_after(self, era: int) -> None:
+        """Wait until a response shows a later era."""
+        while self._era <= era:
+            await self._era_changed.wait()
+
+    def _record_era(self, era: int) -> bool:
+        """Record a response's era; return False if a later one was seen."""
+        if era < self._era:
+            return False
+        if era > self._era:
+            self._era = era
+            self._era_changed.set()
+            self._era_changed = asyncio.Event()
+        return True
+
     @abc.abstractmethod
     async def read(self, table: str) -> Snapshot | _rows.Unavailable:
         """Return all rows of a table."""
 
     @abc.abstractmethod
     async def watch(
-        self, table: str, *, after: int, wait_ms: int
+        self, table: str, *, after: int, era: int, wait_ms: int
     ) -> WatchResult:
-        """Return the changes of a table after a version.
+        """Return the changes of a table after a version of an era.
 
-        Returns as soon as there is a change, or without rows after
-        `wait_ms` milliseconds.
+        Returns as soon as there is a change or the store shows a later era,
+        or without rows after `wait_ms` milliseconds.
         """
 
     @abc.abstractmethod
     async def write(
-        self, *, checks: Sequence[RowCheck], puts: Sequence[RowPut]
+        self,
+        *,
+        checks: Sequence[RowCheck],
+        puts: Sequence[RowPut],
+        era: int,
     ) -> _rows.TransactResult:
-        """Write rows atomically if all checks hold."""
+        """Write rows atomically if all checks hold.
+
+        Parameters
+        ----------
+        checks : sequence of RowCheck
+            Versions that the rows must still have.
+        puts : sequence of RowPut
+            Rows to write.
+        era : int
+            Era in which these versions were read. If the store has shown a
+            later one, nothing is written; if its response shows one, the
+            outcome is unknown.
+        """
 
     async def close(self) -> None:  # noqa: B027
         """Release connections."""
--- a/tarragonhinge/testing/_row_store.py
+++ b/tarragonhinge/testing/_row_store.py
@@ -153,6 +153,7 @@
     TIMEOUT_MS = 900
 
     def __init__(self, *, rows: MemoryRows, clock: base.Clock) -> None:
+        super().__init__()
         self._rows = rows
         self._clock = clock
         self._late_tasks: set[asyncio.Task] = set()
@@ -163,6 +164,7 @@
         if self.faults.is_down:
             await self._clock.sleep(self.TIMEOUT_MS)
             return False
+        self._record_era(self._rows.era)
         return True
 
     async def read(self, table: str) -> stores.Snapshot | stores.Unavailable:
@@ -170,10 +172,12 @@
         if not await self._reach():
             return stores.Unavailable()
         rows = [r for r in self._rows.list_rows(table) if not r.dropped]
-        return stores.Snapshot(rows=tuple(rows), version=self._rows.version)
+        return stores.Snapshot(
+            rows=tuple(rows), version=self._rows.version, era=self.era
+        )
 
     async def watch(
-        self, table: str, *, after: int, wait_ms: int
+        self, table: str, *, after: int, era: int, wait_ms: int
     ) -> stores.WatchResult:
         """Return a table's rows whose version is later than `after`.
 
@@ -181,7 +185,7 @@
         """
         if not await self._reach():
             return stores.Unavailable()
-        if after > self._rows.version:
+        if after > self._rows.version or self.era != era:
             return stores.HistoryLost()
         ends_at = self._clock.now() + wait_ms
         while not (rows := self._rows.list_rows(table, after=after)):
@@ -192,17 +196,23 @@
             if self.faults.is_down:
                 await self._clock.sleep(self.TIMEOUT_MS)
                 return stores.Unavailable()
-        return stores.Snapshot(rows=rows, version=self._rows.version)
+        self._record_era(self._rows.era)
+        if self.era != era:
+            return stores.HistoryLost()
+        return stores.Snapshot(rows=rows, version=self._rows.version, era=era)
 
     async def write(
         self,
         *,
         checks: Sequence[stores.RowCheck],
         puts: Sequence[stores.RowPut],
+        era: int,
     ) -> stores.TransactResult:
         """Write rows atomically if all checks hold."""
         if not await self._reach():
             return stores.Unavailable(maybe_written=True)
+        if self.era != era:
+            return stores.Unavailable()
         if self.faults.rejects_writes:
             return stores.Unavailable()
         if self.faults.loses_answers:
