Claim and record again when the store comes back from an older copy

What servers and callers saw in the tests: two coordinators, each with an acknowledged claim, two owners of a key, and fencing tokens and terms that were used twice.

Cause: the claim, its term and the record of who holds which keys were trusted because the store had acknowledged them. After a restore the claim and the record are those of the copy, while grants still run at the servers, and the version that conditions the coordinator's writes may be given out again to another claim.

A claim now holds in one era. A coordinator that sees a later one renews no grant until it has read or written its claim there, with a higher term, unless another claim of its term or a later one was first; then it writes its records again from memory. Terms exceed all that an instance has seen.

--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -4,6 +4,8 @@
 from collections.abc import Sequence
 import struct
 
+import msgspec
+
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge.coordination import _authority
@@ -25,6 +27,9 @@
 #: the store.
 CLAIM_WATCH_TIMEOUT_MS = 700
 
+#: Delay before a claim that could not be written again is retried.
+CLAIM_RETRY_MS = 100
+
 #: Interval at which server loads that this instance observed are forwarded.
 LOAD_REPORT_INTERVAL_MS = 80
 
@@ -34,10 +39,10 @@
 
     Parameters
     ----------
-    term : Term
-        Leadership term.
-    condition : RowCheck
-        Check that succeeds only while this instance's claim is stored.
+    leadership : Leadership
+        This instance's claim.
+    condition : Claim
+        Condition that holds only while the claim is stored.
     store : RowStore
         Store of the platform.
     codec : CatalogCodec
@@ -52,6 +57,8 @@
         Destination of log events.
     clock : Clock
         This process's clock.
+    is_first_start : bool
+        Whether the whole system starts for the first time.
     grant_limit_ms : int
         Upper bound of a grant's duration.
 
@@ -64,8 +71,8 @@
     def __init__(
         self,
         *,
-        term: base.Term,
-        condition: stores.RowCheck,
+        leadership: _leadership.Leadership,
+        condition: stores.Claim,
         store: stores.RowStore,
         codec: feeds.CatalogCodec,
         view: catalog.View,
@@ -73,9 +80,10 @@
         exchange: relay.Exchange,
         log: events.EventLog,
         clock: base.Clock,
+        is_first_start: bool,
         grant_limit_ms: int,
     ) -> None:
-        self.term = term
+        self._leadership = leadership
         self._condition = condition
         self._store = store
         self._view = view
@@ -83,6 +91,7 @@
         self._exchange = exchange
         self._log = log
         self._clock = clock
+        self._is_first_start = is_first_start
         self._grant_limit_ms = grant_limit_ms
         self._claimed_at = clock.read_boottime()
         self._feed = feeds.CatalogFeed(
@@ -98,7 +107,7 @@
         )
         self._deposed = asyncio.Event()
         self.hub = relay.Hub(
-            term=term,
+            term=leadership.term,
             view=view,
             get_store_age=self.get_store_age,
             is_store_failing=lambda: self._claim_follower.is_failing,
@@ -112,7 +121,14 @@
         )
         self._leaders: dict[base.ServiceName, ranges.RangeLeader] = {}
 
+    @property
+    def term(self) -> base.Term:
+        """Term of the claim."""
+        return self._leadership.term
+
     def _get_proof_age(self) -> base.Millis:
+        if not self._condition.is_current(self._store):
+            return base.Millis(_authority.AUTHORITY_MS)
         age_ms = self._claim_follower.get_age_ms()
         if age_ms is None:
             return base.Millis(self._clock.read_boottime() - self._claimed_at)
@@ -132,13 +148,95 @@
     def _handle_claims(
         self, rows: Sequence[stores.StoredRow], is_whole: bool
     ) -> None:
-        """Step down if another instance has written a claim."""
+        """Step down if another instance has written a claim.
+
+        A store that has come back from a copy may show a former claim, which
+        has a lower term.
+        """
         for row in rows:
-            if (
-                row.key == _leadership.KEY
-                and row.version > self._condition.version
-            ):
+            if row.key != _leadership.KEY or self._is_own(row):
+                continue
+            if self._condition.era == self._claim_follower.era:
+                self._deposed.set()
+
+    def _is_own(self, row: stores.StoredRow) -> bool:
+        """Return whether a row is a claim of this term or a later one."""
+        stored = _leadership.find_leadership(row)
+        return (
+            stored is not None
+            and stored.incarnation == self._leadership.incarnation
+            and stored.term >= self.term
+        )
+
+    async def _keep_claim(self) -> None:
+        """Claim again each time the store has come back from a copy."""
+        while True:
+            await self._store.wait_for_era_after(self._condition.era)
+            await self._claim_again()
+            self.hub.term = self.term
+            for leader in self._leaders.values():
+                leader.record_again()
+
+    async def _claim_again(self) -> None:
+        """Write the claim with a higher term, unless another one is newer."""
+        while not self._condition.is_current(self._store):
+            rows = await self._store.read(_leadership.TABLE)
+            if isinstance(rows, stores.Unavailable):
+                await self._clock.sleep(CLAIM_RETRY_MS)
+                continue
+            row = next(
+                (r for r in rows.rows if r.key == _leadership.KEY), None
+            )
+            stored = _leadership.find_leadership(row)
+            if row is not None and self._is_own(row):
+                self._leadership = stored
+                self._renew_condition(row.version, rows.era)
+                return
+            if stored is not None and stored.term >= self.term:
                 self._deposed.set()
+                return
+            await self._write_claim(row, rows.era)
+
+    async def _write_claim(
+        self, row: stores.StoredRow | None, era: int
+    ) -> None:
+        """Write the claim with the next term in place of a former one."""
+        version = row.version if row is not None else 0
+        leadership = msgspec.structs.replace(
+            self._leadership, term=base.Term(self.term + 1)
+        )
+        result = await self._store.write(
+            checks=[self._make_check(version)],
+            puts=[
+                stores.RowPut(
+                    table=_leadership.TABLE,
+                    key=_leadership.KEY,
+                    value=_leadership.encode_leadership(leadership),
+                )
+            ],
+            era=era,
+        )
+        if isinstance(result, stores.Committed) and result.version:
+            self._leadership = leadership
+            self._renew_condition(result.version, era)
+        elif isinstance(result, stores.Unavailable):
+            await self._clock.sleep(CLAIM_RETRY_MS)
+
+    def _renew_condition(self, version: int, era: int) -> None:
+        self._condition.renew(
+            term=self.term, check=self._make_check(version), era=era
+        )
+        self._log.write(
+            events.LeadershipChanged(
+                term=self.term, leads=True, reason="claimed_again"
+            )
+        )
+
+    @staticmethod
+    def _make_check(version: int) -> stores.RowCheck:
+        return stores.RowCheck(
+            table=_leadership.TABLE, key=_leadership.KEY, version=version
+        )
 
     def _handle_report(self, report: relay.Report) -> None:
         for service, packed in report.keys.items():
@@ -164,6 +262,7 @@
             for coroutine in (
                 self._feed.run(),
                 self._claim_follower.run(),
+                self._keep_claim(),
                 self.hub.run(),
                 self._manage_services(),
                 self._apply_own_reports(),
@@ -223,8 +322,8 @@
             recorder=ranges.RangeRecorder(
                 store=self._store,
                 service=service,
-                term=self.term,
-                condition=self._condition,
+                claim=self._condition,
+                is_first_start=self._is_first_start,
                 clock=self._clock,
             ),
             view=self._view,
--- a/tarragonhinge/coordination/_leadership.py
+++ b/tarragonhinge/coordination/_leadership.py
@@ -1,8 +1,11 @@
 """Stored claim of the coordinator."""
 
+import contextlib
+
 import msgspec
 
 from tarragonhinge import base
+from tarragonhinge import stores
 
 #: Store table and row key of the claim.
 TABLE = "tarragonhinge-leadership"
@@ -38,6 +41,15 @@
     return msgspec.json.encode(leadership)
 
 
+def find_leadership(row: stores.StoredRow | None) -> Leadership | None:
+    """Decode the claim in a row; None if it is missing or invalid."""
+    if row is None:
+        return None
+    with contextlib.suppress(base.CodecError):
+        return decode_leadership(row.value)
+    return None
+
+
 def decode_leadership(value: bytes) -> Leadership:
     """Decode a stored claim.
 
--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -72,6 +72,8 @@
         This process's clock.
     rng : random.Random
         Adds jitter to claims and retries.
+    is_first_start : bool
+        Whether the whole system starts for the first time.
     link_mbps : float
         Bandwidth of this instance's link in Mbit/s.
     grant_limit_ms : int
@@ -92,6 +94,7 @@
         log: events.EventLog,
         clock: base.Clock,
         rng: random.Random | None = None,
+        is_first_start: bool = True,
         link_mbps: float = math.inf,
         grant_limit_ms: int = 10_000,
     ) -> None:
@@ -106,9 +109,12 @@
         self._log = log
         self._clock = clock
         self._rng = rng or random.Random()
+        self._is_first_start = is_first_start
         self._grant_limit_ms = grant_limit_ms
         self._policy = _claim.ClaimPolicy(rng=self._rng, link_mbps=link_mbps)
         self._store_rtt_ms = 0
+        self._claim_era = 0
+        self._highest_term = base.Term(0)
         self._deposed_version = 0
         self._successor = base.Address("")
         self._subscription: relay.Subscription | None = None
@@ -223,7 +229,7 @@
                         int(STORE_RETRY_MS * self._rng.uniform(0.7, 1.3))
                     )
                     continue
-                leadership = _decode(row)
+                leadership = _leadership.find_leadership(row)
                 end_reason = relay.EndReason.UNREACHABLE
                 if leadership is not None and not self._is_own(leadership):
                     end_reason = await self._follow(leadership.address)
@@ -277,8 +283,19 @@
         if isinstance(result, stores.Unavailable):
             return result
         self._store_rtt_ms = self._clock.now() - began_at
-        rows = [r for r in result.rows if r.key == _leadership.KEY]
-        return rows[0] if rows else None
+        self._claim_era = result.era
+        row = next((r for r in result.rows if r.key == _leadership.KEY), None)
+        leadership = _leadership.find_leadership(row)
+        if leadership is not None:
+            self._record_term(leadership.term)
+        return row
+
+    def _record_term(self, term: base.Term) -> None:
+        """Record a term that was seen.
+
+        The terms in the store go back if it comes back from an older copy.
+        """
+        self._highest_term = max(self._highest_term, term)
 
     async def _check_store(self) -> bool:
         """Return whether this instance reaches the store."""
@@ -309,6 +326,7 @@
         )
         self._subscription = subscription
         end_reason = await subscription.run()
+        self._record_term(subscription.term)
         self._log.write(
             events.DependencyChanged(
                 dependency=f"coordinator/{address}",
@@ -327,6 +345,7 @@
             await self._clock.sleep(STANDALONE_RETRY_MS)
             return
         version = row.version if row is not None else 0
+        era = self._claim_era
         ends_at = self._clock.now() + delay_ms
         while True:
             left_ms = max(0, ends_at - self._clock.now())
@@ -334,12 +353,14 @@
             current = await self._read_claim()
             if isinstance(current, stores.Unavailable):
                 return
+            if self._claim_era != era:
+                return
             if (current.version if current is not None else 0) != version:
                 return
             if self._clock.now() >= ends_at:
                 break
-        previous = _decode(current)
-        term = base.Term(1 if previous is None else previous.term + 1)
+        previous = _leadership.find_leadership(current)
+        term = base.Term(self._highest_term + 1)
         claim = _leadership.Leadership(
             term=term,
             instance=self._instance,
@@ -361,31 +382,36 @@
                     value=_leadership.encode_leadership(claim),
                 )
             ],
-            era=self._store.era,
+            era=era,
         )
         if isinstance(result, stores.Conflict):
             return
         current = await self._read_claim()
         if isinstance(current, stores.StoredRow):
-            stored = _decode(current)
+            stored = _leadership.find_leadership(current)
             if stored is not None and self._is_own(stored):
-                await self._coordinate(stored.term, current.version, previous)
+                await self._coordinate(stored, current.version, previous)
 
     async def _coordinate(
         self,
-        term: base.Term,
+        leadership: _leadership.Leadership,
         version: int,
         previous: _leadership.Leadership | None,
     ) -> None:
         """Coordinate until another instance is the coordinator."""
         began_at = self._clock.read_boottime()
         self._stop_standalone()
-        self._log_leadership(term, leads=True, reason="claimed")
-        coordinator = _coordinator.Coordinator(
-            term=term,
-            condition=stores.RowCheck(
+        self._log_leadership(leadership.term, leads=True, reason="claimed")
+        condition = stores.Claim(
+            term=leadership.term,
+            check=stores.RowCheck(
                 table=_leadership.TABLE, key=_leadership.KEY, version=version
             ),
+            era=self._claim_era,
+        )
+        coordinator = _coordinator.Coordinator(
+            leadership=leadership,
+            condition=condition,
             store=self._store,
             codec=self._codec,
             view=self._view,
@@ -393,13 +419,14 @@
             exchange=self._exchange,
             log=self._log,
             clock=self._clock,
+            is_first_start=self._is_first_start,
             grant_limit_ms=self._grant_limit_ms,
         )
         self._coordinator = coordinator
         notifier = None
         if previous is not None and not self._is_own(previous):
             notifier = asyncio.create_task(
-                self._notify_previous(previous, term)
+                self._notify_previous(previous, leadership.term)
             )
         reason = "deposed"
         try:
@@ -414,7 +441,8 @@
                 notifier.cancel()
             self._coordinator = None
             self._fleet_size = coordinator.hub.fleet_size
-            self._log_leadership(term, leads=False, reason=reason)
+            self._record_term(coordinator.term)
+            self._log_leadership(coordinator.term, leads=False, reason=reason)
         if reason == "deposed":
             self._policy.record_leadership(
                 began_at=began_at, ended_at=self._clock.read_boottime()
@@ -469,24 +497,27 @@
                     )
                 )
                 continue
+            if self._knows_later_grants(base.ServiceName(row.key), record):
+                continue
             self._view.set_owners(
                 base.ServiceName(row.key),
                 catalog.OwnerMap(segments=record.segments),
             )
 
+    def _knows_later_grants(
+        self, service: base.ServiceName, record: ranges.RangeRecord
+    ) -> bool:
+        """Return whether a record is older than the view.
+
+        The record goes back if the store comes back from an older copy.
+        """
+        owners = self._view.owners.get(service)
+        return owners is not None and any(
+            segment.fence >= record.next_fence for segment in owners.segments
+        )
+
     def _stop_standalone(self) -> None:
         if self._standalone_task is not None:
             self._standalone_task.cancel()
             self._standalone_task = None
             self._standalone_feed = None
-
-
-def _decode(
-    row: stores.StoredRow | None,
-) -> _leadership.Leadership | None:
-    """Decode a claim; return None if it is missing or invalid."""
-    if row is None:
-        return None
-    with contextlib.suppress(base.CodecError):
-        return _leadership.decode_leadership(row.value)
-    return None
--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -9,6 +9,7 @@
 from tarragonhinge.events._process_events import LinesDropped
 from tarragonhinge.events._process_events import Planned
 from tarragonhinge.events._process_events import Readiness
+from tarragonhinge.events._process_events import RecordOutdated
 from tarragonhinge.events._process_events import Reloaded
 from tarragonhinge.events._process_events import RowIgnored
 from tarragonhinge.events._process_events import SegmentMoved
@@ -48,6 +49,7 @@
     "Rejected",
     "Reloaded",
     "RequestEvent",
+    "RecordOutdated",
     "RowIgnored",
     "SegmentMoved",
     "ServerAvoided",
--- a/tarragonhinge/events/_process_events.py
+++ b/tarragonhinge/events/_process_events.py
@@ -122,6 +122,23 @@
     problem: str
 
 
+class RecordOutdated(
+    _event.Event, frozen=True, kw_only=True, tag="record_outdated"
+):
+    """The record of a service's keys may lack grants that are in force.
+
+    Parameters
+    ----------
+    service : str
+        Service that the keys belong to.
+    wait_ms : int
+        Time until these grants have expired, in which no key is granted.
+    """
+
+    service: str
+    wait_ms: int
+
+
 class StoreRestored(
     _event.Event, frozen=True, kw_only=True, tag="store_restored"
 ):
--- a/tarragonhinge/feeds/_follower.py
+++ b/tarragonhinge/feeds/_follower.py
@@ -55,6 +55,8 @@
         Time of the store's last response (boot time).
     recovered_at : int or None
         End of the store's last outage (boot time).
+    era : int or None
+        Era of the store in which the table was read.
     restored_at : int or None
         Time of the first read since the store came back from a copy (boot
         time).
@@ -79,7 +81,7 @@
         self._clock = clock
         self._rng = rng or random.Random()
         self._version: int | None = None
-        self._era: int | None = None
+        self.era: int | None = None
         self._failures = 0
         self._is_lost = False
         self.last_response_at: int | None = None
@@ -123,20 +125,20 @@
         return await self._store.watch(
             self._table,
             after=self._version,
-            era=self._era,
+            era=self.era,
             wait_ms=self._watch_timeout_ms,
         )
 
     def _record_era(self, era: int) -> None:
         """Record a restore of the store, which follows an outage."""
-        if self._era not in (None, era):
+        if self.era not in (None, era):
             self.restored_at = self.recovered_at = self.last_response_at
             self._log.write(
                 events.StoreRestored(
                     table=self._table, era=era, version=self._version
                 )
             )
-        self._era = era
+        self.era = era
 
     def _record_response(self) -> None:
         now = self._clock.read_boottime()
--- a/tarragonhinge/gateway/_options.py
+++ b/tarragonhinge/gateway/_options.py
@@ -24,6 +24,8 @@
         instances.
     store : Address
         Address of the row store.
+    is_first_start : bool
+        Whether the whole system starts for the first time.
     link_mbps : float
         Bandwidth of the instance's network link, in Mbit/s.
     stop_ms : int
@@ -47,6 +49,7 @@
     health: base.Address
     peers: base.Address
     store: base.Address
+    is_first_start: bool = True
     link_mbps: float = math.inf
     stop_ms: int = 6_000
     grant_limit_ms: int = 10_000
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -79,6 +79,7 @@
             exchange=reporter,
             log=self.log,
             clock=clock,
+            is_first_start=options.is_first_start,
             link_mbps=options.link_mbps,
             grant_limit_ms=options.grant_limit_ms,
         )
--- a/tarragonhinge/platform/_node_file.py
+++ b/tarragonhinge/platform/_node_file.py
@@ -92,6 +92,10 @@
             )
         return number
 
+    def read_flag(self, name: str, *, default: bool) -> bool:
+        value = self._entries.get(name, "")
+        return value == "true" if value else default
+
     def read_port(self, name: str) -> int:
         first = self.read_text(name).partition(",")[0]
         if not first.isdigit() or not 0 < int(first) < 65_536:
@@ -132,6 +136,7 @@
         health=reader.read_address("listen.ready"),
         peers=base.Address(f"{ip}:{peer_port}"),
         store=reader.read_address("platform.address"),
+        is_first_start=reader.read_flag("bootstrap", default=True),
         link_mbps=reader.read_number("limits.linkMbps", math.inf),
         # bounds.grace and bounds.budgetWindow are in seconds, bounds.holdMax
         # is in milliseconds.
--- a/tarragonhinge/ranges/_leader.py
+++ b/tarragonhinge/ranges/_leader.py
@@ -147,11 +147,20 @@
             an exception group.
         """
         await self._recorder.load()
+        expires_at = _lease.compute_expiry(
+            self._inherited_until, self._renewer.hold_ms
+        )
+        self._skip_known_fences()
+        if self._recorder.is_outdated:
+            # Servers that the record does not name may hold its keys.
+            left_ms = expires_at - self._clock.read_boottime()
+            self._log.write(
+                events.RecordOutdated(service=self._service, wait_ms=left_ms)
+            )
+            await self._clock.sleep(max(0, left_ms))
         self._lease_map.adopt(
             self._recorder.owners,
-            expires_at=_lease.compute_expiry(
-                self._inherited_until, self._renewer.hold_ms
-            ),
+            expires_at=expires_at,
             now=self._clock.read_boottime(),
         )
         async with asyncio.TaskGroup() as group:
@@ -162,6 +171,16 @@
                 self._run_due_work()
                 await self._clock.sleep(CHECK_INTERVAL_MS)
 
+    def record_again(self) -> None:
+        """Write the record once more, since the store has lost it."""
+        self._recorder.record_again()
+
+    def _skip_known_fences(self) -> None:
+        owners = self._view.owners.get(self._service)
+        if owners is not None:
+            for segment in owners.segments:
+                self._recorder.skip_fences(segment.fence)
+
     def _run_due_work(self) -> None:
         """Start evacuations, balancing and merges that are due."""
         if not self._may_renew():
--- a/tarragonhinge/ranges/_record.py
+++ b/tarragonhinge/ranges/_record.py
@@ -22,11 +22,16 @@
         Lowest fencing token that no grant has used.
     segments : list of Segment
         Key ranges with their lease holders.
+    era : int
+        Era of the store in which the record was written. In a later one, it
+        is part of the copy from which the store was restored, and may lack
+        changes.
     """
 
     term: base.Term
     next_fence: int = 1
     segments: list[catalog.Segment] = []
+    era: int = 0
 
 
 _decoder = msgspec.json.Decoder(RangeRecord)
--- a/tarragonhinge/ranges/_recorder.py
+++ b/tarragonhinge/ranges/_recorder.py
@@ -16,6 +16,9 @@
 #: writable.
 RECENT_WRITE_MS = 250
 
+#: Number of fencing tokens to skip if the record may lack the last ones.
+SKIPPED_FENCES = 10_000
+
 
 class LeadershipLostError(base.TarragonhingeError):
     """Another instance has become the coordinator."""
@@ -33,10 +36,11 @@
         Store that holds the record.
     service : ServiceName
         Service whose holders are recorded.
-    term : Term
-        Leadership term of this coordinator.
-    condition : RowCheck
-        Check that succeeds only while this instance is the coordinator.
+    claim : Claim
+        Claim of this instance to be the coordinator.
+    is_first_start : bool
+        Whether the whole system starts for the first time, so that a record
+        that is missing was never written.
     clock : Clock
         This process's clock.
 
@@ -44,6 +48,9 @@
     ----------
     owners : OwnerMap
         Lease holders as last recorded.
+    is_outdated : bool
+        Whether the record that was loaded may lack changes, since the store
+        had come back from an older copy.
     """
 
     def __init__(
@@ -51,36 +58,65 @@
         *,
         store: stores.RowStore,
         service: base.ServiceName,
-        term: base.Term,
-        condition: stores.RowCheck,
+        claim: stores.Claim,
+        is_first_start: bool = True,
         clock: base.Clock,
     ) -> None:
         self._store = store
         self._service = service
-        self._term = term
-        self._condition = condition
+        self._claim = claim
+        self._is_first_start = is_first_start
         self._clock = clock
         self._version = 0
+        self._era = 0
         self._next_fence = 1
         self._pending: list[tuple[list[catalog.Segment], asyncio.Future]] = []
         self._wake = asyncio.Event()
         self._written_at: int | None = None
         self._is_writing = False
         self.owners = catalog.OwnerMap()
+        self.is_outdated = False
 
     async def load(self) -> None:
         """Read the record; retry until the store answers."""
+        row = await self._read_row()
+        if row is None:
+            self.is_outdated = not self._is_first_start
+        else:
+            record = _record.decode_record(row.value)
+            self._next_fence = record.next_fence
+            self.owners = catalog.OwnerMap(segments=record.segments)
+            self.is_outdated = record.era < self._era
+        if self.is_outdated:
+            self._next_fence += SKIPPED_FENCES
+
+    async def _read_row(self) -> stores.StoredRow | None:
+        """Read the record's row, its version and the era.
+
+        Retries until the store answers in the era of the claim.
+        """
         while True:
+            await self._claim.wait_until_current(self._store)
             rows = await self._store.read(_record.TABLE)
-            if not isinstance(rows, stores.Unavailable):
+            if (
+                isinstance(rows, stores.Snapshot)
+                and rows.era == self._claim.era
+            ):
                 break
             await self._clock.sleep(RETRY_DELAY_MS)
-        for row in rows.rows:
-            if row.key == self._service:
-                record = _record.decode_record(row.value)
-                self._version = row.version
-                self._next_fence = record.next_fence
-                self.owners = catalog.OwnerMap(segments=record.segments)
+        row = next((r for r in rows.rows if r.key == self._service), None)
+        self._version = row.version if row is not None else 0
+        self._era = rows.era
+        return row
+
+    def record_again(self) -> None:
+        """Write the record once more, since the store has lost it."""
+        self._pending.append(([], asyncio.get_running_loop().create_future()))
+        self._wake.set()
+
+    def skip_fences(self, fence: int) -> None:
+        """Allocate no fencing token up to one that is known to be used."""
+        self._next_fence = max(self._next_fence, fence + 1)
 
     def allocate_fence(self) -> int:
         """Return a fencing token higher than all previous ones."""
@@ -153,19 +189,26 @@
                     future.set_result(None)
 
     async def _write(self, owners: catalog.OwnerMap) -> None:
-        """Write the record; read it back if the response was lost."""
-        value = _record.encode_record(
-            _record.RangeRecord(
-                term=self._term,
-                next_fence=self._next_fence,
-                segments=list(owners.segments),
-            )
-        )
+        """Write the record; read it back if the response was lost.
+
+        Writes again in each era of the store that begins meanwhile.
+        """
         backoff_ms = RETRY_DELAY_MS
         while True:
+            await self._claim.wait_until_current(self._store)
+            if self._era != self._claim.era:
+                await self._read_row()
+            value = _record.encode_record(
+                _record.RangeRecord(
+                    term=self._claim.term,
+                    next_fence=self._next_fence,
+                    segments=list(owners.segments),
+                    era=self._era,
+                )
+            )
             result = await self._store.write(
                 checks=[
-                    self._condition,
+                    self._claim.check,
                     stores.RowCheck(
                         table=_record.TABLE,
                         key=self._service,
@@ -177,7 +220,7 @@
                         table=_record.TABLE, key=self._service, value=value
                     )
                 ],
-                era=self._store.era,
+                era=self._era,
             )
             if await self._is_written(result, value):
                 self.owners = owners
@@ -201,7 +244,7 @@
             self._version = result.version
             return True
         rows = await self._store.read(_record.TABLE)
-        if isinstance(rows, stores.Unavailable):
+        if isinstance(rows, stores.Unavailable) or rows.era != self._era:
             return False
         row = next((r for r in rows.rows if r.key == self._service), None)
         if row is not None and row.value == value:
--- a/tarragonhinge/relay/_hub.py
+++ b/tarragonhinge/relay/_hub.py
@@ -76,6 +76,11 @@
         Called with server loads that a subscriber observed.
     clock : Clock
         This process's clock.
+
+    Attributes
+    ----------
+    term : Term
+        Leadership term of the coordinator.
     """
 
     def __init__(
@@ -89,7 +94,7 @@
         handle_loads: Callable[[_messages.Loads], None],
         clock: base.Clock,
     ) -> None:
-        self._term = term
+        self.term = term
         self._view = view
         self._get_store_age = get_store_age
         self._is_store_failing = is_store_failing
@@ -185,7 +190,7 @@
 
     def _make_heartbeat(self) -> _messages.Heartbeat:
         return _messages.Heartbeat(
-            term=self._term,
+            term=self.term,
             store_age_ms=self._get_store_age(),
             is_store_failing=self._is_store_failing(),
             fleet_size=self.fleet_size,
--- a/tarragonhinge/relay/_subscription.py
+++ b/tarragonhinge/relay/_subscription.py
@@ -94,6 +94,8 @@
         Time of the coordinator's last message (boot time).
     fleet_size : int or None
         Number of instances; None before the coordinator reported it.
+    term : Term
+        Term of the coordinator; 0 before it reported it.
     """
 
     def __init__(
@@ -126,6 +128,7 @@
         self._table: catalog.RoutingTable | None = None
         self.last_message_at: int | None = None
         self.fleet_size: int | None = None
+        self.term = base.Term(0)
 
     async def run(self) -> EndReason:
         """Follow the coordinator; return why the subscription ended."""
@@ -197,6 +200,7 @@
                 self._exchange.apply_loads(message)
             elif isinstance(message, _messages.Heartbeat):
                 self.fleet_size = message.fleet_size
+                self.term = message.term
                 self._check_coordinator_store(message)
 
     def _check_coordinator_store(self, heartbeat: _messages.Heartbeat) -> None:
--- a/tarragonhinge/stores/__init__.py
+++ b/tarragonhinge/stores/__init__.py
@@ -1,5 +1,6 @@
 """Clients of the platform's table service, row store and object store."""
 
+from tarragonhinge.stores._claim import Claim
 from tarragonhinge.stores._commit import Committer
 from tarragonhinge.stores._commit import make_write_id
 from tarragonhinge.stores._http import HttpObjectClient
@@ -28,6 +29,7 @@
 
 __all__ = [
     "Check",
+    "Claim",
     "Committed",
     "Committer",
     "Conflict",
