Keep a drain and a departure that a restored store does not know

Callers could reach a server again that had said it leaves: the copy lists it as ready until its state is written again.

Cause: entries were replaced by what the store says, although an instance that has seen a drain is bound by it.

A drain is now final for an incarnation of a server, wherever an older entry comes from (the store or a coordinator that has not seen the drain).

--- a/tarragonhinge/catalog/_view.py
+++ b/tarragonhinge/catalog/_view.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+import msgspec
 import reactivex
 from reactivex import subject
 
@@ -11,10 +12,19 @@
 from tarragonhinge.catalog import _server
 
 
+#: Number of incarnations of servers whose leaving is remembered.
+MAX_LEFT_SERVERS = 4_096
+
+#: Server, start time and address, which identify an incarnation.
+_Incarnation = tuple[base.ServerId, int, base.Address]
+
+
 class View:
     """Latest routing table, servers and owner maps received.
 
-    The routing table is never replaced by an older version.
+    The routing table is never replaced by an older version. A server that
+    drains never becomes ready again, whatever an older copy of its entry
+    says; a restart has another start time.
 
     Attributes
     ----------
@@ -30,6 +40,8 @@
         self.table: _routing_table.RoutingTable | None = None
         self.servers: dict[base.ServerId, _server.ServerEntry] = {}
         self.owners: dict[base.ServiceName, _owner_map.OwnerMap] = {}
+        # Whether the server drained before it left; the oldest come first.
+        self._left: dict[_Incarnation, bool] = {}
         self._changes: subject.Subject[None] = subject.Subject()
 
     @property
@@ -49,9 +61,41 @@
         self, entries: dict[base.ServerId, _server.ServerEntry]
     ) -> None:
         """Replace the entries of all servers."""
-        self.servers = dict(entries)
+        previous = self.servers
+        self.servers = {
+            server: self._keep_draining(entry, previous.get(server))
+            for server, entry in entries.items()
+        }
+        for entry in self.servers.values():
+            self._left.pop(_identify(entry), None)
+        for server, entry in previous.items():
+            if not entry.is_same_incarnation(self.servers.get(server)):
+                self._record_left(entry)
         self._changes.on_next(None)
 
+    def has_left(self, entry: _server.ServerEntry) -> bool:
+        """Return whether an incarnation was listed before but is not now."""
+        return _identify(entry) in self._left
+
+    def _keep_draining(
+        self, entry: _server.ServerEntry, previous: _server.ServerEntry | None
+    ) -> _server.ServerEntry:
+        drained = self._left.get(_identify(entry), False)
+        if entry.is_same_incarnation(previous):
+            drained = previous.state is _server.ServerState.DRAINING
+        if drained and entry.born_ms:
+            return msgspec.structs.replace(
+                entry, state=_server.ServerState.DRAINING
+            )
+        return entry
+
+    def _record_left(self, entry: _server.ServerEntry) -> None:
+        incarnation = _identify(entry)
+        self._left.pop(incarnation, None)
+        self._left[incarnation] = entry.state is _server.ServerState.DRAINING
+        if len(self._left) > MAX_LEFT_SERVERS:
+            del self._left[next(iter(self._left))]
+
     def set_owners(
         self, service: base.ServiceName, owners: _owner_map.OwnerMap
     ) -> None:
@@ -87,6 +131,10 @@
         return not self.list_servers(service)
 
 
+def _identify(entry: _server.ServerEntry) -> _Incarnation:
+    return entry.server, entry.born_ms, entry.address
+
+
 def index_servers(
     entries: Iterable[_server.ServerEntry],
 ) -> dict[base.ServerId, _server.ServerEntry]:
--- a/tarragonhinge/feeds/_catalog_feed.py
+++ b/tarragonhinge/feeds/_catalog_feed.py
@@ -51,6 +51,7 @@
         self._log = log
         self._clock = clock
         self._retained_until: dict[base.ServerId, int] = {}
+        self._withheld: dict[base.ServerId, catalog.ServerEntry] = {}
         self._routing = _follower.TableFollower(
             store=store,
             table=codec.routing_table,
@@ -107,6 +108,7 @@
         entries = {} if is_whole else dict(self._view.servers)
         for row in rows:
             server = base.ServerId(row.key)
+            self._withheld.pop(server, None)
             if row.dropped:
                 entries.pop(server, None)
                 continue
@@ -120,10 +122,34 @@
             except base.CodecError as error:
                 entries.pop(server, None)
                 self._log_ignored(row, error)
+        if is_whole:
+            self._withhold_left(entries)
         self._retain_expired(entries)
         self._log_changes(entries)
         self._view.set_servers(entries)
 
+    def _withhold_left(
+        self, entries: dict[base.ServerId, catalog.ServerEntry]
+    ) -> None:
+        """Leave out servers that left before the store was restored.
+
+        The copy may list them until their removal is written again.
+        """
+        self._withheld = {}
+        if not self._is_recently_restored():
+            return
+        for server, entry in list(entries.items()):
+            if self._view.has_left(entry):
+                self._withheld[server] = entries.pop(server)
+
+    def _is_recently_restored(self) -> bool:
+        restored_at = self._servers.restored_at
+        now = self._clock.read_boottime()
+        return (
+            restored_at is not None
+            and now - restored_at < EXPIRED_ENTRY_GRACE_MS
+        )
+
     def _retain_expired(
         self, entries: dict[base.ServerId, catalog.ServerEntry]
     ) -> None:
@@ -145,6 +171,7 @@
                 entries[server] = entry
 
     async def _remove_expired(self) -> None:
+        """Apply what the store says once the time after an outage is over."""
         while True:
             await self._clock.sleep(EXPIRY_WINDOW_MS // 2)
             now = self._clock.read_boottime()
@@ -153,9 +180,12 @@
                 for retained, until in self._retained_until.items()
                 if until <= now
             ]
-            if not expired:
+            listed = {}
+            if not self._is_recently_restored():
+                listed, self._withheld = self._withheld, {}
+            if not expired and not listed:
                 continue
-            entries = dict(self._view.servers)
+            entries = {**self._view.servers, **listed}
             for server in expired:
                 del self._retained_until[server]
                 entries.pop(server, None)
