Take over keys at once from a coordinator that confirmed its view

Cause: followers probe the store as soon as it is back and leave a coordinator that has not reached it within 0.3 s; it retries after up to 1 s. The successor found an outdated record and waited for all grants to expire.

A coordinator can record no new holder once the store has gone back, so a follower that has heard from it since then knows all holders. Such a successor takes them from its view; only segments that were moving wait. Followers that see another era stay for one more heartbeat, and the watch on the claim is retried after at most 250 ms, so that the coordinator is often kept.

--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -27,6 +27,10 @@
 #: the store.
 CLAIM_WATCH_TIMEOUT_MS = 700
 
+#: Longest backoff after a failed watch on the claim. It is short so that the
+#: coordinator reaches the store again before its followers leave it.
+CLAIM_WATCH_RETRY_CAP_MS = 250
+
 #: Delay before a claim that could not be written again is retried.
 CLAIM_RETRY_MS = 100
 
@@ -59,6 +63,9 @@
         This process's clock.
     is_first_start : bool
         Whether the whole system starts for the first time.
+    is_view_confirmed : bool
+        Whether the former coordinator confirmed the view after the store had
+        come back from a copy.
     grant_limit_ms : int
         Upper bound of a grant's duration.
 
@@ -81,6 +88,7 @@
         log: events.EventLog,
         clock: base.Clock,
         is_first_start: bool,
+        is_view_confirmed: bool,
         grant_limit_ms: int,
     ) -> None:
         self._leadership = leadership
@@ -92,6 +100,7 @@
         self._log = log
         self._clock = clock
         self._is_first_start = is_first_start
+        self._is_view_confirmed = is_view_confirmed
         self._grant_limit_ms = grant_limit_ms
         self._claimed_at = clock.read_boottime()
         self._feed = feeds.CatalogFeed(
@@ -104,6 +113,7 @@
             log=log,
             clock=clock,
             watch_timeout_ms=CLAIM_WATCH_TIMEOUT_MS,
+            retry_cap_ms=CLAIM_WATCH_RETRY_CAP_MS,
         )
         self._deposed = asyncio.Event()
         self.hub = relay.Hub(
@@ -330,6 +340,7 @@
             grants=self._grants,
             get_store_age=self.get_store_age,
             may_renew=self._authority.may_act,
+            is_view_confirmed=self._is_view_confirmed,
             inherited_until=self._claimed_at + _authority.AUTHORITY_MS,
             log=self._log,
             clock=self._clock,
--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -114,6 +114,9 @@
         self._policy = _claim.ClaimPolicy(rng=self._rng, link_mbps=link_mbps)
         self._store_rtt_ms = 0
         self._claim_era = 0
+        self._followed_era = 0
+        self._era_seen_at = 0
+        self._confirmed_era: int | None = None
         self._highest_term = base.Term(0)
         self._deposed_version = 0
         self._successor = base.Address("")
@@ -283,7 +286,9 @@
         if isinstance(result, stores.Unavailable):
             return result
         self._store_rtt_ms = self._clock.now() - began_at
-        self._claim_era = result.era
+        if result.era != self._claim_era:
+            self._claim_era = result.era
+            self._era_seen_at = self._clock.read_boottime()
         row = next((r for r in result.rows if r.key == _leadership.KEY), None)
         leadership = _leadership.find_leadership(row)
         if leadership is not None:
@@ -309,7 +314,13 @@
         """
         if not self._policy.may_claim(now=self._clock.read_boottime()):
             return STANDALONE_RETRY_MS
-        return self._policy.compute_delay_ms(store_rtt_ms=self._store_rtt_ms)
+        delay_ms = self._policy.compute_delay_ms(
+            store_rtt_ms=self._store_rtt_ms
+        )
+        if self._claim_era != self._followed_era:
+            # The coordinator confirms the view by its next heartbeat.
+            delay_ms += relay.HEARTBEAT_INTERVAL_MS
+        return delay_ms
 
     async def _follow(self, address: base.Address) -> relay.EndReason:
         """Follow a coordinator; return why the subscription ended."""
@@ -325,8 +336,13 @@
             clock=self._clock,
         )
         self._subscription = subscription
+        self._followed_era = self._claim_era
         end_reason = await subscription.run()
         self._record_term(subscription.term)
+        last_message_at = subscription.last_message_at
+        if last_message_at is not None:
+            is_confirmed = last_message_at > self._era_seen_at
+            self._confirmed_era = self._claim_era if is_confirmed else None
         self._log.write(
             events.DependencyChanged(
                 dependency=f"coordinator/{address}",
@@ -420,6 +436,7 @@
             log=self._log,
             clock=self._clock,
             is_first_start=self._is_first_start,
+            is_view_confirmed=self._confirmed_era == self._claim_era,
             grant_limit_ms=self._grant_limit_ms,
         )
         self._coordinator = coordinator
--- a/tarragonhinge/coordination/tests/test_restored_store.py
+++ b/tarragonhinge/coordination/tests/test_restored_store.py
@@ -25,6 +25,11 @@
     )
 
 
+def _list_owners(member):
+    segments = member.view.owners[fleet.SERVICE].segments
+    return [(s.first, s.last, s.server) for s in segments]
+
+
 async def _move_keys(test_fleet):
     """Let the keys of a server move, which goes on running."""
     holder = test_fleet.members[0].view.owners[fleet.SERVICE].find(0).server
@@ -134,6 +139,41 @@
     asyncio.run(run())
 
 
+def test_successor_goes_on_if_its_view_was_confirmed():
+    """The coordinator alone does not reach the store after a restore.
+
+    It could record no new holder since, so that its followers know them all.
+    """
+
+    async def check(test_fleet):
+        copied = test_fleet.rows.copy()
+        await _move_keys(test_fleet)
+        owners = _list_owners(test_fleet.members[0])
+        (leader,) = test_fleet.find_coordinators()
+        leader.store.faults.is_down = True
+        test_fleet.rows.restore(copied)
+        await test_fleet.wait(
+            lambda: any(
+                m is not leader for m in test_fleet.find_coordinators()
+            ),
+            "the takeover",
+        )
+        (successor,) = (
+            m for m in test_fleet.find_coordinators() if m is not leader
+        )
+        await test_fleet.wait(
+            lambda: (
+                test_fleet.read_record() is not None
+                and test_fleet.read_record().era == test_fleet.rows.era
+            ),
+            "the new record",
+        )
+        assert test_fleet.servers.count_unowned_keys() == 0
+        assert _list_owners(successor) == owners
+
+    _run(check)
+
+
 def test_claim_gets_a_higher_term_than_any_seen():
     """Also if the store has gone back to a claim of a lower term."""
 
--- a/tarragonhinge/feeds/_follower.py
+++ b/tarragonhinge/feeds/_follower.py
@@ -48,6 +48,8 @@
         Adds jitter to retries.
     watch_timeout_ms : int
         Longest duration of one watch.
+    retry_cap_ms : int
+        Longest backoff after a failed call.
 
     Attributes
     ----------
@@ -72,10 +74,12 @@
         clock: base.Clock,
         rng: random.Random | None = None,
         watch_timeout_ms: int = WATCH_TIMEOUT_MS,
+        retry_cap_ms: int = RETRY_CAP_MS,
     ) -> None:
         self._store = store
         self._table = table
         self._watch_timeout_ms = watch_timeout_ms
+        self._retry_cap_ms = retry_cap_ms
         self._handle_rows = handle_rows
         self._log = log
         self._clock = clock
@@ -160,7 +164,7 @@
             self._is_lost = True
             self._log_reachability(reachable=False)
         backoff_ms = min(
-            RETRY_CAP_MS, RETRY_BASE_MS * 2 ** (self._failures - 1)
+            self._retry_cap_ms, RETRY_BASE_MS * 2 ** (self._failures - 1)
         )
         await self._clock.sleep(int(backoff_ms * self._rng.uniform(0.7, 1.3)))
 
--- a/tarragonhinge/ranges/_leader.py
+++ b/tarragonhinge/ranges/_leader.py
@@ -65,6 +65,9 @@
     may_renew : callable
         Returns whether this instance may still act as coordinator; if so,
         no other instance can have moved keys.
+    is_view_confirmed : bool
+        Whether the former coordinator confirmed the view after the store had
+        come back from a copy; it could not record any new holder since.
     inherited_until : int
         Time until which the previous coordinator may have sent grants
         (boot time).
@@ -85,6 +88,7 @@
         grants: _grants.GrantClient,
         get_store_age: Callable[[], int],
         may_renew: Callable[[], bool],
+        is_view_confirmed: bool = False,
         inherited_until: int,
         log: events.EventLog,
         clock: base.Clock,
@@ -95,6 +99,7 @@
         self._view = view
         self._get_store_age = get_store_age
         self._may_renew = may_renew
+        self._is_view_confirmed = is_view_confirmed
         self._inherited_until = inherited_until
         self._log = log
         self._clock = clock
@@ -150,18 +155,30 @@
         expires_at = _lease.compute_expiry(
             self._inherited_until, self._renewer.hold_ms
         )
-        self._skip_known_fences()
+        known = self._view.owners.get(self._service, catalog.OwnerMap())
+        for segment in known.segments:
+            self._recorder.skip_fences(segment.fence)
+        unsure: set[int] = set()
         if self._recorder.is_outdated:
-            # Servers that the record does not name may hold its keys.
-            left_ms = expires_at - self._clock.read_boottime()
+            wait_ms = max(0, expires_at - self._clock.read_boottime())
+            if self._is_view_confirmed and known.segments:
+                wait_ms = 0
+                self._recorder.adopt(known)
+                unsure = {
+                    segment.first
+                    for segment in known.segments
+                    if segment.state is catalog.SegmentState.MOVING
+                }
             self._log.write(
-                events.RecordOutdated(service=self._service, wait_ms=left_ms)
+                events.RecordOutdated(service=self._service, wait_ms=wait_ms)
             )
-            await self._clock.sleep(max(0, left_ms))
+            # Servers that the record does not name may hold its keys.
+            await self._clock.sleep(wait_ms)
         self._lease_map.adopt(
             self._recorder.owners,
             expires_at=expires_at,
             now=self._clock.read_boottime(),
+            unsure=unsure,
         )
         async with asyncio.TaskGroup() as group:
             self._group = group
@@ -175,12 +192,6 @@
         """Write the record once more, since the store has lost it."""
         self._recorder.record_again()
 
-    def _skip_known_fences(self) -> None:
-        owners = self._view.owners.get(self._service)
-        if owners is not None:
-            for segment in owners.segments:
-                self._recorder.skip_fences(segment.fence)
-
     def _run_due_work(self) -> None:
         """Start evacuations, balancing and merges that are due."""
         if not self._may_renew():
--- a/tarragonhinge/ranges/_lease_map.py
+++ b/tarragonhinge/ranges/_lease_map.py
@@ -1,5 +1,6 @@
 """Ordered collection of all leases of one service."""
 
+from collections.abc import Collection
 from collections.abc import Iterable
 import dataclasses
 
@@ -32,7 +33,12 @@
         self.leases: list[_lease.Lease] = []
 
     def adopt(
-        self, owners: catalog.OwnerMap, *, expires_at: int, now: int
+        self,
+        owners: catalog.OwnerMap,
+        *,
+        expires_at: int,
+        now: int,
+        unsure: Collection[int] = (),
     ) -> None:
         """Replace all leases by the recorded segments and publish them.
 
@@ -46,6 +52,9 @@
         now : int
             Current time (boot time), at which the leases are due for
             renewal.
+        unsure : collection of int
+            First keys of segments that another server may hold. They are due
+            once the previous coordinator's grants have expired.
         """
         self.leases = [
             _lease.Lease(
@@ -55,7 +64,7 @@
                 born_ms=segment.born_ms,
                 fence=segment.fence,
                 expires_at=expires_at,
-                renew_at=now,
+                renew_at=expires_at if segment.first in unsure else now,
             )
             for segment in owners.segments
         ]
--- a/tarragonhinge/ranges/_recorder.py
+++ b/tarragonhinge/ranges/_recorder.py
@@ -109,6 +109,10 @@
         self._era = rows.era
         return row
 
+    def adopt(self, owners: catalog.OwnerMap) -> None:
+        """Take the lease holders from elsewhere instead of the record."""
+        self.owners = owners
+
     def record_again(self) -> None:
         """Write the record once more, since the store has lost it."""
         self._pending.append(([], asyncio.get_running_loop().create_future()))
--- a/tarragonhinge/relay/__init__.py
+++ b/tarragonhinge/relay/__init__.py
@@ -3,6 +3,7 @@
 from tarragonhinge.relay._exchange import Exchange
 from tarragonhinge.relay._frames import encode_frame
 from tarragonhinge.relay._frames import read_message
+from tarragonhinge.relay._hub import HEARTBEAT_INTERVAL_MS
 from tarragonhinge.relay._hub import Hub
 from tarragonhinge.relay._messages import Deposed
 from tarragonhinge.relay._messages import Heartbeat
@@ -16,6 +17,7 @@
 from tarragonhinge.relay._subscription import Subscription
 
 __all__ = [
+    "HEARTBEAT_INTERVAL_MS",
     "Deposed",
     "EndReason",
     "Exchange",
