--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -94,8 +94,13 @@
         during the execution.
     received : list
         Request line, fields and body of each request.
+    arrivals : list of float
+        Monotonic times at which requests arrived, in seconds.
     executions : list of Execution
         All executions, in the order of their start.
+    limit : str or None
+        Requests per second that it names in its responses; None for no
+        limit.
     work_s : float
         Duration of an execution, in seconds; a request overrides it by the
         parameter ``work`` of its target, in milliseconds.
@@ -112,7 +117,9 @@
         self.executed: list[str] = []
         self.abandoned: list[str] = []
         self.received: list[tuple[str, dict, bytes]] = []
+        self.arrivals: list[float] = []
         self.executions: list[Execution] = []
+        self.limit: str | None = None
         self.request_arrived = asyncio.Event()
         self.work_allowed = asyncio.Event()
         self.work_allowed.set()
@@ -192,6 +199,7 @@
     ) -> bool:
         attempt = fields.get("tarragonhinge-request-attempt-id", "")
         self.received.append((line, fields, body))
+        self.arrivals.append(time.monotonic())
         self.request_arrived.set()
         expected = fields.get("tarragonhinge-expect-instance", self.name)
         key = int(fields.get("tarragonhinge-shard-key", -1))
@@ -312,6 +320,8 @@
     ) -> None:
         lines = [f"HTTP/1.1 {status} X"]
         lines += [f"{name}: {value}" for name, value in fields]
+        if self.limit is not None:
+            lines.append(f"Server-Limit: {self.limit}")
         lines.append(f"Content-Length: {len(body)}")
         text = _CRLF.join(lines) + _CRLF * 2 + body
         writer.write(text[: len(text) - cut_bytes].encode())
