Leave out the era and the reason where there is none

The recorded formats of records and events are encoded byte for byte as before (daemon/tests/test_recorded_formats.py failed on the two new fields). A store that states no era, and a change without a known reason, add no field.

--- a/tarragonhinge/events/_process_events.py
+++ b/tarragonhinge/events/_process_events.py
@@ -1,5 +1,7 @@
 """Events of the whole process: its lifecycle and changes of its state."""
 
+import msgspec
+
 from tarragonhinge.events import _event
 
 
@@ -172,14 +174,14 @@
         Whether it is reachable now.
     silent_ms : int
         Time since its last response; -1 if there was none.
-    reason : str
-        Cause of the change, if known.
+    reason : str or UnsetType
+        Cause of the change; unset if it is not known.
     """
 
     dependency: str
     reachable: bool
     silent_ms: int
-    reason: str = ""
+    reason: str | msgspec.UnsetType = msgspec.UNSET
 
 
 class LeadershipChanged(
--- a/tarragonhinge/ranges/_record.py
+++ b/tarragonhinge/ranges/_record.py
@@ -22,16 +22,20 @@
         Lowest fencing token that no grant has used.
     segments : list of Segment
         Key ranges with their lease holders.
-    era : int
-        Era of the store in which the record was written. In a later one, it
-        is part of the copy from which the store was restored, and may lack
-        changes.
+    era : int or UnsetType
+        Era of the store in which the record was written; unset if the store
+        states none. In a later one, the record is part of the copy from which
+        the store was restored, and may lack changes.
     """
 
     term: base.Term
     next_fence: int = 1
     segments: list[catalog.Segment] = []
-    era: int = 0
+    era: int | msgspec.UnsetType = msgspec.UNSET
+
+    def is_outdated(self, era: int) -> bool:
+        """Return whether the record was written before an era of the store."""
+        return (self.era or 0) < era
 
 
 _decoder = msgspec.json.Decoder(RangeRecord)
--- a/tarragonhinge/ranges/_recorder.py
+++ b/tarragonhinge/ranges/_recorder.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Sequence
 
+import msgspec
+
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge.ranges import _record
@@ -86,7 +88,7 @@
             record = _record.decode_record(row.value)
             self._next_fence = record.next_fence
             self.owners = catalog.OwnerMap(segments=record.segments)
-            self.is_outdated = record.era < self._era
+            self.is_outdated = record.is_outdated(self._era)
         if self.is_outdated:
             self._next_fence += SKIPPED_FENCES
 
@@ -207,7 +209,7 @@
                     term=self._claim.term,
                     next_fence=self._next_fence,
                     segments=list(owners.segments),
-                    era=self._era,
+                    era=self._era or msgspec.UNSET,
                 )
             )
             result = await self._store.write(
