Respect the limits that backend servers name, over all instances together

Cause: the header was not read, and no part of the program keeps a rate over all instances.

The coordinator now gives each request to a limited server its turn, at even distances; requests wait for it if they can still meet their objective. Others go to another server or are refused at once, with the time at which there will be room: one after the other, so that they don't all come back together. A share for each instance would admit a burst of as many requests as there are instances, more than the rule allows at 1.3 a second. Without a coordinator each instance keeps an equal part, which starts empty. Limits spread with the load reports, hold until a response names another or none, and end with the server's life. The planner counts a limit as the capacity of a server, so that its keys move away.

--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -12,6 +12,7 @@
 from tarragonhinge.coordination import _leadership
 from tarragonhinge import events
 from tarragonhinge import feeds
+from tarragonhinge import limits
 from tarragonhinge import ranges
 from tarragonhinge import relay
 from tarragonhinge import stores
@@ -38,7 +39,7 @@
 LOAD_REPORT_INTERVAL_MS = 80
 
 
-class Coordinator:
+class Coordinator(limits.PermitSource):
     """Reads the store for all instances and assigns the keys to servers.
 
     Parameters
@@ -57,6 +58,8 @@
         Sends grants to servers.
     exchange : relay.Exchange
         Source of this instance's own reports and loads.
+    server_limits : ServerLimits
+        Limits of servers that this instance knows of.
     log : EventLog
         Destination of log events.
     clock : Clock
@@ -85,6 +88,7 @@
         view: catalog.View,
         grants: ranges.GrantClient,
         exchange: relay.Exchange,
+        server_limits: limits.ServerLimits,
         log: events.EventLog,
         clock: base.Clock,
         is_first_start: bool,
@@ -116,6 +120,7 @@
             retry_cap_ms=CLAIM_WATCH_RETRY_CAP_MS,
         )
         self._deposed = asyncio.Event()
+        self._issuer = limits.PermitIssuer(limits=server_limits, clock=clock)
         self.hub = relay.Hub(
             term=leadership.term,
             view=view,
@@ -123,6 +128,7 @@
             is_store_failing=lambda: self._claim_follower.is_failing,
             handle_report=self._handle_report,
             handle_loads=exchange.apply_loads,
+            issuer=self._issuer,
             clock=clock,
         )
         self._authority = _authority.Authority(
@@ -144,6 +150,21 @@
             return base.Millis(self._clock.read_boottime() - self._claimed_at)
         return base.Millis(age_ms)
 
+    async def request_permit(
+        self,
+        incarnation: limits.Incarnation,
+        *,
+        rate: float,
+        max_wait_ms: int,
+    ) -> limits.Turn:
+        """Issue a permit to this instance itself."""
+        return self._issuer.take(
+            incarnation, named_rate=rate, max_wait_ms=max_wait_ms
+        )
+
+    def _find_rate_limit(self, entry: catalog.ServerEntry) -> float | None:
+        return self._issuer.limits.find((entry.server, entry.born_ms))
+
     def get_store_age(self) -> int:
         """Return the time since the store last responded, in milliseconds."""
         age_ms = self._feed.get_age_ms()
@@ -339,6 +360,7 @@
             view=self._view,
             grants=self._grants,
             get_store_age=self.get_store_age,
+            find_rate_limit=self._find_rate_limit,
             may_renew=self._authority.may_act,
             is_view_confirmed=self._is_view_confirmed,
             inherited_until=self._claimed_at + _authority.AUTHORITY_MS,
--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -13,6 +13,7 @@
 from tarragonhinge.coordination import _leadership
 from tarragonhinge import events
 from tarragonhinge import feeds
+from tarragonhinge import limits
 from tarragonhinge import ranges
 from tarragonhinge import relay
 from tarragonhinge import stores
@@ -66,6 +67,9 @@
     exchange : relay.Exchange
         Source of this instance's reports and loads, and receiver of the
         loads of others.
+    permits : Permits
+        Permits for requests to servers that name a limit, which get the
+        coordinator as their source.
     log : EventLog
         Destination of log events.
     clock : Clock
@@ -91,6 +95,7 @@
         view: catalog.View,
         grants: ranges.GrantClient,
         exchange: relay.Exchange,
+        permits: limits.Permits,
         log: events.EventLog,
         clock: base.Clock,
         rng: random.Random | None = None,
@@ -106,6 +111,7 @@
         self._view = view
         self._grants = grants
         self._exchange = exchange
+        self._permits = permits
         self._log = log
         self._clock = clock
         self._rng = rng or random.Random()
@@ -337,7 +343,11 @@
         )
         self._subscription = subscription
         self._followed_era = self._claim_era
-        end_reason = await subscription.run()
+        self._permits.source = subscription
+        try:
+            end_reason = await subscription.run()
+        finally:
+            self._permits.source = None
         self._record_term(subscription.term)
         last_message_at = subscription.last_message_at
         if last_message_at is not None:
@@ -433,6 +443,7 @@
             view=self._view,
             grants=self._grants,
             exchange=self._exchange,
+            server_limits=self._permits.limits,
             log=self._log,
             clock=self._clock,
             is_first_start=self._is_first_start,
@@ -440,6 +451,7 @@
             grant_limit_ms=self._grant_limit_ms,
         )
         self._coordinator = coordinator
+        self._permits.source = coordinator
         notifier = None
         if previous is not None and not self._is_own(previous):
             notifier = asyncio.create_task(
@@ -457,6 +469,7 @@
             if notifier is not None:
                 notifier.cancel()
             self._coordinator = None
+            self._permits.source = None
             self._fleet_size = coordinator.hub.fleet_size
             self._record_term(coordinator.term)
             self._log_leadership(coordinator.term, leads=False, reason=reason)
--- a/tarragonhinge/coordination/tests/fleet.py
+++ b/tarragonhinge/coordination/tests/fleet.py
@@ -91,6 +91,7 @@
             view=self.view,
             grants=self.grants,
             exchange=IdleExchange(),
+            permits=testing.make_permits(self.fleet.clock),
             log=testing.make_event_log(self.fleet.clock, instance=name),
             clock=self.fleet.clock,
             rng=random.Random(self.number),
--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -6,6 +6,7 @@
 from tarragonhinge.events._process_events import DependencyChanged
 from tarragonhinge.events._process_events import GrantFailed
 from tarragonhinge.events._process_events import LeadershipChanged
+from tarragonhinge.events._process_events import LimitNamed
 from tarragonhinge.events._process_events import LinesDropped
 from tarragonhinge.events._process_events import Planned
 from tarragonhinge.events._process_events import Readiness
@@ -23,6 +24,7 @@
 from tarragonhinge.events._process_events import TaskFailed
 from tarragonhinge.events._request_events import Ended
 from tarragonhinge.events._request_events import Held
+from tarragonhinge.events._request_events import Limited
 from tarragonhinge.events._request_events import Placed
 from tarragonhinge.events._request_events import Received
 from tarragonhinge.events._request_events import Rejected
@@ -40,6 +42,8 @@
     "GrantFailed",
     "Held",
     "LeadershipChanged",
+    "LimitNamed",
+    "Limited",
     "LinesDropped",
     "LogLine",
     "Placed",
--- a/tarragonhinge/events/_process_events.py
+++ b/tarragonhinge/events/_process_events.py
@@ -184,6 +184,24 @@
     reason: str | msgspec.UnsetType = msgspec.UNSET
 
 
+class LimitNamed(_event.Event, frozen=True, kw_only=True, tag="limit"):
+    """A server names another limit than before, or none.
+
+    Parameters
+    ----------
+    server : str
+        Id of the server.
+    rate : float or None
+        Requests per second from all instances; None for no limit.
+    source : str
+        Whether a response of the server or another instance said so.
+    """
+
+    server: str
+    rate: float | None
+    source: str
+
+
 class LeadershipChanged(
     _event.Event, frozen=True, kw_only=True, tag="leadership"
 ):
--- a/tarragonhinge/events/_request_events.py
+++ b/tarragonhinge/events/_request_events.py
@@ -105,6 +105,24 @@
     unserved_ms: int
 
 
+class Limited(_event.RequestEvent, frozen=True, kw_only=True, tag="limited"):
+    """The chosen server names a limit, for which the request asked a turn.
+
+    Parameters
+    ----------
+    server : str
+        Id of the server.
+    granted : bool
+        Whether the request may be sent after the wait.
+    wait_ms : int
+        Time until the next turn.
+    """
+
+    server: str
+    granted: bool
+    wait_ms: int
+
+
 class Tried(_event.RequestEvent, frozen=True, kw_only=True, tag="tried"):
     """An attempt failed without a response for the caller.
 
--- a/tarragonhinge/gateway/_dialect.py
+++ b/tarragonhinge/gateway/_dialect.py
@@ -67,6 +67,11 @@
     server : ServerId or None
         Id of the server that answered, if it refused the request because
         the request was addressed to another server.
+    limit : float or None
+        Requests per second that the server takes from all instances
+        together; None if it names no limit.
+    is_limit_invalid : bool
+        Whether it names something that is no limit.
     """
 
     attempt: str
@@ -74,6 +79,8 @@
     not_run: bool = False
     load: ReportedLoad | None = None
     server: base.ServerId | None = None
+    limit: float | None = None
+    is_limit_invalid: bool = False
 
 
 class Dialect(abc.ABC):
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -25,6 +25,7 @@
 from tarragonhinge.gateway import _splitter
 from tarragonhinge.gateway import _view_waiter
 from tarragonhinge import http1
+from tarragonhinge import limits
 from tarragonhinge import servers
 
 #: Longest wait of a request for the first routing table of the process,
@@ -72,6 +73,10 @@
         Links to the backend servers.
     owners : OwnerFinder
         Finds the owners of keys.
+    server_limits : ServerLimits
+        Limits that the servers name.
+    permits : Permits
+        Permits for requests to these servers.
     metrics : RequestMetrics
         Metrics of the requests.
     shutdown : Shutdown
@@ -101,11 +106,18 @@
             fleet_size=self.fleet_size,
             clock=clock,
         )
+        self.server_limits = limits.ServerLimits(log=log)
+        self.permits = limits.Permits(
+            limits=self.server_limits,
+            get_instances=self.fleet_size.get,
+            clock=clock,
+        )
         self._waiter = _view_waiter.ViewWaiter(view=view)
         self.owners = _owner_finder.OwnerFinder(view=view, clock=clock)
         self._placer = _placer.Placer(
             links=self.links,
             owners=self.owners,
+            permits=self.permits,
             clock=clock,
             rng=rng or random.Random(),
         )
@@ -118,7 +130,10 @@
             options=options,
             placer=self._placer,
             sender=_sender.Sender(
-                dialect=dialect, links=self.links, clock=clock
+                dialect=dialect,
+                links=self.links,
+                server_limits=self.server_limits,
+                clock=clock,
             ),
             owners=self.owners,
             fleet_size=self.fleet_size,
--- a/tarragonhinge/gateway/_links.py
+++ b/tarragonhinge/gateway/_links.py
@@ -8,6 +8,7 @@
 from tarragonhinge.gateway import _placement
 from tarragonhinge.gateway import _server_load
 from tarragonhinge import http1
+from tarragonhinge import limits
 
 #: Network round-trip time to assume before a connection has measured it, in
 #: milliseconds by distance.
@@ -45,6 +46,11 @@
     pool: http1.ConnectionPool
     load: _server_load.ServerLoad
 
+    @property
+    def incarnation(self) -> limits.Incarnation:
+        """Server and start time, by which limits are kept."""
+        return self.entry.server, self.entry.born_ms
+
     def get_round_trip_ms(self) -> float:
         """Return the network round-trip time."""
         return (
--- a/tarragonhinge/gateway/_owner_finder.py
+++ b/tarragonhinge/gateway/_owner_finder.py
@@ -88,6 +88,15 @@
         """Record that the owner of a segment answered a request."""
         self._breaker.record_response(_make_grant(segment))
 
+    def is_held(self, job: _job.Job, segment: catalog.Segment) -> bool:
+        """Return whether a segment still has a request's key."""
+        current = self._find(job)
+        return (
+            current is not None
+            and current.state is catalog.SegmentState.HELD
+            and _make_grant(current) == _make_grant(segment)
+        )
+
     def _find(self, job: _job.Job) -> catalog.Segment | None:
         owners = self._view.owners.get(job.service.name)
         return owners.find(job.key) if owners is not None else None
--- a/tarragonhinge/gateway/_placer.py
+++ b/tarragonhinge/gateway/_placer.py
@@ -12,6 +12,7 @@
 from tarragonhinge.gateway import _owner_finder
 from tarragonhinge.gateway import _placement
 from tarragonhinge.gateway import _refusals
+from tarragonhinge import limits
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -42,6 +43,8 @@
         Links to the servers, with their estimates.
     owners : OwnerFinder
         Finds the owners of keys.
+    permits : Permits
+        Permits for requests to servers that name a limit.
     clock : Clock
         This process's clock.
     rng : random.Random
@@ -53,27 +56,81 @@
         *,
         links: _links.ServerLinks,
         owners: _owner_finder.OwnerFinder,
+        permits: limits.Permits,
         clock: base.Clock,
         rng: random.Random,
     ) -> None:
         self._links = links
         self._owners = owners
+        self._permits = permits
         self._clock = clock
         self._rng = rng
 
     async def place(self, job: _job.Job) -> Placement | _refusals.Refused:
         """Return the server for the next attempt, or a refusal."""
         if job.key is None:
-            return self._choose(job, self._list_ready(job), None)
-        segment = await self._owners.wait_for_owner(job)
-        if segment is None:
-            return _refusals.Refused(
-                status=503,
-                reason="no_owner",
-                retry_after_ms=self._owners.compute_retry_after_ms(job),
+            return await self._place_anywhere(job)
+        while True:
+            segment = await self._owners.wait_for_owner(job)
+            if segment is None:
+                return _refusals.Refused(
+                    status=503,
+                    reason="no_owner",
+                    retry_after_ms=self._owners.compute_retry_after_ms(job),
+                )
+            link = self._links.find(segment.server)
+            placement = self._choose(job, [link] if link else [], segment)
+            if isinstance(placement, _refusals.Refused):
+                return placement
+            turn = await self._take_turn(job, placement, may_wait=True)
+            if not turn.is_granted:
+                return _make_limit_refusal(turn)
+            if self._owners.is_held(job, segment):
+                return placement
+            # The key has moved during the wait.
+
+    async def _place_anywhere(
+        self, job: _job.Job
+    ) -> Placement | _refusals.Refused:
+        """Choose among all servers, without those whose limit is used up."""
+        links = self._list_ready(job)
+        refusal: _refusals.Refused | None = None
+        while True:
+            placement = self._choose(job, links, None)
+            if isinstance(placement, _refusals.Refused):
+                return refusal or placement
+            turn = await self._take_turn(
+                job, placement, may_wait=len(links) == 1
+            )
+            if turn.is_granted:
+                return placement
+            refusal = _make_limit_refusal(turn)
+            links.remove(placement.link)
+
+    async def _take_turn(
+        self, job: _job.Job, placement: Placement, *, may_wait: bool
+    ) -> limits.Turn:
+        """Ask for a turn at a server that names a limit, and wait for it."""
+        max_wait_ms = 0
+        if may_wait:
+            limit_ms = self._compute_latency_limit(job)
+            max_wait_ms = max(0, int(limit_ms - placement.expected_ms))
+        turn = await self._permits.acquire(
+            placement.link.incarnation, max_wait_ms=max_wait_ms
+        )
+        if turn is None:
+            return limits.Turn(is_granted=True, wait_ms=0)
+        job.trace.add(
+            events.Limited(
+                request=job.metadata.attempt,
+                server=placement.link.entry.server,
+                granted=turn.is_granted,
+                wait_ms=turn.wait_ms,
             )
-        link = self._links.find(segment.server)
-        return self._choose(job, [link] if link else [], segment)
+        )
+        if turn.is_granted and turn.wait_ms:
+            await self._clock.sleep(turn.wait_ms)
+        return turn
 
     def has_alternative(self, job: _job.Job, link: _links.ServerLink) -> bool:
         """Return whether another server would be chosen for the request."""
@@ -188,3 +245,11 @@
                 report_age_ms=load.get_report_age_ms() if load else -1,
             )
         )
+
+
+def _make_limit_refusal(turn: limits.Turn) -> _refusals.Refused:
+    return _refusals.Refused(
+        status=503,
+        reason="server_limit",
+        retry_after_ms=max(turn.invitation_ms, turn.wait_ms),
+    )
--- a/tarragonhinge/gateway/_reporter.py
+++ b/tarragonhinge/gateway/_reporter.py
@@ -5,6 +5,7 @@
 from tarragonhinge import base
 from tarragonhinge.gateway import _links
 from tarragonhinge.gateway import _owner_finder
+from tarragonhinge import limits
 from tarragonhinge import relay
 
 
@@ -17,6 +18,8 @@
         Collects the keys of requests.
     links : ServerLinks
         Links that measure service times and loads.
+    server_limits : ServerLimits
+        Limits that the servers name.
     """
 
     def __init__(
@@ -24,9 +27,11 @@
         *,
         owners: _owner_finder.OwnerFinder,
         links: _links.ServerLinks,
+        server_limits: limits.ServerLimits,
     ) -> None:
         self._owners = owners
         self._links = links
+        self._server_limits = server_limits
 
     def make_report(self) -> relay.Report:
         """Return the keys and service times recorded since the last report."""
@@ -48,7 +53,7 @@
         return relay.Report(keys=keys, speeds=speeds)
 
     def make_loads(self) -> relay.Loads:
-        """Return the loads of busy servers observed since the last call."""
+        """Return the loads and limits observed since the last call."""
         loads = []
         for link in self._links.list_keyed():
             total = link.load.take_observed_load()
@@ -56,10 +61,13 @@
                 loads.append(
                     relay.ObservedLoad(server=link.entry.server, total=total)
                 )
-        return relay.Loads(seen=loads)
+        return relay.Loads(
+            seen=loads, named_limits=self._server_limits.take_unreported()
+        )
 
     def apply_loads(self, loads: relay.Loads) -> None:
-        """Record loads that other instances have observed."""
+        """Record loads and limits that other instances have observed."""
+        self._server_limits.apply(loads.named_limits)
         for load in loads.seen:
             link = self._links.find(load.server)
             if link is not None:
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -9,6 +9,7 @@
 from tarragonhinge.gateway import _outcomes
 from tarragonhinge.gateway import _server_load
 from tarragonhinge import http1
+from tarragonhinge import limits
 from tarragonhinge import servers
 
 #: HTTP statuses that promise a caller that its request did not run.
@@ -27,6 +28,8 @@
         Codec for the header fields of the platform.
     links : ServerLinks
         Links to the servers.
+    server_limits : ServerLimits
+        Limits that the servers name, which learns from the responses.
     clock : Clock
         This process's clock.
     """
@@ -36,10 +39,12 @@
         *,
         dialect: _dialect.Dialect,
         links: _links.ServerLinks,
+        server_limits: limits.ServerLimits,
         clock: base.Clock,
     ) -> None:
         self._dialect = dialect
         self._links = links
+        self._server_limits = server_limits
         self._clock = clock
 
     def send(
@@ -181,6 +186,7 @@
         sent_at: int,
     ) -> _outcomes.AttemptOutcome:
         metadata = self._dialect.read_answer(dict(response.fields))
+        self._record_limit(job, link, metadata)
         if metadata.not_run or response.status == 421:
             if metadata.server not in (None, link.entry.server):
                 cause = _outcomes.NotRunCause.REPLACED
@@ -206,6 +212,26 @@
         )
         return _outcomes.Answered(response=response, failed=failed)
 
+    def _record_limit(
+        self,
+        job: _job.Job,
+        link: _links.ServerLink,
+        metadata: _dialect.ResponseMetadata,
+    ) -> None:
+        """Record the limit that a response names, or that it names none.
+
+        Only a sealed response to the attempt shows that there is none.
+        """
+        if metadata.server not in (None, link.entry.server):
+            return
+        if metadata.is_limit_invalid:
+            return
+        is_own = metadata.attempt == job.metadata.attempt
+        if metadata.limit is not None or (metadata.sealed and is_own):
+            self._server_limits.record_response(
+                link.incarnation, metadata.limit
+            )
+
 
 class _Slot:
     """Counts an attempt as in flight from its placement to its end.
--- /dev/null
+++ b/tarragonhinge/limits/_issuer.py
@@ -0,0 +1,72 @@
+"""Issues the permits of all instances at the coordinator."""
+
+from tarragonhinge import base
+from tarragonhinge.limits import _pacer
+from tarragonhinge.limits import _server_limits
+
+
+class PermitIssuer:
+    """Gives the requests of all instances their turns at limited servers.
+
+    Parameters
+    ----------
+    limits : ServerLimits
+        Limits that the coordinator knows of.
+    clock : Clock
+        This process's clock.
+
+    Attributes
+    ----------
+    limits : ServerLimits
+        Limits that the coordinator knows of.
+    """
+
+    def __init__(
+        self, *, limits: _server_limits.ServerLimits, clock: base.Clock
+    ) -> None:
+        self.limits = limits
+        self._clock = clock
+        self._pacers: dict[
+            _server_limits.Incarnation, tuple[float, _pacer.Pacer]
+        ] = {}
+        # A limit that was named before has permits of a former issuer.
+        for limit in limits.list_all():
+            self._find_pacer((limit.server, limit.born_ms), limit.rate)
+
+    def take(
+        self,
+        incarnation: _server_limits.Incarnation,
+        *,
+        named_rate: float,
+        max_wait_ms: int,
+    ) -> _pacer.Turn:
+        """Give a request its turn.
+
+        Parameters
+        ----------
+        incarnation : Incarnation
+            Server that the request is for.
+        named_rate : float
+            Limit that the instance knows of, which may be news here.
+        max_wait_ms : int
+            Longest time that the request can wait.
+        """
+        rate = self.limits.find(incarnation)
+        if rate is None:
+            rate = named_rate
+        pacer = self._find_pacer(incarnation, rate)
+        return pacer.take(max_wait_ms=max_wait_ms)
+
+    def _find_pacer(
+        self, incarnation: _server_limits.Incarnation, rate: float
+    ) -> _pacer.Pacer:
+        known = self._pacers.get(incarnation)
+        if known is None:
+            pacer = _pacer.Pacer(clock=self._clock, rate=rate)
+        else:
+            known_rate, pacer = known
+            if known_rate == rate:
+                return pacer
+            pacer.set_rate(rate)
+        self._pacers[incarnation] = rate, pacer
+        return pacer
--- /dev/null
+++ b/tarragonhinge/limits/_permits.py
@@ -0,0 +1,117 @@
+"""Permits for requests to servers that name a limit."""
+
+import abc
+from collections.abc import Callable
+
+from tarragonhinge import base
+from tarragonhinge.limits import _pacer
+from tarragonhinge.limits import _server_limits
+
+
+class PermitSource(abc.ABC):
+    """Issuer of the permits of all instances, as one instance reaches it."""
+
+    @abc.abstractmethod
+    async def request_permit(
+        self,
+        incarnation: _server_limits.Incarnation,
+        *,
+        rate: float,
+        max_wait_ms: int,
+    ) -> _pacer.Turn | None:
+        """Return the answer of the issuer; None if it does not answer."""
+
+
+class Permits:
+    """Asks for a permit before a request is sent to a limited server.
+
+    One issuer, the coordinator, keeps the sum over all instances. While it
+    cannot be reached, each instance keeps an equal part of the limit.
+
+    Parameters
+    ----------
+    limits : ServerLimits
+        Limits that this instance knows of.
+    get_instances : callable
+        Returns the number of instances.
+    clock : Clock
+        This process's clock.
+
+    Attributes
+    ----------
+    limits : ServerLimits
+        Limits that this instance knows of.
+    source : PermitSource or None
+        The issuer; None while there is none.
+    """
+
+    def __init__(
+        self,
+        *,
+        limits: _server_limits.ServerLimits,
+        get_instances: Callable[[], int],
+        clock: base.Clock,
+    ) -> None:
+        self.limits = limits
+        self._get_instances = get_instances
+        self._clock = clock
+        self._own_pacers: dict[_server_limits.Incarnation, _pacer.Pacer] = {}
+        # Times until the next turn and the invitation of the last refusal.
+        self._refused: dict[_server_limits.Incarnation, tuple[int, int]] = {}
+        self.source: PermitSource | None = None
+
+    async def acquire(
+        self, incarnation: _server_limits.Incarnation, *, max_wait_ms: int
+    ) -> _pacer.Turn | None:
+        """Return a request's turn; None if the server names no limit.
+
+        Parameters
+        ----------
+        incarnation : Incarnation
+            Server that the request is for.
+        max_wait_ms : int
+            Longest time that the request can wait.
+        """
+        rate = self.limits.find(incarnation)
+        if rate is None:
+            self._own_pacers.pop(incarnation, None)
+            self._refused.pop(incarnation, None)
+            return None
+        now = self._clock.now()
+        turn_at, invited_at = self._refused.get(incarnation, (now, now))
+        if turn_at - now > max_wait_ms:
+            return _pacer.Turn(
+                is_granted=False,
+                wait_ms=turn_at - now,
+                invitation_ms=invited_at - now,
+            )
+        turn = None
+        if self.source is not None:
+            turn = await self.source.request_permit(
+                incarnation, rate=rate, max_wait_ms=max_wait_ms
+            )
+        if turn is None:
+            return self._take_own_part(incarnation, rate, max_wait_ms)
+        self._own_pacers.pop(incarnation, None)
+        if not turn.is_granted:
+            now = self._clock.now()
+            self._refused[incarnation] = (
+                now + turn.wait_ms,
+                now + turn.invitation_ms,
+            )
+        return turn
+
+    def _take_own_part(
+        self,
+        incarnation: _server_limits.Incarnation,
+        rate: float,
+        max_wait_ms: int,
+    ) -> _pacer.Turn:
+        part = rate / max(1, self._get_instances())
+        pacer = self._own_pacers.get(incarnation)
+        if pacer is None:
+            pacer = _pacer.Pacer(clock=self._clock, rate=part)
+            self._own_pacers[incarnation] = pacer
+        else:
+            pacer.set_rate(part)
+        return pacer.take(max_wait_ms=max_wait_ms)
--- a/tarragonhinge/platform/_dialect.py
+++ b/tarragonhinge/platform/_dialect.py
@@ -1,5 +1,7 @@
 """Header fields of requests and responses."""
 
+import re
+
 from tarragonhinge import base
 from tarragonhinge import gateway
 
@@ -17,6 +19,12 @@
 # ignored.
 _NOT_EXECUTED_HEADER = "tarragonhinge-not-executed"
 
+# Requests per second that the server takes from all instances together.
+_LIMIT_HEADER = "server-limit"
+
+#: Form of a limit; longer numbers are invalid.
+_LIMIT_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+
 #: Largest shard key.
 _MAX_KEY = 65_535
 
@@ -61,6 +69,7 @@
 
     def read_answer(self, fields: gateway.Fields) -> gateway.ResponseMetadata:
         """Parse the header fields of a server's response."""
+        limit = _parse_limit(fields.get(_LIMIT_HEADER))
         return gateway.ResponseMetadata(
             attempt=fields.get(_ATTEMPT_HEADER, ""),
             sealed=bool(fields.get(_SEAL_HEADER)),
@@ -69,9 +78,18 @@
             server=base.ServerId(fields[_SERVER_ID_HEADER])
             if _SERVER_ID_HEADER in fields
             else None,
+            limit=limit,
+            is_limit_invalid=limit is None and _LIMIT_HEADER in fields,
         )
 
 
+def _parse_limit(text: str | None) -> float | None:
+    """Parse a limit; return None if it is missing or malformed."""
+    if text is None or _LIMIT_PATTERN.fullmatch(text.strip()) is None:
+        return None
+    return float(text)
+
+
 def _parse_load(text: str | None) -> gateway.ReportedLoad | None:
     """Parse a load in the form ``running,waiting,slots``.
 
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -66,7 +66,9 @@
             clock=clock,
         )
         reporter = gateway.Reporter(
-            owners=self.gateway.owners, links=self.gateway.links
+            owners=self.gateway.owners,
+            links=self.gateway.links,
+            server_limits=self.gateway.server_limits,
         )
         self._member = coordination.Member(
             instance=options.instance,
@@ -77,6 +79,7 @@
             view=self._view,
             grants=self._grants,
             exchange=reporter,
+            permits=self.gateway.permits,
             log=self.log,
             clock=clock,
             is_first_start=options.is_first_start,
--- a/tarragonhinge/platform/tests/test_codecs.py
+++ b/tarragonhinge/platform/tests/test_codecs.py
@@ -194,3 +194,31 @@
     else:
         parsed = metadata.load
         assert (parsed.running, parsed.waiting, parsed.slots) == expected
+
+
+@pytest.mark.parametrize(
+    ("text", "limit", "is_invalid"),
+    [
+        (None, None, False),
+        ("2", 2.0, False),
+        ("1.25", 1.25, False),
+        (" 0 ", 0.0, False),
+        ("0.0", 0.0, False),
+        ("", None, True),
+        ("-1", None, True),
+        ("+1", None, True),
+        ("1e3", None, True),
+        ("nan", None, True),
+        ("inf", None, True),
+        (".5", None, True),
+        ("2,3", None, True),
+        ("\u0662", None, True),
+        ("9" * 5_000, None, True),
+        ("0." + "1" * 5_000, None, True),
+    ],
+)
+def test_parse_server_limit(text, limit, is_invalid):
+    fields = {} if text is None else {"server-limit": text}
+    metadata = platform.PlatformDialect().read_answer(fields)
+    assert metadata.limit == limit
+    assert metadata.is_limit_invalid is is_invalid
--- a/tarragonhinge/platform/tests/test_path.py
+++ b/tarragonhinge/platform/tests/test_path.py
@@ -478,3 +478,58 @@
         assert (await testbed.send(SAFE)).status in _EXECUTION_UNKNOWN_STATUSES
 
     _run(check)
+
+
+@pytest.mark.parametrize(
+    ("named", "expected"),
+    [
+        (["2"], 2.0),
+        (["2", "1.5"], 1.5),
+        (["2", None], None),
+        # What is no limit changes nothing.
+        (["2", "-1"], 2.0),
+        (["2", "many"], 2.0),
+        (["2", "9" * 5_000], 2.0),
+    ],
+)
+def test_limit_holds_until_a_response_names_another_or_none(named, expected):
+    async def check(testbed):
+        (server,) = testbed.servers
+        incarnation = (base.ServerId(server.name), 1)
+        for limit in named:
+            server.limit = limit
+            # A request that has to wait for its turn is sent all the same.
+            assert (await testbed.send(SAFE)).status == 200
+        limits = testbed.gateway.server_limits
+        assert limits.find(incarnation) == expected
+
+    _run(check, names=("i-1",))
+
+
+@pytest.mark.parametrize("is_keyed", [False, True])
+def test_request_beyond_limit_is_refused_with_retry_after(is_keyed):
+    async def check(testbed):
+        (server,) = testbed.servers
+        server.own(0, 65_535)
+        testbed.set_owner(server.name, 1)
+        server.limit = "0.5"
+        target = KEYED if is_keyed else SAFE
+        await testbed.send(target, tarragonhinge_shard_key="7")
+        response = await testbed.send(target, tarragonhinge_shard_key="7")
+        assert response.status == 503
+        assert float(dict(response.fields)["retry-after"]) > 1
+        assert len(server.executed) == 1
+
+    _run(check, names=("i-1",), is_keyed=is_keyed)
+
+
+def test_request_beyond_limit_goes_to_another_server():
+    async def check(testbed):
+        limited, other = testbed.servers
+        limited.limit = "0.5"
+        for _ in range(20):
+            assert (await testbed.send(SAFE)).status == 200
+        assert len(limited.executed) <= 2
+        assert len(other.executed) >= 18
+
+    _run(check)
--- a/tarragonhinge/ranges/_leader.py
+++ b/tarragonhinge/ranges/_leader.py
@@ -62,6 +62,8 @@
         Sends grants and releases.
     get_store_age : callable
         Returns the age of the store's last response in milliseconds.
+    find_rate_limit : callable
+        Returns the requests per second that a server takes, or None.
     may_renew : callable
         Returns whether this instance may still act as coordinator; if so,
         no other instance can have moved keys.
@@ -87,6 +89,9 @@
         view: catalog.View,
         grants: _grants.GrantClient,
         get_store_age: Callable[[], int],
+        find_rate_limit: Callable[
+            [catalog.ServerEntry], float | None
+        ] = lambda _: None,
         may_renew: Callable[[], bool],
         is_view_confirmed: bool = False,
         inherited_until: int,
@@ -98,6 +103,7 @@
         self._recorder = recorder
         self._view = view
         self._get_store_age = get_store_age
+        self._find_rate_limit = find_rate_limit
         self._may_renew = may_renew
         self._is_view_confirmed = is_view_confirmed
         self._inherited_until = inherited_until
@@ -221,6 +227,9 @@
             requests_per_s = entry.slots * base.MS_PER_S / service_ms
             if now - first_listed_at < entry.cold_ms:
                 requests_per_s *= COLD_CAPACITY_RATIO
+            rate_limit = self._find_rate_limit(entry)
+            if rate_limit is not None:
+                requests_per_s = min(requests_per_s, rate_limit)
             capacities.append(
                 _planner.Capacity(
                     server=entry.server, requests_per_s=requests_per_s
--- a/tarragonhinge/relay/__init__.py
+++ b/tarragonhinge/relay/__init__.py
@@ -11,6 +11,8 @@
 from tarragonhinge.relay._messages import Loads
 from tarragonhinge.relay._messages import MeasuredServiceTime
 from tarragonhinge.relay._messages import ObservedLoad
+from tarragonhinge.relay._messages import Permit
+from tarragonhinge.relay._messages import PermitRequest
 from tarragonhinge.relay._messages import Report
 from tarragonhinge.relay._messages import Update
 from tarragonhinge.relay._subscription import EndReason
@@ -27,6 +29,8 @@
     "Loads",
     "MeasuredServiceTime",
     "ObservedLoad",
+    "Permit",
+    "PermitRequest",
     "Report",
     "Subscription",
     "Update",
--- a/tarragonhinge/relay/_exchange.py
+++ b/tarragonhinge/relay/_exchange.py
@@ -14,8 +14,8 @@
 
     @abc.abstractmethod
     def make_loads(self) -> _messages.Loads:
-        """Return the loads of busy servers observed since the last call."""
+        """Return the loads and limits observed since the last call."""
 
     @abc.abstractmethod
     def apply_loads(self, loads: _messages.Loads) -> None:
-        """Apply server loads that other instances observed."""
+        """Apply server loads and limits that other instances observed."""
--- a/tarragonhinge/relay/_hub.py
+++ b/tarragonhinge/relay/_hub.py
@@ -6,6 +6,7 @@
 
 from tarragonhinge import base
 from tarragonhinge import catalog
+from tarragonhinge import limits
 from tarragonhinge.relay import _frames
 from tarragonhinge.relay import _messages
 
@@ -74,6 +75,8 @@
         Called with each report of a subscriber.
     handle_loads : callable
         Called with server loads that a subscriber observed.
+    issuer : PermitIssuer
+        Issues the permits of all instances.
     clock : Clock
         This process's clock.
 
@@ -92,6 +95,7 @@
         is_store_failing: Callable[[], bool],
         handle_report: Callable[[_messages.Report], None],
         handle_loads: Callable[[_messages.Loads], None],
+        issuer: limits.PermitIssuer,
         clock: base.Clock,
     ) -> None:
         self.term = term
@@ -100,7 +104,9 @@
         self._is_store_failing = is_store_failing
         self._handle_report = handle_report
         self._handle_loads = handle_loads
+        self._issuer = issuer
         self._pending_loads: dict[base.ServerId, int] = {}
+        self._pending_limits: dict[limits.Incarnation, limits.NamedLimit] = {}
         self._has_pending_loads = asyncio.Event()
         self._clock = clock
         self._subscribers: set[_Subscriber] = set()
@@ -164,6 +170,13 @@
         subscriber = _Subscriber(writer=writer)
         subscriber.send(_frames.encode_frame(self._make_heartbeat()))
         subscriber.send(self._encode_snapshot())
+        named = self._issuer.limits.list_all()
+        if named:
+            subscriber.send(
+                _frames.encode_frame(
+                    _messages.Loads(seen=[], named_limits=named)
+                )
+            )
         self._subscribers.add(subscriber)
         self._max_subscribers = max(
             self._max_subscribers, len(self._subscribers)
@@ -181,6 +194,10 @@
                 elif isinstance(message, _messages.Loads):
                     self._handle_loads(message)
                     self.forward_loads(message)
+                elif isinstance(message, _messages.PermitRequest):
+                    subscriber.send(
+                        _frames.encode_frame(self._issue_permit(message))
+                    )
         except (OSError, EOFError, base.CodecError):
             return
         finally:
@@ -188,6 +205,16 @@
             with contextlib.suppress(OSError):
                 writer.close()
 
+    def _issue_permit(
+        self, request: _messages.PermitRequest
+    ) -> _messages.Permit:
+        turn = self._issuer.take(
+            (request.server, request.born_ms),
+            named_rate=request.rate,
+            max_wait_ms=request.max_wait_ms,
+        )
+        return _messages.Permit(number=request.number, turn=turn)
+
     def _make_heartbeat(self) -> _messages.Heartbeat:
         return _messages.Heartbeat(
             term=self.term,
@@ -230,11 +257,15 @@
                 await self._clock.sleep(STORE_CHECK_INTERVAL_MS)
 
     def forward_loads(self, loads: _messages.Loads) -> None:
-        """Queue server loads for all subscribers."""
+        """Queue server loads and limits for all subscribers."""
         self._pending_loads.update(
             (load.server, load.total) for load in loads.seen
         )
-        if self._pending_loads:
+        self._pending_limits.update(
+            ((limit.server, limit.born_ms), limit)
+            for limit in loads.named_limits
+        )
+        if self._pending_loads or self._pending_limits:
             self._has_pending_loads.set()
 
     async def _send_loads(self) -> None:
@@ -243,12 +274,14 @@
             await self._clock.sleep(LOAD_BATCH_MS)
             self._has_pending_loads.clear()
             loads, self._pending_loads = self._pending_loads, {}
+            named, self._pending_limits = self._pending_limits, {}
             self._send(
                 _messages.Loads(
                     seen=[
                         _messages.ObservedLoad(server=server, total=total)
                         for server, total in loads.items()
-                    ]
+                    ],
+                    named_limits=list(named.values()),
                 )
             )
 
--- a/tarragonhinge/relay/_messages.py
+++ b/tarragonhinge/relay/_messages.py
@@ -9,6 +9,7 @@
 
 from tarragonhinge import base
 from tarragonhinge import catalog
+from tarragonhinge import limits
 
 
 class Hello(msgspec.Struct, frozen=True, kw_only=True, tag="hello"):
@@ -53,16 +54,66 @@
     total: int
 
 
-class Loads(msgspec.Struct, frozen=True, kw_only=True, tag="loads"):
-    """Loads of busy servers that instances observed recently.
+class Loads(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    tag="loads",
+    omit_defaults=True,
+):
+    """Loads of busy servers and limits that instances observed recently.
 
     Parameters
     ----------
     seen : list of ObservedLoad
         Most recent load of each server.
+    named_limits : list of NamedLimit
+        Limits that servers name, or no longer name.
     """
 
     seen: list[ObservedLoad]
+    named_limits: list[limits.NamedLimit] = []
+
+
+class PermitRequest(
+    msgspec.Struct, frozen=True, kw_only=True, tag="permit_request"
+):
+    """Request for a permit to send a request to a server with a limit.
+
+    Parameters
+    ----------
+    number : int
+        Number of the request on its connection.
+    server : ServerId
+        The server.
+    born_ms : int
+        Start time of its process.
+    rate : float
+        Its limit in requests per second, as the sender knows it.
+    max_wait_ms : int
+        Longest time that the request can wait.
+    """
+
+    number: int
+    server: base.ServerId
+    born_ms: int
+    rate: float
+    max_wait_ms: int
+
+
+class Permit(msgspec.Struct, frozen=True, kw_only=True, tag="permit"):
+    """Answer to a `PermitRequest`, which may be a refusal.
+
+    Parameters
+    ----------
+    number : int
+        Number of the request.
+    turn : Turn
+        The turn, or when to come back.
+    """
+
+    number: int
+    turn: limits.Turn
 
 
 class Update(msgspec.Struct, frozen=True, kw_only=True, tag="update"):
@@ -132,4 +183,13 @@
     address: base.Address = base.Address("")
 
 
-Message = Hello | Report | Loads | Update | Heartbeat | Deposed
+Message = (
+    Hello
+    | Report
+    | Loads
+    | Update
+    | Heartbeat
+    | Deposed
+    | PermitRequest
+    | Permit
+)
--- a/tarragonhinge/relay/_subscription.py
+++ b/tarragonhinge/relay/_subscription.py
@@ -5,10 +5,12 @@
 from collections.abc import Callable
 import contextlib
 import enum
+import itertools
 
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import events
+from tarragonhinge import limits
 from tarragonhinge.relay import _exchange
 from tarragonhinge.relay import _frames
 from tarragonhinge.relay import _hub
@@ -38,6 +40,9 @@
 #: 700 ms, and another 900 ms without a response exceed any network delay.
 MAX_STORE_AGE_MS = 1_650
 
+#: Time after which an unanswered request for a permit is given up.
+PERMIT_TIMEOUT_MS = 300
+
 #: Time that the coordinator gets to reach the store again before an instance
 #: leaves it.
 STORE_RECOVERY_MS = 300
@@ -60,7 +65,7 @@
     STORE_LOST = "store_lost"
 
 
-class Subscription:
+class Subscription(limits.PermitSource):
     """Applies the coordinator's updates and sends it reports.
 
     Parameters
@@ -129,6 +134,9 @@
         self.last_message_at: int | None = None
         self.fleet_size: int | None = None
         self.term = base.Term(0)
+        self._writer: asyncio.StreamWriter | None = None
+        self._permit_numbers = itertools.count()
+        self._awaited_permits: dict[int, asyncio.Future[limits.Turn]] = {}
 
     async def run(self) -> EndReason:
         """Follow the coordinator; return why the subscription ended."""
@@ -148,6 +156,7 @@
             asyncio.create_task(self._send_reports(writer)),
             asyncio.create_task(self._send_loads(writer)),
         ]
+        self._writer = writer
         try:
             writer.write(
                 _frames.encode_frame(_messages.Hello(instance=self._instance))
@@ -161,12 +170,51 @@
                 else EndReason.STORE_LOST
             )
         finally:
+            self._writer = None
             self._cancel_leaving()
             for task in tasks:
                 task.cancel()
             with contextlib.suppress(OSError):
                 writer.transport.abort()
 
+    async def request_permit(
+        self,
+        incarnation: limits.Incarnation,
+        *,
+        rate: float,
+        max_wait_ms: int,
+    ) -> limits.Turn | None:
+        """Ask the coordinator; return None if it does not answer in time."""
+        if self._writer is None:
+            return None
+        number = next(self._permit_numbers)
+        server, born_ms = incarnation
+        self._writer.write(
+            _frames.encode_frame(
+                _messages.PermitRequest(
+                    number=number,
+                    server=server,
+                    born_ms=born_ms,
+                    rate=rate,
+                    max_wait_ms=max_wait_ms,
+                )
+            )
+        )
+        answer = asyncio.get_running_loop().create_future()
+        self._awaited_permits[number] = answer
+        try:
+            async with asyncio.timeout(PERMIT_TIMEOUT_MS / base.MS_PER_S):
+                return await answer
+        except TimeoutError:
+            return None
+        finally:
+            del self._awaited_permits[number]
+
+    def _handle_permit(self, permit: _messages.Permit) -> None:
+        answer = self._awaited_permits.get(permit.number)
+        if answer is not None and not answer.done():
+            answer.set_result(permit.turn)
+
     async def _read(
         self, reader: asyncio.StreamReader, first_message_at: int
     ) -> EndReason:
@@ -198,6 +246,8 @@
                 self._on_update()
             elif isinstance(message, _messages.Loads):
                 self._exchange.apply_loads(message)
+            elif isinstance(message, _messages.Permit):
+                self._handle_permit(message)
             elif isinstance(message, _messages.Heartbeat):
                 self.fleet_size = message.fleet_size
                 self.term = message.term
@@ -284,7 +334,7 @@
         while True:
             await self._clock.sleep(LOAD_REPORT_INTERVAL_MS)
             loads = self._exchange.make_loads()
-            if loads.seen:
+            if loads.seen or loads.named_limits:
                 writer.write(_frames.encode_frame(loads))
 
     async def _send_reports(self, writer: asyncio.StreamWriter) -> None:
--- a/tarragonhinge/relay/tests/test_relay.py
+++ b/tarragonhinge/relay/tests/test_relay.py
@@ -7,6 +7,7 @@
 
 from tarragonhinge import base
 from tarragonhinge import catalog
+from tarragonhinge import limits
 from tarragonhinge import relay
 from tarragonhinge import testing
 
@@ -68,6 +69,9 @@
             is_store_failing=lambda: self.is_failing,
             handle_report=lambda report: None,
             handle_loads=lambda loads: None,
+            issuer=limits.PermitIssuer(
+                limits=limits.ServerLimits(log=self.log), clock=self.clock
+            ),
             clock=self.clock,
         )
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
