--- a/tarragonhinge/platform/tests/test_soak.py
+++ b/tarragonhinge/platform/tests/test_soak.py
@@ -7,10 +7,17 @@
 from tarragonhinge.platform import soak
 
 
-@pytest.mark.parametrize("seed", [1])
-def test_short_soak(seed, tmp_path):
+@pytest.mark.parametrize(
+    ("seed", "only"),
+    [
+        (1, ()),
+        (2, ("pause", "storm")),
+        (3, ("store_restored",)),
+    ],
+)
+def test_short_soak(seed, only, tmp_path):
     options = soak.SoakOptions(
-        seconds=4, instances=3, checks_time_limits=False
+        seconds=4, instances=3, checks_time_limits=False, only=only
     )
     result = asyncio.run(
         soak.run_seed(seed, options=options, folder=tmp_path, subnet=99)
