Let the soak's servers name limits, and check the rule LIMIT

The disturbance server_limit lets a server name a limit for some seconds, which changes meanwhile. The check uses what callers and servers observed, with the bounds of the rule.

--- a/tarragonhinge/platform/soak/_checks.py
+++ b/tarragonhinge/platform/soak/_checks.py
@@ -7,6 +7,7 @@
 from tarragonhinge.platform.soak import _attempts
 from tarragonhinge.platform.soak import _callers
 from tarragonhinge.platform.soak import _instances
+from tarragonhinge.platform.soak import _limit_check
 from tarragonhinge.platform.soak import _testbed
 from tarragonhinge.platform import standins
 
@@ -230,6 +231,14 @@
                     f"{instance.exit_status}"
                 )
 
+    def check_limits(self) -> None:
+        """Check that limits that servers named were respected."""
+        self.violations.extend(
+            _limit_check.list_violations(
+                self._testbed.limits.named, self._callers.attempts
+            )
+        )
+
     def check_lost(self) -> None:
         """Check that no request was lost (rule LOST)."""
         executions = collections.defaultdict(list)
--- a/tarragonhinge/platform/soak/_disturbances.py
+++ b/tarragonhinge/platform/soak/_disturbances.py
@@ -234,6 +234,21 @@
             server.mode = "ok"
 
 
+@DISTURBANCES.register("server_limit")
+class ServerLimit(Disturbance):
+    """A server names a limit for some seconds, which changes meanwhile."""
+
+    async def apply(self, testbed: _testbed.Testbed) -> None:
+        """Apply the disturbance to a testbed and revert it."""
+        server = testbed.rng.choice(testbed.servers)
+        if server.limit is not None:
+            return
+        for _ in range(testbed.rng.randint(1, 2)):
+            rate = round(testbed.rng.uniform(0.5, 8.0), 1)
+            with testbed.limits.name(server, rate):
+                await asyncio.sleep(testbed.rng.uniform(5.0, 9.0))
+
+
 @DISTURBANCES.register("server_crash")
 class ServerCrash(Disturbance):
     """Starts a server and crashes another one of the service."""
--- a/tarragonhinge/platform/soak/_instances.py
+++ b/tarragonhinge/platform/soak/_instances.py
@@ -105,6 +105,19 @@
         started_at = self.started_at[-1]
         return not self.has_ended and time.monotonic() - started_at >= seconds
 
+    def has_been_calm(self, since: float, until: float) -> bool:
+        """Return whether nothing happened to the process between two times.
+
+        Starts, stops, kills and pauses count; times are monotonic.
+        """
+        return not (
+            self.disruptions.overlap(since, until)
+            or any(
+                since - STOP_TIMEOUT_S <= at <= until for at in self.stopped_at
+            )
+            or any(since <= at <= until for at in self.started_at)
+        )
+
     @property
     def exit_status(self) -> int | None:
         """Exit status, negative for a signal; None if it has not ended."""
--- a/tarragonhinge/platform/soak/_run.py
+++ b/tarragonhinge/platform/soak/_run.py
@@ -108,6 +108,7 @@
         checks.check_recovery(recovered_at)
         checks.check_drained()
         checks.check_lost()
+        checks.check_limits()
     return SoakResult(
         seed=seed,
         disturbances=disturbances,
--- a/tarragonhinge/platform/soak/_testbed.py
+++ b/tarragonhinge/platform/soak/_testbed.py
@@ -10,6 +10,7 @@
 from tarragonhinge import base
 from tarragonhinge import http1
 from tarragonhinge.platform.soak import _instances
+from tarragonhinge.platform.soak import _limits
 from tarragonhinge.platform.soak import _proxy
 from tarragonhinge.platform.soak import _spans
 from tarragonhinge.platform import standins
@@ -54,6 +55,8 @@
         Times at which the store was disturbed.
     newest_route : str
         Name of the route that was added last.
+    limits : Limits
+        Limits that servers named.
     """
 
     def __init__(
@@ -80,6 +83,7 @@
         self.version = 0
         self.extra_routes: set[str] = set()
         self.newest_route = ""
+        self.limits = _limits.Limits()
         self.disturbed_at = 0.0
         self.resumed_at = 0.0
         self._server_count = 0
--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -94,8 +94,8 @@
         during the execution.
     received : list
         Request line, fields and body of each request.
-    arrivals : list of float
-        Monotonic times at which requests arrived, in seconds.
+    arrivals : list of tuple of float and str
+        Monotonic time in seconds and attempt of each request that arrived.
     executions : list of Execution
         All executions, in the order of their start.
     limit : str or None
@@ -117,7 +117,7 @@
         self.executed: list[str] = []
         self.abandoned: list[str] = []
         self.received: list[tuple[str, dict, bytes]] = []
-        self.arrivals: list[float] = []
+        self.arrivals: list[tuple[float, str]] = []
         self.executions: list[Execution] = []
         self.limit: str | None = None
         self.request_arrived = asyncio.Event()
@@ -199,7 +199,7 @@
     ) -> bool:
         attempt = fields.get("tarragonhinge-request-attempt-id", "")
         self.received.append((line, fields, body))
-        self.arrivals.append(time.monotonic())
+        self.arrivals.append((time.monotonic(), attempt))
         self.request_arrived.set()
         expected = fields.get("tarragonhinge-expect-instance", self.name)
         key = int(fields.get("tarragonhinge-shard-key", -1))
--- a/tarragonhinge/platform/tests/test_server_limit.py
+++ b/tarragonhinge/platform/tests/test_server_limit.py
@@ -151,7 +151,7 @@
 
 def _count_most(arrivals, since):
     """Return the largest number of arrivals in any window."""
-    times = [at for at in arrivals if at >= since]
+    times = [at for at, _ in arrivals if at >= since]
     return max(
         (sum(at <= t < at + WINDOW_S for t in times) for at in times),
         default=0,
--- a/tarragonhinge/platform/tests/test_soak.py
+++ b/tarragonhinge/platform/tests/test_soak.py
@@ -13,6 +13,7 @@
         (1, ()),
         (2, ("pause", "storm")),
         (3, ("store_restored",)),
+        (4, ("server_limit", "roll")),
     ],
 )
 def test_short_soak(seed, only, tmp_path):
