Bound the memory that bytes without end from servers take

Cause: each body was limited (16 MB), not their sum, and interim responses were skipped without a limit, until the deadline. The body of the response to a release was read to its end.

All bodies that are being received now share 48 MB, beyond which those of more than 1 MB fail, so that other servers' responses still arrive; more than 32 interim responses fail the exchange; 4 KB of a release's body are read. Heads were bounded before.

--- a/tarragonhinge/http1/_server_connection.py
+++ b/tarragonhinge/http1/_server_connection.py
@@ -5,6 +5,7 @@
 import h11
 
 from tarragonhinge import base
+from tarragonhinge.http1 import _body_memory
 from tarragonhinge.http1 import _errors
 from tarragonhinge.http1 import _messages
 from tarragonhinge.http1 import _tcp_stream
@@ -18,6 +19,9 @@
 #: Largest head of a response.
 HEAD_LIMIT_BYTES = 65_536
 
+#: Largest number of interim responses before the final one.
+INTERIM_RESPONSE_LIMIT = 32
+
 #: Largest number of digits of a timeout.
 NUMBER_LIMIT_DIGITS = 9
 
@@ -115,6 +119,7 @@
             parser.receive_data(unparsed)
         head: h11.Response | None = None
         body = bytearray()
+        interim_count = 0
         try:
             while True:
                 event = parser.next_event()
@@ -125,11 +130,18 @@
                             f"the connection was reset: {self._stream.error}"
                         )
                     parser.receive_data(data)
+                elif isinstance(event, h11.InformationalResponse):
+                    interim_count += 1
+                    if interim_count > INTERIM_RESPONSE_LIMIT:
+                        raise _make_error("too many interim responses")
                 elif isinstance(event, h11.Response):
                     head = event
                 elif isinstance(event, h11.Data):
                     body += event.data
-                    if len(body) > RESPONSE_LIMIT_BYTES:
+                    has_room = _body_memory.BODY_MEMORY.add(
+                        len(event.data), body_bytes=len(body)
+                    )
+                    if len(body) > RESPONSE_LIMIT_BYTES or not has_room:
                         raise _make_error("the response body is too large")
                 elif isinstance(event, h11.EndOfMessage):
                     break
@@ -139,6 +151,8 @@
                     )
         except h11.RemoteProtocolError as error:
             raise _make_error(f"invalid response: {error}") from error
+        finally:
+            _body_memory.BODY_MEMORY.release(len(body))
         if head is None:
             raise _make_error("no response")
         trailing, _ = parser.trailing_data
--- a/tarragonhinge/platform/_grants.py
+++ b/tarragonhinge/platform/_grants.py
@@ -19,6 +19,11 @@
 CONNECT_TIMEOUT_MS = 500
 
 
+#: Largest part of the response to a release that is read, in bytes. The
+#: connection is kept open if this is the whole body.
+RELEASE_BODY_BYTES = 4_096
+
+
 _RESULTS_BY_STATUS = {
     200: ranges.GrantResult.HELD,
     409: ranges.GrantResult.FENCED,
@@ -193,7 +198,8 @@
                 },
                 timeout=timeout,
             ) as response:
-                await response.read()
+                # The body says nothing; one without end is not read.
+                await response.content.read(RELEASE_BODY_BYTES)
                 if response.status == 421:
                     # Another server uses the address, so the owner's process
                     # has ended.
