Judge a claim again that was seen while this one was renewed

Found by reading: a claim of another instance that the watch delivers between this coordinator's new claim and the renewal of its condition was passed over, since the condition was still that of the former era. Both would have gone on until a conditional write of this one failed.

The claim is now read back after it was written, and the condition is renewed only if no later claim has been seen in that era.

--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -120,6 +120,8 @@
             retry_cap_ms=CLAIM_WATCH_RETRY_CAP_MS,
         )
         self._deposed = asyncio.Event()
+        # Era and version of the newest claim that the follower has seen.
+        self._seen_claim = (0, 0)
         self._issuer = limits.PermitIssuer(limits=server_limits, clock=clock)
         self.hub = relay.Hub(
             term=leadership.term,
@@ -185,9 +187,13 @@
         has a lower term.
         """
         for row in rows:
-            if row.key != _leadership.KEY or self._is_own(row):
+            if row.key != _leadership.KEY:
                 continue
-            if self._condition.era == self._claim_follower.era:
+            self._seen_claim = (self._claim_follower.era, row.version)
+            if (
+                self._condition.era == self._claim_follower.era
+                and not self._is_own(row)
+            ):
                 self._deposed.set()
 
     def _is_own(self, row: stores.StoredRow) -> bool:
@@ -220,9 +226,10 @@
             )
             stored = _leadership.find_leadership(row)
             if row is not None and self._is_own(row):
-                self._leadership = stored
-                self._renew_condition(row.version, rows.era)
-                return
+                if self._seen_claim <= (rows.era, row.version):
+                    self._leadership = stored
+                    self._renew_condition(row.version, rows.era)
+                continue
             if stored is not None and stored.term >= self.term:
                 self._deposed.set()
                 return
@@ -231,7 +238,10 @@
     async def _write_claim(
         self, row: stores.StoredRow | None, era: int
     ) -> None:
-        """Write the claim with the next term in place of a former one."""
+        """Write the claim with the next term in place of a former one.
+
+        It is read back, since another claim may replace it at once.
+        """
         version = row.version if row is not None else 0
         leadership = msgspec.structs.replace(
             self._leadership, term=base.Term(self.term + 1)
@@ -247,9 +257,8 @@
             ],
             era=era,
         )
-        if isinstance(result, stores.Committed) and result.version:
+        if isinstance(result, stores.Committed):
             self._leadership = leadership
-            self._renew_condition(result.version, era)
         elif isinstance(result, stores.Unavailable):
             await self._clock.sleep(CLAIM_RETRY_MS)
 
