--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -158,9 +158,9 @@
         *,
         rate: float,
         max_wait_ms: int,
-    ) -> limits.Turn:
+    ) -> limits.Reservation:
         """Issue a permit to this instance itself."""
-        return self._issuer.take(
+        return self._issuer.reserve(
             incarnation, named_rate=rate, max_wait_ms=max_wait_ms
         )
 
--- a/tarragonhinge/events/_request_events.py
+++ b/tarragonhinge/events/_request_events.py
@@ -106,7 +106,7 @@
 
 
 class Limited(_event.RequestEvent, frozen=True, kw_only=True, tag="limited"):
-    """The chosen server names a limit, for which the request asked a turn.
+    """The chosen server names a limit, and the request asked for a slot.
 
     Parameters
     ----------
@@ -115,7 +115,7 @@
     granted : bool
         Whether the request may be sent after the wait.
     wait_ms : int
-        Time until the next turn.
+        Time until the next free slot.
     """
 
     server: str
--- a/tarragonhinge/gateway/_placer.py
+++ b/tarragonhinge/gateway/_placer.py
@@ -82,9 +82,9 @@
             placement = self._choose(job, [link] if link else [], segment)
             if isinstance(placement, _refusals.Refused):
                 return placement
-            turn = await self._take_turn(job, placement, may_wait=True)
-            if not turn.is_granted:
-                return _make_limit_refusal(turn)
+            reservation = await self._reserve(job, placement, may_wait=True)
+            if not reservation.is_granted:
+                return _make_limit_refusal(reservation)
             if self._owners.is_held(job, segment):
                 return placement
             # The key has moved during the wait.
@@ -99,38 +99,38 @@
             placement = self._choose(job, links, None)
             if isinstance(placement, _refusals.Refused):
                 return refusal or placement
-            turn = await self._take_turn(
+            reservation = await self._reserve(
                 job, placement, may_wait=len(links) == 1
             )
-            if turn.is_granted:
+            if reservation.is_granted:
                 return placement
-            refusal = _make_limit_refusal(turn)
+            refusal = _make_limit_refusal(reservation)
             links.remove(placement.link)
 
-    async def _take_turn(
+    async def _reserve(
         self, job: _job.Job, placement: Placement, *, may_wait: bool
-    ) -> limits.Turn:
-        """Ask for a turn at a server that names a limit, and wait for it."""
+    ) -> limits.Reservation:
+        """Reserve a slot at a server that names a limit, and wait for it."""
         max_wait_ms = 0
         if may_wait:
             limit_ms = self._compute_latency_limit(job)
             max_wait_ms = max(0, int(limit_ms - placement.expected_ms))
-        turn = await self._permits.acquire(
+        reservation = await self._permits.acquire(
             placement.link.incarnation, max_wait_ms=max_wait_ms
         )
-        if turn is None:
-            return limits.Turn(is_granted=True, wait_ms=0)
+        if reservation is None:
+            return limits.Reservation(is_granted=True, wait_ms=0)
         job.trace.add(
             events.Limited(
                 request=job.metadata.attempt,
                 server=placement.link.entry.server,
-                granted=turn.is_granted,
-                wait_ms=turn.wait_ms,
+                granted=reservation.is_granted,
+                wait_ms=reservation.wait_ms,
             )
         )
-        if turn.is_granted and turn.wait_ms:
-            await self._clock.sleep(turn.wait_ms)
-        return turn
+        if reservation.is_granted and reservation.wait_ms:
+            await self._clock.sleep(reservation.wait_ms)
+        return reservation
 
     def has_alternative(self, job: _job.Job, link: _links.ServerLink) -> bool:
         """Return whether another server would be chosen for the request."""
@@ -247,9 +247,11 @@
         )
 
 
-def _make_limit_refusal(turn: limits.Turn) -> _refusals.Refused:
+def _make_limit_refusal(
+    reservation: limits.Reservation,
+) -> _refusals.Refused:
     return _refusals.Refused(
         status=503,
         reason="server_limit",
-        retry_after_ms=max(turn.invitation_ms, turn.wait_ms),
+        retry_after_ms=max(reservation.retry_after_ms, reservation.wait_ms),
     )
--- a/tarragonhinge/limits/__init__.py
+++ b/tarragonhinge/limits/__init__.py
@@ -3,7 +3,7 @@
 from tarragonhinge.limits._issuer import PermitIssuer
 from tarragonhinge.limits._pacer import BURST_MS
 from tarragonhinge.limits._pacer import Pacer
-from tarragonhinge.limits._pacer import Turn
+from tarragonhinge.limits._pacer import Reservation
 from tarragonhinge.limits._permits import Permits
 from tarragonhinge.limits._permits import PermitSource
 from tarragonhinge.limits._server_limits import Incarnation
@@ -19,5 +19,5 @@
     "PermitSource",
     "Permits",
     "ServerLimits",
-    "Turn",
+    "Reservation",
 ]
--- a/tarragonhinge/limits/_issuer.py
+++ b/tarragonhinge/limits/_issuer.py
@@ -6,7 +6,7 @@
 
 
 class PermitIssuer:
-    """Gives the requests of all instances their turns at limited servers.
+    """Reserves slots at limited servers for the requests of all instances.
 
     Parameters
     ----------
@@ -33,14 +33,14 @@
         for limit in limits.list_all():
             self._find_pacer((limit.server, limit.born_ms), limit.rate)
 
-    def take(
+    def reserve(
         self,
         incarnation: _server_limits.Incarnation,
         *,
         named_rate: float,
         max_wait_ms: int,
-    ) -> _pacer.Turn:
-        """Give a request its turn.
+    ) -> _pacer.Reservation:
+        """Reserve a slot for a request.
 
         Parameters
         ----------
@@ -55,7 +55,7 @@
         if rate is None:
             rate = named_rate
         pacer = self._find_pacer(incarnation, rate)
-        return pacer.take(max_wait_ms=max_wait_ms)
+        return pacer.reserve(max_wait_ms=max_wait_ms)
 
     def _find_pacer(
         self, incarnation: _server_limits.Incarnation, rate: float
--- a/tarragonhinge/limits/_pacer.py
+++ b/tarragonhinge/limits/_pacer.py
@@ -1,4 +1,4 @@
-"""Spaces requests so that they keep a rate."""
+"""Rate limiter that spaces requests evenly."""
 
 import math
 
@@ -6,38 +6,37 @@
 
 from tarragonhinge import base
 
-#: Time by which a request may precede its turn after a pause, so that the
-#: room of a high limit is used although requests come unevenly.
+#: Burst size, as the time in which it accumulates at the full rate.
 BURST_MS = 100
 
-#: Longest time after which a refused request is invited to come back.
-MAX_INVITATION_MS = 3_000
+#: Upper limit of the delay before the retry of a refused request.
+MAX_RETRY_AFTER_MS = 3_000
 
 
-class Turn(msgspec.Struct, frozen=True, kw_only=True):
-    """Answer to a request for a turn.
+class Reservation(msgspec.Struct, frozen=True, kw_only=True):
+    """Time at which a request may be sent, or a refusal.
 
     Parameters
     ----------
     is_granted : bool
-        Whether the request may be sent once it has waited.
+        Whether the request may be sent after the wait.
     wait_ms : int
-        Time until the next turn, which is the request's own if granted.
-    invitation_ms : int
-        Time after which the request should come back if it is refused.
+        Time until the next free slot, which the request has if granted.
+    retry_after_ms : int
+        Delay before a retry if the request is refused.
     """
 
     is_granted: bool
     wait_ms: int
-    invitation_ms: int = 0
+    retry_after_ms: int = 0
 
 
 class Pacer:
-    """Gives requests turns at even distances.
+    """Rate limiter with evenly spaced slots, which requests reserve.
 
-    Within any period `t`, at most ``rate * (t + BURST_MS) + 1`` requests
-    have their turn. The first turn is one distance away, so that a new pacer
-    and its predecessor keep the rate together.
+    Within any period `t`, there are at most ``rate * (t + BURST_MS) + 1``
+    slots. The first one is a whole interval away, so that a new pacer and its
+    predecessor keep the rate together.
 
     Parameters
     ----------
@@ -51,20 +50,20 @@
         self._clock = clock
         self._interval_ms = base.MS_PER_S / rate
         self._next_at = clock.now() + self._interval_ms
-        # Time for which the last refused request was told to come back.
-        self._invited_at = self._next_at
+        # Time of the last retry that a refused request was told.
+        self._retry_at = self._next_at
 
     def set_rate(self, rate: float) -> None:
-        """Change the rate of the following turns."""
+        """Change the rate of the following slots."""
         interval_ms = base.MS_PER_S / rate
         self._next_at += interval_ms - self._interval_ms
         self._interval_ms = interval_ms
 
-    def take(self, *, max_wait_ms: int) -> Turn:
-        """Take the next turn if it comes soon enough.
+    def reserve(self, *, max_wait_ms: int) -> Reservation:
+        """Reserve the next slot if the request can wait for it.
 
-        Requests that are refused are invited to come back at even distances,
-        too, behind those that already have a turn.
+        The retries of refused requests are spaced evenly, too, so that they
+        do not come back together.
 
         Parameters
         ----------
@@ -72,17 +71,17 @@
             Longest time that the request can wait.
         """
         now = self._clock.now()
-        turn_at = max(self._next_at, now - BURST_MS)
-        wait_ms = max(0.0, turn_at - now)
+        start_at = max(self._next_at, now - BURST_MS)
+        wait_ms = max(0.0, start_at - now)
         if wait_ms <= max_wait_ms:
-            self._next_at = turn_at + self._interval_ms
-            return Turn(is_granted=True, wait_ms=math.ceil(wait_ms))
-        self._invited_at = min(
-            max(self._invited_at, turn_at) + self._interval_ms,
-            max(turn_at, now + MAX_INVITATION_MS),
+            self._next_at = start_at + self._interval_ms
+            return Reservation(is_granted=True, wait_ms=math.ceil(wait_ms))
+        self._retry_at = min(
+            max(self._retry_at, start_at) + self._interval_ms,
+            max(start_at, now + MAX_RETRY_AFTER_MS),
         )
-        return Turn(
+        return Reservation(
             is_granted=False,
             wait_ms=math.ceil(wait_ms),
-            invitation_ms=math.ceil(self._invited_at - now),
+            retry_after_ms=math.ceil(self._retry_at - now),
         )
--- a/tarragonhinge/limits/_permits.py
+++ b/tarragonhinge/limits/_permits.py
@@ -18,7 +18,7 @@
         *,
         rate: float,
         max_wait_ms: int,
-    ) -> _pacer.Turn | None:
+    ) -> _pacer.Reservation | None:
         """Return the answer of the issuer; None if it does not answer."""
 
 
@@ -56,14 +56,14 @@
         self._get_instances = get_instances
         self._clock = clock
         self._own_pacers: dict[_server_limits.Incarnation, _pacer.Pacer] = {}
-        # Times until the next turn and the invitation of the last refusal.
+        # Time of the next slot and of the retry that the last refusal told.
         self._refused: dict[_server_limits.Incarnation, tuple[int, int]] = {}
         self.source: PermitSource | None = None
 
     async def acquire(
         self, incarnation: _server_limits.Incarnation, *, max_wait_ms: int
-    ) -> _pacer.Turn | None:
-        """Return a request's turn; None if the server names no limit.
+    ) -> _pacer.Reservation | None:
+        """Reserve a slot; return None if the server names no limit.
 
         Parameters
         ----------
@@ -78,35 +78,35 @@
             self._refused.pop(incarnation, None)
             return None
         now = self._clock.now()
-        turn_at, invited_at = self._refused.get(incarnation, (now, now))
-        if turn_at - now > max_wait_ms:
-            return _pacer.Turn(
+        start_at, retry_at = self._refused.get(incarnation, (now, now))
+        if start_at - now > max_wait_ms:
+            return _pacer.Reservation(
                 is_granted=False,
-                wait_ms=turn_at - now,
-                invitation_ms=invited_at - now,
+                wait_ms=start_at - now,
+                retry_after_ms=retry_at - now,
             )
-        turn = None
+        reservation = None
         if self.source is not None:
-            turn = await self.source.request_permit(
+            reservation = await self.source.request_permit(
                 incarnation, rate=rate, max_wait_ms=max_wait_ms
             )
-        if turn is None:
+        if reservation is None:
             return self._take_own_part(incarnation, rate, max_wait_ms)
         self._own_pacers.pop(incarnation, None)
-        if not turn.is_granted:
+        if not reservation.is_granted:
             now = self._clock.now()
             self._refused[incarnation] = (
-                now + turn.wait_ms,
-                now + turn.invitation_ms,
+                now + reservation.wait_ms,
+                now + reservation.retry_after_ms,
             )
-        return turn
+        return reservation
 
     def _take_own_part(
         self,
         incarnation: _server_limits.Incarnation,
         rate: float,
         max_wait_ms: int,
-    ) -> _pacer.Turn:
+    ) -> _pacer.Reservation:
         part = rate / max(1, self._get_instances())
         pacer = self._own_pacers.get(incarnation)
         if pacer is None:
@@ -114,4 +114,4 @@
             self._own_pacers[incarnation] = pacer
         else:
             pacer.set_rate(part)
-        return pacer.take(max_wait_ms=max_wait_ms)
+        return pacer.reserve(max_wait_ms=max_wait_ms)
--- a/tarragonhinge/limits/tests/test_pacer.py
+++ b/tarragonhinge/limits/tests/test_pacer.py
@@ -1,4 +1,4 @@
-"""Turns keep the rate, however requests arrive."""
+"""Reservations keep the rate, however requests arrive."""
 
 import random
 
@@ -26,51 +26,53 @@
     sent = []
     while clock.now() < 60_000:
         await clock.sleep(max(1, int(rng.expovariate(arrivals_per_s) * 1000)))
-        turn = pacer.take(max_wait_ms=max_wait_ms)
-        if turn.is_granted:
-            sent.append(clock.now() + turn.wait_ms)
+        reservation = pacer.reserve(max_wait_ms=max_wait_ms)
+        if reservation.is_granted:
+            sent.append(clock.now() + reservation.wait_ms)
         else:
-            assert turn.invitation_ms >= turn.wait_ms > max_wait_ms
+            assert (
+                reservation.retry_after_ms >= reservation.wait_ms > max_wait_ms
+            )
     burst = rate * limits.BURST_MS / 1000
     assert _count_most(sent) <= rate * WINDOW_MS / 1000 + burst + 1
-    # Without a queue, a turn is lost whenever no request comes in time.
+    # Without a queue, a slot is lost whenever no request comes in time.
     offered = min(rate, arrivals_per_s)
     assert len(sent) >= 0.5 * offered * 60
 
 
 @manual.on_manual_time
-async def test_first_turn_is_one_interval_away():
+async def test_first_slot_is_one_interval_away():
     """A new coordinator and the former one keep the limit together."""
     clock = testing.ManualClock()
     pacer = limits.Pacer(clock=clock, rate=2.0)
-    assert not pacer.take(max_wait_ms=0).is_granted
+    assert not pacer.reserve(max_wait_ms=0).is_granted
     await clock.sleep(500)
-    assert pacer.take(max_wait_ms=0).is_granted
+    assert pacer.reserve(max_wait_ms=0).is_granted
 
 
 @manual.on_manual_time
-async def test_refused_requests_are_invited_one_after_the_other():
+async def test_retries_of_refused_requests_are_spaced():
     clock = testing.ManualClock()
     pacer = limits.Pacer(clock=clock, rate=2.0)
-    invitations = [pacer.take(max_wait_ms=0).invitation_ms for _ in range(9)]
-    assert invitations == [1000, 1500, 2000, 2500, *[3000] * 5]
+    delays = [pacer.reserve(max_wait_ms=0).retry_after_ms for _ in range(9)]
+    assert delays == [1000, 1500, 2000, 2500, *[3000] * 5]
 
 
 @manual.on_manual_time
 async def test_wait_is_limited_by_request():
     clock = testing.ManualClock()
     pacer = limits.Pacer(clock=clock, rate=2.0)
-    assert pacer.take(max_wait_ms=600).wait_ms == 500
-    assert not pacer.take(max_wait_ms=600).is_granted
-    assert pacer.take(max_wait_ms=1_000).wait_ms == 1_000
+    assert pacer.reserve(max_wait_ms=600).wait_ms == 500
+    assert not pacer.reserve(max_wait_ms=600).is_granted
+    assert pacer.reserve(max_wait_ms=1_000).wait_ms == 1_000
 
 
 @pytest.mark.parametrize(
     ("new_rate", "expected_ms"), [(1.0, 1_000), (4.0, 250)]
 )
 @manual.on_manual_time
-async def test_changed_rate_holds_from_the_next_turn_on(new_rate, expected_ms):
+async def test_changed_rate_holds_from_the_next_slot_on(new_rate, expected_ms):
     clock = testing.ManualClock()
     pacer = limits.Pacer(clock=clock, rate=2.0)
     pacer.set_rate(new_rate)
-    assert pacer.take(max_wait_ms=5_000).wait_ms == expected_ms
+    assert pacer.reserve(max_wait_ms=5_000).wait_ms == expected_ms
--- a/tarragonhinge/limits/tests/test_permits.py
+++ b/tarragonhinge/limits/tests/test_permits.py
@@ -24,7 +24,7 @@
         self.asked += 1
         if not self.is_reachable:
             return None
-        return self.issuer.take(
+        return self.issuer.reserve(
             incarnation, named_rate=rate, max_wait_ms=max_wait_ms
         )
 
@@ -44,8 +44,8 @@
     for number in range(seconds * per_s):
         await clock.sleep(1000 // per_s)
         permits = instances[number % len(instances)]
-        turn = await permits.acquire(SERVER, max_wait_ms=0)
-        granted += turn.is_granted
+        reservation = await permits.acquire(SERVER, max_wait_ms=0)
+        granted += reservation.is_granted
     return granted
 
 
@@ -76,14 +76,14 @@
 
 
 @manual.on_manual_time
-async def test_refused_instance_does_not_ask_again_before_the_next_turn():
+async def test_refused_instance_does_not_ask_again_before_the_next_slot():
     clock = testing.ManualClock()
     issuer = _Issuer(clock)
     (permits,) = _make_instances(clock, count=1, rate=1.0, issuer=issuer)
     for _ in range(10):
-        turn = await permits.acquire(SERVER, max_wait_ms=0)
-        assert not turn.is_granted
-        assert turn.invitation_ms >= turn.wait_ms > 0
+        reservation = await permits.acquire(SERVER, max_wait_ms=0)
+        assert not reservation.is_granted
+        assert reservation.retry_after_ms >= reservation.wait_ms > 0
     assert issuer.asked == 1
     await clock.sleep(1_000)
     assert (await permits.acquire(SERVER, max_wait_ms=0)).is_granted
--- a/tarragonhinge/relay/_hub.py
+++ b/tarragonhinge/relay/_hub.py
@@ -208,12 +208,12 @@
     def _issue_permit(
         self, request: _messages.PermitRequest
     ) -> _messages.Permit:
-        turn = self._issuer.take(
+        reservation = self._issuer.reserve(
             (request.server, request.born_ms),
             named_rate=request.rate,
             max_wait_ms=request.max_wait_ms,
         )
-        return _messages.Permit(number=request.number, turn=turn)
+        return _messages.Permit(number=request.number, reservation=reservation)
 
     def _make_heartbeat(self) -> _messages.Heartbeat:
         return _messages.Heartbeat(
--- a/tarragonhinge/relay/_messages.py
+++ b/tarragonhinge/relay/_messages.py
@@ -108,12 +108,12 @@
     ----------
     number : int
         Number of the request.
-    turn : Turn
-        The turn, or when to come back.
+    reservation : Reservation
+        The reserved slot, or the refusal.
     """
 
     number: int
-    turn: limits.Turn
+    reservation: limits.Reservation
 
 
 class Update(msgspec.Struct, frozen=True, kw_only=True, tag="update"):
--- a/tarragonhinge/relay/_subscription.py
+++ b/tarragonhinge/relay/_subscription.py
@@ -136,7 +136,9 @@
         self.term = base.Term(0)
         self._writer: asyncio.StreamWriter | None = None
         self._permit_numbers = itertools.count()
-        self._awaited_permits: dict[int, asyncio.Future[limits.Turn]] = {}
+        self._awaited_permits: dict[
+            int, asyncio.Future[limits.Reservation]
+        ] = {}
 
     async def run(self) -> EndReason:
         """Follow the coordinator; return why the subscription ended."""
@@ -183,7 +185,7 @@
         *,
         rate: float,
         max_wait_ms: int,
-    ) -> limits.Turn | None:
+    ) -> limits.Reservation | None:
         """Ask the coordinator; return None if it does not answer in time."""
         if self._writer is None:
             return None
@@ -213,7 +215,7 @@
     def _handle_permit(self, permit: _messages.Permit) -> None:
         answer = self._awaited_permits.get(permit.number)
         if answer is not None and not answer.done():
-            answer.set_result(permit.turn)
+            answer.set_result(permit.reservation)
 
     async def _read(
         self, reader: asyncio.StreamReader, first_message_at: int
