--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -1,6 +1,7 @@
 """Backend server that follows the platform's protocol and injects faults."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import enum
@@ -15,6 +16,9 @@
 #: Factor by which grants last longer, as on a server whose clock runs slow.
 _SLOW_CLOCK_FACTOR = 1.02
 
+#: Time from the start of an execution to the crash that it causes.
+_CRASH_DELAY_S = 0.03
+
 #: Modes in which a request that was executed is answered properly.
 _ANSWERING_MODES = frozenset({"ok", "error", "busy_error"})
 
@@ -98,6 +102,14 @@
         Monotonic time in seconds and attempt of each request that arrived.
     executions : list of Execution
         All executions, in the order of their start.
+    version : str
+        Version of its software.
+    crashing_targets : set of str
+        Targets of the requests whose execution crashes the server.
+    crashed_at : float
+        Monotonic time of the crash in seconds; infinite before it.
+    on_crash : callable or None
+        Called when the server has crashed.
     limit : str or None
         Requests per second that it names in its responses; None for no
         limit.
@@ -119,6 +131,9 @@
         self.received: list[tuple[str, dict, bytes]] = []
         self.arrivals: list[tuple[float, str]] = []
         self.executions: list[Execution] = []
+        self.crashing_targets: set[str] = set()
+        self.crashed_at = math.inf
+        self.on_crash: Callable[[StandInServer], None] | None = None
         self.limit: str | None = None
         self.request_arrived = asyncio.Event()
         self.work_allowed = asyncio.Event()
@@ -128,6 +143,7 @@
         self.fences: list[tuple[int, int, int]] = []
         self.running = 0
         self.born_ms = 1
+        self.version = "v1"
         self._tasks: set[asyncio.Task] = set()
 
     async def start(
@@ -141,10 +157,23 @@
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
+        self._end()
+
+    def _end(self) -> None:
         self._server.close()
         for task in list(self._tasks):
             task.cancel()
 
+    def _crash(self) -> None:
+        """End as a process does that fails: all connections break off."""
+        if self.crashed_at < math.inf:
+            return
+        self.crashed_at = time.monotonic()
+        self.leases = []
+        self._end()
+        if self.on_crash is not None:
+            self.on_crash(self)
+
     def own(self, first: int, last: int, fence: int = 1) -> None:
         """Own a range of keys without an expiry."""
         self.leases.append((first, last, fence, float("inf")))
@@ -232,7 +261,11 @@
         self.executions.append(execution)
         self.running += 1
         try:
-            work_s = self._read_work_s(line.split(" ")[1])
+            target = line.split(" ")[1]
+            if target in self.crashing_targets:
+                await asyncio.sleep(_CRASH_DELAY_S)
+                self._crash()
+            work_s = self._read_work_s(target)
             if not await self._simulate_work(attempt, work_s, reader):
                 execution.end(ExecutionState.ABANDONED)
                 return False
