--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -10,9 +10,11 @@
 from tarragonhinge import catalog
 from tarragonhinge.coordination import _authority
 from tarragonhinge.coordination import _leadership
+from tarragonhinge.coordination import _refusal_keeper
 from tarragonhinge import events
 from tarragonhinge import feeds
 from tarragonhinge import limits
+from tarragonhinge import quarantine
 from tarragonhinge import ranges
 from tarragonhinge import relay
 from tarragonhinge import stores
@@ -39,7 +41,7 @@
 LOAD_REPORT_INTERVAL_MS = 80
 
 
-class Coordinator(limits.PermitSource):
+class Coordinator(limits.PermitSource, quarantine.TrialSource):
     """Reads the store for all instances and assigns the keys to servers.
 
     Parameters
@@ -60,6 +62,8 @@
         Source of this instance's own reports and loads.
     server_limits : ServerLimits
         Limits of servers that this instance knows of.
+    ledger : CrashLedger
+        Crashes of servers, and the requests that are refused for them.
     log : EventLog
         Destination of log events.
     clock : Clock
@@ -89,6 +93,7 @@
         grants: ranges.GrantClient,
         exchange: relay.Exchange,
         server_limits: limits.ServerLimits,
+        ledger: quarantine.CrashLedger,
         log: events.EventLog,
         clock: base.Clock,
         is_first_start: bool,
@@ -123,6 +128,10 @@
         # Era and version of the newest claim that the follower has seen.
         self._seen_claim = (0, 0)
         self._issuer = limits.PermitIssuer(limits=server_limits, clock=clock)
+        self._trial_issuer = quarantine.TrialIssuer(ledger=ledger, log=log)
+        self._refusal_keeper = _refusal_keeper.RefusalKeeper(
+            store=store, claim=condition, ledger=ledger, log=log, clock=clock
+        )
         self.hub = relay.Hub(
             term=leadership.term,
             view=view,
@@ -131,6 +140,8 @@
             handle_report=self._handle_report,
             handle_loads=exchange.apply_loads,
             issuer=self._issuer,
+            ledger=ledger,
+            trial_issuer=self._trial_issuer,
             clock=clock,
         )
         self._authority = _authority.Authority(
@@ -164,6 +175,12 @@
             incarnation, named_rate=rate, max_wait_ms=max_wait_ms
         )
 
+    async def request_trial(
+        self, digest: quarantine.RequestDigest, version: str | None
+    ) -> str | None:
+        """Issue a trial to this instance itself."""
+        return self._trial_issuer.issue(digest, version)
+
     def _find_rate_limit(self, entry: catalog.ServerEntry) -> float | None:
         return self._issuer.limits.find((entry.server, entry.born_ms))
 
@@ -304,6 +321,7 @@
                 self._claim_follower.run(),
                 self._keep_claim(),
                 self.hub.run(),
+                self._refusal_keeper.run(),
                 self._manage_services(),
                 self._apply_own_reports(),
                 self._forward_own_loads(),
--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -14,6 +14,7 @@
 from tarragonhinge import events
 from tarragonhinge import feeds
 from tarragonhinge import limits
+from tarragonhinge import quarantine
 from tarragonhinge import ranges
 from tarragonhinge import relay
 from tarragonhinge import stores
@@ -70,6 +71,11 @@
     permits : Permits
         Permits for requests to servers that name a limit, which get the
         coordinator as their source.
+    ledger : CrashLedger
+        Crashes of servers, and the requests that are refused for them.
+    trials : Trials
+        Trials for refused requests, which get the coordinator as their
+        source.
     log : EventLog
         Destination of log events.
     clock : Clock
@@ -96,6 +102,8 @@
         grants: ranges.GrantClient,
         exchange: relay.Exchange,
         permits: limits.Permits,
+        ledger: quarantine.CrashLedger,
+        trials: quarantine.Trials,
         log: events.EventLog,
         clock: base.Clock,
         rng: random.Random | None = None,
@@ -112,6 +120,8 @@
         self._grants = grants
         self._exchange = exchange
         self._permits = permits
+        self._ledger = ledger
+        self._trials = trials
         self._log = log
         self._clock = clock
         self._rng = rng or random.Random()
@@ -335,6 +345,7 @@
             address=address,
             view=self._view,
             exchange=self._exchange,
+            ledger=self._ledger,
             check_store=self._check_store,
             compute_leave_delay_ms=self._compute_leave_delay_ms,
             on_update=self._stop_standalone,
@@ -344,10 +355,12 @@
         self._subscription = subscription
         self._followed_era = self._claim_era
         self._permits.source = subscription
+        self._trials.source = subscription
         try:
             end_reason = await subscription.run()
         finally:
             self._permits.source = None
+            self._trials.source = None
         self._record_term(subscription.term)
         last_message_at = subscription.last_message_at
         if last_message_at is not None:
@@ -444,6 +457,7 @@
             grants=self._grants,
             exchange=self._exchange,
             server_limits=self._permits.limits,
+            ledger=self._ledger,
             log=self._log,
             clock=self._clock,
             is_first_start=self._is_first_start,
@@ -452,6 +466,7 @@
         )
         self._coordinator = coordinator
         self._permits.source = coordinator
+        self._trials.source = coordinator
         notifier = None
         if previous is not None and not self._is_own(previous):
             notifier = asyncio.create_task(
@@ -470,6 +485,7 @@
                 notifier.cancel()
             self._coordinator = None
             self._permits.source = None
+            self._trials.source = None
             self._fleet_size = coordinator.hub.fleet_size
             self._record_term(coordinator.term)
             self._log_leadership(coordinator.term, leads=False, reason=reason)
--- a/tarragonhinge/coordination/tests/fleet.py
+++ b/tarragonhinge/coordination/tests/fleet.py
@@ -9,6 +9,7 @@
 from tarragonhinge import coordination
 from tarragonhinge.coordination import _leadership
 from tarragonhinge import feeds
+from tarragonhinge import quarantine
 from tarragonhinge import ranges
 from tarragonhinge import relay
 from tarragonhinge import stores
@@ -71,6 +72,9 @@
         self.is_first_start = is_first_start
         self.number = number
         self.view = catalog.View()
+        self.ledger = quarantine.CrashLedger(
+            log=testing.make_event_log(fleet.clock), clock=fleet.clock
+        )
         self.store = testing.MemoryRowStore(rows=fleet.rows, clock=fleet.clock)
         self.grants = testing.MemoryGrantClient(
             fleet=fleet.servers, clock=fleet.clock
@@ -92,6 +96,8 @@
             grants=self.grants,
             exchange=IdleExchange(),
             permits=testing.make_permits(self.fleet.clock),
+            ledger=self.ledger,
+            trials=quarantine.Trials(),
             log=testing.make_event_log(self.fleet.clock, instance=name),
             clock=self.fleet.clock,
             rng=random.Random(self.number),
--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -9,12 +9,15 @@
 from tarragonhinge.events._process_events import LimitNamed
 from tarragonhinge.events._process_events import LinesDropped
 from tarragonhinge.events._process_events import Planned
+from tarragonhinge.events._process_events import QuarantineLifted
 from tarragonhinge.events._process_events import Readiness
 from tarragonhinge.events._process_events import RecordOutdated
 from tarragonhinge.events._process_events import Reloaded
+from tarragonhinge.events._process_events import RequestQuarantined
 from tarragonhinge.events._process_events import RowIgnored
 from tarragonhinge.events._process_events import SegmentMoved
 from tarragonhinge.events._process_events import ServerAvoided
+from tarragonhinge.events._process_events import ServerCrashed
 from tarragonhinge.events._process_events import ServerSeen
 from tarragonhinge.events._process_events import Started
 from tarragonhinge.events._process_events import Stopped
@@ -22,10 +25,13 @@
 from tarragonhinge.events._process_events import StoreRestored
 from tarragonhinge.events._process_events import TableInForce
 from tarragonhinge.events._process_events import TaskFailed
+from tarragonhinge.events._process_events import TrialGranted
+from tarragonhinge.events._request_events import CrashWitnessed
 from tarragonhinge.events._request_events import Ended
 from tarragonhinge.events._request_events import Held
 from tarragonhinge.events._request_events import Limited
 from tarragonhinge.events._request_events import Placed
+from tarragonhinge.events._request_events import Quarantined
 from tarragonhinge.events._request_events import Received
 from tarragonhinge.events._request_events import Rejected
 from tarragonhinge.events._request_events import Tried
@@ -35,6 +41,7 @@
 from tarragonhinge.events._trace import Trace
 
 __all__ = [
+    "CrashWitnessed",
     "DependencyChanged",
     "Ended",
     "Event",
@@ -48,15 +55,19 @@
     "LogLine",
     "Placed",
     "Planned",
+    "QuarantineLifted",
+    "Quarantined",
     "Readiness",
     "Received",
     "Rejected",
     "Reloaded",
+    "RequestQuarantined",
     "RequestEvent",
     "RecordOutdated",
     "RowIgnored",
     "SegmentMoved",
     "ServerAvoided",
+    "ServerCrashed",
     "ServerSeen",
     "Started",
     "Stopped",
@@ -64,6 +75,7 @@
     "StoreRestored",
     "TableInForce",
     "TaskFailed",
+    "TrialGranted",
     "Trace",
     "Tried",
     "format_timeline",
--- a/tarragonhinge/events/_process_events.py
+++ b/tarragonhinge/events/_process_events.py
@@ -329,6 +329,81 @@
     for_ms: int
 
 
+class ServerCrashed(
+    _event.Event, frozen=True, kw_only=True, tag="server_crashed"
+):
+    """A server has crashed, according to this instance.
+
+    Parameters
+    ----------
+    server : str
+        Id of the server.
+    born_ms : int
+        Wall-clock time of the server's start, in milliseconds.
+    proof : str
+        How it was recognized: ``refused`` (it refuses connections) or
+        ``reborn`` (its entry states another start).
+    requests : list of str
+        Digests of this instance's requests that were running there.
+    """
+
+    server: str
+    born_ms: int
+    proof: str
+    requests: list[str]
+
+
+class RequestQuarantined(
+    _event.Event, frozen=True, kw_only=True, tag="request_quarantined"
+):
+    """A request is refused from now on, since it crashes its servers.
+
+    Parameters
+    ----------
+    digest : str
+        Digest of the request.
+    servers : list of str
+        Ids of the servers that it crashed.
+    certain : bool
+        Whether it was the only request at one of these servers.
+    """
+
+    digest: str
+    servers: list[str]
+    certain: bool
+
+
+class QuarantineLifted(
+    _event.Event, frozen=True, kw_only=True, tag="quarantine_lifted"
+):
+    """A request is no longer refused, since a server has completed it.
+
+    Parameters
+    ----------
+    digest : str
+        Digest of the request.
+    """
+
+    digest: str
+
+
+class TrialGranted(
+    _event.Event, frozen=True, kw_only=True, tag="trial_granted"
+):
+    """A refused request may be sent once more.
+
+    Parameters
+    ----------
+    digest : str
+        Digest of the request.
+    reason : str
+        Why: a ``version`` that it has not crashed, or ``doubt``.
+    """
+
+    digest: str
+    reason: str
+
+
 class TaskFailed(_event.Event, frozen=True, kw_only=True, tag="task_failed"):
     """A task failed with an unexpected error.
 
--- a/tarragonhinge/events/_request_events.py
+++ b/tarragonhinge/events/_request_events.py
@@ -136,12 +136,15 @@
         Duration of the attempt.
     repeats : bool
         Whether the request is retried.
+    detail : str
+        How it failed, if the outcome does not tell.
     """
 
     server: str
     outcome: str
     elapsed_ms: int
     repeats: bool
+    detail: str = ""
 
 
 class Ended(_event.RequestEvent, frozen=True, kw_only=True, tag="ended"):
@@ -168,3 +171,45 @@
     reason: str
     elapsed_ms: int
     retry_after_ms: int = 0
+
+
+class Quarantined(
+    _event.RequestEvent, frozen=True, kw_only=True, tag="quarantined"
+):
+    """The request has crashed servers, and whether it was sent all the same.
+
+    Parameters
+    ----------
+    digest : str
+        Digest of the request, which is the same for all its attempts.
+    crashes : int
+        Number of servers that it crashed.
+    trial : str or None
+        Reason for which it was sent once more; None if it was refused.
+    """
+
+    digest: str
+    crashes: int
+    trial: str | None
+
+
+class CrashWitnessed(
+    _event.RequestEvent, frozen=True, kw_only=True, tag="crash_witnessed"
+):
+    """The server to which the request was sent has crashed.
+
+    Parameters
+    ----------
+    digest : str
+        Digest of the request, which is the same for all its attempts.
+    server, route : str
+        Ids of the server and the route.
+    crashes : int
+        Number of crashes at which the request was present and that no refused
+        request explains.
+    """
+
+    digest: str
+    server: str
+    route: str
+    crashes: int
--- a/tarragonhinge/events/_timeline.py
+++ b/tarragonhinge/events/_timeline.py
@@ -100,7 +100,8 @@
     """Return the timeline of a request, one line per event.
 
     Events of the fleet and of the servers that the request was sent to are
-    included if they are close in time.
+    included if they are close in time, and those of the request's digest at
+    any time.
     """
     request_lines = [
         log_line
@@ -115,10 +116,16 @@
         for line in request_lines
         if "server" in line.fields
     }
+    digests = {
+        line.fields["digest"]
+        for line in request_lines
+        if "digest" in line.fields
+    }
     return [
         _format_line(line, begin_ms)
         for line in lines
         if line in request_lines
+        or _concerns(line, digests)
         or (
             begin_ms - CONTEXT_WINDOW_MS
             <= line.at_ms
@@ -128,6 +135,12 @@
     ]
 
 
+def _concerns(line: LogLine, digests: set[str]) -> bool:
+    """Return whether a process event concerns a request with a digest."""
+    named = {line.fields.get("digest"), *line.fields.get("requests", ())}
+    return "request" not in line.fields and bool(named & digests)
+
+
 def _is_context(line: LogLine, servers: set[str]) -> bool:
     if "request" in line.fields:
         return False
--- a/tarragonhinge/events/tests/test_events.py
+++ b/tarragonhinge/events/tests/test_events.py
@@ -186,3 +186,22 @@
     ]
     tags = [t.__struct_config__.tag for t in found]
     assert len(set(tags)) == len(tags)
+
+
+def test_timeline_includes_events_of_the_digest():
+    texts = [
+        json.dumps({"at": at, "up": at, "instance": "e1", **fields})
+        for at, fields in (
+            (1, {"event": "server_crashed", "requests": ["d1"]}),
+            (2, {"event": "server_crashed", "requests": ["d2"]}),
+            (3, {"event": "request_quarantined", "digest": "d1"}),
+            (90_000, {"event": "quarantined", "request": "r", "digest": "d1"}),
+            (90_001, {"event": "quarantined", "request": "s", "digest": "d1"}),
+        )
+    ]
+    timeline = events.format_timeline(events.parse_lines(texts), "r")
+    assert [line.split()[3] for line in timeline] == [
+        "server_crashed",
+        "request_quarantined",
+        "quarantined",
+    ]
--- a/tarragonhinge/gateway/_dialect.py
+++ b/tarragonhinge/gateway/_dialect.py
@@ -25,11 +25,14 @@
         Time that the caller waits for a response, if stated.
     key : int or None
         Key that the request refers to, if any.
+    caller : str
+        What names its caller; empty if nothing does.
     """
 
     attempt: str
     deadline_ms: int | None = None
     key: int | None = None
+    caller: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -10,6 +10,7 @@
 from tarragonhinge import catalog
 from tarragonhinge import events
 from tarragonhinge.gateway import _admission
+from tarragonhinge.gateway import _crash_guard
 from tarragonhinge.gateway import _dialect
 from tarragonhinge.gateway import _fleet_size
 from tarragonhinge.gateway import _job
@@ -26,6 +27,7 @@
 from tarragonhinge.gateway import _view_waiter
 from tarragonhinge import http1
 from tarragonhinge import limits
+from tarragonhinge import quarantine
 from tarragonhinge import servers
 
 #: Longest wait of a request for the first routing table of the process,
@@ -77,6 +79,10 @@
         Limits that the servers name.
     permits : Permits
         Permits for requests to these servers.
+    ledger : CrashLedger
+        Crashes of servers, and the requests that are refused for them.
+    guard : CrashGuard
+        Recognizes crashes and refuses these requests.
     metrics : RequestMetrics
         Metrics of the requests.
     shutdown : Shutdown
@@ -112,12 +118,17 @@
             get_instances=self.fleet_size.get,
             clock=clock,
         )
+        self.ledger = quarantine.CrashLedger(log=log, clock=clock)
+        self.guard = _crash_guard.CrashGuard(
+            view=view, ledger=self.ledger, log=log, clock=clock
+        )
         self._waiter = _view_waiter.ViewWaiter(view=view)
         self.owners = _owner_finder.OwnerFinder(view=view, clock=clock)
         self._placer = _placer.Placer(
             links=self.links,
             owners=self.owners,
             permits=self.permits,
+            guard=self.guard,
             clock=clock,
             rng=rng or random.Random(),
         )
@@ -133,9 +144,11 @@
                 dialect=dialect,
                 links=self.links,
                 server_limits=self.server_limits,
+                guard=self.guard,
                 clock=clock,
             ),
             owners=self.owners,
+            guard=self.guard,
             fleet_size=self.fleet_size,
             metrics=self.metrics,
             log=log,
--- a/tarragonhinge/gateway/_job.py
+++ b/tarragonhinge/gateway/_job.py
@@ -8,6 +8,7 @@
 from tarragonhinge import events
 from tarragonhinge.gateway import _dialect
 from tarragonhinge import http1
+from tarragonhinge import quarantine
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -46,6 +47,11 @@
         Response of a server, once there is a valid one.
     is_retry_paid : bool
         Whether the retry budget was already charged for the next attempt.
+    trial : str or None
+        Reason for which it may be sent although it is refused, since it
+        crashed servers.
+    may_have_trial : bool
+        Whether no trial was requested so far.
     refused_by_grant : tuple or None
         Owner and fencing token of the grant under which the request was
         last refused.
@@ -65,13 +71,30 @@
     attempts: set[asyncio.Task] = dataclasses.field(default_factory=set)
     answer: http1.HttpResponse | None = None
     is_retry_paid: bool = False
+    trial: str | None = None
+    may_have_trial: bool = True
     refused_by_grant: tuple[base.ServerId, int] | None = None
+    _digest: quarantine.RequestDigest | None = None
 
     @property
     def is_idempotent(self) -> bool:
         """Whether the request may run more than once."""
         return self.route.kind is catalog.RequestKind.IDEMPOTENT
 
+    @property
+    def digest(self) -> quarantine.RequestDigest:
+        """Digest, which is the same for all attempts of the request."""
+        if self._digest is None:
+            self._digest = quarantine.compute_digest(
+                host=self.request.find("host") or "",
+                method=self.request.method,
+                target=self.request.target,
+                caller=self.metadata.caller,
+                key=self.key,
+                body=self.request.body,
+            )
+        return self._digest
+
     @property
     def key(self) -> int | None:
         """Key of the request, or None if the service is not keyed."""
--- a/tarragonhinge/gateway/_outcomes.py
+++ b/tarragonhinge/gateway/_outcomes.py
@@ -5,6 +5,9 @@
 
 from tarragonhinge import http1
 
+#: HTTP statuses that promise a caller that its request did not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Answered:
--- a/tarragonhinge/gateway/_placer.py
+++ b/tarragonhinge/gateway/_placer.py
@@ -7,6 +7,7 @@
 from tarragonhinge import catalog
 from tarragonhinge import events
 from tarragonhinge.gateway import _admission
+from tarragonhinge.gateway import _crash_guard
 from tarragonhinge.gateway import _job
 from tarragonhinge.gateway import _links
 from tarragonhinge.gateway import _owner_finder
@@ -45,6 +46,8 @@
         Finds the owners of keys.
     permits : Permits
         Permits for requests to servers that name a limit.
+    guard : CrashGuard
+        Keeps suspects of crashes from other requests.
     clock : Clock
         This process's clock.
     rng : random.Random
@@ -57,12 +60,14 @@
         links: _links.ServerLinks,
         owners: _owner_finder.OwnerFinder,
         permits: limits.Permits,
+        guard: _crash_guard.CrashGuard,
         clock: base.Clock,
         rng: random.Random,
     ) -> None:
         self._links = links
         self._owners = owners
         self._permits = permits
+        self._guard = guard
         self._clock = clock
         self._rng = rng
 
@@ -92,8 +97,19 @@
     async def _place_anywhere(
         self, job: _job.Job
     ) -> Placement | _refusals.Refused:
-        """Choose among all servers, without those whose limit is used up."""
+        """Choose a server, if possible without suspects of a crash."""
         links = self._list_ready(job)
+        preferred = self._guard.list_preferred(job, links)
+        if len(preferred) < len(links):
+            placement = await self._place_among(job, preferred)
+            if isinstance(placement, Placement):
+                return placement
+        return await self._place_among(job, links)
+
+    async def _place_among(
+        self, job: _job.Job, links: list[_links.ServerLink]
+    ) -> Placement | _refusals.Refused:
+        """Choose among servers, without those whose limit is used up."""
         refusal: _refusals.Refused | None = None
         while True:
             placement = self._choose(job, links, None)
--- a/tarragonhinge/gateway/_refusals.py
+++ b/tarragonhinge/gateway/_refusals.py
@@ -8,7 +8,6 @@
 
 from tarragonhinge.gateway import _job
 from tarragonhinge.gateway import _outcomes
-from tarragonhinge.gateway import _sender
 from tarragonhinge import http1
 
 #: Retry-After of a refusal for which no delay is estimated.
@@ -18,6 +17,10 @@
 #: sends the retry to another one.
 STOPPING_RETRY_AFTER_MS = 10
 
+#: Retry-After of a request that crashes servers. It stays refused; a caller
+#: that comes back all the same is kept away for a while.
+QUARANTINE_RETRY_AFTER_MS = 30_000
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Refused:
@@ -40,7 +43,7 @@
     @property
     def is_not_run(self) -> bool:
         """Whether the status promises that the request did not run."""
-        return self.status in _sender.NOT_RUN_STATUSES or self.status == 404
+        return self.status in _outcomes.NOT_RUN_STATUSES or self.status == 404
 
     @classmethod
     def for_exhausted_budget(cls) -> "Refused":
@@ -60,6 +63,17 @@
             retry_after_ms=STOPPING_RETRY_AFTER_MS,
         )
 
+    @classmethod
+    def for_quarantined(cls, *, is_sent: bool) -> "Refused":
+        """Return the response to a request that crashes servers."""
+        if is_sent:
+            return cls(status=502, reason="crashes_servers")
+        return cls(
+            status=503,
+            reason="crashes_servers",
+            retry_after_ms=QUARANTINE_RETRY_AFTER_MS,
+        )
+
     @classmethod
     def for_ended_stop(cls, *, is_sent: bool) -> "Refused":
         """Return the response to a request that the stop aborts."""
@@ -69,6 +83,8 @@
 
     def get_remedy(self) -> str:
         """Return the remedy stated to the caller."""
+        if self.reason == "crashes_servers":
+            return "ask the operators of the service; it is not sent again"
         if self.status == 404:
             return "check host and path against the routes in force"
         if self.is_not_run:
@@ -100,7 +116,7 @@
         Refusal of a further attempt, if there is one.
     """
     if isinstance(failure, _outcomes.Answered):
-        if failure.response.status not in _sender.NOT_RUN_STATUSES:
+        if failure.response.status not in _outcomes.NOT_RUN_STATUSES:
             return failure.response
         # The server's status would promise that the request did not run.
         return Refused(status=502, reason="server_failed")
--- a/tarragonhinge/gateway/_retrier.py
+++ b/tarragonhinge/gateway/_retrier.py
@@ -4,6 +4,7 @@
 
 from tarragonhinge import base
 from tarragonhinge import events
+from tarragonhinge.gateway import _crash_guard
 from tarragonhinge.gateway import _fleet_size
 from tarragonhinge.gateway import _job
 from tarragonhinge.gateway import _links
@@ -47,6 +48,8 @@
         Sends an attempt.
     owners : OwnerFinder
         Owners of keys, which learns from the outcomes.
+    guard : CrashGuard
+        Refuses requests that crash servers.
     fleet_size : FleetSize
         Number of instances that share the retry budget.
     metrics : RequestMetrics
@@ -64,6 +67,7 @@
         placer: _placer.Placer,
         sender: _sender.Sender,
         owners: _owner_finder.OwnerFinder,
+        guard: _crash_guard.CrashGuard,
         fleet_size: _fleet_size.FleetSize,
         metrics: _metrics.RequestMetrics,
         log: events.EventLog,
@@ -73,6 +77,7 @@
         self._placer = placer
         self._sender = sender
         self._owners = owners
+        self._guard = guard
         self._fleet_size = fleet_size
         self._metrics = metrics
         self._log = log
@@ -93,6 +98,9 @@
     ) -> http1.HttpResponse | _refusals.Refused:
         failure: _outcomes.AttemptOutcome | None = None
         while True:
+            refused = await self._guard.admit(job)
+            if refused is not None:
+                return refused
             placement = await self._placer.place(job)
             if isinstance(placement, _refusals.Refused):
                 return _refusals.make_final_response(job, failure, placement)
@@ -116,11 +124,17 @@
             failure = outcome
             if not isinstance(outcome, _outcomes.NotRun):
                 job.may_have_run = True
+            if isinstance(outcome, _outcomes.OutcomeUnknown):
+                await self._guard.wait_for_finding(link)
             will_retry = self._may_retry(job, outcome)
             self._record_failed_attempt(
                 job, link, outcome, began_at, will_retry
             )
             if not will_retry:
+                if self._guard.is_refused(job):
+                    return _refusals.Refused.for_quarantined(
+                        is_sent=job.may_have_run
+                    )
                 return _refusals.make_final_response(job, outcome, None)
 
     def _get_retry_budget(self, job: _job.Job) -> _retry_budget.RetryBudget:
@@ -158,6 +172,8 @@
         """
         if not job.is_idempotent or job.key is not None:
             return False
+        if not self._guard.may_fail_over(job):
+            return False
         silence_timeout_ms = max(
             FAILOVER_LATENCY_FACTOR * placement.expected_ms,
             FAILOVER_OBJECTIVE_FACTOR * job.route.objective_ms,
@@ -238,6 +254,9 @@
         """Return whether another attempt is allowed and may succeed."""
         if self._clock.now() >= job.deadline_at:
             return False
+        may_have_run = not isinstance(outcome, _outcomes.NotRun)
+        if not self._guard.may_retry(job, may_have_run=may_have_run):
+            return False
         if isinstance(outcome, _outcomes.NotRun):
             if (
                 job.sent_count
@@ -304,5 +323,6 @@
                 outcome=name,
                 elapsed_ms=self._clock.now() - began_at,
                 repeats=will_retry,
+                detail=getattr(outcome, "detail", ""),
             )
         )
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from tarragonhinge import base
+from tarragonhinge.gateway import _crash_guard
 from tarragonhinge.gateway import _dialect
 from tarragonhinge.gateway import _job
 from tarragonhinge.gateway import _links
@@ -12,9 +13,6 @@
 from tarragonhinge import limits
 from tarragonhinge import servers
 
-#: HTTP statuses that promise a caller that its request did not run.
-NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
-
 #: Minimum time left before the deadline for a request to be sent.
 MIN_TIME_LEFT_MS = 5
 
@@ -30,6 +28,8 @@
         Links to the servers.
     server_limits : ServerLimits
         Limits that the servers name, which learns from the responses.
+    guard : CrashGuard
+        Recognizes crashes of servers.
     clock : Clock
         This process's clock.
     """
@@ -40,11 +40,13 @@
         dialect: _dialect.Dialect,
         links: _links.ServerLinks,
         server_limits: limits.ServerLimits,
+        guard: _crash_guard.CrashGuard,
         clock: base.Clock,
     ) -> None:
         self._dialect = dialect
         self._links = links
         self._server_limits = server_limits
+        self._guard = guard
         self._clock = clock
 
     def send(
@@ -68,9 +70,13 @@
             Gets its result when the request is sent on an open connection.
         """
         slot = _Slot(load=link.load)
-        attempt = asyncio.create_task(self._run_attempt(job, link, slot, sent))
+        flight = self._guard.begin(job, link)
+        attempt = asyncio.create_task(
+            self._run_attempt(job, link, slot, flight, sent)
+        )
         # A task that is cancelled before it starts does not release its slot.
         attempt.add_done_callback(lambda _: slot.release())
+        attempt.add_done_callback(lambda _: self._guard.end(flight))
         job.attempts.add(attempt)
         attempt.add_done_callback(job.attempts.discard)
         return attempt
@@ -80,22 +86,25 @@
         job: _job.Job,
         link: _links.ServerLink,
         slot: "_Slot",
+        flight: _crash_guard.Flight,
         sent: asyncio.Future[None],
     ) -> _outcomes.AttemptOutcome:
         sent_at = self._clock.now()
-        result = await self._exchange(job, link, sent)
+        result = await self._exchange(job, link, flight, sent)
         slot.release()
         if not isinstance(result, http1.HttpResponse):
             return result
         outcome = self._classify(job, link, result, sent_at)
         if isinstance(outcome, _outcomes.Answered) and not outcome.failed:
             job.answer = outcome.response
+            self._guard.record_answer(job, link)
         return outcome
 
     async def _exchange(
         self,
         job: _job.Job,
         link: _links.ServerLink,
+        flight: _crash_guard.Flight,
         sent: asyncio.Future[None],
     ) -> http1.HttpResponse | _outcomes.NotRun | _outcomes.OutcomeUnknown:
         """Return the response, or the reason why there is none."""
@@ -112,8 +121,12 @@
             # The server began to drain while the connection was opened.
             link.pool.release(connection)
             return _make_unsent("the server is draining or gone")
+        if self._guard.is_refused(job):
+            link.pool.release(connection)
+            return _make_unsent("the request crashes servers")
         job.sent_count += 1
         sent.set_result(None)
+        self._guard.record_sent(flight, connection)
         is_reusable = False
         exchange = asyncio.create_task(
             connection.exchange(
@@ -137,7 +150,9 @@
             is_reusable = not response.closes
             return response
         except http1.ExchangeError as error:
-            link.load.record_failed_attempt()
+            if not flight.is_aborted:
+                link.load.record_failed_attempt()
+                self._guard.record_break(flight)
             return _outcomes.OutcomeUnknown(
                 cause=_outcomes.UnknownCause.BROKEN, detail=error.problem
             )
@@ -197,7 +212,10 @@
                 cause = _outcomes.NotRunCause.SHED
                 link.load.record_shed(metadata.load)
             return _outcomes.NotRun(cause=cause)
-        failed = response.status >= 500 or response.status in NOT_RUN_STATUSES
+        failed = (
+            response.status >= 500
+            or response.status in _outcomes.NOT_RUN_STATUSES
+        )
         is_valid = metadata.sealed and metadata.attempt == job.metadata.attempt
         if not is_valid and not failed:
             link.load.record_failed_attempt()
--- a/tarragonhinge/http1/__init__.py
+++ b/tarragonhinge/http1/__init__.py
@@ -10,6 +10,7 @@
 from tarragonhinge.http1._messages import HttpRequest
 from tarragonhinge.http1._messages import HttpResponse
 from tarragonhinge.http1._pool import ConnectionPool
+from tarragonhinge.http1._pool import ListenerState
 from tarragonhinge.http1._server_connection import ServerConnection
 from tarragonhinge.http1._tcp_stream import connect
 from tarragonhinge.http1._tcp_stream import TcpStream
@@ -23,6 +24,7 @@
     "FieldList",
     "HttpRequest",
     "HttpResponse",
+    "ListenerState",
     "ServerConnection",
     "TcpStream",
     "connect",
--- a/tarragonhinge/http1/_pool.py
+++ b/tarragonhinge/http1/_pool.py
@@ -1,6 +1,7 @@
 """Pool of persistent connections to one backend server."""
 
 import asyncio
+import enum
 
 from tarragonhinge import base
 from tarragonhinge.http1 import _errors
@@ -23,6 +24,18 @@
 FRESH_IDLE_LIMIT_MS = 1_000
 
 
+class ListenerState(enum.Enum):
+    """Reaction of a server to an attempt to connect.
+
+    ACCEPTING: the connection was opened. REFUSING: no process listens.
+    SILENT: there was no reaction in time, or the network failed.
+    """
+
+    ACCEPTING = "accepting"
+    REFUSING = "refusing"
+    SILENT = "silent"
+
+
 class ConnectionPool:
     """Pool of connections to one incarnation of a backend server.
 
@@ -98,6 +111,30 @@
             stream=stream, clock=self._clock
         )
 
+    async def probe(self) -> ListenerState:
+        """Find out whether the server accepts connections.
+
+        A connection that is opened serves the next request.
+        """
+        try:
+            stream = await _tcp_stream.connect(
+                self._address, timeout_ms=CONNECT_TIMEOUT_MS
+            )
+        except ConnectionRefusedError:
+            return ListenerState.REFUSING
+        except OSError:
+            return ListenerState.SILENT
+        if self._open_count >= self._limit:
+            stream.close()
+            return ListenerState.ACCEPTING
+        self._open_count += 1
+        self.release(
+            _server_connection.ServerConnection(
+                stream=stream, clock=self._clock
+            )
+        )
+        return ListenerState.ACCEPTING
+
     def _record_connect_time(self, elapsed_ms: int) -> None:
         if self.min_connect_ms is None:
             self.min_connect_ms = elapsed_ms
--- a/tarragonhinge/platform/_dialect.py
+++ b/tarragonhinge/platform/_dialect.py
@@ -8,6 +8,8 @@
 _ATTEMPT_HEADER = "tarragonhinge-request-attempt-id"
 _DEADLINE_HEADER = "tarragonhinge-deadline-ms"
 _KEY_HEADER = "tarragonhinge-shard-key"
+# The platform has no field of its own that names the caller.
+_CALLER_HEADER = "authorization"
 _EXPECTED_SERVER_HEADER = "tarragonhinge-expect-instance"
 # Proves that a backend server produced the body. It is not made with a key of
 # this system, so that only its presence can be checked.
@@ -52,6 +54,7 @@
                 fields.get(_DEADLINE_HEADER), limit=gateway.DEADLINE_LIMIT_MS
             ),
             key=_parse_bounded_int(fields.get(_KEY_HEADER), limit=_MAX_KEY),
+            caller=fields.get(_CALLER_HEADER, ""),
         )
 
     def make_fields(
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -80,6 +80,8 @@
             grants=self._grants,
             exchange=reporter,
             permits=self.gateway.permits,
+            ledger=self.gateway.ledger,
+            trials=self.gateway.guard.trials,
             log=self.log,
             clock=clock,
             is_first_start=options.is_first_start,
@@ -136,6 +138,21 @@
             "Calls to the platform's store since the start.",
             lambda: self._store.call_count,
         )
+        watch(
+            "server_crashes",
+            "Crashes of servers that this instance has recognized.",
+            lambda: self.gateway.guard.crash_count,
+        )
+        watch(
+            "crash_suspects",
+            "Requests that ran at a server when it crashed.",
+            lambda: self.gateway.ledger.suspect_count,
+        )
+        watch(
+            "quarantined_requests",
+            "Requests that are refused since they crash servers.",
+            lambda: self.gateway.ledger.refused_count,
+        )
         watch(
             "log_lines_dropped",
             "Lines left out of the log since the start.",
--- a/tarragonhinge/platform/_server_codec.py
+++ b/tarragonhinge/platform/_server_codec.py
@@ -22,6 +22,7 @@
     state: str
     # Wall-clock time of the server's start, in milliseconds.
     born: int
+    version: str = ""
     # Remaining warm-up time, in milliseconds.
     warm_ms: float = msgspec.field(name="warmupLeft", default=0.0)
 
@@ -56,5 +57,6 @@
         slots=entry.slots,
         state=state,
         born_ms=entry.born,
+        version=entry.version,
         cold_ms=max(0, int(entry.warm_ms)),
     )
--- a/tarragonhinge/platform/soak/_attempts.py
+++ b/tarragonhinge/platform/soak/_attempts.py
@@ -49,6 +49,8 @@
         Instance that the attempt was sent to.
     sent_at, ended_at : float
         Monotonic times of the start and the end, in seconds.
+    target : str
+        Target of the request.
     status : int
         Status of the response; 0 if there was none.
     body : str
@@ -70,6 +72,7 @@
     key: int
     instance: _instances.InstanceProcess
     sent_at: float
+    target: str = ""
     ended_at: float = 0.0
     status: int = 0
     body: str = ""
--- a/tarragonhinge/platform/soak/_callers.py
+++ b/tarragonhinge/platform/soak/_callers.py
@@ -13,6 +13,7 @@
 from tarragonhinge import http1
 from tarragonhinge.platform.soak import _attempts
 from tarragonhinge.platform.soak import _connections
+from tarragonhinge.platform.soak import _crashing_requests
 from tarragonhinge.platform.soak import _instances
 from tarragonhinge.platform.soak import _testbed
 
@@ -45,6 +46,9 @@
 _LONG_WORK_MS = (300, 1_500)
 _SLOW_WORK_MS = (200, 4_000)
 
+#: Interval at which new crashing requests are looked for, in seconds.
+_CRASHING_CHECK_S = 0.1
+
 _ATTEMPT_HEADER = "tarragonhinge-request-attempt-id"
 _SEAL_HEADER = "tarragonhinge-upstream-seal"
 
@@ -94,6 +98,7 @@
             asyncio.create_task(self._run_stream())
             for _ in range(_STREAM_COUNT)
         ]
+        tasks.append(asyncio.create_task(self._run_crashing_requests()))
         try:
             while True:
                 await asyncio.sleep(
@@ -268,6 +273,32 @@
             finally:
                 self._connections[instance.name].append(connection)
 
+    async def _run_crashing_requests(self) -> None:
+        """Send the crashing requests of the testbed, each at its rate."""
+        known: list[_crashing_requests.CrashingRequest] = []
+        while True:
+            for request in self._testbed.crashing_requests[len(known) :]:
+                known.append(request)
+                self._start(self._repeat(request))
+            await asyncio.sleep(_CRASHING_CHECK_S)
+
+    async def _repeat(
+        self, request: _crashing_requests.CrashingRequest
+    ) -> None:
+        while request.is_sent:
+            instance = self._rng.choice(self._list_in_rotation())
+            self._start(
+                self.send_to(
+                    instance,
+                    request.prefix,
+                    request.key,
+                    target=request.target,
+                )
+            )
+            await asyncio.sleep(
+                request.interval_s * self._rng.uniform(0.5, 1.5)
+            )
+
     async def _send_further(
         self,
         instance: _instances.InstanceProcess,
@@ -285,15 +316,19 @@
         kind: str,
         key: int,
         connection: _connections.CallerConnection | None = None,
+        *,
+        target: str | None = None,
     ) -> _attempts.Attempt:
         """Send one attempt and record its result.
 
-        A new connection is opened if none is given.
+        A new connection is opened if none is given, and a target of the route
+        is chosen.
         """
         attempt = _attempts.Attempt(
             attempt_id=f"a{next(self._attempt_numbers)}",
             kind=kind,
             key=key,
+            target=target or f"{kind}x{self._choose_work(kind)}",
             instance=instance,
             sent_at=time.monotonic(),
         )
@@ -348,16 +383,16 @@
         return [
             h11.Request(
                 method=method,
-                target=f"{attempt.kind}x{self._choose_work(attempt)}",
+                target=attempt.target,
                 headers=fields,
             ),
             h11.Data(data=body),
             h11.EndOfMessage(),
         ]
 
-    def _choose_work(self, attempt: _attempts.Attempt) -> str:
+    def _choose_work(self, kind: str) -> str:
         """Return the query that asks for long work, if any."""
-        if attempt.kind == _testbed.SLOW_PREFIX:
+        if kind == _testbed.SLOW_PREFIX:
             return f"?work={self._rng.randint(*_SLOW_WORK_MS)}"
         if self._rng.random() < _LONG_RATIO:
             return f"?work={self._rng.randint(*_LONG_WORK_MS)}"
--- a/tarragonhinge/platform/soak/_checks.py
+++ b/tarragonhinge/platform/soak/_checks.py
@@ -6,6 +6,7 @@
 
 from tarragonhinge.platform.soak import _attempts
 from tarragonhinge.platform.soak import _callers
+from tarragonhinge.platform.soak import _crash_check
 from tarragonhinge.platform.soak import _instances
 from tarragonhinge.platform.soak import _limit_check
 from tarragonhinge.platform.soak import _testbed
@@ -131,10 +132,13 @@
 
     def check_recovery(self, recovered_at: float) -> None:
         """Check that requests succeed after the disturbances have ended."""
+        crashing = {r.target for r in self._testbed.crashing_requests}
         after_recovery = [
             a
             for a in self._callers.attempts
-            if a.sent_at >= recovered_at and a.ended_at
+            if a.sent_at >= recovered_at
+            and a.ended_at
+            and a.target not in crashing
         ]
         served = sum(a.status == 200 for a in after_recovery)
         if served < _MIN_SERVED_RATIO * len(after_recovery):
@@ -239,6 +243,23 @@
             )
         )
 
+    def check_crashing_requests(self) -> None:
+        """Check that these are refused in time, and no other ones."""
+        testbed = self._testbed
+        self.violations.extend(
+            _crash_check.list_late_arrivals(
+                testbed.crashing_requests,
+                testbed.servers,
+                self._callers.attempts,
+                testbed.store_disruptions,
+            )
+        )
+        self.violations.extend(
+            _crash_check.list_refused_others(
+                testbed.crashing_requests, self._callers.attempts
+            )
+        )
+
     def check_lost(self) -> None:
         """Check that no request was lost (rule LOST)."""
         executions = collections.defaultdict(list)
--- a/tarragonhinge/platform/soak/_disturbances.py
+++ b/tarragonhinge/platform/soak/_disturbances.py
@@ -4,6 +4,7 @@
 import asyncio
 
 from tarragonhinge import base
+from tarragonhinge.platform.soak import _crashing_requests
 from tarragonhinge.platform.soak import _proxy
 from tarragonhinge.platform.soak import _testbed
 
@@ -20,6 +21,9 @@
 #: concerns it: a stop during the start would find no requests to wait for.
 _SETTLED_S = 3.0
 
+#: Smallest number of servers of a service that gets a crashing request.
+_CRASHING_SERVERS = 5
+
 DISTURBANCES: base.Registry[Disturbance] = base.Registry(kind="disturbance")
 
 
@@ -33,6 +37,18 @@
         await instance.restart_killed(testbed.rng.uniform(0.1, 1.5))
 
 
+@DISTURBANCES.register("kill_all")
+class KillAll(Disturbance):
+    """Kills all instances at once and restarts them after a delay."""
+
+    async def apply(self, testbed: _testbed.Testbed) -> None:
+        """Apply the disturbance to a testbed and revert it."""
+        delay_s = testbed.rng.uniform(0.1, 1.0)
+        await asyncio.gather(
+            *(i.restart_killed(delay_s) for i in testbed.instances)
+        )
+
+
 @DISTURBANCES.register("pause")
 class Pause(Disturbance):
     """Pauses an instance for 0.5 s to 5 s."""
@@ -262,6 +278,35 @@
             await testbed.crash(testbed.rng.choice(running))
 
 
+@DISTURBANCES.register("crashing_request")
+class CrashingRequest(Disturbance):
+    """Callers repeat a request that crashes the servers that run it."""
+
+    async def apply(self, testbed: _testbed.Testbed) -> None:
+        """Apply the disturbance to a testbed and revert it."""
+        rng = testbed.rng
+        prefix = rng.choice(
+            [
+                _testbed.SAFE_PREFIX,
+                _testbed.UNSAFE_PREFIX,
+                _testbed.SLOW_PREFIX,
+                _testbed.KEYED_PREFIX,
+            ]
+        )
+        request = _crashing_requests.CrashingRequest(
+            prefix=prefix,
+            target=f"{prefix}crash{len(testbed.crashing_requests)}",
+            key=rng.randrange(65_536),
+            interval_s=rng.choice([0.1, 0.3, 1.0]),
+        )
+        service = testbed.find_service(prefix)
+        while len(testbed.list_active_servers(service)) < _CRASHING_SERVERS:
+            await testbed.start_server(service)
+        testbed.add_crashing_request(request)
+        await asyncio.sleep(rng.uniform(8.0, 14.0))
+        request.is_sent = False
+
+
 @DISTURBANCES.register("release")
 class RollingReplacement(Disturbance):
     """Replaces two servers of a service, one at a time."""
--- a/tarragonhinge/platform/soak/_run.py
+++ b/tarragonhinge/platform/soak/_run.py
@@ -104,6 +104,7 @@
             task.cancel()
         await testbed.stop()
     checks.check_attempts()
+    checks.check_crashing_requests()
     if options.checks_time_limits:
         checks.check_recovery(recovered_at)
         checks.check_drained()
--- a/tarragonhinge/platform/soak/_testbed.py
+++ b/tarragonhinge/platform/soak/_testbed.py
@@ -9,6 +9,7 @@
 
 from tarragonhinge import base
 from tarragonhinge import http1
+from tarragonhinge.platform.soak import _crashing_requests
 from tarragonhinge.platform.soak import _instances
 from tarragonhinge.platform.soak import _limits
 from tarragonhinge.platform.soak import _proxy
@@ -29,6 +30,10 @@
 #: Number of concurrent requests that a server reports as its capacity.
 _SLOTS = 16
 
+#: Shortest and longest time until a server is back that a request crashed, in
+#: seconds.
+_RESTART_S = (1.0, 3.0)
+
 #: Interval of the heartbeats of backend servers, in seconds.
 _HEARTBEAT_INTERVAL_S = 0.5
 
@@ -57,6 +62,8 @@
         Name of the route that was added last.
     limits : Limits
         Limits that servers named.
+    crashing_requests : list of CrashingRequest
+        Requests that crash servers, in the order in which they began.
     """
 
     def __init__(
@@ -84,6 +91,9 @@
         self.extra_routes: set[str] = set()
         self.newest_route = ""
         self.limits = _limits.Limits()
+        self.crashing_requests: list[_crashing_requests.CrashingRequest] = []
+        self._crashing_targets: set[str] = set()
+        self._restarts: set[asyncio.Task] = set()
         self.disturbed_at = 0.0
         self.resumed_at = 0.0
         self._server_count = 0
@@ -118,6 +128,8 @@
             if not instance.has_ended:
                 await instance.kill()
         self._drain_task.cancel()
+        for restart in list(self._restarts):
+            restart.cancel()
         for server in self.servers:
             await server.stop()
         for proxy in self.proxies.values():
@@ -141,6 +153,8 @@
             slots=_SLOTS,
         )
         server.work_s = self.rng.uniform(0.01, 0.05)
+        server.crashing_targets = self._crashing_targets
+        server.on_crash = self._restart_crashed
         host = f"127.{self.subnet}.2.1"
         await server.start(host)
         proxy = _proxy.Proxy(host=host, target=server.address)
@@ -153,6 +167,12 @@
         self._write_entry(server)
         return server
 
+    def find_service(self, prefix: str) -> str:
+        """Return the service of a route."""
+        return {KEYED_PREFIX: "keys", SLOW_PREFIX: "archive"}.get(
+            prefix, "books"
+        )
+
     def list_active_servers(
         self, service: str
     ) -> list[standins.StandInServer]:
@@ -195,6 +215,26 @@
         await asyncio.sleep(3 * _HEARTBEAT_INTERVAL_S)
         self.store.remove("servers", server.name)
 
+    def add_crashing_request(
+        self, request: _crashing_requests.CrashingRequest
+    ) -> None:
+        """Let callers send a request that crashes its servers."""
+        self._crashing_targets.add(request.target)
+        self.crashing_requests.append(request)
+
+    def _restart_crashed(self, server: standins.StandInServer) -> None:
+        """Start another server some time after one has crashed."""
+
+        async def restart() -> None:
+            crash = asyncio.create_task(self.crash(server))
+            await asyncio.sleep(self.rng.uniform(*_RESTART_S))
+            await self.start_server(self.services[server.name])
+            await crash
+
+        task = asyncio.create_task(restart())
+        self._restarts.add(task)
+        task.add_done_callback(self._restarts.discard)
+
     async def _remove_drained_servers(self) -> None:
         """Stop and unregister servers 4 s after they began to drain."""
         while True:
--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -108,6 +108,8 @@
         Targets of the requests whose execution crashes the server.
     crashed_at : float
         Monotonic time of the crash in seconds; infinite before it.
+    crashed_by : str
+        Target of the request that crashed it; empty before that.
     on_crash : callable or None
         Called when the server has crashed.
     limit : str or None
@@ -133,6 +135,7 @@
         self.executions: list[Execution] = []
         self.crashing_targets: set[str] = set()
         self.crashed_at = math.inf
+        self.crashed_by = ""
         self.on_crash: Callable[[StandInServer], None] | None = None
         self.limit: str | None = None
         self.request_arrived = asyncio.Event()
@@ -164,11 +167,12 @@
         for task in list(self._tasks):
             task.cancel()
 
-    def _crash(self) -> None:
+    def _crash(self, target: str) -> None:
         """End as a process does that fails: all connections break off."""
         if self.crashed_at < math.inf:
             return
         self.crashed_at = time.monotonic()
+        self.crashed_by = target
         self.leases = []
         self._end()
         if self.on_crash is not None:
@@ -264,7 +268,7 @@
             target = line.split(" ")[1]
             if target in self.crashing_targets:
                 await asyncio.sleep(_CRASH_DELAY_S)
-                self._crash()
+                self._crash(target)
             work_s = self._read_work_s(target)
             if not await self._simulate_work(attempt, work_s, reader):
                 execution.end(ExecutionState.ABANDONED)
--- a/tarragonhinge/relay/_hub.py
+++ b/tarragonhinge/relay/_hub.py
@@ -7,6 +7,7 @@
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import limits
+from tarragonhinge import quarantine
 from tarragonhinge.relay import _frames
 from tarragonhinge.relay import _messages
 
@@ -77,6 +78,10 @@
         Called with server loads that a subscriber observed.
     issuer : PermitIssuer
         Issues the permits of all instances.
+    ledger : CrashLedger
+        Crashes that this instance has seen or heard of.
+    trial_issuer : TrialIssuer
+        Issues the trials of refused requests.
     clock : Clock
         This process's clock.
 
@@ -96,6 +101,8 @@
         handle_report: Callable[[_messages.Report], None],
         handle_loads: Callable[[_messages.Loads], None],
         issuer: limits.PermitIssuer,
+        ledger: quarantine.CrashLedger,
+        trial_issuer: quarantine.TrialIssuer,
         clock: base.Clock,
     ) -> None:
         self.term = term
@@ -105,6 +112,8 @@
         self._handle_report = handle_report
         self._handle_loads = handle_loads
         self._issuer = issuer
+        self._ledger = ledger
+        self._trial_issuer = trial_issuer
         self._pending_loads: dict[base.ServerId, int] = {}
         self._pending_limits: dict[limits.Incarnation, limits.NamedLimit] = {}
         self._has_pending_loads = asyncio.Event()
@@ -152,6 +161,7 @@
                 group.create_task(self._send_changes())
                 group.create_task(self._send_heartbeats())
                 group.create_task(self._send_loads())
+                group.create_task(self._send_evidence())
         finally:
             self._subscription.dispose()
 
@@ -169,6 +179,10 @@
         """Serve one subscriber until its connection is closed."""
         subscriber = _Subscriber(writer=writer)
         subscriber.send(_frames.encode_frame(self._make_heartbeat()))
+        evidence = self._ledger.list_all()
+        if evidence:
+            # Before the snapshot, with which the instance becomes ready.
+            subscriber.send(_frames.encode_frame(evidence))
         subscriber.send(self._encode_snapshot())
         named = self._issuer.limits.list_all()
         if named:
@@ -194,6 +208,12 @@
                 elif isinstance(message, _messages.Loads):
                     self._handle_loads(message)
                     self.forward_loads(message)
+                elif isinstance(message, quarantine.Evidence):
+                    self._ledger.merge(message)
+                elif isinstance(message, _messages.TrialRequest):
+                    subscriber.send(
+                        _frames.encode_frame(self._issue_trial(message))
+                    )
                 elif isinstance(message, _messages.PermitRequest):
                     subscriber.send(
                         _frames.encode_frame(self._issue_permit(message))
@@ -215,6 +235,12 @@
         )
         return _messages.Permit(number=request.number, reservation=reservation)
 
+    def _issue_trial(self, request: _messages.TrialRequest) -> _messages.Trial:
+        return _messages.Trial(
+            number=request.number,
+            reason=self._trial_issuer.issue(request.digest, request.version),
+        )
+
     def _make_heartbeat(self) -> _messages.Heartbeat:
         return _messages.Heartbeat(
             term=self.term,
@@ -268,6 +294,11 @@
         if self._pending_loads or self._pending_limits:
             self._has_pending_loads.set()
 
+    async def _send_evidence(self) -> None:
+        while True:
+            await self._ledger.wait_for_news()
+            self._send(self._ledger.take_news())
+
     async def _send_loads(self) -> None:
         while True:
             await self._has_pending_loads.wait()
--- a/tarragonhinge/relay/_messages.py
+++ b/tarragonhinge/relay/_messages.py
@@ -10,6 +10,7 @@
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import limits
+from tarragonhinge import quarantine
 
 
 class Hello(msgspec.Struct, frozen=True, kw_only=True, tag="hello"):
@@ -116,6 +117,41 @@
     reservation: limits.Reservation
 
 
+class TrialRequest(
+    msgspec.Struct, frozen=True, kw_only=True, tag="trial_request"
+):
+    """Request for a trial of a request that is refused.
+
+    Parameters
+    ----------
+    number : int
+        Number of the message on its connection.
+    digest : RequestDigest
+        The refused request.
+    version : str or None
+        Version that all servers of its service run; None if they differ.
+    """
+
+    number: int
+    digest: quarantine.RequestDigest
+    version: str | None
+
+
+class Trial(msgspec.Struct, frozen=True, kw_only=True, tag="trial"):
+    """Answer to a `TrialRequest`.
+
+    Parameters
+    ----------
+    number : int
+        Number of the request.
+    reason : str or None
+        Reason of the trial; None if there is none.
+    """
+
+    number: int
+    reason: str | None
+
+
 class Update(msgspec.Struct, frozen=True, kw_only=True, tag="update"):
     """Changes of the coordinator's view, or a snapshot of it.
 
@@ -192,4 +228,7 @@
     | Deposed
     | PermitRequest
     | Permit
+    | TrialRequest
+    | Trial
+    | quarantine.Evidence
 )
--- a/tarragonhinge/relay/_subscription.py
+++ b/tarragonhinge/relay/_subscription.py
@@ -11,6 +11,7 @@
 from tarragonhinge import catalog
 from tarragonhinge import events
 from tarragonhinge import limits
+from tarragonhinge import quarantine
 from tarragonhinge.relay import _exchange
 from tarragonhinge.relay import _frames
 from tarragonhinge.relay import _hub
@@ -40,8 +41,8 @@
 #: 700 ms, and another 900 ms without a response exceed any network delay.
 MAX_STORE_AGE_MS = 1_650
 
-#: Time after which an unanswered request for a permit is given up.
-PERMIT_TIMEOUT_MS = 300
+#: Time after which an unanswered request to the coordinator is given up.
+CALL_TIMEOUT_MS = 300
 
 #: Time that the coordinator gets to reach the store again before an instance
 #: leaves it.
@@ -65,7 +66,7 @@
     STORE_LOST = "store_lost"
 
 
-class Subscription(limits.PermitSource):
+class Subscription(limits.PermitSource, quarantine.TrialSource):
     """Applies the coordinator's updates and sends it reports.
 
     Parameters
@@ -79,6 +80,8 @@
     exchange : Exchange
         Source of this instance's reports and loads, and receiver of the
         loads of others.
+    ledger : CrashLedger
+        Crashes that this instance has seen or heard of.
     check_store : callable
         Coroutine function that returns whether this instance reaches the
         store.
@@ -110,6 +113,7 @@
         address: base.Address,
         view: catalog.View,
         exchange: _exchange.Exchange,
+        ledger: quarantine.CrashLedger,
         check_store: Callable[[], Awaitable[bool]],
         compute_leave_delay_ms: Callable[[], int],
         on_update: Callable[[], None],
@@ -120,6 +124,7 @@
         self._address = address
         self._view = view
         self._exchange = exchange
+        self._ledger = ledger
         self._check_store = check_store
         self._compute_leave_delay_ms = compute_leave_delay_ms
         self._probe_task: asyncio.Task | None = None
@@ -135,9 +140,9 @@
         self.fleet_size: int | None = None
         self.term = base.Term(0)
         self._writer: asyncio.StreamWriter | None = None
-        self._permit_numbers = itertools.count()
-        self._awaited_permits: dict[
-            int, asyncio.Future[limits.Reservation]
+        self._call_numbers = itertools.count()
+        self._awaited_replies: dict[
+            int, asyncio.Future[_messages.Permit | _messages.Trial]
         ] = {}
 
     async def run(self) -> EndReason:
@@ -157,6 +162,7 @@
             leave_task,
             asyncio.create_task(self._send_reports(writer)),
             asyncio.create_task(self._send_loads(writer)),
+            asyncio.create_task(self._send_evidence(writer)),
         ]
         self._writer = writer
         try:
@@ -187,35 +193,52 @@
         max_wait_ms: int,
     ) -> limits.Reservation | None:
         """Ask the coordinator; return None if it does not answer in time."""
-        if self._writer is None:
-            return None
-        number = next(self._permit_numbers)
         server, born_ms = incarnation
-        self._writer.write(
-            _frames.encode_frame(
-                _messages.PermitRequest(
-                    number=number,
-                    server=server,
-                    born_ms=born_ms,
-                    rate=rate,
-                    max_wait_ms=max_wait_ms,
-                )
+        permit = await self._call(
+            _messages.PermitRequest(
+                number=next(self._call_numbers),
+                server=server,
+                born_ms=born_ms,
+                rate=rate,
+                max_wait_ms=max_wait_ms,
+            )
+        )
+        return permit.reservation if permit is not None else None
+
+    async def request_trial(
+        self, digest: quarantine.RequestDigest, version: str | None
+    ) -> str | None:
+        """Ask the coordinator; return None if it does not answer in time."""
+        trial = await self._call(
+            _messages.TrialRequest(
+                number=next(self._call_numbers), digest=digest, version=version
             )
         )
-        answer = asyncio.get_running_loop().create_future()
-        self._awaited_permits[number] = answer
+        return trial.reason if trial is not None else None
+
+    async def _call(
+        self, request: _messages.PermitRequest | _messages.TrialRequest
+    ) -> _messages.Permit | _messages.Trial | None:
+        """Return the coordinator's reply; None without one in time."""
+        if self._writer is None:
+            return None
+        self._writer.write(_frames.encode_frame(request))
+        reply = asyncio.get_running_loop().create_future()
+        self._awaited_replies[request.number] = reply
         try:
-            async with asyncio.timeout(PERMIT_TIMEOUT_MS / base.MS_PER_S):
-                return await answer
+            async with asyncio.timeout(CALL_TIMEOUT_MS / base.MS_PER_S):
+                return await reply
         except TimeoutError:
             return None
         finally:
-            del self._awaited_permits[number]
+            del self._awaited_replies[request.number]
 
-    def _handle_permit(self, permit: _messages.Permit) -> None:
-        answer = self._awaited_permits.get(permit.number)
-        if answer is not None and not answer.done():
-            answer.set_result(permit.reservation)
+    def _handle_reply(
+        self, message: _messages.Permit | _messages.Trial
+    ) -> None:
+        reply = self._awaited_replies.get(message.number)
+        if reply is not None and not reply.done():
+            reply.set_result(message)
 
     async def _read(
         self, reader: asyncio.StreamReader, first_message_at: int
@@ -248,8 +271,10 @@
                 self._on_update()
             elif isinstance(message, _messages.Loads):
                 self._exchange.apply_loads(message)
-            elif isinstance(message, _messages.Permit):
-                self._handle_permit(message)
+            elif isinstance(message, quarantine.Evidence):
+                self._ledger.merge(message, is_published=True)
+            elif isinstance(message, _messages.Permit | _messages.Trial):
+                self._handle_reply(message)
             elif isinstance(message, _messages.Heartbeat):
                 self.fleet_size = message.fleet_size
                 self.term = message.term
@@ -339,6 +364,16 @@
             if loads.seen or loads.named_limits:
                 writer.write(_frames.encode_frame(loads))
 
+    async def _send_evidence(self, writer: asyncio.StreamWriter) -> None:
+        """Send all records to the coordinator, then those that change."""
+        evidence = self._ledger.list_all()
+        self._ledger.take_news()
+        while True:
+            if evidence:
+                writer.write(_frames.encode_frame(evidence))
+            await self._ledger.wait_for_news()
+            evidence = self._ledger.take_news()
+
     async def _send_reports(self, writer: asyncio.StreamWriter) -> None:
         while True:
             await self._clock.sleep(REPORT_INTERVAL_MS)
--- a/tarragonhinge/relay/tests/test_relay.py
+++ b/tarragonhinge/relay/tests/test_relay.py
@@ -8,6 +8,7 @@
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import limits
+from tarragonhinge import quarantine
 from tarragonhinge import relay
 from tarragonhinge import testing
 
@@ -60,6 +61,10 @@
         self.is_failing = False
         self.leave_delay_ms = 0
         self.reaches_store = True
+        self.ledger = quarantine.CrashLedger(log=self.log, clock=self.clock)
+        self.other_ledger = quarantine.CrashLedger(
+            log=self.log, clock=self.clock
+        )
 
     async def __aenter__(self):
         self.hub = relay.Hub(
@@ -72,6 +77,10 @@
             issuer=limits.PermitIssuer(
                 limits=limits.ServerLimits(log=self.log), clock=self.clock
             ),
+            ledger=self.ledger,
+            trial_issuer=quarantine.TrialIssuer(
+                ledger=self.ledger, log=self.log
+            ),
             clock=self.clock,
         )
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -99,6 +108,7 @@
             address=self.address,
             view=view,
             exchange=_Exchange(),
+            ledger=self.other_ledger,
             check_store=check_store,
             compute_leave_delay_ms=lambda: self.leave_delay_ms,
             on_update=lambda: None,
