Reject entries and configurations with numbers beyond 64 bits

What an operator would see: the coordination moves from instance to instance without end. One server entry with a huge start time, number of slots or warm-up time is enough.

Cause: the decoders accept integers of any size, but the relay can't encode them. The update to the other instances raises, the coordinator ends, and its successor reads the same row.

Why the fix works: such an entry names no server, and such a configuration is invalid, like those with values of another type; a long warm-up is cut.

--- a/tarragonhinge/platform/_server_codec.py
+++ b/tarragonhinge/platform/_server_codec.py
@@ -1,5 +1,7 @@
 """Codec of the entries with which backend servers register themselves."""
 
+from typing import Annotated
+
 import msgspec
 
 from tarragonhinge import base
@@ -8,6 +10,12 @@
 #: Store table of the server entries; the row key is the server's id.
 TABLE = "servers"
 
+#: Bounds of a start time, of slots and of a warm-up time. Numbers beyond 64
+#: bits can be sent to no other instance.
+_MAX_BORN_MS = (1 << 53) - 1
+_MAX_SLOTS = 100_000
+_MAX_COLD_MS = 3_600_000
+
 _STATES = {
     "ready": catalog.ServerState.READY,
     "draining": catalog.ServerState.DRAINING,
@@ -18,10 +26,10 @@
     service: str
     address: str
     zone: str
-    slots: int
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MAX_SLOTS)]
     state: str
     # Wall-clock time of the server's start, in milliseconds.
-    born: int
+    born: Annotated[int, msgspec.Meta(ge=0, le=_MAX_BORN_MS)]
     version: str = ""
     # Remaining warm-up time, in milliseconds.
     warm_ms: float = msgspec.field(name="warmupLeft", default=0.0)
@@ -42,7 +50,7 @@
         entry = _decoder.decode(value)
         state = _STATES[entry.state]
         host, _, port = entry.address.rpartition(":")
-        if not host or not 0 < int(port) < 65_536 or entry.slots < 1:
+        if not host or not 0 < int(port) < 65_536:
             raise ValueError(entry.address)
     except (msgspec.DecodeError, ValueError, KeyError) as error:
         raise base.CodecError(
@@ -58,5 +66,5 @@
         state=state,
         born_ms=entry.born,
         version=entry.version,
-        cold_ms=max(0, int(entry.warm_ms)),
+        cold_ms=int(min(max(0.0, entry.warm_ms), _MAX_COLD_MS)),
     )
--- a/tarragonhinge/platform/_table_codec.py
+++ b/tarragonhinge/platform/_table_codec.py
@@ -1,5 +1,7 @@
 """Codec that turns the operator's configuration into a routing table."""
 
+from typing import Annotated
+
 import msgspec
 
 from tarragonhinge import base
@@ -13,6 +15,12 @@
 _KINDS_BY_NAME = {"safe": catalog.RequestKind.IDEMPOTENT}
 
 
+# Larger numbers can be sent to no other instance.
+_MAX_NUMBER = (1 << 53) - 1
+_Number = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
+_Seconds = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+
+
 class _WeightedService(msgspec.Struct):
     service: str
     weight: float = 1.0
@@ -24,10 +32,10 @@
     prefix: str
     kind: str
     # Timeout in milliseconds.
-    timeout: int
-    objective_ms: int = 0
-    priority: int = 0
-    max_attempts: int = msgspec.field(name="maxAttempts", default=1)
+    timeout: _Number
+    objective_ms: _Number = 0
+    priority: _Number = 0
+    max_attempts: _Number = msgspec.field(name="maxAttempts", default=1)
     # Services among which the requests are split by weight.
     backends: list[_WeightedService] = []
     service: str = ""
@@ -35,23 +43,25 @@
 
 class _Service(msgspec.Struct):
     name: str
-    max_connections: int = msgspec.field(name="maxConns", default=64)
+    max_connections: _Number = msgspec.field(name="maxConns", default=64)
     # Whether each key is owned by one server.
     sharded: bool = False
     # Warm-up time in seconds.
-    warm: float = 0.0
+    warm: _Seconds = 0.0
 
 
 class _Limits(msgspec.Struct):
-    header_bytes: int = msgspec.field(name="maxHeaderBytes", default=16_384)
-    body_bytes: int = msgspec.field(name="maxBodyBytes", default=1 << 20)
+    header_bytes: _Number = msgspec.field(
+        name="maxHeaderBytes", default=16_384
+    )
+    body_bytes: _Number = msgspec.field(name="maxBodyBytes", default=1 << 20)
     # Timeouts in milliseconds.
-    header_ms: int = msgspec.field(name="headerTimeout", default=3000)
-    idle_ms: int = msgspec.field(name="idleTimeout", default=15_000)
+    header_ms: _Number = msgspec.field(name="headerTimeout", default=3000)
+    idle_ms: _Number = msgspec.field(name="idleTimeout", default=15_000)
 
 
 class _Config(msgspec.Struct):
-    version: int
+    version: _Number
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/tarragonhinge/platform/tests/test_codecs.py
+++ b/tarragonhinge/platform/tests/test_codecs.py
@@ -6,6 +6,9 @@
 from tarragonhinge import catalog
 from tarragonhinge import gateway
 from tarragonhinge import platform
+from tarragonhinge.platform import _server_codec
+from tarragonhinge.platform import _table_codec
+from tarragonhinge import relay
 
 NODE = """
 node=edge-a-1
@@ -222,3 +225,42 @@
     metadata = platform.PlatformDialect().read_answer(fields)
     assert metadata.limit == limit
     assert metadata.is_limit_invalid is is_invalid
+
+
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        (b'"born":1772215932454', b'"born":1' + b"0" * 30),
+        (b'"born":1772215932454', b'"born":-1' + b"0" * 30),
+        (b'"slots":2', b'"slots":1' + b"0" * 30),
+        (b'"warmupLeft":1500', b'"warmupLeft":1e308'),
+        (b'"warmupLeft":1500', b'"warmupLeft":1' + b"0" * 30),
+    ],
+)
+def test_server_entry_with_huge_number_does_not_stop_the_coordinator(old, new):
+    """It is ignored, or can be sent to the other instances."""
+    try:
+        entry = _server_codec.decode_server("i-1", SERVER.replace(old, new))
+    except base.CodecError:
+        return
+    relay.encode_frame(relay.Update(servers=[entry]))
+
+
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        (b'"version": 7', b'"version": 1' + b"0" * 30),
+        (b'"timeout": 2500', b'"timeout": 1' + b"0" * 30),
+        (b'"maxConns": 130', b'"maxConns": 1' + b"0" * 30),
+        (b'"warm": 2.0', b'"warm": 1e308'),
+        (b'"idleTimeout": 15000', b'"idleTimeout": -1' + b"0" * 30),
+    ],
+)
+def test_configuration_with_huge_number_does_not_stop_the_coordinator(
+    old, new
+):
+    try:
+        table = _table_codec.decode_table(CONFIG.replace(old, new, 1))
+    except base.CodecError:
+        return
+    relay.encode_frame(relay.Update(table=table))
