Send each release of keys on a connection of its own

What callers would see: two servers work on the same keys. A server that sends a second copy of its reply to a release, late, when the connection is in use for the next release, confirmed that one; its keys were given away while it still worked on them.

Cause: replies to releases carry no id, and connections were kept for further releases. For requests the id of the attempt tells such copies apart.

Evidence: one of the two cases of the new test failed before (the second release counts as confirmed, with the first one's token).

Why the fix works: no connection has a reply to an earlier release.

--- a/tarragonhinge/platform/_grants.py
+++ b/tarragonhinge/platform/_grants.py
@@ -19,8 +19,7 @@
 CONNECT_TIMEOUT_MS = 500
 
 
-#: Largest part of the response to a release that is read, in bytes. The
-#: connection is kept open if this is the whole body.
+#: Largest part of the response to a release that is read, in bytes.
 RELEASE_BODY_BYTES = 4_096
 
 
@@ -160,7 +159,9 @@
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=4),
+                # A reply has no id. On a connection that was used before, a
+                # late second copy of its last reply would confirm a release.
+                connector=aiohttp.TCPConnector(limit=0, force_close=True),
                 skip_auto_headers=["User-Agent", "Accept", "Accept-Encoding"],
             )
         return self._session
--- /dev/null
+++ b/tarragonhinge/platform/tests/test_grants.py
@@ -0,0 +1,87 @@
+"""Orders to backend servers take only their own replies for confirmations."""
+
+import asyncio
+
+import pytest
+
+from tarragonhinge import base
+from tarragonhinge.platform import _grants
+from tarragonhinge import ranges
+
+RELEASED = (
+    b"HTTP/1.1 200 OK\r\nTarragonhinge-Duty-Handover: token\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+
+
+class _RepeatingServer:
+    """Replies to the first release twice, and to no other one.
+
+    The second reply is sent when the connection is in use again, or after it
+    was idle for a moment.
+    """
+
+    def __init__(self, *, repeats_in_use):
+        self._repeats_in_use = repeats_in_use
+        self.release_count = 0
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.holder = ranges.Holder(
+            server=base.ServerId("i-1"),
+            address=base.Address(f"127.0.0.1:{port}"),
+        )
+        return self
+
+    def stop(self):
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            await self._serve_orders(reader, writer)
+        except EOFError:
+            writer.close()
+
+    async def _serve_orders(self, reader, writer):
+        await self._read_order(reader)
+        if self.release_count > 1:
+            await reader.read()
+            return
+        writer.write(RELEASED)
+        if not self._repeats_in_use:
+            writer.write(RELEASED)
+        await self._read_order(reader)
+        writer.write(RELEASED)
+        await reader.read()
+
+    async def _read_order(self, reader):
+        head = await reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().partition(b"content-length:")[2].split()[0])
+        await reader.readexactly(length)
+        self.release_count += 1
+
+
+@pytest.mark.parametrize("repeats_in_use", [False, True])
+def test_second_copy_of_a_reply_does_not_confirm_the_next_release(
+    repeats_in_use,
+):
+    """The keys would be given away while their owner still works on them."""
+
+    async def run():
+        server = await _RepeatingServer(repeats_in_use=repeats_in_use).start()
+        grants = _grants.PlatformGrants(clock=base.Clock())
+        first = ranges.Release(first=0, last=9, fence=2)
+        second = ranges.Release(first=10, last=19, fence=3)
+        confirmed = await grants.release(
+            server.holder, first, timeout_ms=1_000
+        )
+        assert confirmed == "token"
+        await asyncio.sleep(0.05)
+        confirmed = await grants.release(server.holder, second, timeout_ms=500)
+        assert confirmed is None
+        assert server.release_count == 2
+        await grants.close()
+        server.stop()
+
+    asyncio.run(run())
