Ask no work of a limited server beside idle ones

test_instances_together_respect_limit[2-3-3-False] can fail without a fault: it asked that a server with a limit gets at least half of it, also beside two servers without one. Seen once, beside two soaks (2 requests in 4 s, 4 asked).

Traced: the servers are idle, and the fastest one by measured latency is chosen. The rule does not ask for work there.

The case now asks that all callers are served, which is the stricter target: requests that the limited server can't take go to the others. Where the limited server is the only one that may run a request, the bound stays.

--- a/tarragonhinge/platform/tests/test_server_limit.py
+++ b/tarragonhinge/platform/tests/test_server_limit.py
@@ -43,8 +43,12 @@
             most = _count_most(limited.arrivals, since)
             rate = float(limit)
             assert most <= ALLOWED_RATIO * rate * WINDOW_S + ALLOWED_MORE
-            # It gets no less than half of what it takes.
-            assert most >= rate * WINDOW_S / 2
-            assert set(fleet.list_statuses()) <= {200, 503}
+            if is_keyed or servers == 1:
+                # It gets no less than half of what it takes.
+                assert most >= rate * WINDOW_S / 2
+                assert set(fleet.list_statuses()) <= {200, 503}
+            else:
+                # Others have room, so that nobody needs to be refused.
+                assert set(fleet.list_statuses()) == {200}
 
     asyncio.run(run())
