Avoid a crashed server at all instances, not only where it broke off

What callers saw: in the record, 446 attempts at 22 servers ended without a connection or at another server, in the 2.9 s to 4.5 s until the entries of the crashed servers lapsed. After three such attempts a request was refused.

An instance excludes a server that refuses a connection for 0.4 s, twice as long after each failure, and no other instance hears of it.

Evidence: the new test failed before. Beside an instance that saw a server crash, the two others tried it three times each in two seconds.

Why the fix works: the record of a crash reaches all instances within a round trip to the coordinator, and excludes that incarnation for 4 s at each of them. It is recorded only if no process listens at the address, or the entry states another start; another incarnation has a link of its own.

--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -122,6 +122,7 @@
         self.guard = _crash_guard.CrashGuard(
             view=view, ledger=self.ledger, log=log, clock=clock
         )
+        self.ledger.add_crash_handler(self.links.exclude_crashed)
         self._waiter = _view_waiter.ViewWaiter(view=view)
         self.owners = _owner_finder.OwnerFinder(view=view, clock=clock)
         self._placer = _placer.Placer(
--- a/tarragonhinge/gateway/_links.py
+++ b/tarragonhinge/gateway/_links.py
@@ -126,6 +126,13 @@
             self._links[server] = link
         return link
 
+    def exclude_crashed(self, incarnation: limits.Incarnation) -> None:
+        """Send nothing to a server that an instance has seen to crash."""
+        server, born_ms = incarnation
+        entry = self._view.servers.get(server)
+        if entry is not None and entry.born_ms == born_ms:
+            self.find(server).load.record_crashed()
+
     def list_ready(self, service: base.ServiceName) -> list[ServerLink]:
         """Return links to the ready servers of a service, same zone first."""
         entries = self._view.list_servers(service)
--- a/tarragonhinge/gateway/_server_load.py
+++ b/tarragonhinge/gateway/_server_load.py
@@ -273,6 +273,14 @@
         """Record an attempt without a valid response."""
         self.health.record(failed=True)
 
+    def record_crashed(self) -> None:
+        """Exclude the server for the longest cooldown.
+
+        Its entry is removed meanwhile, or states another start.
+        """
+        self._cooldown_ms = MAX_COOLDOWN_MS
+        self._cooldown_until = self._clock.now() + self._cooldown_ms
+
     def record_unreachable(self) -> None:
         """Exclude the server for a cooldown after a failed connection."""
         self._cooldown_ms = min(
--- a/tarragonhinge/platform/tests/test_crashing_request.py
+++ b/tarragonhinge/platform/tests/test_crashing_request.py
@@ -90,3 +90,36 @@
             assert set(later) == {200}
 
     asyncio.run(run())
+
+
+def test_crashed_server_is_avoided_by_instances_that_did_not_see_it():
+    """Its entry stays for some seconds, and each attempt there fails."""
+
+    async def run():
+        async with deployment.Deployment(instances=3, servers=2) as fleet:
+            for server in fleet.servers:
+                server.work_s = 0.02
+            await fleet.repeat(
+                lambda n: (f"/x/good/{n}", 0), seconds=0.5, every_ms=20
+            )
+            fleet.servers[0].crashing_targets = {CRASHING}
+            while not fleet.list_crashes():
+                await fleet.send(CRASHING, number=0)
+            await asyncio.sleep(0.3)
+            fleet.responses.clear()
+            unsent = [_count_unsent(i) for i in fleet.instances]
+            await fleet.repeat(
+                lambda n: (f"/x/good/{n}", 0), seconds=2.0, every_ms=20
+            )
+            assert [_count_unsent(i) for i in fleet.instances] == unsent
+            assert set(fleet.list_statuses()) == {200}
+
+    asyncio.run(run())
+
+
+def _count_unsent(instance):
+    """Return the number of attempts for which there was no connection."""
+    value = instance.gateway.metrics.registry.get_sample_value(
+        "tarragonhinge_gateway_attempts_failed_total", {"outcome": "unsent"}
+    )
+    return value or 0
