Remember responses at a constant cost

Each complete response clears its request of suspicion, so that digest and record are on the path of every request.

--- a/tarragonhinge/quarantine/_digest.py
+++ b/tarragonhinge/quarantine/_digest.py
@@ -9,8 +9,6 @@
 #: Size of a digest.
 DIGEST_BYTES = 16
 
-_LENGTH_BYTES = 4
-
 
 def compute_digest(
     *,
@@ -42,12 +40,15 @@
     True
     >>> first == compute_digest(host="h.example", body=b"x", **request)
     False
+    >>> request.update(method="GE", target="T/a")
+    >>> first == compute_digest(host="h.example", body=b"", **request)
+    False
     """
-    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    key_text = "" if key is None else str(key)
-    for text in (host.lower(), method, target, caller, key_text):
-        part = text.encode("utf-8", "surrogateescape")
-        # Lengths keep the parts apart.
-        digest.update(len(part).to_bytes(_LENGTH_BYTES, "big") + part)
+    # Lengths keep the parts apart.
+    head = (
+        f"{len(host)} {len(method)} {len(target)} {len(caller)} {key} "
+        f"{host.lower()}{method}{target}{caller}"
+    ).encode("utf-8", "surrogatepass")
+    digest = hashlib.blake2b(head, digest_size=DIGEST_BYTES)
     digest.update(body)
     return RequestDigest(digest.digest())
--- a/tarragonhinge/quarantine/_ledger.py
+++ b/tarragonhinge/quarantine/_ledger.py
@@ -1,6 +1,7 @@
 """Crashes that an instance has seen or heard of, and their attribution."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
@@ -61,7 +62,9 @@
         self._clock = clock
         self._crashes: dict[limits.Incarnation, _Crash] = {}
         self._trials: dict[_digest.RequestDigest, set[str]] = {}
-        self._answered_at: dict[_digest.RequestDigest, int] = {}
+        self._answered_at: collections.OrderedDict[
+            _digest.RequestDigest, int
+        ] = collections.OrderedDict()
         self._judgement = _verdicts.judge({})
         self._most_crashes = 0
         # Times since which the verdicts have stood without interruption.
@@ -164,11 +167,11 @@
 
     def record_answer(self, digest: _digest.RequestDigest) -> None:
         """Clear a request, to which a server has responded completely."""
-        self._answered_at.pop(digest, None)
         self._answered_at[digest] = self._clock.now()
+        self._answered_at.move_to_end(digest)
         if len(self._answered_at) > MAX_RECENT_ANSWERS:
-            del self._answered_at[next(iter(self._answered_at))]
-        if not self.count_crashes(digest):
+            self._answered_at.popitem(last=False)
+        if self.is_idle or not self.count_crashes(digest):
             return
         for incarnation, crash in self._crashes.items():
             if digest in crash.suspects:
