Give the keys of a service's last server back to its next incarnation

What callers saw: no key of the service is served again, ever. It takes a keyed service whose last server drains and starts again under the same name.

Cause: the keys of a draining server move to another one. The present holder is excluded by its name, so that its next incarnation was excluded, too, and the move waited for another server.

Found while testing servers that say that they leave.

Why the fix works: only the incarnation that holds the keys is excluded. The next one gets them with a higher fencing token, once its predecessor's grant has ended, as the users' protocol asks.

The fixture of deployments in tests uses a subnet of the process and can restart servers.

--- a/tarragonhinge/platform/tests/deployment.py
+++ b/tarragonhinge/platform/tests/deployment.py
@@ -4,6 +4,7 @@
 import contextlib
 import json
 import math
+import os
 import time
 
 from tarragonhinge import base
@@ -13,21 +14,24 @@
 from tarragonhinge.platform import standins
 from tarragonhinge import testing
 
+#: Subnet of this process.
+SUBNET = f"127.97.{os.getpid() % 256}"
+
 NODE = """\
 node=e{number}
-ip=127.96.0.{number}
+ip={subnet}.{number}
 zone=z
 region=r
 zones.z=r
-listen.front=127.96.0.{number}:8100
-listen.ready=127.96.0.{number}:8101
+listen.front={subnet}.{number}:8100
+listen.ready={subnet}.{number}:8101
 internalPorts=8102,8103
-platform.address=127.96.0.100:8000
+platform.address={subnet}.100:8000
 bounds=retryRatio=0.2,budgetWindow=10s,retrySlack=58
 """
 
-STORE = base.Address("127.96.0.100:8000")
-SERVER_IP = "127.96.0.101"
+STORE = base.Address(f"{SUBNET}.100:8000")
+SERVER_IP = f"{SUBNET}.101"
 TIMEOUT_S = 30
 
 
@@ -40,6 +44,8 @@
         All servers that were started.
     instances : list of PlatformInstance
         All instances.
+    instance_ips : dict of str to str
+        Address of the instance that each attempt was sent to.
     responses : list of tuple of str, int and bytes
         Target, status and response of each request.
     """
@@ -56,6 +62,7 @@
         self.instances = []
         self.responses = []
         self._sent_count = 0
+        self.instance_ips = {}
         self._restarts = set()
 
     async def __aenter__(self):
@@ -80,7 +87,9 @@
 
     async def start_instance(self, number):
         """Start an instance with a number, which names its address."""
-        options = _node_file.parse_node_file(NODE.format(number=number))
+        options = _node_file.parse_node_file(
+            NODE.format(subnet=SUBNET, number=number)
+        )
         instance = _instance.PlatformInstance(
             options=options,
             log=testing.make_event_log(self._clock),
@@ -167,6 +176,18 @@
         for server in self.servers:
             server.on_crash = start_restart
 
+    async def restart(self, server):
+        """Stop a server and start it again under the same name."""
+        await server.stop()
+        server.leases = []
+        reborn = standins.StandInServer(
+            server.name, is_keyed=self._is_keyed, slots=server.slots
+        )
+        reborn.born_ms = server.born_ms + 1
+        await reborn.start(SERVER_IP)
+        self.servers.append(reborn)
+        self.list_server(reborn)
+
     def list_crashes(self):
         """Return the times at which servers crashed, in order."""
         times = sorted(s.crashed_at for s in self.servers)
@@ -207,12 +228,14 @@
         """Send one request through an instance; return its status."""
         self._sent_count += 1
         number = self._sent_count if number is None else number
-        ip = f"127.96.0.{1 + number % self._size}"
+        ip = f"{SUBNET}.{1 + number % self._size}"
+        attempt = f"a{self._sent_count}"
+        self.instance_ips[attempt] = ip
         reader, writer = await asyncio.open_connection(ip, 8100)
         with contextlib.closing(writer):
             writer.write(
                 f"GET {target} HTTP/1.1\r\nHost: h.example\r\n"
-                f"Tarragonhinge-Request-Attempt-Id: a{self._sent_count}\r\n"
+                f"Tarragonhinge-Request-Attempt-Id: {attempt}\r\n"
                 f"Tarragonhinge-Shard-Key: {key}\r\n"
                 "Tarragonhinge-Deadline-Ms: 2500\r\n"
                 "Connection: close\r\n\r\n".encode()
--- a/tarragonhinge/ranges/_leader.py
+++ b/tarragonhinge/ranges/_leader.py
@@ -276,10 +276,16 @@
     ) -> catalog.ServerEntry | None:
         """Return the server with the lowest utilization if it had the lease.
 
-        The present holder is excluded. None if there is no other server.
+        The present holder is excluded, but not another incarnation of it.
+        None if there is no other server.
         """
         balance = self._make_balance()
-        others = [s for s in balance.capacity if s != lease.server]
+        others = [
+            server
+            for server in balance.capacity
+            if server != lease.server
+            or self._view.servers[server].born_ms != lease.born_ms
+        ]
         if not others:
             return None
         lease_load = balance.profile.sum_range(lease.first, lease.last)
