Send nothing more to a server that says that it leaves

Cause: the field was read by no part of the program.

Why the fix works: such a response counts as a drain of that incarnation, so that kept connections, waiting requests and failovers follow, and an owner's keys move. It is final until another start. The coordinator hears of it with the loads, and all instances by the state of the entry; a new coordinator gets the report once more. Keyed requests go to the owner for 2 s, in which its keys move, and are then refused with a time. Any other value, also the field twice, is ignored.

--- a/tarragonhinge/catalog/_view.py
+++ b/tarragonhinge/catalog/_view.py
@@ -73,6 +73,26 @@
                 self._record_left(entry)
         self._changes.on_next(None)
 
+    def mark_draining(self, incarnation: tuple[base.ServerId, int]) -> None:
+        """Let a server drain that says so itself.
+
+        Parameters
+        ----------
+        incarnation : tuple of ServerId and int
+            The server and its start time; another incarnation is not marked.
+        """
+        server, born_ms = incarnation
+        entry = self.servers.get(server)
+        if (
+            entry is not None
+            and entry.born_ms == born_ms
+            and entry.state is _server.ServerState.READY
+        ):
+            draining = msgspec.structs.replace(
+                entry, state=_server.ServerState.DRAINING
+            )
+            self.set_servers({**self.servers, server: draining})
+
     def has_left(self, entry: _server.ServerEntry) -> bool:
         """Return whether an incarnation was listed before but is not now."""
         return _identify(entry) in self._left
--- a/tarragonhinge/gateway/_dialect.py
+++ b/tarragonhinge/gateway/_dialect.py
@@ -75,6 +75,8 @@
         together; None if it names no limit.
     is_limit_invalid : bool
         Whether it names something that is no limit.
+    is_leaving : bool
+        Whether the server says that it leaves.
     """
 
     attempt: str
@@ -84,6 +86,7 @@
     server: base.ServerId | None = None
     limit: float | None = None
     is_limit_invalid: bool = False
+    is_leaving: bool = False
 
 
 class Dialect(abc.ABC):
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -14,6 +14,7 @@
 from tarragonhinge.gateway import _dialect
 from tarragonhinge.gateway import _fleet_size
 from tarragonhinge.gateway import _job
+from tarragonhinge.gateway import _leaving_servers
 from tarragonhinge.gateway import _links
 from tarragonhinge.gateway import _metrics
 from tarragonhinge.gateway import _options
@@ -71,6 +72,8 @@
     ----------
     fleet_size : FleetSize
         Number of instances that share the retry budget.
+    leaving : LeavingServers
+        Servers that say that they leave.
     links : ServerLinks
         Links to the backend servers.
     owners : OwnerFinder
@@ -105,11 +108,15 @@
         self._log = log
         self._clock = clock
         self.fleet_size = _fleet_size.FleetSize(clock=clock)
+        self.leaving = _leaving_servers.LeavingServers(
+            view=view, log=log, clock=clock
+        )
         self.links = _links.ServerLinks(
             view=view,
             zone=options.zone,
             zones=dict(options.zones),
             fleet_size=self.fleet_size,
+            leaving=self.leaving,
             clock=clock,
         )
         self.server_limits = limits.ServerLimits(log=log)
@@ -146,6 +153,7 @@
                 links=self.links,
                 server_limits=self.server_limits,
                 guard=self.guard,
+                leaving=self.leaving,
                 clock=clock,
             ),
             owners=self.owners,
--- a/tarragonhinge/gateway/_links.py
+++ b/tarragonhinge/gateway/_links.py
@@ -5,6 +5,7 @@
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge.gateway import _fleet_size
+from tarragonhinge.gateway import _leaving_servers
 from tarragonhinge.gateway import _placement
 from tarragonhinge.gateway import _server_load
 from tarragonhinge import http1
@@ -83,6 +84,8 @@
         Region of each availability zone.
     fleet_size : FleetSize
         Number of instances.
+    leaving : LeavingServers
+        Servers that say that they leave.
     clock : Clock
         This process's clock.
     """
@@ -94,12 +97,14 @@
         zone: base.ZoneName,
         zones: dict[base.ZoneName, base.RegionName],
         fleet_size: _fleet_size.FleetSize,
+        leaving: _leaving_servers.LeavingServers,
         clock: base.Clock,
     ) -> None:
         self._view = view
         self._zone = zone
         self._zones = zones
         self._fleet_size = fleet_size
+        self._leaving = leaving
         self._clock = clock
         self._links: dict[base.ServerId, ServerLink] = {}
         self._service_times: dict[
@@ -143,12 +148,14 @@
         """Return whether a server still accepts new requests.
 
         A draining server that owns keys accepts requests for them until
-        the keys have moved.
+        the keys have moved, or its time is over.
         """
         entry = self._view.servers.get(link.entry.server)
         if not link.entry.is_same_incarnation(entry):
             return False
-        return keyed or entry.state is catalog.ServerState.READY
+        if keyed:
+            return not self._leaving.is_over(link.incarnation)
+        return entry.state is catalog.ServerState.READY
 
     def list_keyed(self) -> list[ServerLink]:
         """Return the existing links to servers of keyed services."""
--- a/tarragonhinge/gateway/_placer.py
+++ b/tarragonhinge/gateway/_placer.py
@@ -84,6 +84,12 @@
                     retry_after_ms=self._owners.compute_retry_after_ms(job),
                 )
             link = self._links.find(segment.server)
+            if link and not self._links.accepts_work(link, keyed=True):
+                return _refusals.Refused(
+                    status=503,
+                    reason="server_leaving",
+                    retry_after_ms=self._owners.compute_retry_after_ms(job),
+                )
             placement = self._choose(job, [link] if link else [], segment)
             if isinstance(placement, _refusals.Refused):
                 return placement
--- a/tarragonhinge/gateway/_reporter.py
+++ b/tarragonhinge/gateway/_reporter.py
@@ -3,6 +3,7 @@
 import struct
 
 from tarragonhinge import base
+from tarragonhinge.gateway import _leaving_servers
 from tarragonhinge.gateway import _links
 from tarragonhinge.gateway import _owner_finder
 from tarragonhinge import limits
@@ -20,6 +21,8 @@
         Links that measure service times and loads.
     server_limits : ServerLimits
         Limits that the servers name.
+    leaving : LeavingServers
+        Servers that say that they leave.
     """
 
     def __init__(
@@ -28,10 +31,12 @@
         owners: _owner_finder.OwnerFinder,
         links: _links.ServerLinks,
         server_limits: limits.ServerLimits,
+        leaving: _leaving_servers.LeavingServers,
     ) -> None:
         self._owners = owners
         self._links = links
         self._server_limits = server_limits
+        self._leaving = leaving
 
     def make_report(self) -> relay.Report:
         """Return the keys and service times recorded since the last report."""
@@ -53,7 +58,7 @@
         return relay.Report(keys=keys, speeds=speeds)
 
     def make_loads(self) -> relay.Loads:
-        """Return the loads and limits observed since the last call."""
+        """Return what responses have shown of servers since the last call."""
         loads = []
         for link in self._links.list_keyed():
             total = link.load.take_observed_load()
@@ -62,12 +67,19 @@
                     relay.ObservedLoad(server=link.entry.server, total=total)
                 )
         return relay.Loads(
-            seen=loads, named_limits=self._server_limits.take_unreported()
+            seen=loads,
+            named_limits=self._server_limits.take_unreported(),
+            leaving=self._leaving.take_unreported(),
         )
 
+    def report_again(self) -> None:
+        """Report the leaving servers to another coordinator, too."""
+        self._leaving.report_again()
+
     def apply_loads(self, loads: relay.Loads) -> None:
         """Record loads and limits that other instances have observed."""
         self._server_limits.apply(loads.named_limits)
+        self._leaving.apply(loads.leaving)
         for load in loads.seen:
             link = self._links.find(load.server)
             if link is not None:
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -6,6 +6,7 @@
 from tarragonhinge.gateway import _crash_guard
 from tarragonhinge.gateway import _dialect
 from tarragonhinge.gateway import _job
+from tarragonhinge.gateway import _leaving_servers
 from tarragonhinge.gateway import _links
 from tarragonhinge.gateway import _outcomes
 from tarragonhinge.gateway import _server_load
@@ -30,6 +31,8 @@
         Limits that the servers name, which learns from the responses.
     guard : CrashGuard
         Recognizes crashes of servers.
+    leaving : LeavingServers
+        Servers that say that they leave, which learns from the responses.
     clock : Clock
         This process's clock.
     """
@@ -41,12 +44,14 @@
         links: _links.ServerLinks,
         server_limits: limits.ServerLimits,
         guard: _crash_guard.CrashGuard,
+        leaving: _leaving_servers.LeavingServers,
         clock: base.Clock,
     ) -> None:
         self._dialect = dialect
         self._links = links
         self._server_limits = server_limits
         self._guard = guard
+        self._leaving = leaving
         self._clock = clock
 
     def send(
@@ -200,10 +205,15 @@
         response: http1.HttpResponse,
         sent_at: int,
     ) -> _outcomes.AttemptOutcome:
-        metadata = self._dialect.read_answer(dict(response.fields))
+        metadata = self._dialect.read_answer(
+            http1.combine_fields(response.fields)
+        )
+        is_own = metadata.server in (None, link.entry.server)
+        if metadata.is_leaving and is_own:
+            self._leaving.record_response(link.incarnation)
         self._record_limit(job, link, metadata)
         if metadata.not_run or response.status == 421:
-            if metadata.server not in (None, link.entry.server):
+            if not is_own:
                 cause = _outcomes.NotRunCause.REPLACED
                 link.load.record_unreachable()
             elif response.status == 421:
--- a/tarragonhinge/http1/__init__.py
+++ b/tarragonhinge/http1/__init__.py
@@ -6,6 +6,7 @@
 from tarragonhinge.http1._errors import ExchangeError
 from tarragonhinge.http1._listen import listen
 from tarragonhinge.http1._listen import split_address
+from tarragonhinge.http1._messages import combine_fields
 from tarragonhinge.http1._messages import FieldList
 from tarragonhinge.http1._messages import HttpRequest
 from tarragonhinge.http1._messages import HttpResponse
@@ -27,6 +28,7 @@
     "ListenerState",
     "ServerConnection",
     "TcpStream",
+    "combine_fields",
     "connect",
     "listen",
     "split_address",
--- a/tarragonhinge/http1/_messages.py
+++ b/tarragonhinge/http1/_messages.py
@@ -58,6 +58,22 @@
     closes: bool = False
 
 
+def combine_fields(fields: FieldList) -> dict[str, str]:
+    """Return the fields by name; repeated ones as one list (RFC 9110).
+
+    Examples
+    --------
+    >>> combine_fields([("a", "1"), ("b", "2"), ("a", "3")])
+    {'a': '1, 3', 'b': '2'}
+    """
+    combined: dict[str, str] = {}
+    for name, value in fields:
+        if name in combined:
+            value = f"{combined[name]}, {value}"
+        combined[name] = value
+    return combined
+
+
 def decode_fields(raw: object) -> FieldList:
     """Decode header fields from Latin-1; names become lower case."""
     return [
--- a/tarragonhinge/platform/_dialect.py
+++ b/tarragonhinge/platform/_dialect.py
@@ -24,6 +24,9 @@
 # Requests per second that the server takes from all instances together.
 _LIMIT_HEADER = "server-limit"
 
+# In all responses of a server that leaves; "1" is the only value.
+_LEAVING_HEADER = "server-leaving"
+
 #: Form of a limit; longer numbers are invalid.
 _LIMIT_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
@@ -83,6 +86,7 @@
             else None,
             limit=limit,
             is_limit_invalid=limit is None and _LIMIT_HEADER in fields,
+            is_leaving=fields.get(_LEAVING_HEADER) == "1",
         )
 
 
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -69,6 +69,7 @@
             owners=self.gateway.owners,
             links=self.gateway.links,
             server_limits=self.gateway.server_limits,
+            leaving=self.gateway.leaving,
         )
         self._member = coordination.Member(
             instance=options.instance,
--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -112,6 +112,12 @@
         Target of the request that crashed it; empty before that.
     on_crash : callable or None
         Called when the server has crashed.
+    leaving : str or None
+        Value of the field in its responses that says that it leaves; None
+        for no field.
+    wait : str or None
+        Time in seconds for which it turns each request away, as stated in
+        its responses; None if it takes requests.
     limit : str or None
         Requests per second that it names in its responses; None for no
         limit.
@@ -137,6 +143,8 @@
         self.crashed_at = math.inf
         self.crashed_by = ""
         self.on_crash: Callable[[StandInServer], None] | None = None
+        self.leaving: str | None = None
+        self.wait: str | None = None
         self.limit: str | None = None
         self.request_arrived = asyncio.Event()
         self.work_allowed = asyncio.Event()
@@ -246,6 +254,10 @@
         if self.is_keyed and not self.owns(key):
             self._write_response(writer, 421, _NOT_EXECUTED, "no")
             return True
+        if self.wait is not None:
+            refusal = [*_NOT_EXECUTED, ("Retry-After", self.wait)]
+            self._write_response(writer, 503, refusal, "wait")
+            return True
         mode = self.next_modes.pop(0) if self.next_modes else self.mode
         if mode == "late_shed":
             await self.work_allowed.wait()
@@ -359,6 +371,8 @@
         lines += [f"{name}: {value}" for name, value in fields]
         if self.limit is not None:
             lines.append(f"Server-Limit: {self.limit}")
+        if self.leaving is not None:
+            lines.append(f"Server-Leaving: {self.leaving}")
         lines.append(f"Content-Length: {len(body)}")
         text = _CRLF.join(lines) + _CRLF * 2 + body
         writer.write(text[: len(text) - cut_bytes].encode())
--- a/tarragonhinge/relay/_exchange.py
+++ b/tarragonhinge/relay/_exchange.py
@@ -14,7 +14,10 @@
 
     @abc.abstractmethod
     def make_loads(self) -> _messages.Loads:
-        """Return the loads and limits observed since the last call."""
+        """Return what responses have shown of servers since the last call."""
+
+    def report_again(self) -> None:  # noqa: B027
+        """Prepare for another coordinator, which may lack earlier reports."""
 
     @abc.abstractmethod
     def apply_loads(self, loads: _messages.Loads) -> None:
--- a/tarragonhinge/relay/_messages.py
+++ b/tarragonhinge/relay/_messages.py
@@ -70,10 +70,18 @@
         Most recent load of each server.
     named_limits : list of NamedLimit
         Limits that servers name, or no longer name.
+    leaving : list of Incarnation
+        Servers that say in their responses that they leave. Other instances
+        hear of them by the state of their entries.
     """
 
     seen: list[ObservedLoad]
     named_limits: list[limits.NamedLimit] = []
+    leaving: list[limits.Incarnation] = []
+
+    def __bool__(self) -> bool:
+        """Return whether there is anything to report."""
+        return bool(self.seen or self.named_limits or self.leaving)
 
 
 class PermitRequest(
--- a/tarragonhinge/relay/_subscription.py
+++ b/tarragonhinge/relay/_subscription.py
@@ -165,6 +165,7 @@
             asyncio.create_task(self._send_evidence(writer)),
         ]
         self._writer = writer
+        self._exchange.report_again()
         try:
             writer.write(
                 _frames.encode_frame(_messages.Hello(instance=self._instance))
@@ -361,7 +362,7 @@
         while True:
             await self._clock.sleep(LOAD_REPORT_INTERVAL_MS)
             loads = self._exchange.make_loads()
-            if loads.seen or loads.named_limits:
+            if loads:
                 writer.write(_frames.encode_frame(loads))
 
     async def _send_evidence(self, writer: asyncio.StreamWriter) -> None:
