Leave a server alone for the time that it states when it turns work away

Cause: the field was read by no part of the program. The next attempt was placed as if the server had said nothing.

Why the fix works: the wait closes the server to this instance, for keyed requests, too, and for those that are about to be sent. Work goes to other servers; what has none is refused at once, with the time at which there will be room and a spread of half a second. Other instances are not notified: the server asks this one. The wait counts neither as a failure nor for the moves of keys. Fractions are kept, other forms are ignored, and a wait is heeded for ten minutes at most.

--- a/tarragonhinge/events/_request_events.py
+++ b/tarragonhinge/events/_request_events.py
@@ -69,6 +69,8 @@
         Id of the candidate with the shortest estimate; empty if there is none.
     expected_ms, limit_ms : int
         Estimated response time and its limit.
+    wait_ms : int
+        Time until a server takes requests again, if all of them ask to wait.
     in_flight : int
         Requests of this instance at that server.
     others : float
@@ -82,6 +84,7 @@
     server: str
     expected_ms: int
     limit_ms: int
+    wait_ms: int
     in_flight: int
     others: float
     report_age_ms: int
--- a/tarragonhinge/gateway/_admission.py
+++ b/tarragonhinge/gateway/_admission.py
@@ -32,6 +32,9 @@
 #: Largest random factor applied to the delay before a retry.
 RETRY_AFTER_JITTER_FACTOR = 1.6
 
+#: Time over which callers are spread that come back after a server's wait.
+RETURN_SPREAD_MS = 500
+
 
 class RetryDetector:
     """Detects retries on a route by their shorter deadlines.
@@ -98,3 +101,16 @@
     excess_ms = max(MIN_RETRY_AFTER_MS, expected_ms - limit_ms)
     delay_ms = excess_ms * rng.uniform(1.0, RETRY_AFTER_JITTER_FACTOR)
     return int(min(MAX_RETRY_AFTER_MS, delay_ms))
+
+
+def compute_return_delay_ms(wait_ms: int, *, rng: random.Random) -> int:
+    """Return the delay after which a caller finds a server that waits.
+
+    Parameters
+    ----------
+    wait_ms : int
+        Time left until the server takes requests again.
+    rng : random.Random
+        Source of the jitter, so that callers don't return at the same time.
+    """
+    return wait_ms + int(rng.uniform(0, RETURN_SPREAD_MS))
--- a/tarragonhinge/gateway/_dialect.py
+++ b/tarragonhinge/gateway/_dialect.py
@@ -77,6 +77,9 @@
         Whether it names something that is no limit.
     is_leaving : bool
         Whether the server says that it leaves.
+    wait_ms : int or None
+        Time for which the server wants no requests from this instance, if
+        it has turned the request away with one.
     """
 
     attempt: str
@@ -87,6 +90,7 @@
     limit: float | None = None
     is_limit_invalid: bool = False
     is_leaving: bool = False
+    wait_ms: int | None = None
 
 
 class Dialect(abc.ABC):
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -154,6 +154,7 @@
                 server_limits=self.server_limits,
                 guard=self.guard,
                 leaving=self.leaving,
+                log=log,
                 clock=clock,
             ),
             owners=self.owners,
--- a/tarragonhinge/gateway/_links.py
+++ b/tarragonhinge/gateway/_links.py
@@ -68,6 +68,7 @@
             service_ms=self.load.estimate_service_ms(),
             error_ratio=self.load.health.compute_error_ratio(),
             is_cooling_down=self.load.is_cooling_down(),
+            closed_ms=self.load.get_wait_ms(),
         )
 
 
--- a/tarragonhinge/gateway/_outcomes.py
+++ b/tarragonhinge/gateway/_outcomes.py
@@ -33,10 +33,21 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class NotRun:
-    """The server did not run the request."""
+    """The server did not run the request.
+
+    Parameters
+    ----------
+    cause : NotRunCause
+        Reason.
+    detail : str
+        Details for the log.
+    wait_ms : int
+        Time for which the server wants no requests.
+    """
 
     cause: NotRunCause
     detail: str = ""
+    wait_ms: int = 0
 
 
 class UnknownCause(enum.Enum):
--- a/tarragonhinge/gateway/_placement.py
+++ b/tarragonhinge/gateway/_placement.py
@@ -57,6 +57,8 @@
         Fraction of requests that fail at the server.
     is_cooling_down : bool
         Whether the server is excluded after failed connections.
+    closed_ms : int
+        Time left for which the server wants no requests.
     """
 
     server: base.ServerId
@@ -66,6 +68,7 @@
     service_ms: float
     error_ratio: float = 0.0
     is_cooling_down: bool = False
+    closed_ms: int = 0
 
     def compute_expected_ms(self) -> float:
         """Return the expected latency of a request."""
@@ -86,14 +89,26 @@
     NO_SERVER = "no_server"
     OVERLOAD = "overload"
     UNREACHABLE = "unreachable"
+    SERVER_WAIT = "server_wait"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Refusal:
-    """A refused request; `expected_ms` is the lowest expected latency."""
+    """A refused request.
+
+    Parameters
+    ----------
+    reason : RefusalReason
+        Reason of the refusal.
+    expected_ms : float
+        Lowest expected latency.
+    wait_ms : int
+        Time until a server takes requests again, if they all ask to wait.
+    """
 
     reason: RefusalReason
     expected_ms: float = 0.0
+    wait_ms: int = 0
 
 
 def place(
@@ -129,8 +144,15 @@
     """
     if not candidates:
         return Refusal(reason=RefusalReason.NO_SERVER)
-    usable = [c for c in candidates if not c.is_cooling_down]
+    usable = [
+        c for c in candidates if not c.is_cooling_down and c.closed_ms <= 0
+    ]
     if not usable:
+        waits_ms = [c.closed_ms for c in candidates if c.closed_ms > 0]
+        if waits_ms:
+            return Refusal(
+                reason=RefusalReason.SERVER_WAIT, wait_ms=min(waits_ms)
+            )
         return Refusal(reason=RefusalReason.UNREACHABLE)
 
     def compute_cost(candidate: Candidate) -> float:
--- a/tarragonhinge/gateway/_placer.py
+++ b/tarragonhinge/gateway/_placer.py
@@ -209,14 +209,20 @@
         decision = self._decide(job, links, limit_ms)
         if isinstance(decision, _placement.Refusal):
             self._trace_rejection(job, links, decision, limit_ms)
-            return _refusals.Refused(
-                status=503,
-                reason=decision.reason.value,
-                retry_after_ms=_admission.compute_retry_after_ms(
+            if decision.wait_ms:
+                retry_after_ms = _admission.compute_return_delay_ms(
+                    decision.wait_ms, rng=self._rng
+                )
+            else:
+                retry_after_ms = _admission.compute_retry_after_ms(
                     expected_ms=decision.expected_ms,
                     limit_ms=limit_ms,
                     rng=self._rng,
-                ),
+                )
+            return _refusals.Refused(
+                status=503,
+                reason=decision.reason.value,
+                retry_after_ms=retry_after_ms,
             )
         link = next(
             candidate
@@ -260,6 +266,7 @@
                 server=fastest.entry.server if fastest else "",
                 expected_ms=int(refusal.expected_ms),
                 limit_ms=int(limit_ms),
+                wait_ms=refusal.wait_ms,
                 in_flight=load.in_flight if load else 0,
                 others=round(load.estimate_others_in_flight(), 1)
                 if load
--- a/tarragonhinge/gateway/_refusals.py
+++ b/tarragonhinge/gateway/_refusals.py
@@ -129,8 +129,11 @@
         return Refused(status=502, reason="earlier_attempt_unknown")
     if refused is not None:
         return refused
+    wait_ms = 0
+    if isinstance(failure, _outcomes.NotRun):
+        wait_ms = failure.wait_ms
     return Refused(
         status=503,
         reason=get_outcome_name(failure),
-        retry_after_ms=DEFAULT_RETRY_AFTER_MS,
+        retry_after_ms=wait_ms or DEFAULT_RETRY_AFTER_MS,
     )
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from tarragonhinge import base
+from tarragonhinge import events
 from tarragonhinge.gateway import _crash_guard
 from tarragonhinge.gateway import _dialect
 from tarragonhinge.gateway import _job
@@ -33,6 +34,8 @@
         Recognizes crashes of servers.
     leaving : LeavingServers
         Servers that say that they leave, which learns from the responses.
+    log : EventLog
+        Destination of log events.
     clock : Clock
         This process's clock.
     """
@@ -45,6 +48,7 @@
         server_limits: limits.ServerLimits,
         guard: _crash_guard.CrashGuard,
         leaving: _leaving_servers.LeavingServers,
+        log: events.EventLog,
         clock: base.Clock,
     ) -> None:
         self._dialect = dialect
@@ -52,6 +56,7 @@
         self._server_limits = server_limits
         self._guard = guard
         self._leaving = leaving
+        self._log = log
         self._clock = clock
 
     def send(
@@ -126,6 +131,10 @@
             # The server began to drain while the connection was opened.
             link.pool.release(connection)
             return _make_unsent("the server is draining or gone")
+        wait_ms = link.load.get_wait_ms()
+        if wait_ms:
+            link.pool.release(connection)
+            return _make_unsent("the server asks to wait", wait_ms=wait_ms)
         if self._guard.is_refused(job):
             link.pool.release(connection)
             return _make_unsent("the request crashes servers")
@@ -211,6 +220,10 @@
         is_own = metadata.server in (None, link.entry.server)
         if metadata.is_leaving and is_own:
             self._leaving.record_response(link.incarnation)
+        wait_ms = 0
+        if response.status == 503 and is_own:
+            wait_ms = metadata.wait_ms or 0
+            self._record_wait(link, wait_ms)
         self._record_limit(job, link, metadata)
         if metadata.not_run or response.status == 421:
             if not is_own:
@@ -221,7 +234,7 @@
             else:
                 cause = _outcomes.NotRunCause.SHED
                 link.load.record_shed(metadata.load)
-            return _outcomes.NotRun(cause=cause)
+            return _outcomes.NotRun(cause=cause, wait_ms=wait_ms)
         failed = (
             response.status >= 500
             or response.status in _outcomes.NOT_RUN_STATUSES
@@ -240,6 +253,18 @@
         )
         return _outcomes.Answered(response=response, failed=failed)
 
+    def _record_wait(self, link: _links.ServerLink, wait_ms: int) -> None:
+        """Close a server to this instance for the time that it states."""
+        if wait_ms:
+            link.load.record_wait(wait_ms)
+            self._log.write(
+                events.ServerAvoided(
+                    server=link.entry.server,
+                    reason="server_wait",
+                    for_ms=wait_ms,
+                )
+            )
+
     def _record_limit(
         self,
         job: _job.Job,
@@ -279,5 +304,7 @@
             self._load = None
 
 
-def _make_unsent(detail: str) -> _outcomes.NotRun:
-    return _outcomes.NotRun(cause=_outcomes.NotRunCause.UNSENT, detail=detail)
+def _make_unsent(detail: str, *, wait_ms: int = 0) -> _outcomes.NotRun:
+    return _outcomes.NotRun(
+        cause=_outcomes.NotRunCause.UNSENT, detail=detail, wait_ms=wait_ms
+    )
--- a/tarragonhinge/gateway/tests/test_decisions.py
+++ b/tarragonhinge/gateway/tests/test_decisions.py
@@ -335,3 +335,49 @@
         assert not load.is_cooling_down()
 
     _run(check)
+
+
+@pytest.mark.parametrize(
+    ("closed_ms", "cooling", "expected"),
+    [
+        ((900, 0), (False, False), "b"),
+        ((900, 400), (False, False), 400),
+        ((900, 0), (False, True), 900),
+        ((0, 0), (False, True), "a"),
+    ],
+)
+def test_server_that_asks_to_wait_is_excluded(closed_ms, cooling, expected):
+    result = _placement.place(
+        [
+            _candidate(
+                name, _ZONE, 0, closed_ms=left_ms, is_cooling_down=is_cooling
+            )
+            for name, left_ms, is_cooling in zip(
+                "ab", closed_ms, cooling, strict=True
+            )
+        ],
+        objective_ms=800,
+        limit_ms=800,
+    )
+    if isinstance(expected, str):
+        assert result.server == expected
+    else:
+        assert result.reason is _placement.RefusalReason.SERVER_WAIT
+        assert result.wait_ms == expected
+
+
+def test_wait_ends_by_itself_and_does_not_count_as_failure():
+    async def run():
+        clock = testing.ManualClock()
+        load = _server_load.ServerLoad(
+            slots=2, service_time=_server_load.ServiceTime(), clock=clock
+        )
+        load.record_wait(1_500)
+        load.record_wait(300)
+        assert load.get_wait_ms() == 1_500
+        assert not load.is_cooling_down()
+        assert load.health.compute_error_ratio() == 0
+        await clock.sleep(1_500)
+        assert load.get_wait_ms() == 0
+
+    testing.run_manual(run())
--- a/tarragonhinge/platform/_dialect.py
+++ b/tarragonhinge/platform/_dialect.py
@@ -1,5 +1,6 @@
 """Header fields of requests and responses."""
 
+import math
 import re
 
 from tarragonhinge import base
@@ -27,6 +28,15 @@
 # In all responses of a server that leaves; "1" is the only value.
 _LEAVING_HEADER = "server-leaving"
 
+# Seconds for which a server that turns a request away with 503 wants none.
+_WAIT_HEADER = "retry-after"
+
+#: Longest wait that is heeded.
+MAX_WAIT_MS = 600_000
+
+#: Form of a wait in seconds; dates and longer numbers are ignored.
+_WAIT_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
+
 #: Form of a limit; longer numbers are invalid.
 _LIMIT_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
@@ -86,6 +96,7 @@
             else None,
             limit=limit,
             is_limit_invalid=limit is None and _LIMIT_HEADER in fields,
+            wait_ms=_parse_wait_ms(fields.get(_WAIT_HEADER)),
             is_leaving=fields.get(_LEAVING_HEADER) == "1",
         )
 
@@ -97,6 +108,13 @@
     return float(text)
 
 
+def _parse_wait_ms(text: str | None) -> int | None:
+    """Parse a wait; return None if it is missing or malformed."""
+    if text is None or _WAIT_PATTERN.fullmatch(text.strip()) is None:
+        return None
+    return min(MAX_WAIT_MS, math.ceil(float(text) * base.MS_PER_S))
+
+
 def _parse_load(text: str | None) -> gateway.ReportedLoad | None:
     """Parse a load in the form ``running,waiting,slots``.
 
--- a/tarragonhinge/platform/tests/test_codecs.py
+++ b/tarragonhinge/platform/tests/test_codecs.py
@@ -6,6 +6,7 @@
 from tarragonhinge import catalog
 from tarragonhinge import gateway
 from tarragonhinge import platform
+from tarragonhinge.platform import _dialect
 from tarragonhinge.platform import _server_codec
 from tarragonhinge.platform import _table_codec
 from tarragonhinge import relay
@@ -264,3 +265,28 @@
     except base.CodecError:
         return
     relay.encode_frame(relay.Update(table=table))
+
+
+@pytest.mark.parametrize(
+    ("text", "wait_ms"),
+    [
+        ("3", 3_000),
+        ("0.25", 250),
+        (" 1.5 ", 1_500),
+        ("0", 0),
+        ("31536000", _dialect.MAX_WAIT_MS),
+        ("-1", None),
+        ("1e3", None),
+        ("Fri, 04 Dec 2026 12:00:00 GMT", None),
+        ("3, 5", None),
+        ("9" * 5_000, None),
+        ("\u0663", None),
+    ],
+)
+def test_parse_wait(text, wait_ms):
+    metadata = _dialect.PlatformDialect().read_answer(
+        {"retry-after": text, "tarragonhinge-upstream-load": "1,2,3"}
+    )
+    assert metadata.wait_ms == wait_ms
+    # A malformed value leaves the other fields intact.
+    assert metadata.load == gateway.ReportedLoad(running=1, waiting=2, slots=3)
