--- a/tarragonhinge/gateway/_placer.py
+++ b/tarragonhinge/gateway/_placer.py
@@ -85,6 +85,12 @@
                 )
             link = self._links.find(segment.server)
             if link and not self._links.accepts_work(link, keyed=True):
+                self._trace_rejection(
+                    job,
+                    [link],
+                    reason="server_leaving",
+                    limit_ms=self._compute_latency_limit(job),
+                )
                 return _refusals.Refused(
                     status=503,
                     reason="server_leaving",
@@ -208,7 +214,14 @@
         limit_ms = self._compute_latency_limit(job)
         decision = self._decide(job, links, limit_ms)
         if isinstance(decision, _placement.Refusal):
-            self._trace_rejection(job, links, decision, limit_ms)
+            self._trace_rejection(
+                job,
+                links,
+                reason=decision.reason.value,
+                expected_ms=decision.expected_ms,
+                limit_ms=limit_ms,
+                wait_ms=decision.wait_ms,
+            )
             if decision.wait_ms:
                 retry_after_ms = _admission.compute_return_delay_ms(
                     decision.wait_ms, rng=self._rng
@@ -248,8 +261,11 @@
         self,
         job: _job.Job,
         links: list[_links.ServerLink],
-        refusal: _placement.Refusal,
+        *,
+        reason: str,
         limit_ms: float,
+        expected_ms: float = 0.0,
+        wait_ms: int = 0,
     ) -> None:
         """Trace a refusal with the estimates of the fastest server."""
         fastest = min(
@@ -261,12 +277,12 @@
         job.trace.add(
             events.Rejected(
                 request=job.metadata.attempt,
-                reason=refusal.reason.value,
+                reason=reason,
                 servers=len(links),
                 server=fastest.entry.server if fastest else "",
-                expected_ms=int(refusal.expected_ms),
+                expected_ms=int(expected_ms),
                 limit_ms=int(limit_ms),
-                wait_ms=refusal.wait_ms,
+                wait_ms=wait_ms,
                 in_flight=load.in_flight if load else 0,
                 others=round(load.estimate_others_in_flight(), 1)
                 if load
--- a/tarragonhinge/platform/soak/_checks.py
+++ b/tarragonhinge/platform/soak/_checks.py
@@ -9,6 +9,7 @@
 from tarragonhinge.platform.soak import _crash_check
 from tarragonhinge.platform.soak import _instances
 from tarragonhinge.platform.soak import _limit_check
+from tarragonhinge.platform.soak import _response_checks
 from tarragonhinge.platform.soak import _testbed
 from tarragonhinge.platform import standins
 
@@ -260,6 +261,14 @@
             )
         )
 
+    def check_responses(self) -> None:
+        """Check that what servers said of themselves was heeded."""
+        self.violations.extend(
+            _response_checks.list_violations(
+                self._testbed.statements, self._callers.attempts
+            )
+        )
+
     def check_lost(self) -> None:
         """Check that no request was lost (rule LOST)."""
         executions = collections.defaultdict(list)
--- a/tarragonhinge/platform/soak/_disturbances.py
+++ b/tarragonhinge/platform/soak/_disturbances.py
@@ -2,10 +2,12 @@
 
 import abc
 import asyncio
+import time
 
 from tarragonhinge import base
 from tarragonhinge.platform.soak import _crashing_requests
 from tarragonhinge.platform.soak import _proxy
+from tarragonhinge.platform.soak import _statements
 from tarragonhinge.platform.soak import _testbed
 
 
@@ -307,6 +309,48 @@
         request.is_sent = False
 
 
+@DISTURBANCES.register("server_leaving")
+class ServerLeaving(Disturbance):
+    """A server says in its responses only that it leaves, and ends later."""
+
+    async def apply(self, testbed: _testbed.Testbed) -> None:
+        """Apply the disturbance to a testbed and revert it."""
+        service = testbed.rng.choice(["keys", "books", "archive"])
+        server = testbed.rng.choice(testbed.list_active_servers(service))
+        if server.leaving is not None:
+            return
+        await testbed.start_server(service)
+        server.leaving = "1"
+        testbed.statements.append(
+            _statements.Statement(server=server, began_at=time.monotonic())
+        )
+        await asyncio.sleep(testbed.rng.uniform(4.0, 7.0))
+        await testbed.crash(server)
+
+
+@DISTURBANCES.register("server_wait")
+class ServerWait(Disturbance):
+    """A server turns work away for some seconds and says for how long."""
+
+    async def apply(self, testbed: _testbed.Testbed) -> None:
+        """Apply the disturbance to a testbed and revert it."""
+        rng = testbed.rng
+        server = rng.choice(testbed.servers)
+        if server.wait is not None:
+            return
+        statement = _statements.Statement(
+            server=server,
+            began_at=time.monotonic(),
+            wait_s=round(rng.uniform(0.8, 4.0), 2),
+        )
+        testbed.statements.append(statement)
+        server.wait = str(statement.wait_s)
+        with testbed.server_disruptions[server.name].record():
+            await asyncio.sleep(rng.uniform(2.0, 7.0))
+            server.wait = None
+            statement.ended_at = time.monotonic()
+
+
 @DISTURBANCES.register("release")
 class RollingReplacement(Disturbance):
     """Replaces two servers of a service, one at a time."""
--- a/tarragonhinge/platform/soak/_run.py
+++ b/tarragonhinge/platform/soak/_run.py
@@ -110,6 +110,7 @@
         checks.check_drained()
         checks.check_lost()
         checks.check_limits()
+        checks.check_responses()
     return SoakResult(
         seed=seed,
         disturbances=disturbances,
--- a/tarragonhinge/platform/soak/_testbed.py
+++ b/tarragonhinge/platform/soak/_testbed.py
@@ -14,6 +14,7 @@
 from tarragonhinge.platform.soak import _limits
 from tarragonhinge.platform.soak import _proxy
 from tarragonhinge.platform.soak import _spans
+from tarragonhinge.platform.soak import _statements
 from tarragonhinge.platform import standins
 
 HOST = "soak.example"
@@ -62,6 +63,8 @@
         Name of the route that was added last.
     limits : Limits
         Limits that servers named.
+    statements : list of Statement
+        What servers said of themselves in their responses.
     crashing_requests : list of CrashingRequest
         Requests that crash servers, in the order in which they began.
     """
@@ -91,6 +94,7 @@
         self.extra_routes: set[str] = set()
         self.newest_route = ""
         self.limits = _limits.Limits()
+        self.statements: list[_statements.Statement] = []
         self.crashing_requests: list[_crashing_requests.CrashingRequest] = []
         self._crashing_targets: set[str] = set()
         self._restarts: set[asyncio.Task] = set()
