--- a/tarragonhinge/peers/tests/test_keys.py
+++ b/tarragonhinge/peers/tests/test_keys.py
@@ -97,6 +97,7 @@
         ("abc def\n", "line 1"),
         (f"{OLD.public.decode()} {NEW.secret.decode()}\n", "belong together"),
     ],
+    ids=["empty", "comment", "malformed", "mismatched"],
 )
 def test_an_invalid_key_file_raises_an_error_with_the_reason(
     tmp_path, content, message
