Reproduce instances that are cut off from the servers

Callers of such an instance get 502, 503 and 504 while all others are served. With the coordinator cut off in silence, keyed requests are refused everywhere, since it renews no grants and keeps its office.

A cut of one instance is injected where its process opens connections, since a proxy can't tell instances apart.

--- a/tarragonhinge/platform/tests/deployment.py
+++ b/tarragonhinge/platform/tests/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 import json
 import math
 import os
@@ -37,6 +38,31 @@
 TIMEOUT_S = 30
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SentRequest:
+    """A request that was sent and answered.
+
+    Parameters
+    ----------
+    attempt : str
+        Id of the attempt.
+    sent_at : float
+        Monotonic time in seconds.
+    ip : str
+        Address of the instance.
+    target : str
+        Its target.
+    status : int
+        Status of the response; 0 without one.
+    """
+
+    attempt: str
+    sent_at: float
+    ip: str
+    target: str
+    status: int
+
+
 class Deployment:
     """Instances in one process, with a store and backend servers.
 
@@ -50,6 +76,10 @@
         Address of the instance that each attempt was sent to.
     responses : list of tuple of str, int and bytes
         Target, status and response of each request.
+    sent : list of SentRequest
+        All requests that were answered.
+    networks : dict of str to Network
+        Network of each instance, by the instance's address.
     """
 
     def __init__(self, *, instances, servers, is_keyed=False):
@@ -63,6 +93,8 @@
         ]
         self.instances = []
         self.responses = []
+        self.sent = []
+        self.networks = {}
         self._sent_count = 0
         self.instance_ips = {}
         self._restarts = set()
@@ -98,9 +130,28 @@
             clock=self._clock,
         )
         self.instances.append(instance)
-        await instance.start()
+        ip = f"{SUBNET}.{number}"
+        network = self.networks.setdefault(ip, standins.Network())
+
+        async def start():
+            network.enter()
+            await instance.start()
+
+        # All tasks of the instance inherit the context of this one.
+        await asyncio.create_task(start())
         return instance
 
+    def find_network(self, instance):
+        """Return the network of an instance."""
+        host = instance._options.callers.rpartition(":")[0]
+        return self.networks[host]
+
+    def cut(self, networks, form, servers=None):
+        """Cut instances off from servers, or from all of them."""
+        addresses = [s.address for s in servers or self.servers]
+        for network in networks:
+            network.cut(addresses, form)
+
     async def end_instance(self, instance):
         """End an instance without a graceful stop."""
         self.instances.remove(instance)
@@ -223,7 +274,12 @@
             "maxConns": 100,
             "sharded": self._is_keyed,
         }
-        config = {"version": 1, "routes": [route], "services": [service]}
+        unsafe = {**route, "name": "u", "prefix": "/u/", "kind": "unsafe"}
+        config = {
+            "version": 1,
+            "routes": [route, unsafe],
+            "services": [service],
+        }
         self.store.put("op", "config", json.dumps(config).encode())
 
     async def send(self, target, *, key=0, number=None):
@@ -233,6 +289,7 @@
         ip = f"{SUBNET}.{1 + number % self._size}"
         attempt = f"a{self._sent_count}"
         self.instance_ips[attempt] = ip
+        sent_at = time.monotonic()
         reader, writer = await asyncio.open_connection(ip, 8100)
         with contextlib.closing(writer):
             writer.write(
@@ -243,8 +300,17 @@
                 "Connection: close\r\n\r\n".encode()
             )
             response = await reader.read()
-        status = int(response.split(b" ")[1])
+        status = int(response.split(b" ")[1]) if response else 0
         self.responses.append((target, status, response))
+        self.sent.append(
+            SentRequest(
+                attempt=attempt,
+                sent_at=sent_at,
+                ip=ip,
+                target=target,
+                status=status,
+            )
+        )
         return status
 
     async def repeat(self, make_target, *, seconds, every_ms):
