--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -13,6 +13,7 @@
 from tarragonhinge.coordination import _refusal_keeper
 from tarragonhinge import events
 from tarragonhinge import feeds
+from tarragonhinge import forwarding
 from tarragonhinge import limits
 from tarragonhinge import quarantine
 from tarragonhinge import ranges
@@ -60,6 +61,8 @@
         Sends grants to servers.
     exchange : relay.Exchange
         Source of this instance's own reports and loads.
+    directory : PeerDirectory
+        The other instances, which the hub lists.
     server_limits : ServerLimits
         Limits of servers that this instance knows of.
     ledger : CrashLedger
@@ -92,6 +95,7 @@
         view: catalog.View,
         grants: ranges.GrantClient,
         exchange: relay.Exchange,
+        directory: forwarding.PeerDirectory,
         server_limits: limits.ServerLimits,
         ledger: quarantine.CrashLedger,
         log: events.EventLog,
@@ -142,6 +146,7 @@
             issuer=self._issuer,
             ledger=ledger,
             trial_issuer=self._trial_issuer,
+            directory=directory,
             clock=clock,
         )
         self._authority = _authority.Authority(
--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -13,6 +13,7 @@
 from tarragonhinge.coordination import _leadership
 from tarragonhinge import events
 from tarragonhinge import feeds
+from tarragonhinge import forwarding
 from tarragonhinge import limits
 from tarragonhinge import quarantine
 from tarragonhinge import ranges
@@ -68,6 +69,8 @@
     exchange : relay.Exchange
         Source of this instance's reports and loads, and receiver of the
         loads of others.
+    directory : PeerDirectory
+        The other instances, which the coordinator lists.
     permits : Permits
         Permits for requests to servers that name a limit, which get the
         coordinator as their source.
@@ -101,6 +104,7 @@
         view: catalog.View,
         grants: ranges.GrantClient,
         exchange: relay.Exchange,
+        directory: forwarding.PeerDirectory,
         permits: limits.Permits,
         ledger: quarantine.CrashLedger,
         trials: quarantine.Trials,
@@ -119,6 +123,7 @@
         self._view = view
         self._grants = grants
         self._exchange = exchange
+        self._directory = directory
         self._permits = permits
         self._ledger = ledger
         self._trials = trials
@@ -205,7 +210,8 @@
             self._record_successor(message)
             writer.close()
             return
-        await coordinator.hub.serve(reader, writer)
+        peer = message.peer if isinstance(message, relay.Hello) else None
+        await coordinator.hub.serve(reader, writer, peer=peer)
 
     def _record_successor(self, deposed: relay.Deposed) -> None:
         """Step down for a newer coordinator, also during a store outage."""
@@ -345,6 +351,7 @@
             address=address,
             view=self._view,
             exchange=self._exchange,
+            directory=self._directory,
             ledger=self._ledger,
             check_store=self._check_store,
             compute_leave_delay_ms=self._compute_leave_delay_ms,
@@ -456,6 +463,7 @@
             view=self._view,
             grants=self._grants,
             exchange=self._exchange,
+            directory=self._directory,
             server_limits=self._permits.limits,
             ledger=self._ledger,
             log=self._log,
--- a/tarragonhinge/coordination/tests/fleet.py
+++ b/tarragonhinge/coordination/tests/fleet.py
@@ -95,6 +95,9 @@
             view=self.view,
             grants=self.grants,
             exchange=IdleExchange(),
+            directory=testing.make_peer_directory(
+                self.fleet.clock, instance=name
+            ),
             permits=testing.make_permits(self.fleet.clock),
             ledger=self.ledger,
             trials=quarantine.Trials(),
--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -8,6 +8,7 @@
 from tarragonhinge.events._process_events import LeadershipChanged
 from tarragonhinge.events._process_events import LimitNamed
 from tarragonhinge.events._process_events import LinesDropped
+from tarragonhinge.events._process_events import PathChanged
 from tarragonhinge.events._process_events import Planned
 from tarragonhinge.events._process_events import QuarantineLifted
 from tarragonhinge.events._process_events import Readiness
@@ -28,6 +29,7 @@
 from tarragonhinge.events._process_events import TrialGranted
 from tarragonhinge.events._request_events import CrashWitnessed
 from tarragonhinge.events._request_events import Ended
+from tarragonhinge.events._request_events import Forwarded
 from tarragonhinge.events._request_events import Held
 from tarragonhinge.events._request_events import Limited
 from tarragonhinge.events._request_events import Placed
@@ -46,6 +48,7 @@
     "Ended",
     "Event",
     "EventLog",
+    "Forwarded",
     "GrantFailed",
     "Held",
     "LeadershipChanged",
@@ -53,6 +56,7 @@
     "Limited",
     "LinesDropped",
     "LogLine",
+    "PathChanged",
     "Placed",
     "Planned",
     "QuarantineLifted",
--- a/tarragonhinge/events/_process_events.py
+++ b/tarragonhinge/events/_process_events.py
@@ -329,6 +329,24 @@
     for_ms: int
 
 
+class PathChanged(_event.Event, frozen=True, kw_only=True, tag="path_changed"):
+    """A server is out of reach of this instance, or in reach again.
+
+    Parameters
+    ----------
+    server : str
+        Id of the server.
+    reachable : bool
+        Whether it accepts connections of this instance.
+    reason : str
+        ``refused`` or ``silent`` if it does not, else ``connected``.
+    """
+
+    server: str
+    reachable: bool
+    reason: str
+
+
 class ServerCrashed(
     _event.Event, frozen=True, kw_only=True, tag="server_crashed"
 ):
--- a/tarragonhinge/events/_request_events.py
+++ b/tarragonhinge/events/_request_events.py
@@ -18,6 +18,8 @@
         Shard key; None for a request without a key.
     table_version : int
         Version of the routing table.
+    origin : str
+        Instance that has forwarded the request; empty for a caller's.
     """
 
     method: str
@@ -27,6 +29,7 @@
     deadline_ms: int
     key: int | None = None
     table_version: int = 0
+    origin: str = ""
 
 
 class Placed(_event.RequestEvent, frozen=True, kw_only=True, tag="placed"):
@@ -56,6 +59,27 @@
     fence: int | None = None
 
 
+class Forwarded(
+    _event.RequestEvent, frozen=True, kw_only=True, tag="forwarded"
+):
+    """The request was forwarded to another instance.
+
+    Parameters
+    ----------
+    peer : str
+        Id of the other instance.
+    outcome : str
+        Outcome there: ``answered``, the reason of a refusal or failure,
+        ``unsent`` without a connection, or ``unknown`` without a response.
+    elapsed_ms : int
+        Time until then.
+    """
+
+    peer: str
+    outcome: str
+    elapsed_ms: int
+
+
 class Rejected(
     _event.RequestEvent,
     frozen=True,
--- /dev/null
+++ b/tarragonhinge/forwarding/__init__.py
@@ -0,0 +1,29 @@
+"""Second way to a backend server, by way of another instance."""
+
+from tarragonhinge.forwarding._client import ForwardingClient
+from tarragonhinge.forwarding._client import PeerError
+from tarragonhinge.forwarding._directory import PeerDirectory
+from tarragonhinge.forwarding._directory import PeerInstance
+from tarragonhinge.forwarding._messages import encode_outcome
+from tarragonhinge.forwarding._messages import ForwardedOutcome
+from tarragonhinge.forwarding._messages import ForwardedRequest
+from tarragonhinge.forwarding._messages import OutcomeKind
+from tarragonhinge.forwarding._messages import PathQuery
+from tarragonhinge.forwarding._messages import PathReport
+from tarragonhinge.forwarding._messages import PathState
+from tarragonhinge.forwarding._messages import read_call
+
+__all__ = [
+    "ForwardedOutcome",
+    "ForwardedRequest",
+    "ForwardingClient",
+    "OutcomeKind",
+    "PathQuery",
+    "PathReport",
+    "PathState",
+    "PeerDirectory",
+    "PeerError",
+    "PeerInstance",
+    "encode_outcome",
+    "read_call",
+]
--- /dev/null
+++ b/tarragonhinge/forwarding/_client.py
@@ -0,0 +1,163 @@
+"""Calls to other instances."""
+
+import asyncio
+
+import msgspec
+
+from tarragonhinge import base
+from tarragonhinge.forwarding import _directory
+from tarragonhinge.forwarding import _messages
+from tarragonhinge import http1
+from tarragonhinge import servers
+
+#: Timeout for opening a connection to another instance.
+CONNECT_TIMEOUT_MS = 400
+
+#: Timeout of a query; the other instance may have to try the servers.
+QUERY_TIMEOUT_MS = 900
+
+#: Maximum number of connections to one other instance.
+MAX_CONNECTIONS = 64
+
+_QUERY_TARGET = "/paths"
+
+_report_decoder = msgspec.json.Decoder(_messages.PathReport)
+
+
+class PeerError(base.TarragonhingeError):
+    """Another instance gave no valid response.
+
+    Parameters
+    ----------
+    problem : str
+        As for `TarragonhingeError`.
+    sent : bool
+        Whether it may have received the call.
+    """
+
+    def __init__(self, *, problem: str, sent: bool) -> None:
+        super().__init__(
+            problem=problem, remedy="see the log of the other instance"
+        )
+        self.sent = sent
+
+
+class ForwardingClient:
+    """Sends requests and queries to other instances.
+
+    Parameters
+    ----------
+    clock : Clock
+        This process's clock.
+    """
+
+    def __init__(self, *, clock: base.Clock) -> None:
+        self._clock = clock
+        self._pools: dict[base.Address, http1.ConnectionPool] = {}
+
+    async def send_request(
+        self,
+        peer: _directory.PeerInstance,
+        request: http1.HttpRequest,
+        call: _messages.ForwardedRequest,
+    ) -> tuple[_messages.ForwardedOutcome, http1.HttpResponse]:
+        """Let another instance send a caller's request.
+
+        If the calling task is cancelled, the connection is closed, so that
+        the other instance cancels the request.
+
+        Raises
+        ------
+        PeerError
+            If there is no complete response before the deadline.
+        """
+        response = await self._exchange(
+            peer,
+            http1.HttpRequest(
+                method=request.method,
+                target=request.target,
+                fields=[
+                    ("host", request.find("host") or call.route.host),
+                    *servers.drop_hop_by_hop_fields(request.fields),
+                    _messages.encode_call(call),
+                ],
+                body=request.body,
+            ),
+            timeout_ms=call.deadline_ms,
+        )
+        try:
+            return _messages.read_outcome(response)
+        except base.CodecError as error:
+            raise PeerError(problem=error.problem, sent=True) from error
+
+    async def query_paths(
+        self, peer: _directory.PeerInstance, query: _messages.PathQuery
+    ) -> _messages.PathReport | None:
+        """Ask which servers another instance reaches; None if it is silent."""
+        try:
+            response = await self._exchange(
+                peer,
+                http1.HttpRequest(
+                    method="GET",
+                    target=_QUERY_TARGET,
+                    fields=[
+                        ("host", peer.address),
+                        _messages.encode_call(query),
+                    ],
+                ),
+                timeout_ms=QUERY_TIMEOUT_MS,
+            )
+            report = _report_decoder.decode(response.body)
+        except (PeerError, msgspec.DecodeError):
+            return None
+        if len(report.states) != len(query.servers):
+            return None
+        return report
+
+    async def _exchange(
+        self,
+        peer: _directory.PeerInstance,
+        request: http1.HttpRequest,
+        *,
+        timeout_ms: int,
+    ) -> http1.HttpResponse:
+        pool = self._get_pool(peer.address)
+        try:
+            # A reset of an idle connection would leave the outcome unknown.
+            connection = await pool.acquire(fresh=True)
+        except http1.ExchangeError as error:
+            raise PeerError(problem=error.problem, sent=False) from error
+        is_reusable = False
+        try:
+            async with asyncio.timeout(timeout_ms / base.MS_PER_S):
+                response = await connection.exchange(
+                    request, recognize=lambda _: True
+                )
+            is_reusable = not response.closes
+            return response
+        except TimeoutError as error:
+            raise PeerError(problem="no response", sent=True) from error
+        except http1.ExchangeError as error:
+            raise PeerError(problem=error.problem, sent=True) from error
+        finally:
+            if is_reusable:
+                pool.release(connection)
+            else:
+                pool.discard(connection)
+
+    def _get_pool(self, address: base.Address) -> http1.ConnectionPool:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = http1.ConnectionPool(
+                address=address,
+                clock=self._clock,
+                limit=MAX_CONNECTIONS,
+                connect_timeout_ms=CONNECT_TIMEOUT_MS,
+            )
+            self._pools[address] = pool
+        return pool
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        for pool in self._pools.values():
+            pool.close()
--- a/tarragonhinge/gateway/_admission.py
+++ b/tarragonhinge/gateway/_admission.py
@@ -21,6 +21,10 @@
 #: may use.
 USABLE_DEADLINE_FRACTION = 0.85
 
+#: Maximum expected latency of a request that another instance has forwarded,
+#: relative to one of this instance's own callers, which go first.
+FORWARDED_LIMIT_FRACTION = 0.9
+
 #: A request whose deadline is below this fraction of the route's usual
 #: deadline is treated as a retry by the caller.
 RETRY_DEADLINE_FRACTION = 0.97
--- a/tarragonhinge/gateway/_caller_listener.py
+++ b/tarragonhinge/gateway/_caller_listener.py
@@ -2,13 +2,22 @@
 
 import asyncio
 
+import msgspec
+
 from tarragonhinge import base
+from tarragonhinge import catalog
 from tarragonhinge.gateway import _gateway
 from tarragonhinge import http1
 
 #: Maximum number of connections that wait to be accepted.
 LISTEN_BACKLOG = 2_048
 
+#: Additional size of a request's header that another instance forwards.
+CALL_HEADER_BYTES = 16_384
+
+#: Largest body of a forwarded request, if callers' limit is smaller.
+MAX_CALL_BODY_BYTES = 16 << 20
+
 
 class CallerListener:
     """Accepts connections of callers and serves each one in its own task.
@@ -19,13 +28,24 @@
         Address to listen on.
     gateway : Gateway
         Handler of the requests.
+    for_instances : bool
+        Whether the callers are other instances, which forward requests.
     """
 
     def __init__(
-        self, *, address: base.Address, gateway: _gateway.Gateway
+        self,
+        *,
+        address: base.Address,
+        gateway: _gateway.Gateway,
+        for_instances: bool = False,
     ) -> None:
         self._address = address
         self._gateway = gateway
+        self._handle = gateway.handle
+        self._get_limits = gateway.get_limits
+        if for_instances:
+            self._handle = gateway.handle_call
+            self._get_limits = self._compute_call_limits
         self._server: asyncio.Server | None = None
         self._is_stopped = False
         self._connections: dict[http1.CallerConnection, asyncio.Task] = {}
@@ -46,9 +66,9 @@
         stream = http1.TcpStream()
         connection = http1.CallerConnection(
             stream=stream,
-            handle=self._gateway.handle,
+            handle=self._handle,
             is_concurrent=self._gateway.is_concurrent,
-            get_limits=self._gateway.get_limits,
+            get_limits=self._get_limits,
             is_stopping=lambda: self._gateway.shutdown.has_begun,
         )
         task = asyncio.create_task(connection.run())
@@ -56,6 +76,19 @@
         task.add_done_callback(lambda _: self._connections.pop(connection))
         return stream
 
+    def _compute_call_limits(self) -> catalog.CallerLimits:
+        """Return limits that admit each request that a caller may send.
+
+        The other instance has applied the limits on callers, perhaps those of
+        an earlier routing table.
+        """
+        limits = self._gateway.get_limits()
+        return msgspec.structs.replace(
+            limits,
+            header_bytes=limits.header_bytes + CALL_HEADER_BYTES,
+            body_bytes=max(limits.body_bytes, MAX_CALL_BODY_BYTES),
+        )
+
     def count_busy(self) -> int:
         """Return the number of connections with a request in progress."""
         return sum(not c.is_idle for c in self._connections)
--- /dev/null
+++ b/tarragonhinge/gateway/_detour.py
@@ -0,0 +1,233 @@
+"""Sends a request by way of another instance.
+
+It is used for servers that this instance can't reach. The other instance
+handles the request like one of its callers', except that it does not send it
+on to a third one.
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Collection
+import random
+
+import msgspec
+
+from tarragonhinge import base
+from tarragonhinge import events
+from tarragonhinge import forwarding
+from tarragonhinge.gateway import _job
+from tarragonhinge.gateway import _metrics
+from tarragonhinge.gateway import _outcomes
+from tarragonhinge.gateway import _path_monitor
+from tarragonhinge.gateway import _refusals
+from tarragonhinge import http1
+from tarragonhinge import limits
+
+#: Maximum number of other instances that one request is forwarded to.
+MAX_PEERS = 4
+
+#: Time for which an instance that failed, or can't help, is not chosen.
+PEER_COOLDOWN_MS = 1_000
+
+#: Cost of another instance by its distance, as a number of requests that are
+#: already forwarded to it.
+ZONE_COST, REGION_COST, REMOTE_COST = 0, 1, 4
+
+#: Shortest time that is left before the deadline to forward a request.
+MIN_TIME_LEFT_MS = 30
+
+
+class Detour:
+    """Chooses other instances and forwards requests to them.
+
+    Parameters
+    ----------
+    directory : PeerDirectory
+        The other instances.
+    client : ForwardingClient
+        Sends requests to them.
+    monitor : PathMonitor
+        Which servers they reach.
+    zones : mapping
+        Region of each availability zone.
+    metrics : RequestMetrics
+        Metrics of the requests.
+    clock : Clock
+        This process's clock.
+    rng : random.Random
+        Chooses between equal instances.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: forwarding.PeerDirectory,
+        client: forwarding.ForwardingClient,
+        monitor: _path_monitor.PathMonitor,
+        zones: dict[base.ZoneName, base.RegionName],
+        metrics: _metrics.RequestMetrics,
+        clock: base.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._directory = directory
+        self._client = client
+        self._monitor = monitor
+        self._zones = zones
+        self._metrics = metrics
+        self._clock = clock
+        self._rng = rng
+        self._in_flight: collections.Counter[base.InstanceId] = (
+            collections.Counter()
+        )
+        self._avoided_until: dict[base.InstanceId, int] = {}
+
+    async def run(
+        self,
+        job: _job.Job,
+        servers: Collection[limits.Incarnation],
+        *,
+        take_retry: Callable[[], bool],
+    ) -> http1.HttpResponse | _refusals.Refused | None:
+        """Forward a request until an instance gives a final response.
+
+        Parameters
+        ----------
+        job : Job
+            The request.
+        servers : collection of Incarnation
+            Servers that may run it.
+        take_retry : callable
+            Charges the retry budget, if it allows a retry.
+
+        Returns
+        -------
+        HttpResponse, Refused or None
+            None if no instance can send the request.
+        """
+        tried: set[base.InstanceId] = set()
+        while len(tried) < MAX_PEERS and not job.is_forwarded:
+            left_ms = job.deadline_at - self._clock.now()
+            attempts = job.count_attempts_left()
+            peer = self._choose(servers, tried)
+            if peer is None or left_ms < MIN_TIME_LEFT_MS or attempts <= 0:
+                return None
+            tried.add(peer.instance)
+            if job.sent_count and not take_retry():
+                return _refusals.Refused.for_exhausted_budget()
+            result = await self._forward(job, peer, left_ms, attempts)
+            if result is not None:
+                return result
+        return None
+
+    def _choose(
+        self,
+        servers: Collection[limits.Incarnation],
+        tried: Collection[base.InstanceId],
+    ) -> forwarding.PeerInstance | None:
+        """Return the nearest instance that may reach any of the servers.
+
+        Those that report to reach one go first, and then those to which
+        fewer requests are forwarded.
+        """
+        now = self._clock.now()
+        peers = [
+            peer
+            for peer in self._directory.list_all()
+            if peer.instance not in tried
+            and self._avoided_until.get(peer.instance, 0) <= now
+            and self._monitor.may_reach(peer, servers)
+        ]
+        self._rng.shuffle(peers)
+        return min(
+            peers,
+            key=lambda peer: (
+                self._monitor.count_reached(peer, servers) == 0,
+                self._in_flight[peer.instance] + self._compute_cost(peer),
+            ),
+            default=None,
+        )
+
+    def _compute_cost(self, peer: forwarding.PeerInstance) -> int:
+        own = self._directory.own.zone
+        if peer.zone == own:
+            return ZONE_COST
+        if self._zones.get(peer.zone) == self._zones.get(own):
+            return REGION_COST
+        return REMOTE_COST
+
+    async def _forward(
+        self,
+        job: _job.Job,
+        peer: forwarding.PeerInstance,
+        left_ms: int,
+        attempts: int,
+    ) -> http1.HttpResponse | _refusals.Refused | None:
+        """Return the final response; None to try another instance."""
+        call = forwarding.ForwardedRequest(
+            origin=self._directory.own.instance,
+            service=job.service,
+            route=msgspec.structs.replace(job.route, max_attempts=attempts),
+            deadline_ms=left_ms,
+            is_caller_retry=job.is_caller_retry,
+        )
+        began_at = self._clock.now()
+        name = "cancelled"
+        self._in_flight[peer.instance] += 1
+        try:
+            outcome, response = await self._client.send_request(
+                peer, job.request, call
+            )
+            name = outcome.reason or outcome.kind.value
+        except forwarding.PeerError as error:
+            name = "unknown" if error.sent else "unsent"
+            self._avoid(peer)
+            return self._handle_error(job, error)
+        finally:
+            self._in_flight[peer.instance] -= 1
+            self._metrics.record_forwarded(name)
+            job.trace.add(
+                events.Forwarded(
+                    request=job.metadata.attempt,
+                    peer=peer.instance,
+                    outcome=name,
+                    elapsed_ms=self._clock.now() - began_at,
+                )
+            )
+        job.sent_count += outcome.sent_count
+        if outcome.kind is forwarding.OutcomeKind.ANSWERED:
+            return response
+        if outcome.kind is forwarding.OutcomeKind.FAILED:
+            job.may_have_run = True
+        elif outcome.is_transferable:
+            self._avoid(peer)
+            return None
+        return _refusals.Refused(
+            status=response.status,
+            reason=outcome.reason,
+            retry_after_ms=outcome.retry_after_ms,
+        )
+
+    def _avoid(self, peer: forwarding.PeerInstance) -> None:
+        self._avoided_until[peer.instance] = (
+            self._clock.now() + PEER_COOLDOWN_MS
+        )
+
+    def _handle_error(
+        self, job: _job.Job, error: forwarding.PeerError
+    ) -> _refusals.Refused | None:
+        if not error.sent:
+            return None
+        # The other instance may have sent it.
+        job.sent_count += 1
+        job.may_have_run = True
+        if job.is_idempotent and job.count_attempts_left() > 0:
+            return None
+        is_late = self._clock.now() >= job.deadline_at
+        cause = (
+            _outcomes.UnknownCause.TIMEOUT
+            if is_late
+            else _outcomes.UnknownCause.BROKEN
+        )
+        return _refusals.Refused(
+            status=504 if is_late else 502, reason=cause.value
+        )
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -9,8 +9,10 @@
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import events
+from tarragonhinge import forwarding
 from tarragonhinge.gateway import _admission
 from tarragonhinge.gateway import _crash_guard
+from tarragonhinge.gateway import _detour
 from tarragonhinge.gateway import _dialect
 from tarragonhinge.gateway import _fleet_size
 from tarragonhinge.gateway import _job
@@ -19,6 +21,7 @@
 from tarragonhinge.gateway import _metrics
 from tarragonhinge.gateway import _options
 from tarragonhinge.gateway import _owner_finder
+from tarragonhinge.gateway import _path_monitor
 from tarragonhinge.gateway import _placer
 from tarragonhinge.gateway import _refusals
 from tarragonhinge.gateway import _retrier
@@ -66,7 +69,7 @@
     clock : Clock
         This process's clock.
     rng : random.Random or None
-        Source of jitter for the delays before retries; a new one if None.
+        Source of jitter and of random choices; a new one if None.
 
     Attributes
     ----------
@@ -86,6 +89,10 @@
         Crashes of servers, and the requests that are refused for them.
     guard : CrashGuard
         Recognizes crashes and refuses these requests.
+    directory : PeerDirectory
+        The other instances.
+    monitor : PathMonitor
+        Finds out which servers can be reached.
     metrics : RequestMetrics
         Metrics of the requests.
     shutdown : Shutdown
@@ -107,6 +114,7 @@
         self._dialect = dialect
         self._log = log
         self._clock = clock
+        rng = rng or random.Random()
         self.fleet_size = _fleet_size.FleetSize(clock=clock)
         self.leaving = _leaving_servers.LeavingServers(
             view=view, log=log, clock=clock
@@ -126,6 +134,25 @@
             clock=clock,
         )
         self.ledger = quarantine.CrashLedger(log=log, clock=clock)
+        self.metrics = _metrics.RequestMetrics()
+        self.directory = forwarding.PeerDirectory(
+            own=forwarding.PeerInstance(
+                instance=options.instance,
+                address=options.forwarding,
+                zone=options.zone,
+            ),
+            clock=clock,
+        )
+        self._forwarding_client = forwarding.ForwardingClient(clock=clock)
+        self.monitor = _path_monitor.PathMonitor(
+            view=view,
+            links=self.links,
+            directory=self.directory,
+            client=self._forwarding_client,
+            log=log,
+            clock=clock,
+            rng=rng,
+        )
         self.guard = _crash_guard.CrashGuard(
             view=view, ledger=self.ledger, log=log, clock=clock
         )
@@ -138,9 +165,8 @@
             permits=self.permits,
             guard=self.guard,
             clock=clock,
-            rng=rng or random.Random(),
+            rng=rng,
         )
-        self.metrics = _metrics.RequestMetrics()
         self.shutdown = _shutdown.Shutdown(
             kill_after_ms=options.stop_ms, clock=clock
         )
@@ -154,9 +180,19 @@
                 server_limits=self.server_limits,
                 guard=self.guard,
                 leaving=self.leaving,
+                monitor=self.monitor,
                 log=log,
                 clock=clock,
             ),
+            detour=_detour.Detour(
+                directory=self.directory,
+                client=self._forwarding_client,
+                monitor=self.monitor,
+                zones=dict(options.zones),
+                metrics=self.metrics,
+                clock=clock,
+                rng=rng,
+            ),
             owners=self.owners,
             guard=self.guard,
             fleet_size=self.fleet_size,
@@ -189,6 +225,11 @@
             handler.cancel(STOP_ENDED)
         return len(handlers)
 
+    def close(self) -> None:
+        """End the attempts to reach servers, and close idle connections."""
+        self.monitor.close()
+        self._forwarding_client.close()
+
     def is_concurrent(self, request: http1.HttpRequest) -> bool:
         """Return whether a request may run concurrently with earlier ones.
 
@@ -213,13 +254,53 @@
 
     async def handle(self, request: http1.HttpRequest) -> http1.HttpResponse:
         """Return the final response to a caller's request."""
+        response, _ = await self._handle(request, None)
+        return response
+
+    async def handle_call(
+        self, request: http1.HttpRequest
+    ) -> http1.HttpResponse:
+        """Return the response to a call of another instance."""
+        try:
+            call, request = forwarding.read_call(request)
+        except base.CodecError as error:
+            self._log.write(
+                events.TaskFailed(task="forwarding", problem=error.problem)
+            )
+            return http1.HttpResponse(status=400, fields=[], closes=True)
+        if isinstance(call, forwarding.PathQuery):
+            report = await self.monitor.report(call)
+            return http1.HttpResponse(
+                status=200, fields=[], body=msgspec.json.encode(report)
+            )
+        response, outcome = await self._handle(request, call)
+        return http1.HttpResponse(
+            status=response.status,
+            fields=[*response.fields, forwarding.encode_outcome(outcome)],
+            body=response.body,
+        )
+
+    async def _handle(
+        self,
+        request: http1.HttpRequest,
+        call: forwarding.ForwardedRequest | None,
+    ) -> tuple[http1.HttpResponse, forwarding.ForwardedOutcome]:
+        """Return the final response, and the outcome for another instance.
+
+        Parameters
+        ----------
+        request : HttpRequest
+            The caller's request.
+        call : ForwardedRequest or None
+            Call by which another instance has forwarded it.
+        """
         metadata = self._dialect.read_request(dict(request.fields))
         trace = events.Trace(log=self._log, clock=self._clock)
         handler = asyncio.current_task()
         self._handlers.add(handler)
         try:
-            response, ended, is_ordinary = await self._serve(
-                request, metadata, trace
+            response, ended, is_ordinary, outcome = await self._serve(
+                request, metadata, trace, call
             )
         except asyncio.CancelledError as error:
             cause = error.args[0] if error.args else ""
@@ -234,7 +315,7 @@
             )
             self._record_end(trace, metadata, "failed", status=502)
             refused = _refusals.Refused(status=502, reason="internal")
-            return _make_response(refused)
+            return _make_response(refused), _describe_outcome(refused, None)
         finally:
             self._handlers.discard(handler)
         trace.add(ended)
@@ -244,7 +325,7 @@
             elapsed_ms=ended.elapsed_ms,
         )
         trace.finish(is_ordinary=is_ordinary)
-        return response
+        return response, outcome
 
     def _record_end(
         self,
@@ -275,16 +356,24 @@
         request: http1.HttpRequest,
         metadata: _dialect.RequestMetadata,
         trace: events.Trace,
-    ) -> tuple[http1.HttpResponse, events.Ended, bool]:
+        call: forwarding.ForwardedRequest | None,
+    ) -> tuple[
+        http1.HttpResponse, events.Ended, bool, forwarding.ForwardedOutcome
+    ]:
         job: _job.Job | None = None
         try:
-            await self._wait_for_first_table()
-            route = self._match(request)
-            if route is None:
-                return self._finish(trace, metadata, self._reject_unrouted())
-            job = self._make_job(request, metadata, route, trace)
-            if self.shutdown.admits(job.deadline_at):
-                self.owners.record_key(job)
+            if call is not None:
+                job = self._make_forwarded_job(request, metadata, call, trace)
+            else:
+                await self._wait_for_first_table()
+                route = self._match(request)
+                if route is None:
+                    refused = self._reject_unrouted()
+                    return self._finish(trace, metadata, refused)
+                job = self._make_job(request, metadata, route, trace)
+            if self._admits(job):
+                if not job.is_forwarded:
+                    self.owners.record_key(job)
                 result = await self._retrier.run(job)
             else:
                 result = _refusals.Refused.for_stopping_instance()
@@ -295,6 +384,15 @@
             result = await self._end_job(job)
         return self._finish(trace, metadata, result, job=job)
 
+    def _admits(self, job: _job.Job) -> bool:
+        """Return whether a stop leaves enough time for a request.
+
+        One that another instance has forwarded can go by way of a third one.
+        """
+        if job.is_forwarded and self.shutdown.has_begun:
+            return False
+        return self.shutdown.admits(job.deadline_at)
+
     async def _end_job(
         self, job: _job.Job | None
     ) -> http1.HttpResponse | _refusals.Refused:
@@ -353,19 +451,47 @@
             ),
             trace=trace,
         )
-        trace.add(
+        self._trace_received(job, deadline_ms)
+        return job
+
+    def _make_forwarded_job(
+        self,
+        request: http1.HttpRequest,
+        metadata: _dialect.RequestMetadata,
+        call: forwarding.ForwardedRequest,
+        trace: events.Trace,
+    ) -> _job.Job:
+        """Take over what the forwarding instance has decided."""
+        job = _job.Job(
+            request=request,
+            metadata=metadata,
+            route=call.route,
+            service=call.service,
+            deadline_at=trace.started_at + call.deadline_ms,
+            is_caller_retry=call.is_caller_retry,
+            trace=trace,
+            is_forwarded=True,
+        )
+        self._trace_received(job, call.deadline_ms, origin=call.origin)
+        return job
+
+    def _trace_received(
+        self, job: _job.Job, deadline_ms: int, *, origin: str = ""
+    ) -> None:
+        table = self._view.table
+        job.trace.add(
             events.Received(
-                request=metadata.attempt,
-                method=request.method,
-                path=request.target,
-                route=route.name,
-                service=name,
+                request=job.metadata.attempt,
+                method=job.request.method,
+                path=job.request.target,
+                route=job.route.name,
+                service=job.service.name,
                 deadline_ms=deadline_ms,
                 key=job.key,
-                table_version=self._view.table.version,
+                table_version=table.version if table else 0,
+                origin=origin,
             )
         )
-        return job
 
     def _finish(
         self,
@@ -373,11 +499,15 @@
         metadata: _dialect.RequestMetadata,
         result: http1.HttpResponse | _refusals.Refused,
         job: _job.Job | None = None,
-    ) -> tuple[http1.HttpResponse, events.Ended, bool]:
-        """Return the caller's response, its event and whether it is ordinary.
+    ) -> tuple[
+        http1.HttpResponse, events.Ended, bool, forwarding.ForwardedOutcome
+    ]:
+        """Return the response, its event, and whether it is ordinary.
 
-        The trace of an ordinary request is not written to the log.
+        The trace of an ordinary request is not written to the log. The last
+        value describes the outcome to another instance.
         """
+        outcome = _describe_outcome(result, job)
         elapsed_ms = trace.compute_elapsed_ms()
         if isinstance(result, _refusals.Refused):
             ended = events.Ended(
@@ -388,7 +518,8 @@
                 elapsed_ms=elapsed_ms,
                 retry_after_ms=result.retry_after_ms,
             )
-            return _make_response(result), ended, result.status == 404
+            is_ordinary = result.status == 404
+            return _make_response(result), ended, is_ordinary, outcome
         is_late = job is not None and elapsed_ms > job.route.objective_ms
         is_ordinary = (
             result.status < 500
@@ -407,7 +538,28 @@
             fields=servers.drop_hop_by_hop_fields(result.fields),
             body=result.body,
         )
-        return response, ended, is_ordinary
+        return response, ended, is_ordinary, outcome
+
+
+def _describe_outcome(
+    result: http1.HttpResponse | _refusals.Refused, job: _job.Job | None
+) -> forwarding.ForwardedOutcome:
+    """Return the outcome of a request for the instance that forwarded it."""
+    sent_count = job.sent_count if job is not None else 0
+    if not isinstance(result, _refusals.Refused):
+        return forwarding.ForwardedOutcome(
+            kind=forwarding.OutcomeKind.ANSWERED, sent_count=sent_count
+        )
+    kind = forwarding.OutcomeKind.FAILED
+    if result.is_not_run:
+        kind = forwarding.OutcomeKind.REFUSED
+    return forwarding.ForwardedOutcome(
+        kind=kind,
+        reason=result.reason,
+        retry_after_ms=result.retry_after_ms,
+        sent_count=sent_count,
+        is_transferable=result.reason in _refusals.TRANSFERABLE_REASONS,
+    )
 
 
 def _split_target(request: http1.HttpRequest) -> tuple[str, str]:
--- a/tarragonhinge/gateway/_job.py
+++ b/tarragonhinge/gateway/_job.py
@@ -55,6 +55,8 @@
     refused_by_grant : tuple or None
         Owner and fencing token of the grant under which the request was
         last refused.
+    is_forwarded : bool
+        Whether another instance has forwarded the request to this one.
     """
 
     request: http1.HttpRequest
@@ -74,8 +76,17 @@
     trial: str | None = None
     may_have_trial: bool = True
     refused_by_grant: tuple[base.ServerId, int] | None = None
+    is_forwarded: bool = False
     _digest: quarantine.RequestDigest | None = None
 
+    def count_attempts_left(self) -> int:
+        """Return the number of servers that it may still be sent to.
+
+        Servers that refused it count only if others may have run it.
+        """
+        left = self.route.max_attempts - self.sent_count
+        return left if self.may_have_run else max(1, left)
+
     @property
     def is_idempotent(self) -> bool:
         """Whether the request may run more than once."""
--- a/tarragonhinge/gateway/_links.py
+++ b/tarragonhinge/gateway/_links.py
@@ -6,6 +6,7 @@
 from tarragonhinge import catalog
 from tarragonhinge.gateway import _fleet_size
 from tarragonhinge.gateway import _leaving_servers
+from tarragonhinge.gateway import _path
 from tarragonhinge.gateway import _placement
 from tarragonhinge.gateway import _server_load
 from tarragonhinge import http1
@@ -40,12 +41,15 @@
         Connections to the server.
     load : ServerLoad
         Load estimate of the server.
+    path : Path
+        Evidence of whether this instance reaches the server.
     """
 
     entry: catalog.ServerEntry
     distance: _placement.Distance
     pool: http1.ConnectionPool
     load: _server_load.ServerLoad
+    path: _path.Path
 
     @property
     def incarnation(self) -> limits.Incarnation:
@@ -58,8 +62,28 @@
             self.pool.min_connect_ms or _DEFAULT_ROUND_TRIP_MS[self.distance]
         )
 
-    def make_candidate(self) -> _placement.Candidate:
-        """Return the server's estimates as input for placement."""
+    def is_out_of_reach(self, *, fresh: bool) -> bool:
+        """Return whether no request can be sent to the server from here.
+
+        An open connection may live on while new ones are refused.
+
+        Parameters
+        ----------
+        fresh : bool
+            As for `ConnectionPool.acquire`.
+        """
+        if not self.path.is_closed:
+            return False
+        return not (self.path.is_refused and self.pool.has_idle(fresh=fresh))
+
+    def make_candidate(self, *, fresh: bool = False) -> _placement.Candidate:
+        """Return the server's estimates as input for placement.
+
+        Parameters
+        ----------
+        fresh : bool
+            As for `ConnectionPool.acquire`.
+        """
         return _placement.Candidate(
             server=self.entry.server,
             distance=self.distance,
@@ -69,6 +93,7 @@
             error_ratio=self.load.health.compute_error_ratio(),
             is_cooling_down=self.load.is_cooling_down(),
             closed_ms=self.load.get_wait_ms(),
+            is_out_of_reach=self.is_out_of_reach(fresh=fresh),
         )
 
 
@@ -132,6 +157,16 @@
             self._links[server] = link
         return link
 
+    def is_current(self, link: ServerLink) -> bool:
+        """Return whether a link is in use for its server."""
+        return self._links.get(link.entry.server) is link
+
+    def is_keyed(self, link: ServerLink) -> bool:
+        """Return whether the server's service is keyed."""
+        table = self._view.table
+        service = table.find_service(link.entry.service) if table else None
+        return service is not None and service.keyed
+
     def exclude_crashed(self, incarnation: limits.Incarnation) -> None:
         """Send nothing to a server that an instance has seen to crash."""
         server, born_ms = incarnation
@@ -199,6 +234,7 @@
                 ),
             ),
             load=load,
+            path=_path.Path(clock=self._clock),
         )
 
     def _compute_distance(self, zone: base.ZoneName) -> _placement.Distance:
--- a/tarragonhinge/gateway/_metrics.py
+++ b/tarragonhinge/gateway/_metrics.py
@@ -31,6 +31,12 @@
             ["outcome"],
             registry=self.registry,
         )
+        self._forwarded = prometheus_client.Counter(
+            "tarragonhinge_gateway_requests_forwarded",
+            "Requests that were forwarded to other instances, by outcome.",
+            ["outcome"],
+            registry=self.registry,
+        )
         self._latency = prometheus_client.Histogram(
             "tarragonhinge_gateway_latency_seconds",
             "Time from a request's last byte to its final answer.",
@@ -51,6 +57,10 @@
         self._requests.labels(outcome=outcome, reason=reason).inc()
         self._latency.labels(outcome=outcome).observe(elapsed_ms / 1000)
 
+    def record_forwarded(self, outcome: str) -> None:
+        """Record a request that was forwarded to another instance."""
+        self._forwarded.labels(outcome=outcome).inc()
+
     def record_attempt(self, outcome: str) -> None:
         """Record a failed attempt."""
         self._attempts.labels(outcome=outcome).inc()
--- a/tarragonhinge/gateway/_options.py
+++ b/tarragonhinge/gateway/_options.py
@@ -22,6 +22,8 @@
     callers, health, peers : Address
         Addresses to listen on for callers, health checks and other
         instances.
+    forwarding : Address
+        Address to listen on for requests that other instances forward.
     store : Address
         Address of the row store.
     is_first_start : bool
@@ -48,6 +50,7 @@
     callers: base.Address
     health: base.Address
     peers: base.Address
+    forwarding: base.Address
     store: base.Address
     is_first_start: bool = True
     link_mbps: float = math.inf
--- a/tarragonhinge/gateway/_outcomes.py
+++ b/tarragonhinge/gateway/_outcomes.py
@@ -22,13 +22,15 @@
 
     SHED: the server was overloaded and refused it; MISDIRECTED: the server
     does not own the key; REPLACED: another server listens at the address;
-    UNSENT: the request was not sent.
+    UNSENT: the request was not sent; UNREACHABLE: it was not sent, since no
+    connection could be opened.
     """
 
     SHED = "shed"
     MISDIRECTED = "misdirected"
     REPLACED = "replaced"
     UNSENT = "unsent"
+    UNREACHABLE = "unreachable"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- /dev/null
+++ b/tarragonhinge/gateway/_path_monitor.py
@@ -0,0 +1,366 @@
+"""Finds out which servers this instance can't reach, and who can.
+
+Connections that hang give no error, and those that live on hide that new
+ones are refused. Servers that owe a response are therefore tried with new
+connections, and so are others once one is out of reach. No caller's request
+is used to find out whether a path is open again.
+"""
+
+import asyncio
+from collections.abc import Collection
+from collections.abc import Coroutine
+from collections.abc import Iterable
+import random
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge import events
+from tarragonhinge import forwarding
+from tarragonhinge.gateway import _links
+from tarragonhinge import http1
+from tarragonhinge import limits
+
+#: Timeout of a connection that tries a server; the latency between regions is
+#: 40 ms.
+PROBE_TIMEOUT_MS = 500
+
+#: Time for which a server that reacted need not be tried.
+CONTACT_VALID_MS = 300
+
+#: Number of other servers that are tried when one is out of reach, or is in
+#: reach again. Each of those does the same, so that all are tried soon.
+SAMPLE_SIZE = 5
+
+#: Interval at which servers out of reach are tried again, and number of them.
+RETRY_INTERVAL_MS = 400
+RETRY_BATCH_SIZE = 8
+
+#: Interval between queries to other instances, and number of instances that
+#: are asked. The first query waits for the servers that are tried meanwhile.
+QUERY_INTERVAL_MS = 500
+QUERY_DELAY_MS = 30
+QUERIED_PEERS = 8
+
+#: Maximum number of servers in one query, and of those that a query makes
+#: another instance try.
+MAX_QUERY_SERVERS = 512
+MAX_QUERY_PROBES = 32
+
+#: Time for which the report of another instance is valid.
+REPORT_VALID_MS = 2_000
+
+_State = forwarding.PathState
+_Reachable = forwarding.PathState.REACHABLE
+
+
+class _PeerPaths:
+    """What another instance has reported of its paths."""
+
+    def __init__(self) -> None:
+        self.states: dict[
+            limits.Incarnation, tuple[int, forwarding.PathState]
+        ] = {}
+
+
+class PathMonitor:
+    """Observes the paths to the servers.
+
+    Parameters
+    ----------
+    view : View
+        Entries of the servers.
+    links : ServerLinks
+        Links to the servers, with their paths.
+    directory : PeerDirectory
+        The other instances.
+    client : ForwardingClient
+        Sends queries to them.
+    log : EventLog
+        Destination of log events.
+    clock : Clock
+        This process's clock.
+    rng : random.Random
+        Chooses the servers and instances that are asked.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: catalog.View,
+        links: _links.ServerLinks,
+        directory: forwarding.PeerDirectory,
+        client: forwarding.ForwardingClient,
+        log: events.EventLog,
+        clock: base.Clock,
+        rng: random.Random,
+    ) -> None:
+        self._view = view
+        self._links = links
+        self._directory = directory
+        self._client = client
+        self._log = log
+        self._clock = clock
+        self._rng = rng
+        self._closed: dict[limits.Incarnation, _links.ServerLink] = {}
+        self._probes: dict[limits.Incarnation, asyncio.Task] = {}
+        self._peers: dict[base.InstanceId, _PeerPaths] = {}
+        self._watchers: list[asyncio.Task] = []
+        self._tasks: set[asyncio.Task] = set()
+        self._has_news = asyncio.Event()
+
+    def list_closed(self) -> list[_links.ServerLink]:
+        """Return the links to servers that are out of reach."""
+        for incarnation, link in list(self._closed.items()):
+            if not self._links.is_current(link):
+                del self._closed[incarnation]
+        return list(self._closed.values())
+
+    def get_closed_count(self) -> int:
+        """Return the number of servers that are out of reach."""
+        return len(self.list_closed())
+
+    def get_closed_ms(self) -> int:
+        """Return the time since which a server is out of reach; 0 if none."""
+        now = self._clock.now()
+        return max(
+            (now - link.path.closed_at for link in self.list_closed()),
+            default=0,
+        )
+
+    def suspect(self, link: _links.ServerLink) -> None:
+        """Try a server that owes a response, unless it has just reacted."""
+        since = self._clock.now() - CONTACT_VALID_MS
+        if not link.path.is_closed and not link.path.had_contact_since(since):
+            self._start_probe(link)
+
+    def record_connection(self, link: _links.ServerLink) -> None:
+        """Record an opened connection."""
+        if link.path.record_connection():
+            self._handle_opened(link)
+
+    def record_response(self, link: _links.ServerLink) -> None:
+        """Record a response of a server."""
+        if link.path.record_response():
+            self._handle_opened(link)
+
+    def record_failure(
+        self, link: _links.ServerLink, *, is_refused: bool, began_at: int
+    ) -> None:
+        """Record a connection that could not be opened."""
+        if link.path.record_failure(is_refused=is_refused, began_at=began_at):
+            self._handle_closed(link)
+
+    def _handle_closed(self, link: _links.ServerLink) -> None:
+        self._closed[link.incarnation] = link
+        self._log.write(
+            events.PathChanged(
+                server=link.entry.server,
+                reachable=False,
+                reason="refused" if link.path.is_refused else "silent",
+            )
+        )
+        since = self._clock.now() - CONTACT_VALID_MS
+        self._probe_some(
+            [
+                other
+                for other in self._list_links()
+                if not other.path.is_closed
+                and not other.path.had_contact_since(since)
+            ]
+        )
+        self._has_news.set()
+        if not any(not task.done() for task in self._watchers):
+            self._watchers = [
+                self._start(self._retry_closed()),
+                self._start(self._query_peers()),
+            ]
+
+    def _handle_opened(self, link: _links.ServerLink) -> None:
+        self._closed.pop(link.incarnation, None)
+        self._log.write(
+            events.PathChanged(
+                server=link.entry.server, reachable=True, reason="connected"
+            )
+        )
+        self._probe_some(self.list_closed())
+
+    def _probe_some(self, links: list[_links.ServerLink]) -> None:
+        idle = [link for link in links if link.incarnation not in self._probes]
+        for link in self._rng.sample(idle, min(SAMPLE_SIZE, len(idle))):
+            self._start_probe(link)
+
+    def _list_links(self) -> list[_links.ServerLink]:
+        """Return the links to all servers of the routing table."""
+        table = self._view.table
+        services = {s.name for s in table.services} if table else set()
+        return [
+            self._links.find(entry.server)
+            for entry in list(self._view.servers.values())
+            if entry.service in services
+        ]
+
+    def _start_probe(self, link: _links.ServerLink) -> asyncio.Task:
+        """Try a server, unless it is being tried already."""
+        incarnation = link.incarnation
+        probe = self._probes.get(incarnation)
+        if probe is None:
+            probe = self._start(self._probe(link))
+            self._probes[incarnation] = probe
+            probe.add_done_callback(lambda _: self._probes.pop(incarnation))
+        return probe
+
+    async def probe(self, link: _links.ServerLink) -> http1.ListenerState:
+        """Find out whether a server accepts connections."""
+        return await asyncio.shield(self._start_probe(link))
+
+    async def _probe(self, link: _links.ServerLink) -> http1.ListenerState:
+        began_at = self._clock.now()
+        state = await link.pool.probe(timeout_ms=PROBE_TIMEOUT_MS)
+        if state is http1.ListenerState.ACCEPTING:
+            self.record_connection(link)
+        else:
+            is_refused = state is http1.ListenerState.REFUSING
+            self.record_failure(link, is_refused=is_refused, began_at=began_at)
+        return state
+
+    def _start(self, coroutine: Coroutine) -> asyncio.Task:
+        task = asyncio.create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def _retry_closed(self) -> None:
+        """Try servers again while any is out of reach, in turn."""
+        turn: list[_links.ServerLink] = []
+        while self.list_closed():
+            await self._clock.sleep(RETRY_INTERVAL_MS)
+            closed = self.list_closed()
+            turn = [link for link in turn if link in closed] or closed
+            batch, turn = turn[:RETRY_BATCH_SIZE], turn[RETRY_BATCH_SIZE:]
+            for link in batch:
+                self._start_probe(link)
+
+    async def _query_peers(self) -> None:
+        """Ask other instances while any server is out of reach."""
+        while self.list_closed():
+            self._has_news.clear()
+            await self._clock.sleep(QUERY_DELAY_MS)
+            servers = [link.incarnation for link in self.list_closed()]
+            await asyncio.gather(
+                *(
+                    self._query(peer, servers[:MAX_QUERY_SERVERS])
+                    for peer in self._choose_queried()
+                )
+            )
+            try:
+                async with asyncio.timeout(QUERY_INTERVAL_MS / base.MS_PER_S):
+                    await self._has_news.wait()
+            except TimeoutError:
+                continue
+
+    def _choose_queried(self) -> list[forwarding.PeerInstance]:
+        """Return the instances to ask, half of them with useful reports."""
+        peers = self._directory.list_all()
+        self._rng.shuffle(peers)
+        servers = [link.incarnation for link in self.list_closed()]
+        useful = [peer for peer in peers if self.count_reached(peer, servers)][
+            : QUERIED_PEERS // 2
+        ]
+        others = [peer for peer in peers if peer not in useful]
+        return useful + others[: QUERIED_PEERS - len(useful)]
+
+    async def _query(
+        self,
+        peer: forwarding.PeerInstance,
+        servers: list[limits.Incarnation],
+    ) -> None:
+        report = await self._client.query_paths(
+            peer, forwarding.PathQuery(servers=servers)
+        )
+        if report is None:
+            self._peers.pop(peer.instance, None)
+            return
+        paths = self._peers.setdefault(peer.instance, _PeerPaths())
+        now = self._clock.now()
+        paths.states = {
+            server: (at, state)
+            for server, (at, state) in paths.states.items()
+            if now - at < REPORT_VALID_MS
+        }
+        paths.states.update(
+            (server, (now, state))
+            for server, state in zip(servers, report.states, strict=True)
+        )
+
+    def _find_report(
+        self, peer: forwarding.PeerInstance, server: limits.Incarnation
+    ) -> forwarding.PathState | None:
+        """Return the valid report of an instance on a server, if any."""
+        paths = self._peers.get(peer.instance)
+        at, state = (paths and paths.states.get(server)) or (0, None)
+        if state is None or self._clock.now() - at >= REPORT_VALID_MS:
+            return None
+        return state
+
+    def count_reached(
+        self,
+        peer: forwarding.PeerInstance,
+        servers: Iterable[limits.Incarnation],
+    ) -> int:
+        """Return how many servers an instance reports to reach."""
+        return sum(
+            self._find_report(peer, server) is _Reachable for server in servers
+        )
+
+    def may_reach(
+        self,
+        peer: forwarding.PeerInstance,
+        servers: Collection[limits.Incarnation],
+    ) -> bool:
+        """Return whether no report says that an instance reaches none."""
+        return any(
+            self._find_report(peer, server) in (None, _Reachable)
+            for server in servers
+        )
+
+    async def report(
+        self, query: forwarding.PathQuery
+    ) -> forwarding.PathReport:
+        """Answer the query of another instance."""
+        left = MAX_QUERY_PROBES
+        reports = []
+        for incarnation in query.servers[:MAX_QUERY_SERVERS]:
+            link = self._links.find(incarnation[0])
+            if link is None or link.incarnation != incarnation:
+                link = None
+            may_probe = left > 0
+            if link is not None and not self._is_known(link):
+                left -= 1
+            reports.append(self._report_path(link, may_probe))
+        states = await asyncio.gather(*reports)
+        return forwarding.PathReport(states=states)
+
+    def _is_known(self, link: _links.ServerLink) -> bool:
+        """Return whether a server need not be tried for a query."""
+        since = self._clock.now() - CONTACT_VALID_MS
+        return link.path.is_closed or link.path.had_contact_since(since)
+
+    async def _report_path(
+        self,
+        link: _links.ServerLink | None,
+        may_probe: bool,
+    ) -> forwarding.PathState:
+        if link is None:
+            return _State.UNKNOWN
+        if not self._is_known(link):
+            if not may_probe:
+                return _State.UNKNOWN
+            await self.probe(link)
+        if not link.path.is_closed:
+            return _Reachable
+        return _State.UNREACHABLE
+
+    def close(self) -> None:
+        """End all attempts to connect."""
+        for task in list(self._tasks):
+            task.cancel()
--- a/tarragonhinge/gateway/_placement.py
+++ b/tarragonhinge/gateway/_placement.py
@@ -59,6 +59,8 @@
         Whether the server is excluded after failed connections.
     closed_ms : int
         Time left for which the server wants no requests.
+    is_out_of_reach : bool
+        Whether no request can be sent to it from this instance.
     """
 
     server: base.ServerId
@@ -69,6 +71,7 @@
     error_ratio: float = 0.0
     is_cooling_down: bool = False
     closed_ms: int = 0
+    is_out_of_reach: bool = False
 
     def compute_expected_ms(self) -> float:
         """Return the expected latency of a request."""
@@ -104,11 +107,14 @@
         Lowest expected latency.
     wait_ms : int
         Time until a server takes requests again, if they all ask to wait.
+    may_detour : bool
+        Whether another instance may reach more of the servers.
     """
 
     reason: RefusalReason
     expected_ms: float = 0.0
     wait_ms: int = 0
+    may_detour: bool = False
 
 
 def place(
@@ -145,15 +151,20 @@
     if not candidates:
         return Refusal(reason=RefusalReason.NO_SERVER)
     usable = [
-        c for c in candidates if not c.is_cooling_down and c.closed_ms <= 0
+        c
+        for c in candidates
+        if not (c.is_cooling_down or c.is_out_of_reach) and c.closed_ms <= 0
     ]
+    may_detour = any(c.is_out_of_reach for c in candidates)
     if not usable:
         waits_ms = [c.closed_ms for c in candidates if c.closed_ms > 0]
         if waits_ms:
             return Refusal(
-                reason=RefusalReason.SERVER_WAIT, wait_ms=min(waits_ms)
+                reason=RefusalReason.SERVER_WAIT,
+                wait_ms=min(waits_ms),
+                may_detour=may_detour,
             )
-        return Refusal(reason=RefusalReason.UNREACHABLE)
+        return Refusal(reason=RefusalReason.UNREACHABLE, may_detour=may_detour)
 
     def compute_cost(candidate: Candidate) -> float:
         penalty_ms = _COST_FRACTIONS[candidate.distance] * objective_ms
@@ -169,7 +180,9 @@
     if not acceptable:
         min_expected_ms = min(c.compute_expected_ms() for c in usable)
         return Refusal(
-            reason=RefusalReason.OVERLOAD, expected_ms=min_expected_ms
+            reason=RefusalReason.OVERLOAD,
+            expected_ms=min_expected_ms,
+            may_detour=may_detour,
         )
     best = min(acceptable, key=compute_cost)
     return Choice(server=best.server, expected_ms=best.compute_expected_ms())
--- a/tarragonhinge/gateway/_placer.py
+++ b/tarragonhinge/gateway/_placer.py
@@ -189,20 +189,28 @@
         return untried or ready
 
     def _compute_latency_limit(self, job: _job.Job) -> float:
-        return _admission.compute_latency_limit_ms(
+        limit_ms = _admission.compute_latency_limit_ms(
             objective_ms=job.route.objective_ms,
             left_ms=job.deadline_at - self._clock.now(),
             is_retry=job.is_caller_retry,
         )
+        if job.is_forwarded:
+            return _admission.FORWARDED_LIMIT_FRACTION * limit_ms
+        return limit_ms
 
     def _decide(
         self, job: _job.Job, links: list[_links.ServerLink], limit_ms: float
     ) -> _placement.Choice | _placement.Refusal:
         return _placement.place(
-            [link.make_candidate() for link in links],
+            [
+                link.make_candidate(fresh=not job.is_idempotent)
+                for link in links
+            ],
             objective_ms=job.route.objective_ms,
             limit_ms=limit_ms,
-            admits_idle=limit_ms >= job.route.objective_ms,
+            admits_idle=(
+                limit_ms >= job.route.objective_ms or job.is_forwarded
+            ),
         )
 
     def _choose(
@@ -236,6 +244,11 @@
                 status=503,
                 reason=decision.reason.value,
                 retry_after_ms=retry_after_ms,
+                detour_servers=tuple(
+                    link.incarnation
+                    for link in links
+                    if decision.may_detour and link.path.is_closed
+                ),
             )
         link = next(
             candidate
--- a/tarragonhinge/gateway/_refusals.py
+++ b/tarragonhinge/gateway/_refusals.py
@@ -9,6 +9,7 @@
 from tarragonhinge.gateway import _job
 from tarragonhinge.gateway import _outcomes
 from tarragonhinge import http1
+from tarragonhinge import limits
 
 #: Retry-After of a refusal for which no delay is estimated.
 DEFAULT_RETRY_AFTER_MS = 400
@@ -21,6 +22,9 @@
 #: that comes back all the same is kept away for a while.
 QUARANTINE_RETRY_AFTER_MS = 30_000
 
+#: Reasons of refusals that concern only the refusing instance.
+TRANSFERABLE_REASONS = frozenset({"unreachable", "stopping", "no_table"})
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Refused:
@@ -34,11 +38,14 @@
         Reason for the caller and the log.
     retry_after_ms : int
         Delay after which the caller should retry; 0 if none is stated.
+    detour_servers : tuple of Incarnation
+        Servers to which another instance may be able to send the request.
     """
 
     status: int
     reason: str
     retry_after_ms: int = 0
+    detour_servers: tuple[limits.Incarnation, ...] = ()
 
     @property
     def is_not_run(self) -> bool:
--- a/tarragonhinge/gateway/_retrier.py
+++ b/tarragonhinge/gateway/_retrier.py
@@ -5,6 +5,7 @@
 from tarragonhinge import base
 from tarragonhinge import events
 from tarragonhinge.gateway import _crash_guard
+from tarragonhinge.gateway import _detour
 from tarragonhinge.gateway import _fleet_size
 from tarragonhinge.gateway import _job
 from tarragonhinge.gateway import _links
@@ -46,6 +47,8 @@
         Chooses the server for each attempt.
     sender : Sender
         Sends an attempt.
+    detour : Detour
+        Forwards requests for servers that this instance can't reach.
     owners : OwnerFinder
         Owners of keys, which learns from the outcomes.
     guard : CrashGuard
@@ -66,6 +69,7 @@
         options: _options.InstanceOptions,
         placer: _placer.Placer,
         sender: _sender.Sender,
+        detour: _detour.Detour,
         owners: _owner_finder.OwnerFinder,
         guard: _crash_guard.CrashGuard,
         fleet_size: _fleet_size.FleetSize,
@@ -76,6 +80,7 @@
         self._options = options
         self._placer = placer
         self._sender = sender
+        self._detour = detour
         self._owners = owners
         self._guard = guard
         self._fleet_size = fleet_size
@@ -90,7 +95,8 @@
         self, job: _job.Job
     ) -> http1.HttpResponse | _refusals.Refused:
         """Send the request to servers until there is a final response."""
-        self._get_retry_budget(job).record_request()
+        if not job.is_forwarded:
+            self._get_retry_budget(job).record_request()
         return await self._try_servers(job)
 
     async def _try_servers(
@@ -103,7 +109,7 @@
                 return refused
             placement = await self._placer.place(job)
             if isinstance(placement, _refusals.Refused):
-                return _refusals.make_final_response(job, failure, placement)
+                return await self._take_detour(job, failure, placement)
             if job.sent_count and not self._take_retry(job):
                 return _refusals.make_final_response(
                     job, failure, _refusals.Refused.for_exhausted_budget()
@@ -137,6 +143,29 @@
                     )
                 return _refusals.make_final_response(job, outcome, None)
 
+    async def _take_detour(
+        self,
+        job: _job.Job,
+        failure: _outcomes.AttemptOutcome | None,
+        refused: _refusals.Refused,
+    ) -> http1.HttpResponse | _refusals.Refused:
+        """Let another instance send a request that is refused here.
+
+        The refusal is final if no instance can send it either.
+        """
+        if refused.detour_servers:
+            result = await self._detour.run(
+                job,
+                refused.detour_servers,
+                take_retry=lambda: self._take_retry(job),
+            )
+            if isinstance(result, http1.HttpResponse):
+                return result
+            refused = result or refused
+            if refused.status not in _outcomes.NOT_RUN_STATUSES:
+                return refused
+        return _refusals.make_final_response(job, failure, refused)
+
     def _get_retry_budget(self, job: _job.Job) -> _retry_budget.RetryBudget:
         name = job.service.name
         if name not in self._retry_budgets:
@@ -263,7 +292,11 @@
                 >= MAX_SENDS_PER_ATTEMPT * job.route.max_attempts
             ):
                 return False
-            if outcome.cause is _NotRunCause.MISDIRECTED:
+            if outcome.cause in (
+                _NotRunCause.MISDIRECTED,
+                # Another server is chosen, or another way.
+                _NotRunCause.UNREACHABLE,
+            ):
                 return True
             if outcome.cause is _NotRunCause.REPLACED and job.key is not None:
                 return True
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -10,6 +10,7 @@
 from tarragonhinge.gateway import _leaving_servers
 from tarragonhinge.gateway import _links
 from tarragonhinge.gateway import _outcomes
+from tarragonhinge.gateway import _path_monitor
 from tarragonhinge.gateway import _server_load
 from tarragonhinge import http1
 from tarragonhinge import limits
@@ -18,6 +19,13 @@
 #: Minimum time left before the deadline for a request to be sent.
 MIN_TIME_LEFT_MS = 5
 
+#: Time without a response, as a multiple of its estimate, after which a new
+#: connection finds out whether the server can still be reached; and its
+#: bounds.
+SILENCE_LATENCY_FACTOR = 2.0
+MIN_SILENCE_MS = 400
+MAX_SILENCE_MS = 1_000
+
 
 class Sender:
     """Sends requests and updates the load estimates from the responses.
@@ -34,6 +42,8 @@
         Recognizes crashes of servers.
     leaving : LeavingServers
         Servers that say that they leave, which learns from the responses.
+    monitor : PathMonitor
+        Observes whether the servers can be reached.
     log : EventLog
         Destination of log events.
     clock : Clock
@@ -48,6 +58,7 @@
         server_limits: limits.ServerLimits,
         guard: _crash_guard.CrashGuard,
         leaving: _leaving_servers.LeavingServers,
+        monitor: _path_monitor.PathMonitor,
         log: events.EventLog,
         clock: base.Clock,
     ) -> None:
@@ -56,6 +67,7 @@
         self._server_limits = server_limits
         self._guard = guard
         self._leaving = leaving
+        self._monitor = monitor
         self._log = log
         self._clock = clock
 
@@ -118,8 +130,16 @@
         sent: asyncio.Future[None],
     ) -> http1.HttpResponse | _outcomes.NotRun | _outcomes.OutcomeUnknown:
         """Return the response, or the reason why there is none."""
+        began_at = self._clock.now()
         try:
             connection = await link.pool.acquire(fresh=not job.is_idempotent)
+        except http1.UnreachableError as error:
+            self._monitor.record_failure(
+                link, is_refused=error.is_refused, began_at=began_at
+            )
+            return _outcomes.NotRun(
+                cause=_outcomes.NotRunCause.UNREACHABLE, detail=error.problem
+            )
         except http1.ExchangeError as error:
             link.load.record_unreachable()
             return _make_unsent(error.problem)
@@ -142,6 +162,11 @@
         sent.set_result(None)
         self._guard.record_sent(flight, connection)
         is_reusable = False
+        silence = asyncio.get_running_loop().call_later(
+            self._compute_silence_ms(link) / base.MS_PER_S,
+            self._monitor.suspect,
+            link,
+        )
         exchange = asyncio.create_task(
             connection.exchange(
                 self._make_request(job, link, left_ms),
@@ -161,6 +186,7 @@
                     cause=_outcomes.UnknownCause.TIMEOUT
                 )
             response = exchange.result()
+            self._monitor.record_response(link)
             is_reusable = not response.closes
             return response
         except http1.ExchangeError as error:
@@ -171,12 +197,23 @@
                 cause=_outcomes.UnknownCause.BROKEN, detail=error.problem
             )
         finally:
+            silence.cancel()
             exchange.cancel()
             if is_reusable:
                 link.pool.release(connection)
             else:
                 link.pool.discard(connection)
 
+    def _compute_silence_ms(self, link: _links.ServerLink) -> float:
+        """Return the time without a response that is unusual."""
+        expected_ms = (
+            link.get_round_trip_ms()
+            + link.load.estimate_wait_ms()
+            + link.load.estimate_service_ms()
+        )
+        silence_ms = SILENCE_LATENCY_FACTOR * expected_ms
+        return min(MAX_SILENCE_MS, max(MIN_SILENCE_MS, silence_ms))
+
     def _matches_attempt(self, job: _job.Job, fields: http1.FieldList) -> bool:
         """Return whether a response may belong to this attempt.
 
--- a/tarragonhinge/http1/__init__.py
+++ b/tarragonhinge/http1/__init__.py
@@ -4,6 +4,7 @@
 from tarragonhinge.http1._caller_connection import CONNECTION_CLOSED
 from tarragonhinge.http1._caller_connection import DISCONNECTED
 from tarragonhinge.http1._errors import ExchangeError
+from tarragonhinge.http1._errors import UnreachableError
 from tarragonhinge.http1._listen import listen
 from tarragonhinge.http1._listen import split_address
 from tarragonhinge.http1._messages import combine_fields
@@ -28,6 +29,7 @@
     "ListenerState",
     "ServerConnection",
     "TcpStream",
+    "UnreachableError",
     "combine_fields",
     "connect",
     "listen",
--- a/tarragonhinge/http1/_errors.py
+++ b/tarragonhinge/http1/_errors.py
@@ -17,3 +17,21 @@
     def __init__(self, *, problem: str, remedy: str, sent: bool) -> None:
         super().__init__(problem=problem, remedy=remedy)
         self.sent = sent
+
+
+class UnreachableError(ExchangeError):
+    """No connection could be opened, so that nothing was sent.
+
+    Parameters
+    ----------
+    problem : str
+        As for `TarragonhingeError`.
+    is_refused : bool
+        Whether the connection was refused; if not, there was no reaction.
+    """
+
+    def __init__(self, *, problem: str, is_refused: bool) -> None:
+        super().__init__(
+            problem=problem, remedy="send it to another server", sent=False
+        )
+        self.is_refused = is_refused
--- a/tarragonhinge/http1/_pool.py
+++ b/tarragonhinge/http1/_pool.py
@@ -47,6 +47,8 @@
         This process's clock.
     limit : int
         Maximum number of open connections.
+    connect_timeout_ms : int
+        Timeout for opening a connection.
 
     Attributes
     ----------
@@ -56,9 +58,15 @@
     """
 
     def __init__(
-        self, *, address: base.Address, clock: base.Clock, limit: int
+        self,
+        *,
+        address: base.Address,
+        clock: base.Clock,
+        limit: int,
+        connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
     ) -> None:
         self._address = address
+        self._connect_timeout_ms = connect_timeout_ms
         self._clock = clock
         self._limit = max(1, limit)
         self._idle: list[_server_connection.ServerConnection] = []
@@ -81,15 +89,12 @@
         ------
         ExchangeError
             If no connection can be opened; the request was not sent.
+            `UnreachableError` if the server did not accept one.
         """
-        self.prune()
-        limit_ms = FRESH_IDLE_LIMIT_MS if fresh else None
-        for index in range(len(self._idle) - 1, -1, -1):
-            connection = self._idle[index]
-            idle_ms = self._clock.now() - connection.used_at
-            if limit_ms is None or idle_ms < limit_ms:
-                del self._idle[index]
-                return connection
+        connection = self._find_idle(fresh=fresh)
+        if connection is not None:
+            self._idle.remove(connection)
+            return connection
         if self._open_count >= self._limit:
             if not self._idle:
                 raise _make_error("the connection limit is reached")
@@ -98,11 +103,14 @@
         started_at = self._clock.now()
         try:
             stream = await _tcp_stream.connect(
-                self._address, timeout_ms=CONNECT_TIMEOUT_MS
+                self._address, timeout_ms=self._connect_timeout_ms
             )
         except OSError as error:
             self._open_count -= 1
-            raise _make_error(f"cannot open a connection: {error}") from error
+            raise _errors.UnreachableError(
+                problem=f"cannot open a connection: {error}",
+                is_refused=isinstance(error, ConnectionRefusedError),
+            ) from error
         except asyncio.CancelledError:
             self._open_count -= 1
             raise
@@ -111,14 +119,31 @@
             stream=stream, clock=self._clock
         )
 
-    async def probe(self) -> ListenerState:
+    def _find_idle(
+        self, *, fresh: bool
+    ) -> _server_connection.ServerConnection | None:
+        """Return the idle connection that was used last, if it will do."""
+        self.prune()
+        for connection in reversed(self._idle):
+            idle_ms = self._clock.now() - connection.used_at
+            if not fresh or idle_ms < FRESH_IDLE_LIMIT_MS:
+                return connection
+        return None
+
+    def has_idle(self, *, fresh: bool) -> bool:
+        """Return whether `acquire` needs to open no connection."""
+        return self._find_idle(fresh=fresh) is not None
+
+    async def probe(
+        self, *, timeout_ms: int = CONNECT_TIMEOUT_MS
+    ) -> ListenerState:
         """Find out whether the server accepts connections.
 
         A connection that is opened serves the next request.
         """
         try:
             stream = await _tcp_stream.connect(
-                self._address, timeout_ms=CONNECT_TIMEOUT_MS
+                self._address, timeout_ms=timeout_ms
             )
         except ConnectionRefusedError:
             return ListenerState.REFUSING
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -57,7 +57,6 @@
         self.log = log
         self._view = catalog.View()
         self._store = _row_store.PlatformStore(address=options.store)
-        self._grants = _grants.PlatformGrants(clock=clock)
         self.gateway = gateway.Gateway(
             options=options,
             view=self._view,
@@ -65,6 +64,7 @@
             log=self.log,
             clock=clock,
         )
+        self._grants = _grants.PlatformGrants(clock=clock)
         reporter = gateway.Reporter(
             owners=self.gateway.owners,
             links=self.gateway.links,
@@ -80,6 +80,7 @@
             view=self._view,
             grants=self._grants,
             exchange=reporter,
+            directory=self.gateway.directory,
             permits=self.gateway.permits,
             ledger=self.gateway.ledger,
             trials=self.gateway.guard.trials,
@@ -92,6 +93,11 @@
         self._caller_listener = gateway.CallerListener(
             address=options.callers, gateway=self.gateway
         )
+        self._call_listener = gateway.CallerListener(
+            address=options.forwarding,
+            gateway=self.gateway,
+            for_instances=True,
+        )
         host = options.peers.rpartition(":")[0]
         self._health = gateway.HealthServer(
             address=options.health,
@@ -149,6 +155,16 @@
             "Requests that ran at a server when it crashed.",
             lambda: self.gateway.ledger.suspect_count,
         )
+        watch(
+            "servers_out_of_reach",
+            "Servers to which this instance can't open connections.",
+            self.gateway.monitor.get_closed_count,
+        )
+        watch(
+            "out_of_reach_seconds",
+            "Time since which any of them is out of reach; 0 if none is.",
+            lambda: self.gateway.monitor.get_closed_ms() / base.MS_PER_S,
+        )
         watch(
             "quarantined_requests",
             "Requests that are refused since they crash servers.",
@@ -175,6 +191,7 @@
             self._member.serve_peer, host, int(port)
         )
         await self._health.start()
+        await self._call_listener.start()
         await self._caller_listener.start()
         self._tasks = [
             asyncio.create_task(self._member.run()),
@@ -218,13 +235,14 @@
         )
         while not shutdown.is_time_up():
             if shutdown.is_notice_over():
-                self._caller_listener.stop_accepting()
-                self._caller_listener.close_idle()
-                if self._caller_listener.count_busy() == 0:
+                for listener in self._listeners:
+                    listener.stop_accepting()
+                    listener.close_idle()
+                if self._count_busy() == 0:
                     break
             await self._clock.sleep(UPDATE_INTERVAL_MS)
         cut_off = self.gateway.abort_requests()
-        while self._caller_listener.count_busy() and not shutdown.is_over():
+        while self._count_busy() and not shutdown.is_over():
             await self._clock.sleep(RESPONSE_CHECK_MS)
         self.log.write(
             events.Stopped(
@@ -233,12 +251,22 @@
         )
         await self._close()
 
+    @property
+    def _listeners(self) -> tuple[gateway.CallerListener, ...]:
+        return self._caller_listener, self._call_listener
+
+    def _count_busy(self) -> int:
+        """Return the number of connections with a request in progress."""
+        return sum(listener.count_busy() for listener in self._listeners)
+
     async def _close(self) -> None:
         """Stop the tasks and close all connections."""
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        await self._caller_listener.stop()
+        for listener in self._listeners:
+            await listener.stop()
+        self.gateway.close()
         await self._grants.close()
         await self._store.close()
         self.log.flush()
--- a/tarragonhinge/platform/_node_file.py
+++ b/tarragonhinge/platform/_node_file.py
@@ -125,6 +125,7 @@
     """
     reader = _EntryReader(parse_entries(text))
     ip = reader.read_text("ip")
+    # Ports from the first to the last are free on every machine.
     peer_port = reader.read_port("internalPorts")
     return gateway.InstanceOptions(
         instance=base.InstanceId(reader.read_text("node")),
@@ -135,6 +136,7 @@
         callers=reader.read_address("listen.front"),
         health=reader.read_address("listen.ready"),
         peers=base.Address(f"{ip}:{peer_port}"),
+        forwarding=base.Address(f"{ip}:{peer_port + 1}"),
         store=reader.read_address("platform.address"),
         is_first_start=reader.read_flag("bootstrap", default=True),
         link_mbps=reader.read_number("limits.linkMbps", math.inf),
--- a/tarragonhinge/platform/tests/test_cut_instance.py
+++ b/tarragonhinge/platform/tests/test_cut_instance.py
@@ -14,7 +14,8 @@
 CONTACT_S = 3.0
 MIN_RELATIVE_SHARE = 2 / 3
 
-#: Time in seconds for which requests are sent from then on.
+#: Time in seconds for which requests are sent before the cut, and from then on.
+WARM_UP_S = 1.0
 MEASURED_S = 3.0
 
 ALL_FORMS = list(standins.CutForm)
@@ -44,11 +45,14 @@
 
 async def _measure_cut(fleet, networks, form, servers=None):
     """Cut instances, send requests, and return the served shares."""
-    await _send(fleet, 1.0)
+    callers = asyncio.create_task(
+        _send(fleet, WARM_UP_S + CONTACT_S + MEASURED_S)
+    )
+    await asyncio.sleep(WARM_UP_S)
     cut_ips = {ip for ip, net in fleet.networks.items() if net in networks}
     since = time.monotonic() + CONTACT_S
     fleet.cut(networks, form, servers)
-    await _send(fleet, CONTACT_S + MEASURED_S)
+    await callers
     return _compute_shares(fleet, cut_ips, since)
 
 
@@ -146,3 +150,27 @@
             assert {s.status for s in fleet.sent} == {200}
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize("form", ALL_FORMS)
+@pytest.mark.parametrize(
+    ("instances", "cut", "servers_cut"), [(3, 1, 6), (9, 6, 6), (9, 6, 2)]
+)
+def test_cut_instances_report_no_server_as_crashed(
+    form, instances, cut, servers_cut
+):
+    async def run():
+        async with deployment.Deployment(
+            instances=instances, servers=6
+        ) as fleet:
+            for server in fleet.servers:
+                server.work_s = 0.2
+            networks = list(fleet.networks.values())[:cut]
+            _, elsewhere = await _measure_cut(
+                fleet, networks, form, fleet.servers[:servers_cut]
+            )
+            assert sum(_list_crashes(fleet)) == 0
+            assert elsewhere > 0.95
+            _check_once(fleet)
+
+    asyncio.run(run())
--- a/tarragonhinge/platform/tests/test_path.py
+++ b/tarragonhinge/platform/tests/test_path.py
@@ -78,6 +78,7 @@
             callers=base.Address("127.0.0.1:1"),
             health=base.Address("127.0.0.1:1"),
             peers=base.Address("127.0.0.1:1"),
+            forwarding=base.Address("127.0.0.1:1"),
             store=base.Address("127.0.0.1:1"),
             retry_slack=100,
         )
--- a/tarragonhinge/relay/_hub.py
+++ b/tarragonhinge/relay/_hub.py
@@ -4,8 +4,11 @@
 from collections.abc import Callable
 import contextlib
 
+import msgspec
+
 from tarragonhinge import base
 from tarragonhinge import catalog
+from tarragonhinge import forwarding
 from tarragonhinge import limits
 from tarragonhinge import quarantine
 from tarragonhinge.relay import _frames
@@ -43,8 +46,14 @@
 class _Subscriber:
     """Connection to one subscribed instance."""
 
-    def __init__(self, *, writer: asyncio.StreamWriter) -> None:
+    def __init__(
+        self,
+        *,
+        writer: asyncio.StreamWriter,
+        peer: forwarding.PeerInstance | None,
+    ) -> None:
         self._writer = writer
+        self.peer = peer
         self.store_silent_at: int | None = None
 
     def send(self, frame: bytes) -> None:
@@ -82,6 +91,8 @@
         Crashes that this instance has seen or heard of.
     trial_issuer : TrialIssuer
         Issues the trials of refused requests.
+    directory : PeerDirectory
+        The other instances, which the hub lists.
     clock : Clock
         This process's clock.
 
@@ -103,6 +114,7 @@
         issuer: limits.PermitIssuer,
         ledger: quarantine.CrashLedger,
         trial_issuer: quarantine.TrialIssuer,
+        directory: forwarding.PeerDirectory,
         clock: base.Clock,
     ) -> None:
         self.term = term
@@ -114,6 +126,8 @@
         self._issuer = issuer
         self._ledger = ledger
         self._trial_issuer = trial_issuer
+        self._directory = directory
+        self._has_new_peers = False
         self._pending_loads: dict[base.ServerId, int] = {}
         self._pending_limits: dict[limits.Incarnation, limits.NamedLimit] = {}
         self._has_pending_loads = asyncio.Event()
@@ -174,10 +188,22 @@
         self._subscribers.clear()
 
     async def serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        *,
+        peer: forwarding.PeerInstance | None = None,
     ) -> None:
-        """Serve one subscriber until its connection is closed."""
-        subscriber = _Subscriber(writer=writer)
+        """Serve one subscriber until its connection is closed.
+
+        Parameters
+        ----------
+        reader, writer : StreamReader, StreamWriter
+            Its connection.
+        peer : PeerInstance or None
+            Where it accepts requests of other instances.
+        """
+        subscriber = _Subscriber(writer=writer, peer=peer)
         subscriber.send(_frames.encode_frame(self._make_heartbeat()))
         evidence = self._ledger.list_all()
         if evidence:
@@ -192,6 +218,7 @@
                 )
             )
         self._subscribers.add(subscriber)
+        self._record_peers()
         self._max_subscribers = max(
             self._max_subscribers, len(self._subscribers)
         )
@@ -222,9 +249,20 @@
             return
         finally:
             self._subscribers.discard(subscriber)
+            self._record_peers()
             with contextlib.suppress(OSError):
                 writer.close()
 
+    def _list_peers(self) -> list[forwarding.PeerInstance]:
+        """Return all instances that accept requests of others."""
+        peers = [s.peer for s in self._subscribers if s.peer is not None]
+        return [self._directory.own, *peers]
+
+    def _record_peers(self) -> None:
+        """Use the list of instances here, and send it with a heartbeat."""
+        self._directory.record(self._list_peers())
+        self._has_new_peers = True
+
     def _issue_permit(
         self, request: _messages.PermitRequest
     ) -> _messages.Permit:
@@ -274,6 +312,11 @@
         """Send heartbeats regularly and when the store fails or recovers."""
         while True:
             heartbeat = self._make_heartbeat()
+            if self._has_new_peers:
+                self._has_new_peers = False
+                heartbeat = msgspec.structs.replace(
+                    heartbeat, peers=self._list_peers()
+                )
             self._send(heartbeat)
             ends_at = self._clock.now() + HEARTBEAT_INTERVAL_MS
             while (
--- a/tarragonhinge/relay/_messages.py
+++ b/tarragonhinge/relay/_messages.py
@@ -9,14 +9,24 @@
 
 from tarragonhinge import base
 from tarragonhinge import catalog
+from tarragonhinge import forwarding
 from tarragonhinge import limits
 from tarragonhinge import quarantine
 
 
 class Hello(msgspec.Struct, frozen=True, kw_only=True, tag="hello"):
-    """First message that a subscriber sends."""
+    """First message that a subscriber sends.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        Its id.
+    peer : PeerInstance or None
+        Where it accepts requests of other instances; None if it does not.
+    """
 
     instance: base.InstanceId
+    peer: forwarding.PeerInstance | None = None
 
 
 class MeasuredServiceTime(
@@ -200,12 +210,16 @@
         Whether the coordinator's last call to the store failed.
     fleet_size : int
         Number of instances: the subscribers and the coordinator.
+    peers : list of PeerInstance or None
+        All instances that accept requests of others; None if they have not
+        changed since the last heartbeat.
     """
 
     term: base.Term
     store_age_ms: int
     is_store_failing: bool = False
     fleet_size: int
+    peers: list[forwarding.PeerInstance] | None = None
 
 
 class Deposed(msgspec.Struct, frozen=True, kw_only=True, tag="deposed"):
--- a/tarragonhinge/relay/_subscription.py
+++ b/tarragonhinge/relay/_subscription.py
@@ -10,6 +10,7 @@
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import events
+from tarragonhinge import forwarding
 from tarragonhinge import limits
 from tarragonhinge import quarantine
 from tarragonhinge.relay import _exchange
@@ -80,6 +81,8 @@
     exchange : Exchange
         Source of this instance's reports and loads, and receiver of the
         loads of others.
+    directory : PeerDirectory
+        The other instances, as the coordinator lists them.
     ledger : CrashLedger
         Crashes that this instance has seen or heard of.
     check_store : callable
@@ -113,6 +116,7 @@
         address: base.Address,
         view: catalog.View,
         exchange: _exchange.Exchange,
+        directory: forwarding.PeerDirectory,
         ledger: quarantine.CrashLedger,
         check_store: Callable[[], Awaitable[bool]],
         compute_leave_delay_ms: Callable[[], int],
@@ -124,6 +128,7 @@
         self._address = address
         self._view = view
         self._exchange = exchange
+        self._directory = directory
         self._ledger = ledger
         self._check_store = check_store
         self._compute_leave_delay_ms = compute_leave_delay_ms
@@ -167,9 +172,10 @@
         self._writer = writer
         self._exchange.report_again()
         try:
-            writer.write(
-                _frames.encode_frame(_messages.Hello(instance=self._instance))
+            hello = _messages.Hello(
+                instance=self._instance, peer=self._directory.own
             )
+            writer.write(_frames.encode_frame(hello))
             await asyncio.wait(
                 [read_task, leave_task], return_when=asyncio.FIRST_COMPLETED
             )
@@ -279,6 +285,8 @@
             elif isinstance(message, _messages.Heartbeat):
                 self.fleet_size = message.fleet_size
                 self.term = message.term
+                if message.peers is not None:
+                    self._directory.record(message.peers)
                 self._check_coordinator_store(message)
 
     def _check_coordinator_store(self, heartbeat: _messages.Heartbeat) -> None:
--- a/tarragonhinge/relay/tests/test_relay.py
+++ b/tarragonhinge/relay/tests/test_relay.py
@@ -81,6 +81,7 @@
             trial_issuer=quarantine.TrialIssuer(
                 ledger=self.ledger, log=self.log
             ),
+            directory=testing.make_peer_directory(self.clock),
             clock=self.clock,
         )
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -108,6 +109,7 @@
             address=self.address,
             view=view,
             exchange=_Exchange(),
+            directory=testing.make_peer_directory(self.clock, instance="i2"),
             ledger=self.other_ledger,
             check_store=check_store,
             compute_leave_delay_ms=lambda: self.leave_delay_ms,
--- a/tarragonhinge/testing/__init__.py
+++ b/tarragonhinge/testing/__init__.py
@@ -27,6 +27,7 @@
 from tarragonhinge.testing._network import MemoryTransport
 from tarragonhinge.testing._operators import KNOWN_NAMES
 from tarragonhinge.testing._operators import OperatorsTestbed
+from tarragonhinge.testing._peer_directory import make_peer_directory
 from tarragonhinge.testing._permits import make_permits
 from tarragonhinge.testing._probe import Probe
 from tarragonhinge.testing._probe import ProbeEvent
@@ -79,6 +80,7 @@
     "get_answering_server",
     "make_client_factory",
     "make_event_log",
+    "make_peer_directory",
     "make_permits",
     "make_idempotency_key",
     "make_row",
