Let a coordinator step down that can't reach the owners of keys

It reached the store and its followers all the time, so that nobody succeeded it.

A coordinator now counts a grant without a response for 0.25 s as silence and tries its server. If another instance reports to reach all owners that this one can't reach, and no closed path, it steps down; an instance for which that holds claims 1.5 s later than others. Nothing changes if all are cut off.

--- a/tarragonhinge/coordination/_claim.py
+++ b/tarragonhinge/coordination/_claim.py
@@ -23,6 +23,11 @@
 CLAIM_BACKOFF_MS = 10_000
 
 
+#: Further delay of an instance that can't reach servers that others reach: as
+#: a coordinator, it could not renew their grants.
+CUT_OFF_DELAY_MS = 1_500
+
+
 class ClaimPolicy:
     """Decides whether and how soon an instance claims the coordination.
 
@@ -48,17 +53,23 @@
             self._link_delay_ms = NARROW_LINK_DELAY_MS
         self._may_claim_at = 0
 
-    def compute_delay_ms(self, *, store_rtt_ms: int) -> int:
+    def compute_delay_ms(
+        self, *, store_rtt_ms: int, is_cut_off: bool = False
+    ) -> int:
         """Return the delay before a claim in milliseconds.
 
         Parameters
         ----------
         store_rtt_ms : int
             Measured round-trip time to the store.
+        is_cut_off : bool
+            Whether other instances reach servers that this one does not.
         """
         delay_ms = self._rng.randint(NEAR_CLAIM_DELAY_MS, FAR_CLAIM_DELAY_MS)
         if store_rtt_ms <= NEAR_STORE_RTT_MS:
             delay_ms = self._rng.randint(0, NEAR_CLAIM_DELAY_MS)
+        if is_cut_off:
+            delay_ms += CUT_OFF_DELAY_MS
         return delay_ms + self._link_delay_ms
 
     def may_claim(self, *, now: int) -> bool:
--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -1,6 +1,7 @@
 """Duties of the instance that coordinates the fleet."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 import struct
 
@@ -38,6 +39,11 @@
 #: Delay before a claim that could not be written again is retried.
 CLAIM_RETRY_MS = 100
 
+#: Interval at which a coordinator checks whether others reach owners of keys
+#: that it can't reach, and time after which it steps down for that.
+CUT_OFF_CHECK_INTERVAL_MS = 100
+CUT_OFF_CONFIRMATION_MS = 200
+
 #: Interval at which server loads that this instance observed are forwarded.
 LOAD_REPORT_INTERVAL_MS = 80
 
@@ -63,6 +69,9 @@
         Source of this instance's own reports and loads.
     directory : PeerDirectory
         The other instances, which the hub lists.
+    is_cut_off : callable
+        Returns whether another instance reaches all owners of keys, and this
+        one does not.
     server_limits : ServerLimits
         Limits of servers that this instance knows of.
     ledger : CrashLedger
@@ -83,6 +92,8 @@
     ----------
     hub : relay.Hub
         Distributes updates to the other instances.
+    end_reason : str
+        Reason why the leadership has ended.
     """
 
     def __init__(
@@ -96,6 +107,7 @@
         grants: ranges.GrantClient,
         exchange: relay.Exchange,
         directory: forwarding.PeerDirectory,
+        is_cut_off: Callable[[], bool],
         server_limits: limits.ServerLimits,
         ledger: quarantine.CrashLedger,
         log: events.EventLog,
@@ -110,6 +122,7 @@
         self._view = view
         self._grants = grants
         self._exchange = exchange
+        self._is_cut_off = is_cut_off
         self._log = log
         self._clock = clock
         self._is_first_start = is_first_start
@@ -129,6 +142,7 @@
             retry_cap_ms=CLAIM_WATCH_RETRY_CAP_MS,
         )
         self._deposed = asyncio.Event()
+        self.end_reason = "deposed"
         # Era and version of the newest claim that the follower has seen.
         self._seen_claim = (0, 0)
         self._issuer = limits.PermitIssuer(limits=server_limits, clock=clock)
@@ -330,6 +344,7 @@
                 self._manage_services(),
                 self._apply_own_reports(),
                 self._forward_own_loads(),
+                self._wait_until_cut_off(),
                 self._deposed.wait(),
             )
         ]
@@ -354,6 +369,23 @@
                 return
         raise error
 
+    async def _wait_until_cut_off(self) -> None:
+        """Return once an instance that reaches the owners is to take over.
+
+        The owners' grants expire if no coordinator reaches them.
+        """
+        cut_off_since: int | None = None
+        while True:
+            now = self._clock.now()
+            if not self._is_cut_off():
+                cut_off_since = None
+            elif cut_off_since is None:
+                cut_off_since = now
+            elif now - cut_off_since >= CUT_OFF_CONFIRMATION_MS:
+                self.end_reason = "cut_off"
+                return
+            await self._clock.sleep(CUT_OFF_CHECK_INTERVAL_MS)
+
     async def _apply_own_reports(self) -> None:
         """Apply the reports of this instance at intervals."""
         while True:
--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -1,6 +1,7 @@
 """Membership of an instance in the fleet, as follower or coordinator."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 import contextlib
 import math
@@ -71,6 +72,9 @@
         loads of others.
     directory : PeerDirectory
         The other instances, which the coordinator lists.
+    is_cut_off : callable
+        Returns whether another instance reaches all owners of keys, and this
+        one does not.
     permits : Permits
         Permits for requests to servers that name a limit, which get the
         coordinator as their source.
@@ -105,6 +109,7 @@
         grants: ranges.GrantClient,
         exchange: relay.Exchange,
         directory: forwarding.PeerDirectory,
+        is_cut_off: Callable[[], bool],
         permits: limits.Permits,
         ledger: quarantine.CrashLedger,
         trials: quarantine.Trials,
@@ -124,6 +129,7 @@
         self._grants = grants
         self._exchange = exchange
         self._directory = directory
+        self._is_cut_off = is_cut_off
         self._permits = permits
         self._ledger = ledger
         self._trials = trials
@@ -273,7 +279,8 @@
                     await self._try_claim(
                         row,
                         delay_ms=self._policy.compute_delay_ms(
-                            store_rtt_ms=self._store_rtt_ms
+                            store_rtt_ms=self._store_rtt_ms,
+                            is_cut_off=self._is_cut_off(),
                         ),
                     )
                 elif end_reason is relay.EndReason.STORE_LOST:
@@ -337,7 +344,7 @@
         if not self._policy.may_claim(now=self._clock.read_boottime()):
             return STANDALONE_RETRY_MS
         delay_ms = self._policy.compute_delay_ms(
-            store_rtt_ms=self._store_rtt_ms
+            store_rtt_ms=self._store_rtt_ms, is_cut_off=self._is_cut_off()
         )
         if self._claim_era != self._followed_era:
             # The coordinator confirms the view by its next heartbeat.
@@ -464,6 +471,7 @@
             grants=self._grants,
             exchange=self._exchange,
             directory=self._directory,
+            is_cut_off=self._is_cut_off,
             server_limits=self._permits.limits,
             ledger=self._ledger,
             log=self._log,
@@ -480,9 +488,10 @@
             notifier = asyncio.create_task(
                 self._notify_previous(previous, leadership.term)
             )
-        reason = "deposed"
+        reason = "cancelled"
         try:
             await coordinator.run()
+            reason = coordinator.end_reason
         except Exception as error:
             reason = "failed"
             self._log.write(
--- a/tarragonhinge/coordination/tests/fleet.py
+++ b/tarragonhinge/coordination/tests/fleet.py
@@ -80,6 +80,7 @@
             fleet=fleet.servers, clock=fleet.clock
         )
         self.task = None
+        self.is_cut_off = False
 
     async def start(self):
         """Join the fleet."""
@@ -98,6 +99,7 @@
             directory=testing.make_peer_directory(
                 self.fleet.clock, instance=name
             ),
+            is_cut_off=lambda: self.is_cut_off,
             permits=testing.make_permits(self.fleet.clock),
             ledger=self.ledger,
             trials=quarantine.Trials(),
--- a/tarragonhinge/forwarding/_messages.py
+++ b/tarragonhinge/forwarding/_messages.py
@@ -77,9 +77,12 @@
     ----------
     states : list of PathState
         State of each server, in the order of the query.
+    has_closed_paths : bool
+        Whether there are servers that the instance can't reach.
     """
 
     states: list[PathState]
+    has_closed_paths: bool = False
 
 
 class OutcomeKind(enum.Enum):
--- a/tarragonhinge/gateway/_path_monitor.py
+++ b/tarragonhinge/gateway/_path_monitor.py
@@ -60,6 +60,7 @@
         self.states: dict[
             limits.Incarnation, tuple[int, forwarding.PathState]
         ] = {}
+        self.has_closed_paths = False
 
 
 class PathMonitor:
@@ -133,6 +134,12 @@
         if not link.path.is_closed and not link.path.had_contact_since(since):
             self._start_probe(link)
 
+    def suspect_server(self, server: base.ServerId) -> None:
+        """Try a server that owes a response to something else."""
+        link = self._links.find(server)
+        if link is not None:
+            self.suspect(link)
+
     def record_connection(self, link: _links.ServerLink) -> None:
         """Record an opened connection."""
         if link.path.record_connection():
@@ -281,6 +288,7 @@
             self._peers.pop(peer.instance, None)
             return
         paths = self._peers.setdefault(peer.instance, _PeerPaths())
+        paths.has_closed_paths = report.has_closed_paths
         now = self._clock.now()
         paths.states = {
             server: (at, state)
@@ -323,6 +331,22 @@
             for server in servers
         )
 
+    def is_cut_off(self) -> bool:
+        """Return whether another instance reaches all owners of keys.
+
+        It is so only while this one does not.
+        """
+        owners = [
+            link.incarnation
+            for link in self.list_closed()
+            if self._links.is_keyed(link)
+        ]
+        return bool(owners) and any(
+            self.count_reached(peer, owners) == len(owners)
+            and not self._peers[peer.instance].has_closed_paths
+            for peer in self._directory.list_all()
+        )
+
     async def report(
         self, query: forwarding.PathQuery
     ) -> forwarding.PathReport:
@@ -338,7 +362,9 @@
                 left -= 1
             reports.append(self._report_path(link, may_probe))
         states = await asyncio.gather(*reports)
-        return forwarding.PathReport(states=states)
+        return forwarding.PathReport(
+            states=states, has_closed_paths=bool(self.list_closed())
+        )
 
     def _is_known(self, link: _links.ServerLink) -> bool:
         """Return whether a server need not be tried for a query."""
--- a/tarragonhinge/platform/_grants.py
+++ b/tarragonhinge/platform/_grants.py
@@ -1,6 +1,7 @@
 """HTTP client that grants key ranges to backend servers."""
 
 import asyncio
+from collections.abc import Callable
 
 import aiohttp
 import msgspec
@@ -19,6 +20,10 @@
 CONNECT_TIMEOUT_MS = 500
 
 
+#: Time without a response after which a grant's server counts as silent.
+SILENCE_MS = 250
+
+
 #: Largest part of the response to a release that is read, in bytes.
 RELEASE_BODY_BYTES = 4_096
 
@@ -66,10 +71,18 @@
     ----------
     clock : Clock
         This process's clock.
+    report_silence : callable
+        Called with the id of each server that owes a response.
     """
 
-    def __init__(self, *, clock: base.Clock) -> None:
+    def __init__(
+        self,
+        *,
+        clock: base.Clock,
+        report_silence: Callable[[base.ServerId], None] = lambda _: None,
+    ) -> None:
         self._clock = clock
+        self._report_silence = report_silence
         self._connections: dict[ranges.Holder, _OwnerConnection] = {}
         self._session: aiohttp.ClientSession | None = None
 
@@ -121,6 +134,9 @@
     ) -> int:
         """Send a grant; return the status, or 0 without a response."""
         keep_open = False
+        silence = asyncio.get_running_loop().call_later(
+            SILENCE_MS / base.MS_PER_S, self._report_silence, holder.server
+        )
         try:
             async with asyncio.timeout(
                 ranges.GRANT_TIMEOUT_MS / base.MS_PER_S
@@ -151,8 +167,10 @@
             keep_open = not response.closes
             return response.status
         except (TimeoutError, OSError, http1.ExchangeError):
+            self._report_silence(holder.server)
             return 0
         finally:
+            silence.cancel()
             if not keep_open:
                 connection.close()
 
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -64,7 +64,10 @@
             log=self.log,
             clock=clock,
         )
-        self._grants = _grants.PlatformGrants(clock=clock)
+        self._grants = _grants.PlatformGrants(
+            clock=clock,
+            report_silence=self.gateway.monitor.suspect_server,
+        )
         reporter = gateway.Reporter(
             owners=self.gateway.owners,
             links=self.gateway.links,
@@ -81,6 +84,7 @@
             grants=self._grants,
             exchange=reporter,
             directory=self.gateway.directory,
+            is_cut_off=self.gateway.monitor.is_cut_off,
             permits=self.gateway.permits,
             ledger=self.gateway.ledger,
             trials=self.gateway.guard.trials,
--- a/tarragonhinge/platform/tests/test_cut_instance.py
+++ b/tarragonhinge/platform/tests/test_cut_instance.py
@@ -14,7 +14,8 @@
 CONTACT_S = 3.0
 MIN_RELATIVE_SHARE = 2 / 3
 
-#: Time in seconds for which requests are sent before the cut, and from then on.
+#: Time in seconds for which requests are sent before a cut, and after
+#: `CONTACT_S`.
 WARM_UP_S = 1.0
 MEASURED_S = 3.0
 
