Let other instances confirm that a server has crashed

An instance that is cut off from sound servers has its connections reset and new ones refused, as after a crash. Since a crash that one instance reports excludes the server at all instances and makes its requests suspects.

An instance whose connection is refused now asks the others to try the server. It has crashed if one of them is refused as well and reaches other servers, and none of them is accepted. Without any response from others, the instance must reach other servers itself. A server that is born anew is recognized as before.

--- a/tarragonhinge/forwarding/_messages.py
+++ b/tarragonhinge/forwarding/_messages.py
@@ -53,19 +53,24 @@
     ----------
     servers : list of Incarnation
         Servers and the start times of their processes.
+    is_fresh : bool
+        Whether all of them are to be tried now.
     """
 
     servers: list[limits.Incarnation]
+    is_fresh: bool = False
 
 
 class PathState(enum.Enum):
     """Whether an instance reaches a server.
 
-    REACHABLE: it accepts connections. UNREACHABLE: it does not
-    accept them, or the instance is cut off. UNKNOWN: it was not tried.
+    REACHABLE: it accepts connections. REFUSED: it refuses them, and the
+    instance reaches other servers. UNREACHABLE: it does not accept them, and
+    the instance may be cut off. UNKNOWN: it was not tried.
     """
 
     REACHABLE = "reachable"
+    REFUSED = "refused"
     UNREACHABLE = "unreachable"
     UNKNOWN = "unknown"
 
--- a/tarragonhinge/gateway/_crash_guard.py
+++ b/tarragonhinge/gateway/_crash_guard.py
@@ -10,6 +10,7 @@
 from tarragonhinge import events
 from tarragonhinge.gateway import _job
 from tarragonhinge.gateway import _links
+from tarragonhinge.gateway import _path_monitor
 from tarragonhinge.gateway import _refusals
 from tarragonhinge import http1
 from tarragonhinge import limits
@@ -96,6 +97,8 @@
         Entries of the servers.
     ledger : CrashLedger
         Crashes that this and other instances have seen.
+    monitor : PathMonitor
+        Tells servers that have ended from those out of reach.
     log : EventLog
         Destination of log events.
     clock : Clock
@@ -114,11 +117,13 @@
         *,
         view: catalog.View,
         ledger: quarantine.CrashLedger,
+        monitor: _path_monitor.PathMonitor,
         log: events.EventLog,
         clock: base.Clock,
     ) -> None:
         self._view = view
         self._ledger = ledger
+        self._monitor = monitor
         self._log = log
         self._clock = clock
         self._flights: dict[limits.Incarnation, set[Flight]] = {}
@@ -302,9 +307,11 @@
         accepted_count = 0
         for delay_ms in PROBE_DELAYS_MS:
             await self._clock.sleep(delay_ms)
-            state = await link.pool.probe()
+            state = await self._monitor.probe(link)
             if state is http1.ListenerState.REFUSING:
-                return "refused"
+                if await self._monitor.confirm_end(link):
+                    return "refused"
+                break
             if state is http1.ListenerState.ACCEPTING:
                 breakdown.finding.set()
                 accepted_count += 1
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -154,7 +154,11 @@
             rng=rng,
         )
         self.guard = _crash_guard.CrashGuard(
-            view=view, ledger=self.ledger, log=log, clock=clock
+            view=view,
+            ledger=self.ledger,
+            monitor=self.monitor,
+            log=log,
+            clock=clock,
         )
         self.ledger.add_crash_handler(self.links.exclude_crashed)
         self._waiter = _view_waiter.ViewWaiter(view=view)
--- a/tarragonhinge/gateway/_path_monitor.py
+++ b/tarragonhinge/gateway/_path_monitor.py
@@ -35,6 +35,10 @@
 RETRY_INTERVAL_MS = 400
 RETRY_BATCH_SIZE = 8
 
+#: Number of servers that are tried to find out whether this instance is cut
+#: off from all, so that it can't tell a crash.
+SOUNDNESS_SAMPLE_SIZE = 3
+
 #: Interval between queries to other instances, and number of instances that
 #: are asked. The first query waits for the servers that are tried meanwhile.
 QUERY_INTERVAL_MS = 500
@@ -280,13 +284,15 @@
         self,
         peer: forwarding.PeerInstance,
         servers: list[limits.Incarnation],
-    ) -> None:
+        *,
+        is_fresh: bool = False,
+    ) -> list[forwarding.PathState] | None:
         report = await self._client.query_paths(
-            peer, forwarding.PathQuery(servers=servers)
+            peer, forwarding.PathQuery(servers=servers, is_fresh=is_fresh)
         )
         if report is None:
             self._peers.pop(peer.instance, None)
-            return
+            return None
         paths = self._peers.setdefault(peer.instance, _PeerPaths())
         paths.has_closed_paths = report.has_closed_paths
         now = self._clock.now()
@@ -299,6 +305,7 @@
             (server, (now, state))
             for server, state in zip(servers, report.states, strict=True)
         )
+        return report.states
 
     def _find_report(
         self, peer: forwarding.PeerInstance, server: limits.Incarnation
@@ -347,6 +354,41 @@
             for peer in self._directory.list_all()
         )
 
+    async def confirm_end(self, link: _links.ServerLink) -> bool:
+        """Return whether a server that refuses connections has ended.
+
+        This instance may be cut off from it. Others confirm that no process
+        listens, and none of them reaches it.
+        """
+        peers = self._directory.list_all()
+        if len(peers) > QUERIED_PEERS:
+            peers = self._rng.sample(peers, QUERIED_PEERS)
+        reports = await asyncio.gather(
+            *(
+                self._query(peer, [link.incarnation], is_fresh=True)
+                for peer in peers
+            )
+        )
+        states = [report[0] for report in reports if report]
+        if not states:
+            return await self._is_sound(link)
+        return _State.REFUSED in states and _Reachable not in states
+
+    async def _is_sound(self, link: _links.ServerLink) -> bool:
+        """Return whether this instance reaches any other server now."""
+        others = [
+            other
+            for other in self._list_links()
+            if other.entry.server != link.entry.server
+        ]
+        if not others:
+            return True
+        sample = self._rng.sample(
+            others, min(SOUNDNESS_SAMPLE_SIZE, len(others))
+        )
+        states = await asyncio.gather(*(self.probe(other) for other in sample))
+        return http1.ListenerState.ACCEPTING in states
+
     async def report(
         self, query: forwarding.PathQuery
     ) -> forwarding.PathReport:
@@ -358,32 +400,43 @@
             if link is None or link.incarnation != incarnation:
                 link = None
             may_probe = left > 0
-            if link is not None and not self._is_known(link):
+            if link is not None and not self._is_known(link, query):
                 left -= 1
-            reports.append(self._report_path(link, may_probe))
+            reports.append(self._report_path(link, query, may_probe))
         states = await asyncio.gather(*reports)
         return forwarding.PathReport(
             states=states, has_closed_paths=bool(self.list_closed())
         )
 
-    def _is_known(self, link: _links.ServerLink) -> bool:
+    def _is_known(
+        self, link: _links.ServerLink, query: forwarding.PathQuery
+    ) -> bool:
         """Return whether a server need not be tried for a query."""
         since = self._clock.now() - CONTACT_VALID_MS
-        return link.path.is_closed or link.path.had_contact_since(since)
+        return not query.is_fresh and (
+            link.path.is_closed or link.path.had_contact_since(since)
+        )
 
     async def _report_path(
         self,
         link: _links.ServerLink | None,
+        query: forwarding.PathQuery,
         may_probe: bool,
     ) -> forwarding.PathState:
         if link is None:
             return _State.UNKNOWN
-        if not self._is_known(link):
+        if not self._is_known(link, query):
             if not may_probe:
                 return _State.UNKNOWN
             await self.probe(link)
         if not link.path.is_closed:
             return _Reachable
+        if (
+            query.is_fresh
+            and link.path.is_refused
+            and await self._is_sound(link)
+        ):
+            return _State.REFUSED
         return _State.UNREACHABLE
 
     def close(self) -> None:
