--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -216,7 +216,9 @@
             self._record_successor(message)
             writer.close()
             return
-        peer = message.peer if isinstance(message, relay.Hello) else None
+        peer = None
+        if isinstance(message, relay.Hello) and message.peer:
+            peer = message.peer
         await coordinator.hub.serve(reader, writer, peer=peer)
 
     def _record_successor(self, deposed: relay.Deposed) -> None:
--- a/tarragonhinge/events/_request_events.py
+++ b/tarragonhinge/events/_request_events.py
@@ -1,5 +1,7 @@
 """Events of individual requests."""
 
+import msgspec
+
 from tarragonhinge.events import _event
 
 
@@ -18,8 +20,8 @@
         Shard key; None for a request without a key.
     table_version : int
         Version of the routing table.
-    origin : str
-        Instance that has forwarded the request; empty for a caller's.
+    origin : str or UnsetType
+        Instance that has forwarded the request; unset for a caller's.
     """
 
     method: str
@@ -29,7 +31,7 @@
     deadline_ms: int
     key: int | None = None
     table_version: int = 0
-    origin: str = ""
+    origin: str | msgspec.UnsetType = msgspec.UNSET
 
 
 class Placed(_event.RequestEvent, frozen=True, kw_only=True, tag="placed"):
--- a/tarragonhinge/relay/_messages.py
+++ b/tarragonhinge/relay/_messages.py
@@ -21,12 +21,12 @@
     ----------
     instance : InstanceId
         Its id.
-    peer : PeerInstance or None
-        Where it accepts requests of other instances; None if it does not.
+    peer : PeerInstance or UnsetType
+        Where it accepts requests of other instances; unset if it does not.
     """
 
     instance: base.InstanceId
-    peer: forwarding.PeerInstance | None = None
+    peer: forwarding.PeerInstance | msgspec.UnsetType = msgspec.UNSET
 
 
 class MeasuredServiceTime(
@@ -210,8 +210,8 @@
         Whether the coordinator's last call to the store failed.
     fleet_size : int
         Number of instances: the subscribers and the coordinator.
-    peers : list of PeerInstance or None
-        All instances that accept requests of others; None if they have not
+    peers : list of PeerInstance or UnsetType
+        All instances that accept requests of others; unset if they have not
         changed since the last heartbeat.
     """
 
@@ -219,7 +219,7 @@
     store_age_ms: int
     is_store_failing: bool = False
     fleet_size: int
-    peers: list[forwarding.PeerInstance] | None = None
+    peers: list[forwarding.PeerInstance] | msgspec.UnsetType = msgspec.UNSET
 
 
 class Deposed(msgspec.Struct, frozen=True, kw_only=True, tag="deposed"):
--- a/tarragonhinge/relay/_subscription.py
+++ b/tarragonhinge/relay/_subscription.py
@@ -7,6 +7,8 @@
 import enum
 import itertools
 
+import msgspec
+
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import events
@@ -285,7 +287,7 @@
             elif isinstance(message, _messages.Heartbeat):
                 self.fleet_size = message.fleet_size
                 self.term = message.term
-                if message.peers is not None:
+                if message.peers is not msgspec.UNSET:
                     self._directory.record(message.peers)
                 self._check_coordinator_store(message)
 
