Charge a request for all attempts that it handed to another instance

If the link between two instances breaks off, the other one may have sent the request as often as it was allowed. The origin counted one attempt, so that an idempotent request could reach more servers than its route allows. It now counts all of them and gives the final response.

Metrics count requests that are forwarded and taken over, by instance.

--- a/tarragonhinge/gateway/_detour.py
+++ b/tarragonhinge/gateway/_detour.py
@@ -181,10 +181,10 @@
         except forwarding.PeerError as error:
             name = "unknown" if error.sent else "unsent"
             self._avoid(peer)
-            return self._handle_error(job, error)
+            return self._handle_error(job, error, attempts)
         finally:
             self._in_flight[peer.instance] -= 1
-            self._metrics.record_forwarded(name)
+            self._metrics.record_forwarded(peer.instance, name)
             job.trace.add(
                 events.Forwarded(
                     request=job.metadata.attempt,
@@ -213,15 +213,14 @@
         )
 
     def _handle_error(
-        self, job: _job.Job, error: forwarding.PeerError
+        self, job: _job.Job, error: forwarding.PeerError, attempts: int
     ) -> _refusals.Refused | None:
+        """Return the final response unless the request was not sent."""
         if not error.sent:
             return None
-        # The other instance may have sent it.
-        job.sent_count += 1
+        # The other instance may have used all attempts.
+        job.sent_count += attempts
         job.may_have_run = True
-        if job.is_idempotent and job.count_attempts_left() > 0:
-            return None
         is_late = self._clock.now() >= job.deadline_at
         cause = (
             _outcomes.UnknownCause.TIMEOUT
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -311,49 +311,58 @@
             outcome = "cut_off"
             if cause == http1.DISCONNECTED:
                 outcome = "caller_left"
-            self._record_end(trace, metadata, outcome, reason=cause)
+            ended = self._make_ended(trace, metadata, outcome, reason=cause)
+            self._record_end(trace, ended, call)
             raise
         except Exception as error:
             self._log.write(
                 events.TaskFailed(task="request", problem=repr(error))
             )
-            self._record_end(trace, metadata, "failed", status=502)
+            ended = self._make_ended(trace, metadata, "failed", status=502)
+            self._record_end(trace, ended, call)
             refused = _refusals.Refused(status=502, reason="internal")
             return _make_response(refused), _describe_outcome(refused, None)
         finally:
             self._handlers.discard(handler)
-        trace.add(ended)
-        self.metrics.record(
-            outcome=ended.outcome,
-            reason=ended.reason,
-            elapsed_ms=ended.elapsed_ms,
-        )
-        trace.finish(is_ordinary=is_ordinary)
+        self._record_end(trace, ended, call, is_ordinary=is_ordinary)
         return response, outcome
 
-    def _record_end(
-        self,
+    @staticmethod
+    def _make_ended(
         trace: events.Trace,
         metadata: _dialect.RequestMetadata,
         outcome: str,
         *,
         status: int = 0,
         reason: str = "",
+    ) -> events.Ended:
+        return events.Ended(
+            request=metadata.attempt,
+            outcome=outcome,
+            status=status,
+            reason=reason,
+            elapsed_ms=trace.compute_elapsed_ms(),
+        )
+
+    def _record_end(
+        self,
+        trace: events.Trace,
+        ended: events.Ended,
+        call: forwarding.ForwardedRequest | None,
+        *,
+        is_ordinary: bool = False,
     ) -> None:
-        elapsed_ms = trace.compute_elapsed_ms()
-        trace.add(
-            events.Ended(
-                request=metadata.attempt,
-                outcome=outcome,
-                status=status,
-                reason=reason,
-                elapsed_ms=elapsed_ms,
+        """Count a request, at the instance of its caller or here."""
+        trace.add(ended)
+        if call is not None:
+            self.metrics.record_taken_over(call.origin, ended.outcome)
+        else:
+            self.metrics.record(
+                outcome=ended.outcome,
+                reason=ended.reason,
+                elapsed_ms=ended.elapsed_ms,
             )
-        )
-        self.metrics.record(
-            outcome=outcome, reason=reason, elapsed_ms=elapsed_ms
-        )
-        trace.finish(is_ordinary=False)
+        trace.finish(is_ordinary=is_ordinary)
 
     async def _serve(
         self,
@@ -480,7 +489,11 @@
         return job
 
     def _trace_received(
-        self, job: _job.Job, deadline_ms: int, *, origin: str = ""
+        self,
+        job: _job.Job,
+        deadline_ms: int,
+        *,
+        origin: base.InstanceId | msgspec.UnsetType = msgspec.UNSET,
     ) -> None:
         table = self._view.table
         job.trace.add(
--- a/tarragonhinge/gateway/_metrics.py
+++ b/tarragonhinge/gateway/_metrics.py
@@ -33,8 +33,14 @@
         )
         self._forwarded = prometheus_client.Counter(
             "tarragonhinge_gateway_requests_forwarded",
-            "Requests that were forwarded to other instances, by outcome.",
-            ["outcome"],
+            "Requests forwarded to other instances, by outcome there.",
+            ["peer", "outcome"],
+            registry=self.registry,
+        )
+        self._taken_over = prometheus_client.Counter(
+            "tarragonhinge_gateway_requests_taken_over",
+            "Requests that other instances have forwarded, by outcome.",
+            ["origin", "outcome"],
             registry=self.registry,
         )
         self._latency = prometheus_client.Histogram(
@@ -57,9 +63,13 @@
         self._requests.labels(outcome=outcome, reason=reason).inc()
         self._latency.labels(outcome=outcome).observe(elapsed_ms / 1000)
 
-    def record_forwarded(self, outcome: str) -> None:
+    def record_forwarded(self, peer: str, outcome: str) -> None:
         """Record a request that was forwarded to another instance."""
-        self._forwarded.labels(outcome=outcome).inc()
+        self._forwarded.labels(peer=peer, outcome=outcome).inc()
+
+    def record_taken_over(self, origin: str, outcome: str) -> None:
+        """Record a request that another instance has forwarded."""
+        self._taken_over.labels(origin=origin, outcome=outcome).inc()
 
     def record_attempt(self, outcome: str) -> None:
         """Record a failed attempt."""
