Try a silent server only if it has not reacted since the request

A server that owed a response for 0.4 s was tried with a new connection unless it had reacted within 0.3 s, which busy servers often had not. What matters is whether it has reacted to anything since the request or the grant was sent.

--- a/tarragonhinge/gateway/_path_monitor.py
+++ b/tarragonhinge/gateway/_path_monitor.py
@@ -132,17 +132,24 @@
             default=0,
         )
 
-    def suspect(self, link: _links.ServerLink) -> None:
-        """Try a server that owes a response, unless it has just reacted."""
-        since = self._clock.now() - CONTACT_VALID_MS
+    def suspect(self, link: _links.ServerLink, since: int) -> None:
+        """Try a server that owes a response, unless it has reacted since.
+
+        Parameters
+        ----------
+        link : ServerLink
+            Link to the server.
+        since : int
+            Time from which it owes the response.
+        """
         if not link.path.is_closed and not link.path.had_contact_since(since):
             self._start_probe(link)
 
-    def suspect_server(self, server: base.ServerId) -> None:
-        """Try a server that owes a response to something else."""
+    def suspect_owner(self, server: base.ServerId, since: int) -> None:
+        """Try an owner of keys that owes a response to a grant."""
         link = self._links.find(server)
         if link is not None:
-            self.suspect(link)
+            self.suspect(link, since)
 
     def record_connection(self, link: _links.ServerLink) -> None:
         """Record an opened connection."""
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -22,8 +22,8 @@
 #: Time without a response, as a multiple of its estimate, after which a new
 #: connection finds out whether the server can still be reached; and its
 #: bounds.
-SILENCE_LATENCY_FACTOR = 2.0
-MIN_SILENCE_MS = 400
+SILENCE_LATENCY_FACTOR = 2.5
+MIN_SILENCE_MS = 500
 MAX_SILENCE_MS = 1_000
 
 
@@ -166,6 +166,7 @@
             self._compute_silence_ms(link) / base.MS_PER_S,
             self._monitor.suspect,
             link,
+            self._clock.now(),
         )
         exchange = asyncio.create_task(
             connection.exchange(
--- /dev/null
+++ b/tarragonhinge/gateway/tests/test_path_monitor.py
@@ -0,0 +1,278 @@
+"""Which servers are out of reach, and what other instances say of them."""
+
+import dataclasses
+import random
+
+import pytest
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge import forwarding
+from tarragonhinge.gateway import _path
+from tarragonhinge.gateway import _path_monitor
+from tarragonhinge import http1
+from tarragonhinge import testing
+
+_ACCEPTING = http1.ListenerState.ACCEPTING
+_REFUSING = http1.ListenerState.REFUSING
+_SILENT = http1.ListenerState.SILENT
+_REACHABLE = forwarding.PathState.REACHABLE
+_REFUSED = forwarding.PathState.REFUSED
+_UNREACHABLE = forwarding.PathState.UNREACHABLE
+_UNKNOWN = forwarding.PathState.UNKNOWN
+
+
+class _Pool:
+    """Connections whose attempts to connect have a given outcome."""
+
+    def __init__(self):
+        self.state = _ACCEPTING
+        self.probe_count = 0
+
+    async def probe(self, *, timeout_ms):
+        self.probe_count += 1
+        return self.state
+
+
+@dataclasses.dataclass(kw_only=True)
+class _Link:
+    entry: catalog.ServerEntry
+    pool: _Pool
+    path: _path.Path
+
+    @property
+    def incarnation(self):
+        return self.entry.server, self.entry.born_ms
+
+
+class _Links:
+    def __init__(self, links):
+        self.by_server = {link.entry.server: link for link in links}
+
+    def find(self, server):
+        return self.by_server.get(server)
+
+    def is_current(self, link):
+        return True
+
+    def is_keyed(self, link):
+        return True
+
+
+class _Client:
+    """Other instances with given reports."""
+
+    def __init__(self):
+        self.reports = {}
+
+    async def query_paths(self, peer, query):
+        report = self.reports.get(peer.instance)
+        if report is None:
+            return None
+        return forwarding.PathReport(
+            states=[report] * len(query.servers),
+            has_closed_paths=report is not _REACHABLE,
+        )
+
+
+class _Fixture:
+    def __init__(self, *, servers=4, peers=()):
+        self.clock = base.Clock()
+        entries = [
+            catalog.ServerEntry(
+                server=base.ServerId(f"i-{number}"),
+                service=base.ServiceName("s"),
+                address=base.Address(f"10.0.0.{number}:1"),
+                zone=base.ZoneName("z"),
+                slots=2,
+                born_ms=1,
+            )
+            for number in range(servers)
+        ]
+        self.links = [
+            _Link(entry=entry, pool=_Pool(), path=_path.Path(clock=self.clock))
+            for entry in entries
+        ]
+        view = catalog.View()
+        service = catalog.Service(
+            name=base.ServiceName("s"), max_connections=9, keyed=True
+        )
+        view.set_table(
+            catalog.RoutingTable(
+                version=base.TableVersion(1), services=(service,)
+            )
+        )
+        view.set_servers(catalog.index_servers(entries))
+        directory = testing.make_peer_directory(self.clock)
+        directory.record(
+            forwarding.PeerInstance(
+                instance=base.InstanceId(f"p{number}"),
+                address=base.Address(f"10.0.1.{number}:1"),
+                zone=base.ZoneName("z"),
+            )
+            for number, _ in enumerate(peers)
+        )
+        self.client = _Client()
+        self.client.reports = {
+            f"p{number}": report for number, report in enumerate(peers)
+        }
+        self.monitor = _path_monitor.PathMonitor(
+            view=view,
+            links=_Links(self.links),
+            directory=directory,
+            client=self.client,
+            log=testing.make_event_log(self.clock),
+            clock=self.clock,
+            rng=random.Random(1),
+        )
+
+    def set_states(self, state, *, since=0):
+        for link in self.links[since:]:
+            link.pool.state = state
+
+
+@pytest.mark.parametrize("state", [_REFUSING, _SILENT])
+def test_all_servers_are_tried_once_one_is_out_of_reach(state):
+    async def scenario():
+        fixture = _Fixture(servers=30)
+        fixture.set_states(state)
+        fixture.monitor.suspect(fixture.links[0], fixture.clock.now())
+        await fixture.clock.sleep(200)
+        assert fixture.monitor.get_closed_count() == 30
+        fixture.set_states(_ACCEPTING)
+        await fixture.clock.sleep(2 * _path_monitor.RETRY_INTERVAL_MS)
+        assert fixture.monitor.get_closed_count() == 0
+        fixture.monitor.close()
+
+    testing.run_manual(scenario())
+
+
+def test_server_that_has_reacted_is_not_tried():
+    async def scenario():
+        fixture = _Fixture()
+        await fixture.clock.sleep(10)
+        link = fixture.links[0]
+        fixture.monitor.record_response(link)
+        fixture.monitor.suspect(link, fixture.clock.now() - 5)
+        await fixture.clock.sleep(10)
+        assert link.pool.probe_count == 0
+        fixture.monitor.suspect(link, fixture.clock.now())
+        await fixture.clock.sleep(10)
+        assert link.pool.probe_count == 1
+
+    testing.run_manual(scenario())
+
+
+@pytest.mark.parametrize(
+    ("peers", "others", "has_ended"),
+    [
+        ([_REFUSED, _REFUSED], _ACCEPTING, True),
+        ([_REFUSED, _UNREACHABLE, _UNKNOWN, None], _ACCEPTING, True),
+        ([_REFUSED, _REACHABLE], _ACCEPTING, False),
+        ([_REACHABLE, _REACHABLE], _REFUSING, False),
+        ([_UNREACHABLE, _UNREACHABLE], _ACCEPTING, False),
+        ([_UNKNOWN], _ACCEPTING, False),
+        ([None, None], _ACCEPTING, True),
+        ([None, None], _REFUSING, False),
+        ([], _ACCEPTING, True),
+        ([], _REFUSING, False),
+    ],
+)
+def test_end_of_a_server_is_confirmed(peers, others, has_ended):
+    async def scenario():
+        fixture = _Fixture(peers=peers)
+        fixture.set_states(others, since=1)
+        fixture.links[0].pool.state = _REFUSING
+        confirmed = await fixture.monitor.confirm_end(fixture.links[0])
+        assert confirmed is has_ended
+        fixture.monitor.close()
+
+    testing.run_manual(scenario())
+
+
+@pytest.mark.parametrize(
+    ("own", "others", "is_fresh", "expected"),
+    [
+        (_ACCEPTING, _ACCEPTING, True, _REACHABLE),
+        (_REFUSING, _ACCEPTING, True, _REFUSED),
+        (_REFUSING, _REFUSING, True, _UNREACHABLE),
+        (_REFUSING, _SILENT, True, _UNREACHABLE),
+        (_SILENT, _ACCEPTING, True, _UNREACHABLE),
+        (_REFUSING, _ACCEPTING, False, _UNREACHABLE),
+        (_ACCEPTING, _REFUSING, False, _REACHABLE),
+    ],
+)
+def test_report_to_another_instance(own, others, is_fresh, expected):
+    async def scenario():
+        fixture = _Fixture()
+        fixture.set_states(others, since=1)
+        fixture.links[0].pool.state = own
+        report = await fixture.monitor.report(
+            forwarding.PathQuery(
+                servers=[fixture.links[0].incarnation, ("gone", 1)],
+                is_fresh=is_fresh,
+            )
+        )
+        assert report.states == [expected, _UNKNOWN]
+        fixture.monitor.close()
+
+    testing.run_manual(scenario())
+
+
+@pytest.mark.parametrize(
+    ("peers", "is_cut_off"),
+    [
+        ([_REACHABLE], True),
+        ([_UNREACHABLE, _REACHABLE], True),
+        ([_UNREACHABLE, _UNREACHABLE], False),
+        ([None], False),
+        ([], False),
+    ],
+)
+def test_instance_is_cut_off_if_another_reaches_the_owners(peers, is_cut_off):
+    async def scenario():
+        fixture = _Fixture(peers=peers)
+        assert not fixture.monitor.is_cut_off()
+        fixture.set_states(_SILENT)
+        fixture.monitor.suspect(fixture.links[0], fixture.clock.now())
+        await fixture.clock.sleep(500)
+        assert fixture.monitor.is_cut_off() is is_cut_off
+        fixture.set_states(_ACCEPTING)
+        await fixture.clock.sleep(1_000)
+        assert not fixture.monitor.is_cut_off()
+        fixture.monitor.close()
+
+    testing.run_manual(scenario())
+
+
+@pytest.mark.parametrize(
+    ("is_refused", "contact_ms", "closes"),
+    [
+        (True, 0, True),
+        (True, 50, True),
+        (False, 0, True),
+        (False, 50, False),
+    ],
+)
+def test_failed_connection_closes_a_path(is_refused, contact_ms, closes):
+    """A lost packet does not, if the server has reacted meanwhile."""
+
+    async def scenario():
+        clock = base.Clock()
+        path = _path.Path(clock=clock)
+        await clock.sleep(100)
+        began_at = clock.now()
+        if contact_ms:
+            await clock.sleep(contact_ms)
+            path.record_response()
+        assert closes is path.record_failure(
+            is_refused=is_refused, began_at=began_at
+        )
+        assert path.is_closed is closes
+        path.record_response()
+        # An open connection may live on while new ones are refused.
+        assert path.is_closed is (closes and is_refused)
+        path.record_connection()
+        assert not path.is_closed
+
+    testing.run_manual(scenario())
--- a/tarragonhinge/platform/_grants.py
+++ b/tarragonhinge/platform/_grants.py
@@ -72,14 +72,17 @@
     clock : Clock
         This process's clock.
     report_silence : callable
-        Called with the id of each server that owes a response.
+        Called with the id of each server that owes a response, and the time
+        from which it does.
     """
 
     def __init__(
         self,
         *,
         clock: base.Clock,
-        report_silence: Callable[[base.ServerId], None] = lambda _: None,
+        report_silence: Callable[[base.ServerId, int], None] = (
+            lambda server, since: None
+        ),
     ) -> None:
         self._clock = clock
         self._report_silence = report_silence
@@ -134,8 +137,12 @@
     ) -> int:
         """Send a grant; return the status, or 0 without a response."""
         keep_open = False
+        began_at = self._clock.now()
         silence = asyncio.get_running_loop().call_later(
-            SILENCE_MS / base.MS_PER_S, self._report_silence, holder.server
+            SILENCE_MS / base.MS_PER_S,
+            self._report_silence,
+            holder.server,
+            began_at,
         )
         try:
             async with asyncio.timeout(
@@ -167,7 +174,7 @@
             keep_open = not response.closes
             return response.status
         except (TimeoutError, OSError, http1.ExchangeError):
-            self._report_silence(holder.server)
+            self._report_silence(holder.server, began_at)
             return 0
         finally:
             silence.cancel()
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -66,7 +66,7 @@
         )
         self._grants = _grants.PlatformGrants(
             clock=clock,
-            report_silence=self.gateway.monitor.suspect_server,
+            report_silence=self.gateway.monitor.suspect_owner,
         )
         reporter = gateway.Reporter(
             owners=self.gateway.owners,
