Try a server that is lost again soon after it was in reach

Two tasks watch closed paths: one tries their servers, one asks other instances. They end once no path is closed, not at the same moment, and new ones were started only if both had ended. A path that closed in between was not tried again until another one closed, and its requests took a detour or were refused for as long.

Found by review; test_server_that_is_lost_again_is_tried_again failed with 300 and 450 ms between the losses and passes.

--- a/tarragonhinge/gateway/_path_monitor.py
+++ b/tarragonhinge/gateway/_path_monitor.py
@@ -109,7 +109,7 @@
         self._closed: dict[limits.Incarnation, _links.ServerLink] = {}
         self._probes: dict[limits.Incarnation, asyncio.Task] = {}
         self._peers: dict[base.InstanceId, _PeerPaths] = {}
-        self._watchers: list[asyncio.Task] = []
+        self._watchers: dict[str, asyncio.Task] = {}
         self._tasks: set[asyncio.Task] = set()
         self._has_news = asyncio.Event()
 
@@ -187,11 +187,10 @@
             ]
         )
         self._has_news.set()
-        if not any(not task.done() for task in self._watchers):
-            self._watchers = [
-                self._start(self._retry_closed()),
-                self._start(self._query_peers()),
-            ]
+        for watch in (self._retry_closed, self._query_peers):
+            task = self._watchers.get(watch.__name__)
+            if task is None or task.done():
+                self._watchers[watch.__name__] = self._start(watch())
 
     def _handle_opened(self, link: _links.ServerLink) -> None:
         self._closed.pop(link.incarnation, None)
--- a/tarragonhinge/gateway/tests/test_path_monitor.py
+++ b/tarragonhinge/gateway/tests/test_path_monitor.py
@@ -147,6 +147,34 @@
     testing.run_manual(scenario())
 
 
+@pytest.mark.parametrize("open_ms", [0, 100, 300, 450, 700])
+def test_server_that_is_lost_again_is_tried_again(open_ms):
+    """The task that tries servers may just have ended when one is lost."""
+
+    async def scenario():
+        fixture = _Fixture(servers=1)
+        link = fixture.links[0]
+        for _ in range(2):
+            link.pool.state = _REFUSING
+            fixture.monitor.record_failure(
+                link, is_refused=True, began_at=fixture.clock.now()
+            )
+            await fixture.clock.sleep(50)
+            link.pool.state = _ACCEPTING
+            fixture.monitor.record_connection(link)
+            await fixture.clock.sleep(open_ms)
+        link.pool.state = _REFUSING
+        fixture.monitor.record_failure(
+            link, is_refused=True, began_at=fixture.clock.now()
+        )
+        link.pool.state = _ACCEPTING
+        await fixture.clock.sleep(2 * _path_monitor.RETRY_INTERVAL_MS)
+        assert not link.path.is_closed
+        fixture.monitor.close()
+
+    testing.run_manual(scenario())
+
+
 def test_server_that_has_reacted_is_not_tried():
     async def scenario():
         fixture = _Fixture()
