Let both instances heed a server that says that it leaves

The instance that sends a forwarded request records what its response says; the origin passed the response on to the caller without reading it, and could send to the leaving server itself once its cut had healed, until the coordinator had spread the report. The outcome now names the server, and the origin records it as well (test_origin_learns_that_a_server_leaves).

--- a/tarragonhinge/forwarding/_messages.py
+++ b/tarragonhinge/forwarding/_messages.py
@@ -117,6 +117,8 @@
         Number of times that the request was sent to a server.
     is_transferable : bool
         Whether another instance may be able to send the request.
+    server : Incarnation or None
+        Server that answered successfully.
     """
 
     kind: OutcomeKind
@@ -124,6 +126,7 @@
     retry_after_ms: int = 0
     sent_count: int = 0
     is_transferable: bool = False
+    server: limits.Incarnation | None = None
 
 
 _call_decoder = msgspec.json.Decoder(ForwardedRequest | PathQuery)
--- a/tarragonhinge/gateway/_detour.py
+++ b/tarragonhinge/gateway/_detour.py
@@ -15,7 +15,9 @@
 from tarragonhinge import base
 from tarragonhinge import events
 from tarragonhinge import forwarding
+from tarragonhinge.gateway import _dialect
 from tarragonhinge.gateway import _job
+from tarragonhinge.gateway import _leaving_servers
 from tarragonhinge.gateway import _metrics
 from tarragonhinge.gateway import _outcomes
 from tarragonhinge.gateway import _path_monitor
@@ -42,6 +44,10 @@
 
     Parameters
     ----------
+    dialect : Dialect
+        Codec for the header fields of the platform.
+    leaving : LeavingServers
+        Servers that say that they leave, which learns from the responses.
     directory : PeerDirectory
         The other instances.
     client : ForwardingClient
@@ -61,6 +67,8 @@
     def __init__(
         self,
         *,
+        dialect: _dialect.Dialect,
+        leaving: _leaving_servers.LeavingServers,
         directory: forwarding.PeerDirectory,
         client: forwarding.ForwardingClient,
         monitor: _path_monitor.PathMonitor,
@@ -69,6 +77,8 @@
         clock: base.Clock,
         rng: random.Random,
     ) -> None:
+        self._dialect = dialect
+        self._leaving = leaving
         self._directory = directory
         self._client = client
         self._monitor = monitor
@@ -195,6 +205,7 @@
             )
         job.sent_count += outcome.sent_count
         if outcome.kind is forwarding.OutcomeKind.ANSWERED:
+            self._record_response(outcome, response)
             return response
         if outcome.kind is forwarding.OutcomeKind.FAILED:
             job.may_have_run = True
@@ -207,6 +218,18 @@
             retry_after_ms=outcome.retry_after_ms,
         )
 
+    def _record_response(
+        self,
+        outcome: forwarding.ForwardedOutcome,
+        response: http1.HttpResponse,
+    ) -> None:
+        """Record what a server says of itself to all that pass it on."""
+        metadata = self._dialect.read_answer(
+            http1.combine_fields(response.fields)
+        )
+        if metadata.is_leaving and outcome.server is not None:
+            self._leaving.record_response(outcome.server)
+
     def _avoid(self, peer: forwarding.PeerInstance) -> None:
         self._avoided_until[peer.instance] = (
             self._clock.now() + PEER_COOLDOWN_MS
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -189,6 +189,8 @@
                 clock=clock,
             ),
             detour=_detour.Detour(
+                dialect=dialect,
+                leaving=self.leaving,
                 directory=self.directory,
                 client=self._forwarding_client,
                 monitor=self.monitor,
@@ -565,7 +567,9 @@
     sent_count = job.sent_count if job is not None else 0
     if not isinstance(result, _refusals.Refused):
         return forwarding.ForwardedOutcome(
-            kind=forwarding.OutcomeKind.ANSWERED, sent_count=sent_count
+            kind=forwarding.OutcomeKind.ANSWERED,
+            sent_count=sent_count,
+            server=job.answered_by if job is not None else None,
         )
     kind = forwarding.OutcomeKind.FAILED
     if result.is_not_run:
--- a/tarragonhinge/gateway/_job.py
+++ b/tarragonhinge/gateway/_job.py
@@ -8,6 +8,7 @@
 from tarragonhinge import events
 from tarragonhinge.gateway import _dialect
 from tarragonhinge import http1
+from tarragonhinge import limits
 from tarragonhinge import quarantine
 
 
@@ -45,6 +46,8 @@
         Attempts that have not ended.
     answer : HttpResponse or None
         Response of a server, once there is a valid one.
+    answered_by : Incarnation or None
+        Server of this response, unless another instance got it.
     is_retry_paid : bool
         Whether the retry budget was already charged for the next attempt.
     trial : str or None
@@ -72,6 +75,7 @@
     silent_servers: set[base.ServerId] = dataclasses.field(default_factory=set)
     attempts: set[asyncio.Task] = dataclasses.field(default_factory=set)
     answer: http1.HttpResponse | None = None
+    answered_by: limits.Incarnation | None = None
     is_retry_paid: bool = False
     trial: str | None = None
     may_have_trial: bool = True
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -119,6 +119,7 @@
         outcome = self._classify(job, link, result, sent_at)
         if isinstance(outcome, _outcomes.Answered) and not outcome.failed:
             job.answer = outcome.response
+            job.answered_by = link.incarnation
             self._guard.record_answer(job, link)
         return outcome
 
--- a/tarragonhinge/platform/tests/test_forwarding.py
+++ b/tarragonhinge/platform/tests/test_forwarding.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from tarragonhinge import catalog
 from tarragonhinge.platform import standins
 from tarragonhinge.platform.tests import deployment
 
@@ -244,6 +245,21 @@
     _run(check, is_keyed=is_keyed)
 
 
+def test_origin_learns_that_a_server_leaves():
+    """It has passed on the response, and may reach the server later."""
+
+    async def check(fleet):
+        fleet.servers[0].leaving = "1"
+        origin = fleet.instances[ORIGIN - 1]
+        status, header, _ = await _send("/x/a", attempt="a")
+        assert status == 200
+        assert "server-leaving: 1" in header
+        [entry] = origin._view.servers.values()
+        assert entry.state is catalog.ServerState.DRAINING
+
+    _run(check, servers=1)
+
+
 def test_request_that_crashes_servers_is_refused():
     async def check(fleet):
         for server in fleet.servers:
