Let the soak cut instances off from servers

A new disturbance cuts one instance up to all but one off from all servers or some of them, in three forms. Each instance is a process of the program in a network of its own, since a proxy can't tell instances apart, and opens its connections from its own address, so that checks know which instance sent a request: with detours it may not be the one that the caller chose.

--- a/tarragonhinge/http1/__init__.py
+++ b/tarragonhinge/http1/__init__.py
@@ -14,6 +14,7 @@
 from tarragonhinge.http1._pool import ConnectionPool
 from tarragonhinge.http1._pool import ListenerState
 from tarragonhinge.http1._server_connection import ServerConnection
+from tarragonhinge.http1._tcp_stream import configure_socket
 from tarragonhinge.http1._tcp_stream import connect
 from tarragonhinge.http1._tcp_stream import TcpStream
 
@@ -31,6 +32,7 @@
     "TcpStream",
     "UnreachableError",
     "combine_fields",
+    "configure_socket",
     "connect",
     "listen",
     "split_address",
--- a/tarragonhinge/platform/soak/_checks.py
+++ b/tarragonhinge/platform/soak/_checks.py
@@ -7,6 +7,7 @@
 from tarragonhinge.platform.soak import _attempts
 from tarragonhinge.platform.soak import _callers
 from tarragonhinge.platform.soak import _crash_check
+from tarragonhinge.platform.soak import _cut_check
 from tarragonhinge.platform.soak import _instances
 from tarragonhinge.platform.soak import _limit_check
 from tarragonhinge.platform.soak import _response_checks
@@ -240,7 +241,9 @@
         """Check that limits that servers named were respected."""
         self.violations.extend(
             _limit_check.list_violations(
-                self._testbed.limits.named, self._callers.attempts
+                self._testbed.limits.named,
+                self._callers.attempts,
+                self._testbed.instances,
             )
         )
 
@@ -252,6 +255,7 @@
                 testbed.crashing_requests,
                 testbed.servers,
                 self._callers.attempts,
+                testbed.instances,
                 testbed.store_disruptions,
             )
         )
@@ -265,7 +269,29 @@
         """Check that what servers said of themselves was heeded."""
         self.violations.extend(
             _response_checks.list_violations(
-                self._testbed.statements, self._callers.attempts
+                self._testbed.statements,
+                self._callers.attempts,
+                self._testbed.instances,
+            )
+        )
+
+    def check_cuts(self) -> None:
+        """Check that callers of cut instances are served by way of others."""
+        testbed = self._testbed
+        self.violations.extend(
+            _cut_check.list_violations(
+                self._callers.attempts,
+                testbed.instances,
+                testbed.store_disruptions,
+                (r.target for r in testbed.crashing_requests),
+            )
+        )
+
+    def check_crash_reports(self) -> None:
+        """Check that no running server was called crashed."""
+        self.violations.extend(
+            _cut_check.list_false_crashes(
+                self._testbed.instances, self._testbed.stopped_servers
             )
         )
 
--- a/tarragonhinge/platform/soak/_crash_check.py
+++ b/tarragonhinge/platform/soak/_crash_check.py
@@ -3,8 +3,10 @@
 from collections.abc import Iterable
 import math
 
+from tarragonhinge.platform.soak import _arrivals
 from tarragonhinge.platform.soak import _attempts
 from tarragonhinge.platform.soak import _crashing_requests
+from tarragonhinge.platform.soak import _instances
 from tarragonhinge.platform.soak import _spans
 from tarragonhinge.platform import standins
 
@@ -23,6 +25,7 @@
     requests: Iterable[_crashing_requests.CrashingRequest],
     servers: Iterable[standins.StandInServer],
     attempts: Iterable[_attempts.Attempt],
+    instances: Iterable[_instances.InstanceProcess],
     store_disruptions: _spans.Spans,
 ) -> list[str]:
     """Return a message for each request that was sent on for too long.
@@ -30,8 +33,8 @@
     Attempts count that instances in touch received later than `_CONTACT_S`
     after the request had crashed the third server.
     """
-    by_id = {attempt.attempt_id: attempt for attempt in attempts}
-    servers = list(servers)
+    servers, attempts = list(servers), list(attempts)
+    instances = list(instances)
     violations = []
     for request in requests:
         crashes = sorted(
@@ -43,13 +46,12 @@
             continue
         refused_at = crashes[_MAX_CRASHES - 1] + _CONTACT_S
         late = [
-            attempt
+            arrival
             for server in servers
-            for at, attempt_id in server.arrivals
-            if (attempt := by_id.get(attempt_id)) is not None
-            and attempt.target == request.target
-            and at > refused_at
-            and _is_in_touch(attempt, store_disruptions)
+            for arrival in _arrivals.list_arrivals(server, attempts, instances)
+            if arrival.attempt.target == request.target
+            and arrival.at > refused_at
+            and _is_in_touch(arrival, store_disruptions)
         ]
         if len(late) > _MAX_LATER_ARRIVALS:
             violations.append(
@@ -57,18 +59,20 @@
                 f"sent on {len(late)} times later than {_CONTACT_S:.0f} s "
                 f"after the third: "
                 + ", ".join(
-                    f"{a.attempt_id} at {a.instance.name}" for a in late[:9]
+                    f"{a.attempt.attempt_id} at {a.sender.name}"
+                    for a in late[:9]
                 )
             )
     return violations
 
 
 def _is_in_touch(
-    attempt: _attempts.Attempt, store_disruptions: _spans.Spans
+    arrival: _arrivals.Arrival, store_disruptions: _spans.Spans
 ) -> bool:
-    """Return whether the instance was in touch all the time before."""
+    """Return whether the sender was in touch all the time before."""
+    attempt = arrival.attempt
     since, until = attempt.sent_at - _CONTACT_S, attempt.ended_at
-    return attempt.instance.has_been_calm(
+    return arrival.sender.has_been_calm(
         since, until if until else math.inf
     ) and not store_disruptions.overlap(since, attempt.sent_at)
 
--- a/tarragonhinge/platform/soak/_disturbances.py
+++ b/tarragonhinge/platform/soak/_disturbances.py
@@ -2,6 +2,7 @@
 
 import abc
 import asyncio
+import contextlib
 import time
 
 from tarragonhinge import base
@@ -9,6 +10,7 @@
 from tarragonhinge.platform.soak import _proxy
 from tarragonhinge.platform.soak import _statements
 from tarragonhinge.platform.soak import _testbed
+from tarragonhinge.platform import standins
 
 
 class Disturbance(abc.ABC):
@@ -23,6 +25,9 @@
 #: concerns it: a stop during the start would find no requests to wait for.
 _SETTLED_S = 3.0
 
+#: Fraction of the cuts that concern only some of the servers.
+_PARTIAL_CUT_RATIO = 0.4
+
 #: Smallest number of servers of a service that gets a crashing request.
 _CRASHING_SERVERS = 5
 
@@ -237,6 +242,31 @@
             testbed.proxies[name].reset_all()
 
 
+@DISTURBANCES.register("cut")
+class Cut(Disturbance):
+    """Cuts instances off from all servers, or from some of them."""
+
+    async def apply(self, testbed: _testbed.Testbed) -> None:
+        """Apply the disturbance to a testbed and revert it."""
+        rng = testbed.rng
+        free = [i for i in testbed.instances if not i.is_cut]
+        if len(free) < 2:
+            # The others are compared with one that is not cut off.
+            return
+        chosen = rng.sample(free, rng.randint(1, len(free) - 1))
+        form = rng.choice(list(standins.CutForm))
+        addresses = [proxy.address for proxy in testbed.proxies.values()]
+        if rng.random() < _PARTIAL_CUT_RATIO:
+            addresses = rng.sample(addresses, rng.randint(1, len(addresses)))
+        with contextlib.ExitStack() as stack:
+            for instance in chosen:
+                stack.enter_context(instance.cuts.record())
+                instance.cut(addresses, form)
+            await asyncio.sleep(rng.uniform(2.0, 9.0))
+            for instance in chosen:
+                instance.cut([], None)
+
+
 @DISTURBANCES.register("server_fault")
 class ServerFault(Disturbance):
     """A server sheds requests, fails or sends invalid responses."""
--- a/tarragonhinge/platform/soak/_instances.py
+++ b/tarragonhinge/platform/soak/_instances.py
@@ -8,7 +8,9 @@
 import sys
 import time
 
+from tarragonhinge.platform.soak import _process
 from tarragonhinge.platform.soak import _spans
+from tarragonhinge.platform import standins
 
 _NODE_FILE = """\
 node={name}
@@ -52,6 +54,8 @@
         Monotonic times of starts, of SIGTERM and of SIGHUP, in seconds.
     disruptions : Spans
         Times at which the process was killed, started or paused.
+    cuts : Spans
+        Times at which it was cut off from servers.
     """
 
     def __init__(
@@ -64,6 +68,7 @@
         folder: pathlib.Path,
     ) -> None:
         self.name = name
+        self.ip = ip
         self.callers_address = f"{ip}:8100"
         self.health_address = f"{ip}:8101"
         self._settings = folder / f"{name}.conf"
@@ -80,6 +85,9 @@
         self.stopped_at: list[float] = []
         self.reloaded_at: list[float] = []
         self.disruptions = _spans.Spans()
+        self.cuts = _spans.Spans()
+        self._cut_command = _process.encode_cut([], None)
+        self.is_cut = False
 
     async def start(self) -> None:
         """Start the process."""
@@ -88,12 +96,28 @@
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
-                "tarragonhinge",
-                "run",
-                f"--settings={self._settings}",
+                _process.__name__,
+                str(self._settings),
+                self.ip,
+                stdin=asyncio.subprocess.PIPE,
                 stdout=log,
                 stderr=log,
             )
+        self._process.stdin.write(self._cut_command)
+
+    def cut(self, addresses: list[str], form: standins.CutForm | None) -> None:
+        """Cut the instance off from addresses, or heal the cut.
+
+        A cut outlasts the process.
+        """
+        self.is_cut = form is not None
+        self._cut_command = _process.encode_cut(addresses, form)
+        if not self.has_ended:
+            self._process.stdin.write(self._cut_command)
+
+    def read_log(self) -> str:
+        """Return what the process has written."""
+        return self._log.read_text(encoding="utf-8", errors="replace")
 
     @property
     def has_ended(self) -> bool:
--- a/tarragonhinge/platform/soak/_limit_check.py
+++ b/tarragonhinge/platform/soak/_limit_check.py
@@ -3,7 +3,9 @@
 from collections.abc import Iterable
 import math
 
+from tarragonhinge.platform.soak import _arrivals
 from tarragonhinge.platform.soak import _attempts
+from tarragonhinge.platform.soak import _instances
 from tarragonhinge.platform.soak import _limits
 
 #: Bounds of the rule: time in seconds from the naming on, window in seconds,
@@ -16,17 +18,20 @@
 
 
 def list_violations(
-    named: Iterable[_limits.NamedLimit], attempts: Iterable[_attempts.Attempt]
+    named: Iterable[_limits.NamedLimit],
+    attempts: Iterable[_attempts.Attempt],
+    instances: Iterable[_instances.InstanceProcess],
 ) -> list[str]:
     """Return a message for each limit that was not respected.
 
     Requests of instances that were killed, started, paused or stopped less
     than `_CONTACT_S` before are not counted.
     """
-    by_id = {attempt.attempt_id: attempt for attempt in attempts}
+    attempts, instances = list(attempts), list(instances)
     violations = []
     for limit in named:
-        times = _list_counted(limit, by_id)
+        arrivals = _arrivals.list_arrivals(limit.server, attempts, instances)
+        times = _list_counted(limit, arrivals)
         most = max(
             (sum(at <= t < at + _WINDOW_S for t in times) for at in times),
             default=0,
@@ -42,26 +47,23 @@
 
 
 def _list_counted(
-    limit: _limits.NamedLimit, by_id: dict[str, _attempts.Attempt]
+    limit: _limits.NamedLimit, arrivals: list[_arrivals.Arrival]
 ) -> list[float]:
     """Return the times of the requests that count."""
+    senders = {a.attempt.attempt_id: a.sender for a in arrivals}
     told_at: dict[str, float] = {}
     for execution in limit.server.executions:
-        attempt = by_id.get(execution.attempt)
-        if attempt is not None and execution.began_at >= limit.began_at:
-            name = attempt.instance.name
-            told_at[name] = min(
-                told_at.get(name, math.inf), execution.ended_at
+        sender = senders.get(execution.attempt)
+        if sender is not None and execution.began_at >= limit.began_at:
+            told_at[sender.name] = min(
+                told_at.get(sender.name, math.inf), execution.ended_at
             )
     counted = []
-    for at, attempt_id in limit.server.arrivals:
-        attempt = by_id.get(attempt_id)
-        if attempt is None or not (
-            limit.began_at + _CONTACT_S <= at <= limit.ended_at
-        ):
+    for arrival in arrivals:
+        at, sender = arrival.at, arrival.sender
+        if not limit.began_at + _CONTACT_S <= at <= limit.ended_at:
             continue
-        instance = attempt.instance
-        is_told = at >= told_at.get(instance.name, math.inf) + _TOLD_S
-        if is_told and instance.has_been_calm(at - _CONTACT_S, at):
+        is_told = at >= told_at.get(sender.name, math.inf) + _TOLD_S
+        if is_told and sender.has_been_calm(at - _CONTACT_S, at):
             counted.append(at)
     return counted
--- /dev/null
+++ b/tarragonhinge/platform/soak/_process.py
@@ -0,0 +1,53 @@
+"""Process of one instance of the soak.
+
+It runs the program itself, in a network that the soak can cut:
+``python -m tarragonhinge.platform.soak._process SETTINGS IP``, with one
+command on each line of its standard input.
+"""
+
+import asyncio
+import json
+import pathlib
+import sys
+
+from tarragonhinge import platform
+from tarragonhinge.platform import standins
+
+
+def encode_cut(addresses: list[str], form: standins.CutForm | None) -> bytes:
+    """Return the command that cuts addresses off; no form heals the cut."""
+    command = {"addresses": addresses, "form": form.value if form else None}
+    return json.dumps(command).encode() + b"\n"
+
+
+def _apply(line: bytes, network: standins.Network) -> None:
+    command = json.loads(line)
+    if command["form"] is None:
+        network.heal()
+    else:
+        form = standins.CutForm(command["form"])
+        network.cut(command["addresses"], form)
+
+
+async def _follow_commands(network: standins.Network) -> None:
+    reader = asyncio.StreamReader()
+    await asyncio.get_running_loop().connect_read_pipe(
+        lambda: asyncio.StreamReaderProtocol(reader), sys.stdin
+    )
+    while line := await reader.readline():
+        _apply(line, network)
+
+
+async def run(settings: str, ip: str) -> int:
+    """Run an instance until it is stopped; return its exit status."""
+    network = standins.Network(source=ip)
+    network.enter()
+    commands = asyncio.create_task(_follow_commands(network))
+    try:
+        return await platform.run_instance(pathlib.Path(settings))
+    finally:
+        commands.cancel()
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(run(*sys.argv[1:])))
--- a/tarragonhinge/platform/soak/_proxy.py
+++ b/tarragonhinge/platform/soak/_proxy.py
@@ -69,8 +69,11 @@
             return
         host, _, port = self._target.rpartition(":")
         try:
+            # The server sees the address of the instance.
             upstream_reader, upstream_writer = await asyncio.open_connection(
-                host, int(port)
+                host,
+                int(port),
+                local_addr=(writer.get_extra_info("peername")[0], 0),
             )
         except OSError:
             writer.transport.abort()
--- a/tarragonhinge/platform/soak/_response_checks.py
+++ b/tarragonhinge/platform/soak/_response_checks.py
@@ -1,9 +1,10 @@
 """Checks of what servers say of themselves in their responses."""
 
-import collections
 from collections.abc import Iterable
 
+from tarragonhinge.platform.soak import _arrivals
 from tarragonhinge.platform.soak import _attempts
+from tarragonhinge.platform.soak import _instances
 from tarragonhinge.platform.soak import _statements
 from tarragonhinge.platform import standins
 
@@ -20,42 +21,50 @@
 def list_violations(
     statements: Iterable[_statements.Statement],
     attempts: Iterable[_attempts.Attempt],
+    instances: Iterable[_instances.InstanceProcess],
 ) -> list[str]:
     """Return a message for each server that was not listened to."""
-    by_id = {attempt.attempt_id: attempt for attempt in attempts}
+    attempts, instances = list(attempts), list(instances)
     violations = []
     for statement in statements:
-        arrivals = collections.defaultdict(list)
-        for at, attempt_id in statement.server.arrivals:
-            attempt = by_id.get(attempt_id)
-            if attempt is not None and at >= statement.began_at:
-                arrivals[attempt.instance.name].append((at, attempt))
-        check = _count_in_wait if statement.wait_s else _count_after_leaving
-        for name, items in arrivals.items():
-            count = check(statement, items)
+        arrivals = [
+            arrival
+            for arrival in _arrivals.list_arrivals(
+                statement.server, attempts, instances
+            )
+            if arrival.at >= statement.began_at
+        ]
+        for instance in instances:
+            if statement.wait_s:
+                count = _count_in_wait(statement, arrivals, instance)
+                said = f"asked to wait for {statement.wait_s} s"
+            else:
+                count = _count_after_leaving(statement, arrivals, instance)
+                said = "said that it leaves"
             if count > (_MAX_IN_WAIT if statement.wait_s else 0):
-                said = (
-                    f"asked to wait for {statement.wait_s} s"
-                    if statement.wait_s
-                    else "said that it leaves"
-                )
                 violations.append(
                     f"{statement.server.name} {said}, and got {count} "
-                    f"requests from {name}"
+                    f"requests from {instance.name}"
                 )
     return violations
 
 
 def _count_after_leaving(
     statement: _statements.Statement,
-    items: list[tuple[float, _attempts.Attempt]],
+    arrivals: list[_arrivals.Arrival],
+    instance: _instances.InstanceProcess,
 ) -> int:
     """Return the number of requests that an instance sent too late."""
-    own = {attempt.attempt_id for _, attempt in items}
+    # A response passes through the sender, and through the caller's instance.
+    passed_on = {
+        arrival.attempt.attempt_id
+        for arrival in arrivals
+        if instance in (arrival.sender, arrival.attempt.instance)
+    }
     answered = [
         execution.ended_at
         for execution in statement.server.executions
-        if execution.attempt in own
+        if execution.attempt in passed_on
         and execution.began_at >= statement.began_at
         and execution.state is standins.ExecutionState.ANSWERED
     ]
@@ -63,30 +72,44 @@
         return 0
     told_at = min(answered)
     return sum(
-        attempt.sent_at > told_at + _DRAIN_S
-        and attempt.instance.has_been_calm(told_at, at)
-        for at, attempt in items
+        arrival.attempt.sent_at > told_at + _DRAIN_S
+        and arrival.sender is instance
+        and instance.has_been_calm(told_at, arrival.at)
+        for arrival in arrivals
     )
 
 
 def _count_in_wait(
     statement: _statements.Statement,
-    items: list[tuple[float, _attempts.Attempt]],
+    arrivals: list[_arrivals.Arrival],
+    instance: _instances.InstanceProcess,
 ) -> int:
     """Return the largest number of requests of an instance in one wait."""
     turned_away = [
-        (at, attempt)
-        for at, attempt in items
-        if at <= statement.ended_at
-        and attempt.instance.has_been_calm(at - statement.wait_s, at)
+        arrival.at
+        for arrival in arrivals
+        if arrival.sender is instance
+        and arrival.at <= statement.ended_at
+        and _is_undisturbed(
+            instance, arrival.at - statement.wait_s, arrival.at
+        )
     ]
     return max(
         (
             sum(
                 began_at + _WAIT_SLACK_S < at < began_at + statement.wait_s
-                for at, _ in turned_away
+                for at in turned_away
             )
-            for began_at, _ in turned_away
+            for began_at in turned_away
         ),
         default=0,
     )
+
+
+def _is_undisturbed(
+    instance: _instances.InstanceProcess, since: float, until: float
+) -> bool:
+    """Return whether an instance was calm, and reached the servers."""
+    return instance.has_been_calm(since, until) and not instance.cuts.overlap(
+        since, until
+    )
--- a/tarragonhinge/platform/soak/_run.py
+++ b/tarragonhinge/platform/soak/_run.py
@@ -106,7 +106,9 @@
     checks.check_attempts()
     checks.check_crashing_requests()
     checks.check_responses()
+    checks.check_crash_reports()
     if options.checks_time_limits:
+        checks.check_cuts()
         checks.check_recovery(recovered_at)
         checks.check_drained()
         checks.check_lost()
--- a/tarragonhinge/platform/soak/_spans.py
+++ b/tarragonhinge/platform/soak/_spans.py
@@ -27,6 +27,12 @@
         finally:
             span[1] = time.monotonic()
 
+    def contain(self, since: float, until: float) -> bool:
+        """Return whether one span covers all moments between two times."""
+        return any(
+            start <= since and end >= until for start, end in self._spans
+        )
+
     def overlap(self, since: float, until: float) -> bool:
         """Return whether a span has a moment between two times."""
         return any(
--- a/tarragonhinge/platform/standins/_network.py
+++ b/tarragonhinge/platform/standins/_network.py
@@ -40,13 +40,19 @@
 class Network:
     """Network of the instance whose tasks were started in its context.
 
+    Parameters
+    ----------
+    source : str or None
+        Address from which connections are opened; None for any.
+
     Attributes
     ----------
     cut_addresses : frozenset of Address
         Addresses that are out of reach.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, source: str | None = None) -> None:
+        self.source = source
         self.cut_addresses: frozenset[base.Address] = frozenset()
         self._form = CutForm.SILENT
         self._connections: set[_Connection] = set()
@@ -296,6 +302,8 @@
         network = _current.get()
         if network is not None:
             await network.wait_for_path(_name_address(address))
+            if network.source is not None:
+                sock.bind((network.source, 0))
         await real_connect(sock, address)
 
     async def create_connection(
--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -100,6 +100,8 @@
         Request line, fields and body of each request.
     arrivals : list of tuple of float and str
         Monotonic time in seconds and attempt of each request that arrived.
+    sources : list of str
+        Address from which each of them came.
     executions : list of Execution
         All executions, in the order of their start.
     version : str
@@ -138,6 +140,7 @@
         self.abandoned: list[str] = []
         self.received: list[tuple[str, dict, bytes]] = []
         self.arrivals: list[tuple[float, str]] = []
+        self.sources: list[str] = []
         self.executions: list[Execution] = []
         self.crashing_targets: set[str] = set()
         self.crashed_at = math.inf
@@ -241,6 +244,7 @@
         attempt = fields.get("tarragonhinge-request-attempt-id", "")
         self.received.append((line, fields, body))
         self.arrivals.append((time.monotonic(), attempt))
+        self.sources.append(writer.get_extra_info("peername")[0])
         self.request_arrived.set()
         expected = fields.get("tarragonhinge-expect-instance", self.name)
         key = int(fields.get("tarragonhinge-shard-key", -1))
--- a/tarragonhinge/platform/tests/test_soak_crash_check.py
+++ b/tarragonhinge/platform/tests/test_soak_crash_check.py
@@ -26,7 +26,9 @@
 ):
     """Check arrivals of one request at the given times."""
     instance = types.SimpleNamespace(
-        name="e1", has_been_calm=lambda since, until: is_calm
+        name="e1",
+        ip="127.1.1.1",
+        has_been_calm=lambda since, until: is_calm,
     )
     attempts = [
         _attempts.Attempt(
@@ -41,17 +43,20 @@
         for number, at in enumerate(arrived_at)
     ]
     servers = [
-        types.SimpleNamespace(crashed_at=at, crashed_by=TARGET, arrivals=[])
+        types.SimpleNamespace(
+            crashed_at=at, crashed_by=TARGET, arrivals=[], sources=[]
+        )
         for at in crashed_at
     ]
     servers[0].arrivals = [
         (at, f"a{number}") for number, at in enumerate(arrived_at)
     ]
+    servers[0].sources = [instance.ip for _ in arrived_at]
     disruptions = _spans.Spans()
     for since, until in store:
         disruptions.begin()[:] = [since, until]
     return _crash_check.list_late_arrivals(
-        [_make_request()], servers, attempts, disruptions
+        [_make_request()], servers, attempts, [instance], disruptions
     )
 
 
--- a/tarragonhinge/platform/tests/test_soak_limit_check.py
+++ b/tarragonhinge/platform/tests/test_soak_limit_check.py
@@ -24,7 +24,9 @@
 ):
     """Check `count` requests of one instance; times since the naming."""
     instance = types.SimpleNamespace(
-        name="e1", has_been_calm=lambda since, until: is_calm
+        name="e1",
+        ip="127.1.1.1",
+        has_been_calm=lambda since, until: is_calm,
     )
     attempts = [
         _attempts.Attempt(
@@ -44,9 +46,13 @@
         name="i-1",
         executions=[told],
         arrivals=[
-            (NAMED_AT + since_s + step_s * number, f"a{number}")
-            for number in range(count)
+            (NAMED_AT, told.attempt),
+            *(
+                (NAMED_AT + since_s + step_s * number, f"a{number}")
+                for number in range(count)
+            ),
         ],
+        sources=[instance.ip] * (count + 1),
     )
     limit = _limits.NamedLimit(
         server=server,
@@ -54,7 +60,7 @@
         began_at=NAMED_AT,
         ended_at=NAMED_AT + until_s,
     )
-    return _limit_check.list_violations([limit], attempts)
+    return _limit_check.list_violations([limit], attempts, [instance])
 
 
 @pytest.mark.parametrize(
--- a/tarragonhinge/platform/tests/test_soak_response_checks.py
+++ b/tarragonhinge/platform/tests/test_soak_response_checks.py
@@ -6,6 +6,7 @@
 
 from tarragonhinge.platform.soak import _attempts
 from tarragonhinge.platform.soak import _response_checks
+from tarragonhinge.platform.soak import _spans
 from tarragonhinge.platform.soak import _statements
 from tarragonhinge.platform import standins
 
@@ -16,7 +17,10 @@
 def _find_violations(*, wait_s, arrived_s, answered_s=(), is_calm=True):
     """Check arrivals of one instance; times since the beginning."""
     instance = types.SimpleNamespace(
-        name="e1", has_been_calm=lambda since, until: is_calm
+        name="e1",
+        ip="127.1.1.1",
+        has_been_calm=lambda since, until: is_calm,
+        cuts=_spans.Spans(),
     )
     attempts = [
         _attempts.Attempt(
@@ -43,11 +47,12 @@
         name="i-1",
         executions=executions,
         arrivals=[(a.sent_at, a.attempt_id) for a in attempts],
+        sources=[instance.ip for _ in attempts],
     )
     statement = _statements.Statement(
         server=server, began_at=BEGAN_AT, wait_s=wait_s
     )
-    return _response_checks.list_violations([statement], attempts)
+    return _response_checks.list_violations([statement], attempts, [instance])
 
 
 @pytest.mark.parametrize(
