--- a/tarragonhinge/platform/tests/test_server_wait.py
+++ b/tarragonhinge/platform/tests/test_server_wait.py
@@ -82,6 +82,31 @@
     asyncio.run(run())
 
 
+@pytest.mark.parametrize("is_keyed", [False, True])
+def test_wait_outlasts_gaps_in_the_list_of_servers(is_keyed):
+    """An entry may be missing for a moment, as after a store outage."""
+
+    async def run():
+        async with deployment.Deployment(
+            instances=2, servers=2, is_keyed=is_keyed
+        ) as fleet:
+            busy = fleet.servers[0]
+            busy.wait = "5"
+            callers = asyncio.create_task(
+                fleet.repeat(_make_target, seconds=4.5, every_ms=20)
+            )
+            for _ in range(4):
+                await asyncio.sleep(0.8)
+                fleet.store.remove("servers", busy.name)
+                await asyncio.sleep(0.1)
+                fleet.list_server(busy)
+            await callers
+            assert busy.arrivals
+            assert _count_most(fleet, busy, 5.0) <= MAX_ARRIVALS
+
+    asyncio.run(run())
+
+
 def test_refusal_is_immediate():
     async def run():
         async with deployment.Deployment(instances=1, servers=1) as fleet:
