Keep the wait of a server when its entry is missing for a moment

A server that turns an instance away for a time got more than two requests of it in that time, if its entry was missing meanwhile: the wait was kept with the link to the server, which ends with the entry, and the next link knew none. An answer that arrived for a former link was lost in the same way.

Waits are now kept for incarnations of servers, as limits and leaving servers are already, and end with their time. Crashes and paths stay with the link: an entry that is listed again is that of a running server, and a path is found out anew at no caller's cost.

--- a/tarragonhinge/gateway/_links.py
+++ b/tarragonhinge/gateway/_links.py
@@ -9,6 +9,7 @@
 from tarragonhinge.gateway import _path
 from tarragonhinge.gateway import _placement
 from tarragonhinge.gateway import _server_load
+from tarragonhinge.gateway import _server_waits
 from tarragonhinge import http1
 from tarragonhinge import limits
 
@@ -43,6 +44,8 @@
         Load estimate of the server.
     path : Path
         Evidence of whether this instance reaches the server.
+    waits : ServerWaits
+        Waits of all servers, which outlast their links.
     """
 
     entry: catalog.ServerEntry
@@ -50,12 +53,17 @@
     pool: http1.ConnectionPool
     load: _server_load.ServerLoad
     path: _path.Path
+    waits: _server_waits.ServerWaits
 
     @property
     def incarnation(self) -> limits.Incarnation:
         """Server and start time, by which limits are kept."""
         return self.entry.server, self.entry.born_ms
 
+    def get_wait_ms(self) -> int:
+        """Return the time left for which the server wants no requests."""
+        return self.waits.get_ms(self.incarnation)
+
     def get_round_trip_ms(self) -> float:
         """Return the network round-trip time."""
         return (
@@ -92,7 +100,7 @@
             service_ms=self.load.estimate_service_ms(),
             error_ratio=self.load.health.compute_error_ratio(),
             is_cooling_down=self.load.is_cooling_down(),
-            closed_ms=self.load.get_wait_ms(),
+            closed_ms=self.get_wait_ms(),
             is_out_of_reach=self.is_out_of_reach(fresh=fresh),
         )
 
@@ -136,6 +144,7 @@
         self._service_times: dict[
             base.ServiceName, _server_load.ServiceTime
         ] = {}
+        self._waits = _server_waits.ServerWaits(clock=clock)
         view.changes.subscribe(self._prune)
 
     def _prune(self, _: None) -> None:
@@ -235,6 +244,7 @@
             ),
             load=load,
             path=_path.Path(clock=self._clock),
+            waits=self._waits,
         )
 
     def _compute_distance(self, zone: base.ZoneName) -> _placement.Distance:
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -152,7 +152,7 @@
             # The server began to drain while the connection was opened.
             link.pool.release(connection)
             return _make_unsent("the server is draining or gone")
-        wait_ms = link.load.get_wait_ms()
+        wait_ms = link.get_wait_ms()
         if wait_ms:
             link.pool.release(connection)
             return _make_unsent("the server asks to wait", wait_ms=wait_ms)
@@ -295,7 +295,7 @@
     def _record_wait(self, link: _links.ServerLink, wait_ms: int) -> None:
         """Close a server to this instance for the time that it states."""
         if wait_ms:
-            link.load.record_wait(wait_ms)
+            link.waits.record(link.incarnation, wait_ms)
             self._log.write(
                 events.ServerAvoided(
                     server=link.entry.server,
--- a/tarragonhinge/gateway/_server_load.py
+++ b/tarragonhinge/gateway/_server_load.py
@@ -113,7 +113,6 @@
         self._cooldown_ms = 0
         self._cooldown_until = 0
         self._cold_until = 0
-        self._closed_until = 0
         self._unreported_latencies = (0, 0.0)
         self._unpublished_load: int | None = None
         self._was_busy = False
@@ -274,19 +273,6 @@
         """Record an attempt without a valid response."""
         self.health.record(failed=True)
 
-    def get_wait_ms(self) -> int:
-        """Return the time left for which the server wants no requests."""
-        return max(0, self._closed_until - self._clock.now())
-
-    def record_wait(self, wait_ms: int) -> None:
-        """Record that the server wants no requests for some time.
-
-        It says nothing about the server's health.
-        """
-        self._closed_until = max(
-            self._closed_until, self._clock.now() + wait_ms
-        )
-
     def record_crashed(self) -> None:
         """Exclude the server for the longest cooldown.
 
--- a/tarragonhinge/gateway/tests/test_decisions.py
+++ b/tarragonhinge/gateway/tests/test_decisions.py
@@ -12,6 +12,7 @@
 from tarragonhinge.gateway import _placement
 from tarragonhinge.gateway import _retry_budget
 from tarragonhinge.gateway import _server_load
+from tarragonhinge.gateway import _server_waits
 from tarragonhinge.gateway import _splitter
 from tarragonhinge import testing
 
@@ -366,18 +367,29 @@
         assert result.wait_ms == expected
 
 
-def test_wait_ends_by_itself_and_does_not_count_as_failure():
+def test_wait_ends_by_itself_and_concerns_one_process():
     async def run():
         clock = testing.ManualClock()
-        load = _server_load.ServerLoad(
-            slots=2, service_time=_server_load.ServiceTime(), clock=clock
-        )
-        load.record_wait(1_500)
-        load.record_wait(300)
-        assert load.get_wait_ms() == 1_500
-        assert not load.is_cooling_down()
-        assert load.health.compute_error_ratio() == 0
+        waits = _server_waits.ServerWaits(clock=clock)
+        server = (base.ServerId("i-1"), 1)
+        waits.record(server, 1_500)
+        waits.record(server, 300)
+        assert waits.get_ms(server) == 1_500
+        assert waits.get_ms((base.ServerId("i-1"), 2)) == 0
         await clock.sleep(1_500)
-        assert load.get_wait_ms() == 0
+        assert waits.get_ms(server) == 0
+
+    testing.run_manual(run())
+
+
+def test_number_of_remembered_waits_is_bounded():
+    async def run():
+        clock = testing.ManualClock()
+        waits = _server_waits.ServerWaits(clock=clock)
+        for number in range(_server_waits.MAX_SERVERS + 5):
+            waits.record((base.ServerId(f"i-{number}"), 1), 1_500)
+        assert len(waits._ends_at) == _server_waits.MAX_SERVERS
+        last = base.ServerId(f"i-{_server_waits.MAX_SERVERS + 4}")
+        assert waits.get_ms((last, 1)) == 1_500
 
     testing.run_manual(run())
--- a/tarragonhinge/platform/tests/test_server_wait.py
+++ b/tarragonhinge/platform/tests/test_server_wait.py
@@ -107,11 +107,14 @@
     asyncio.run(run())
 
 
-def test_refusal_is_immediate():
+def test_refusal_is_immediate_and_no_failure():
     async def run():
         async with deployment.Deployment(instances=1, servers=1) as fleet:
             fleet.servers[0].wait = "3"
             await fleet.send("/x/1")
+            load = fleet.instances[0].gateway.links.find("i-0").load
+            assert not load.is_cooling_down()
+            assert load.health.compute_error_ratio() == 0
             began_at = time.monotonic()
             assert await fleet.send("/x/2") == 503
             # Far less than the wait or the deadline of the request.
