Let a cut coordinator step down beside servers that have ended

It stepped down only for an instance without any server out of reach. Now the other one must reach an owner that this one does not, and have at most half as many servers out of reach (test_instance_is_cut_off_if_another_reaches_the_owners). Found by review.

--- a/tarragonhinge/forwarding/_messages.py
+++ b/tarragonhinge/forwarding/_messages.py
@@ -82,12 +82,12 @@
     ----------
     states : list of PathState
         State of each server, in the order of the query.
-    has_closed_paths : bool
-        Whether there are servers that the instance can't reach.
+    closed_count : int
+        Number of servers that the instance can't reach.
     """
 
     states: list[PathState]
-    has_closed_paths: bool = False
+    closed_count: int = 0
 
 
 class OutcomeKind(enum.Enum):
--- a/tarragonhinge/gateway/_path_monitor.py
+++ b/tarragonhinge/gateway/_path_monitor.py
@@ -45,6 +45,13 @@
 QUERY_DELAY_MS = 30
 QUERIED_PEERS = 8
 
+#: Longest interval while no instance that was asked reaches a server.
+MAX_QUERY_INTERVAL_MS = 4_000
+
+#: Largest number of servers out of reach of an instance that can coordinate in
+#: place of this one, relative to those out of reach here.
+MAX_CLOSED_RATIO = 0.5
+
 #: Maximum number of servers in one query, and of those that a query makes
 #: another instance try.
 MAX_QUERY_SERVERS = 512
@@ -64,7 +71,7 @@
         self.states: dict[
             limits.Incarnation, tuple[int, forwarding.PathState]
         ] = {}
-        self.has_closed_paths = False
+        self.closed_count = 0
 
 
 class PathMonitor:
@@ -300,7 +307,7 @@
             self._peers.pop(peer.instance, None)
             return None
         paths = self._peers.setdefault(peer.instance, _PeerPaths())
-        paths.has_closed_paths = report.has_closed_paths
+        paths.closed_count = report.closed_count
         now = self._clock.now()
         paths.states = {
             server: (at, state)
@@ -345,22 +352,23 @@
         )
 
     def is_cut_off(self) -> bool:
-        """Return whether another instance reaches all owners of keys.
+        """Return whether another instance could renew grants that it can't.
 
-        It is so only while this one does not.
+        The other one reaches owners of keys that are out of reach here, and
+        reaches far more servers, some of which may have ended.
         """
         owners = [
-            link.incarnation
-            for link in self.list_closed()
-            if self._links.is_keyed(link)
+            link.incarnation for link in closed if self._links.is_keyed(link)
         ]
-        return bool(owners) and any(
-            self.count_reached(peer, owners) == len(owners)
-            and not self._peers[peer.instance].has_closed_paths
+        most = MAX_CLOSED_RATIO * len(closed)
+        return any(
+            self.count_reached(peer, owners)
+            and self._peers[peer.instance].closed_count <= most
             for peer in self._directory.list_all()
         )
 
     async def confirm_end(self, link: _links.ServerLink) -> bool:
+        closed = self.list_closed()
         """Return whether a server that refuses connections has ended.
 
         This instance may be cut off from it. Others confirm that no process
@@ -411,7 +419,7 @@
             reports.append(self._report_path(link, query, may_probe))
         states = await asyncio.gather(*reports)
         return forwarding.PathReport(
-            states=states, has_closed_paths=bool(self.list_closed())
+            states=states, closed_count=self.get_closed_count()
         )
 
     def _is_known(
--- a/tarragonhinge/gateway/tests/test_path_monitor.py
+++ b/tarragonhinge/gateway/tests/test_path_monitor.py
@@ -64,6 +64,7 @@
 
     def __init__(self):
         self.reports = {}
+        self.closed_counts = {}
 
     async def query_paths(self, peer, query):
         report = self.reports.get(peer.instance)
@@ -71,7 +72,7 @@
             return None
         return forwarding.PathReport(
             states=[report] * len(query.servers),
-            has_closed_paths=report is not _REACHABLE,
+            closed_count=self.closed_counts.get(peer.instance, 0),
         )
 
 
@@ -248,18 +249,26 @@
 
 
 @pytest.mark.parametrize(
-    ("peers", "is_cut_off"),
+    ("peers", "closed_counts", "is_cut_off"),
     [
-        ([_REACHABLE], True),
-        ([_UNREACHABLE, _REACHABLE], True),
-        ([_UNREACHABLE, _UNREACHABLE], False),
-        ([None], False),
-        ([], False),
+        ([_REACHABLE], [0], True),
+        ([_REACHABLE], [2], True),
+        ([_REACHABLE], [3], False),
+        ([_REACHABLE, _REACHABLE], [4, 1], True),
+        ([_UNREACHABLE, _REACHABLE], [0, 0], True),
+        ([_UNREACHABLE, _UNREACHABLE], [0, 0], False),
+        ([None], [0], False),
+        ([], [], False),
     ],
 )
-def test_instance_is_cut_off_if_another_reaches_the_owners(peers, is_cut_off):
+def test_instance_is_cut_off_if_another_reaches_the_owners(
+    peers, closed_counts, is_cut_off
+):
     async def scenario():
         fixture = _Fixture(peers=peers)
+        fixture.client.closed_counts = {
+            f"p{number}": count for number, count in enumerate(closed_counts)
+        }
         assert not fixture.monitor.is_cut_off()
         fixture.set_states(_SILENT)
         fixture.monitor.suspect(fixture.links[0], fixture.clock.now())
