Send an idempotent request on when the helping instance loses its servers

An instance that was cut off while it handled a forwarded request answered with a failure, and the origin passed that on, though the route allowed another attempt and a third instance reached the servers. It is sent on now within the attempts and the retry budget, unless it is a suspect of crashes.

--- a/tarragonhinge/gateway/_detour.py
+++ b/tarragonhinge/gateway/_detour.py
@@ -15,6 +15,7 @@
 from tarragonhinge import base
 from tarragonhinge import events
 from tarragonhinge import forwarding
+from tarragonhinge.gateway import _crash_guard
 from tarragonhinge.gateway import _dialect
 from tarragonhinge.gateway import _job
 from tarragonhinge.gateway import _leaving_servers
@@ -54,6 +55,8 @@
         Sends requests to them.
     monitor : PathMonitor
         Which servers they reach.
+    guard : CrashGuard
+        Keeps suspects of crashes from being sent again.
     zones : mapping
         Region of each availability zone.
     metrics : RequestMetrics
@@ -72,6 +75,7 @@
         directory: forwarding.PeerDirectory,
         client: forwarding.ForwardingClient,
         monitor: _path_monitor.PathMonitor,
+        guard: _crash_guard.CrashGuard,
         zones: dict[base.ZoneName, base.RegionName],
         metrics: _metrics.RequestMetrics,
         clock: base.Clock,
@@ -82,6 +86,7 @@
         self._directory = directory
         self._client = client
         self._monitor = monitor
+        self._guard = guard
         self._zones = zones
         self._metrics = metrics
         self._clock = clock
@@ -209,6 +214,9 @@
             return response
         if outcome.kind is forwarding.OutcomeKind.FAILED:
             job.may_have_run = True
+            if self._may_retry(job):
+                self._avoid(peer)
+                return None
         elif outcome.is_transferable:
             self._avoid(peer)
             return None
@@ -230,6 +238,17 @@
         if metadata.is_leaving and outcome.server is not None:
             self._leaving.record_response(outcome.server)
 
+    def _may_retry(self, job: _job.Job) -> bool:
+        """Return whether a request that may have run is sent once more.
+
+        The other instance may have lost its servers, too.
+        """
+        return (
+            job.is_idempotent
+            and job.count_attempts_left() > 0
+            and self._guard.may_retry(job, may_have_run=True)
+        )
+
     def _avoid(self, peer: forwarding.PeerInstance) -> None:
         self._avoided_until[peer.instance] = (
             self._clock.now() + PEER_COOLDOWN_MS
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -194,6 +194,7 @@
                 directory=self.directory,
                 client=self._forwarding_client,
                 monitor=self.monitor,
+                guard=self.guard,
                 zones=dict(options.zones),
                 metrics=self.metrics,
                 clock=clock,
--- a/tarragonhinge/platform/tests/test_forwarding.py
+++ b/tarragonhinge/platform/tests/test_forwarding.py
@@ -162,6 +162,29 @@
     _run(check, instances=3, servers=4)
 
 
+@pytest.mark.parametrize(
+    ("prefix", "status", "runs"), [("/x/", 200, 2), ("/u/", 502, 1)]
+)
+def test_idempotent_request_goes_by_way_of_a_third_instance(
+    prefix, status, runs
+):
+    """The second one loses its servers while they are at work."""
+
+    async def check(fleet):
+        for server in fleet.servers:
+            server.work_allowed.clear()
+        sent = asyncio.create_task(_send(f"{prefix}a", attempt="a"))
+        await fleet.wait(lambda: _list_executed(fleet, "a"))
+        [helper] = [i for i in fleet.instances[1:] if i.gateway.in_flight]
+        fleet.cut([fleet.find_network(helper)], standins.CutForm.RESET)
+        for server in fleet.servers:
+            server.work_allowed.set()
+        assert (await sent)[0] == status
+        assert len(_list_executed(fleet, "a")) == runs
+
+    _run(check, instances=3)
+
+
 def test_caller_that_leaves_cancels_the_run():
     async def check(fleet):
         for server in fleet.servers:
