Replace fields of callers and servers that have the names of calls

A caller's request or a server's response with a field forwarding-call or forwarding-outcome could not be forwarded: both values were read as one, and the caller got a 502.

--- a/tarragonhinge/forwarding/__init__.py
+++ b/tarragonhinge/forwarding/__init__.py
@@ -4,7 +4,8 @@
 from tarragonhinge.forwarding._client import PeerError
 from tarragonhinge.forwarding._directory import PeerDirectory
 from tarragonhinge.forwarding._directory import PeerInstance
-from tarragonhinge.forwarding._messages import encode_outcome
+from tarragonhinge.forwarding._messages import add_call
+from tarragonhinge.forwarding._messages import add_outcome
 from tarragonhinge.forwarding._messages import ForwardedOutcome
 from tarragonhinge.forwarding._messages import ForwardedRequest
 from tarragonhinge.forwarding._messages import OutcomeKind
@@ -24,6 +25,7 @@
     "PeerDirectory",
     "PeerError",
     "PeerInstance",
-    "encode_outcome",
+    "add_call",
+    "add_outcome",
     "read_call",
 ]
--- a/tarragonhinge/forwarding/_client.py
+++ b/tarragonhinge/forwarding/_client.py
@@ -76,11 +76,13 @@
             http1.HttpRequest(
                 method=request.method,
                 target=request.target,
-                fields=[
-                    ("host", request.find("host") or call.route.host),
-                    *servers.drop_hop_by_hop_fields(request.fields),
-                    _messages.encode_call(call),
-                ],
+                fields=_messages.add_call(
+                    [
+                        ("host", request.find("host") or call.route.host),
+                        *servers.drop_hop_by_hop_fields(request.fields),
+                    ],
+                    call,
+                ),
                 body=request.body,
             ),
             timeout_ms=call.deadline_ms,
@@ -100,10 +102,7 @@
                 http1.HttpRequest(
                     method="GET",
                     target=_QUERY_TARGET,
-                    fields=[
-                        ("host", peer.address),
-                        _messages.encode_call(query),
-                    ],
+                    fields=_messages.add_call([("host", peer.address)], query),
                 ),
                 timeout_ms=QUERY_TIMEOUT_MS,
             )
--- a/tarragonhinge/forwarding/_messages.py
+++ b/tarragonhinge/forwarding/_messages.py
@@ -138,14 +138,26 @@
     return base64.b64encode(msgspec.json.encode(message)).decode("ascii")
 
 
-def encode_call(call: ForwardedRequest | PathQuery) -> tuple[str, str]:
-    """Return the header field of a call."""
-    return CALL_FIELD, _encode(call)
-
-
-def encode_outcome(outcome: ForwardedOutcome) -> tuple[str, str]:
-    """Return the header field of an outcome."""
-    return OUTCOME_FIELD, _encode(outcome)
+def add_call(
+    fields: http1.FieldList, call: ForwardedRequest | PathQuery
+) -> http1.FieldList:
+    """Return the header fields of a call, with those of the caller."""
+    return _replace_field(fields, CALL_FIELD, call)
+
+
+def add_outcome(
+    fields: http1.FieldList, outcome: ForwardedOutcome
+) -> http1.FieldList:
+    """Return the header fields of a response, with those of the server."""
+    return _replace_field(fields, OUTCOME_FIELD, outcome)
+
+
+def _replace_field(
+    fields: http1.FieldList, name: str, message: msgspec.Struct
+) -> http1.FieldList:
+    # A caller or a server may use the name, too.
+    _, others = _take_field(fields, name)
+    return [*others, (name, _encode(message))]
 
 
 def read_call(
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -283,7 +283,7 @@
         response, outcome = await self._handle(request, call)
         return http1.HttpResponse(
             status=response.status,
-            fields=[*response.fields, forwarding.encode_outcome(outcome)],
+            fields=forwarding.add_outcome(response.fields, outcome),
             body=response.body,
         )
 
