--- a/tarragonhinge/gateway/_path_monitor.py
+++ b/tarragonhinge/gateway/_path_monitor.py
@@ -24,8 +24,9 @@
 #: 40 ms.
 PROBE_TIMEOUT_MS = 350
 
-#: Time for which a server that reacted need not be tried.
-CONTACT_VALID_MS = 300
+#: Time for which a server that reacted need not be tried. A silent cut is not
+#: noticed sooner.
+CONTACT_VALID_MS = 800
 
 #: Number of other servers that are tried when one is out of reach, or is in
 #: reach again. Each of those does the same, so that all are tried soon.
