Judge a helping instance by what it reaches, not by one request

An instance that could not send one request was not chosen for a second: after a server behind it had not answered until the deadline, or since it did not reach the owner of one key. Where few instances reach the servers, requests of the cut ones were then refused. Only one that is out of reach itself, or stops, is avoided; that it does not reach a server is kept like a report of its own.

--- a/tarragonhinge/gateway/_detour.py
+++ b/tarragonhinge/gateway/_detour.py
@@ -22,6 +22,7 @@
 from tarragonhinge.gateway import _metrics
 from tarragonhinge.gateway import _outcomes
 from tarragonhinge.gateway import _path_monitor
+from tarragonhinge.gateway import _placement
 from tarragonhinge.gateway import _refusals
 from tarragonhinge import http1
 from tarragonhinge import limits
@@ -29,7 +30,7 @@
 #: Maximum number of other instances that one request is forwarded to.
 MAX_PEERS = 4
 
-#: Time for which an instance that failed, or can't help, is not chosen.
+#: Time for which an instance that failed or stops is not chosen.
 PEER_COOLDOWN_MS = 1_000
 
 #: Cost of another instance by its distance, as a number of requests that are
@@ -129,7 +130,9 @@
             tried.add(peer.instance)
             if job.sent_count and not take_retry():
                 return _refusals.Refused.for_exhausted_budget()
-            result = await self._forward(job, peer, left_ms, attempts)
+            result = await self._forward(
+                job, peer, servers, left_ms=left_ms, attempts=attempts
+            )
             if result is not None:
                 return result
         return None
@@ -174,6 +177,8 @@
         self,
         job: _job.Job,
         peer: forwarding.PeerInstance,
+        servers: Collection[limits.Incarnation],
+        *,
         left_ms: int,
         attempts: int,
     ) -> http1.HttpResponse | _refusals.Refused | None:
@@ -195,7 +200,8 @@
             name = outcome.reason or outcome.kind.value
         except forwarding.PeerError as error:
             name = "unknown" if error.sent else "unsent"
-            self._avoid(peer)
+            if self._clock.now() < job.deadline_at:
+                self._avoid(peer)
             return self._handle_error(job, error, attempts)
         finally:
             self._in_flight[peer.instance] -= 1
@@ -215,10 +221,9 @@
         if outcome.kind is forwarding.OutcomeKind.FAILED:
             job.may_have_run = True
             if self._may_retry(job):
-                self._avoid(peer)
                 return None
         elif outcome.is_transferable:
-            self._avoid(peer)
+            self._record_refusal(peer, servers, outcome.reason)
             return None
         return _refusals.Refused(
             status=response.status,
@@ -238,6 +243,18 @@
         if metadata.is_leaving and outcome.server is not None:
             self._leaving.record_response(outcome.server)
 
+    def _record_refusal(
+        self,
+        peer: forwarding.PeerInstance,
+        servers: Collection[limits.Incarnation],
+        reason: str,
+    ) -> None:
+        """Record why an instance can't send a request."""
+        if reason == _placement.RefusalReason.UNREACHABLE.value:
+            self._monitor.record_unreached(peer, servers)
+        else:
+            self._avoid(peer)
+
     def _may_retry(self, job: _job.Job) -> bool:
         """Return whether a request that may have run is sent once more.
 
--- a/tarragonhinge/gateway/_path_monitor.py
+++ b/tarragonhinge/gateway/_path_monitor.py
@@ -10,6 +10,7 @@
 from collections.abc import Collection
 from collections.abc import Coroutine
 from collections.abc import Iterable
+from collections.abc import Mapping
 import random
 
 from tarragonhinge import base
@@ -319,8 +320,18 @@
         if report is None:
             self._peers.pop(peer.instance, None)
             return None
+        self._record_states(
+            peer, dict(zip(servers, report.states, strict=True))
+        )
+        self._peers[peer.instance].closed_count = report.closed_count
+        return report.states
+
+    def _record_states(
+        self,
+        peer: forwarding.PeerInstance,
+        states: Mapping[limits.Incarnation, forwarding.PathState],
+    ) -> None:
         paths = self._peers.setdefault(peer.instance, _PeerPaths())
-        paths.closed_count = report.closed_count
         now = self._clock.now()
         paths.states = {
             server: (at, state)
@@ -328,10 +339,16 @@
             if now - at < REPORT_VALID_MS
         }
         paths.states.update(
-            (server, (now, state))
-            for server, state in zip(servers, report.states, strict=True)
+            (server, (now, state)) for server, state in states.items()
         )
-        return report.states
+
+    def record_unreached(
+        self,
+        peer: forwarding.PeerInstance,
+        servers: Iterable[limits.Incarnation],
+    ) -> None:
+        """Record that another instance can't send requests to servers."""
+        self._record_states(peer, dict.fromkeys(servers, _State.UNREACHABLE))
 
     def _find_report(
         self, peer: forwarding.PeerInstance, server: limits.Incarnation
--- a/tarragonhinge/platform/tests/test_forwarding.py
+++ b/tarragonhinge/platform/tests/test_forwarding.py
@@ -1,6 +1,7 @@
 """What holds for a request also holds by way of another instance."""
 
 import asyncio
+import collections
 import contextlib
 import time
 
@@ -185,6 +186,54 @@
     _run(check, instances=3)
 
 
+def test_helping_instance_is_not_blamed_for_a_slow_server():
+    """The only other instance was avoided for a second after a timeout."""
+
+    async def check(fleet):
+        for server in fleet.servers:
+            server.next_modes = ["silent"]
+        for number in range(2):
+            status, _, _ = await _send(
+                f"/u/slow{number}", attempt=f"s{number}", deadline_ms=300
+            )
+            assert status == 504
+        status, _, _ = await _send("/u/a", attempt="a")
+        assert status == 200
+
+    _run(check)
+
+
+def test_helping_instance_is_not_avoided_for_one_owner():
+    """The key's owner is out of reach of both, the other owners are not."""
+
+    async def check(fleet):
+        fleet.cut(
+            fleet.networks.values(),
+            standins.CutForm.RESET,
+            fleet.servers[:1],
+        )
+        fleet.cut([fleet.networks[_get_ip(ORIGIN)]], standins.CutForm.RESET)
+        for number in range(8):
+            await _send(
+                f"/u/b{number}", attempt=f"b{number}", key=number * 8_000
+            )
+        statuses = collections.Counter(
+            [
+                (
+                    await _send(
+                        f"/u/a{number}",
+                        attempt=f"a{number}",
+                        key=number * 4_000,
+                    )
+                )[0]
+                for number in range(16)
+            ]
+        )
+        assert statuses[200] >= 8
+
+    _run(check, servers=4, is_keyed=True)
+
+
 def test_caller_that_leaves_cancels_the_run():
     async def check(fleet):
         for server in fleet.servers:
