Keep reports of other instances and calls in modules of their own

No change of behaviour: _path_monitor.py and _gateway.py had grown beyond what one reads at once. gateway.PeerReports keeps what others report, CallHandler handles their calls, and _responses.py makes final responses.

--- a/tarragonhinge/daemon/tests/test_recorded_formats.py
+++ b/tarragonhinge/daemon/tests/test_recorded_formats.py
@@ -17,7 +17,7 @@
 from tarragonhinge.dispatch import _saved_history
 from tarragonhinge.dispatch import _table_policy
 from tarragonhinge import events
-from tarragonhinge.gateway import _gateway
+from tarragonhinge.gateway import _responses
 from tarragonhinge import membership
 from tarragonhinge import operators
 from tarragonhinge import peers
@@ -37,7 +37,7 @@
     "configuration.ServiceRow": configuration.ServiceRow,
     "configuration.TableHead": configuration.TableHead,
     "coordination.Leadership": _leadership.Leadership,
-    "gateway.Report": _gateway._ErrorBody,
+    "gateway.Report": _responses.ErrorBody,
     "membership.InstanceEntry": membership.InstanceEntry,
     "operators.EditAnswer": operators.EditResponse,
     "operators.HistoryDocument": operators.HistoryDocument,
--- a/tarragonhinge/gateway/__init__.py
+++ b/tarragonhinge/gateway/__init__.py
@@ -1,5 +1,6 @@
 """Request gateway between callers and backend servers."""
 
+from tarragonhinge.gateway._call_handler import CallHandler
 from tarragonhinge.gateway._caller_listener import CallerListener
 from tarragonhinge.gateway._dialect import DEADLINE_LIMIT_MS
 from tarragonhinge.gateway._dialect import Dialect
@@ -14,6 +15,7 @@
 
 __all__ = [
     "DEADLINE_LIMIT_MS",
+    "CallHandler",
     "CallerListener",
     "Dialect",
     "Fields",
--- a/tarragonhinge/gateway/_caller_listener.py
+++ b/tarragonhinge/gateway/_caller_listener.py
@@ -6,6 +6,7 @@
 
 from tarragonhinge import base
 from tarragonhinge import catalog
+from tarragonhinge.gateway import _call_handler
 from tarragonhinge.gateway import _gateway
 from tarragonhinge import http1
 
@@ -28,8 +29,8 @@
         Address to listen on.
     gateway : Gateway
         Handler of the requests.
-    for_instances : bool
-        Whether the callers are other instances, which forward requests.
+    calls : CallHandler or None
+        Handler of calls, if the callers are other instances.
     """
 
     def __init__(
@@ -37,14 +38,14 @@
         *,
         address: base.Address,
         gateway: _gateway.Gateway,
-        for_instances: bool = False,
+        calls: _call_handler.CallHandler | None = None,
     ) -> None:
         self._address = address
         self._gateway = gateway
         self._handle = gateway.handle
         self._get_limits = gateway.get_limits
-        if for_instances:
-            self._handle = gateway.handle_call
+        if calls is not None:
+            self._handle = calls.handle
             self._get_limits = self._compute_call_limits
         self._server: asyncio.Server | None = None
         self._is_stopped = False
--- a/tarragonhinge/gateway/_detour.py
+++ b/tarragonhinge/gateway/_detour.py
@@ -21,7 +21,7 @@
 from tarragonhinge.gateway import _leaving_servers
 from tarragonhinge.gateway import _metrics
 from tarragonhinge.gateway import _outcomes
-from tarragonhinge.gateway import _path_monitor
+from tarragonhinge.gateway import _peer_reports
 from tarragonhinge.gateway import _placement
 from tarragonhinge.gateway import _refusals
 from tarragonhinge import http1
@@ -54,7 +54,7 @@
         The other instances.
     client : ForwardingClient
         Sends requests to them.
-    monitor : PathMonitor
+    reports : PeerReports
         Which servers they reach.
     guard : CrashGuard
         Keeps suspects of crashes from being sent again.
@@ -75,7 +75,7 @@
         leaving: _leaving_servers.LeavingServers,
         directory: forwarding.PeerDirectory,
         client: forwarding.ForwardingClient,
-        monitor: _path_monitor.PathMonitor,
+        reports: _peer_reports.PeerReports,
         guard: _crash_guard.CrashGuard,
         zones: dict[base.ZoneName, base.RegionName],
         metrics: _metrics.RequestMetrics,
@@ -86,7 +86,7 @@
         self._leaving = leaving
         self._directory = directory
         self._client = client
-        self._monitor = monitor
+        self._reports = reports
         self._guard = guard
         self._zones = zones
         self._metrics = metrics
@@ -153,13 +153,13 @@
             for peer in self._directory.list_all()
             if peer.instance not in tried
             and self._avoided_until.get(peer.instance, 0) <= now
-            and self._monitor.may_reach(peer, servers)
+            and self._reports.may_reach(peer.instance, servers)
         ]
         self._rng.shuffle(peers)
         return min(
             peers,
             key=lambda peer: (
-                self._monitor.count_reached(peer, servers) == 0,
+                self._reports.count_reached(peer.instance, servers) == 0,
                 self._in_flight[peer.instance] + self._compute_cost(peer),
             ),
             default=None,
@@ -251,7 +251,10 @@
     ) -> None:
         """Record why an instance can't send a request."""
         if reason == _placement.RefusalReason.UNREACHABLE.value:
-            self._monitor.record_unreached(peer, servers)
+            unreached = forwarding.PathState.UNREACHABLE
+            self._reports.record(
+                peer.instance, dict.fromkeys(servers, unreached)
+            )
         else:
             self._avoid(peer)
 
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -24,6 +24,7 @@
 from tarragonhinge.gateway import _path_monitor
 from tarragonhinge.gateway import _placer
 from tarragonhinge.gateway import _refusals
+from tarragonhinge.gateway import _responses
 from tarragonhinge.gateway import _retrier
 from tarragonhinge.gateway import _sender
 from tarragonhinge.gateway import _shutdown
@@ -45,14 +46,6 @@
 NO_TABLE_RETRY_AFTER_MS = 600
 
 
-class _ErrorBody(msgspec.Struct, frozen=True, kw_only=True):
-    """Body of a response that the instance generates itself."""
-
-    error: str
-    ran: str
-    remedy: str
-
-
 class Gateway:
     """Routes the requests of callers to backend servers.
 
@@ -193,7 +186,7 @@
                 leaving=self.leaving,
                 directory=self.directory,
                 client=self._forwarding_client,
-                monitor=self.monitor,
+                reports=self.monitor.reports,
                 guard=self.guard,
                 zones=dict(options.zones),
                 metrics=self.metrics,
@@ -261,38 +254,15 @@
 
     async def handle(self, request: http1.HttpRequest) -> http1.HttpResponse:
         """Return the final response to a caller's request."""
-        response, _ = await self._handle(request, None)
+        response, _ = await self.handle_forwarded(request, None)
         return response
 
-    async def handle_call(
-        self, request: http1.HttpRequest
-    ) -> http1.HttpResponse:
-        """Return the response to a call of another instance."""
-        try:
-            call, request = forwarding.read_call(request)
-        except base.CodecError as error:
-            self._log.write(
-                events.TaskFailed(task="forwarding", problem=error.problem)
-            )
-            return http1.HttpResponse(status=400, fields=[], closes=True)
-        if isinstance(call, forwarding.PathQuery):
-            report = await self.monitor.report(call)
-            return http1.HttpResponse(
-                status=200, fields=[], body=msgspec.json.encode(report)
-            )
-        response, outcome = await self._handle(request, call)
-        return http1.HttpResponse(
-            status=response.status,
-            fields=forwarding.add_outcome(response.fields, outcome),
-            body=response.body,
-        )
-
-    async def _handle(
+    async def handle_forwarded(
         self,
         request: http1.HttpRequest,
         call: forwarding.ForwardedRequest | None,
     ) -> tuple[http1.HttpResponse, forwarding.ForwardedOutcome]:
-        """Return the final response, and the outcome for another instance.
+        """Return the final response, and its outcome for another instance.
 
         Parameters
         ----------
@@ -324,7 +294,9 @@
             ended = self._make_ended(trace, metadata, "failed", status=502)
             self._record_end(trace, ended, call)
             refused = _refusals.Refused(status=502, reason="internal")
-            return _make_response(refused), _describe_outcome(refused, None)
+            return _responses.make_response(
+                refused
+            ), _responses.describe_outcome(refused, None)
         finally:
             self._handlers.discard(handler)
         self._record_end(trace, ended, call, is_ordinary=is_ordinary)
@@ -527,7 +499,7 @@
         The trace of an ordinary request is not written to the log. The last
         value describes the outcome to another instance.
         """
-        outcome = _describe_outcome(result, job)
+        outcome = _responses.describe_outcome(result, job)
         elapsed_ms = trace.compute_elapsed_ms()
         if isinstance(result, _refusals.Refused):
             ended = events.Ended(
@@ -539,7 +511,12 @@
                 retry_after_ms=result.retry_after_ms,
             )
             is_ordinary = result.status == 404
-            return _make_response(result), ended, is_ordinary, outcome
+            return (
+                _responses.make_response(result),
+                ended,
+                is_ordinary,
+                outcome,
+            )
         is_late = job is not None and elapsed_ms > job.route.objective_ms
         is_ordinary = (
             result.status < 500
@@ -561,29 +538,6 @@
         return response, ended, is_ordinary, outcome
 
 
-def _describe_outcome(
-    result: http1.HttpResponse | _refusals.Refused, job: _job.Job | None
-) -> forwarding.ForwardedOutcome:
-    """Return the outcome of a request for the instance that forwarded it."""
-    sent_count = job.sent_count if job is not None else 0
-    if not isinstance(result, _refusals.Refused):
-        return forwarding.ForwardedOutcome(
-            kind=forwarding.OutcomeKind.ANSWERED,
-            sent_count=sent_count,
-            server=job.answered_by if job is not None else None,
-        )
-    kind = forwarding.OutcomeKind.FAILED
-    if result.is_not_run:
-        kind = forwarding.OutcomeKind.REFUSED
-    return forwarding.ForwardedOutcome(
-        kind=kind,
-        reason=result.reason,
-        retry_after_ms=result.retry_after_ms,
-        sent_count=sent_count,
-        is_transferable=result.reason in _refusals.TRANSFERABLE_REASONS,
-    )
-
-
 def _split_target(request: http1.HttpRequest) -> tuple[str, str]:
     """Return host and path of a request's target.
 
@@ -597,18 +551,3 @@
             host, slash, path = authority_and_path.partition("/")
             target = slash + path
     return host, target.partition("?")[0]
-
-
-def _make_response(refused: _refusals.Refused) -> http1.HttpResponse:
-    fields = [("content-type", "application/json")]
-    if refused.retry_after_ms:
-        seconds = refused.retry_after_ms / base.MS_PER_S
-        fields.append(("retry-after", f"{seconds:.3f}"))
-    report = _ErrorBody(
-        error=refused.reason,
-        ran="no" if refused.is_not_run else "unknown",
-        remedy=refused.get_remedy(),
-    )
-    return http1.HttpResponse(
-        status=refused.status, fields=fields, body=msgspec.json.encode(report)
-    )
--- a/tarragonhinge/gateway/_path_monitor.py
+++ b/tarragonhinge/gateway/_path_monitor.py
@@ -7,10 +7,7 @@
 """
 
 import asyncio
-from collections.abc import Collection
 from collections.abc import Coroutine
-from collections.abc import Iterable
-from collections.abc import Mapping
 import random
 
 from tarragonhinge import base
@@ -18,6 +15,7 @@
 from tarragonhinge import events
 from tarragonhinge import forwarding
 from tarragonhinge.gateway import _links
+from tarragonhinge.gateway import _peer_reports
 from tarragonhinge import http1
 from tarragonhinge import limits
 
@@ -59,21 +57,8 @@
 MAX_QUERY_SERVERS = 512
 MAX_QUERY_PROBES = 32
 
-#: Time for which the report of another instance is valid.
-REPORT_VALID_MS = 2_000
-
 _State = forwarding.PathState
-_Reachable = forwarding.PathState.REACHABLE
-
-
-class _PeerPaths:
-    """What another instance has reported of its paths."""
-
-    def __init__(self) -> None:
-        self.states: dict[
-            limits.Incarnation, tuple[int, forwarding.PathState]
-        ] = {}
-        self.closed_count = 0
+_REACHABLE = forwarding.PathState.REACHABLE
 
 
 class PathMonitor:
@@ -95,6 +80,11 @@
         This process's clock.
     rng : random.Random
         Chooses the servers and instances that are asked.
+
+    Attributes
+    ----------
+    reports : PeerReports
+        Reports of other instances.
     """
 
     def __init__(
@@ -117,7 +107,7 @@
         self._rng = rng
         self._closed: dict[limits.Incarnation, _links.ServerLink] = {}
         self._probes: dict[limits.Incarnation, asyncio.Task] = {}
-        self._peers: dict[base.InstanceId, _PeerPaths] = {}
+        self.reports = _peer_reports.PeerReports(clock=clock)
         self._watchers: dict[str, asyncio.Task] = {}
         self._tasks: set[asyncio.Task] = set()
         self._has_news = asyncio.Event()
@@ -285,7 +275,7 @@
                     for peer in self._choose_queried()
                 )
             )
-            if any(_Reachable in report for report in reports if report):
+            if any(_REACHABLE in report for report in reports if report):
                 interval_ms = QUERY_INTERVAL_MS
             else:
                 interval_ms = min(2 * interval_ms, MAX_QUERY_INTERVAL_MS)
@@ -301,9 +291,12 @@
         peers = self._directory.list_all()
         self._rng.shuffle(peers)
         servers = [link.incarnation for link in self.list_closed()]
-        useful = [peer for peer in peers if self.count_reached(peer, servers)][
-            : QUERIED_PEERS // 2
+        useful = [
+            peer
+            for peer in peers
+            if self.reports.count_reached(peer.instance, servers)
         ]
+        useful = useful[: QUERIED_PEERS // 2]
         others = [peer for peer in peers if peer not in useful]
         return useful + others[: QUERIED_PEERS - len(useful)]
 
@@ -318,69 +311,15 @@
             peer, forwarding.PathQuery(servers=servers, is_fresh=is_fresh)
         )
         if report is None:
-            self._peers.pop(peer.instance, None)
+            self.reports.forget(peer.instance)
             return None
-        self._record_states(
-            peer, dict(zip(servers, report.states, strict=True))
+        self.reports.record(
+            peer.instance,
+            dict(zip(servers, report.states, strict=True)),
+            closed_count=report.closed_count,
         )
-        self._peers[peer.instance].closed_count = report.closed_count
         return report.states
 
-    def _record_states(
-        self,
-        peer: forwarding.PeerInstance,
-        states: Mapping[limits.Incarnation, forwarding.PathState],
-    ) -> None:
-        paths = self._peers.setdefault(peer.instance, _PeerPaths())
-        now = self._clock.now()
-        paths.states = {
-            server: (at, state)
-            for server, (at, state) in paths.states.items()
-            if now - at < REPORT_VALID_MS
-        }
-        paths.states.update(
-            (server, (now, state)) for server, state in states.items()
-        )
-
-    def record_unreached(
-        self,
-        peer: forwarding.PeerInstance,
-        servers: Iterable[limits.Incarnation],
-    ) -> None:
-        """Record that another instance can't send requests to servers."""
-        self._record_states(peer, dict.fromkeys(servers, _State.UNREACHABLE))
-
-    def _find_report(
-        self, peer: forwarding.PeerInstance, server: limits.Incarnation
-    ) -> forwarding.PathState | None:
-        """Return the valid report of an instance on a server, if any."""
-        paths = self._peers.get(peer.instance)
-        at, state = (paths and paths.states.get(server)) or (0, None)
-        if state is None or self._clock.now() - at >= REPORT_VALID_MS:
-            return None
-        return state
-
-    def count_reached(
-        self,
-        peer: forwarding.PeerInstance,
-        servers: Iterable[limits.Incarnation],
-    ) -> int:
-        """Return how many servers an instance reports to reach."""
-        return sum(
-            self._find_report(peer, server) is _Reachable for server in servers
-        )
-
-    def may_reach(
-        self,
-        peer: forwarding.PeerInstance,
-        servers: Collection[limits.Incarnation],
-    ) -> bool:
-        """Return whether no report says that an instance reaches none."""
-        return any(
-            self._find_report(peer, server) in (None, _Reachable)
-            for server in servers
-        )
-
     def is_cut_off(self) -> bool:
         """Return whether another instance could renew grants that it can't.
 
@@ -393,8 +332,8 @@
         ]
         most = MAX_CLOSED_RATIO * len(closed)
         return any(
-            self.count_reached(peer, owners)
-            and self._peers[peer.instance].closed_count <= most
+            self.reports.count_reached(peer.instance, owners)
+            and self.reports.get_closed_count(peer.instance) <= most
             for peer in self._directory.list_all()
         )
 
@@ -416,7 +355,7 @@
         states = [report[0] for report in reports if report]
         if not states:
             return await self._is_sound(link)
-        return _State.REFUSED in states and _Reachable not in states
+        return _State.REFUSED in states and _REACHABLE not in states
 
     async def _is_sound(self, link: _links.ServerLink) -> bool:
         """Return whether this instance reaches any other server now."""
@@ -474,7 +413,7 @@
                 return _State.UNKNOWN
             await self.probe(link)
         if not link.path.is_closed:
-            return _Reachable
+            return _REACHABLE
         if (
             query.is_fresh
             and link.path.is_refused
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -100,7 +100,7 @@
         self._call_listener = gateway.CallerListener(
             address=options.forwarding,
             gateway=self.gateway,
-            for_instances=True,
+            calls=gateway.CallHandler(gateway=self.gateway, log=self.log),
         )
         host = options.peers.rpartition(":")[0]
         self._health = gateway.HealthServer(
--- a/tarragonhinge/platform/tests/test_forwarded_call.py
+++ b/tarragonhinge/platform/tests/test_forwarded_call.py
@@ -8,6 +8,7 @@
 from tarragonhinge import catalog
 from tarragonhinge import forwarding
 from tarragonhinge.forwarding import _messages
+from tarragonhinge import gateway
 from tarragonhinge import http1
 from tarragonhinge.platform.tests import test_path
 
@@ -36,6 +37,11 @@
     return http1.HttpRequest(method="GET", target=target, fields=fields)
 
 
+async def _call(testbed, request):
+    handler = gateway.CallHandler(gateway=testbed.gateway, log=testbed.log)
+    return await handler.handle(request)
+
+
 def _run(check, **options):
     async def run():
         async with test_path._Testbed(**options) as testbed:
@@ -50,9 +56,7 @@
         link = testbed.gateway.links.find(base.ServerId(server.name))
         link.load._service_time.mean_ms = SERVICE_MS
         link.load.in_flight = IN_FLIGHT
-        response = await testbed.gateway.handle_call(
-            _make_request(_make_call(testbed))
-        )
+        response = await _call(testbed, _make_request(_make_call(testbed)))
         outcome, response = _messages.read_outcome(response)
         assert response.status == 503
         assert outcome.reason == "overload"
@@ -69,7 +73,7 @@
         request = _make_request(None)
         if field is not None:
             request.fields.append((_messages.CALL_FIELD, field))
-        response = await testbed.gateway.handle_call(request)
+        response = await _call(testbed, request)
         assert response.status == 400
         assert testbed.servers[0].received == []
 
@@ -83,8 +87,11 @@
         kind = catalog.RequestKind.NON_IDEMPOTENT
         for server in testbed.servers:
             server.mode = "cut"
-        response = await testbed.gateway.handle_call(
-            _make_request(_make_call(testbed, name="new", kind=kind), "/new/a")
+        response = await _call(
+            testbed,
+            _make_request(
+                _make_call(testbed, name="new", kind=kind), "/new/a"
+            ),
         )
         outcome, _ = _messages.read_outcome(response)
         assert outcome.kind is forwarding.OutcomeKind.FAILED
