State when a server that is out of reach may be back

Keys of a server that has crashed have no owner for some seconds, so that they were refused again. The delay is now estimated as for keys without an owner: as long as the outage so far, 0.4 s to 1.6 s.

--- a/tarragonhinge/gateway/_admission.py
+++ b/tarragonhinge/gateway/_admission.py
@@ -36,6 +36,10 @@
 #: Largest random factor applied to the delay before a retry.
 RETRY_AFTER_JITTER_FACTOR = 1.6
 
+#: Bounds of the delay before a retry of a request that no server can take.
+MIN_OUTAGE_DELAY_MS = 400
+MAX_OUTAGE_DELAY_MS = 1_600
+
 #: Time over which callers are spread that come back after a server's wait.
 RETURN_SPREAD_MS = 500
 
@@ -118,3 +122,21 @@
         Source of the jitter, so that callers don't return at the same time.
     """
     return wait_ms + int(rng.uniform(0, RETURN_SPREAD_MS))
+
+
+def compute_outage_delay_ms(outage_ms: int) -> int:
+    """Return the delay after which a caller finds a server again.
+
+    The time that is left is estimated as the time that has passed.
+
+    Parameters
+    ----------
+    outage_ms : int
+        Time for which no server could take the request.
+
+    Examples
+    --------
+    >>> [compute_outage_delay_ms(ms) for ms in (0, 700, 9_000)]
+    [400, 700, 1600]
+    """
+    return min(MAX_OUTAGE_DELAY_MS, max(MIN_OUTAGE_DELAY_MS, outage_ms))
--- a/tarragonhinge/gateway/_owner_finder.py
+++ b/tarragonhinge/gateway/_owner_finder.py
@@ -12,6 +12,7 @@
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import events
+from tarragonhinge.gateway import _admission
 from tarragonhinge.gateway import _job
 from tarragonhinge.gateway import _owner_breaker
 from tarragonhinge.gateway import _view_waiter
@@ -23,10 +24,6 @@
 #: handover that takes longer waits for a lost server or for the store.
 HANDOVER_LIMIT_MS = 1_000
 
-#: Bounds of the delay before a retry of a request whose key has no owner.
-MIN_RETRY_AFTER_MS = 400
-MAX_RETRY_AFTER_MS = 1_600
-
 #: Interval at which a held request checks the owner of its key again.
 RECHECK_INTERVAL_MS = 150
 
@@ -164,13 +161,10 @@
         return now - since
 
     def compute_retry_after_ms(self, job: _job.Job) -> int:
-        """Return the delay before a retry for a key without an owner.
-
-        The time until the key is served again is estimated as the time
-        for which it has been unserved so far.
-        """
-        unserved_ms = self.compute_unserved_ms(job)
-        return min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, unserved_ms))
+        """Return the delay before a retry for a key without an owner."""
+        return _admission.compute_outage_delay_ms(
+            self.compute_unserved_ms(job)
+        )
 
     def _record_served(self, job: _job.Job) -> None:
         self._unserved_since.pop(self._make_segment_id(job), None)
--- a/tarragonhinge/gateway/_path.py
+++ b/tarragonhinge/gateway/_path.py
@@ -35,6 +35,13 @@
         """Whether the server is out of reach."""
         return self.closed_at is not None
 
+    def get_closed_ms(self) -> int:
+        """Return the time since the server is out of reach; 0 if it is not."""
+        if self.closed_at is None:
+            return 0
+        # A path that has just been closed is not open.
+        return max(1, self._clock.now() - self.closed_at)
+
     @property
     def is_untried(self) -> bool:
         """Whether nothing is known of the path."""
--- a/tarragonhinge/gateway/_path_monitor.py
+++ b/tarragonhinge/gateway/_path_monitor.py
@@ -125,9 +125,8 @@
 
     def get_closed_ms(self) -> int:
         """Return the time since which a server is out of reach; 0 if none."""
-        now = self._clock.now()
         return max(
-            (now - link.path.closed_at for link in self.list_closed()),
+            (link.path.get_closed_ms() for link in self.list_closed()),
             default=0,
         )
 
--- a/tarragonhinge/gateway/_placer.py
+++ b/tarragonhinge/gateway/_placer.py
@@ -230,20 +230,12 @@
                 limit_ms=limit_ms,
                 wait_ms=decision.wait_ms,
             )
-            if decision.wait_ms:
-                retry_after_ms = _admission.compute_return_delay_ms(
-                    decision.wait_ms, rng=self._rng
-                )
-            else:
-                retry_after_ms = _admission.compute_retry_after_ms(
-                    expected_ms=decision.expected_ms,
-                    limit_ms=limit_ms,
-                    rng=self._rng,
-                )
             return _refusals.Refused(
                 status=503,
                 reason=decision.reason.value,
-                retry_after_ms=retry_after_ms,
+                retry_after_ms=self._compute_retry_after_ms(
+                    decision, links, limit_ms
+                ),
                 detour_servers=tuple(
                     link.incarnation
                     for link in links
@@ -270,6 +262,27 @@
             link=link, expected_ms=decision.expected_ms, segment=segment
         )
 
+    def _compute_retry_after_ms(
+        self,
+        refusal: _placement.Refusal,
+        links: list[_links.ServerLink],
+        limit_ms: float,
+    ) -> int:
+        if refusal.wait_ms:
+            return _admission.compute_return_delay_ms(
+                refusal.wait_ms, rng=self._rng
+            )
+        closed_ms = [link.path.get_closed_ms() for link in links]
+        if refusal.reason is _placement.RefusalReason.UNREACHABLE and any(
+            closed_ms
+        ):
+            return _admission.compute_outage_delay_ms(max(closed_ms))
+        return _admission.compute_retry_after_ms(
+            expected_ms=refusal.expected_ms,
+            limit_ms=limit_ms,
+            rng=self._rng,
+        )
+
     def _trace_rejection(
         self,
         job: _job.Job,
--- a/tarragonhinge/platform/tests/test_forwarding.py
+++ b/tarragonhinge/platform/tests/test_forwarding.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 import contextlib
+import re
 import time
 
 import pytest
@@ -257,7 +258,9 @@
         await asyncio.sleep(DETECTION_S)
         status, header, body = await _send("/x/a", attempt="a")
         assert status == 503
-        assert "retry-after: " in header
+        # Callers that come back at once would only be refused again.
+        [seconds] = re.findall(r"retry-after: ([0-9.]+)", header)
+        assert float(seconds) >= 0.4
         assert b"unreachable" in body or b"no_owner" in body
         assert _list_received(fleet, "a") == []
 
