Compare servers out of reach by id, and stop at the first one reached

Where 300 servers are out of reach, each round compared their links field by field, and each forwarded request looked up all of them for each other instance.

--- a/tarragonhinge/gateway/_detour.py
+++ b/tarragonhinge/gateway/_detour.py
@@ -159,7 +159,7 @@
         return min(
             peers,
             key=lambda peer: (
-                self._reports.count_reached(peer.instance, servers) == 0,
+                not self._reports.reaches_any(peer.instance, servers),
                 self._in_flight[peer.instance] + self._compute_cost(peer),
             ),
             default=None,
--- a/tarragonhinge/gateway/_path_monitor.py
+++ b/tarragonhinge/gateway/_path_monitor.py
@@ -249,14 +249,15 @@
 
         New servers may be out of reach, too.
         """
-        turn: list[_links.ServerLink] = []
+        turn: list[limits.Incarnation] = []
         while self.list_closed():
             await self._clock.sleep(RETRY_INTERVAL_MS)
-            closed = self.list_closed()
-            turn = [link for link in turn if link in closed] or closed
+            closed = {link.incarnation: link for link in self.list_closed()}
+            turn = [server for server in turn if server in closed]
+            turn = turn or list(closed)
             batch, turn = turn[:RETRY_BATCH_SIZE], turn[RETRY_BATCH_SIZE:]
-            for link in batch:
-                self._start_probe(link)
+            for server in batch:
+                self._start_probe(closed[server])
             self._probe_some(
                 [link for link in self._list_links() if link.path.is_untried]
             )
@@ -293,7 +294,7 @@
         useful = [
             peer
             for peer in peers
-            if self.reports.count_reached(peer.instance, servers)
+            if self.reports.reaches_any(peer.instance, servers)
         ]
         useful = useful[: QUERIED_PEERS // 2]
         others = [peer for peer in peers if peer not in useful]
@@ -331,7 +332,7 @@
         ]
         most = MAX_CLOSED_RATIO * len(closed)
         return any(
-            self.reports.count_reached(peer.instance, owners)
+            self.reports.reaches_any(peer.instance, owners)
             and self.reports.get_closed_count(peer.instance) <= most
             for peer in self._directory.list_all()
         )
--- a/tarragonhinge/gateway/_peer_reports.py
+++ b/tarragonhinge/gateway/_peer_reports.py
@@ -86,13 +86,13 @@
         at, state = report.states[server]
         return state if self._clock.now() - at < REPORT_VALID_MS else None
 
-    def count_reached(
+    def reaches_any(
         self,
         instance: base.InstanceId,
         servers: Iterable[limits.Incarnation],
-    ) -> int:
-        """Return how many servers an instance reports to reach."""
-        return sum(
+    ) -> bool:
+        """Return whether an instance reports to reach any of the servers."""
+        return any(
             self._find(instance, server) is _REACHABLE for server in servers
         )
 
