Keep the list of instances when connections of a former leadership end

A connection to a former coordinator that ended late, for example that of a paused instance, made it record an empty list over that of its successor. The list is sent on changes only, so that it lost all other instances 10 s later, and with them every detour. Found by review; test_end_of_a_former_leadership_does_not_change_the_list failed.

--- a/tarragonhinge/relay/_hub.py
+++ b/tarragonhinge/relay/_hub.py
@@ -248,8 +248,10 @@
         except (OSError, EOFError, base.CodecError):
             return
         finally:
-            self._subscribers.discard(subscriber)
-            self._record_peers()
+            # The list of a former leadership is out of date.
+            if subscriber in self._subscribers:
+                self._subscribers.discard(subscriber)
+                self._record_peers()
             with contextlib.suppress(OSError):
                 writer.close()
 
