--- a/tarragonhinge/platform/soak/_response_checks.py
+++ b/tarragonhinge/platform/soak/_response_checks.py
@@ -70,11 +70,11 @@
     ]
     if not answered:
         return 0
-    told_at = min(answered)
+    announced_at = min(answered)
     return sum(
-        arrival.attempt.sent_at > told_at + _DRAIN_S
+        arrival.attempt.sent_at > announced_at + _DRAIN_S
         and arrival.sender is instance
-        and instance.has_been_calm(told_at, arrival.at)
+        and instance.has_been_calm(announced_at, arrival.at)
         for arrival in arrivals
     )
 
