Ignore SIGHUP from the start in processes of the soak

The file by which the soak runs the program imported the product first, during which SIGHUP still ends a process; the program's own entry point ignores it before. The file is run by its path now, so that its first line does the same. A fault of the soak, not of the product; test_sighup_is_ignored_during_start failed for it.

--- a/tarragonhinge/platform/soak/_instances.py
+++ b/tarragonhinge/platform/soak/_instances.py
@@ -95,8 +95,8 @@
         with self._log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                "-m",
-                _process.__name__,
+                "-P",
+                _process.__file__,
                 str(self._settings),
                 self.ip,
                 stdin=asyncio.subprocess.PIPE,
--- a/tarragonhinge/platform/soak/_process.py
+++ b/tarragonhinge/platform/soak/_process.py
@@ -1,17 +1,22 @@
 """Process of one instance of the soak.
 
-It runs the program itself, in a network that the soak can cut:
-``python -m tarragonhinge.platform.soak._process SETTINGS IP``, with one
-command on each line of its standard input.
+It runs the program itself, in a network that the soak can cut: ``python -P
+_process.py SETTINGS IP``, with one command on each line of its standard input.
 """
 
-import asyncio
-import json
-import pathlib
-import sys
+import signal
 
-from tarragonhinge import platform
-from tarragonhinge.platform import standins
+if __name__ == "__main__":
+    # As in `tarragonhinge.__main__`, before the imports below.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+import asyncio  # noqa: E402
+import json  # noqa: E402
+import pathlib  # noqa: E402
+import sys  # noqa: E402
+
+from tarragonhinge import platform  # noqa: E402
+from tarragonhinge.platform import standins  # noqa: E402
 
 
 def encode_cut(addresses: list[str], form: standins.CutForm | None) -> bytes:
--- a/tarragonhinge/platform/tests/test_process.py
+++ b/tarragonhinge/platform/tests/test_process.py
@@ -39,10 +39,28 @@
 runpy.run_module("tarragonhinge", run_name="__main__")
 """
 
+#: The same for a process of the soak, which runs the program by a file of its
+#: own; its first import of the product ends it.
+PRINT_SIGHUP_HANDLER_OF_SOAK = """
+import builtins, importlib.util, runpy, signal, sys
+path = importlib.util.find_spec("tarragonhinge").submodule_search_locations[0]
+real_import = builtins.__import__
+def stop(name, *rest):
+    if name.startswith("tarragonhinge"):
+        print(signal.getsignal(signal.SIGHUP).name)
+        sys.exit()
+    return real_import(name, *rest)
+builtins.__import__ = stop
+runpy.run_path(path + "/platform/soak/_process.py", run_name="__main__")
+"""
+
 
-def test_sighup_is_ignored_during_start():
+@pytest.mark.parametrize(
+    "program", [PRINT_SIGHUP_HANDLER, PRINT_SIGHUP_HANDLER_OF_SOAK]
+)
+def test_sighup_is_ignored_during_start(program):
     completed = subprocess.run(
-        [sys.executable, "-c", PRINT_SIGHUP_HANDLER],
+        [sys.executable, "-c", program],
         capture_output=True,
         text=True,
         check=True,
