--- a/tarragonhinge/platform/soak/_process.py
+++ b/tarragonhinge/platform/soak/_process.py
@@ -12,6 +12,7 @@
 
 import asyncio  # noqa: E402
 import json  # noqa: E402
+import os  # noqa: E402
 import pathlib  # noqa: E402
 import sys  # noqa: E402
 
@@ -41,6 +42,8 @@
     )
     while line := await reader.readline():
         _apply(line, network)
+    # The soak has ended without stopping this process.
+    os._exit(1)
 
 
 async def run(settings: str, ip: str) -> int:
