Report paths to servers that reacted lately without trying them

Each query of a cut instance made eight others try all servers that they had not heard of for 0.8 s, twice a second. An open path whose server has reacted within 10 s is reported now as it is, and a query makes an instance try four others at most; a forwarded request finds out what is wrong in it.

--- a/tarragonhinge/gateway/_path_monitor.py
+++ b/tarragonhinge/gateway/_path_monitor.py
@@ -53,9 +53,10 @@
 MAX_CLOSED_RATIO = 0.5
 
 #: Maximum number of servers in one query, and of those that a query makes
-#: another instance try.
+#: another instance try. A server that has reacted lately is not tried for it.
 MAX_QUERY_SERVERS = 512
-MAX_QUERY_PROBES = 32
+MAX_QUERY_PROBES = 4
+REPORTED_CONTACT_MS = 10_000
 
 _State = forwarding.PathState
 _REACHABLE = forwarding.PathState.REACHABLE
@@ -395,7 +396,7 @@
         self, link: _links.ServerLink, query: forwarding.PathQuery
     ) -> bool:
         """Return whether a server need not be tried for a query."""
-        since = self._clock.now() - CONTACT_VALID_MS
+        since = self._clock.now() - REPORTED_CONTACT_MS
         return not query.is_fresh and (
             link.path.is_closed or link.path.had_contact_since(since)
         )
--- a/tarragonhinge/gateway/tests/test_path_monitor.py
+++ b/tarragonhinge/gateway/tests/test_path_monitor.py
@@ -330,3 +330,24 @@
         fixture.monitor.close()
 
     testing.run_manual(scenario())
+
+
+@pytest.mark.parametrize(
+    ("idle_ms", "probes"),
+    [(0, 0), (5_000, 0), (20_000, _path_monitor.MAX_QUERY_PROBES)],
+)
+def test_query_makes_another_instance_try_few_servers(idle_ms, probes):
+    async def scenario():
+        fixture = _Fixture(servers=30)
+        for link in fixture.links:
+            fixture.monitor.record_response(link)
+        await fixture.clock.sleep(idle_ms)
+        await fixture.monitor.report(
+            forwarding.PathQuery(
+                servers=[link.incarnation for link in fixture.links]
+            )
+        )
+        assert sum(link.pool.probe_count for link in fixture.links) == probes
+        fixture.monitor.close()
+
+    testing.run_manual(scenario())
