Send a forwarded request to an idle server only with enough time left

A server without a queue may take a request whose estimate exceeds the limit, if the deadline leaves the latency objective: an estimate that is too high is corrected by responses only. For forwarded requests the time left was not asked, so that they were sent to servers that could not finish them. Found while reading the change; two cases of test_idle_server_gets_no_request_that_it_cannot_finish failed.

--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -70,8 +70,8 @@
     directory : PeerDirectory
         The other instances, which the hub lists.
     is_cut_off : callable
-        Returns whether another instance reaches all owners of keys, and this
-        one does not.
+        Returns whether another instance reaches owners of keys that this one
+        does not, and far more servers.
     server_limits : ServerLimits
         Limits of servers that this instance knows of.
     ledger : CrashLedger
--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -73,8 +73,8 @@
     directory : PeerDirectory
         The other instances, which the coordinator lists.
     is_cut_off : callable
-        Returns whether another instance reaches all owners of keys, and this
-        one does not.
+        Returns whether another instance reaches owners of keys that this one
+        does not, and far more servers.
     permits : Permits
         Permits for requests to servers that name a limit, which get the
         coordinator as their source.
--- a/tarragonhinge/gateway/_placer.py
+++ b/tarragonhinge/gateway/_placer.py
@@ -194,9 +194,14 @@
             left_ms=job.deadline_at - self._clock.now(),
             is_retry=job.is_caller_retry,
         )
+        return self._get_limit_fraction(job) * limit_ms
+
+    @staticmethod
+    def _get_limit_fraction(job: _job.Job) -> float:
+        """Return the part of the limit up to which a request is admitted."""
         if job.is_forwarded:
-            return _admission.FORWARDED_LIMIT_FRACTION * limit_ms
-        return limit_ms
+            return _admission.FORWARDED_LIMIT_FRACTION
+        return 1.0
 
     def _decide(
         self, job: _job.Job, links: list[_links.ServerLink], limit_ms: float
@@ -209,7 +214,8 @@
             objective_ms=job.route.objective_ms,
             limit_ms=limit_ms,
             admits_idle=(
-                limit_ms >= job.route.objective_ms or job.is_forwarded
+                limit_ms
+                >= self._get_limit_fraction(job) * job.route.objective_ms
             ),
         )
 
--- a/tarragonhinge/platform/tests/test_forwarded_call.py
+++ b/tarragonhinge/platform/tests/test_forwarded_call.py
@@ -18,12 +18,18 @@
 IN_FLIGHT = 3
 
 
-def _make_call(testbed, *, name="safe", kind=catalog.RequestKind.IDEMPOTENT):
+def _make_call(
+    testbed,
+    *,
+    name="safe",
+    kind=catalog.RequestKind.IDEMPOTENT,
+    deadline_ms=1_500,
+):
     return forwarding.ForwardedRequest(
         origin=base.InstanceId("e2"),
         service=catalog.Service(name=testbed.service, max_connections=20),
         route=test_path._make_route(name, kind, testbed.service),
-        deadline_ms=1_500,
+        deadline_ms=deadline_ms,
     )
 
 
@@ -67,6 +73,28 @@
     _run(check, names=["i-1"])
 
 
+@pytest.mark.parametrize(
+    ("deadline_ms", "status"), [(50, 503), (300, 503), (1_500, 200)]
+)
+def test_idle_server_gets_no_request_that_it_cannot_finish(
+    deadline_ms, status
+):
+    """Guards against forwarded requests that end at their deadline."""
+
+    async def check(testbed):
+        [server] = testbed.servers
+        link = testbed.gateway.links.find(base.ServerId(server.name))
+        link.load._service_time.mean_ms = SERVICE_MS
+        response = await _call(
+            testbed,
+            _make_request(_make_call(testbed, deadline_ms=deadline_ms)),
+        )
+        assert response.status == status
+        assert len(server.received) == (status == 200)
+
+    _run(check, names=["i-1"])
+
+
 @pytest.mark.parametrize("field", [None, "", "!", "e30="])
 def test_invalid_call_is_rejected(field):
     async def check(testbed):
