Excuse requests that the soak's own cut has broken off

The check of LOST counts a response of the instance's own while a server is at work, unless something unplanned ended the request. Cuts of the instance that sent the request are excused now like pauses; those of others are not.

--- a/tarragonhinge/platform/soak/_checks.py
+++ b/tarragonhinge/platform/soak/_checks.py
@@ -331,8 +331,15 @@
         """Return whether something unplanned may have ended an attempt."""
         since, until = attempt.sent_at - _CONTACT_S, attempt.ended_at
         testbed = self._testbed
+        sources = {execution.source for execution in executions}
         return (
             attempt.instance.disruptions.overlap(since, until)
+            # A cut resets the connections of the instance that sent it.
+            or any(
+                instance.cuts.overlap(since, until)
+                for instance in testbed.instances
+                if instance.ip in sources
+            )
             or (
                 # The store's disturbances excuse keyed requests only.
                 attempt.kind == _testbed.KEYED_PREFIX
--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -53,6 +53,8 @@
         Monotonic times in seconds; the end is infinite while it runs.
     state : ExecutionState
         Its state.
+    source : str
+        Address from which the attempt came.
     """
 
     attempt: str
@@ -61,6 +63,7 @@
     began_at: float
     ended_at: float = math.inf
     state: ExecutionState = ExecutionState.RUNNING
+    source: str = ""
 
     def end(self, state: ExecutionState) -> None:
         """Record the end."""
@@ -277,6 +280,7 @@
             server=self.name,
             key=key,
             began_at=time.monotonic(),
+            source=self.sources[-1],
         )
         self.executions.append(execution)
         self.running += 1
--- a/tarragonhinge/platform/tests/test_soak_checks.py
+++ b/tarragonhinge/platform/tests/test_soak_checks.py
@@ -39,11 +39,18 @@
     disruptions=(),
     server_disruptions=(),
     store_disruptions=(),
+    cuts=(),
+    cuts_of_others=(),
     count=1,
 ):
     """Check `count` equal attempts, with times since SIGTERM."""
+    other = types.SimpleNamespace(
+        ip="127.1.1.2", cuts=_make_spans(*cuts_of_others)
+    )
     instance = types.SimpleNamespace(
         name="e1",
+        ip="127.1.1.1",
+        cuts=_make_spans(*cuts),
         started_at=[0.0],
         stopped_at=list(stopped_at),
         reloaded_at=list(reloaded_at),
@@ -73,12 +80,14 @@
             began_at=STOPPED_AT + began_s,
             ended_at=STOPPED_AT + end_s,
             state=state,
+            source=instance.ip,
         )
         for attempt in attempts
         for began_s, end_s, state in work
     ]
     testbed = types.SimpleNamespace(
         servers=[types.SimpleNamespace(executions=executions)],
+        instances=[instance, other],
         server_disruptions={"i-1": _make_spans(*server_disruptions)},
         store_disruptions=_make_spans(*store_disruptions),
     )
@@ -115,6 +124,10 @@
         pytest.param(
             EARLY | {"stopped_at": (), "reloaded_at": (100.0,)}, id="reload"
         ),
+        pytest.param({"cuts": [(90.0, 99.0)]}, id="cut off long before"),
+        pytest.param(
+            {"cuts_of_others": [(101.0, 102.0)]}, id="another one cut off"
+        ),
     ],
 )
 def test_lost_request_is_found(observed):
@@ -144,6 +157,7 @@
         ),
         pytest.param({"disruptions": [(99.0, 100.5)]}, id="paused"),
         pytest.param({"server_disruptions": [(101, 102)]}, id="path cut"),
+        pytest.param({"cuts": [(101, 102)]}, id="instance cut off"),
         pytest.param(
             {"kind": "/keyed/", "store_disruptions": [(101.0, 102.0)]},
             id="keyed, store disturbed",
