Let a refusal for a server's limit take a detour to servers out of reach

An instance that reached only one server of a service, which named a limit, refused what the limit left over, though other instances reached the other servers: the refusal replaced the one that asks for a detour.

--- a/tarragonhinge/gateway/_placer.py
+++ b/tarragonhinge/gateway/_placer.py
@@ -126,7 +126,11 @@
         while True:
             placement = self._choose(job, links, None)
             if isinstance(placement, _refusals.Refused):
-                return refusal or placement
+                if refusal is None:
+                    return placement
+                return dataclasses.replace(
+                    refusal, detour_servers=placement.detour_servers
+                )
             reservation = await self._reserve(
                 job, placement, may_wait=len(links) == 1
             )
--- a/tarragonhinge/platform/tests/test_forwarding.py
+++ b/tarragonhinge/platform/tests/test_forwarding.py
@@ -234,6 +234,24 @@
     _run(check, servers=4, is_keyed=True)
 
 
+def test_request_takes_a_detour_beside_a_server_that_names_a_limit():
+    """The limited server is the only one in reach, and has no room."""
+
+    async def run():
+        async with deployment.Deployment(instances=2, servers=2) as fleet:
+            limited, other = fleet.servers
+            limited.limit = "0.25"
+            origin = fleet.networks[_get_ip(ORIGIN)]
+            fleet.cut([origin], standins.CutForm.RESET, [other])
+            statuses = [
+                (await _send(f"/u/a{number}", attempt=f"a{number}"))[0]
+                for number in range(30)
+            ]
+            assert statuses.count(200) >= 28
+
+    asyncio.run(run())
+
+
 def test_caller_that_leaves_cancels_the_run():
     async def check(fleet):
         for server in fleet.servers:
