--- a/tarragonhinge/platform/tests/test_forwarding.py
+++ b/tarragonhinge/platform/tests/test_forwarding.py
@@ -241,6 +241,12 @@
         async with deployment.Deployment(instances=2, servers=2) as fleet:
             limited, other = fleet.servers
             limited.limit = "0.25"
+            # The coordinator lists the instances with its next heartbeat.
+            await fleet.wait(
+                lambda: all(
+                    i.gateway.directory.list_all() for i in fleet.instances
+                )
+            )
             origin = fleet.networks[_get_ip(ORIGIN)]
             fleet.cut([origin], standins.CutForm.RESET, [other])
             statuses = [
