Prefer servers at which a request is in time, also if they are far

Since requests are admitted that may be late, a local server beyond the objective could cost less than one in another region that would answer in time. Such a request spilled over before, since the local server was excluded.

test_request_spills_over_to_be_in_time failed before.

--- a/tarragonhinge/gateway/_placement.py
+++ b/tarragonhinge/gateway/_placement.py
@@ -124,7 +124,7 @@
     limit_ms: float,
     admits_idle: bool = True,
 ) -> Choice | Refusal:
-    """Choose the server with the lowest cost.
+    """Choose the server with the lowest cost, if possible one in time.
 
     If `admits_idle` is set, a server with a free slot may be chosen even if
     its expected latency exceeds the limit, since a wrong estimate is
@@ -184,5 +184,8 @@
             expected_ms=min_expected_ms,
             may_detour=may_detour,
         )
-    best = min(acceptable, key=compute_cost)
+    in_time = [
+        c for c in acceptable if c.compute_expected_ms() <= objective_ms
+    ]
+    best = min(in_time or acceptable, key=compute_cost)
     return Choice(server=best.server, expected_ms=best.compute_expected_ms())
--- a/tarragonhinge/gateway/tests/test_decisions.py
+++ b/tarragonhinge/gateway/tests/test_decisions.py
@@ -57,6 +57,16 @@
         assert decision.server == expected
 
 
+def test_request_spills_over_to_be_in_time():
+    """A request that may be late locally is not sent there to save traffic."""
+    decision = _placement.place(
+        [_candidate("far", _REMOTE, 350), _candidate("near", _ZONE, 650)],
+        objective_ms=800,
+        limit_ms=1_600,
+    )
+    assert decision.server == "far"
+
+
 @pytest.mark.parametrize(
     ("wait_ms", "admits_idle", "is_chosen"),
     [(0.0, True, True), (0.0, False, False), (50.0, True, False)],
