Make a test independent of which server is chosen second

test_helping_instance_is_not_blamed_for_a_slow_server expects two requests without a response. Both servers are silent to both requests now; what is checked afterwards is unchanged.

--- a/tarragonhinge/platform/tests/test_forwarding.py
+++ b/tarragonhinge/platform/tests/test_forwarding.py
@@ -191,12 +191,14 @@
 
     async def check(fleet):
         for server in fleet.servers:
-            server.next_modes = ["silent"]
+            server.mode = "silent"
         for number in range(2):
             status, _, _ = await _send(
                 f"/u/slow{number}", attempt=f"s{number}", deadline_ms=1000
             )
             assert status == 504
+        for server in fleet.servers:
+            server.mode = "ok"
         status, _, _ = await _send("/u/a", attempt="a")
         assert status == 200
 
