Let short urgent requests go before long ones at the same servers

Cause: (1) the service time of a server was one mean over all routes, so that an urgent request was expected to take as long as a long one and exceeded its objective; (2) the long ones were admitted up to their own objective, and filled the queues in which the urgent ones had to wait.

Change: service times are kept by route, and servers compared by how much slower than the mean they are, so that the coordinator gets figures that do not depend on the mix. A request of lower priority joins no queue in which an urgent one would then miss its objective: it waits at the instance, in order of priority and arrival, for as long as it would be admitted at a free slot.

--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -37,6 +37,7 @@
 from tarragonhinge.events._request_events import Received
 from tarragonhinge.events._request_events import Rejected
 from tarragonhinge.events._request_events import Tried
+from tarragonhinge.events._request_events import Yielded
 from tarragonhinge.events._timeline import format_timeline
 from tarragonhinge.events._timeline import LogLine
 from tarragonhinge.events._timeline import parse_lines
@@ -82,6 +83,7 @@
     "TrialGranted",
     "Trace",
     "Tried",
+    "Yielded",
     "format_timeline",
     "parse_lines",
 ]
--- a/tarragonhinge/events/_request_events.py
+++ b/tarragonhinge/events/_request_events.py
@@ -158,6 +158,18 @@
     wait_ms: int
 
 
+class Yielded(_event.RequestEvent, frozen=True, kw_only=True, tag="yielded"):
+    """The request waited here, since more urgent ones went first.
+
+    Parameters
+    ----------
+    waited_ms : int
+        Time for which it waited.
+    """
+
+    waited_ms: int
+
+
 class Tried(
     _event.RequestEvent,
     frozen=True,
--- a/tarragonhinge/gateway/_admission.py
+++ b/tarragonhinge/gateway/_admission.py
@@ -92,6 +92,41 @@
     return min(factor * objective_ms, USABLE_DEADLINE_FRACTION * left_ms)
 
 
+def compute_hold_ms(
+    *,
+    objective_ms: float,
+    elapsed_ms: float,
+    left_ms: float,
+    idle_ms: float,
+    is_retry: bool,
+) -> float:
+    """Return how long a request can wait here for room at a server.
+
+    Parameters
+    ----------
+    objective_ms : float
+        Latency objective of the route.
+    elapsed_ms, left_ms : float
+        Time since the request arrived, and time left before its deadline.
+    idle_ms : float
+        Expected latency at a server with a free slot.
+    is_retry : bool
+        Whether the caller retries after a refusal.
+
+    Examples
+    --------
+    >>> compute_hold_ms(objective_ms=1000, elapsed_ms=100, left_ms=5900,
+    ...                 idle_ms=400, is_retry=False)
+    1500.0
+    """
+    limit_ms = compute_latency_limit_ms(
+        objective_ms=objective_ms,
+        left_ms=left_ms + elapsed_ms,
+        is_retry=is_retry,
+    )
+    return limit_ms - elapsed_ms - idle_ms
+
+
 def compute_retry_after_ms(
     *, expected_ms: float, limit_ms: float, rng: random.Random
 ) -> int:
--- a/tarragonhinge/gateway/_links.py
+++ b/tarragonhinge/gateway/_links.py
@@ -1,6 +1,8 @@
 """Connections to backend servers and load estimates of them."""
 
+from collections.abc import Sequence
 import dataclasses
+import math
 
 from tarragonhinge import base
 from tarragonhinge import catalog
@@ -10,6 +12,7 @@
 from tarragonhinge.gateway import _placement
 from tarragonhinge.gateway import _server_load
 from tarragonhinge.gateway import _server_waits
+from tarragonhinge.gateway import _urgent_routes
 from tarragonhinge import http1
 from tarragonhinge import limits
 
@@ -84,24 +87,54 @@
             return False
         return not (self.path.is_refused and self.pool.has_idle(fresh=fresh))
 
-    def make_candidate(self, *, fresh: bool = False) -> _placement.Candidate:
+    def make_candidate(
+        self,
+        *,
+        route: str | None = None,
+        fresh: bool = False,
+        urgent: Sequence[_urgent_routes.UrgentRoute] = (),
+    ) -> _placement.Candidate:
         """Return the server's estimates as input for placement.
 
         Parameters
         ----------
+        route : str or None
+            Route of the request; None for any of the service's requests.
         fresh : bool
             As for `ConnectionPool.acquire`.
+        urgent : sequence of UrgentRoute
+            Routes whose requests must not wait for long behind this one.
         """
         return _placement.Candidate(
             server=self.entry.server,
             distance=self.distance,
             round_trip_ms=self.get_round_trip_ms(),
             wait_ms=self.load.estimate_wait_ms(),
-            service_ms=self.load.estimate_service_ms(),
+            service_ms=self.load.estimate_service_ms(route),
             error_ratio=self.load.health.compute_error_ratio(),
             is_cooling_down=self.load.is_cooling_down(),
             closed_ms=self.get_wait_ms(),
             is_out_of_reach=self.is_out_of_reach(fresh=fresh),
+            wait_limit_ms=self._compute_wait_limit_ms(route, urgent),
+        )
+
+    def _compute_wait_limit_ms(
+        self, route: str | None, urgent: Sequence[_urgent_routes.UrgentRoute]
+    ) -> float:
+        return min(
+            (
+                _urgent_routes.compute_wait_limit_ms(
+                    objective_ms=other.objective_ms,
+                    round_trip_ms=self.get_round_trip_ms(),
+                    urgent_service_ms=self.load.estimate_service_ms(
+                        other.name
+                    ),
+                    own_service_ms=self.load.estimate_service_ms(route),
+                    slots=self.load.slots,
+                )
+                for other in urgent
+            ),
+            default=math.inf,
         )
 
 
--- a/tarragonhinge/gateway/_placement.py
+++ b/tarragonhinge/gateway/_placement.py
@@ -5,11 +5,14 @@
 another region only if the local region would miss the latency objective.
 A request that would miss its objective at every server is refused
 immediately, so that queues stay short enough for the other requests.
+Where more urgent requests run at the same servers, a request joins no queue
+in which they would then wait for too long.
 """
 
 from collections.abc import Sequence
 import dataclasses
 import enum
+import math
 
 from tarragonhinge import base
 
@@ -61,6 +64,9 @@
         Time left for which the server wants no requests.
     is_out_of_reach : bool
         Whether no request can be sent to it from this instance.
+    wait_limit_ms : float
+        Longest queueing time with which the request may be sent to it, since
+        more urgent ones would wait behind it.
     """
 
     server: base.ServerId
@@ -72,10 +78,15 @@
     is_cooling_down: bool = False
     closed_ms: int = 0
     is_out_of_reach: bool = False
+    wait_limit_ms: float = math.inf
+
+    def compute_idle_ms(self) -> float:
+        """Return the expected latency of a request that need not wait."""
+        return self.round_trip_ms + self.service_ms
 
     def compute_expected_ms(self) -> float:
         """Return the expected latency of a request."""
-        return self.round_trip_ms + self.wait_ms + self.service_ms
+        return self.compute_idle_ms() + self.wait_ms
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -87,10 +98,15 @@
 
 
 class RefusalReason(enum.Enum):
-    """Reason why a request is refused without being sent."""
+    """Reason why a request is refused without being sent.
+
+    URGENT_FIRST: it would be in time, but more urgent ones would wait for too
+    long behind it.
+    """
 
     NO_SERVER = "no_server"
     OVERLOAD = "overload"
+    URGENT_FIRST = "urgent_first"
     UNREACHABLE = "unreachable"
     SERVER_WAIT = "server_wait"
 
@@ -103,8 +119,8 @@
     ----------
     reason : RefusalReason
         Reason of the refusal.
-    expected_ms : float
-        Lowest expected latency.
+    expected_ms, idle_ms : float
+        Lowest expected latency, and the lowest one without a wait.
     wait_ms : int
         Time until a server takes requests again, if they all ask to wait.
     may_detour : bool
@@ -113,6 +129,7 @@
 
     reason: RefusalReason
     expected_ms: float = 0.0
+    idle_ms: float = 0.0
     wait_ms: int = 0
     may_detour: bool = False
 
@@ -171,17 +188,20 @@
         success_ratio = max(MIN_SUCCESS_RATIO, 1 - candidate.error_ratio)
         return candidate.compute_expected_ms() / success_ratio + penalty_ms
 
-    acceptable = [
+    timely = [
         c
         for c in usable
         if c.compute_expected_ms() <= limit_ms
         or (admits_idle and c.wait_ms <= 0)
     ]
+    acceptable = [c for c in timely if c.wait_ms <= c.wait_limit_ms]
     if not acceptable:
-        min_expected_ms = min(c.compute_expected_ms() for c in usable)
         return Refusal(
-            reason=RefusalReason.OVERLOAD,
-            expected_ms=min_expected_ms,
+            reason=RefusalReason.URGENT_FIRST
+            if timely
+            else RefusalReason.OVERLOAD,
+            expected_ms=min(c.compute_expected_ms() for c in usable),
+            idle_ms=min(c.compute_idle_ms() for c in usable),
             may_detour=may_detour,
         )
     in_time = [
--- a/tarragonhinge/gateway/_placer.py
+++ b/tarragonhinge/gateway/_placer.py
@@ -1,6 +1,7 @@
 """Chooses the server for the next attempt of a request."""
 
 import dataclasses
+import math
 import random
 
 from tarragonhinge import base
@@ -13,6 +14,8 @@
 from tarragonhinge.gateway import _owner_finder
 from tarragonhinge.gateway import _placement
 from tarragonhinge.gateway import _refusals
+from tarragonhinge.gateway import _urgent_routes
+from tarragonhinge.gateway import _waiting_line
 from tarragonhinge import limits
 
 
@@ -35,6 +38,22 @@
     segment: catalog.Segment | None = None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Hold:
+    """A request that waits here, since more urgent ones go first.
+
+    Parameters
+    ----------
+    line : tuple
+        Requests that wait for the same servers.
+    left_ms : float
+        Time for which it can wait and be in time.
+    """
+
+    line: _waiting_line.LineName
+    left_ms: float
+
+
 class Placer:
     """Applies placement and admission control to the current estimates.
 
@@ -70,11 +89,37 @@
         self._guard = guard
         self._clock = clock
         self._rng = rng
+        self._urgent_routes = _urgent_routes.UrgentRoutes(clock=clock)
+        self._lines = _waiting_line.WaitingLines(rng=rng)
 
     async def place(self, job: _job.Job) -> Placement | _refusals.Refused:
-        """Return the server for the next attempt, or a refusal."""
+        """Return the server for the next attempt, or a refusal.
+
+        A request that would make more urgent ones late waits here meanwhile.
+        """
+        self._urgent_routes.record(job.service.name, job.route)
+        result = await self._place_once(job)
+        if not isinstance(result, _Hold):
+            return result
+        with self._lines.join(result.line, job.route.priority) as place:
+            began_at = self._clock.now()
+            while isinstance(result, _Hold):
+                await self._lines.wait(timeout_ms=result.left_ms)
+                result = await self._place_once(job, place)
+        job.trace.add(
+            events.Yielded(
+                request=job.metadata.attempt,
+                waited_ms=self._clock.now() - began_at,
+            )
+        )
+        return result
+
+    async def _place_once(
+        self, job: _job.Job, place: _waiting_line.Place | None = None
+    ) -> Placement | _refusals.Refused | _Hold:
+        """Return the result of placement at the present loads."""
         if job.key is None:
-            return await self._place_anywhere(job)
+            return await self._place_anywhere(job, place)
         while True:
             segment = await self._owners.wait_for_owner(job)
             if segment is None:
@@ -96,8 +141,10 @@
                     reason="server_leaving",
                     retry_after_ms=self._owners.compute_retry_after_ms(job),
                 )
-            placement = self._choose(job, [link] if link else [], segment)
-            if isinstance(placement, _refusals.Refused):
+            placement = self._choose(
+                job, [link] if link else [], segment, place
+            )
+            if not isinstance(placement, Placement):
                 return placement
             reservation = await self._reserve(job, placement, may_wait=True)
             if not reservation.is_granted:
@@ -107,24 +154,29 @@
             # The key has moved during the wait.
 
     async def _place_anywhere(
-        self, job: _job.Job
-    ) -> Placement | _refusals.Refused:
+        self, job: _job.Job, place: _waiting_line.Place | None
+    ) -> Placement | _refusals.Refused | _Hold:
         """Choose a server, if possible without suspects of a crash."""
         links = self._list_ready(job)
         preferred = self._guard.list_preferred(job, links)
         if len(preferred) < len(links):
-            placement = await self._place_among(job, preferred)
+            placement = await self._place_among(job, preferred, place)
             if isinstance(placement, Placement):
                 return placement
-        return await self._place_among(job, links)
+        return await self._place_among(job, links, place)
 
     async def _place_among(
-        self, job: _job.Job, links: list[_links.ServerLink]
-    ) -> Placement | _refusals.Refused:
+        self,
+        job: _job.Job,
+        links: list[_links.ServerLink],
+        place: _waiting_line.Place | None,
+    ) -> Placement | _refusals.Refused | _Hold:
         """Choose among servers, without those whose limit is used up."""
         refusal: _refusals.Refused | None = None
         while True:
-            placement = self._choose(job, links, None)
+            placement = self._choose(job, links, None, place)
+            if isinstance(placement, _Hold):
+                return placement
             if isinstance(placement, _refusals.Refused):
                 if refusal is None:
                     return placement
@@ -208,13 +260,31 @@
         return 1.0
 
     def _decide(
-        self, job: _job.Job, links: list[_links.ServerLink], limit_ms: float
+        self,
+        job: _job.Job,
+        links: list[_links.ServerLink],
+        limit_ms: float,
+        *,
+        goes_first: bool = True,
     ) -> _placement.Choice | _placement.Refusal:
+        urgent = self._urgent_routes.list_above(
+            job.service.name, job.route.priority
+        )
+        candidates = [
+            link.make_candidate(
+                route=job.route.name,
+                fresh=not job.is_idempotent,
+                urgent=urgent,
+            )
+            for link in links
+        ]
+        if urgent and not goes_first:
+            candidates = [
+                dataclasses.replace(c, wait_limit_ms=-math.inf)
+                for c in candidates
+            ]
         return _placement.place(
-            [
-                link.make_candidate(fresh=not job.is_idempotent)
-                for link in links
-            ],
+            candidates,
             objective_ms=job.route.objective_ms,
             limit_ms=limit_ms,
             admits_idle=(
@@ -228,40 +298,84 @@
         job: _job.Job,
         links: list[_links.ServerLink],
         segment: catalog.Segment | None,
-    ) -> Placement | _refusals.Refused:
+        place: _waiting_line.Place | None,
+    ) -> Placement | _refusals.Refused | _Hold:
         limit_ms = self._compute_latency_limit(job)
-        decision = self._decide(job, links, limit_ms)
-        if isinstance(decision, _placement.Refusal):
-            self._trace_rejection(
-                job,
-                links,
-                reason=decision.reason.value,
-                expected_ms=decision.expected_ms,
-                limit_ms=limit_ms,
-                wait_ms=decision.wait_ms,
-            )
-            return _refusals.Refused(
-                status=503,
-                reason=decision.reason.value,
-                retry_after_ms=self._compute_retry_after_ms(
-                    decision, links, limit_ms
-                ),
-                detour_servers=tuple(
-                    link.incarnation
-                    for link in links
-                    if decision.may_detour and link.path.is_closed
-                ),
-            )
+        owner = segment.server if segment is not None else None
+        line = (job.service.name, owner)
+        decision = self._decide(
+            job,
+            links,
+            limit_ms,
+            goes_first=self._lines.goes_first(line, job.route.priority, place),
+        )
+        if isinstance(decision, _placement.Choice):
+            return self._make_placement(job, links, segment, decision)
+        if decision.reason is _placement.RefusalReason.URGENT_FIRST:
+            left_ms = self._compute_hold_ms(job, decision)
+            if left_ms > 0:
+                return _Hold(line=line, left_ms=left_ms)
+        return self._refuse(job, links, decision, limit_ms)
+
+    def _compute_hold_ms(
+        self, job: _job.Job, refusal: _placement.Refusal
+    ) -> float:
+        """Return how long a request can wait here for more urgent ones."""
+        if job.is_forwarded:
+            return 0.0
+        return _admission.compute_hold_ms(
+            objective_ms=job.route.objective_ms,
+            elapsed_ms=job.trace.compute_elapsed_ms(),
+            left_ms=job.deadline_at - self._clock.now(),
+            idle_ms=refusal.idle_ms,
+            is_retry=job.is_caller_retry,
+        )
+
+    def _refuse(
+        self,
+        job: _job.Job,
+        links: list[_links.ServerLink],
+        refusal: _placement.Refusal,
+        limit_ms: float,
+    ) -> _refusals.Refused:
+        self._trace_rejection(
+            job,
+            links,
+            reason=refusal.reason.value,
+            expected_ms=refusal.expected_ms,
+            limit_ms=limit_ms,
+            wait_ms=refusal.wait_ms,
+        )
+        return _refusals.Refused(
+            status=503,
+            reason=refusal.reason.value,
+            retry_after_ms=self._compute_retry_after_ms(
+                refusal, links, limit_ms
+            ),
+            detour_servers=tuple(
+                link.incarnation
+                for link in links
+                if refusal.may_detour and link.path.is_closed
+            ),
+        )
+
+    def _make_placement(
+        self,
+        job: _job.Job,
+        links: list[_links.ServerLink],
+        segment: catalog.Segment | None,
+        choice: _placement.Choice,
+    ) -> Placement:
         link = next(
             candidate
             for candidate in links
-            if candidate.entry.server == decision.server
+            if candidate.entry.server == choice.server
         )
         job.trace.add(
             events.Placed(
                 request=job.metadata.attempt,
-                server=decision.server,
-                expected_ms=int(decision.expected_ms),
+                server=choice.server,
+                expected_ms=int(choice.expected_ms),
                 in_flight=link.load.in_flight,
                 others=round(link.load.estimate_others_in_flight(), 1),
                 report_age_ms=link.load.get_report_age_ms(),
@@ -269,7 +383,7 @@
             )
         )
         return Placement(
-            link=link, expected_ms=decision.expected_ms, segment=segment
+            link=link, expected_ms=choice.expected_ms, segment=segment
         )
 
     def _compute_retry_after_ms(
@@ -306,7 +420,9 @@
         """Trace a refusal with the estimates of the fastest server."""
         fastest = min(
             links,
-            key=lambda link: link.make_candidate().compute_expected_ms(),
+            key=lambda link: link.make_candidate(
+                route=job.route.name
+            ).compute_expected_ms(),
             default=None,
         )
         load = fastest.load if fastest is not None else None
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -164,7 +164,7 @@
         self._guard.record_sent(flight, connection)
         is_reusable = False
         silence = asyncio.get_running_loop().call_later(
-            self._compute_silence_ms(link) / base.MS_PER_S,
+            self._compute_silence_ms(job, link) / base.MS_PER_S,
             self._monitor.suspect,
             link,
             self._clock.now(),
@@ -206,12 +206,14 @@
             else:
                 link.pool.discard(connection)
 
-    def _compute_silence_ms(self, link: _links.ServerLink) -> float:
+    def _compute_silence_ms(
+        self, job: _job.Job, link: _links.ServerLink
+    ) -> float:
         """Return the time without a response that is unusual."""
         expected_ms = (
             link.get_round_trip_ms()
             + link.load.estimate_wait_ms()
-            + link.load.estimate_service_ms()
+            + link.load.estimate_service_ms(job.route.name)
         )
         silence_ms = SILENCE_LATENCY_FACTOR * expected_ms
         return min(MAX_SILENCE_MS, max(MIN_SILENCE_MS, silence_ms))
@@ -289,6 +291,7 @@
             latency_ms=max(1.0, elapsed_ms - link.get_round_trip_ms()),
             load=metadata.load,
             failed=failed,
+            route=job.route.name,
         )
         return _outcomes.Answered(response=response, failed=failed)
 
--- a/tarragonhinge/gateway/_server_load.py
+++ b/tarragonhinge/gateway/_server_load.py
@@ -15,17 +15,20 @@
 #: Service time to assume before the first response.
 INITIAL_SERVICE_MS = 250.0
 
-#: Weight of a new latency in the mean of a server.
+#: Weight of a new latency in the mean slowness of a server.
 SERVER_LATENCY_WEIGHT = 0.1
 
-#: Weight of a new latency in the mean of a service, which is lower since the
+#: Weight of a new latency in the means of a service, which is lower since the
 #: service has more responses than one server.
 SERVICE_LATENCY_WEIGHT = 0.025
 
-#: Maximum weight of a server's own mean, as a number of responses.
+#: Maximum number of routes of a service whose means are kept.
+MAX_TRACKED_ROUTES = 1_024
+
+#: Maximum weight of a server's own slowness, as a number of responses.
 MAX_SERVER_SAMPLES = 20
 
-#: Weight of the service's mean in the estimate, as a number of responses.
+#: Weight of an average server in the estimate, as a number of responses.
 PRIOR_SAMPLES = 4
 
 #: Difference between a reported load and its estimate, in requests, from
@@ -56,17 +59,53 @@
 
 
 class ServiceTime:
-    """Mean service time over all servers of a service."""
+    """Mean service time over all servers of a service, also by route.
+
+    Short and long requests share the servers of a service: one for which
+    63 ms are enough must not be refused since most take 360 ms.
+
+    Attributes
+    ----------
+    mean_ms : float
+        Mean over all responses, which is the expected time of a request
+        that is ahead of another one.
+    """
 
     def __init__(self) -> None:
         self.mean_ms = INITIAL_SERVICE_MS
-        self.count = 0
+        self._count = 0
+        self._routes: dict[str, tuple[int, float]] = {}
 
-    def record(self, latency_ms: float) -> None:
-        """Record the latency of a response."""
-        self.count += 1
-        weight = max(SERVICE_LATENCY_WEIGHT, 1 / self.count)
-        self.mean_ms += weight * (latency_ms - self.mean_ms)
+    def record(self, latency_ms: float, *, route: str = "") -> None:
+        """Record the latency of a response to a request of a route."""
+        self._count, self.mean_ms = _update_mean(
+            self._count, self.mean_ms, latency_ms
+        )
+        count, mean_ms = self._routes.pop(route, (0, 0.0))
+        self._routes[route] = _update_mean(count, mean_ms, latency_ms)
+        if len(self._routes) > MAX_TRACKED_ROUTES:
+            del self._routes[next(iter(self._routes))]
+
+    def estimate_ms(self, route: str | None = None) -> float:
+        """Return the service time at an average server.
+
+        Parameters
+        ----------
+        route : str or None
+            Route of the request; None for any of the service's requests.
+        """
+        if route not in self._routes:
+            return self.mean_ms
+        _, mean_ms = self._routes[route]
+        return mean_ms
+
+
+def _update_mean(
+    count: int, mean_ms: float, latency_ms: float
+) -> tuple[int, float]:
+    """Return the number of responses and their mean after one more."""
+    weight = max(SERVICE_LATENCY_WEIGHT, 1 / (count + 1))
+    return count + 1, mean_ms + weight * (latency_ms - mean_ms)
 
 
 class ServerLoad:
@@ -104,7 +143,8 @@
         self.health = admission.ServerHealth(clock=clock)
         self._service_time = service_time
         self._clock = clock
-        self._mean_ms = 0.0
+        # Ratio of the service times here to their means over all servers.
+        self._slowness = 1.0
         self._count = 0
         self._others_in_flight = 0.0
         self._mean_others_in_flight = 0.0
@@ -155,16 +195,21 @@
             return -1
         return self._clock.now() - self._reported_at
 
-    def estimate_service_ms(self) -> float:
-        """Return the estimated service time without queueing."""
+    def estimate_service_ms(self, route: str | None = None) -> float:
+        """Return the estimated service time without queueing.
+
+        Parameters
+        ----------
+        route : str or None
+            Route of the request; None for any of the service's requests.
+        """
         count = min(self._count, MAX_SERVER_SAMPLES)
-        prior_ms = self._service_time.mean_ms
-        mean_ms = (self._mean_ms * count + prior_ms * PRIOR_SAMPLES) / (
+        slowness = (self._slowness * count + PRIOR_SAMPLES) / (
             count + PRIOR_SAMPLES
         )
         if self._clock.now() < self._cold_until:
-            mean_ms *= COLD_SERVICE_TIME_FACTOR
-        return mean_ms
+            slowness *= COLD_SERVICE_TIME_FACTOR
+        return slowness * self._service_time.estimate_ms(route)
 
     def estimate_wait_ms(self) -> float:
         """Return the estimated wait of one more request for a slot."""
@@ -187,6 +232,7 @@
         latency_ms: float,
         load: _dialect.ReportedLoad | None,
         failed: bool,
+        route: str = "",
     ) -> None:
         """Record a response, which `in_flight` must no longer count.
 
@@ -198,6 +244,8 @@
             Load reported in the response.
         failed : bool
             Whether the response reports an error.
+        route : str
+            Route of the request.
         """
         self._cooldown_ms = 0
         self._cooldown_until = 0
@@ -208,12 +256,18 @@
             self.slots = max(1, load.slots)
             self._record_reported_load(load)
         if waiting == 0 and not failed:
-            self._count += 1
-            weight = max(SERVER_LATENCY_WEIGHT, 1 / self._count)
-            self._mean_ms += weight * (latency_ms - self._mean_ms)
-            self._service_time.record(latency_ms)
-            count, total_ms = self._unreported_latencies
-            self._unreported_latencies = (count + 1, total_ms + latency_ms)
+            self._record_service_time(latency_ms, route)
+
+    def _record_service_time(self, latency_ms: float, route: str) -> None:
+        self._service_time.record(latency_ms, route=route)
+        ratio = latency_ms / self._service_time.estimate_ms(route)
+        self._count += 1
+        weight = max(SERVER_LATENCY_WEIGHT, 1 / self._count)
+        self._slowness += weight * (ratio - self._slowness)
+        count, total_ms = self._unreported_latencies
+        # The time that an average request would have taken here.
+        comparable_ms = ratio * self._service_time.mean_ms
+        self._unreported_latencies = (count + 1, total_ms + comparable_ms)
 
     def take_observed_load(self) -> int | None:
         """Return the load to publish and clear it; None if there is none."""
--- a/tarragonhinge/gateway/tests/test_decisions.py
+++ b/tarragonhinge/gateway/tests/test_decisions.py
@@ -333,6 +333,74 @@
     _run(check)
 
 
+def test_service_time_depends_on_route_and_server():
+    """Guards against refusing short requests for the time of long ones."""
+
+    async def check(clock):
+        times = _server_load.ServiceTime()
+        fast, slow = (
+            _server_load.ServerLoad(slots=2, service_time=times, clock=clock)
+            for _ in range(2)
+        )
+        for _ in range(40):
+            for load, factor in ((fast, 1), (slow, 3)):
+                for route, latency_ms in (("short", 60), ("long", 400)):
+                    load.record_response(
+                        latency_ms=factor * latency_ms,
+                        load=_report(1, 0),
+                        failed=False,
+                        route=route,
+                    )
+        assert fast.estimate_service_ms("short") < 90
+        assert 300 < fast.estimate_service_ms("long") < 600
+        assert 130 < slow.estimate_service_ms("short") < 240
+        # A request that waits has others of any route ahead.
+        mean_ms = fast.estimate_service_ms()
+        assert mean_ms == fast.estimate_service_ms("unknown")
+        assert fast.estimate_service_ms("short") < mean_ms
+        count, reported_ms = slow.take_latencies()
+        assert count == 80
+        assert reported_ms > 1.5 * fast.take_latencies()[1]
+
+    _run(check)
+
+
+@pytest.mark.parametrize("longer_route", ["long", "short"])
+def test_reported_service_time_does_not_depend_on_mix_of_routes(longer_route):
+    """The coordinator compares servers by it, some of which get long work."""
+
+    async def check(clock):
+        times = _server_load.ServiceTime()
+        loads = [
+            _server_load.ServerLoad(slots=2, service_time=times, clock=clock)
+            for _ in range(2)
+        ]
+        latency_ms = {"long": 400, "short": 60}
+        for number in range(400):
+            for load, often in zip(loads, latency_ms, strict=True):
+                route = often if number % 4 else longer_route
+                load.record_response(
+                    latency_ms=latency_ms[route],
+                    load=_report(1, 0),
+                    failed=False,
+                    route=route,
+                )
+                if number == 200:
+                    load.take_latencies()
+        means_ms = [load.take_latencies()[1] for load in loads]
+        assert means_ms[0] == pytest.approx(means_ms[1], rel=0.25)
+
+    _run(check)
+
+
+def test_number_of_tracked_routes_is_bounded():
+    times = _server_load.ServiceTime()
+    for number in range(_server_load.MAX_TRACKED_ROUTES + 5):
+        times.record(100 + number, route=f"r{number}")
+    assert len(times._routes) == _server_load.MAX_TRACKED_ROUTES
+    assert times.estimate_ms("r0") == times.mean_ms
+
+
 def test_cooldowns_double_with_failures_and_end_with_response():
     async def check(clock):
         load = _load(clock)
