Avoid servers that refuse requests although they have free slots

Each refusal costs a retry at another server, until the budget is used up, and the rest is refused although the other servers have room.

Cause: a refusal counted as overload, for one service time, whatever load the response reports. The server was as attractive as before after that.

Change: a refusal by a server that reports a free slot counts as a failure of that server, which raises its cost like other failures do.

Measured: test_server_that_refuses_despite_free_slots_gets_fewer_requests fails before in all three cases (23, 228 and 34 requests refused), and none is refused after.

--- a/tarragonhinge/gateway/_server_load.py
+++ b/tarragonhinge/gateway/_server_load.py
@@ -313,12 +313,17 @@
         self._reported_at = self._clock.now()
 
     def record_shed(self, load: _dialect.ReportedLoad | None) -> None:
-        """Record that the server was overloaded and refused a request.
+        """Record that the server refused a request.
 
-        The server is assumed to have no free slot for one service time.
+        One that reports a free slot refuses requests for another reason than
+        its load, like a server that fails a part of them. Any other one is
+        assumed to have no free slot for one service time.
         """
         if load is not None:
             self._record_reported_load(load)
+            if load.running + load.waiting < load.slots:
+                self.health.record(failed=True)
+                return
         self._assumed_full_until = self._clock.now() + int(
             self.estimate_service_ms()
         )
