Take servers that reset connections while they are full for busy

A server of some services resets the connection of a request that it cannot queue. Cause: the reset counted as a failure of the server, whose cost then stayed higher for some seconds, longer than its queue lasts.

Change: a reset without any byte of a response, at once or at a server that is busy, counts as a full queue: the server gets nothing until one request has ended, and is not chosen while its load is estimated near that at which it was full. Whether it has crashed is found out as before.

--- a/tarragonhinge/gateway/_links.py
+++ b/tarragonhinge/gateway/_links.py
@@ -116,6 +116,7 @@
             closed_ms=self.get_wait_ms(),
             is_out_of_reach=self.is_out_of_reach(fresh=fresh),
             wait_limit_ms=self._compute_wait_limit_ms(route, urgent),
+            is_full=self.load.is_full(),
         )
 
     def _compute_wait_limit_ms(
--- a/tarragonhinge/gateway/_placement.py
+++ b/tarragonhinge/gateway/_placement.py
@@ -67,6 +67,8 @@
     wait_limit_ms : float
         Longest queueing time with which the request may be sent to it, since
         more urgent ones would wait behind it.
+    is_full : bool
+        Whether its queue is estimated to have no room.
     """
 
     server: base.ServerId
@@ -79,6 +81,7 @@
     closed_ms: int = 0
     is_out_of_reach: bool = False
     wait_limit_ms: float = math.inf
+    is_full: bool = False
 
     def compute_idle_ms(self) -> float:
         """Return the expected latency of a request that need not wait."""
@@ -191,8 +194,11 @@
     timely = [
         c
         for c in usable
-        if c.compute_expected_ms() <= limit_ms
-        or (admits_idle and c.wait_ms <= 0)
+        if not c.is_full
+        and (
+            c.compute_expected_ms() <= limit_ms
+            or (admits_idle and c.wait_ms <= 0)
+        )
     ]
     acceptable = [c for c in timely if c.wait_ms <= c.wait_limit_ms]
     if not acceptable:
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -26,6 +26,9 @@
 MIN_SILENCE_MS = 500
 MAX_SILENCE_MS = 800
 
+#: Time beyond the round trip within which a full server resets a connection.
+EARLY_RESET_MS = 5
+
 
 class Sender:
     """Sends requests and updates the load estimates from the responses.
@@ -193,7 +196,10 @@
             return response
         except http1.ExchangeError as error:
             if not flight.is_aborted:
-                link.load.record_failed_attempt()
+                if self._is_full(link, error, flight.sent_at):
+                    link.load.record_full()
+                else:
+                    link.load.record_failed_attempt()
                 self._guard.record_break(flight)
             return _outcomes.OutcomeUnknown(
                 cause=_outcomes.UnknownCause.BROKEN, detail=error.problem
@@ -206,6 +212,25 @@
             else:
                 link.pool.discard(connection)
 
+    def _is_full(
+        self,
+        link: _links.ServerLink,
+        error: http1.ExchangeError,
+        sent_at: int,
+    ) -> bool:
+        """Return whether a server has reset a connection since it is full.
+
+        It does so at once, while a response that breaks off takes the time
+        of its request. The guard finds out whether it has ended instead.
+        """
+        if not error.is_reset:
+            return False
+        elapsed_ms = self._clock.now() - sent_at
+        return (
+            link.load.is_busy()
+            or elapsed_ms <= link.get_round_trip_ms() + EARLY_RESET_MS
+        )
+
     def _compute_silence_ms(
         self, job: _job.Job, link: _links.ServerLink
     ) -> float:
--- a/tarragonhinge/gateway/_server_load.py
+++ b/tarragonhinge/gateway/_server_load.py
@@ -54,6 +54,9 @@
 INITIAL_COOLDOWN_MS = 400
 MAX_COOLDOWN_MS = 4_000
 
+#: Time for which the number of requests at which a server was full is kept.
+FULL_LOAD_VALID_MS = 10_000
+
 #: Factor applied to the service time of a server that is warming up.
 COLD_SERVICE_TIME_FACTOR = 2.0
 
@@ -156,6 +159,8 @@
         self._unreported_latencies = (0, 0.0)
         self._unpublished_load: int | None = None
         self._was_busy = False
+        self._full_load = 0
+        self._full_load_until = 0
 
     def set_cold(self, cold_ms: int) -> None:
         """Set the time for which the server is still warming up."""
@@ -218,6 +223,18 @@
         wait_ms = ahead * self.estimate_service_ms() / self.slots
         return max(wait_ms, self._assumed_full_until - self._clock.now())
 
+    def is_busy(self) -> bool:
+        """Return whether requests are estimated to wait at the server."""
+        total = self.in_flight + self.estimate_others_in_flight()
+        return total > self.slots
+
+    def is_full(self) -> bool:
+        """Return whether one more request is estimated not to fit."""
+        if self._clock.now() >= self._full_load_until:
+            return False
+        total = self.in_flight + self.estimate_others_in_flight()
+        return total >= self._full_load
+
     def is_cooling_down(self) -> bool:
         """Return whether the server is excluded after failed connections."""
         return self._clock.now() < self._cooldown_until
@@ -294,6 +311,7 @@
         free slot again.
         """
         total = load.running + load.waiting
+        self._full_load = max(self._full_load, total)
         error = abs(total - self.in_flight - self.estimate_others_in_flight())
         self._update_others_in_flight(total)
         is_busy = total >= load.slots
@@ -328,6 +346,24 @@
             self.estimate_service_ms()
         )
 
+    def record_full(self) -> None:
+        """Record that the server had no room for a request.
+
+        It has as many requests as it can queue, and room for another one as
+        soon as it has completed one. It is busy, and has not failed.
+        """
+        total = self.in_flight + self.estimate_others_in_flight()
+        most = self._full_load
+        if self._clock.now() >= self._full_load_until:
+            most = 0
+        self._full_load = max(most, self.slots, math.floor(total) - 1)
+        self._full_load_until = self._clock.now() + FULL_LOAD_VALID_MS
+        self._update_others_in_flight(max(self._full_load, math.ceil(total)))
+        room_at = self._clock.now() + int(
+            self.estimate_service_ms() / self.slots
+        )
+        self._assumed_full_until = max(self._assumed_full_until, room_at)
+
     def record_failed_attempt(self) -> None:
         """Record an attempt without a valid response."""
         self.health.record(failed=True)
--- a/tarragonhinge/gateway/tests/replay.py
+++ b/tarragonhinge/gateway/tests/replay.py
@@ -172,7 +172,10 @@
         if not has_run and self._server.resets and self._server.is_full:
             self._server.resets_sent += 1
             raise http1.ExchangeError(
-                problem="the connection was reset", remedy="", sent=True
+                problem="the connection was reset",
+                remedy="",
+                sent=True,
+                is_reset=True,
             )
         answer = [
             ("attempt", fields["attempt"]),
--- a/tarragonhinge/gateway/tests/test_decisions.py
+++ b/tarragonhinge/gateway/tests/test_decisions.py
@@ -401,6 +401,32 @@
     assert times.estimate_ms("r0") == times.mean_ms
 
 
+def test_server_is_chosen_less_near_the_load_at_which_it_was_full():
+    async def check(clock):
+        load = _load(clock)
+        for _ in range(3):
+            load.record_response(
+                latency_ms=200, load=_report(2, 4), failed=False
+            )
+        load.in_flight = 1
+        assert not load.is_full()
+        load.record_full()
+        assert load.is_full()
+        assert load.health.compute_error_ratio() == 0
+        assert not load.is_cooling_down()
+        full = _candidate("full", _ZONE, 0, is_full=load.is_full())
+        others = [_candidate("far", _REMOTE, 0)]
+        options = {"objective_ms": 800, "limit_ms": 800}
+        assert _placement.place([full, *others], **options).server == "far"
+        refusal = _placement.place([full], **options)
+        assert refusal.reason is _placement.RefusalReason.OVERLOAD
+        # A response shows that there is room again.
+        load.record_response(latency_ms=200, load=_report(2, 0), failed=False)
+        assert not load.is_full()
+
+    _run(check)
+
+
 def test_cooldowns_double_with_failures_and_end_with_response():
     async def check(clock):
         load = _load(clock)
--- a/tarragonhinge/http1/_errors.py
+++ b/tarragonhinge/http1/_errors.py
@@ -12,11 +12,21 @@
         As for `TarragonhingeError`.
     sent : bool
         Whether the server may have received the request.
+    is_reset : bool
+        Whether the connection was reset before any byte of a response.
     """
 
-    def __init__(self, *, problem: str, remedy: str, sent: bool) -> None:
+    def __init__(
+        self,
+        *,
+        problem: str,
+        remedy: str,
+        sent: bool,
+        is_reset: bool = False,
+    ) -> None:
         super().__init__(problem=problem, remedy=remedy)
         self.sent = sent
+        self.is_reset = is_reset
 
 
 class UnreachableError(ExchangeError):
--- a/tarragonhinge/http1/_server_connection.py
+++ b/tarragonhinge/http1/_server_connection.py
@@ -58,6 +58,7 @@
         self._clock = clock
         self.used_at = clock.now()
         self.keep_alive_ms: int | None = None
+        self._has_response = False
 
     def is_reusable(self) -> bool:
         """Return whether the connection can be used for another request."""
@@ -84,6 +85,7 @@
         parser = _make_parser()
         self._stream.write(b"".join(parser.send(event) for event in events))
         unparsed = b""
+        self._has_response = False
         for stale_count in range(STALE_RESPONSE_LIMIT + 1):
             if stale_count:
                 parser = _make_parser()
@@ -105,6 +107,12 @@
             sent=True,
         )
 
+    def _is_reset(self) -> bool:
+        """Return whether the server has reset it without any response."""
+        return not self._has_response and isinstance(
+            self._stream.error, ConnectionResetError | BrokenPipeError
+        )
+
     def _record_use(self, response: _messages.HttpResponse) -> None:
         self.used_at = self._clock.now()
         for name, value in response.fields:
@@ -127,8 +135,10 @@
                     data = await self._stream.read()
                     if not data and self._stream.error is not None:
                         raise _make_error(
-                            f"the connection was reset: {self._stream.error}"
+                            f"the connection was reset: {self._stream.error}",
+                            is_reset=self._is_reset(),
                         )
+                    self._has_response = self._has_response or bool(data)
                     parser.receive_data(data)
                 elif isinstance(event, h11.InformationalResponse):
                     interim_count += 1
@@ -191,8 +201,12 @@
     return events
 
 
-def _make_error(problem: str) -> _errors.ExchangeError:
-    return _errors.ExchangeError(problem=problem, remedy=_REMEDY, sent=True)
+def _make_error(
+    problem: str, *, is_reset: bool = False
+) -> _errors.ExchangeError:
+    return _errors.ExchangeError(
+        problem=problem, remedy=_REMEDY, sent=True, is_reset=is_reset
+    )
 
 
 def _mark_closing(response: _messages.HttpResponse) -> _messages.HttpResponse:
--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -7,6 +7,8 @@
 import enum
 import json
 import math
+import socket
+import struct
 import time
 import urllib.parse
 
@@ -87,7 +89,8 @@
     ----------
     mode : str
         How requests are handled: ``ok``, ``shed`` (rejected as not
-        executed), ``late_shed`` (the same once work is allowed), ``hang``
+        executed), ``full`` (connection reset without an execution),
+        ``late_shed`` (as ``shed``, once work is allowed), ``hang``
         (neither executed nor answered), ``cut`` (truncated response),
         ``reset`` (connection reset after the execution), ``stray`` (the
         response to another attempt comes first), ``unsealed`` (response
@@ -271,6 +274,9 @@
         if mode in ("shed", "late_shed"):
             self._write_response(writer, 503, _NOT_EXECUTED, "full")
             return True
+        if mode == "full":
+            _reset_connection(writer)
+            return False
         if mode == "hang":
             await reader.read()
             return False
@@ -420,3 +426,11 @@
             if high > last:
                 kept.append((max(low, last + 1), high, fence, expires_at))
         self.leases = kept
+
+
+def _reset_connection(writer: asyncio.StreamWriter) -> None:
+    """Close a connection with a reset, not with an orderly end."""
+    writer.get_extra_info("socket").setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    writer.transport.abort()
