Let a coordinator step down only for owners that others reach now

The coordinator stepped down at 7.5 s and its successor at 8.5 s, both with reason cut_off, and the third one waited until all grants had expired: their keys were moved at 17.3 s, and 1184 attempts ended with no_owner.

For a server that ended meanwhile this looks like a coordinator that is cut off. Ruled out: a lost link, since the instances that took over could not reach the two servers either.

Measured: test_coordinator_does_not_step_down_for_owners_that_have_ended fails before in three of its four cases; the fourth, a real cut, holds before and after, like the other tests of a cut coordinator.

--- a/tarragonhinge/gateway/_path_monitor.py
+++ b/tarragonhinge/gateway/_path_monitor.py
@@ -112,6 +112,7 @@
         self._watchers: dict[str, asyncio.Task] = {}
         self._tasks: set[asyncio.Task] = set()
         self._has_news = asyncio.Event()
+        self._is_cut_confirmed = False
 
     def list_closed(self) -> list[_links.ServerLink]:
         """Return the links to servers that are out of reach."""
@@ -276,6 +277,7 @@
                     for peer in self._choose_queried()
                 )
             )
+            await self._confirm_cut()
             if any(_REACHABLE in report for report in reports if report):
                 interval_ms = QUERY_INTERVAL_MS
             else:
@@ -324,18 +326,46 @@
     def is_cut_off(self) -> bool:
         """Return whether another instance could renew grants that it can't.
 
-        The other one reaches owners of keys that are out of reach here, and
-        reaches far more servers, some of which may have ended.
+        The other one reaches owners of keys that are out of reach here, as it
+        has found out on request, and reaches far more servers, some of which
+        may have ended.
         """
-        closed = self.list_closed()
-        owners = [
-            link.incarnation for link in closed if self._links.is_keyed(link)
+        return self._is_cut_confirmed and bool(
+            self._list_helpers(self._list_closed_owners())
+        )
+
+    def _list_closed_owners(self) -> list[limits.Incarnation]:
+        return [
+            link.incarnation
+            for link in self.list_closed()
+            if self._links.is_keyed(link)
         ]
-        most = MAX_CLOSED_RATIO * len(closed)
-        return any(
-            self.reports.reaches_any(peer.instance, owners)
-            and self.reports.get_closed_count(peer.instance) <= most
+
+    def _list_helpers(
+        self, owners: list[limits.Incarnation]
+    ) -> list[forwarding.PeerInstance]:
+        """Return instances that report to reach owners, and far more servers.
+
+        A report may rest on a response from before a server has ended.
+        """
+        most = MAX_CLOSED_RATIO * self.get_closed_count()
+        return [
+            peer
             for peer in self._directory.list_all()
+            if self.reports.reaches_any(peer.instance, owners)
+            and self.reports.get_closed_count(peer.instance) <= most
+        ]
+
+    async def _confirm_cut(self) -> None:
+        """Find out whether others reach owners now, and not only lately."""
+        owners = self._list_closed_owners()
+        helpers = self._list_helpers(owners)[:QUERIED_PEERS]
+        sample = self._rng.sample(owners, min(MAX_QUERY_PROBES, len(owners)))
+        reports = await asyncio.gather(
+            *(self._query(peer, sample, is_fresh=True) for peer in helpers)
+        )
+        self._is_cut_confirmed = any(
+            _REACHABLE in report for report in reports if report
         )
 
     async def confirm_end(self, link: _links.ServerLink) -> bool:
--- a/tarragonhinge/gateway/tests/test_path_monitor.py
+++ b/tarragonhinge/gateway/tests/test_path_monitor.py
@@ -64,10 +64,13 @@
 
     def __init__(self):
         self.reports = {}
+        self.fresh_reports = {}
         self.closed_counts = {}
 
     async def query_paths(self, peer, query):
         report = self.reports.get(peer.instance)
+        if query.is_fresh:
+            report = self.fresh_reports.get(peer.instance, report)
         if report is None:
             return None
         return forwarding.PathReport(
@@ -248,6 +251,42 @@
     testing.run_manual(scenario())
 
 
+@pytest.mark.parametrize(
+    ("fresh_reports", "is_cut_off"),
+    [
+        ([_UNREACHABLE, _UNREACHABLE, _UNREACHABLE], False),
+        ([_REFUSED, _UNREACHABLE, _UNKNOWN], False),
+        ([None, _UNREACHABLE, _UNREACHABLE], False),
+        ([_UNREACHABLE, _REACHABLE, _UNREACHABLE], True),
+    ],
+)
+def test_coordinator_does_not_step_down_for_owners_that_have_ended(
+    fresh_reports, is_cut_off
+):
+    """Guards against a change of the coordinator for each silent crash.
+
+    Other instances had responses of the servers shortly before these ended
+    without a sign. Each successor had to wait until all grants had expired.
+    """
+
+    async def scenario():
+        fixture = _Fixture(servers=6, peers=[_REACHABLE] * 3)
+        fixture.client.fresh_reports = {
+            f"p{number}": report for number, report in enumerate(fresh_reports)
+        }
+        for link in fixture.links[:2]:
+            link.pool.state = _SILENT
+            fixture.monitor.suspect(link, fixture.clock.now())
+        for _ in range(20):
+            await fixture.clock.sleep(200)
+            if not is_cut_off:
+                assert not fixture.monitor.is_cut_off()
+        assert fixture.monitor.is_cut_off() is is_cut_off
+        fixture.monitor.close()
+
+    testing.run_manual(scenario())
+
+
 @pytest.mark.parametrize(
     ("peers", "closed_counts", "is_cut_off"),
     [
