Report keys to the coordinator by the work that their requests cause

Cause: the coordinator counts requests by key. Short and long requests of one service have different hot keys, so that a key of 360 ms requests counted as little as one of 63 ms requests, and owners got keys without regard to that.

Change: an instance reports a key as often as corresponds to the service time of the route, relative to the mean of the service; for services with one route nothing changes, and neither does the message.

--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -155,7 +155,9 @@
         )
         self.ledger.add_crash_handler(self.links.exclude_crashed)
         self._waiter = _view_waiter.ViewWaiter(view=view)
-        self.owners = _owner_finder.OwnerFinder(view=view, clock=clock)
+        self.owners = _owner_finder.OwnerFinder(
+            view=view, clock=clock, rng=rng
+        )
         self._placer = _placer.Placer(
             links=self.links,
             owners=self.owners,
@@ -361,7 +363,7 @@
                 job = self._make_job(request, metadata, route, trace)
             if self._admits(job):
                 if not job.is_forwarded:
-                    self.owners.record_key(job)
+                    self._record_key(job)
                 result = await self._retrier.run(job)
             else:
                 result = _refusals.Refused.for_stopping_instance()
@@ -372,6 +374,10 @@
             result = await self._end_job(job)
         return self._finish(trace, metadata, result, job=job)
 
+    def _record_key(self, job: _job.Job) -> None:
+        ratio = self.links.get_work_ratio(job.service.name, job.route.name)
+        self.owners.record_key(job, work_ratio=ratio)
+
     def _admits(self, job: _job.Job) -> bool:
         """Return whether a stop leaves enough time for a request.
 
--- a/tarragonhinge/gateway/_links.py
+++ b/tarragonhinge/gateway/_links.py
@@ -223,6 +223,13 @@
         links = [self.find(entry.server) for entry in entries]
         return sorted(links, key=lambda link: link.distance.value != "zone")
 
+    def get_work_ratio(self, service: base.ServiceName, route: str) -> float:
+        """Return a route's service time relative to that of its service."""
+        service_time = self._service_times.get(service)
+        if service_time is None:
+            return 1.0
+        return service_time.estimate_ms(route) / service_time.mean_ms
+
     def accepts_work(self, link: ServerLink, *, keyed: bool) -> bool:
         """Return whether a server still accepts new requests.
 
--- a/tarragonhinge/gateway/_owner_finder.py
+++ b/tarragonhinge/gateway/_owner_finder.py
@@ -8,6 +8,7 @@
 """
 
 import collections
+import random
 
 from tarragonhinge import base
 from tarragonhinge import catalog
@@ -44,11 +45,20 @@
         Owner maps.
     clock : Clock
         This process's clock.
+    rng : random.Random or None
+        Rounds the number of samples of a request; a new one if None.
     """
 
-    def __init__(self, *, view: catalog.View, clock: base.Clock) -> None:
+    def __init__(
+        self,
+        *,
+        view: catalog.View,
+        clock: base.Clock,
+        rng: random.Random | None = None,
+    ) -> None:
         self._view = view
         self._clock = clock
+        self._rng = rng or random.Random()
         self._breaker = _owner_breaker.OwnerBreaker(clock=clock)
         self._unserved_since: dict[
             tuple[base.ServiceName, _owner_breaker.Grant | None], int
@@ -58,12 +68,24 @@
             collections.defaultdict(list)
         )
 
-    def record_key(self, job: _job.Job) -> None:
-        """Add the key of a request to the next report."""
-        if job.key is not None:
-            samples = self._samples[job.service.name]
-            if len(samples) < MAX_SAMPLED_KEYS:
-                samples.append(job.key)
+    def record_key(self, job: _job.Job, *, work_ratio: float = 1.0) -> None:
+        """Add the key of a request to the next report.
+
+        Parameters
+        ----------
+        job : Job
+            The request.
+        work_ratio : float
+            Its expected service time, relative to the service's mean. A
+            report has a key as often as corresponds to the work for it, since
+            short and long requests may have different hot keys.
+        """
+        if job.key is None:
+            return
+        samples = self._samples[job.service.name]
+        count = int(work_ratio + self._rng.random())
+        left = MAX_SAMPLED_KEYS - len(samples)
+        samples.extend([job.key] * min(count, left))
 
     def take_key_samples(self) -> dict[base.ServiceName, list[int]]:
         """Return the keys of requests since the last call, by service."""
--- a/tarragonhinge/gateway/tests/test_owner_finder.py
+++ b/tarragonhinge/gateway/tests/test_owner_finder.py
@@ -195,3 +195,22 @@
         await check(testing.ManualClock())
 
     testing.run_manual(run())
+
+
+@pytest.mark.parametrize("work_ratio", [1.0, 0.33, 2.4])
+def test_reported_keys_are_weighted_by_work(work_ratio):
+    """Guards against hot keys of short requests that look like long work."""
+
+    async def check(testbed):
+        count = 1_000
+        for _ in range(count):
+            testbed.finder.record_key(
+                testbed.make_job(), work_ratio=work_ratio
+            )
+        keys = testbed.finder.take_key_samples()[_SERVICE]
+        assert set(keys) == {7}
+        assert len(keys) == pytest.approx(work_ratio * count, rel=0.15)
+        if work_ratio == 1:
+            assert len(keys) == count
+
+    _run(check)
