Weigh the traffic of a hop by the size of a route's requests

Cause: a hop cost the same part of the objective for 0.7 KB of spec-lookup and for 9 KB of floor-register, so that large requests went to another zone to save 12 ms.

Change: the cost of a hop grows with the mean size of the route's requests and responses; at 2 KB it is what it was.

--- a/tarragonhinge/gateway/_links.py
+++ b/tarragonhinge/gateway/_links.py
@@ -10,6 +10,7 @@
 from tarragonhinge.gateway import _leaving_servers
 from tarragonhinge.gateway import _path
 from tarragonhinge.gateway import _placement
+from tarragonhinge.gateway import _route_sizes
 from tarragonhinge.gateway import _server_load
 from tarragonhinge.gateway import _server_waits
 from tarragonhinge.gateway import _urgent_routes
@@ -156,6 +157,11 @@
         Servers that say that they leave.
     clock : Clock
         This process's clock.
+
+    Attributes
+    ----------
+    route_sizes : RouteSizes
+        Bytes that the requests of each route take.
     """
 
     def __init__(
@@ -179,6 +185,7 @@
             base.ServiceName, _server_load.ServiceTime
         ] = {}
         self._waits = _server_waits.ServerWaits(clock=clock)
+        self.route_sizes = _route_sizes.RouteSizes()
         view.changes.subscribe(self._prune)
 
     def _prune(self, _: None) -> None:
--- a/tarragonhinge/gateway/_placement.py
+++ b/tarragonhinge/gateway/_placement.py
@@ -16,11 +16,15 @@
 
 from tarragonhinge import base
 
-#: Cost of sending a request to another region or availability zone, as a
-#: fraction of the latency objective.  The cost of the traffic is about equal
-#: to the loss caused by a late response.
-CROSS_REGION_COST_FRACTION = 0.45
-CROSS_ZONE_COST_FRACTION = 0.03
+#: Cost of sending a thousand bytes to another region or availability zone and
+#: back, as a fraction of the latency objective.
+CROSS_REGION_COST_FRACTION = 0.225
+CROSS_ZONE_COST_FRACTION = 0.015
+
+#: Size to which these costs refer, and default size of a request with its
+#: response, in bytes.
+COST_BYTES = 1_000
+DEFAULT_BYTES = 2_000.0
 
 #: Lower bound of the success ratio by which the expected latency of a server
 #: is divided.
@@ -143,6 +147,7 @@
     objective_ms: float,
     limit_ms: float,
     admits_idle: bool = True,
+    traffic_bytes: float = DEFAULT_BYTES,
 ) -> Choice | Refusal:
     """Choose the server with the lowest cost, if possible one in time.
 
@@ -162,6 +167,8 @@
     admits_idle : bool
         Whether a server with a free slot may exceed the limit; set if the
         deadline leaves at least the latency objective.
+    traffic_bytes : float
+        Expected size of the request and its response, in bytes.
 
     Returns
     -------
@@ -187,7 +194,8 @@
         return Refusal(reason=RefusalReason.UNREACHABLE, may_detour=may_detour)
 
     def compute_cost(candidate: Candidate) -> float:
-        penalty_ms = _COST_FRACTIONS[candidate.distance] * objective_ms
+        cost_fraction = _COST_FRACTIONS[candidate.distance]
+        penalty_ms = cost_fraction * traffic_bytes / COST_BYTES * objective_ms
         success_ratio = max(MIN_SUCCESS_RATIO, 1 - candidate.error_ratio)
         return candidate.compute_expected_ms() / success_ratio + penalty_ms
 
--- a/tarragonhinge/gateway/_placer.py
+++ b/tarragonhinge/gateway/_placer.py
@@ -287,6 +287,7 @@
             candidates,
             objective_ms=job.route.objective_ms,
             limit_ms=limit_ms,
+            traffic_bytes=self._links.route_sizes.get_bytes(job.route.name),
             admits_idle=(
                 limit_ms
                 >= self._get_limit_fraction(job) * job.route.objective_ms
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -311,6 +311,10 @@
             return _outcomes.OutcomeUnknown(
                 cause=_outcomes.UnknownCause.GARBLED
             )
+        self._links.route_sizes.record(
+            job.route.name,
+            body_bytes=len(job.request.body) + len(response.body),
+        )
         elapsed_ms = self._clock.now() - sent_at
         link.load.record_response(
             latency_ms=max(1.0, elapsed_ms - link.get_round_trip_ms()),
--- a/tarragonhinge/gateway/tests/test_decisions.py
+++ b/tarragonhinge/gateway/tests/test_decisions.py
@@ -11,6 +11,7 @@
 from tarragonhinge.gateway import _fleet_size
 from tarragonhinge.gateway import _placement
 from tarragonhinge.gateway import _retry_budget
+from tarragonhinge.gateway import _route_sizes
 from tarragonhinge.gateway import _server_load
 from tarragonhinge.gateway import _server_waits
 from tarragonhinge.gateway import _splitter
@@ -57,6 +58,46 @@
         assert decision.server == expected
 
 
+@pytest.mark.parametrize(
+    ("traffic_bytes", "distance", "wait_ms", "expected"),
+    [
+        # A small request goes to a free server of another zone sooner.
+        (1_000, _REGION, 60, "far"),
+        (9_000, _REGION, 60, "near"),
+        (9_000, _REGION, 160, "far"),
+        # The traffic of a large one between regions costs more than a wait.
+        (1_000, _REMOTE, 300, "far"),
+        (4_000, _REMOTE, 500, "near"),
+        (9_000, _REMOTE, 500, "near"),
+        # Nothing is refused or late to save traffic.
+        (9_000, _REMOTE, 650, "far"),
+    ],
+)
+def test_large_requests_wait_longer_for_a_near_server(
+    traffic_bytes, distance, wait_ms, expected
+):
+    decision = _placement.place(
+        [_candidate("far", distance, 0), _candidate("near", _ZONE, wait_ms)],
+        objective_ms=800,
+        limit_ms=1_600,
+        traffic_bytes=traffic_bytes,
+    )
+    assert decision.server == expected
+
+
+def test_sizes_of_routes():
+    sizes = _route_sizes.RouteSizes()
+    assert sizes.get_bytes("r") == _route_sizes.INITIAL_BYTES
+    for _ in range(3):
+        sizes.record("r", body_bytes=9_000)
+        sizes.record("s", body_bytes=0)
+    assert sizes.get_bytes("r") == 9_000 + _route_sizes.HEADER_BYTES
+    assert sizes.get_bytes("s") == _route_sizes.HEADER_BYTES
+    for number in range(_route_sizes.MAX_TRACKED_ROUTES):
+        sizes.record(f"r{number}", body_bytes=0)
+    assert sizes.get_bytes("r") == _route_sizes.INITIAL_BYTES
+
+
 def test_request_spills_over_to_be_in_time():
     """A request that may be late locally is not sent there to save traffic."""
     decision = _placement.place(
