Forget a confirmed cut once all servers are in reach again

Found by reading: the confirmation that other instances reach owners of keys outlasted the cut. After one real cut, a coordinator stepped down at once for the next owner that ended silently, before it had asked anybody.

Change: each series of queries begins without a confirmation.

test_cut_that_has_ended_is_no_proof_of_another_one fails before.

--- a/tarragonhinge/gateway/_path_monitor.py
+++ b/tarragonhinge/gateway/_path_monitor.py
@@ -267,6 +267,7 @@
     async def _query_peers(self) -> None:
         """Ask other instances while any server is out of reach."""
         interval_ms = QUERY_INTERVAL_MS
+        self._is_cut_confirmed = False
         while self.list_closed():
             self._has_news.clear()
             await self._clock.sleep(QUERY_DELAY_MS)
--- a/tarragonhinge/gateway/tests/test_path_monitor.py
+++ b/tarragonhinge/gateway/tests/test_path_monitor.py
@@ -287,6 +287,29 @@
     testing.run_manual(scenario())
 
 
+def test_cut_that_has_ended_is_no_proof_of_another_one():
+    async def scenario():
+        fixture = _Fixture(servers=6, peers=[_REACHABLE] * 3)
+        link = fixture.links[0]
+        link.pool.state = _SILENT
+        fixture.monitor.suspect(link, fixture.clock.now())
+        await fixture.clock.sleep(500)
+        assert fixture.monitor.is_cut_off()
+        link.pool.state = _ACCEPTING
+        await fixture.clock.sleep(2_000)
+        fixture.client.fresh_reports = dict.fromkeys(
+            fixture.client.reports, _UNREACHABLE
+        )
+        link.pool.state = _SILENT
+        fixture.monitor.suspect(link, fixture.clock.now())
+        for _ in range(50):
+            await fixture.clock.sleep(20)
+            assert not fixture.monitor.is_cut_off()
+        fixture.monitor.close()
+
+    testing.run_manual(scenario())
+
+
 @pytest.mark.parametrize(
     ("peers", "closed_counts", "is_cut_off"),
     [
