--- a/tarragonhinge/gateway/_placement.py
+++ b/tarragonhinge/gateway/_placement.py
@@ -3,7 +3,7 @@
 Under even load the nearest server is chosen, since traffic between
 regions is billed.  Under a burst in one region, requests spill over to
 another region only if the local region would miss the latency objective.
-A request that would miss its objective at every server is refused
+A request that would exceed the limit of admission at every server is refused
 immediately, so that queues stay short enough for the other requests.
 Where more urgent requests run at the same servers, a request joins no queue
 in which they would then wait for too long.
