Probe readiness in the case of answers without an end

Requests that are unanswered at their route's timeout have no answer half a second later.

Order of events: as before; the sound servers of the service stand in the first zone, so that the instances of the other two send requests to the servers in trouble. The questions for readiness are timed, too.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -13,6 +13,7 @@
 
 from review.lab import callers  # noqa: E402
 from review.lab import deployment  # noqa: E402
+from review.lab import instances  # noqa: E402
 from review.lab import upstream  # noqa: E402
 
 #: Timeout of the routes, and the bound of the rule beyond it.
@@ -49,6 +50,22 @@
     return process
 
 
+async def probe(instance: instances.Instance, gaps: dict[str, float]) -> None:
+    """Ask an instance each second whether it is ready."""
+    while True:
+        asked_at = time.monotonic()
+        reader, writer = await asyncio.open_connection(instance.ip, 8542)
+        writer.write(
+            b"GET /tarragonhinge/readyz HTTP/1.1\r\n"
+            b"Host: ready\r\nConnection: close\r\n\r\n"
+        )
+        await reader.read()
+        writer.close()
+        took_s = time.monotonic() - asked_at
+        gaps[instance.name] = max(gaps.get(instance.name, 0.0), took_s)
+        await asyncio.sleep(1.0)
+
+
 async def run(lab: deployment.Deployment) -> int:
     """Play the case and return the exit status."""
     record = lab.record
@@ -60,7 +77,7 @@
                 upstream.Upstream(
                     name=f"i-{service}-{number}",
                     service=service,
-                    zone=zones[number],
+                    zone=zones[number if service == "traspasos" else 0],
                     host=f"{lab.subnet}.1",
                     slots=2,
                 )
@@ -100,10 +117,14 @@
     clients = callers.Callers(host=deployment.HOST)
     try:
         await lab.start_instances()
+        gaps: dict[str, float] = {}
+        probes = [
+            asyncio.create_task(probe(instance, gaps))
+            for instance in lab.instances
+        ]
         began_at = time.monotonic()
         spans = (CALM_S, CALM_S + TROUBLE_S, CALM_S + TROUBLE_S + REST_S)
         is_sick = False
-        trouble_at = began_at + spans[0]
         while (now := time.monotonic()) < began_at + spans[2]:
             due = deployment.is_troubled() and (
                 spans[0] <= now - began_at < spans[1]
@@ -124,7 +145,11 @@
                     )
             await asyncio.sleep(1 / RATE)
         await clients.finish()
-        return judge(lab, clients, trouble_at)
+        for task in probes:
+            task.cancel()
+        for name, seconds in gaps.items():
+            record.write(f"{name}: slowest answer to readyz {seconds:.2f} s")
+        return judge(lab, clients)
     finally:
         for number, process in enumerate(sick):
             process.stdin.close()
@@ -133,9 +158,7 @@
             await process.wait()
 
 
-def judge(
-    lab: deployment.Deployment, clients: callers.Callers, trouble_at: float
-) -> int:
+def judge(lab: deployment.Deployment, clients: callers.Callers) -> int:
     """Write what was seen and return the exit status."""
     record = lab.record
     deployment.record_requests(record, clients, lab.upstreams)
