Show an entry of another writer that stops all coordinators

Rule: CONFIG. Requests on routes that were added later are served less than a quarter as often as those on the first routes.

Order of events: another writer writes one row among the entries of the servers, with lists nested 2,000 deep. The decoder raises an error that the codec doesn't catch. Each instance that becomes the coordinator fails when it reads the row; no entry of a server is applied any more, grants of keys run out, and the servers of a service that is added later are never seen.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,4 +1,4 @@
-"""One sick backend server among healthy ones; see claim.txt."""
+"""Another writer's entry among those of the backend servers."""
 
 import asyncio
 import json
@@ -13,168 +13,147 @@
 
 from review.lab import callers  # noqa: E402
 from review.lab import deployment  # noqa: E402
-from review.lab import instances  # noqa: E402
 from review.lab import upstream  # noqa: E402
 
-#: Timeout of the routes, and the bound of the rule beyond it.
-TIMEOUT_MS = 2_500
-BOUND_S = 0.5
-
-#: Time before the trouble, its duration, and the time after it, in seconds.
-CALM_S, TROUBLE_S, REST_S = 5.0, 5.0, 12.0
-
-#: Requests a second of each route at each instance.
-RATE = 10.0
-
-
-async def start_sick(
-    lab: deployment.Deployment, name: str, zone: str
-) -> asyncio.subprocess.Process:
-    """Start a backend server that can get into trouble."""
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        str(FOLDER / "sick.py"),
-        name,
-        "historial",
-        zone,
-        f"{lab.subnet}.1",
-        stdin=asyncio.subprocess.PIPE,
-        stdout=asyncio.subprocess.PIPE,
-    )
-    address, born_ms = (await process.stdout.readline()).decode().split()
-    server = upstream.Upstream(
-        name=name, service="historial", zone=zone, host="", slots=2
-    )
-    server.address, server.born_ms = address, int(born_ms)
-    lab.write_entry(server)
-    return process
-
-
-async def probe(instance: instances.Instance, gaps: dict[str, float]) -> None:
-    """Ask an instance each second whether it is ready."""
+#: Bound of the rule: time from the acknowledgement of a version until it is
+#: in force, in seconds.
+CONFIG_APPLY_S = 2.5
+
+#: Entry of the other writer: lists within lists, 4 KB.
+NESTED_ENTRY = b'{"note":' + b"[" * 2_000 + b"]" * 2_000 + b"}"
+
+SERVICES = [
+    {"name": "traspasos", "maxConns": 130},
+    {"name": "saldos", "maxConns": 130, "sharded": True, "warm": 2.0},
+]
+ADDED_SERVICE = {"name": "historial", "maxConns": 130}
+
+ROUTES = [
+    deployment.make_route(
+        "credit-transfer",
+        "/trans/",
+        "unsafe",
+        "traspasos",
+        timeout_ms=2_500,
+        objective_ms=800,
+        max_attempts=1,
+    ),
+    deployment.make_route(
+        "balance-lookup",
+        "/saldo/",
+        "safe",
+        "saldos",
+        timeout_ms=2_500,
+        objective_ms=800,
+        max_attempts=2,
+        priority=2,
+    ),
+]
+ADDED_ROUTE = deployment.make_route(
+    "cert-history",
+    "/hist/",
+    "safe",
+    "historial",
+    timeout_ms=2_500,
+    objective_ms=1_500,
+    max_attempts=2,
+    priority=2,
+)
+
+
+async def call(lab: deployment.Deployment, clients: callers.Callers) -> None:
+    """Send requests to all instances."""
     while True:
-        asked_at = time.monotonic()
-        reader, writer = await asyncio.open_connection(instance.ip, 8542)
-        writer.write(
-            b"GET /tarragonhinge/readyz HTTP/1.1\r\n"
-            b"Host: ready\r\nConnection: close\r\n\r\n"
-        )
-        await reader.read()
-        writer.close()
-        took_s = time.monotonic() - asked_at
-        gaps[instance.name] = max(gaps.get(instance.name, 0.0), took_s)
-        await asyncio.sleep(1.0)
+        for instance in lab.instances:
+            key = random.randint(0, 65_535)
+            clients.begin(
+                instance.front, "GET", f"/saldo/{key}?work=60", key=key
+            )
+            clients.begin(instance.front, "POST", "/trans/order?work=60")
+            if ADDED_SERVICE in lab.services:
+                clients.begin(instance.front, "GET", "/hist/a?work=60")
+        await asyncio.sleep(0.1)
+
+
+async def add_upstreams(
+    lab: deployment.Deployment, services: list[dict]
+) -> None:
+    """Start three servers of each service, one in each zone."""
+    for service in services:
+        for number, zone in enumerate(deployment.ZONES):
+            await lab.add_upstream(
+                upstream.Upstream(
+                    name=f"i-{service['name']}-{number}",
+                    service=service["name"],
+                    zone=zone,
+                    host=f"{lab.subnet}.1",
+                    keyed=service.get("sharded", False),
+                )
+            )
 
 
 async def run(lab: deployment.Deployment) -> int:
     """Play the case and return the exit status."""
     record = lab.record
     await lab.start_store()
-    zones = list(deployment.ZONES)
-    for service in ("historial", "traspasos"):
-        for number in range(3 if service == "traspasos" else 2):
-            await lab.add_upstream(
-                upstream.Upstream(
-                    name=f"i-{service}-{number}",
-                    service=service,
-                    zone=zones[number if service == "traspasos" else 0],
-                    host=f"{lab.subnet}.1",
-                    slots=2,
-                )
-            )
-    sick = [
-        await start_sick(lab, f"i-sick-{n}", zone)
-        for n, zone in enumerate(zones[1:])
-    ]
-    lab.write_manifest(
-        1,
-        [
-            deployment.make_route(
-                "cert-history",
-                "/hist/",
-                "safe",
-                "historial",
-                timeout_ms=TIMEOUT_MS,
-                objective_ms=1500,
-                max_attempts=2,
-                priority=2,
-            ),
-            deployment.make_route(
-                "credit-transfer",
-                "/trans/",
-                "unsafe",
-                "traspasos",
-                timeout_ms=TIMEOUT_MS,
-                objective_ms=800,
-                max_attempts=1,
-            ),
-        ],
-        [
-            {"name": "historial", "maxConns": 130},
-            {"name": "traspasos", "maxConns": 130},
-        ],
-    )
+    await add_upstreams(lab, SERVICES)
+    lab.write_manifest(4, ROUTES, SERVICES)
+    await lab.start_instances()
     clients = callers.Callers(host=deployment.HOST)
+    calls = asyncio.create_task(call(lab, clients))
     try:
-        await lab.start_instances()
-        gaps: dict[str, float] = {}
-        probes = [
-            asyncio.create_task(probe(instance, gaps))
-            for instance in lab.instances
-        ]
-        began_at = time.monotonic()
-        spans = (CALM_S, CALM_S + TROUBLE_S, CALM_S + TROUBLE_S + REST_S)
-        is_sick = False
-        while (now := time.monotonic()) < began_at + spans[2]:
-            due = deployment.is_troubled() and (
-                spans[0] <= now - began_at < spans[1]
-            )
-            if due != is_sick:
-                is_sick = due
-                for process in sick:
-                    process.stdin.write(b"on\n" if due else b"off\n")
-                record.write(f"i-sick: answers without end: {due}")
-            for instance in lab.instances:
-                for prefix, method in (("/hist/", "GET"), ("/trans/", "POST")):
-                    number = random.randint(0, 10**6)
-                    clients.begin(
-                        instance.front,
-                        method,
-                        f"{prefix}{number}?work=100",
-                        deadline_ms=10_000,
-                    )
-            await asyncio.sleep(1 / RATE)
-        await clients.finish()
-        for task in probes:
-            task.cancel()
-        for name, seconds in gaps.items():
-            record.write(f"{name}: slowest answer to readyz {seconds:.2f} s")
-        return judge(lab, clients)
+        await asyncio.sleep(5)
+        if deployment.is_troubled():
+            lab.store.put("servers", "other-writer", NESTED_ENTRY)
+            record.write("another writer writes servers/other-writer")
+        await asyncio.sleep(5)
+        await add_upstreams(lab, [ADDED_SERVICE])
+        lab.write_manifest(
+            7, [*ROUTES, ADDED_ROUTE], [*SERVICES, ADDED_SERVICE]
+        )
+        changed_at = time.monotonic()
+        await asyncio.sleep(12)
     finally:
-        for number, process in enumerate(sick):
-            process.stdin.close()
-            count = (await process.stdout.readline()).decode().strip()
-            record.write(f"i-sick-{number}: {count} answers without end")
-            await process.wait()
+        calls.cancel()
+    await clients.finish()
+    return judge(lab, clients, changed_at)
 
 
-def judge(lab: deployment.Deployment, clients: callers.Callers) -> int:
+def judge(
+    lab: deployment.Deployment, clients: callers.Callers, changed_at: float
+) -> int:
     """Write what was seen and return the exit status."""
     record = lab.record
     deployment.record_requests(record, clients, lab.upstreams)
-    timeout_s = TIMEOUT_MS / 1000
-    late = [a for a in clients.attempts if a.ended_at - a.sent_at > timeout_s]
-    later = [a for a in late if a.ended_at - a.sent_at > timeout_s + BOUND_S]
-    other = [a for a in later if a.target.startswith("/trans/")]
-    unanswered = [a for a in clients.attempts if not a.status]
-    longest = max(a.ended_at - a.sent_at for a in clients.attempts)
-    is_broken = len(later) > len(late) / 2 and len(later) >= 8
-    record.write(
-        f"{len(clients.attempts)} requests; unanswered at the timeout: "
-        f"{len(late)}; also {BOUND_S} s later: {len(later)}, of which "
-        f"{len(other)} for the other service, whose servers are all sound; "
-        f"never answered: {len(unanswered)}; longest {longest:.2f} s"
+    due_at = changed_at + CONFIG_APPLY_S
+    counts = {}
+    for prefix in ("/trans/", "/saldo/", "/hist/"):
+        sent = [
+            a
+            for a in clients.attempts
+            if a.target.startswith(prefix) and a.sent_at > due_at
+        ]
+        served = sum(a.status == 200 for a in sent)
+        counts[prefix] = (served, len(sent))
+        record.write(
+            f"{prefix}: {served} of {len(sent)} requests served that were "
+            f"sent later than {CONFIG_APPLY_S} s after the acknowledgement "
+            "of r7"
+        )
+    added = counts.pop("/hist/")
+    first = [sum(numbers) for numbers in zip(*counts.values(), strict=True)]
+    is_broken = added[1] >= 20 and (
+        added[0] / added[1] < first[0] / first[1] / 4
     )
+    for instance in lab.instances:
+        log = instance.read_log()
+        count = log.count('"event":"leadership"')
+        status = instance.exit_status
+        record.write(
+            f"{instance.name}: leadership changed {count} times; "
+            f"{'runs' if status is None else status}; "
+            f"ready at the end: {deployment.is_ready(instance)}"
+        )
     record.write("CONFIG broken" if is_broken else "CONFIG holds")
     return 1 if is_broken else 0
 
--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -106,6 +106,7 @@
         self.upstreams: list[upstream.Upstream] = []
         self.instances: list[instances.Instance] = []
         self._zones = zones
+        self.services: list[dict] = []
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = pathlib.Path(self._folder.name)
         self._runner: web.AppRunner | None = None
@@ -133,6 +134,7 @@
         services: list[dict],
     ) -> None:
         """Write the operator's manifest."""
+        self.services = services
         manifest = {
             "version": version,
             "routes": routes,
