Show two coordinators that act at the same time

Two servers hold the same keys at the same time, and both begin requests on them.

Order of events: the coordinator stops as planned; the next one, which has no follower yet, claims; the store returns from a copy of before and doesn't answer it; the first instance, started again, claims in its turn. The other one goes on renewing grants: without a single subscriber, "no subscriber reaches the store" holds.

--- a/review/lab/deployment.py
+++ b/review/lab/deployment.py
@@ -13,6 +13,7 @@
 
 from review.lab import callers
 from review.lab import instances
+from review.lab import link
 from review.lab import upstream
 
 sys.path.insert(0, str(instances.ROOT / "target" / "deps"))
@@ -107,6 +108,7 @@
         self.instances: list[instances.Instance] = []
         self._zones = zones
         self.services: list[dict] = []
+        self.links: dict[str, link.Link] = {}
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self.folder = pathlib.Path(self._folder.name)
         self._runner: web.AppRunner | None = None
@@ -164,13 +166,19 @@
 
     async def start_instances(self) -> None:
         """Start all instances and wait until they are ready."""
+        for number in range(len(self._zones)):
+            store_link = link.Link(
+                host=f"{self.subnet}.1", target=self.store_address
+            )
+            await store_link.start()
+            self.links[f"edge-{self._zones[number]}-{number + 1}"] = store_link
         self.instances = [
             instances.Instance(
                 name=f"edge-{zone}-{number}",
                 ip=f"{self.subnet}.{number + 1}",
                 zone=zone,
                 zones=ZONES,
-                store=self.store_address,
+                store=self.links[f"edge-{zone}-{number}"].address,
                 folder=self.folder,
             )
             for number, zone in enumerate(self._zones, 1)
@@ -203,6 +211,8 @@
             await instance.kill()
         for server in self.upstreams:
             await server.stop()
+        for store_link in self.links.values():
+            await store_link.stop()
         if self._runner is not None:
             await self._runner.cleanup()
         self._folder.cleanup()
