Treat a record that is missing after a restore as lost

Cause: RangeRecorder.load took a missing record for one that was never written wherever the process had been started with bootstrap. That says nothing of what the store has lost since: a missing row proves that nothing was written only in the era in which the first coordinator acted.

Why this works: each claim names the first era in which any instance may have coordinated, and inherits it from the claim it replaces. A record that is missing in any other era is treated like an outdated one: the successor assigns nothing until all former grants have ended. Within the first era nothing is slower than before.

--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -80,8 +80,6 @@
         Destination of log events.
     clock : Clock
         This process's clock.
-    is_first_start : bool
-        Whether the whole system starts for the first time.
     is_view_confirmed : bool
         Whether the former coordinator confirmed the view after the store had
         come back from a copy.
@@ -112,7 +110,6 @@
         ledger: quarantine.CrashLedger,
         log: events.EventLog,
         clock: base.Clock,
-        is_first_start: bool,
         is_view_confirmed: bool,
         grant_limit_ms: int,
     ) -> None:
@@ -125,7 +122,6 @@
         self._is_cut_off = is_cut_off
         self._log = log
         self._clock = clock
-        self._is_first_start = is_first_start
         self._is_view_confirmed = is_view_confirmed
         self._grant_limit_ms = grant_limit_ms
         self._claimed_at = clock.read_boottime()
@@ -418,7 +414,7 @@
                 store=self._store,
                 service=service,
                 claim=self._condition,
-                is_first_start=self._is_first_start,
+                first_era=self._leadership.first_era,
                 clock=self._clock,
             ),
             view=self._view,
--- a/tarragonhinge/coordination/_leadership.py
+++ b/tarragonhinge/coordination/_leadership.py
@@ -25,17 +25,46 @@
         Incarnation of the instance's process.
     address : Address
         Address on which the instance listens for other instances.
+    first_era : int or UnsetType
+        Earliest era of the store in which any instance may have been the
+        coordinator; unset if unknown. A record that is missing in a later
+        era may have been lost with a restore of the store.
     """
 
     term: base.Term
     instance: base.InstanceId
     incarnation: base.IncarnationId
     address: base.Address
+    first_era: int | msgspec.UnsetType = msgspec.UNSET
 
 
 _decoder = msgspec.json.Decoder(Leadership)
 
 
+def find_first_era(
+    previous: Leadership | None, *, seen: int | None, is_first_start: bool
+) -> int | msgspec.UnsetType:
+    """Return the first era for a claim that succeeds another one.
+
+    Parameters
+    ----------
+    previous : Leadership or None
+        Claim that is replaced; None if there is none in the store.
+    seen : int or None
+        Era that the store showed this process first.
+    is_first_start : bool
+        Whether the whole system starts for the first time, so that a claim
+        that is missing was not written before this process started.
+    """
+    if previous is not None:
+        known = previous.first_era
+    else:
+        known = seen if is_first_start else msgspec.UNSET
+    if seen is None or known is msgspec.UNSET:
+        return msgspec.UNSET
+    return min(known, seen)
+
+
 def encode_leadership(leadership: Leadership) -> bytes:
     """Encode a claim for the store."""
     return msgspec.json.encode(leadership)
--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -421,6 +421,11 @@
             instance=self._instance,
             incarnation=self._incarnation,
             address=self._address,
+            first_era=_leadership.find_first_era(
+                previous,
+                seen=self._store.first_era,
+                is_first_start=self._is_first_start,
+            ),
         )
         result = await self._store.write(
             checks=[
@@ -478,7 +483,6 @@
             ledger=self._ledger,
             log=self._log,
             clock=self._clock,
-            is_first_start=self._is_first_start,
             is_view_confirmed=self._confirmed_era == self._claim_era,
             grant_limit_ms=self._grant_limit_ms,
         )
--- a/tarragonhinge/coordination/tests/test_restored_store.py
+++ b/tarragonhinge/coordination/tests/test_restored_store.py
@@ -5,7 +5,9 @@
 import pytest
 
 from tarragonhinge import base
+from tarragonhinge.coordination import _leadership
 from tarragonhinge.coordination.tests import fleet
+from tarragonhinge import ranges
 
 
 def _run(check, size=3):
@@ -112,6 +114,31 @@
     _run(check)
 
 
+# Guards against two holders of a key after the loss of a whole record: the
+# successor took it for one that had never been written.
+@pytest.mark.parametrize("copies_claim", [True, False])
+def test_successor_waits_for_grants_if_the_copy_lacks_the_record(copies_claim):
+    """All instances run since the first start, so that any may succeed."""
+
+    async def check(test_fleet):
+        copied = test_fleet.rows.copy()
+        del copied.rows[ranges.TABLE, fleet.SERVICE]
+        if not copies_claim:
+            del copied.rows[_leadership.TABLE, _leadership.KEY]
+        await _move_keys(test_fleet)
+        fence = _find_highest_fence(test_fleet)
+        (leader,) = test_fleet.find_coordinators()
+        await test_fleet.crash(leader)
+        await test_fleet.restore(copied)
+        await test_fleet.wait(
+            lambda: test_fleet.is_settled() and _is_recorded(test_fleet),
+            "the takeover",
+        )
+        assert test_fleet.read_record().next_fence > fence
+
+    _run(check)
+
+
 def test_instance_that_joins_first_replaces_the_coordinator():
     """A claim of the same term is from another era; one of them yields."""
 
--- a/tarragonhinge/ranges/_recorder.py
+++ b/tarragonhinge/ranges/_recorder.py
@@ -40,9 +40,10 @@
         Service whose holders are recorded.
     claim : Claim
         Claim of this instance to be the coordinator.
-    is_first_start : bool
-        Whether the whole system starts for the first time, so that a record
-        that is missing was never written.
+    first_era : int or UnsetType
+        Earliest era in which any instance may have been the coordinator;
+        unset if unknown. A record that is missing in a later era may have
+        been lost.
     clock : Clock
         This process's clock.
 
@@ -51,8 +52,8 @@
     owners : OwnerMap
         Lease holders as last recorded.
     is_outdated : bool
-        Whether the record that was loaded may lack changes, since the store
-        had come back from an older copy.
+        Whether the record that was loaded, or is missing, may lack changes,
+        since the store had come back from an older copy.
     """
 
     def __init__(
@@ -61,13 +62,13 @@
         store: stores.RowStore,
         service: base.ServiceName,
         claim: stores.Claim,
-        is_first_start: bool = True,
+        first_era: int | msgspec.UnsetType,
         clock: base.Clock,
     ) -> None:
         self._store = store
         self._service = service
         self._claim = claim
-        self._is_first_start = is_first_start
+        self._first_era = first_era
         self._clock = clock
         self._version = 0
         self._era = 0
@@ -83,7 +84,7 @@
         """Read the record; retry until the store answers."""
         row = await self._read_row()
         if row is None:
-            self.is_outdated = not self._is_first_start
+            self.is_outdated = self._first_era != self._era
         else:
             record = _record.decode_record(row.value)
             self._next_fence = record.next_fence
--- a/tarragonhinge/ranges/tests/led_service.py
+++ b/tarragonhinge/ranges/tests/led_service.py
@@ -101,6 +101,7 @@
                 store=store,
                 service=SERVICE,
                 claim=claim,
+                first_era=self.rows.era,
                 clock=self.clock,
             ),
             view=self.view,
--- a/tarragonhinge/stores/_row_store.py
+++ b/tarragonhinge/stores/_row_store.py
@@ -92,6 +92,7 @@
 
     def __init__(self) -> None:
         self._era = 0
+        self._first_era: int | None = None
         self._era_changed = asyncio.Event()
 
     @property
@@ -99,6 +100,11 @@
         """Latest era that a response has shown; 0 before the first one."""
         return self._era
 
+    @property
+    def first_era(self) -> int | None:
+        """Era that the first response has shown; None before it."""
+        return self._first_era
+
     async def wait_for_era_after(self, era: int) -> None:
         """Wait until a response shows a later era."""
         while self._era <= era:
@@ -106,6 +112,8 @@
 
     def _record_era(self, era: int) -> bool:
         """Record a response's era; return False if a later one was seen."""
+        if self._first_era is None:
+            self._first_era = era
         if era < self._era:
             return False
         if era > self._era:
