Count a forwarded request as sent from the moment its call leaves

Cause: Detour added to a request's sent_count only once the other instance had answered, and did not register the call as an attempt. The end of a stop took the count of 0 for "never sent". For the same reason a response of the other instance that arrived in the same turn was lost.

Evidence: test_end_of_a_stop_is_no_refusal_of_a_forwarded_request (503 where 504 is due) and test_end_of_a_stop_keeps_response_that_another_instance_has_sent (503 in place of the 200) failed before, two cases each.

Why this works: from the moment at which the call is written to an open connection, all attempts that it may use count as made; the outcome corrects the number. The call is one of the request's attempts, which the end of a stop awaits before it answers. A call that is not written yet is still refused.

--- a/tarragonhinge/forwarding/_client.py
+++ b/tarragonhinge/forwarding/_client.py
@@ -1,6 +1,7 @@
 """Calls to other instances."""
 
 import asyncio
+from collections.abc import Callable
 
 import msgspec
 
@@ -60,12 +61,26 @@
         peer: _directory.PeerInstance,
         request: http1.HttpRequest,
         call: _messages.ForwardedRequest,
+        *,
+        on_sent: Callable[[], None],
     ) -> tuple[_messages.ForwardedOutcome, http1.HttpResponse]:
         """Let another instance send a caller's request.
 
         If the calling task is cancelled, the connection is closed, so that
         the other instance cancels the request.
 
+        Parameters
+        ----------
+        peer : PeerInstance
+            The other instance.
+        request : HttpRequest
+            The caller's request.
+        call : ForwardedRequest
+            Call that goes with it.
+        on_sent : callable
+            Called before the call is written to an open connection. From
+            then on a server may run the request.
+
         Raises
         ------
         PeerError
@@ -86,6 +101,7 @@
                 body=request.body,
             ),
             timeout_ms=call.deadline_ms,
+            on_sent=on_sent,
         )
         try:
             return _messages.read_outcome(response)
@@ -119,6 +135,7 @@
         request: http1.HttpRequest,
         *,
         timeout_ms: int,
+        on_sent: Callable[[], None] = lambda: None,
     ) -> http1.HttpResponse:
         pool = self._get_pool(peer.address)
         try:
@@ -127,6 +144,7 @@
         except http1.ExchangeError as error:
             raise PeerError(problem=error.problem, sent=False) from error
         is_reusable = False
+        on_sent()
         try:
             async with asyncio.timeout(timeout_ms / base.MS_PER_S):
                 response = await connection.exchange(
--- a/tarragonhinge/gateway/_detour.py
+++ b/tarragonhinge/gateway/_detour.py
@@ -5,6 +5,7 @@
 on to a third one.
 """
 
+import asyncio
 import collections
 from collections.abc import Callable
 from collections.abc import Collection
@@ -183,6 +184,46 @@
         attempts: int,
     ) -> http1.HttpResponse | _refusals.Refused | None:
         """Return the final response; None to try another instance."""
+        attempt = asyncio.create_task(
+            self._run_attempt(job, peer, left_ms=left_ms, attempts=attempts)
+        )
+        job.attempts.add(attempt)
+        attempt.add_done_callback(job.attempts.discard)
+        result = await attempt
+        if isinstance(result, forwarding.PeerError):
+            return self._handle_error(job, result)
+        outcome, response = result
+        if outcome.kind is forwarding.OutcomeKind.ANSWERED:
+            return response
+        if outcome.kind is forwarding.OutcomeKind.FAILED:
+            job.may_have_run = True
+            if self._may_retry(job):
+                return None
+        elif outcome.is_transferable:
+            self._record_refusal(peer, servers, outcome.reason)
+            return None
+        return _refusals.Refused(
+            status=response.status,
+            reason=outcome.reason,
+            retry_after_ms=outcome.retry_after_ms,
+        )
+
+    async def _run_attempt(
+        self,
+        job: _job.Job,
+        peer: forwarding.PeerInstance,
+        *,
+        left_ms: int,
+        attempts: int,
+    ) -> (
+        tuple[forwarding.ForwardedOutcome, http1.HttpResponse]
+        | forwarding.PeerError
+    ):
+        """Forward a request once; return the other instance's response.
+
+        From the moment at which the call is sent, all attempts count as made
+        until the outcome states their number.
+        """
         call = forwarding.ForwardedRequest(
             origin=self._directory.own.instance,
             service=job.service,
@@ -190,20 +231,34 @@
             deadline_ms=left_ms,
             is_caller_retry=job.is_caller_retry,
         )
+
+        def count_attempts() -> None:
+            job.sent_count += attempts
+
         began_at = self._clock.now()
         name = "cancelled"
         self._in_flight[peer.instance] += 1
-        try:
-            outcome, response = await self._client.send_request(
-                peer, job.request, call
+        exchange = asyncio.create_task(
+            self._client.send_request(
+                peer, job.request, call, on_sent=count_attempts
             )
+        )
+        try:
+            try:
+                await asyncio.wait([exchange])
+            except asyncio.CancelledError:
+                # The response may have arrived in the same turn.
+                if not exchange.done():
+                    raise
+            outcome, response = exchange.result()
             name = outcome.reason or outcome.kind.value
         except forwarding.PeerError as error:
             name = "unknown" if error.sent else "unsent"
             if self._clock.now() < job.deadline_at:
                 self._avoid(peer)
-            return self._handle_error(job, error, attempts)
+            return error
         finally:
+            exchange.cancel()
             self._in_flight[peer.instance] -= 1
             self._metrics.record_forwarded(peer.instance, name)
             job.trace.add(
@@ -214,22 +269,11 @@
                     elapsed_ms=self._clock.now() - began_at,
                 )
             )
-        job.sent_count += outcome.sent_count
+        job.sent_count += outcome.sent_count - attempts
         if outcome.kind is forwarding.OutcomeKind.ANSWERED:
+            job.answer = response
             self._record_response(outcome, response)
-            return response
-        if outcome.kind is forwarding.OutcomeKind.FAILED:
-            job.may_have_run = True
-            if self._may_retry(job):
-                return None
-        elif outcome.is_transferable:
-            self._record_refusal(peer, servers, outcome.reason)
-            return None
-        return _refusals.Refused(
-            status=response.status,
-            reason=outcome.reason,
-            retry_after_ms=outcome.retry_after_ms,
-        )
+        return outcome, response
 
     def _record_response(
         self,
@@ -275,13 +319,11 @@
         )
 
     def _handle_error(
-        self, job: _job.Job, error: forwarding.PeerError, attempts: int
+        self, job: _job.Job, error: forwarding.PeerError
     ) -> _refusals.Refused | None:
         """Return the final response unless the request was not sent."""
         if not error.sent:
             return None
-        # The other instance may have used all attempts.
-        job.sent_count += attempts
         job.may_have_run = True
         is_late = self._clock.now() >= job.deadline_at
         cause = (
--- a/tarragonhinge/platform/tests/test_forwarding.py
+++ b/tarragonhinge/platform/tests/test_forwarding.py
@@ -8,6 +8,8 @@
 import pytest
 
 from tarragonhinge import catalog
+from tarragonhinge import http1
+from tarragonhinge.http1 import _tcp_stream
 from tarragonhinge.platform import standins
 from tarragonhinge.platform.tests import deployment
 
@@ -322,6 +324,86 @@
     _run(check)
 
 
+# Guards against refusals of requests that another instance has sent: callers
+# were told that their orders had not run, while a server ran them.
+@pytest.mark.parametrize("prefix", ["/x/", "/u/"])
+def test_end_of_a_stop_is_no_refusal_of_a_forwarded_request(prefix):
+    async def check(fleet):
+        for server in fleet.servers:
+            server.work_allowed.clear()
+        sent = asyncio.create_task(_send(f"{prefix}a", attempt="a"))
+        await fleet.wait(lambda: _list_executed(fleet, "a"))
+        fleet.instances[0].gateway.abort_requests()
+        status, header, body = await sent
+        assert status == 504
+        assert "retry-after" not in header
+        assert b'"ran":"unknown"' in body
+
+    _run(check)
+
+
+def test_end_of_a_stop_refuses_request_that_was_not_forwarded_yet():
+    async def check(fleet):
+        gateway = fleet.instances[0].gateway
+        client = gateway._forwarding_client
+        in_flight = gateway._retrier._detour._in_flight
+
+        class SlowPool:
+            async def acquire(self, *, fresh):
+                await asyncio.sleep(2)
+                raise http1.ExchangeError(problem="", remedy="", sent=False)
+
+            def close(self):
+                pass
+
+        for address in list(client._pools):
+            client._pools[address].close()
+            client._pools[address] = SlowPool()
+        sent = asyncio.create_task(_send("/u/a", attempt="a"))
+        await fleet.wait(in_flight.total)
+        gateway.abort_requests()
+        status, header, _ = await sent
+        assert status == 503
+        assert "retry-after: " in header
+        assert _list_executed(fleet, "a") == []
+
+    _run(check)
+
+
+@pytest.mark.parametrize("prefix", ["/x/", "/u/"])
+def test_end_of_a_stop_keeps_response_that_another_instance_has_sent(
+    prefix, monkeypatch
+):
+    """The stop ends in the turn in which it arrives, or in a later one."""
+    data_received = _tcp_stream.TcpStream.data_received
+
+    async def check(fleet):
+        for turns in range(6):
+            loop = asyncio.get_running_loop()
+
+            def abort_after(left, loop=loop):
+                if left:
+                    loop.call_soon(abort_after, left - 1)
+                else:
+                    fleet.instances[0].gateway.abort_requests()
+
+            def receive(stream, data, abort_after=abort_after, turns=turns):
+                data_received(stream, data)
+                if b"forwarding-outcome" in data:
+                    abort_after(turns)
+
+            monkeypatch.setattr(
+                _tcp_stream.TcpStream, "data_received", receive
+            )
+            status, _, body = await _send(
+                f"{prefix}{turns}", attempt=f"a{turns}"
+            )
+            assert status == 200, turns
+            assert body.startswith(f"a{turns} of ".encode())
+
+    _run(check)
+
+
 @pytest.mark.parametrize("is_keyed", [False, True])
 def test_wait_of_a_server_is_kept(is_keyed):
     async def check(fleet):
