Contain what the decoding of a row raises to that row

What callers saw: with one row of another writer among the servers' entries, nested 2,000 deep, no instance coordinated for longer than a tenth of a second.

Cause: decode_server named the errors of a decoder and lacked RecursionError. It ended the handler of all rows, the feed and the coordinator, which claimed again at once, as did the others. Rows of the system's own tables, and the feed of an instance without a coordinator, had the same fault; addresses in odd notations passed the codec and failed in the tasks that connect to them.

Why this works: the codecs name the errors of a decoder in one place, and the feed takes whatever the decoding of a row raises as a fault of that row. An entry's address is checked as all others are. A damaged record counts as lost. A coordinator that fails waits before it claims again, and the reading of the store without a coordinator begins again after an error.

--- a/tarragonhinge/base/__init__.py
+++ b/tarragonhinge/base/__init__.py
@@ -7,6 +7,7 @@
 from tarragonhinge.base._clock import Millis
 from tarragonhinge.base._clock import MS_PER_S
 from tarragonhinge.base._errors import CodecError
+from tarragonhinge.base._errors import DECODE_ERRORS
 from tarragonhinge.base._errors import ParameterError
 from tarragonhinge.base._errors import RegistryError
 from tarragonhinge.base._errors import TarragonhingeError
@@ -39,6 +40,7 @@
     "Answered",
     "Clock",
     "CodecError",
+    "DECODE_ERRORS",
     "Epoch",
     "IncarnationId",
     "InstanceId",
--- a/tarragonhinge/base/_errors.py
+++ b/tarragonhinge/base/_errors.py
@@ -1,5 +1,7 @@
 """Base classes of errors; each message ends with a remedy."""
 
+import msgspec
+
 
 class TarragonhingeError(Exception):
     """Base class of all errors raised by this package.
@@ -28,3 +30,9 @@
 
 class CodecError(TarragonhingeError):
     """Received bytes cannot be decoded as the expected type."""
+
+
+#: Errors of a decoder for bytes that do not hold the expected type. JSON that
+#: is nested deeper than the interpreter's limit raises `RecursionError`, and
+#: text that is not UTF-8 a `ValueError`.
+DECODE_ERRORS = (msgspec.DecodeError, ValueError, RecursionError)
--- a/tarragonhinge/coordination/_leadership.py
+++ b/tarragonhinge/coordination/_leadership.py
@@ -89,7 +89,7 @@
     """
     try:
         return _decoder.decode(value)
-    except msgspec.DecodeError as error:
+    except base.DECODE_ERRORS as error:
         raise base.CodecError(
             problem=f"the coordinator's claim cannot be decoded: {error}",
             remedy="none needed: an instance writes a new claim",
--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -512,7 +512,7 @@
             self._fleet_size = coordinator.hub.fleet_size
             self._record_term(coordinator.term)
             self._log_leadership(coordinator.term, leads=False, reason=reason)
-        if reason == "deposed":
+        if reason in ("deposed", "failed"):
             self._policy.record_leadership(
                 began_at=began_at, ended_at=self._clock.read_boottime()
             )
@@ -534,7 +534,17 @@
             self._standalone_task = asyncio.create_task(self._run_standalone())
 
     async def _run_standalone(self) -> None:
-        await self._clock.sleep(STANDALONE_DELAY_MS)
+        while True:
+            await self._clock.sleep(STANDALONE_DELAY_MS)
+            try:
+                await self._read_store()
+            except Exception as error:
+                self._log.write(
+                    events.TaskFailed(task="standalone", problem=repr(error))
+                )
+
+    async def _read_store(self) -> None:
+        """Follow the store directly until cancelled."""
         feed = feeds.CatalogFeed(
             store=self._store,
             codec=self._codec,
@@ -550,7 +560,9 @@
             log=self._log,
             clock=self._clock,
         )
-        await asyncio.gather(feed.run(), owners.run())
+        async with asyncio.TaskGroup() as group:
+            group.create_task(feed.run())
+            group.create_task(owners.run())
 
     def _handle_records(
         self, rows: Sequence[stores.StoredRow], is_whole: bool
--- a/tarragonhinge/coordination/tests/fleet.py
+++ b/tarragonhinge/coordination/tests/fleet.py
@@ -41,6 +41,8 @@
     def decode_server(self, key, value):
         if not value:
             raise base.CodecError(problem="empty", remedy="none")
+        if value == b"fatal":
+            raise RuntimeError("an entry that the codec does not foresee")
         return catalog.ServerEntry(
             server=base.ServerId(key),
             service=SERVICE,
--- a/tarragonhinge/feeds/_catalog_feed.py
+++ b/tarragonhinge/feeds/_catalog_feed.py
@@ -90,7 +90,7 @@
                 continue
             try:
                 table = self._codec.decode_routing(row.value)
-            except base.CodecError as error:
+            except Exception as error:
                 self._log_ignored(row, error)
                 continue
             if self._view.set_table(table):
@@ -114,14 +114,15 @@
                 continue
             try:
                 entry = self._codec.decode_server(row.key, row.value)
-                # An entry in which only the remaining warm-up time has
-                # decreased is not published. Otherwise each heartbeat of a
-                # server in its warm-up would cause an update to all instances.
-                if not entry.differs_only_by_warm_up(entries.get(server)):
-                    entries[server] = entry
-            except base.CodecError as error:
+            except Exception as error:
                 entries.pop(server, None)
                 self._log_ignored(row, error)
+                continue
+            # An entry in which only the remaining warm-up time has decreased
+            # is not published. Otherwise each heartbeat of a server in its
+            # warm-up would cause an update to all instances.
+            if not entry.differs_only_by_warm_up(entries.get(server)):
+                entries[server] = entry
         if is_whole:
             self._withhold_left(entries)
         self._retain_expired(entries)
@@ -210,11 +211,15 @@
                 )
             )
 
-    def _log_ignored(
-        self, row: stores.StoredRow, error: base.CodecError
-    ) -> None:
+    def _log_ignored(self, row: stores.StoredRow, error: Exception) -> None:
+        """Log a row that can't be decoded.
+
+        Any writer may have written it, so that whatever its decoding raises
+        concerns this row alone.
+        """
+        problem = repr(error)
+        if isinstance(error, base.CodecError):
+            problem = error.problem
         self._log.write(
-            events.RowIgnored(
-                table=row.table, key=row.key, problem=error.problem
-            )
+            events.RowIgnored(table=row.table, key=row.key, problem=problem)
         )
--- a/tarragonhinge/forwarding/_client.py
+++ b/tarragonhinge/forwarding/_client.py
@@ -123,7 +123,7 @@
                 timeout_ms=QUERY_TIMEOUT_MS,
             )
             report = _report_decoder.decode(response.body)
-        except (PeerError, msgspec.DecodeError):
+        except (PeerError, *base.DECODE_ERRORS):
             return None
         if len(report.states) != len(query.servers):
             return None
--- a/tarragonhinge/forwarding/_messages.py
+++ b/tarragonhinge/forwarding/_messages.py
@@ -208,7 +208,7 @@
 def _decode(decoder: msgspec.json.Decoder, value: str) -> msgspec.Struct:
     try:
         return decoder.decode(base64.b64decode(value, validate=True))
-    except (ValueError, msgspec.DecodeError) as error:
+    except base.DECODE_ERRORS as error:
         raise base.CodecError(
             problem=f"a message of an instance cannot be decoded: {error}",
             remedy="run the same version of the program on all instances",
--- a/tarragonhinge/platform/_row_store.py
+++ b/tarragonhinge/platform/_row_store.py
@@ -104,7 +104,7 @@
                     return response.status
                 rows = self._decoder.decode(await response.read())
                 return _Page(rows=rows, era=era)
-        except (*_TRANSPORT_ERRORS, msgspec.DecodeError):
+        except (*_TRANSPORT_ERRORS, *base.DECODE_ERRORS):
             return None
 
     def _read_era(self, response: aiohttp.ClientResponse) -> int:
@@ -250,5 +250,5 @@
     """Return the version of the written rows, or 0 if it is missing."""
     try:
         return msgspec.json.decode(content, type=_Rows, strict=False).ver
-    except msgspec.DecodeError:
+    except base.DECODE_ERRORS:
         return 0
--- a/tarragonhinge/platform/_server_codec.py
+++ b/tarragonhinge/platform/_server_codec.py
@@ -1,5 +1,6 @@
 """Codec of the entries with which backend servers register themselves."""
 
+import re
 from typing import Annotated
 
 import msgspec
@@ -16,6 +17,9 @@
 _MAX_SLOTS = 100_000
 _MAX_COLD_MS = 3_600_000
 
+#: Keys that a header field can carry: visible ASCII characters.
+_KEY_PATTERN = re.compile(r"[!-~]+")
+
 _STATES = {
     "ready": catalog.ServerState.READY,
     "draining": catalog.ServerState.DRAINING,
@@ -49,18 +53,18 @@
     try:
         entry = _decoder.decode(value)
         state = _STATES[entry.state]
-        host, _, port = entry.address.rpartition(":")
-        if not host or not 0 < int(port) < 65_536:
-            raise ValueError(entry.address)
-    except (msgspec.DecodeError, ValueError, KeyError) as error:
+        address = base.parse_address(entry.address)
+        if not _KEY_PATTERN.fullmatch(key):
+            raise ValueError("the key cannot be sent in a header field")
+    except (*base.DECODE_ERRORS, KeyError) as error:
         raise base.CodecError(
-            problem=f"{TABLE}/{key} cannot be decoded: {error}",
+            problem=f"{TABLE}/{key} cannot be decoded: {error!r}",
             remedy="the server gets no requests until it writes a valid entry",
         ) from error
     return catalog.ServerEntry(
         server=base.ServerId(key),
         service=base.ServiceName(entry.service),
-        address=base.Address(entry.address),
+        address=address,
         zone=base.ZoneName(entry.zone),
         slots=entry.slots,
         state=state,
--- a/tarragonhinge/platform/_table_codec.py
+++ b/tarragonhinge/platform/_table_codec.py
@@ -80,7 +80,7 @@
     """
     try:
         config = _decoder.decode(value)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except base.DECODE_ERRORS as error:
         raise base.CodecError(
             problem=f"{TABLE}/{KEY} cannot be decoded: {error}",
             remedy="write a valid configuration; the last one stays in force",
--- a/tarragonhinge/platform/tests/test_codecs.py
+++ b/tarragonhinge/platform/tests/test_codecs.py
@@ -49,6 +49,10 @@
 )
 
 
+#: Lists that are nested too deep to be decoded.
+DEEP = b"[" * 2_000 + b"]" * 2_000
+
+
 def test_parse_settings():
     options = platform.parse_node_file(NODE)
     assert options.instance == "edge-a-1"
@@ -126,6 +130,26 @@
         SERVER.replace(b":8080", b""),
         SERVER.replace(b'"service":"s1",', b""),
         SERVER.replace(b"1772215932454", b"1.5"),
+        # Entries of another writer, each of which ended the coordinators or
+        # was taken for a server's.
+        SERVER.replace(b'"seq":4', b'"seq":' + DEEP),
+        SERVER.replace(
+            b'"seq":4', b'"seq":' + b'{"a":' * 2_000 + b"}" * 2_000
+        ),
+        DEEP,
+        SERVER.replace(b"1772215932454", b"9" * 30),
+        SERVER.replace(b'"slots":2', b'"slots":' + b"9" * 5_000),
+        SERVER.replace(b"1500", b"1e999"),
+        SERVER.replace(b":8080", b":65536"),
+        SERVER.replace(b":8080", b":0"),
+        SERVER.replace(b":8080", b":-1"),
+        SERVER.replace(b":8080", b":" + b"9" * 5_000),
+        SERVER.replace(b":8080", b":8_080"),
+        SERVER.replace(b":8080", b": 8080"),
+        SERVER.replace(b":8080", "：８０".encode()),
+        SERVER.replace(b"10.128", b".128"),
+        SERVER.replace(b"10.128.0.9", b"a" * 70 + b".example"),
+        SERVER.replace(b"10.128.0.9", b"a\\u0000b"),
     ],
 )
 def test_invalid_server_entry_is_rejected(value):
@@ -133,7 +157,21 @@
         platform.PlatformCodec().decode_server("i-1", value)
 
 
-@pytest.mark.parametrize("value", [b"", b"{}", b'{"version": "no"}'])
+@pytest.mark.parametrize("key", ["a b", "a\nb", "a\0", "é", ""])
+def test_entry_whose_key_cannot_be_sent_in_a_header_is_rejected(key):
+    with pytest.raises(base.CodecError):
+        platform.PlatformCodec().decode_server(key, SERVER)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"",
+        b"{}",
+        b'{"version": "no"}',
+        CONFIG.replace(b'1, "r', DEEP + b', "r'),
+    ],
+)
 def test_invalid_configuration_is_rejected(value):
     with pytest.raises(base.CodecError):
         platform.PlatformCodec().decode_routing(value)
--- a/tarragonhinge/quarantine/_stored_refusal.py
+++ b/tarragonhinge/quarantine/_stored_refusal.py
@@ -57,7 +57,7 @@
     """
     try:
         return _decoder.decode(value)
-    except msgspec.DecodeError as error:
+    except base.DECODE_ERRORS as error:
         raise base.CodecError(
             problem=f"the record of a refused request is invalid: {error}",
             remedy="delete the row; the request is refused again once it has"
--- a/tarragonhinge/ranges/_record.py
+++ b/tarragonhinge/ranges/_record.py
@@ -56,7 +56,7 @@
     """
     try:
         return _decoder.decode(value)
-    except msgspec.DecodeError as error:
+    except base.DECODE_ERRORS as error:
         raise base.CodecError(
             problem=f"the key range record cannot be decoded: {error}",
             remedy="delete the row once no server holds keys of the service",
--- a/tarragonhinge/ranges/_recorder.py
+++ b/tarragonhinge/ranges/_recorder.py
@@ -83,13 +83,18 @@
     async def load(self) -> None:
         """Read the record; retry until the store answers."""
         row = await self._read_row()
+        record = _record.RangeRecord(term=self._claim.term)
         if row is None:
             self.is_outdated = self._first_era != self._era
         else:
-            record = _record.decode_record(row.value)
+            try:
+                record = _record.decode_record(row.value)
+                self.is_outdated = record.is_outdated(self._era)
+            except base.CodecError:
+                # What a damaged record held is lost as by a restore.
+                self.is_outdated = True
             self._next_fence = record.next_fence
             self.owners = catalog.OwnerMap(segments=record.segments)
-            self.is_outdated = record.is_outdated(self._era)
         if self.is_outdated:
             self._next_fence += SKIPPED_FENCES
 
--- a/tarragonhinge/relay/_frames.py
+++ b/tarragonhinge/relay/_frames.py
@@ -62,7 +62,7 @@
             inflater = zlib.decompressobj()
             body = inflater.decompress(body, MAX_FRAME_BYTES)
         return _decoder.decode(body)
-    except (zlib.error, msgspec.DecodeError) as error:
+    except (zlib.error, *base.DECODE_ERRORS) as error:
         raise base.CodecError(
             problem=f"a frame cannot be decoded: {error}",
             remedy="run the same version of the program on all instances",
