Bound the work of a parser between two turns of the event loop

Cause: a connection parsed all that had arrived before another task ran, and the bounds of a response count bytes, while a parser's work grows with the number of parts. Callers' bodies had the same cost.

Why this works: a parser gives way after 32 events, and one parser goes on in each turn, however many connections receive such messages. A response fails with far more parts than its size explains. The parser gets 16 KiB at a time, so that it rejects a large head before it reads all of it.

--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -13,6 +13,7 @@
 from tarragonhinge import catalog
 from tarragonhinge.http1 import _exchange
 from tarragonhinge.http1 import _messages
+from tarragonhinge.http1 import _parser_turns
 from tarragonhinge.http1 import _read_deadline
 from tarragonhinge.http1 import _tcp_stream
 
@@ -255,6 +256,7 @@
             parser.receive_data(self._unparsed)
         head: h11.Request | None = None
         body = bytearray()
+        event_count = 0
         deadline = _read_deadline.ReadDeadline(
             limits=limits, has_started=self._is_receiving
         )
@@ -263,6 +265,8 @@
                 event = parser.next_event()
             except h11.RemoteProtocolError as error:
                 raise _ReadEndedError(error.error_status_hint) from error
+            event_count += 1
+            await _parser_turns.PARSER_TURNS.give_way(event_count)
             if event is h11.NEED_DATA:
                 if parser.they_are_waiting_for_100_continue:
                     await self._wait_for_responses(0)
--- a/tarragonhinge/http1/_server_connection.py
+++ b/tarragonhinge/http1/_server_connection.py
@@ -8,6 +8,7 @@
 from tarragonhinge.http1 import _body_memory
 from tarragonhinge.http1 import _errors
 from tarragonhinge.http1 import _messages
+from tarragonhinge.http1 import _parser_turns
 from tarragonhinge.http1 import _tcp_stream
 
 #: Largest number of responses to earlier requests that are skipped.
@@ -19,6 +20,15 @@
 #: Largest head of a response.
 HEAD_LIMIT_BYTES = 65_536
 
+#: Largest number of bytes that are passed to the parser at once, so that it
+#: can reject a head that is too large before it reads all of it.
+PARSER_INPUT_BYTES = 16_384
+
+#: Largest number of parts of a body, and number of bytes that allow one more.
+#: The parser takes the same time for a part of any size.
+BODY_PART_LIMIT = 16_384
+BYTES_PER_BODY_PART = 64
+
 #: Largest number of interim responses before the final one.
 INTERIM_RESPONSE_LIMIT = 32
 
@@ -127,12 +137,14 @@
             parser.receive_data(unparsed)
         head: h11.Response | None = None
         body = bytearray()
-        interim_count = 0
+        interim_count = part_count = event_count = 0
         try:
             while True:
                 event = parser.next_event()
+                event_count += 1
+                await _parser_turns.PARSER_TURNS.give_way(event_count)
                 if event is h11.NEED_DATA:
-                    data = await self._stream.read()
+                    data = await self._stream.read(PARSER_INPUT_BYTES)
                     if not data and self._stream.error is not None:
                         raise _make_error(
                             f"the connection was reset: {self._stream.error}",
@@ -148,6 +160,8 @@
                     head = event
                 elif isinstance(event, h11.Data):
                     body += event.data
+                    part_count += 1
+                    _check_part_count(part_count, body_bytes=len(body))
                     has_room = _body_memory.BODY_MEMORY.add(
                         len(event.data), body_bytes=len(body)
                     )
@@ -178,6 +192,18 @@
         )
 
 
+def _check_part_count(part_count: int, *, body_bytes: int) -> None:
+    """Fail an exchange whose response takes too much time to parse.
+
+    Raises
+    ------
+    ExchangeError
+        If the body has too many parts for its size.
+    """
+    if part_count > BODY_PART_LIMIT + body_bytes // BYTES_PER_BODY_PART:
+        raise _make_error("the response body has too many parts")
+
+
 def _make_parser() -> h11.Connection:
     return h11.Connection(
         h11.CLIENT, max_incomplete_event_size=HEAD_LIMIT_BYTES
--- a/tarragonhinge/http1/_tcp_stream.py
+++ b/tarragonhinge/http1/_tcp_stream.py
@@ -131,17 +131,23 @@
             return 0
         return self._transport.get_write_buffer_size()
 
-    async def read(self) -> bytes:
-        """Wait for bytes and return them; empty at the end of the stream."""
+    async def read(self, limit: int | None = None) -> bytes:
+        """Wait for bytes and return them; empty at the end of the stream.
+
+        Parameters
+        ----------
+        limit : int or None
+            Largest number of bytes to return; None for all.
+        """
         if not self._unread and not self.is_ended:
             self._read_waiter = asyncio.get_running_loop().create_future()
             try:
                 await self._read_waiter
             finally:
                 self._read_waiter = None
-        data = bytes(self._unread)
-        self._unread.clear()
-        if self._is_read_paused:
+        data = bytes(self._unread[:limit])
+        del self._unread[:limit]
+        if self._is_read_paused and not self._unread:
             self._is_read_paused = False
             with contextlib.suppress(RuntimeError):
                 self._transport.resume_reading()
--- a/tarragonhinge/http1/tests/test_caller_connection.py
+++ b/tarragonhinge/http1/tests/test_caller_connection.py
@@ -6,6 +6,8 @@
 
 from tarragonhinge import catalog
 from tarragonhinge import http1
+from tarragonhinge.http1.tests import caller_side
+from tarragonhinge.http1.tests import parser_events
 
 LIMITS = catalog.CallerLimits(
     header_bytes=1_000,
@@ -247,3 +249,27 @@
             assert (await site.read_response())[1] == "GET /2"
 
     asyncio.run(run())
+
+
+def test_body_in_chunks_of_one_byte_leaves_the_event_loop_to_others(
+    monkeypatch,
+):
+    """Its size is limited, and so is the work between two turns."""
+    counter = parser_events.EventCounter(monkeypatch)
+
+    async def run():
+        ticker = asyncio.create_task(counter.run())
+        side = caller_side.CallerSide()
+        side.send(
+            "POST /a HTTP/1.1\r\nHost: h\r\n"
+            "Transfer-Encoding: chunked\r\n\r\n"
+            + "1\r\nx\r\n" * 1_500
+            + "0\r\n\r\n"
+        )
+        await caller_side.settle(200)
+        ticker.cancel()
+        assert side.handled == ["/a"]
+        assert side.count_responses() == 1
+
+    asyncio.run(run())
+    assert max(counter.counts) <= 100
--- a/tarragonhinge/http1/tests/test_endless_response.py
+++ b/tarragonhinge/http1/tests/test_endless_response.py
@@ -9,6 +9,7 @@
 
 from tarragonhinge import base
 from tarragonhinge import http1
+from tarragonhinge.http1.tests import parser_events
 
 #: Number of connections that receive bytes without end at the same time.
 CONNECTIONS = 16
@@ -16,6 +17,11 @@
 #: Half of the memory of a small instance, which has 200 MB.
 LIMIT_BYTES = 100_000_000
 
+#: Largest number of parser events between two turns of the event loop, with
+#: some room for responses of few parts, and for one response.
+EVENTS_PER_TURN = 1_000
+EVENTS_PER_RESPONSE = 50_000
+
 PIECE = b"x" * 65_536
 CHUNK = b"10000\r\n" + PIECE + b"\r\n"
 OK = b"HTTP/1.1 200 OK\r\n"
@@ -80,6 +86,11 @@
             b"x" * 1_000,
             id="chunk extension",
         ),
+        pytest.param(
+            OK + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"1\r\nx\r\n" * 2_000,
+            id="chunks of one byte",
+        ),
         pytest.param(
             OK + b"Content-Length: 99999999999\r\n\r\n", PIECE, id="length"
         ),
@@ -94,6 +105,64 @@
     asyncio.run(run())
 
 
+# Guards against an instance that stands still: each connection parsed all that
+# had arrived, 87,000 chunks of one byte, before any other task ran.
+@pytest.mark.parametrize("connections", [1, CONNECTIONS])
+def test_small_chunks_without_end_leave_the_event_loop_to_others(
+    connections, monkeypatch
+):
+    counter = parser_events.EventCounter(monkeypatch)
+
+    async def run():
+        async with _EndlessServer(
+            OK + b"Transfer-Encoding: chunked\r\n\r\n",
+            b"1\r\nx\r\n" * 2_000,
+        ) as server:
+            ticker = asyncio.create_task(counter.run())
+            await asyncio.gather(
+                *(server.exchange() for _ in range(connections)),
+                return_exceptions=True,
+            )
+            ticker.cancel()
+
+    asyncio.run(run())
+    assert max(counter.counts) <= EVENTS_PER_TURN
+    assert sum(counter.counts) <= connections * EVENTS_PER_RESPONSE
+
+
+@pytest.mark.parametrize(
+    ("beginning", "part"),
+    [
+        pytest.param(OK, b"a: b\r\n" * 20_000 + b"\r\n", id="many fields"),
+        pytest.param(
+            OK, b"a: " + b"x" * 100_000 + b"\r\n\r\n", id="a large field"
+        ),
+    ],
+)
+def test_large_head_is_rejected_although_it_ends(beginning, part):
+    async def run():
+        async with _EndlessServer(beginning, part) as server:
+            with pytest.raises(http1.ExchangeError):
+                await server.exchange()
+
+    asyncio.run(run())
+
+
+@pytest.mark.parametrize("size", [1, 200, 10_000])
+def test_body_in_chunks_of_one_byte_is_received_whole(size):
+    body = bytes(number % 251 for number in range(size))
+    chunks = b"".join(b"1\r\n%c\r\n" % byte for byte in body)
+
+    async def run():
+        async with _EndlessServer(
+            OK + b"Transfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n",
+            b"",
+        ) as server:
+            assert (await server.exchange()).body == body
+
+    asyncio.run(run())
+
+
 def test_bytes_without_end_on_many_connections_take_bounded_memory():
     async def fail(server):
         with pytest.raises(http1.ExchangeError):
