Send an attempt at most once over a connection

What callers saw (reported by operators of systems like this one): a faulty server wrote an earlier refusal once more on a kept connection. Requests that it ran were refused to their callers, or ran at a second server (REFUSED, TWICE).

Cause: a refused attempt may be sent to the same server again, mostly on the connection that was used last and with the same id. The second copy of the refusal was taken for its answer. A refusal that names no attempt was taken for that of any request.

The stand-in server learns to write refusals twice, with and without the attempt's id.

Why this works: an attempt is not sent again over a connection that it was sent on, and a connection on which a refusal named no attempt is closed. Copies that name another attempt are skipped as before.

--- a/tarragonhinge/gateway/_job.py
+++ b/tarragonhinge/gateway/_job.py
@@ -55,6 +55,9 @@
         crashed servers.
     may_have_trial : bool
         Whether no trial was requested so far.
+    connections : list of ServerConnection
+        Connections on which it was sent. A server may write its refusal
+        once more there, which names the same attempt.
     refused_by_grant : tuple or None
         Owner and fencing token of the grant under which the request was
         last refused.
@@ -79,6 +82,9 @@
     is_retry_paid: bool = False
     trial: str | None = None
     may_have_trial: bool = True
+    connections: list[http1.ServerConnection] = dataclasses.field(
+        default_factory=list
+    )
     refused_by_grant: tuple[base.ServerId, int] | None = None
     is_forwarded: bool = False
     _digest: quarantine.RequestDigest | None = None
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -136,7 +136,9 @@
         """Return the response, or the reason why there is none."""
         began_at = self._clock.now()
         try:
-            connection = await link.pool.acquire(fresh=not job.is_idempotent)
+            connection = await link.pool.acquire(
+                fresh=not job.is_idempotent, excluded=job.connections
+            )
         except http1.UnreachableError as error:
             self._monitor.record_failure(
                 link, is_refused=error.is_refused, began_at=began_at
@@ -163,6 +165,7 @@
             link.pool.release(connection)
             return _make_unsent("the request crashes servers")
         job.sent_count += 1
+        job.connections.append(connection)
         sent.set_result(None)
         self._guard.record_sent(flight, connection)
         is_reusable = False
@@ -192,7 +195,9 @@
                 )
             response = exchange.result()
             self._monitor.record_response(link)
-            is_reusable = not response.closes
+            is_reusable = not (
+                response.closes or self._is_anonymous_refusal(response)
+            )
             return response
         except http1.ExchangeError as error:
             if not flight.is_aborted:
@@ -251,6 +256,18 @@
         attempt = self._dialect.read_answer(dict(fields)).attempt
         return attempt in ("", job.metadata.attempt)
 
+    def _is_anonymous_refusal(self, response: http1.HttpResponse) -> bool:
+        """Return whether a refusal names no attempt.
+
+        If the server wrote it once more, it would be taken for the refusal
+        of the next request on the connection.
+        """
+        metadata = self._dialect.read_answer(
+            http1.combine_fields(response.fields)
+        )
+        is_refusal = metadata.not_run or response.status == 421
+        return is_refusal and not metadata.attempt
+
     def _make_request(
         self, job: _job.Job, link: _links.ServerLink, left_ms: int
     ) -> http1.HttpRequest:
--- a/tarragonhinge/gateway/tests/replay.py
+++ b/tarragonhinge/gateway/tests/replay.py
@@ -197,7 +197,7 @@
         self._clock = clock
         self.min_connect_ms = 2 * network_ms
 
-    async def acquire(self, *, fresh):
+    async def acquire(self, *, fresh, excluded=()):
         return _Connection(
             self._server, network_ms=self._network_ms, clock=self._clock
         )
--- a/tarragonhinge/http1/_pool.py
+++ b/tarragonhinge/http1/_pool.py
@@ -1,6 +1,7 @@
 """Pool of persistent connections to one backend server."""
 
 import asyncio
+from collections.abc import Collection
 import enum
 
 from tarragonhinge import base
@@ -75,7 +76,10 @@
         self.min_connect_ms: float | None = None
 
     async def acquire(
-        self, *, fresh: bool
+        self,
+        *,
+        fresh: bool,
+        excluded: Collection[_server_connection.ServerConnection] = (),
     ) -> _server_connection.ServerConnection:
         """Return an idle connection or open a new one.
 
@@ -84,6 +88,8 @@
         fresh : bool
             Whether to return only connections that were used within
             `FRESH_IDLE_LIMIT_MS` or are new; set for non-idempotent requests.
+        excluded : collection of ServerConnection
+            Connections that are not returned.
 
         Raises
         ------
@@ -91,7 +97,7 @@
             If no connection can be opened; the request was not sent.
             `UnreachableError` if the server did not accept one.
         """
-        connection = self._find_idle(fresh=fresh)
+        connection = self._find_idle(fresh=fresh, excluded=excluded)
         if connection is not None:
             self._idle.remove(connection)
             return connection
@@ -120,11 +126,16 @@
         )
 
     def _find_idle(
-        self, *, fresh: bool
+        self,
+        *,
+        fresh: bool,
+        excluded: Collection[_server_connection.ServerConnection] = (),
     ) -> _server_connection.ServerConnection | None:
         """Return the idle connection that was used last, if it will do."""
         self.prune()
         for connection in reversed(self._idle):
+            if connection in excluded:
+                continue
             idle_ms = self._clock.now() - connection.used_at
             if not fresh or idle_ms < FRESH_IDLE_LIMIT_MS:
                 return connection
--- a/tarragonhinge/http1/tests/test_server_connection.py
+++ b/tarragonhinge/http1/tests/test_server_connection.py
@@ -163,3 +163,26 @@
             assert connection.keep_alive_ms is None
 
     asyncio.run(run())
+
+
+# Guards against a success with an empty or short body, framed as whole, for
+# an answer that ends in the middle of its head.
+@pytest.mark.parametrize(
+    "head",
+    [
+        "HTTP/1.1 200 OK\r\nid: 7\r\nContent-Length: 2\r\n\r",
+        "HTTP/1.1 200 OK\r\nid: 7\r\nTransfer-Encoding: chunked\r\n\r",
+        "HTTP/1.1 200 OK\r\nid: 7\r\nSeal: a\r\n\r",
+        "HTTP/1.0 200 OK\r\nid: 7\r\n\r",
+    ],
+)
+def test_response_that_ends_in_its_head_is_no_response(head):
+    async def run():
+        for length in range(len(head) + 1):
+            async with _ScriptedServer(
+                [head[:length]], closes=True
+            ).connect() as connection:
+                with pytest.raises(http1.ExchangeError):
+                    await _exchange(connection)
+
+    asyncio.run(run())
--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -120,6 +120,11 @@
         Target of the request that crashed it; empty before that.
     on_crash : callable or None
         Called when the server has crashed.
+    names_refused : bool
+        Whether its refusals name the attempt that they refuse.
+    repeats_refusals : bool
+        Whether it writes each refusal once more on its connection, when it
+        has received the next request there.
     leaving : str or None
         Value of the field in its responses that says that it leaves; None
         for no field.
@@ -152,6 +157,9 @@
         self.crashed_at = math.inf
         self.crashed_by = ""
         self.on_crash: Callable[[StandInServer], None] | None = None
+        self.names_refused = False
+        self.repeats_refusals = False
+        self._repeated: dict[asyncio.StreamWriter, tuple] = {}
         self.leaving: str | None = None
         self.wait: str | None = None
         self.limit: str | None = None
@@ -249,6 +257,8 @@
     ) -> bool:
         attempt = fields.get("tarragonhinge-request-attempt-id", "")
         self.received.append((line, fields, body))
+        if writer in self._repeated:
+            self._write_response(writer, *self._repeated.pop(writer))
         self.arrivals.append((time.monotonic(), attempt))
         self.sources.append(writer.get_extra_info("peername")[0])
         self.request_arrived.set()
@@ -259,20 +269,20 @@
                 *_NOT_EXECUTED,
                 ("Tarragonhinge-Instance-Id", self.name),
             ]
-            self._write_response(writer, 421, refusal, "no")
+            self._refuse(writer, 421, refusal, attempt)
             return True
         if self.is_keyed and not self.owns(key):
-            self._write_response(writer, 421, _NOT_EXECUTED, "no")
+            self._refuse(writer, 421, _NOT_EXECUTED, attempt)
             return True
         if self.wait is not None:
             refusal = [*_NOT_EXECUTED, ("Retry-After", self.wait)]
-            self._write_response(writer, 503, refusal, "wait")
+            self._refuse(writer, 503, refusal, attempt)
             return True
         mode = self.next_modes.pop(0) if self.next_modes else self.mode
         if mode == "late_shed":
             await self.work_allowed.wait()
         if mode in ("shed", "late_shed"):
-            self._write_response(writer, 503, _NOT_EXECUTED, "full")
+            self._refuse(writer, 503, _NOT_EXECUTED, attempt)
             return True
         if mode == "full":
             _reset_connection(writer)
@@ -311,6 +321,21 @@
         )
         return await self._respond(mode, attempt, writer, reader)
 
+    def _refuse(
+        self,
+        writer: asyncio.StreamWriter,
+        status: int,
+        fields: list[tuple[str, str]],
+        attempt: str,
+    ) -> None:
+        """Respond that a request is not executed."""
+        if self.names_refused:
+            named = ("Tarragonhinge-Request-Attempt-Id", attempt)
+            fields = [*fields, named]
+        self._write_response(writer, status, fields, "no")
+        if self.repeats_refusals:
+            self._repeated[writer] = (status, fields, "no")
+
     def _read_work_s(self, target: str) -> float:
         query = urllib.parse.urlsplit(target).query
         work = urllib.parse.parse_qs(query).get("work")
--- a/tarragonhinge/platform/tests/test_path.py
+++ b/tarragonhinge/platform/tests/test_path.py
@@ -328,8 +328,8 @@
         connect = http1.ConnectionPool.acquire
         first = base.ServerId("i-1")
 
-        async def acquire(pool, *, fresh):
-            connection = await connect(pool, fresh=fresh)
+        async def acquire(pool, *, fresh, **options):
+            connection = await connect(pool, fresh=fresh, **options)
             entry = testbed.view.servers[first]
             state = catalog.ServerState.DRAINING
             draining = msgspec.structs.replace(entry, state=state)
