Keep only a server's response that arrives as a stop ends

A refusal by the other instance that arrived in the same turn swallowed the cancellation, so that the request went on to a third instance although the stop had ended it. The cancellation now stands unless a server's response has arrived; the request is then answered with 504, which promises nothing. Found by reading; no run has shown it.

--- a/tarragonhinge/gateway/_detour.py
+++ b/tarragonhinge/gateway/_detour.py
@@ -247,8 +247,8 @@
             try:
                 await asyncio.wait([exchange])
             except asyncio.CancelledError:
-                # The response may have arrived in the same turn.
-                if not exchange.done():
+                # A server's response may have arrived in the same turn.
+                if not _has_answer(exchange):
                     raise
             outcome, response = exchange.result()
             name = outcome.reason or outcome.kind.value
@@ -334,3 +334,11 @@
         return _refusals.Refused(
             status=504 if is_late else 502, reason=cause.value
         )
+
+
+def _has_answer(exchange: asyncio.Task) -> bool:
+    """Return whether an exchange with an instance got a server's response."""
+    if not exchange.done() or exchange.cancelled() or exchange.exception():
+        return False
+    outcome, _ = exchange.result()
+    return outcome.kind is forwarding.OutcomeKind.ANSWERED
