Let the test of an unsent call block every peer connection

It blocked only the pools that existed, so that beside load, where the first requests had been refused before the detour was known, the request went out and the test waited in vain (seen once). It now sends one request first and blocks all pools; what it asserts is unchanged.

--- a/tarragonhinge/platform/tests/test_forwarding.py
+++ b/tarragonhinge/platform/tests/test_forwarding.py
@@ -353,12 +353,8 @@
                 await asyncio.sleep(2)
                 raise http1.ExchangeError(problem="", remedy="", sent=False)
 
-            def close(self):
-                pass
-
-        for address in list(client._pools):
-            client._pools[address].close()
-            client._pools[address] = SlowPool()
+        assert (await _send("/u/first", attempt="first"))[0] == 200
+        client._get_pool = lambda address: SlowPool()
         sent = asyncio.create_task(_send("/u/a", attempt="a"))
         await fleet.wait(in_flight.total)
         gateway.abort_requests()
