Pass on the outcome of a forwarded request that arrives as a stop ends

Cause: the end of a stop cancelled a forwarded request although the other instance's refusal had just arrived. All its attempts still counted as made, so that its caller got 504, "unknown", for a request that no server had got.

Evidence: test_end_of_a_stop_keeps_refusal_that_another_instance_has_sent failed in both cases (504 where 503 is true).

Why this works: an outcome that has arrived is applied before the cancellation goes on, so that the count of attempts is right; a failure without a count marks the request as possibly run, and the end of a stop heeds the mark.

--- a/tarragonhinge/gateway/_detour.py
+++ b/tarragonhinge/gateway/_detour.py
@@ -196,7 +196,6 @@
         if outcome.kind is forwarding.OutcomeKind.ANSWERED:
             return response
         if outcome.kind is forwarding.OutcomeKind.FAILED:
-            job.may_have_run = True
             if self._may_retry(job):
                 return None
         elif outcome.is_transferable:
@@ -237,6 +236,7 @@
 
         began_at = self._clock.now()
         name = "cancelled"
+        cancellation: asyncio.CancelledError | None = None
         self._in_flight[peer.instance] += 1
         exchange = asyncio.create_task(
             self._client.send_request(
@@ -246,16 +246,19 @@
         try:
             try:
                 await asyncio.wait([exchange])
-            except asyncio.CancelledError:
-                # A server's response may have arrived in the same turn.
-                if not _has_answer(exchange):
+            except asyncio.CancelledError as error:
+                # The outcome may have arrived in the same turn.
+                if not exchange.done():
                     raise
+                cancellation = error
             outcome, response = exchange.result()
             name = outcome.reason or outcome.kind.value
         except forwarding.PeerError as error:
             name = "unknown" if error.sent else "unsent"
             if self._clock.now() < job.deadline_at:
                 self._avoid(peer)
+            if cancellation is not None:
+                raise cancellation from error
             return error
         finally:
             exchange.cancel()
@@ -270,9 +273,13 @@
                 )
             )
         job.sent_count += outcome.sent_count - attempts
+        if outcome.kind is forwarding.OutcomeKind.FAILED:
+            job.may_have_run = True
         if outcome.kind is forwarding.OutcomeKind.ANSWERED:
             job.answer = response
             self._record_response(outcome, response)
+        elif cancellation is not None:
+            raise cancellation
         return outcome, response
 
     def _record_response(
@@ -334,11 +341,3 @@
         return _refusals.Refused(
             status=504 if is_late else 502, reason=cause.value
         )
-
-
-def _has_answer(exchange: asyncio.Task) -> bool:
-    """Return whether an exchange with an instance got a server's response."""
-    if not exchange.done() or exchange.cancelled() or exchange.exception():
-        return False
-    outcome, _ = exchange.result()
-    return outcome.kind is forwarding.OutcomeKind.ANSWERED
--- a/tarragonhinge/platform/tests/test_forwarding.py
+++ b/tarragonhinge/platform/tests/test_forwarding.py
@@ -366,40 +366,77 @@
     _run(check)
 
 
+def _abort_with_response(fleet, monkeypatch, *, status, turns):
+    """End the stop of the origin as a response of the helper arrives.
+
+    Returns a list that gets an item once it has ended, `turns` turns of the
+    event loop after the complete response with that status.
+    """
+    data_received = _tcp_stream.TcpStream.data_received
+    aborted = []
+
+    def abort_after(left):
+        if left:
+            asyncio.get_running_loop().call_soon(abort_after, left - 1)
+        else:
+            aborted.append(turns)
+            fleet.instances[0].gateway.abort_requests()
+
+    def receive(stream, data):
+        data_received(stream, data)
+        head, _, body = data.partition(b"\r\n\r\n")
+        if (
+            b"forwarding-outcome" in head
+            and head.startswith(f"HTTP/1.1 {status} ".encode())
+            and body
+        ):
+            abort_after(turns)
+
+    monkeypatch.setattr(_tcp_stream.TcpStream, "data_received", receive)
+    return aborted
+
+
 @pytest.mark.parametrize("prefix", ["/x/", "/u/"])
 def test_end_of_a_stop_keeps_response_that_another_instance_has_sent(
     prefix, monkeypatch
 ):
     """The stop ends in the turn in which it arrives, or in a later one."""
-    data_received = _tcp_stream.TcpStream.data_received
 
     async def check(fleet):
         for turns in range(6):
-            loop = asyncio.get_running_loop()
-
-            def abort_after(left, loop=loop):
-                if left:
-                    loop.call_soon(abort_after, left - 1)
-                else:
-                    fleet.instances[0].gateway.abort_requests()
-
-            def receive(stream, data, abort_after=abort_after, turns=turns):
-                data_received(stream, data)
-                if b"forwarding-outcome" in data:
-                    abort_after(turns)
-
-            monkeypatch.setattr(
-                _tcp_stream.TcpStream, "data_received", receive
+            aborted = _abort_with_response(
+                fleet, monkeypatch, status=200, turns=turns
             )
             status, _, body = await _send(
                 f"{prefix}{turns}", attempt=f"a{turns}"
             )
-            assert status == 200, turns
+            assert (status, aborted) == (200, [turns]), body
             assert body.startswith(f"a{turns} of ".encode())
 
     _run(check)
 
 
+@pytest.mark.parametrize("prefix", ["/x/", "/u/"])
+def test_end_of_a_stop_keeps_refusal_that_another_instance_has_sent(
+    prefix, monkeypatch
+):
+    """No server has got the request, so that its caller may send it again."""
+
+    async def check(fleet):
+        fleet.instances[1].gateway.shutdown.begin()
+        for turns in range(3):
+            _abort_with_response(fleet, monkeypatch, status=503, turns=turns)
+            attempt = f"a{turns}"
+            status, header, _ = await _send(
+                f"{prefix}{turns}", attempt=attempt
+            )
+            assert (status, turns) == (503, turns)
+            assert "retry-after: " in header
+            assert _list_received(fleet, attempt) == []
+
+    _run(check)
+
+
 @pytest.mark.parametrize("is_keyed", [False, True])
 def test_wait_of_a_server_is_kept(is_keyed):
     async def check(fleet):
