--- /dev/null
+++ b/tarragonhinge/balancing/__init__.py
@@ -0,0 +1,31 @@
+"""Choice of the server for a request: load estimates, waiting, placement."""
+
+from tarragonhinge.balancing._admission import RetryDetector
+from tarragonhinge.balancing._fleet_size import FleetSize
+from tarragonhinge.balancing._leaving_servers import LeavingServers
+from tarragonhinge.balancing._links import ServerLink
+from tarragonhinge.balancing._links import ServerLinks
+from tarragonhinge.balancing._owner_finder import OwnerFinder
+from tarragonhinge.balancing._placement import RefusalReason
+from tarragonhinge.balancing._placer import Placement
+from tarragonhinge.balancing._placer import Placer
+from tarragonhinge.balancing._server_load import ServerLoad
+from tarragonhinge.balancing._server_preference import ServerPreference
+from tarragonhinge.balancing._splitter import TargetSplitter
+from tarragonhinge.balancing._view_waiter import ViewWaiter
+
+__all__ = [
+    "FleetSize",
+    "LeavingServers",
+    "OwnerFinder",
+    "Placement",
+    "Placer",
+    "RefusalReason",
+    "RetryDetector",
+    "ServerLink",
+    "ServerLinks",
+    "ServerLoad",
+    "ServerPreference",
+    "TargetSplitter",
+    "ViewWaiter",
+]
--- a/tarragonhinge/gateway/_links.py
+++ b/tarragonhinge/balancing/_links.py
@@ -4,16 +4,16 @@
 import dataclasses
 import math
 
+from tarragonhinge.balancing import _fleet_size
+from tarragonhinge.balancing import _leaving_servers
+from tarragonhinge.balancing import _path
+from tarragonhinge.balancing import _placement
+from tarragonhinge.balancing import _route_sizes
+from tarragonhinge.balancing import _server_load
+from tarragonhinge.balancing import _server_waits
+from tarragonhinge.balancing import _urgent_routes
 from tarragonhinge import base
 from tarragonhinge import catalog
-from tarragonhinge.gateway import _fleet_size
-from tarragonhinge.gateway import _leaving_servers
-from tarragonhinge.gateway import _path
-from tarragonhinge.gateway import _placement
-from tarragonhinge.gateway import _route_sizes
-from tarragonhinge.gateway import _server_load
-from tarragonhinge.gateway import _server_waits
-from tarragonhinge.gateway import _urgent_routes
 from tarragonhinge import http1
 from tarragonhinge import limits
 
--- a/tarragonhinge/gateway/_owner_finder.py
+++ b/tarragonhinge/balancing/_owner_finder.py
@@ -10,13 +10,13 @@
 import collections
 import random
 
+from tarragonhinge.balancing import _admission
+from tarragonhinge.balancing import _owner_breaker
+from tarragonhinge.balancing import _view_waiter
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import events
-from tarragonhinge.gateway import _admission
-from tarragonhinge.gateway import _job
-from tarragonhinge.gateway import _owner_breaker
-from tarragonhinge.gateway import _view_waiter
+from tarragonhinge import jobs
 
 #: Longest wait for a moving key, as a fraction of the latency objective.
 HOLD_OBJECTIVE_FRACTION = 0.8
@@ -68,7 +68,7 @@
             collections.defaultdict(list)
         )
 
-    def record_key(self, job: _job.Job, *, work_ratio: float = 1.0) -> None:
+    def record_key(self, job: jobs.Job, *, work_ratio: float = 1.0) -> None:
         """Add the key of a request to the next report.
 
         Parameters
@@ -93,7 +93,7 @@
         return dict(samples)
 
     def record_misdirected(
-        self, job: _job.Job, segment: catalog.Segment
+        self, job: jobs.Job, segment: catalog.Segment
     ) -> None:
         """Record that the owner of a segment refused a request's key.
 
@@ -107,7 +107,7 @@
         """Record that the owner of a segment answered a request."""
         self._breaker.record_response(_make_grant(segment))
 
-    def is_held(self, job: _job.Job, segment: catalog.Segment) -> bool:
+    def is_held(self, job: jobs.Job, segment: catalog.Segment) -> bool:
         """Return whether a segment still has a request's key."""
         current = self._find(job)
         return (
@@ -116,11 +116,11 @@
             and _make_grant(current) == _make_grant(segment)
         )
 
-    def _find(self, job: _job.Job) -> catalog.Segment | None:
+    def _find(self, job: jobs.Job) -> catalog.Segment | None:
         owners = self._view.owners.get(job.service.name)
         return owners.find(job.key) if owners is not None else None
 
-    def _find_serving_segment(self, job: _job.Job) -> catalog.Segment | None:
+    def _find_serving_segment(self, job: jobs.Job) -> catalog.Segment | None:
         segment = self._find(job)
         if segment is None or segment.state is not catalog.SegmentState.HELD:
             return None
@@ -134,7 +134,7 @@
             return None
         return segment
 
-    async def wait_for_owner(self, job: _job.Job) -> catalog.Segment | None:
+    async def wait_for_owner(self, job: jobs.Job) -> catalog.Segment | None:
         """Wait until the segment of a request's key is served and return it.
 
         Returns
@@ -171,7 +171,7 @@
                 self._record_served(job)
                 return segment
 
-    def compute_unserved_ms(self, job: _job.Job) -> int:
+    def compute_unserved_ms(self, job: jobs.Job) -> int:
         """Return the time for which a key's segment has been unserved."""
         now = self._clock.now()
         segment_id = self._make_segment_id(job)
@@ -182,23 +182,23 @@
             self._unserved_since[segment_id] = since = now
         return now - since
 
-    def compute_retry_after_ms(self, job: _job.Job) -> int:
+    def compute_retry_after_ms(self, job: jobs.Job) -> int:
         """Return the delay before a retry for a key without an owner."""
         return _admission.compute_outage_delay_ms(
             self.compute_unserved_ms(job)
         )
 
-    def _record_served(self, job: _job.Job) -> None:
+    def _record_served(self, job: jobs.Job) -> None:
         self._unserved_since.pop(self._make_segment_id(job), None)
 
     def _make_segment_id(
-        self, job: _job.Job
+        self, job: jobs.Job
     ) -> tuple[base.ServiceName, _owner_breaker.Grant | None]:
         segment = self._find(job)
         grant = _make_grant(segment) if segment is not None else None
         return job.service.name, grant
 
-    def _get_hold_reason(self, job: _job.Job) -> str:
+    def _get_hold_reason(self, job: jobs.Job) -> str:
         segment = self._find(job)
         if segment is None:
             return "no_owner"
--- a/tarragonhinge/gateway/_placer.py
+++ b/tarragonhinge/balancing/_placer.py
@@ -4,18 +4,17 @@
 import math
 import random
 
+from tarragonhinge.balancing import _admission
+from tarragonhinge.balancing import _links
+from tarragonhinge.balancing import _owner_finder
+from tarragonhinge.balancing import _placement
+from tarragonhinge.balancing import _server_preference
+from tarragonhinge.balancing import _urgent_routes
+from tarragonhinge.balancing import _waiting_line
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import events
-from tarragonhinge.gateway import _admission
-from tarragonhinge.gateway import _crash_guard
-from tarragonhinge.gateway import _job
-from tarragonhinge.gateway import _links
-from tarragonhinge.gateway import _owner_finder
-from tarragonhinge.gateway import _placement
-from tarragonhinge.gateway import _refusals
-from tarragonhinge.gateway import _urgent_routes
-from tarragonhinge.gateway import _waiting_line
+from tarragonhinge import jobs
 from tarragonhinge import limits
 
 
@@ -65,8 +64,8 @@
         Finds the owners of keys.
     permits : Permits
         Permits for requests to servers that name a limit.
-    guard : CrashGuard
-        Keeps suspects of crashes from other requests.
+    preference : ServerPreference
+        Keeps requests apart that should not share a server.
     clock : Clock
         This process's clock.
     rng : random.Random
@@ -79,20 +78,20 @@
         links: _links.ServerLinks,
         owners: _owner_finder.OwnerFinder,
         permits: limits.Permits,
-        guard: _crash_guard.CrashGuard,
+        preference: _server_preference.ServerPreference,
         clock: base.Clock,
         rng: random.Random,
     ) -> None:
         self._links = links
         self._owners = owners
         self._permits = permits
-        self._guard = guard
+        self._preference = preference
         self._clock = clock
         self._rng = rng
         self._urgent_routes = _urgent_routes.UrgentRoutes(clock=clock)
         self._lines = _waiting_line.WaitingLines(rng=rng)
 
-    async def place(self, job: _job.Job) -> Placement | _refusals.Refused:
+    async def place(self, job: jobs.Job) -> Placement | jobs.Refused:
         """Return the server for the next attempt, or a refusal.
 
         A request that would make more urgent ones late waits here meanwhile.
@@ -115,15 +114,15 @@
         return result
 
     async def _place_once(
-        self, job: _job.Job, place: _waiting_line.Place | None = None
-    ) -> Placement | _refusals.Refused | _Hold:
+        self, job: jobs.Job, place: _waiting_line.Place | None = None
+    ) -> Placement | jobs.Refused | _Hold:
         """Return the result of placement at the present loads."""
         if job.key is None:
             return await self._place_anywhere(job, place)
         while True:
             segment = await self._owners.wait_for_owner(job)
             if segment is None:
-                return _refusals.Refused(
+                return jobs.Refused(
                     status=503,
                     reason="no_owner",
                     retry_after_ms=self._owners.compute_retry_after_ms(job),
@@ -136,7 +135,7 @@
                     reason="server_leaving",
                     limit_ms=self._compute_latency_limit(job),
                 )
-                return _refusals.Refused(
+                return jobs.Refused(
                     status=503,
                     reason="server_leaving",
                     retry_after_ms=self._owners.compute_retry_after_ms(job),
@@ -154,11 +153,11 @@
             # The key has moved during the wait.
 
     async def _place_anywhere(
-        self, job: _job.Job, place: _waiting_line.Place | None
-    ) -> Placement | _refusals.Refused | _Hold:
+        self, job: jobs.Job, place: _waiting_line.Place | None
+    ) -> Placement | jobs.Refused | _Hold:
         """Choose a server, if possible without suspects of a crash."""
         links = self._list_ready(job)
-        preferred = self._guard.list_preferred(job, links)
+        preferred = self._preference.list_preferred(job, links)
         if len(preferred) < len(links):
             placement = await self._place_among(job, preferred, place)
             if isinstance(placement, Placement):
@@ -167,17 +166,17 @@
 
     async def _place_among(
         self,
-        job: _job.Job,
+        job: jobs.Job,
         links: list[_links.ServerLink],
         place: _waiting_line.Place | None,
-    ) -> Placement | _refusals.Refused | _Hold:
+    ) -> Placement | jobs.Refused | _Hold:
         """Choose among servers, without those whose limit is used up."""
-        refusal: _refusals.Refused | None = None
+        refusal: jobs.Refused | None = None
         while True:
             placement = self._choose(job, links, None, place)
             if isinstance(placement, _Hold):
                 return placement
-            if isinstance(placement, _refusals.Refused):
+            if isinstance(placement, jobs.Refused):
                 if refusal is None:
                     return placement
                 return dataclasses.replace(
@@ -192,7 +191,7 @@
             links.remove(placement.link)
 
     async def _reserve(
-        self, job: _job.Job, placement: Placement, *, may_wait: bool
+        self, job: jobs.Job, placement: Placement, *, may_wait: bool
     ) -> limits.Reservation:
         """Reserve a slot at a server that names a limit, and wait for it."""
         max_wait_ms = 0
@@ -216,7 +215,7 @@
             await self._clock.sleep(reservation.wait_ms)
         return reservation
 
-    def has_alternative(self, job: _job.Job, link: _links.ServerLink) -> bool:
+    def has_alternative(self, job: jobs.Job, link: _links.ServerLink) -> bool:
         """Return whether another server would be chosen for the request."""
         others = [
             other
@@ -227,7 +226,7 @@
         decision = self._decide(job, others, self._compute_latency_limit(job))
         return isinstance(decision, _placement.Choice)
 
-    def _list_ready(self, job: _job.Job) -> list[_links.ServerLink]:
+    def _list_ready(self, job: jobs.Job) -> list[_links.ServerLink]:
         """Return the ready servers at which no attempt has failed, or all.
 
         Servers that may still respond to the request are left out.
@@ -244,7 +243,7 @@
         ]
         return untried or ready
 
-    def _compute_latency_limit(self, job: _job.Job) -> float:
+    def _compute_latency_limit(self, job: jobs.Job) -> float:
         limit_ms = _admission.compute_latency_limit_ms(
             objective_ms=job.route.objective_ms,
             left_ms=job.deadline_at - self._clock.now(),
@@ -253,7 +252,7 @@
         return self._get_limit_fraction(job) * limit_ms
 
     @staticmethod
-    def _get_limit_fraction(job: _job.Job) -> float:
+    def _get_limit_fraction(job: jobs.Job) -> float:
         """Return the part of the limit up to which a request is admitted."""
         if job.is_forwarded:
             return _admission.FORWARDED_LIMIT_FRACTION
@@ -261,7 +260,7 @@
 
     def _decide(
         self,
-        job: _job.Job,
+        job: jobs.Job,
         links: list[_links.ServerLink],
         limit_ms: float,
         *,
@@ -296,11 +295,11 @@
 
     def _choose(
         self,
-        job: _job.Job,
+        job: jobs.Job,
         links: list[_links.ServerLink],
         segment: catalog.Segment | None,
         place: _waiting_line.Place | None,
-    ) -> Placement | _refusals.Refused | _Hold:
+    ) -> Placement | jobs.Refused | _Hold:
         limit_ms = self._compute_latency_limit(job)
         owner = segment.server if segment is not None else None
         line = (job.service.name, owner)
@@ -319,7 +318,7 @@
         return self._refuse(job, links, decision, limit_ms)
 
     def _compute_hold_ms(
-        self, job: _job.Job, refusal: _placement.Refusal
+        self, job: jobs.Job, refusal: _placement.Refusal
     ) -> float:
         """Return how long a request can wait here for more urgent ones."""
         if job.is_forwarded:
@@ -334,11 +333,11 @@
 
     def _refuse(
         self,
-        job: _job.Job,
+        job: jobs.Job,
         links: list[_links.ServerLink],
         refusal: _placement.Refusal,
         limit_ms: float,
-    ) -> _refusals.Refused:
+    ) -> jobs.Refused:
         self._trace_rejection(
             job,
             links,
@@ -347,7 +346,7 @@
             limit_ms=limit_ms,
             wait_ms=refusal.wait_ms,
         )
-        return _refusals.Refused(
+        return jobs.Refused(
             status=503,
             reason=refusal.reason.value,
             retry_after_ms=self._compute_retry_after_ms(
@@ -362,7 +361,7 @@
 
     def _make_placement(
         self,
-        job: _job.Job,
+        job: jobs.Job,
         links: list[_links.ServerLink],
         segment: catalog.Segment | None,
         choice: _placement.Choice,
@@ -410,7 +409,7 @@
 
     def _trace_rejection(
         self,
-        job: _job.Job,
+        job: jobs.Job,
         links: list[_links.ServerLink],
         *,
         reason: str,
@@ -447,8 +446,8 @@
 
 def _make_limit_refusal(
     reservation: limits.Reservation,
-) -> _refusals.Refused:
-    return _refusals.Refused(
+) -> jobs.Refused:
+    return jobs.Refused(
         status=503,
         reason="server_limit",
         retry_after_ms=max(reservation.retry_after_ms, reservation.wait_ms),
--- a/tarragonhinge/gateway/_server_load.py
+++ b/tarragonhinge/balancing/_server_load.py
@@ -10,7 +10,7 @@
 
 from tarragonhinge import admission
 from tarragonhinge import base
-from tarragonhinge.gateway import _dialect
+from tarragonhinge import jobs
 
 #: Service time to assume before the first response.
 INITIAL_SERVICE_MS = 250.0
@@ -247,7 +247,7 @@
         self,
         *,
         latency_ms: float,
-        load: _dialect.ReportedLoad | None,
+        load: jobs.ReportedLoad | None,
         failed: bool,
         route: str = "",
     ) -> None:
@@ -303,7 +303,7 @@
         )
         return count, total_ms / max(1, count)
 
-    def _record_reported_load(self, load: _dialect.ReportedLoad) -> None:
+    def _record_reported_load(self, load: jobs.ReportedLoad) -> None:
         """Record a reported load and publish it if others need it.
 
         A load is published if it differs from the estimate, which is
@@ -330,7 +330,7 @@
         )
         self._reported_at = self._clock.now()
 
-    def record_shed(self, load: _dialect.ReportedLoad | None) -> None:
+    def record_shed(self, load: jobs.ReportedLoad | None) -> None:
         """Record that the server refused a request.
 
         One that reports a free slot refuses requests for another reason than
--- a/tarragonhinge/gateway/tests/test_owner_finder.py
+++ b/tarragonhinge/balancing/tests/test_owner_finder.py
@@ -4,14 +4,14 @@
 
 import pytest
 
+from tarragonhinge.balancing import _owner_breaker
+from tarragonhinge.balancing import _owner_finder
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import events
-from tarragonhinge.gateway import _dialect
-from tarragonhinge.gateway import _job
-from tarragonhinge.gateway import _owner_breaker
-from tarragonhinge.gateway import _owner_finder
 from tarragonhinge import http1
+from tarragonhinge.jobs import _dialect
+from tarragonhinge.jobs import _job
 from tarragonhinge import testing
 
 _SERVICE = base.ServiceName("keys")
--- a/tarragonhinge/gateway/tests/test_urgent_routes.py
+++ b/tarragonhinge/balancing/tests/test_urgent_routes.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+from tarragonhinge.balancing import _urgent_routes
+from tarragonhinge.balancing import _waiting_line
 from tarragonhinge import catalog
-from tarragonhinge.gateway import _urgent_routes
-from tarragonhinge.gateway import _waiting_line
 from tarragonhinge.gateway.tests import replay
 from tarragonhinge import testing
 
--- a/tarragonhinge/gateway/_crash_guard.py
+++ b/tarragonhinge/gateway/_crash_guard.py
@@ -5,14 +5,13 @@
 import contextlib
 import dataclasses
 
+from tarragonhinge import balancing
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import events
-from tarragonhinge.gateway import _job
-from tarragonhinge.gateway import _links
 from tarragonhinge.gateway import _path_monitor
-from tarragonhinge.gateway import _refusals
 from tarragonhinge import http1
+from tarragonhinge import jobs
 from tarragonhinge import limits
 from tarragonhinge import membership
 from tarragonhinge import quarantine
@@ -62,8 +61,8 @@
         Whether this instance has ended it, since the request is refused now.
     """
 
-    job: _job.Job
-    link: _links.ServerLink
+    job: jobs.Job
+    link: balancing.ServerLink
     connection: http1.ServerConnection | None = None
     sent_at: int = 0
     is_aborted: bool = False
@@ -88,7 +87,7 @@
     is_probed: bool = False
 
 
-class CrashGuard:
+class CrashGuard(balancing.ServerPreference):
     """Attributes crashes of servers to requests, and refuses these.
 
     Parameters
@@ -133,7 +132,7 @@
         self.crash_count = 0
         ledger.add_refusal_handler(self._abort)
 
-    async def admit(self, job: _job.Job) -> _refusals.Refused | None:
+    async def admit(self, job: jobs.Job) -> jobs.Refused | None:
         """Return the refusal of a request that crashes servers.
 
         None if it may be sent, in which case it may be in a trial.
@@ -154,7 +153,7 @@
             )
         )
         if job.trial is None:
-            return _refusals.Refused.for_quarantined(is_sent=job.may_have_run)
+            return jobs.Refused.for_quarantined(is_sent=job.may_have_run)
         return None
 
     def _find_version(self, service: base.ServiceName) -> str | None:
@@ -162,7 +161,7 @@
         versions = {e.version for e in self._view.list_servers(service)}
         return (versions.pop() or None) if len(versions) == 1 else None
 
-    def is_refused(self, job: _job.Job) -> bool:
+    def is_refused(self, job: jobs.Job) -> bool:
         """Return whether a request is refused and has no trial."""
         return (
             not self._ledger.is_idle
@@ -170,31 +169,31 @@
             and self._ledger.is_refused(job.digest)
         )
 
-    def may_fail_over(self, job: _job.Job) -> bool:
+    def may_fail_over(self, job: jobs.Job) -> bool:
         """Return whether a second server may get a request at once."""
         return not self._is_suspect(job)
 
-    def may_retry(self, job: _job.Job, *, may_have_run: bool) -> bool:
+    def may_retry(self, job: jobs.Job, *, may_have_run: bool) -> bool:
         """Return whether a request may be sent again."""
         if job.trial is not None and job.sent_count:
             return False
         return not (may_have_run and self._is_isolated(job))
 
-    def _is_isolated(self, job: _job.Job) -> bool:
+    def _is_isolated(self, job: jobs.Job) -> bool:
         return (
             self._ledger.most_crashes >= ISOLATED_CRASHES
             and self._ledger.count_crashes(job.digest) >= ISOLATED_CRASHES
         )
 
-    def _is_suspect(self, job: _job.Job) -> bool:
+    def _is_suspect(self, job: jobs.Job) -> bool:
         return (
             not self._ledger.is_idle
             and self._ledger.count_crashes(job.digest) > 0
         )
 
     def list_preferred(
-        self, job: _job.Job, links: Sequence[_links.ServerLink]
-    ) -> list[_links.ServerLink]:
+        self, job: jobs.Job, links: Sequence[balancing.ServerLink]
+    ) -> list[balancing.ServerLink]:
         """Return the servers at which a request does not meet a suspect.
 
         Two suspects at one server could not be told apart after a crash.
@@ -210,8 +209,8 @@
         ]
 
     def _list_for_suspect(
-        self, job: _job.Job, links: Sequence[_links.ServerLink]
-    ) -> list[_links.ServerLink]:
+        self, job: jobs.Job, links: Sequence[balancing.ServerLink]
+    ) -> list[balancing.ServerLink]:
         is_unwanted = self._is_suspect
         if self._is_isolated(job):
             is_unwanted = bool
@@ -226,11 +225,11 @@
         ranked = membership.rank_names(job.digest.hex(), by_server)
         return [by_server[server] for server in ranked[:SUSPECT_SERVERS]]
 
-    def _list_jobs(self, link: _links.ServerLink) -> list[_job.Job]:
+    def _list_jobs(self, link: balancing.ServerLink) -> list[jobs.Job]:
         """Return the requests of this instance at a server."""
         return [f.job for f in self._flights.get(link.incarnation, ())]
 
-    def begin(self, job: _job.Job, link: _links.ServerLink) -> Flight:
+    def begin(self, job: jobs.Job, link: balancing.ServerLink) -> Flight:
         """Record that a request is placed at a server."""
         flight = Flight(job=job, link=link)
         self._flights.setdefault(link.incarnation, set()).add(flight)
@@ -252,7 +251,7 @@
             if not flights:
                 del self._flights[incarnation]
 
-    def record_answer(self, job: _job.Job, link: _links.ServerLink) -> None:
+    def record_answer(self, job: jobs.Job, link: balancing.ServerLink) -> None:
         """Clear a request of suspicion, which a server has completed."""
         breakdown = self._breakdowns.get(link.incarnation)
         if breakdown is not None:
@@ -278,7 +277,7 @@
         self._checks.add(check)
         check.add_done_callback(self._checks.discard)
 
-    async def wait_for_finding(self, link: _links.ServerLink) -> None:
+    async def wait_for_finding(self, link: balancing.ServerLink) -> None:
         """Wait for the reason why a server broke off a request."""
         breakdown = self._breakdowns.get(link.incarnation)
         if breakdown is None:
@@ -288,7 +287,7 @@
                 await breakdown.finding.wait()
 
     async def _check(
-        self, link: _links.ServerLink, breakdown: _Breakdown, broke_at: int
+        self, link: balancing.ServerLink, breakdown: _Breakdown, broke_at: int
     ) -> None:
         """Record a crash, unless the server turns out to be running."""
         try:
@@ -301,7 +300,7 @@
                 del self._breakdowns[link.incarnation]
 
     async def _find_proof(
-        self, link: _links.ServerLink, breakdown: _Breakdown
+        self, link: balancing.ServerLink, breakdown: _Breakdown
     ) -> str | None:
         """Return what proves that a server has crashed, or None."""
         accepted_count = 0
@@ -324,11 +323,11 @@
             await self._clock.sleep(REBORN_CHECK_MS)
         return None
 
-    def _is_reborn(self, link: _links.ServerLink) -> bool:
+    def _is_reborn(self, link: balancing.ServerLink) -> bool:
         entry = self._view.servers.get(link.entry.server)
         return entry is not None and entry.born_ms > link.entry.born_ms
 
-    def _is_leaving(self, link: _links.ServerLink, proof: str) -> bool:
+    def _is_leaving(self, link: balancing.ServerLink, proof: str) -> bool:
         """Return whether a server has announced its end.
 
         Some servers only remove their entry.
@@ -343,7 +342,7 @@
 
     def _record_crash(
         self,
-        link: _links.ServerLink,
+        link: balancing.ServerLink,
         breakdown: _Breakdown,
         broke_at: int,
         proof: str,
--- a/tarragonhinge/gateway/_detour.py
+++ b/tarragonhinge/gateway/_detour.py
@@ -13,19 +13,15 @@
 
 import msgspec
 
+from tarragonhinge import balancing
 from tarragonhinge import base
 from tarragonhinge import events
 from tarragonhinge import forwarding
 from tarragonhinge.gateway import _crash_guard
-from tarragonhinge.gateway import _dialect
-from tarragonhinge.gateway import _job
-from tarragonhinge.gateway import _leaving_servers
 from tarragonhinge.gateway import _metrics
-from tarragonhinge.gateway import _outcomes
 from tarragonhinge.gateway import _peer_reports
-from tarragonhinge.gateway import _placement
-from tarragonhinge.gateway import _refusals
 from tarragonhinge import http1
+from tarragonhinge import jobs
 from tarragonhinge import limits
 
 #: Maximum number of other instances that one request is forwarded to.
@@ -72,8 +68,8 @@
     def __init__(
         self,
         *,
-        dialect: _dialect.Dialect,
-        leaving: _leaving_servers.LeavingServers,
+        dialect: jobs.Dialect,
+        leaving: balancing.LeavingServers,
         directory: forwarding.PeerDirectory,
         client: forwarding.ForwardingClient,
         reports: _peer_reports.PeerReports,
@@ -100,11 +96,11 @@
 
     async def run(
         self,
-        job: _job.Job,
+        job: jobs.Job,
         servers: Collection[limits.Incarnation],
         *,
         take_retry: Callable[[], bool],
-    ) -> http1.HttpResponse | _refusals.Refused | None:
+    ) -> http1.HttpResponse | jobs.Refused | None:
         """Forward a request until an instance gives a final response.
 
         Parameters
@@ -130,7 +126,7 @@
                 return None
             tried.add(peer.instance)
             if job.sent_count and not take_retry():
-                return _refusals.Refused.for_exhausted_budget()
+                return jobs.Refused.for_exhausted_budget()
             result = await self._forward(
                 job, peer, servers, left_ms=left_ms, attempts=attempts
             )
@@ -176,13 +172,13 @@
 
     async def _forward(
         self,
-        job: _job.Job,
+        job: jobs.Job,
         peer: forwarding.PeerInstance,
         servers: Collection[limits.Incarnation],
         *,
         left_ms: int,
         attempts: int,
-    ) -> http1.HttpResponse | _refusals.Refused | None:
+    ) -> http1.HttpResponse | jobs.Refused | None:
         """Return the final response; None to try another instance."""
         attempt = asyncio.create_task(
             self._run_attempt(job, peer, left_ms=left_ms, attempts=attempts)
@@ -201,7 +197,7 @@
         elif outcome.is_transferable:
             self._record_refusal(peer, servers, outcome.reason)
             return None
-        return _refusals.Refused(
+        return jobs.Refused(
             status=response.status,
             reason=outcome.reason,
             retry_after_ms=outcome.retry_after_ms,
@@ -209,7 +205,7 @@
 
     async def _run_attempt(
         self,
-        job: _job.Job,
+        job: jobs.Job,
         peer: forwarding.PeerInstance,
         *,
         left_ms: int,
@@ -301,7 +297,7 @@
         reason: str,
     ) -> None:
         """Record why an instance can't send a request."""
-        if reason == _placement.RefusalReason.UNREACHABLE.value:
+        if reason == balancing.RefusalReason.UNREACHABLE.value:
             unreached = forwarding.PathState.UNREACHABLE
             self._reports.record(
                 peer.instance, dict.fromkeys(servers, unreached)
@@ -309,7 +305,7 @@
         else:
             self._avoid(peer)
 
-    def _may_retry(self, job: _job.Job) -> bool:
+    def _may_retry(self, job: jobs.Job) -> bool:
         """Return whether a request that may have run is sent once more.
 
         The other instance may have lost its servers, too.
@@ -326,18 +322,14 @@
         )
 
     def _handle_error(
-        self, job: _job.Job, error: forwarding.PeerError
-    ) -> _refusals.Refused | None:
+        self, job: jobs.Job, error: forwarding.PeerError
+    ) -> jobs.Refused | None:
         """Return the final response unless the request was not sent."""
         if not error.sent:
             return None
         job.may_have_run = True
         is_late = self._clock.now() >= job.deadline_at
         cause = (
-            _outcomes.UnknownCause.TIMEOUT
-            if is_late
-            else _outcomes.UnknownCause.BROKEN
-        )
-        return _refusals.Refused(
-            status=504 if is_late else 502, reason=cause.value
+            jobs.UnknownCause.TIMEOUT if is_late else jobs.UnknownCause.BROKEN
         )
+        return jobs.Refused(status=504 if is_late else 502, reason=cause.value)
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -6,31 +6,22 @@
 
 import msgspec
 
+from tarragonhinge import balancing
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import events
 from tarragonhinge import forwarding
-from tarragonhinge.gateway import _admission
 from tarragonhinge.gateway import _crash_guard
 from tarragonhinge.gateway import _detour
-from tarragonhinge.gateway import _dialect
-from tarragonhinge.gateway import _fleet_size
-from tarragonhinge.gateway import _job
-from tarragonhinge.gateway import _leaving_servers
-from tarragonhinge.gateway import _links
 from tarragonhinge.gateway import _metrics
 from tarragonhinge.gateway import _options
-from tarragonhinge.gateway import _owner_finder
 from tarragonhinge.gateway import _path_monitor
-from tarragonhinge.gateway import _placer
-from tarragonhinge.gateway import _refusals
 from tarragonhinge.gateway import _responses
 from tarragonhinge.gateway import _retrier
 from tarragonhinge.gateway import _sender
 from tarragonhinge.gateway import _shutdown
-from tarragonhinge.gateway import _splitter
-from tarragonhinge.gateway import _view_waiter
 from tarragonhinge import http1
+from tarragonhinge import jobs
 from tarragonhinge import limits
 from tarragonhinge import quarantine
 from tarragonhinge import servers
@@ -97,7 +88,7 @@
         *,
         options: _options.InstanceOptions,
         view: catalog.View,
-        dialect: _dialect.Dialect,
+        dialect: jobs.Dialect,
         log: events.EventLog,
         clock: base.Clock,
         rng: random.Random | None = None,
@@ -108,11 +99,11 @@
         self._log = log
         self._clock = clock
         rng = rng or random.Random()
-        self.fleet_size = _fleet_size.FleetSize(clock=clock)
-        self.leaving = _leaving_servers.LeavingServers(
+        self.fleet_size = balancing.FleetSize(clock=clock)
+        self.leaving = balancing.LeavingServers(
             view=view, log=log, clock=clock
         )
-        self.links = _links.ServerLinks(
+        self.links = balancing.ServerLinks(
             view=view,
             zone=options.zone,
             zones=dict(options.zones),
@@ -154,15 +145,13 @@
             clock=clock,
         )
         self.ledger.add_crash_handler(self.links.exclude_crashed)
-        self._waiter = _view_waiter.ViewWaiter(view=view)
-        self.owners = _owner_finder.OwnerFinder(
-            view=view, clock=clock, rng=rng
-        )
-        self._placer = _placer.Placer(
+        self._waiter = balancing.ViewWaiter(view=view)
+        self.owners = balancing.OwnerFinder(view=view, clock=clock, rng=rng)
+        self._placer = balancing.Placer(
             links=self.links,
             owners=self.owners,
             permits=self.permits,
-            guard=self.guard,
+            preference=self.guard,
             clock=clock,
             rng=rng,
         )
@@ -202,11 +191,11 @@
             log=log,
             clock=clock,
         )
-        self._splitters: dict[str, _splitter.TargetSplitter] = (
-            collections.defaultdict(_splitter.TargetSplitter)
+        self._splitters: dict[str, balancing.TargetSplitter] = (
+            collections.defaultdict(balancing.TargetSplitter)
         )
-        self._retry_detectors: dict[str, _admission.RetryDetector] = (
-            collections.defaultdict(_admission.RetryDetector)
+        self._retry_detectors: dict[str, balancing.RetryDetector] = (
+            collections.defaultdict(balancing.RetryDetector)
         )
 
     @property
@@ -295,7 +284,7 @@
             )
             ended = self._make_ended(trace, metadata, "failed", status=502)
             self._record_end(trace, ended, call)
-            refused = _refusals.Refused(status=502, reason="internal")
+            refused = jobs.Refused(status=502, reason="internal")
             return _responses.make_response(
                 refused
             ), _responses.describe_outcome(refused, None)
@@ -307,7 +296,7 @@
     @staticmethod
     def _make_ended(
         trace: events.Trace,
-        metadata: _dialect.RequestMetadata,
+        metadata: jobs.RequestMetadata,
         outcome: str,
         *,
         status: int = 0,
@@ -344,13 +333,13 @@
     async def _serve(
         self,
         request: http1.HttpRequest,
-        metadata: _dialect.RequestMetadata,
+        metadata: jobs.RequestMetadata,
         trace: events.Trace,
         call: forwarding.ForwardedRequest | None,
     ) -> tuple[
         http1.HttpResponse, events.Ended, bool, forwarding.ForwardedOutcome
     ]:
-        job: _job.Job | None = None
+        job: jobs.Job | None = None
         try:
             if call is not None:
                 job = self._make_forwarded_job(request, metadata, call, trace)
@@ -366,7 +355,7 @@
                     self._record_key(job)
                 result = await self._retrier.run(job)
             else:
-                result = _refusals.Refused.for_stopping_instance()
+                result = jobs.Refused.for_stopping_instance()
         except asyncio.CancelledError as error:
             if STOP_ENDED not in error.args:
                 raise
@@ -374,11 +363,11 @@
             result = await self._end_job(job)
         return self._finish(trace, metadata, result, job=job)
 
-    def _record_key(self, job: _job.Job) -> None:
+    def _record_key(self, job: jobs.Job) -> None:
         ratio = self.links.get_work_ratio(job.service.name, job.route.name)
         self.owners.record_key(job, work_ratio=ratio)
 
-    def _admits(self, job: _job.Job) -> bool:
+    def _admits(self, job: jobs.Job) -> bool:
         """Return whether a stop leaves enough time for a request.
 
         One that another instance has forwarded can go by way of a third one.
@@ -388,17 +377,17 @@
         return self.shutdown.admits(job.deadline_at)
 
     async def _end_job(
-        self, job: _job.Job | None
-    ) -> http1.HttpResponse | _refusals.Refused:
+        self, job: jobs.Job | None
+    ) -> http1.HttpResponse | jobs.Refused:
         """Return the response to a request that the end of a stop cancels."""
         if job is None:
-            return _refusals.Refused.for_ended_stop(is_sent=False)
+            return jobs.Refused.for_ended_stop(is_sent=False)
         if job.attempts:
             # They are cancelled, unless a response has just arrived.
             await asyncio.wait(job.attempts)
         if job.answer is not None:
             return job.answer
-        return _refusals.Refused.for_ended_stop(
+        return jobs.Refused.for_ended_stop(
             is_sent=job.sent_count > 0 or job.may_have_run
         )
 
@@ -411,22 +400,22 @@
                 return
             await self._waiter.wait(timeout_ms=left_ms)
 
-    def _reject_unrouted(self) -> _refusals.Refused:
+    def _reject_unrouted(self) -> jobs.Refused:
         if self._view.table is None:
-            return _refusals.Refused(
+            return jobs.Refused(
                 status=503,
                 reason="no_table",
                 retry_after_ms=NO_TABLE_RETRY_AFTER_MS,
             )
-        return _refusals.Refused(status=404, reason="no_route")
+        return jobs.Refused(status=404, reason="no_route")
 
     def _make_job(
         self,
         request: http1.HttpRequest,
-        metadata: _dialect.RequestMetadata,
+        metadata: jobs.RequestMetadata,
         route: catalog.Route,
         trace: events.Trace,
-    ) -> _job.Job:
+    ) -> jobs.Job:
         """Choose the target service and set the deadline of a request."""
         name = self._splitters[route.name].pick(route.targets)
         service = self._view.table.find_service(name)
@@ -436,7 +425,7 @@
         deadline_ms = route.timeout_ms
         if metadata.deadline_ms is not None:
             deadline_ms = metadata.deadline_ms
-        job = _job.Job(
+        job = jobs.Job(
             request=request,
             metadata=metadata,
             route=route,
@@ -453,12 +442,12 @@
     def _make_forwarded_job(
         self,
         request: http1.HttpRequest,
-        metadata: _dialect.RequestMetadata,
+        metadata: jobs.RequestMetadata,
         call: forwarding.ForwardedRequest,
         trace: events.Trace,
-    ) -> _job.Job:
+    ) -> jobs.Job:
         """Take over what the forwarding instance has decided."""
-        job = _job.Job(
+        job = jobs.Job(
             request=request,
             metadata=metadata,
             route=call.route,
@@ -473,7 +462,7 @@
 
     def _trace_received(
         self,
-        job: _job.Job,
+        job: jobs.Job,
         deadline_ms: int,
         *,
         origin: base.InstanceId | msgspec.UnsetType = msgspec.UNSET,
@@ -496,9 +485,9 @@
     def _finish(
         self,
         trace: events.Trace,
-        metadata: _dialect.RequestMetadata,
-        result: http1.HttpResponse | _refusals.Refused,
-        job: _job.Job | None = None,
+        metadata: jobs.RequestMetadata,
+        result: http1.HttpResponse | jobs.Refused,
+        job: jobs.Job | None = None,
     ) -> tuple[
         http1.HttpResponse, events.Ended, bool, forwarding.ForwardedOutcome
     ]:
@@ -509,7 +498,7 @@
         """
         outcome = _responses.describe_outcome(result, job)
         elapsed_ms = trace.compute_elapsed_ms()
-        if isinstance(result, _refusals.Refused):
+        if isinstance(result, jobs.Refused):
             ended = events.Ended(
                 request=metadata.attempt,
                 outcome="refused" if result.is_not_run else "failed",
--- a/tarragonhinge/gateway/_path_monitor.py
+++ b/tarragonhinge/gateway/_path_monitor.py
@@ -10,11 +10,11 @@
 from collections.abc import Coroutine
 import random
 
+from tarragonhinge import balancing
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import events
 from tarragonhinge import forwarding
-from tarragonhinge.gateway import _links
 from tarragonhinge.gateway import _peer_reports
 from tarragonhinge import http1
 from tarragonhinge import limits
@@ -92,7 +92,7 @@
         self,
         *,
         view: catalog.View,
-        links: _links.ServerLinks,
+        links: balancing.ServerLinks,
         directory: forwarding.PeerDirectory,
         client: forwarding.ForwardingClient,
         log: events.EventLog,
@@ -106,7 +106,7 @@
         self._log = log
         self._clock = clock
         self._rng = rng
-        self._closed: dict[limits.Incarnation, _links.ServerLink] = {}
+        self._closed: dict[limits.Incarnation, balancing.ServerLink] = {}
         self._probes: dict[limits.Incarnation, asyncio.Task] = {}
         self.reports = _peer_reports.PeerReports(clock=clock)
         self._watchers: dict[str, asyncio.Task] = {}
@@ -114,7 +114,7 @@
         self._has_news = asyncio.Event()
         self._is_cut_confirmed = False
 
-    def list_closed(self) -> list[_links.ServerLink]:
+    def list_closed(self) -> list[balancing.ServerLink]:
         """Return the links to servers that are out of reach."""
         for incarnation, link in list(self._closed.items()):
             if not self._links.is_current(link):
@@ -132,7 +132,7 @@
             default=0,
         )
 
-    def suspect(self, link: _links.ServerLink, since: int) -> None:
+    def suspect(self, link: balancing.ServerLink, since: int) -> None:
         """Try a server that owes a response, unless it has reacted since.
 
         Parameters
@@ -151,24 +151,24 @@
         if link is not None:
             self.suspect(link, since)
 
-    def record_connection(self, link: _links.ServerLink) -> None:
+    def record_connection(self, link: balancing.ServerLink) -> None:
         """Record an opened connection."""
         if link.path.record_connection():
             self._handle_opened(link)
 
-    def record_response(self, link: _links.ServerLink) -> None:
+    def record_response(self, link: balancing.ServerLink) -> None:
         """Record a response of a server."""
         if link.path.record_response():
             self._handle_opened(link)
 
     def record_failure(
-        self, link: _links.ServerLink, *, is_refused: bool, began_at: int
+        self, link: balancing.ServerLink, *, is_refused: bool, began_at: int
     ) -> None:
         """Record a connection that could not be opened."""
         if link.path.record_failure(is_refused=is_refused, began_at=began_at):
             self._handle_closed(link)
 
-    def _handle_closed(self, link: _links.ServerLink) -> None:
+    def _handle_closed(self, link: balancing.ServerLink) -> None:
         self._closed[link.incarnation] = link
         self._log.write(
             events.PathChanged(
@@ -192,7 +192,7 @@
             if task is None or task.done():
                 self._watchers[watch.__name__] = self._start(watch())
 
-    def _handle_opened(self, link: _links.ServerLink) -> None:
+    def _handle_opened(self, link: balancing.ServerLink) -> None:
         self._closed.pop(link.incarnation, None)
         self._log.write(
             events.PathChanged(
@@ -201,12 +201,12 @@
         )
         self._probe_some(self.list_closed())
 
-    def _probe_some(self, links: list[_links.ServerLink]) -> None:
+    def _probe_some(self, links: list[balancing.ServerLink]) -> None:
         idle = [link for link in links if link.incarnation not in self._probes]
         for link in self._rng.sample(idle, min(SAMPLE_SIZE, len(idle))):
             self._start_probe(link)
 
-    def _list_links(self) -> list[_links.ServerLink]:
+    def _list_links(self) -> list[balancing.ServerLink]:
         """Return the links to all servers of the routing table."""
         table = self._view.table
         services = {s.name for s in table.services} if table else set()
@@ -216,7 +216,7 @@
             if entry.service in services
         ]
 
-    def _start_probe(self, link: _links.ServerLink) -> asyncio.Task:
+    def _start_probe(self, link: balancing.ServerLink) -> asyncio.Task:
         """Try a server, unless it is being tried already."""
         incarnation = link.incarnation
         probe = self._probes.get(incarnation)
@@ -226,11 +226,11 @@
             probe.add_done_callback(lambda _: self._probes.pop(incarnation))
         return probe
 
-    async def probe(self, link: _links.ServerLink) -> http1.ListenerState:
+    async def probe(self, link: balancing.ServerLink) -> http1.ListenerState:
         """Find out whether a server accepts connections."""
         return await asyncio.shield(self._start_probe(link))
 
-    async def _probe(self, link: _links.ServerLink) -> http1.ListenerState:
+    async def _probe(self, link: balancing.ServerLink) -> http1.ListenerState:
         began_at = self._clock.now()
         state = await link.pool.probe(timeout_ms=PROBE_TIMEOUT_MS)
         if state is http1.ListenerState.ACCEPTING:
@@ -369,7 +369,7 @@
             _REACHABLE in report for report in reports if report
         )
 
-    async def confirm_end(self, link: _links.ServerLink) -> bool:
+    async def confirm_end(self, link: balancing.ServerLink) -> bool:
         """Return whether a server that refuses connections has ended.
 
         This instance may be cut off from it. Others confirm that no process
@@ -389,7 +389,7 @@
             return await self._is_sound(link)
         return _State.REFUSED in states and _REACHABLE not in states
 
-    async def _is_sound(self, link: _links.ServerLink) -> bool:
+    async def _is_sound(self, link: balancing.ServerLink) -> bool:
         """Return whether this instance reaches any other server now."""
         others = [
             other
@@ -424,7 +424,7 @@
         )
 
     def _is_known(
-        self, link: _links.ServerLink, query: forwarding.PathQuery
+        self, link: balancing.ServerLink, query: forwarding.PathQuery
     ) -> bool:
         """Return whether a server need not be tried for a query."""
         since = self._clock.now() - REPORTED_CONTACT_MS
@@ -434,7 +434,7 @@
 
     async def _report_path(
         self,
-        link: _links.ServerLink | None,
+        link: balancing.ServerLink | None,
         query: forwarding.PathQuery,
         may_probe: bool,
     ) -> forwarding.PathState:
--- a/tarragonhinge/gateway/_reporter.py
+++ b/tarragonhinge/gateway/_reporter.py
@@ -2,10 +2,8 @@
 
 import struct
 
+from tarragonhinge import balancing
 from tarragonhinge import base
-from tarragonhinge.gateway import _leaving_servers
-from tarragonhinge.gateway import _links
-from tarragonhinge.gateway import _owner_finder
 from tarragonhinge import limits
 from tarragonhinge import relay
 
@@ -28,10 +26,10 @@
     def __init__(
         self,
         *,
-        owners: _owner_finder.OwnerFinder,
-        links: _links.ServerLinks,
+        owners: balancing.OwnerFinder,
+        links: balancing.ServerLinks,
         server_limits: limits.ServerLimits,
-        leaving: _leaving_servers.LeavingServers,
+        leaving: balancing.LeavingServers,
     ) -> None:
         self._owners = owners
         self._links = links
--- a/tarragonhinge/gateway/_responses.py
+++ b/tarragonhinge/gateway/_responses.py
@@ -4,9 +4,8 @@
 
 from tarragonhinge import base
 from tarragonhinge import forwarding
-from tarragonhinge.gateway import _job
-from tarragonhinge.gateway import _refusals
 from tarragonhinge import http1
+from tarragonhinge import jobs
 
 
 class ErrorBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -18,11 +17,11 @@
 
 
 def describe_outcome(
-    result: http1.HttpResponse | _refusals.Refused, job: _job.Job | None
+    result: http1.HttpResponse | jobs.Refused, job: jobs.Job | None
 ) -> forwarding.ForwardedOutcome:
     """Return the outcome of a request for the instance that forwarded it."""
     sent_count = job.sent_count if job is not None else 0
-    if not isinstance(result, _refusals.Refused):
+    if not isinstance(result, jobs.Refused):
         return forwarding.ForwardedOutcome(
             kind=forwarding.OutcomeKind.ANSWERED,
             sent_count=sent_count,
@@ -36,11 +35,11 @@
         reason=result.reason,
         retry_after_ms=result.retry_after_ms,
         sent_count=sent_count,
-        is_transferable=result.reason in _refusals.TRANSFERABLE_REASONS,
+        is_transferable=result.reason in jobs.TRANSFERABLE_REASONS,
     )
 
 
-def make_response(refused: _refusals.Refused) -> http1.HttpResponse:
+def make_response(refused: jobs.Refused) -> http1.HttpResponse:
     """Return the response to a request that no server answers."""
     fields = [("content-type", "application/json")]
     if refused.retry_after_ms:
--- a/tarragonhinge/gateway/_retrier.py
+++ b/tarragonhinge/gateway/_retrier.py
@@ -2,22 +2,17 @@
 
 import asyncio
 
+from tarragonhinge import balancing
 from tarragonhinge import base
 from tarragonhinge import events
 from tarragonhinge.gateway import _crash_guard
 from tarragonhinge.gateway import _detour
-from tarragonhinge.gateway import _fleet_size
-from tarragonhinge.gateway import _job
-from tarragonhinge.gateway import _links
 from tarragonhinge.gateway import _metrics
 from tarragonhinge.gateway import _options
-from tarragonhinge.gateway import _outcomes
-from tarragonhinge.gateway import _owner_finder
-from tarragonhinge.gateway import _placer
-from tarragonhinge.gateway import _refusals
 from tarragonhinge.gateway import _retry_budget
 from tarragonhinge.gateway import _sender
 from tarragonhinge import http1
+from tarragonhinge import jobs
 
 #: An idempotent request is sent to another server after the larger of these
 #: multiples of its expected latency and of its latency objective has passed
@@ -33,7 +28,7 @@
 #: a multiple of the attempts that its route allows.
 MAX_SENDS_PER_ATTEMPT = 2
 
-_NotRunCause = _outcomes.NotRunCause
+_NotRunCause = jobs.NotRunCause
 
 
 class Retrier:
@@ -67,12 +62,12 @@
         self,
         *,
         options: _options.InstanceOptions,
-        placer: _placer.Placer,
+        placer: balancing.Placer,
         sender: _sender.Sender,
         detour: _detour.Detour,
-        owners: _owner_finder.OwnerFinder,
+        owners: balancing.OwnerFinder,
         guard: _crash_guard.CrashGuard,
-        fleet_size: _fleet_size.FleetSize,
+        fleet_size: balancing.FleetSize,
         metrics: _metrics.RequestMetrics,
         log: events.EventLog,
         clock: base.Clock,
@@ -91,28 +86,26 @@
             base.ServiceName, _retry_budget.RetryBudget
         ] = {}
 
-    async def run(
-        self, job: _job.Job
-    ) -> http1.HttpResponse | _refusals.Refused:
+    async def run(self, job: jobs.Job) -> http1.HttpResponse | jobs.Refused:
         """Send the request to servers until there is a final response."""
         if not job.is_forwarded:
             self._get_retry_budget(job).record_request()
         return await self._try_servers(job)
 
     async def _try_servers(
-        self, job: _job.Job
-    ) -> http1.HttpResponse | _refusals.Refused:
-        failure: _outcomes.AttemptOutcome | None = None
+        self, job: jobs.Job
+    ) -> http1.HttpResponse | jobs.Refused:
+        failure: jobs.AttemptOutcome | None = None
         while True:
             refused = await self._guard.admit(job)
             if refused is not None:
                 return refused
             placement = await self._placer.place(job)
-            if isinstance(placement, _refusals.Refused):
+            if isinstance(placement, jobs.Refused):
                 return await self._take_detour(job, failure, placement)
             if job.sent_count and not self._take_retry(job):
-                return _refusals.make_final_response(
-                    job, failure, _refusals.Refused.for_exhausted_budget()
+                return jobs.make_final_response(
+                    job, failure, jobs.Refused.for_exhausted_budget()
                 )
             link = placement.link
             began_at = self._clock.now()
@@ -125,12 +118,12 @@
             finally:
                 attempt.cancel()
             self._record_owner_outcome(job, placement, outcome)
-            if isinstance(outcome, _outcomes.Answered) and not outcome.failed:
+            if isinstance(outcome, jobs.Answered) and not outcome.failed:
                 return outcome.response
             failure = outcome
-            if not isinstance(outcome, _outcomes.NotRun):
+            if not isinstance(outcome, jobs.NotRun):
                 job.may_have_run = True
-            if isinstance(outcome, _outcomes.OutcomeUnknown):
+            if isinstance(outcome, jobs.OutcomeUnknown):
                 await self._guard.wait_for_finding(link)
             will_retry = self._may_retry(job, outcome)
             self._record_failed_attempt(
@@ -138,17 +131,17 @@
             )
             if not will_retry:
                 if self._guard.is_refused(job):
-                    return _refusals.Refused.for_quarantined(
+                    return jobs.Refused.for_quarantined(
                         is_sent=job.may_have_run
                     )
-                return _refusals.make_final_response(job, outcome, None)
+                return jobs.make_final_response(job, outcome, None)
 
     async def _take_detour(
         self,
-        job: _job.Job,
-        failure: _outcomes.AttemptOutcome | None,
-        refused: _refusals.Refused,
-    ) -> http1.HttpResponse | _refusals.Refused:
+        job: jobs.Job,
+        failure: jobs.AttemptOutcome | None,
+        refused: jobs.Refused,
+    ) -> http1.HttpResponse | jobs.Refused:
         """Let another instance send a request that is refused here.
 
         The refusal is final if no instance can send it either.
@@ -162,11 +155,11 @@
             if isinstance(result, http1.HttpResponse):
                 return result
             refused = result or refused
-            if refused.status not in _outcomes.NOT_RUN_STATUSES:
+            if refused.status not in jobs.NOT_RUN_STATUSES:
                 return refused
-        return _refusals.make_final_response(job, failure, refused)
+        return jobs.make_final_response(job, failure, refused)
 
-    def _get_retry_budget(self, job: _job.Job) -> _retry_budget.RetryBudget:
+    def _get_retry_budget(self, job: jobs.Job) -> _retry_budget.RetryBudget:
         name = job.service.name
         if name not in self._retry_budgets:
             self._retry_budgets[name] = _retry_budget.RetryBudget(
@@ -177,7 +170,7 @@
             )
         return self._retry_budgets[name]
 
-    def _take_retry(self, job: _job.Job) -> bool:
+    def _take_retry(self, job: jobs.Job) -> bool:
         """Charge the retry budget, unless the retry is already paid."""
         if job.is_retry_paid:
             job.is_retry_paid = False
@@ -188,9 +181,9 @@
 
     async def _is_failover_due(
         self,
-        job: _job.Job,
-        placement: _placer.Placement,
-        attempt: asyncio.Task[_outcomes.AttemptOutcome],
+        job: jobs.Job,
+        placement: balancing.Placement,
+        attempt: asyncio.Task[jobs.AttemptOutcome],
         sent: asyncio.Future[None],
     ) -> bool:
         """Wait for an attempt; return whether to try another server too.
@@ -226,18 +219,18 @@
 
     async def _fail_over(
         self,
-        job: _job.Job,
-        link: _links.ServerLink,
-        attempt: asyncio.Task[_outcomes.AttemptOutcome],
+        job: jobs.Job,
+        link: balancing.ServerLink,
+        attempt: asyncio.Task[jobs.AttemptOutcome],
         began_at: int,
-    ) -> http1.HttpResponse | _refusals.Refused:
+    ) -> http1.HttpResponse | jobs.Refused:
         """Return the first response of a silent server and other servers.
 
         The attempt at the silent server continues, since the others may
         refuse the request.
         """
         link.load.record_failed_attempt()
-        silence = _outcomes.OutcomeUnknown(cause=_outcomes.UnknownCause.SILENT)
+        silence = jobs.OutcomeUnknown(cause=jobs.UnknownCause.SILENT)
         self._record_failed_attempt(
             job, link, silence, began_at, will_retry=True
         )
@@ -254,7 +247,7 @@
                     job.silent_servers.discard(server)
                     outcome = attempt.result()
                     if (
-                        isinstance(outcome, _outcomes.Answered)
+                        isinstance(outcome, jobs.Answered)
                         and not outcome.failed
                     ):
                         return outcome.response
@@ -272,21 +265,19 @@
         )
         if isinstance(result, http1.HttpResponse):
             return result
-        if isinstance(outcome, _outcomes.NotRun):
+        if isinstance(outcome, jobs.NotRun):
             return result
         job.may_have_run = True
-        return _refusals.make_final_response(job, outcome, result)
+        return jobs.make_final_response(job, outcome, result)
 
-    def _may_retry(
-        self, job: _job.Job, outcome: _outcomes.AttemptOutcome
-    ) -> bool:
+    def _may_retry(self, job: jobs.Job, outcome: jobs.AttemptOutcome) -> bool:
         """Return whether another attempt is allowed and may succeed."""
         if self._clock.now() >= job.deadline_at:
             return False
-        may_have_run = not isinstance(outcome, _outcomes.NotRun)
+        may_have_run = not isinstance(outcome, jobs.NotRun)
         if not self._guard.may_retry(job, may_have_run=may_have_run):
             return False
-        if isinstance(outcome, _outcomes.NotRun):
+        if isinstance(outcome, jobs.NotRun):
             if (
                 job.sent_count
                 >= MAX_SENDS_PER_ATTEMPT * job.route.max_attempts
@@ -311,16 +302,16 @@
 
     def _record_owner_outcome(
         self,
-        job: _job.Job,
-        placement: _placer.Placement,
-        outcome: _outcomes.AttemptOutcome,
+        job: jobs.Job,
+        placement: balancing.Placement,
+        outcome: jobs.AttemptOutcome,
     ) -> None:
         """Record whether the owner of a key accepts its requests."""
         if placement.segment is None:
             return
-        if isinstance(outcome, _outcomes.Answered):
+        if isinstance(outcome, jobs.Answered):
             self._owners.record_answered(placement.segment)
-        elif isinstance(outcome, _outcomes.NotRun) and outcome.cause in (
+        elif isinstance(outcome, jobs.NotRun) and outcome.cause in (
             _NotRunCause.MISDIRECTED,
             _NotRunCause.REPLACED,
         ):
@@ -328,15 +319,15 @@
 
     def _record_failed_attempt(
         self,
-        job: _job.Job,
-        link: _links.ServerLink,
-        outcome: _outcomes.AttemptOutcome,
+        job: jobs.Job,
+        link: balancing.ServerLink,
+        outcome: jobs.AttemptOutcome,
         began_at: int,
         will_retry: bool,
     ) -> None:
         server = link.entry.server
         job.failed_servers.add(server)
-        if isinstance(outcome, _outcomes.NotRun) and outcome.cause in (
+        if isinstance(outcome, jobs.NotRun) and outcome.cause in (
             _NotRunCause.UNSENT,
             _NotRunCause.REPLACED,
         ):
@@ -347,7 +338,7 @@
                     for_ms=link.load.get_cooldown_ms(),
                 )
             )
-        name = _refusals.get_outcome_name(outcome)
+        name = jobs.get_outcome_name(outcome)
         self._metrics.record_attempt(name)
         job.trace.add(
             events.Tried(
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -2,17 +2,13 @@
 
 import asyncio
 
+from tarragonhinge import balancing
 from tarragonhinge import base
 from tarragonhinge import events
 from tarragonhinge.gateway import _crash_guard
-from tarragonhinge.gateway import _dialect
-from tarragonhinge.gateway import _job
-from tarragonhinge.gateway import _leaving_servers
-from tarragonhinge.gateway import _links
-from tarragonhinge.gateway import _outcomes
 from tarragonhinge.gateway import _path_monitor
-from tarragonhinge.gateway import _server_load
 from tarragonhinge import http1
+from tarragonhinge import jobs
 from tarragonhinge import limits
 from tarragonhinge import servers
 
@@ -56,11 +52,11 @@
     def __init__(
         self,
         *,
-        dialect: _dialect.Dialect,
-        links: _links.ServerLinks,
+        dialect: jobs.Dialect,
+        links: balancing.ServerLinks,
         server_limits: limits.ServerLimits,
         guard: _crash_guard.CrashGuard,
-        leaving: _leaving_servers.LeavingServers,
+        leaving: balancing.LeavingServers,
         monitor: _path_monitor.PathMonitor,
         log: events.EventLog,
         clock: base.Clock,
@@ -76,10 +72,10 @@
 
     def send(
         self,
-        job: _job.Job,
-        link: _links.ServerLink,
+        job: jobs.Job,
+        link: balancing.ServerLink,
         sent: asyncio.Future[None],
-    ) -> asyncio.Task[_outcomes.AttemptOutcome]:
+    ) -> asyncio.Task[jobs.AttemptOutcome]:
         """Send a request once, and return the task that awaits the response.
 
         If the task is cancelled, the connection to the server is closed, so
@@ -108,19 +104,19 @@
 
     async def _run_attempt(
         self,
-        job: _job.Job,
-        link: _links.ServerLink,
+        job: jobs.Job,
+        link: balancing.ServerLink,
         slot: "_Slot",
         flight: _crash_guard.Flight,
         sent: asyncio.Future[None],
-    ) -> _outcomes.AttemptOutcome:
+    ) -> jobs.AttemptOutcome:
         sent_at = self._clock.now()
         result = await self._exchange(job, link, flight, sent)
         slot.release()
         if not isinstance(result, http1.HttpResponse):
             return result
         outcome = self._classify(job, link, result, sent_at)
-        if isinstance(outcome, _outcomes.Answered) and not outcome.failed:
+        if isinstance(outcome, jobs.Answered) and not outcome.failed:
             job.answer = outcome.response
             job.answered_by = link.incarnation
             self._guard.record_answer(job, link)
@@ -128,11 +124,11 @@
 
     async def _exchange(
         self,
-        job: _job.Job,
-        link: _links.ServerLink,
+        job: jobs.Job,
+        link: balancing.ServerLink,
         flight: _crash_guard.Flight,
         sent: asyncio.Future[None],
-    ) -> http1.HttpResponse | _outcomes.NotRun | _outcomes.OutcomeUnknown:
+    ) -> http1.HttpResponse | jobs.NotRun | jobs.OutcomeUnknown:
         """Return the response, or the reason why there is none."""
         began_at = self._clock.now()
         try:
@@ -143,8 +139,8 @@
             self._monitor.record_failure(
                 link, is_refused=error.is_refused, began_at=began_at
             )
-            return _outcomes.NotRun(
-                cause=_outcomes.NotRunCause.UNREACHABLE, detail=error.problem
+            return jobs.NotRun(
+                cause=jobs.NotRunCause.UNREACHABLE, detail=error.problem
             )
         except http1.ExchangeError as error:
             link.load.record_unreachable()
@@ -190,9 +186,7 @@
                     raise
             if not exchange.done():
                 link.load.record_failed_attempt()
-                return _outcomes.OutcomeUnknown(
-                    cause=_outcomes.UnknownCause.TIMEOUT
-                )
+                return jobs.OutcomeUnknown(cause=jobs.UnknownCause.TIMEOUT)
             response = exchange.result()
             self._monitor.record_response(link)
             is_reusable = not (
@@ -206,8 +200,8 @@
                 else:
                     link.load.record_failed_attempt()
                 self._guard.record_break(flight)
-            return _outcomes.OutcomeUnknown(
-                cause=_outcomes.UnknownCause.BROKEN, detail=error.problem
+            return jobs.OutcomeUnknown(
+                cause=jobs.UnknownCause.BROKEN, detail=error.problem
             )
         finally:
             silence.cancel()
@@ -219,7 +213,7 @@
 
     def _is_full(
         self,
-        link: _links.ServerLink,
+        link: balancing.ServerLink,
         error: http1.ExchangeError,
         sent_at: int,
     ) -> bool:
@@ -237,7 +231,7 @@
         )
 
     def _compute_silence_ms(
-        self, job: _job.Job, link: _links.ServerLink
+        self, job: jobs.Job, link: balancing.ServerLink
     ) -> float:
         """Return the time without a response that is unusual."""
         expected_ms = (
@@ -248,7 +242,7 @@
         silence_ms = SILENCE_LATENCY_FACTOR * expected_ms
         return min(MAX_SILENCE_MS, max(MIN_SILENCE_MS, silence_ms))
 
-    def _matches_attempt(self, job: _job.Job, fields: http1.FieldList) -> bool:
+    def _matches_attempt(self, job: jobs.Job, fields: http1.FieldList) -> bool:
         """Return whether a response may belong to this attempt.
 
         A response without an attempt id may belong to any attempt.
@@ -269,7 +263,7 @@
         return is_refusal and not metadata.attempt
 
     def _make_request(
-        self, job: _job.Job, link: _links.ServerLink, left_ms: int
+        self, job: jobs.Job, link: balancing.ServerLink, left_ms: int
     ) -> http1.HttpRequest:
         fields = servers.drop_hop_by_hop_fields(job.request.fields)
         forwarded = [
@@ -292,11 +286,11 @@
 
     def _classify(
         self,
-        job: _job.Job,
-        link: _links.ServerLink,
+        job: jobs.Job,
+        link: balancing.ServerLink,
         response: http1.HttpResponse,
         sent_at: int,
-    ) -> _outcomes.AttemptOutcome:
+    ) -> jobs.AttemptOutcome:
         metadata = self._dialect.read_answer(
             http1.combine_fields(response.fields)
         )
@@ -310,24 +304,21 @@
         self._record_limit(job, link, metadata)
         if metadata.not_run or response.status == 421:
             if not is_own:
-                cause = _outcomes.NotRunCause.REPLACED
+                cause = jobs.NotRunCause.REPLACED
                 link.load.record_unreachable()
             elif response.status == 421:
-                cause = _outcomes.NotRunCause.MISDIRECTED
+                cause = jobs.NotRunCause.MISDIRECTED
             else:
-                cause = _outcomes.NotRunCause.SHED
+                cause = jobs.NotRunCause.SHED
                 link.load.record_shed(metadata.load)
-            return _outcomes.NotRun(cause=cause, wait_ms=wait_ms)
+            return jobs.NotRun(cause=cause, wait_ms=wait_ms)
         failed = (
-            response.status >= 500
-            or response.status in _outcomes.NOT_RUN_STATUSES
+            response.status >= 500 or response.status in jobs.NOT_RUN_STATUSES
         )
         is_valid = metadata.sealed and metadata.attempt == job.metadata.attempt
         if not is_valid and not failed:
             link.load.record_failed_attempt()
-            return _outcomes.OutcomeUnknown(
-                cause=_outcomes.UnknownCause.GARBLED
-            )
+            return jobs.OutcomeUnknown(cause=jobs.UnknownCause.GARBLED)
         self._links.route_sizes.record(
             job.route.name,
             body_bytes=len(job.request.body) + len(response.body),
@@ -339,9 +330,9 @@
             failed=failed,
             route=job.route.name,
         )
-        return _outcomes.Answered(response=response, failed=failed)
+        return jobs.Answered(response=response, failed=failed)
 
-    def _record_wait(self, link: _links.ServerLink, wait_ms: int) -> None:
+    def _record_wait(self, link: balancing.ServerLink, wait_ms: int) -> None:
         """Close a server to this instance for the time that it states."""
         if wait_ms:
             link.waits.record(link.incarnation, wait_ms)
@@ -355,9 +346,9 @@
 
     def _record_limit(
         self,
-        job: _job.Job,
-        link: _links.ServerLink,
-        metadata: _dialect.ResponseMetadata,
+        job: jobs.Job,
+        link: balancing.ServerLink,
+        metadata: jobs.ResponseMetadata,
     ) -> None:
         """Record the limit that a response names, or that it names none.
 
@@ -381,8 +372,8 @@
     placement of other requests must see it.
     """
 
-    def __init__(self, *, load: _server_load.ServerLoad) -> None:
-        self._load: _server_load.ServerLoad | None = load
+    def __init__(self, *, load: balancing.ServerLoad) -> None:
+        self._load: balancing.ServerLoad | None = load
         load.in_flight += 1
 
     def release(self) -> None:
@@ -392,7 +383,7 @@
             self._load = None
 
 
-def _make_unsent(detail: str, *, wait_ms: int = 0) -> _outcomes.NotRun:
-    return _outcomes.NotRun(
-        cause=_outcomes.NotRunCause.UNSENT, detail=detail, wait_ms=wait_ms
+def _make_unsent(detail: str, *, wait_ms: int = 0) -> jobs.NotRun:
+    return jobs.NotRun(
+        cause=jobs.NotRunCause.UNSENT, detail=detail, wait_ms=wait_ms
     )
--- a/tarragonhinge/gateway/tests/replay.py
+++ b/tarragonhinge/gateway/tests/replay.py
@@ -17,6 +17,7 @@
 from tarragonhinge import gateway
 from tarragonhinge.gateway import _reporter
 from tarragonhinge import http1
+from tarragonhinge import jobs
 from tarragonhinge import testing
 
 #: Interval at which instances hear of each other's loads.
@@ -29,13 +30,13 @@
 SERVICE = base.ServiceName("desk")
 
 
-class ReplayDialect(gateway.Dialect):
+class ReplayDialect(jobs.Dialect):
     """Header fields of the replay."""
 
     def read_request(self, fields):
         """Parse the header fields of a caller's request."""
         key = fields.get("key")
-        return gateway.RequestMetadata(
+        return jobs.RequestMetadata(
             attempt=fields["attempt"],
             deadline_ms=int(fields["deadline"]),
             key=int(key) if key else None,
@@ -52,11 +53,11 @@
     def read_answer(self, fields):
         """Parse the header fields of a server's response."""
         running, waiting, slots = map(int, fields["load"].split(","))
-        return gateway.ResponseMetadata(
+        return jobs.ResponseMetadata(
             attempt=fields["attempt"],
             sealed="not-run" not in fields,
             not_run="not-run" in fields,
-            load=gateway.ReportedLoad(
+            load=jobs.ReportedLoad(
                 running=running, waiting=waiting, slots=slots
             ),
         )
--- a/tarragonhinge/gateway/tests/test_decisions.py
+++ b/tarragonhinge/gateway/tests/test_decisions.py
@@ -4,17 +4,17 @@
 
 import pytest
 
+from tarragonhinge.balancing import _admission
+from tarragonhinge.balancing import _fleet_size
+from tarragonhinge.balancing import _placement
+from tarragonhinge.balancing import _route_sizes
+from tarragonhinge.balancing import _server_load
+from tarragonhinge.balancing import _server_waits
+from tarragonhinge.balancing import _splitter
 from tarragonhinge import base
 from tarragonhinge import catalog
-from tarragonhinge.gateway import _admission
-from tarragonhinge.gateway import _dialect
-from tarragonhinge.gateway import _fleet_size
-from tarragonhinge.gateway import _placement
 from tarragonhinge.gateway import _retry_budget
-from tarragonhinge.gateway import _route_sizes
-from tarragonhinge.gateway import _server_load
-from tarragonhinge.gateway import _server_waits
-from tarragonhinge.gateway import _splitter
+from tarragonhinge.jobs import _dialect
 from tarragonhinge import testing
 
 _ZONE = _placement.Distance.ZONE
--- a/tarragonhinge/gateway/tests/test_path_monitor.py
+++ b/tarragonhinge/gateway/tests/test_path_monitor.py
@@ -5,10 +5,10 @@
 
 import pytest
 
+from tarragonhinge.balancing import _path
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import forwarding
-from tarragonhinge.gateway import _path
 from tarragonhinge.gateway import _path_monitor
 from tarragonhinge import http1
 from tarragonhinge import testing
--- a/tarragonhinge/gateway/_job.py
+++ b/tarragonhinge/jobs/_job.py
@@ -6,8 +6,8 @@
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import events
-from tarragonhinge.gateway import _dialect
 from tarragonhinge import http1
+from tarragonhinge.jobs import _dialect
 from tarragonhinge import limits
 from tarragonhinge import quarantine
 
--- a/tarragonhinge/gateway/_refusals.py
+++ b/tarragonhinge/jobs/_refusals.py
@@ -6,9 +6,9 @@
 
 import dataclasses
 
-from tarragonhinge.gateway import _job
-from tarragonhinge.gateway import _outcomes
 from tarragonhinge import http1
+from tarragonhinge.jobs import _job
+from tarragonhinge.jobs import _outcomes
 from tarragonhinge import limits
 
 #: Retry-After of a refusal for which no delay is estimated.
--- a/tarragonhinge/platform/_dialect.py
+++ b/tarragonhinge/platform/_dialect.py
@@ -4,7 +4,7 @@
 import re
 
 from tarragonhinge import base
-from tarragonhinge import gateway
+from tarragonhinge import jobs
 
 _ATTEMPT_HEADER = "tarragonhinge-request-attempt-id"
 _DEADLINE_HEADER = "tarragonhinge-deadline-ms"
@@ -56,15 +56,15 @@
     return value if value <= limit else None
 
 
-class PlatformDialect(gateway.Dialect):
+class PlatformDialect(jobs.Dialect):
     """Reads and writes the header fields that the platform defines."""
 
-    def read_request(self, fields: gateway.Fields) -> gateway.RequestMetadata:
+    def read_request(self, fields: jobs.Fields) -> jobs.RequestMetadata:
         """Parse the header fields of a caller's request."""
-        return gateway.RequestMetadata(
+        return jobs.RequestMetadata(
             attempt=fields.get(_ATTEMPT_HEADER, ""),
             deadline_ms=_parse_bounded_int(
-                fields.get(_DEADLINE_HEADER), limit=gateway.DEADLINE_LIMIT_MS
+                fields.get(_DEADLINE_HEADER), limit=jobs.DEADLINE_LIMIT_MS
             ),
             key=_parse_bounded_int(fields.get(_KEY_HEADER), limit=_MAX_KEY),
             caller=fields.get(_CALLER_HEADER, ""),
@@ -83,10 +83,10 @@
         """Return whether `make_fields` replaces the field `name`."""
         return name in (_DEADLINE_HEADER, _EXPECTED_SERVER_HEADER)
 
-    def read_answer(self, fields: gateway.Fields) -> gateway.ResponseMetadata:
+    def read_answer(self, fields: jobs.Fields) -> jobs.ResponseMetadata:
         """Parse the header fields of a server's response."""
         limit = _parse_limit(fields.get(_LIMIT_HEADER))
-        return gateway.ResponseMetadata(
+        return jobs.ResponseMetadata(
             attempt=fields.get(_ATTEMPT_HEADER, ""),
             sealed=bool(fields.get(_SEAL_HEADER)),
             not_run=_NOT_EXECUTED_HEADER in fields,
@@ -115,7 +115,7 @@
     return min(MAX_WAIT_MS, math.ceil(float(text) * base.MS_PER_S))
 
 
-def _parse_load(text: str | None) -> gateway.ReportedLoad | None:
+def _parse_load(text: str | None) -> jobs.ReportedLoad | None:
     """Parse a load in the form ``running,waiting,slots``.
 
     Returns None if it is missing or malformed.
@@ -127,4 +127,4 @@
     if len(numbers) != 3 or None in numbers:
         return None
     running, waiting, slots = numbers
-    return gateway.ReportedLoad(running=running, waiting=waiting, slots=slots)
+    return jobs.ReportedLoad(running=running, waiting=waiting, slots=slots)
--- a/tarragonhinge/platform/tests/test_codecs.py
+++ b/tarragonhinge/platform/tests/test_codecs.py
@@ -4,7 +4,7 @@
 
 from tarragonhinge import base
 from tarragonhinge import catalog
-from tarragonhinge import gateway
+from tarragonhinge import jobs
 from tarragonhinge import platform
 from tarragonhinge.platform import _dialect
 from tarragonhinge.platform import _server_codec
@@ -180,23 +180,21 @@
 @pytest.mark.parametrize(
     ("fields", "expected"),
     [
-        ({}, gateway.RequestMetadata(attempt="")),
+        ({}, jobs.RequestMetadata(attempt="")),
         (
             {
                 "tarragonhinge-request-attempt-id": "9c",
                 "tarragonhinge-deadline-ms": "2500",
                 "tarragonhinge-shard-key": "65535",
             },
-            gateway.RequestMetadata(
-                attempt="9c", deadline_ms=2500, key=65_535
-            ),
+            jobs.RequestMetadata(attempt="9c", deadline_ms=2500, key=65_535),
         ),
         (
             {
                 "tarragonhinge-deadline-ms": "-3",
                 "tarragonhinge-shard-key": "65536",
             },
-            gateway.RequestMetadata(attempt=""),
+            jobs.RequestMetadata(attempt=""),
         ),
         # More digits than `int` converts.
         (
@@ -204,7 +202,7 @@
                 "tarragonhinge-deadline-ms": "9" * 5_000,
                 "tarragonhinge-shard-key": "9" * 5_000,
             },
-            gateway.RequestMetadata(attempt=""),
+            jobs.RequestMetadata(attempt=""),
         ),
     ],
 )
@@ -327,4 +325,4 @@
     )
     assert metadata.wait_ms == wait_ms
     # A malformed value leaves the other fields intact.
-    assert metadata.load == gateway.ReportedLoad(running=1, waiting=2, slots=3)
+    assert metadata.load == jobs.ReportedLoad(running=1, waiting=2, slots=3)
--- a/tarragonhinge/platform/tests/test_failover_limits.py
+++ b/tarragonhinge/platform/tests/test_failover_limits.py
@@ -6,9 +6,9 @@
 import msgspec
 import pytest
 
+from tarragonhinge.balancing import _server_load
 from tarragonhinge import base
 from tarragonhinge import catalog
-from tarragonhinge.gateway import _server_load
 from tarragonhinge.http1 import _tcp_stream
 from tarragonhinge.platform.tests import test_path
 
