Decode allowed regions, cold rates and the fourth load figure

Services whose load header has four figures had their load reports ignored, so that instances estimated the load from their own requests alone. The further fields are decoded for the parts that follow and change nothing yet: allowed regions of a route, warm-up time, cold rate and health path of a service, bounds for drains and evacuations, memory and descriptors of the machine.

--- a/tarragonhinge/catalog/_route.py
+++ b/tarragonhinge/catalog/_route.py
@@ -44,6 +44,8 @@
         Maximum number of backend servers that one request is sent to.
     targets : tuple of Target
         Services that receive the requests; never empty.
+    allowed_regions : tuple of RegionName
+        Regions whose servers may get the requests; empty for all regions.
     """
 
     name: str
@@ -55,3 +57,4 @@
     priority: int
     max_attempts: int
     targets: tuple[Target, ...]
+    allowed_regions: tuple[base.RegionName, ...] = ()
--- a/tarragonhinge/catalog/_service.py
+++ b/tarragonhinge/catalog/_service.py
@@ -20,9 +20,19 @@
     warm_ms : int
         Warm-up time in milliseconds of a key at a server that got the key
         without a handover.
+    warm_up_ms : int
+        Time in milliseconds for which a server that has started is cold.
+    cold_rate : float
+        Requests per second that a cold server takes from all instances
+        together; 0 if the service states no rate.
+    health_path : str
+        Path of the servers' health check; empty if unknown.
     """
 
     name: base.ServiceName
     max_connections: int
     keyed: bool = False
     warm_ms: int = 0
+    warm_up_ms: int = 0
+    cold_rate: float = 0.0
+    health_path: str = ""
--- a/tarragonhinge/catalog/_view.py
+++ b/tarragonhinge/catalog/_view.py
@@ -34,12 +34,15 @@
         Entries of backend servers, by server id.
     owners : dict
         Owner maps, by service.
+    evacuated_zones : frozenset of ZoneName
+        Availability zones whose servers are to get no requests.
     """
 
     def __init__(self) -> None:
         self.table: _routing_table.RoutingTable | None = None
         self.servers: dict[base.ServerId, _server.ServerEntry] = {}
         self.owners: dict[base.ServiceName, _owner_map.OwnerMap] = {}
+        self.evacuated_zones: frozenset[base.ZoneName] = frozenset()
         # Whether the server drained before it left; the oldest come first.
         self._left: dict[_Incarnation, bool] = {}
         self._changes: subject.Subject[None] = subject.Subject()
@@ -93,6 +96,13 @@
             )
             self.set_servers({**self.servers, server: draining})
 
+    def set_evacuated_zones(self, zones: Iterable[base.ZoneName]) -> None:
+        """Replace the zones whose servers are to get no requests."""
+        evacuated = frozenset(zones)
+        if evacuated != self.evacuated_zones:
+            self.evacuated_zones = evacuated
+            self._changes.on_next(None)
+
     def has_left(self, entry: _server.ServerEntry) -> bool:
         """Return whether an incarnation was listed before but is not now."""
         return _identify(entry) in self._left
--- a/tarragonhinge/gateway/_options.py
+++ b/tarragonhinge/gateway/_options.py
@@ -41,6 +41,13 @@
         instances together.
     retry_window_ms : int
         Time window over which requests and retries are counted.
+    drain_ms, evacuate_ms : int
+        Time after which a draining server, or one in an evacuated zone, must
+        get no requests.
+    memory_bytes : int or None
+        Memory that the process may use; None if it is not limited.
+    max_descriptors : int or None
+        Descriptors that it may open; None if they are not limited.
     """
 
     instance: base.InstanceId
@@ -59,3 +66,7 @@
     retry_ratio: float = 0.2
     retry_slack: float = 0.0
     retry_window_ms: int = 10_000
+    drain_ms: int = 3_000
+    evacuate_ms: int = 5_000
+    memory_bytes: int | None = None
+    max_descriptors: int | None = None
--- a/tarragonhinge/jobs/_dialect.py
+++ b/tarragonhinge/jobs/_dialect.py
@@ -45,11 +45,15 @@
         Number of requests that run and that are queued.
     slots : int
         Number of requests that the server runs concurrently.
+    work_percent : int
+        Duration of work on the server's machine at this moment; 100 is the
+        usual one.
     """
 
     running: int
     waiting: int
     slots: int
+    work_percent: int = 100
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -80,6 +84,8 @@
     wait_ms : int or None
         Time for which the server wants no requests from this instance, if
         it has turned the request away with one.
+    warm_up_ms : int or None
+        Time for which the server stays cold; only health checks state it.
     """
 
     attempt: str
@@ -91,6 +97,7 @@
     is_limit_invalid: bool = False
     is_leaving: bool = False
     wait_ms: int | None = None
+    warm_up_ms: int | None = None
 
 
 class Dialect(abc.ABC):
--- a/tarragonhinge/platform/_dialect.py
+++ b/tarragonhinge/platform/_dialect.py
@@ -28,6 +28,9 @@
 # In all responses of a server that leaves; "1" is the only value.
 _LEAVING_HEADER = "server-leaving"
 
+# Milliseconds for which a server stays cold; in health responses only.
+_WARM_UP_HEADER = "tarragonhinge-warmup-ms"
+
 # Seconds for which a server that turns a request away with 503 wants none.
 _WAIT_HEADER = "retry-after"
 
@@ -40,6 +43,9 @@
 #: Form of a limit; longer numbers are invalid.
 _LIMIT_PATTERN = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?")
 
+#: Duration of work that counts as usual.
+USUAL_WORK_PERCENT = 100
+
 #: Largest shard key.
 _MAX_KEY = 65_535
 
@@ -98,6 +104,9 @@
             is_limit_invalid=limit is None and _LIMIT_HEADER in fields,
             wait_ms=_parse_wait_ms(fields.get(_WAIT_HEADER)),
             is_leaving=fields.get(_LEAVING_HEADER) == "1",
+            warm_up_ms=_parse_bounded_int(
+                fields.get(_WARM_UP_HEADER), limit=MAX_WAIT_MS
+            ),
         )
 
 
@@ -116,7 +125,7 @@
 
 
 def _parse_load(text: str | None) -> jobs.ReportedLoad | None:
-    """Parse a load in the form ``running,waiting,slots``.
+    """Parse a load in the form ``running,waiting,slots[,work]``.
 
     Returns None if it is missing or malformed.
     """
@@ -124,7 +133,12 @@
     numbers = [
         _parse_bounded_int(part.strip(), limit=100_000) for part in parts
     ]
-    if len(numbers) != 3 or None in numbers:
+    if len(numbers) not in (3, 4) or None in numbers:
         return None
-    running, waiting, slots = numbers
-    return jobs.ReportedLoad(running=running, waiting=waiting, slots=slots)
+    running, waiting, slots, *work = numbers
+    return jobs.ReportedLoad(
+        running=running,
+        waiting=waiting,
+        slots=slots,
+        work_percent=work[0] if work else USUAL_WORK_PERCENT,
+    )
--- a/tarragonhinge/platform/_node_file.py
+++ b/tarragonhinge/platform/_node_file.py
@@ -15,6 +15,9 @@
 #: Environment variable that holds the path of the file.
 PATH_VARIABLE = "TARRAGONHINGE_NODE_FILE"
 
+#: Bytes of a megabyte in the settings.
+BYTES_PER_MB = 1_000_000
+
 _GENERATED_FILE_REMEDY = (
     "start the instance with the settings file written by the platform"
 )
@@ -150,6 +153,13 @@
             reader.read_number("bounds.budgetWindow", 10) * base.MS_PER_S
         ),
         retry_slack=reader.read_number("bounds.retrySlack", 0),
+        # Both in milliseconds.
+        drain_ms=int(reader.read_number("bounds.drain", 3_000)),
+        evacuate_ms=int(reader.read_number("bounds.evacuate", 5_000)),
+        memory_bytes=int(reader.read_number("limits.memoryMb", 0))
+        * BYTES_PER_MB
+        or None,
+        max_descriptors=int(reader.read_number("limits.maxFds", 0)) or None,
     )
 
 
--- a/tarragonhinge/platform/_table_codec.py
+++ b/tarragonhinge/platform/_table_codec.py
@@ -19,6 +19,7 @@
 _MAX_NUMBER = (1 << 53) - 1
 _Number = Annotated[int, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
 _Seconds = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+_Rate = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 
 
 class _WeightedService(msgspec.Struct):
@@ -39,6 +40,9 @@
     # Services among which the requests are split by weight.
     backends: list[_WeightedService] = []
     service: str = ""
+    regions: list[str] | None = msgspec.field(
+        name="allowedRegions", default=None
+    )
 
 
 class _Service(msgspec.Struct):
@@ -46,8 +50,13 @@
     max_connections: _Number = msgspec.field(name="maxConns", default=64)
     # Whether each key is owned by one server.
     sharded: bool = False
-    # Warm-up time in seconds.
+    # Warm-up time of keys in seconds.
     warm: _Seconds = 0.0
+    # Time in seconds for which a server is cold, and requests per second that
+    # it takes meanwhile.
+    warm_up: _Seconds = msgspec.field(name="warmup", default=0.0)
+    cold_rate: _Rate = msgspec.field(name="coldPerS", default=0.0)
+    health_path: str = msgspec.field(name="healthPath", default="")
 
 
 class _Limits(msgspec.Struct):
@@ -119,6 +128,9 @@
             )
             for backend in backends
         ),
+        allowed_regions=tuple(
+            base.RegionName(region) for region in route.regions or ()
+        ),
     )
 
 
@@ -128,4 +140,7 @@
         max_connections=service.max_connections,
         keyed=service.sharded,
         warm_ms=int(service.warm * base.MS_PER_S),
+        warm_up_ms=int(service.warm_up * base.MS_PER_S),
+        cold_rate=service.cold_rate,
+        health_path=service.health_path,
     )
--- a/tarragonhinge/platform/tests/test_codecs.py
+++ b/tarragonhinge/platform/tests/test_codecs.py
@@ -1,5 +1,7 @@
 """Decoding of the platform's formats; invalid values are rejected."""
 
+import dataclasses
+
 import pytest
 
 from tarragonhinge import base
@@ -22,7 +24,9 @@
 listen.ready=10.1.0.34:8542
 internalPorts=7540,7555
 bounds.drain=2500
+bounds.evacuate=4000
 bounds.grace=6
+limits.memoryMb=160
 bounds.retryRatio=0.2
 bounds.retrySlack=64
 platform.address=10.200.1.7:8541
@@ -35,11 +39,13 @@
    "backends": [{"service": "s1", "weight": 90},
                 {"service": "s2", "weight": 10}]},
   {"name": "r2", "host": "a.example", "prefix": "/x/y/", "kind": "unsafe",
-   "timeout": 2500, "maxAttempts": 2, "service": "s3"},
+   "timeout": 2500, "maxAttempts": 2, "service": "s3",
+   "allowedRegions": ["sur", "austral"]},
   {"name": "r3", "host": "a.example", "prefix": "/z/", "kind": "later",
    "timeout": 2500, "service": "s3"}],
  "services": [{"name": "s1", "maxConns": 130, "sharded": true, "warm": 2.0},
-              {"name": "s2"}, {"name": "s3"}],
+              {"name": "s2", "warmup": 3.0, "coldPerS": 4.6,
+               "healthPath": "/healthz"}, {"name": "s3"}],
  "limits": {"maxHeaderBytes": 16384, "idleTimeout": 15000}}"""
 
 SERVER = (
@@ -58,6 +64,9 @@
     assert options.instance == "edge-a-1"
     assert options.peers == "10.1.0.34:7540"
     assert options.stop_ms == 6_000
+    assert (options.drain_ms, options.evacuate_ms) == (2_500, 4_000)
+    assert options.memory_bytes == 160_000_000
+    assert options.max_descriptors is None
     assert options.zones == {"centro-a": "centro", "sur-a": "sur"}
 
 
@@ -88,6 +97,11 @@
     assert third.kind is catalog.RequestKind.NON_IDEMPOTENT
     assert table.list_keyed() == ["s1"]
     assert table.find_service("s1").warm_ms == 2_000
+    assert first.allowed_regions == third.allowed_regions == ()
+    assert second.allowed_regions == ("sur", "austral")
+    cold = table.find_service("s2")
+    assert (cold.warm_up_ms, cold.cold_rate) == (3_000, 4.6)
+    assert cold.health_path == "/healthz"
 
 
 @pytest.mark.parametrize(
@@ -213,7 +227,11 @@
 @pytest.mark.parametrize(
     ("load", "expected"),
     [
-        ("3,1,8", (3, 1, 8)),
+        ("3,1,8", (3, 1, 8, 100)),
+        # Services with a fourth figure had their loads ignored.
+        ("3,1,8,250", (3, 1, 8, 250)),
+        ("3,1,8,250,1", None),
+        ("3,1,8,", None),
         ("3,1", None),
         ("a,b,c", None),
         ("", None),
@@ -232,8 +250,7 @@
     if expected is None:
         assert metadata.load is None
     else:
-        parsed = metadata.load
-        assert (parsed.running, parsed.waiting, parsed.slots) == expected
+        assert dataclasses.astuple(metadata.load) == expected
 
 
 @pytest.mark.parametrize(
--- a/tarragonhinge/relay/_messages.py
+++ b/tarragonhinge/relay/_messages.py
@@ -187,6 +187,9 @@
         Servers whose entries were removed.
     segments : dict
         New and changed segments by service.
+    evacuated_zones : list of ZoneName or UnsetType
+        All evacuated zones; unset if they have not changed, or if the
+        coordinator's build does not know of them.
     """
 
     is_whole: bool = False
@@ -195,6 +198,7 @@
     servers: list[catalog.ServerEntry] = []
     gone: list[base.ServerId] = []
     segments: dict[base.ServiceName, list[catalog.Segment]] = {}
+    evacuated_zones: list[base.ZoneName] | msgspec.UnsetType = msgspec.UNSET
 
 
 class Heartbeat(msgspec.Struct, frozen=True, kw_only=True, tag="beat"):
