Heed allowed regions and evacuations when a request is placed and sent

Requests of routes with `allowedRegions` reached servers of other regions, and nothing followed the operator's rows `evacuate/ZONE`.

One decision, `balancing.Eligibility`, states why a server may not get a request. Routes without allowed regions in a deployment without evacuations take the same path as before.

--- a/tarragonhinge/balancing/__init__.py
+++ b/tarragonhinge/balancing/__init__.py
@@ -1,6 +1,8 @@
 """Choice of the server for a request: load estimates, waiting, placement."""
 
 from tarragonhinge.balancing._admission import RetryDetector
+from tarragonhinge.balancing._eligibility import Eligibility
+from tarragonhinge.balancing._eligibility import Obstacle
 from tarragonhinge.balancing._fleet_size import FleetSize
 from tarragonhinge.balancing._leaving_servers import LeavingServers
 from tarragonhinge.balancing._links import ServerLink
@@ -15,8 +17,10 @@
 from tarragonhinge.balancing._view_waiter import ViewWaiter
 
 __all__ = [
+    "Eligibility",
     "FleetSize",
     "LeavingServers",
+    "Obstacle",
     "OwnerFinder",
     "Placement",
     "Placer",
--- a/tarragonhinge/balancing/_placer.py
+++ b/tarragonhinge/balancing/_placer.py
@@ -5,6 +5,7 @@
 import random
 
 from tarragonhinge.balancing import _admission
+from tarragonhinge.balancing import _eligibility
 from tarragonhinge.balancing import _links
 from tarragonhinge.balancing import _owner_finder
 from tarragonhinge.balancing import _placement
@@ -64,6 +65,8 @@
         Finds the owners of keys.
     permits : Permits
         Permits for requests to servers that name a limit.
+    eligibility : Eligibility
+        Decides which servers may get a request at all.
     preference : ServerPreference
         Keeps requests apart that should not share a server.
     clock : Clock
@@ -78,6 +81,7 @@
         links: _links.ServerLinks,
         owners: _owner_finder.OwnerFinder,
         permits: limits.Permits,
+        eligibility: _eligibility.Eligibility,
         preference: _server_preference.ServerPreference,
         clock: base.Clock,
         rng: random.Random,
@@ -85,6 +89,7 @@
         self._links = links
         self._owners = owners
         self._permits = permits
+        self._eligibility = eligibility
         self._preference = preference
         self._clock = clock
         self._rng = rng
@@ -128,18 +133,10 @@
                     retry_after_ms=self._owners.compute_retry_after_ms(job),
                 )
             link = self._links.find(segment.server)
-            if link and not self._links.accepts_work(link, keyed=True):
-                self._trace_rejection(
-                    job,
-                    [link],
-                    reason="server_leaving",
-                    limit_ms=self._compute_latency_limit(job),
-                )
-                return jobs.Refused(
-                    status=503,
-                    reason="server_leaving",
-                    retry_after_ms=self._owners.compute_retry_after_ms(job),
-                )
+            if link:
+                obstacle = self._eligibility.find_obstacle(link, job)
+                if obstacle is not None:
+                    return self._refuse_ineligible(job, [link], obstacle)
             placement = self._choose(
                 job, [link] if link else [], segment, place
             )
@@ -156,7 +153,15 @@
         self, job: jobs.Job, place: _waiting_line.Place | None
     ) -> Placement | jobs.Refused | _Hold:
         """Choose a server, if possible without suspects of a crash."""
-        links = self._list_ready(job)
+        eligible, excluded = self._eligibility.list_ready(job)
+        if excluded and place is None:
+            self._trace_excluded(job, excluded)
+        if excluded and not eligible:
+            links = self._links.list_ready(job.service.name)
+            return self._refuse_ineligible(
+                job, links, _eligibility.pick_reason(excluded)
+            )
+        links = self._omit_tried(job, eligible)
         preferred = self._preference.list_preferred(job, links)
         if len(preferred) < len(links):
             placement = await self._place_among(job, preferred, place)
@@ -219,21 +224,47 @@
         """Return whether another server would be chosen for the request."""
         others = [
             other
-            for other in self._links.list_ready(job.service.name)
+            for other in self._eligibility.list_ready(job)[0]
             if other is not link
             and other.entry.server not in job.failed_servers
         ]
         decision = self._decide(job, others, self._compute_latency_limit(job))
         return isinstance(decision, _placement.Choice)
 
-    def _list_ready(self, job: jobs.Job) -> list[_links.ServerLink]:
-        """Return the ready servers at which no attempt has failed, or all.
+    def _refuse_ineligible(
+        self,
+        job: jobs.Job,
+        links: list[_links.ServerLink],
+        obstacle: _eligibility.Obstacle,
+    ) -> jobs.Refused:
+        """Refuse a request that no server may get at present."""
+        self._trace_rejection(
+            job,
+            links,
+            reason=obstacle.value,
+            limit_ms=self._compute_latency_limit(job),
+        )
+        if obstacle is _eligibility.Obstacle.STATE:
+            retry_after_ms = self._owners.compute_retry_after_ms(job)
+        else:
+            retry_after_ms = self._eligibility.compute_retry_after_ms(
+                obstacle, links
+            )
+        return jobs.Refused(
+            status=503, reason=obstacle.value, retry_after_ms=retry_after_ms
+        )
+
+    @staticmethod
+    def _omit_tried(
+        job: jobs.Job, links: list[_links.ServerLink]
+    ) -> list[_links.ServerLink]:
+        """Return the servers at which no attempt has failed, or all.
 
         Servers that may still respond to the request are left out.
         """
         ready = [
             link
-            for link in self._links.list_ready(job.service.name)
+            for link in links
             if link.entry.server not in job.silent_servers
         ]
         untried = [
@@ -407,6 +438,17 @@
             rng=self._rng,
         )
 
+    @staticmethod
+    def _trace_excluded(
+        job: jobs.Job, excluded: dict[_eligibility.Obstacle, int]
+    ) -> None:
+        job.trace.add(
+            events.Excluded(
+                request=job.metadata.attempt,
+                servers={o.value: count for o, count in excluded.items()},
+            )
+        )
+
     def _trace_rejection(
         self,
         job: jobs.Job,
--- a/tarragonhinge/catalog/_view.py
+++ b/tarragonhinge/catalog/_view.py
@@ -36,6 +36,8 @@
         Owner maps, by service.
     evacuated_zones : frozenset of ZoneName
         Availability zones whose servers are to get no requests.
+    knows_evacuations : bool
+        Whether the set was received, even if it is empty.
     """
 
     def __init__(self) -> None:
@@ -43,6 +45,7 @@
         self.servers: dict[base.ServerId, _server.ServerEntry] = {}
         self.owners: dict[base.ServiceName, _owner_map.OwnerMap] = {}
         self.evacuated_zones: frozenset[base.ZoneName] = frozenset()
+        self.knows_evacuations = False
         # Whether the server drained before it left; the oldest come first.
         self._left: dict[_Incarnation, bool] = {}
         self._changes: subject.Subject[None] = subject.Subject()
@@ -96,12 +99,21 @@
             )
             self.set_servers({**self.servers, server: draining})
 
-    def set_evacuated_zones(self, zones: Iterable[base.ZoneName]) -> None:
-        """Replace the zones whose servers are to get no requests."""
+    def set_evacuated_zones(self, zones: Iterable[base.ZoneName]) -> bool:
+        """Replace the zones whose servers are to get no requests.
+
+        Returns
+        -------
+        bool
+            Whether the set has changed.
+        """
         evacuated = frozenset(zones)
-        if evacuated != self.evacuated_zones:
+        has_changed = evacuated != self.evacuated_zones
+        if has_changed or not self.knows_evacuations:
             self.evacuated_zones = evacuated
+            self.knows_evacuations = True
             self._changes.on_next(None)
+        return has_changed
 
     def has_left(self, entry: _server.ServerEntry) -> bool:
         """Return whether an incarnation was listed before but is not now."""
--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -4,6 +4,7 @@
 from tarragonhinge.events._event import RequestEvent
 from tarragonhinge.events._log import EventLog
 from tarragonhinge.events._process_events import DependencyChanged
+from tarragonhinge.events._process_events import EvacuationChanged
 from tarragonhinge.events._process_events import GrantFailed
 from tarragonhinge.events._process_events import LeadershipChanged
 from tarragonhinge.events._process_events import LimitNamed
@@ -29,6 +30,7 @@
 from tarragonhinge.events._process_events import TrialGranted
 from tarragonhinge.events._request_events import CrashWitnessed
 from tarragonhinge.events._request_events import Ended
+from tarragonhinge.events._request_events import Excluded
 from tarragonhinge.events._request_events import Forwarded
 from tarragonhinge.events._request_events import Held
 from tarragonhinge.events._request_events import Limited
@@ -47,8 +49,10 @@
     "CrashWitnessed",
     "DependencyChanged",
     "Ended",
+    "EvacuationChanged",
     "Event",
     "EventLog",
+    "Excluded",
     "Forwarded",
     "GrantFailed",
     "Held",
--- a/tarragonhinge/events/_process_events.py
+++ b/tarragonhinge/events/_process_events.py
@@ -89,6 +89,23 @@
     source: str
 
 
+class EvacuationChanged(
+    _event.Event, frozen=True, kw_only=True, tag="evacuation"
+):
+    """The operator has evacuated zones, or ended an evacuation.
+
+    Parameters
+    ----------
+    zones : list of str
+        All zones whose servers are to get no requests.
+    source : str
+        Where this instance heard of it: ``store`` or ``coordinator``.
+    """
+
+    zones: list[str]
+    source: str
+
+
 class ServerSeen(_event.Event, frozen=True, kw_only=True, tag="server_seen"):
     """A backend server was added, changed or removed.
 
--- a/tarragonhinge/events/_request_events.py
+++ b/tarragonhinge/events/_request_events.py
@@ -122,6 +122,18 @@
     wait_ms: int = 0
 
 
+class Excluded(_event.RequestEvent, frozen=True, kw_only=True, tag="excluded"):
+    """Some ready servers of the service may not get the request.
+
+    Parameters
+    ----------
+    servers : dict
+        Number of these servers by reason.
+    """
+
+    servers: dict[str, int]
+
+
 class Held(_event.RequestEvent, frozen=True, kw_only=True, tag="held"):
     """The request waits, since its key has no available owner.
 
--- a/tarragonhinge/events/_timeline.py
+++ b/tarragonhinge/events/_timeline.py
@@ -21,6 +21,7 @@
 _FLEET_EVENTS = frozenset(
     {
         "dependency",
+        "evacuation",
         "leadership",
         "readiness",
         "started",
--- a/tarragonhinge/feeds/_catalog_feed.py
+++ b/tarragonhinge/feeds/_catalog_feed.py
@@ -15,13 +15,17 @@
 #: about 2 s.
 EXPIRED_ENTRY_GRACE_MS = 2_200
 
+#: Time after the store's restore from an older copy for which evacuations that
+#: the copy lacks are kept. The operator's rows are written again within it.
+EVACUATION_GRACE_MS = 2_200
+
 #: Time after the store's recovery within which a removal of an entry is taken
 #: for an expiry during the outage.
 EXPIRY_WINDOW_MS = 500
 
 
 class CatalogFeed:
-    """Follows the routing table and the server entries in the store.
+    """Follows the routes, evacuations and server entries in the store.
 
     Parameters
     ----------
@@ -52,6 +56,9 @@
         self._clock = clock
         self._retained_until: dict[base.ServerId, int] = {}
         self._withheld: dict[base.ServerId, catalog.ServerEntry] = {}
+        self._evacuated: set[base.ZoneName] = set()
+        self._kept_until: dict[base.ZoneName, int] = {}
+        self._has_read_evacuations = False
         self._routing = _follower.TableFollower(
             store=store,
             table=codec.routing_table,
@@ -85,6 +92,8 @@
     def _handle_routing(
         self, rows: Sequence[stores.StoredRow], is_whole: bool
     ) -> None:
+        # Before the table, so that no request is routed without them.
+        self._handle_evacuations(rows, is_whole)
         for row in rows:
             if row.key != self._codec.routing_key or row.dropped:
                 continue
@@ -102,6 +111,55 @@
                     )
                 )
 
+    def _handle_evacuations(
+        self, rows: Sequence[stores.StoredRow], is_whole: bool
+    ) -> None:
+        if is_whole:
+            self._keep_missing_evacuations()
+            self._evacuated = set()
+        for row in rows:
+            zone = self._codec.decode_evacuation(row.key)
+            if zone is None:
+                continue
+            self._kept_until.pop(zone, None)
+            if row.dropped:
+                self._evacuated.discard(zone)
+            else:
+                self._evacuated.add(zone)
+        self._publish_evacuations()
+
+    def _keep_missing_evacuations(self) -> None:
+        """Keep known evacuations that an older copy of the store may lack.
+
+        This feed cannot know whether the store was restored before its own
+        first read: a successor of the coordinator begins with one.
+        """
+        now = self._clock.read_boottime()
+        restored_at = self._routing.restored_at
+        if not self._has_read_evacuations:
+            restored_at = now
+            self._has_read_evacuations = True
+        if restored_at is None or now - restored_at >= EVACUATION_GRACE_MS:
+            return
+        until = restored_at + EVACUATION_GRACE_MS
+        for zone in self._view.evacuated_zones:
+            self._kept_until.setdefault(zone, until)
+
+    def _publish_evacuations(self) -> None:
+        zones = self._evacuated | self._kept_until.keys()
+        if self._view.set_evacuated_zones(zones):
+            self._log.write(
+                events.EvacuationChanged(zones=sorted(zones), source="store")
+            )
+
+    def _end_kept_evacuations(self) -> None:
+        now = self._clock.read_boottime()
+        ended = [z for z, until in self._kept_until.items() if until <= now]
+        for zone in ended:
+            del self._kept_until[zone]
+        if ended:
+            self._publish_evacuations()
+
     def _handle_servers(
         self, rows: Sequence[stores.StoredRow], is_whole: bool
     ) -> None:
@@ -175,6 +233,7 @@
         """Apply what the store says once the time after an outage is over."""
         while True:
             await self._clock.sleep(EXPIRY_WINDOW_MS // 2)
+            self._end_kept_evacuations()
             now = self._clock.read_boottime()
             expired = [
                 retained
--- a/tarragonhinge/forwarding/_directory.py
+++ b/tarragonhinge/forwarding/_directory.py
@@ -22,11 +22,15 @@
         Address on which it accepts requests of other instances.
     zone : ZoneName
         Its availability zone.
+    heeds_regions : bool
+        Whether its build heeds the allowed regions of a route, and
+        evacuations; older builds do not send the field.
     """
 
     instance: base.InstanceId
     address: base.Address
     zone: base.ZoneName
+    heeds_regions: bool = False
 
 
 class PeerDirectory:
--- a/tarragonhinge/gateway/_detour.py
+++ b/tarragonhinge/gateway/_detour.py
@@ -53,6 +53,8 @@
         Sends requests to them.
     reports : PeerReports
         Which servers they reach.
+    eligibility : Eligibility
+        Decides which servers may get a request at all.
     guard : CrashGuard
         Keeps suspects of crashes from being sent again.
     zones : mapping
@@ -73,6 +75,7 @@
         directory: forwarding.PeerDirectory,
         client: forwarding.ForwardingClient,
         reports: _peer_reports.PeerReports,
+        eligibility: balancing.Eligibility,
         guard: _crash_guard.CrashGuard,
         zones: dict[base.ZoneName, base.RegionName],
         metrics: _metrics.RequestMetrics,
@@ -84,6 +87,7 @@
         self._directory = directory
         self._client = client
         self._reports = reports
+        self._eligibility = eligibility
         self._guard = guard
         self._zones = zones
         self._metrics = metrics
@@ -121,7 +125,10 @@
         while len(tried) < MAX_PEERS and not job.is_forwarded:
             left_ms = job.deadline_at - self._clock.now()
             attempts = job.count_attempts_left()
-            peer = self._choose(servers, tried)
+            servers = self._eligibility.select(servers, job)
+            if not servers:
+                return None
+            peer = self._choose(job, servers, tried)
             if peer is None or left_ms < MIN_TIME_LEFT_MS or attempts <= 0:
                 return None
             tried.add(peer.instance)
@@ -136,6 +143,7 @@
 
     def _choose(
         self,
+        job: jobs.Job,
         servers: Collection[limits.Incarnation],
         tried: Collection[base.InstanceId],
     ) -> forwarding.PeerInstance | None:
@@ -151,6 +159,7 @@
             if peer.instance not in tried
             and self._avoided_until.get(peer.instance, 0) <= now
             and self._reports.may_reach(peer.instance, servers)
+            and self._may_get(peer, job)
         ]
         self._rng.shuffle(peers)
         return min(
@@ -162,6 +171,19 @@
             default=None,
         )
 
+    def _may_get(self, peer: forwarding.PeerInstance, job: jobs.Job) -> bool:
+        """Return whether an instance may get a request.
+
+        Its body may not leave the allowed regions, and an instance of a build
+        that does not know them would send it anywhere.
+        """
+        if not self._eligibility.is_restricted(job):
+            return True
+        if not peer.heeds_regions:
+            return False
+        regions = self._eligibility.get_regions(job)
+        return regions is None or self._zones.get(peer.zone) in regions
+
     def _compute_cost(self, peer: forwarding.PeerInstance) -> int:
         own = self._directory.own.zone
         if peer.zone == own:
@@ -222,7 +244,13 @@
         call = forwarding.ForwardedRequest(
             origin=self._directory.own.instance,
             service=job.service,
-            route=msgspec.structs.replace(job.route, max_attempts=attempts),
+            route=msgspec.structs.replace(
+                job.route,
+                max_attempts=attempts,
+                allowed_regions=tuple(
+                    sorted(self._eligibility.get_regions(job) or ())
+                ),
+            ),
             deadline_ms=left_ms,
             is_caller_retry=job.is_caller_retry,
         )
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -65,6 +65,8 @@
         Links to the backend servers.
     owners : OwnerFinder
         Finds the owners of keys.
+    eligibility : Eligibility
+        Decides which servers may get a request at all.
     server_limits : ServerLimits
         Limits that the servers name.
     permits : Permits
@@ -111,6 +113,13 @@
             leaving=self.leaving,
             clock=clock,
         )
+        self.eligibility = balancing.Eligibility(
+            links=self.links,
+            view=view,
+            zones=dict(options.zones),
+            evacuate_ms=options.evacuate_ms,
+            clock=clock,
+        )
         self.server_limits = limits.ServerLimits(log=log)
         self.permits = limits.Permits(
             limits=self.server_limits,
@@ -124,6 +133,7 @@
                 instance=options.instance,
                 address=options.forwarding,
                 zone=options.zone,
+                heeds_regions=True,
             ),
             clock=clock,
         )
@@ -151,6 +161,7 @@
             links=self.links,
             owners=self.owners,
             permits=self.permits,
+            eligibility=self.eligibility,
             preference=self.guard,
             clock=clock,
             rng=rng,
@@ -165,6 +176,7 @@
             sender=_sender.Sender(
                 dialect=dialect,
                 links=self.links,
+                eligibility=self.eligibility,
                 server_limits=self.server_limits,
                 guard=self.guard,
                 leaving=self.leaving,
@@ -178,6 +190,7 @@
                 directory=self.directory,
                 client=self._forwarding_client,
                 reports=self.monitor.reports,
+                eligibility=self.eligibility,
                 guard=self.guard,
                 zones=dict(options.zones),
                 metrics=self.metrics,
--- a/tarragonhinge/gateway/_retrier.py
+++ b/tarragonhinge/gateway/_retrier.py
@@ -287,6 +287,8 @@
                 _NotRunCause.MISDIRECTED,
                 # Another server is chosen, or another way.
                 _NotRunCause.UNREACHABLE,
+                # Another server is chosen, or the request is refused.
+                _NotRunCause.INELIGIBLE,
             ):
                 return True
             if outcome.cause is _NotRunCause.REPLACED and job.key is not None:
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -35,6 +35,8 @@
         Codec for the header fields of the platform.
     links : ServerLinks
         Links to the servers.
+    eligibility : Eligibility
+        Decides which servers may get a request at all.
     server_limits : ServerLimits
         Limits that the servers name, which learns from the responses.
     guard : CrashGuard
@@ -54,6 +56,7 @@
         *,
         dialect: jobs.Dialect,
         links: balancing.ServerLinks,
+        eligibility: balancing.Eligibility,
         server_limits: limits.ServerLimits,
         guard: _crash_guard.CrashGuard,
         leaving: balancing.LeavingServers,
@@ -63,6 +66,7 @@
     ) -> None:
         self._dialect = dialect
         self._links = links
+        self._eligibility = eligibility
         self._server_limits = server_limits
         self._guard = guard
         self._leaving = leaving
@@ -149,10 +153,11 @@
         if left_ms < MIN_TIME_LEFT_MS:
             link.pool.release(connection)
             return _make_unsent("too little time left before the deadline")
-        if not self._links.accepts_work(link, keyed=job.key is not None):
-            # The server began to drain while the connection was opened.
+        obstacle = self._eligibility.find_obstacle(link, job)
+        if obstacle is not None:
+            # It has changed while the connection was opened.
             link.pool.release(connection)
-            return _make_unsent("the server is draining or gone")
+            return _make_ineligible(obstacle)
         wait_ms = link.get_wait_ms()
         if wait_ms:
             link.pool.release(connection)
@@ -383,6 +388,14 @@
             self._load = None
 
 
+def _make_ineligible(obstacle: balancing.Obstacle) -> jobs.NotRun:
+    if obstacle is balancing.Obstacle.STATE:
+        return _make_unsent("the server is draining or gone")
+    return jobs.NotRun(
+        cause=jobs.NotRunCause.INELIGIBLE, detail=obstacle.value
+    )
+
+
 def _make_unsent(detail: str, *, wait_ms: int = 0) -> jobs.NotRun:
     return jobs.NotRun(
         cause=jobs.NotRunCause.UNSENT, detail=detail, wait_ms=wait_ms
--- a/tarragonhinge/relay/_hub.py
+++ b/tarragonhinge/relay/_hub.py
@@ -137,6 +137,7 @@
         self._sent_table = view.table
         self._sent_servers = dict(view.servers)
         self._sent_owners = dict(view.owners)
+        self._sent_zones = self._get_evacuated_zones()
         self._table_sent_at = 0
         self._snapshot_frame: bytes | None = None
         self._changed = asyncio.Event()
@@ -308,8 +309,21 @@
                 name: list(owners.segments)
                 for name, owners in self._sent_owners.items()
             },
+            evacuated_zones=self._sent_zones,
         )
 
+    def _get_evacuated_zones(
+        self,
+    ) -> list[base.ZoneName] | msgspec.UnsetType:
+        """Return the evacuated zones; unset before they are known here.
+
+        A coordinator that has just started may not have read them, while its
+        subscribers know them from the former one.
+        """
+        if not self._view.knows_evacuations:
+            return msgspec.UNSET
+        return sorted(self._view.evacuated_zones)
+
     async def _send_heartbeats(self) -> None:
         """Send heartbeats regularly and when the store fails or recovers."""
         while True:
@@ -393,10 +407,17 @@
             changed = [s for s in owners.segments if s not in sent]
             if changed:
                 segments[name] = changed
+        zones = self._get_evacuated_zones()
+        if zones == self._sent_zones:
+            zones = msgspec.UNSET
+        else:
+            self._sent_zones = zones
         self._sent_servers = dict(view.servers)
         self._sent_owners = dict(view.owners)
         self._snapshot_frame = None
-        if not (table or delta or servers or removed or segments):
+        if zones is msgspec.UNSET and not (
+            table or delta or servers or removed or segments
+        ):
             return None
         return _messages.Update(
             table=table,
@@ -404,6 +425,7 @@
             servers=servers,
             gone=removed,
             segments=segments,
+            evacuated_zones=zones,
         )
 
     def _pick_table_change(
--- a/tarragonhinge/relay/_subscription.py
+++ b/tarragonhinge/relay/_subscription.py
@@ -329,6 +329,9 @@
 
     def _apply(self, update: _messages.Update) -> bool:
         """Apply an update; return False if its base version is missing."""
+        if update.evacuated_zones is not msgspec.UNSET:
+            # Before the table, so that no request is routed without them.
+            self._apply_evacuations(update.evacuated_zones)
         if not self._apply_table(update):
             return False
         if update.is_whole or update.servers or update.gone:
@@ -344,6 +347,12 @@
             self._view.set_owners(name, owners.replace(segments))
         return True
 
+    def _apply_evacuations(self, zones: list[base.ZoneName]) -> None:
+        if self._view.set_evacuated_zones(zones):
+            self._log.write(
+                events.EvacuationChanged(zones=zones, source="coordinator")
+            )
+
     def _apply_table(self, update: _messages.Update) -> bool:
         """Apply a table or delta; return False if its base is missing.
 
