Bound the time in which a draining owner gets keyed requests

Only owners that said in a response that they leave were bounded. One that drains by its entry got keyed requests for as long as an instance's owner map named it: 23 requests arrived 3.2 s after the drain, from instances of one zone that had not heard that the keys were moving.

The time counts from when the instance heard of the drain, and is the bound of the settings less 1 s for the news and the request to arrive.

--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -60,7 +60,7 @@
     fleet_size : FleetSize
         Number of instances that share the retry budget.
     leaving : LeavingServers
-        Servers that say that they leave.
+        Servers that leave.
     links : ServerLinks
         Links to the backend servers.
     owners : OwnerFinder
@@ -101,7 +101,7 @@
         rng = rng or random.Random()
         self.fleet_size = balancing.FleetSize(clock=clock)
         self.leaving = balancing.LeavingServers(
-            view=view, log=log, clock=clock
+            view=view, drain_ms=options.drain_ms, log=log, clock=clock
         )
         self.links = balancing.ServerLinks(
             view=view,
