Replace a new holder of keys that begins to leave

A new holder that refused a grant was asked again for 1.5 s, also if it had begun to drain or its zone had been evacuated meanwhile, while nobody served the keys. It is now replaced after the first grant that it does not accept.

--- a/tarragonhinge/ranges/_leader.py
+++ b/tarragonhinge/ranges/_leader.py
@@ -122,16 +122,6 @@
             clock=clock,
             hold_ms=min(_renewer.GRANT_HOLD_MS, grant_limit_ms),
         )
-        self._mover = _mover.Mover(
-            service=service,
-            lease_map=self._lease_map,
-            recorder=recorder,
-            renewer=self._renewer,
-            view=view,
-            grants=grants,
-            log=log,
-            clock=clock,
-        )
         self._targets = _targets.Targets(
             service=service,
             view=view,
@@ -142,6 +132,17 @@
             find_rate_limit=find_rate_limit,
             clock=clock,
         )
+        self._mover = _mover.Mover(
+            service=service,
+            lease_map=self._lease_map,
+            recorder=recorder,
+            renewer=self._renewer,
+            view=view,
+            may_hold=self._targets.may_hold,
+            grants=grants,
+            log=log,
+            clock=clock,
+        )
         self._planned_at = 0
         self._merged_at = 0
         self._group: asyncio.TaskGroup | None = None
@@ -390,7 +391,7 @@
         self, lease: _lease.Lease, targets: dict[int, base.ServerId]
     ) -> catalog.ServerEntry | None:
         entry = self._view.servers.get(targets.get(lease.first, ""))
-        if entry is not None and self._targets.explain_leaving(entry) is None:
+        if entry is not None and self._targets.may_hold(entry):
             return entry
         return self._targets.choose(lease)
 
--- a/tarragonhinge/ranges/_mover.py
+++ b/tarragonhinge/ranges/_mover.py
@@ -52,6 +52,8 @@
         Sends grants.
     view : View
         Source of the server entries.
+    may_hold : callable
+        Returns whether a server may get keys.
     grants : GrantClient
         Sends releases.
     log : EventLog
@@ -73,6 +75,7 @@
         recorder: _recorder.RangeRecorder,
         renewer: _renewer.Renewer,
         view: catalog.View,
+        may_hold: Callable[[catalog.ServerEntry], bool],
         grants: _grants.GrantClient,
         log: events.EventLog,
         clock: base.Clock,
@@ -82,6 +85,7 @@
         self._recorder = recorder
         self._renewer = renewer
         self._view = view
+        self._may_hold = may_hold
         self._grants = grants
         self._log = log
         self._clock = clock
@@ -227,7 +231,8 @@
         Returns
         -------
         bool
-            False if the holder is no longer listed or did not accept in time.
+            False if the holder did not accept in time, or did not accept and
+            may no longer get keys.
         """
         ends_at = self._clock.read_boottime() + NEW_HOLDER_TIMEOUT_MS
         while True:
@@ -241,7 +246,8 @@
             if result is _grants.GrantResult.FENCED:
                 await self._renewer.refence(lease)
                 continue
-            if now >= ends_at or self._renewer.find_holder(lease) is None:
+            holder = self._renewer.find_holder(lease)
+            if now >= ends_at or holder is None or not self._may_hold(holder):
                 return False
             await self._clock.sleep(RETRY_INTERVAL_MS)
             # The holder may have accepted the grant, and another server may
--- a/tarragonhinge/ranges/_targets.py
+++ b/tarragonhinge/ranges/_targets.py
@@ -99,6 +99,10 @@
             return "zone_evacuated"
         return None
 
+    def may_hold(self, entry: catalog.ServerEntry) -> bool:
+        """Return whether a server may get keys."""
+        return self.explain_leaving(entry) is None
+
     def get_newest_age_ms(self) -> int:
         """Return the time since a server was listed for the first time."""
         newest_at = max(self._first_listed_at.values(), default=0)
--- a/tarragonhinge/ranges/tests/test_leader.py
+++ b/tarragonhinge/ranges/tests/test_leader.py
@@ -232,6 +232,36 @@
     testing.run_manual(run())
 
 
+@pytest.mark.parametrize("cause", ["drain", "evacuation"])
+def test_new_holder_that_leaves_is_replaced_at_once(cause):
+    """Guards against grants to a new holder that may not keep its keys.
+
+    A draining server may refuse them, and each grant without an answer made
+    the keys wait for longer.
+    """
+
+    async def run():
+        service = led_service.LedService(servers=3, zones=("z", "z", "y"))
+        await _start_and_wait(service)
+        # The only server that is chosen, since it has no load.
+        service.leader.record_keys([0, 30_000] * 200)
+        new = service.start_server("s5")
+        service.find_server("s5").faults.rejects_grants = True
+        _drain(service, "s0")
+        await service.run_for(300)
+        if cause == "drain":
+            _drain(service, "s5")
+        else:
+            service.view.set_evacuated_zones([new.zone])
+        await service.run_for(400)
+        owners = service.view.owners[led_service.SERVICE]
+        assert owners.find(0).server != "s5"
+        assert service.fleet.count_unowned_keys() == 0
+        _assert_no_violations(service)
+
+    testing.run_manual(run())
+
+
 def test_recorded_adjacent_leases_are_merged_and_renewed():
     """Guards against a renewal during a merge, which stopped all renewals."""
 
--- a/tarragonhinge/testing/_key_servers.py
+++ b/tarragonhinge/testing/_key_servers.py
@@ -34,9 +34,12 @@
         server that applies and answers them at once.
     work_ms : int
         Time that requests in flight still take after a release.
+    rejects_grants : bool
+        Whether grants are neither accepted nor fenced.
     """
 
     is_silent: bool = False
+    rejects_grants: bool = False
     late_ms: int = 0
     work_ms: int = 0
 
@@ -284,6 +287,8 @@
                 self._connection_ids.get(holder.address, 0) + 1
             )
         self._connections[holder.address] = server
+        if server.faults.rejects_grants:
+            return ranges.GrantResult.UNKNOWN
         result = server.apply_grant(grant, arrived_at=self._clock.now())
         if result is ranges.GrantResult.HELD:
             self._fleet.check_grant(server, grant)
