--- a/tarragonhinge/ranges/tests/test_leader.py
+++ b/tarragonhinge/ranges/tests/test_leader.py
@@ -201,6 +201,67 @@
     testing.run_manual(run())
 
 
+def _drain(service, name):
+    entry = service.view.servers[name]
+    state = catalog.ServerState.DRAINING
+    service.put_entry(msgspec.structs.replace(entry, state=state))
+
+
+@pytest.mark.parametrize("outage_ms", range(1_000, 4_000, 500))
+def test_draining_server_loses_its_keys_soon_after_an_outage(outage_ms):
+    """Guards against a drain that waits for the retry of a failed write.
+
+    The store takes the entry of a server that drains as soon as it is back,
+    but the coordinator tried to write only up to 1 s later.
+    """
+
+    async def run():
+        service = led_service.LedService()
+        await _start_and_wait(service)
+        service.store.faults.rejects_writes = True
+        _drain(service, "s0")
+        await service.run_for(outage_ms)
+        assert service.fleet.count_unowned_keys() == 0
+        service.store.faults.rejects_writes = False
+        _drain(service, "s1")
+        await service.run_for(700)
+        assert service.fleet.count_unowned_keys() == 0
+        assert not service.find_server("s1").list_held_ranges()
+        _assert_no_violations(service)
+
+    testing.run_manual(run())
+
+
+@pytest.mark.parametrize("cause", ["drain", "evacuation"])
+def test_new_holder_that_leaves_is_replaced_at_once(cause):
+    """Guards against grants to a new holder that may not keep its keys.
+
+    A draining server may refuse them, and each grant without an answer made
+    the keys wait for longer.
+    """
+
+    async def run():
+        service = led_service.LedService(servers=3, zones=("z", "z", "y"))
+        await _start_and_wait(service)
+        # The only server that is chosen, since it has no load.
+        service.leader.record_keys([0, 30_000] * 200)
+        new = service.start_server("s5")
+        service.find_server("s5").faults.rejects_grants = True
+        _drain(service, "s0")
+        await service.run_for(300)
+        if cause == "drain":
+            _drain(service, "s5")
+        else:
+            service.view.set_evacuated_zones([new.zone])
+        await service.run_for(400)
+        owners = service.view.owners[led_service.SERVICE]
+        assert owners.find(0).server != "s5"
+        assert service.fleet.count_unowned_keys() == 0
+        _assert_no_violations(service)
+
+    testing.run_manual(run())
+
+
 def test_recorded_adjacent_leases_are_merged_and_renewed():
     """Guards against a renewal during a merge, which stopped all renewals."""
 
