Limit requests to cold servers over all instances

Cause: a server of a service with coldPerS crashes if it gets many more requests than that in a second while it is cold. Nothing limited the total of 66 instances, and a server that starts again at its former address accepts requests up to 1.7 s before its new entry is seen.

Change: limits.ColdServers keeps what is known of coldness by evidence: the entry, a health response, the return of an evacuated zone, and a path that was refused or whose connections all ended. Path and health evidence is reported with the loads, through the coordinator, and again to a new one; the hub sends all that is known to a new subscriber. Requests to cold servers need a permit at the lower of coldPerS and the named limit; the issuer keeps one pace for both starts of a server. Without a coordinator, instances take turns on the wall clock, since equal shares without turns add up to one request of each instance in a second. The sender checks once more before it writes. A warm-up that begins again without a new start is published by the feed.

--- a/tarragonhinge/balancing/_placer.py
+++ b/tarragonhinge/balancing/_placer.py
@@ -194,6 +194,7 @@
         self, job: jobs.Job, placement: Placement, *, may_wait: bool
     ) -> limits.Reservation:
         """Reserve a slot at a server that names a limit, and wait for it."""
+        job.permit = None
         max_wait_ms = 0
         if may_wait:
             limit_ms = self._compute_latency_limit(job)
@@ -211,6 +212,8 @@
                 wait_ms=reservation.wait_ms,
             )
         )
+        if reservation.is_granted:
+            job.permit = placement.link.incarnation
         if reservation.is_granted and reservation.wait_ms:
             await self._clock.sleep(reservation.wait_ms)
         return reservation
--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -184,10 +184,14 @@
         *,
         rate: float,
         max_wait_ms: int,
+        is_cold: bool = False,
     ) -> limits.Reservation:
         """Issue a permit to this instance itself."""
         return self._issuer.reserve(
-            incarnation, named_rate=rate, max_wait_ms=max_wait_ms
+            incarnation,
+            named_rate=rate,
+            max_wait_ms=max_wait_ms,
+            is_cold=is_cold,
         )
 
     async def request_trial(
@@ -197,7 +201,7 @@
         return self._trial_issuer.issue(digest, version)
 
     def _find_rate_limit(self, entry: catalog.ServerEntry) -> float | None:
-        return self._issuer.limits.find((entry.server, entry.born_ms))
+        return self._issuer.limits.find_lowest((entry.server, entry.born_ms))
 
     def get_store_age(self) -> int:
         """Return the time since the store last responded, in milliseconds."""
--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -18,6 +18,7 @@
 from tarragonhinge.events._process_events import RowIgnored
 from tarragonhinge.events._process_events import SegmentMoved
 from tarragonhinge.events._process_events import ServerAvoided
+from tarragonhinge.events._process_events import ServerCold
 from tarragonhinge.events._process_events import ServerCrashed
 from tarragonhinge.events._process_events import ServerSeen
 from tarragonhinge.events._process_events import Started
@@ -72,6 +73,7 @@
     "RowIgnored",
     "SegmentMoved",
     "ServerAvoided",
+    "ServerCold",
     "ServerCrashed",
     "ServerSeen",
     "Started",
--- a/tarragonhinge/events/_process_events.py
+++ b/tarragonhinge/events/_process_events.py
@@ -202,6 +202,27 @@
     source: str
 
 
+class ServerCold(_event.Event, frozen=True, kw_only=True, tag="server_cold"):
+    """A server counts as cold from now on, or no longer.
+
+    Parameters
+    ----------
+    server : str
+        Id of the server.
+    for_ms : int
+        Time for which it counts as cold; 0 if evidence has ended it.
+    rate : float
+        Requests per second that it gets meanwhile from all instances.
+    source : str
+        Evidence: ``entry``, ``health``, ``evacuation`` or ``path``.
+    """
+
+    server: str
+    for_ms: int
+    rate: float
+    source: str
+
+
 class LeadershipChanged(
     _event.Event, frozen=True, kw_only=True, tag="leadership"
 ):
--- a/tarragonhinge/feeds/_catalog_feed.py
+++ b/tarragonhinge/feeds/_catalog_feed.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Sequence
 
+import msgspec
+
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import events
@@ -19,6 +21,10 @@
 #: for an expiry during the outage.
 EXPIRY_WINDOW_MS = 500
 
+#: Variation of the delay with which entries are read. A warm-up that ends
+#: later than expected by more than this has begun again.
+WARM_UP_TOLERANCE_MS = 300
+
 
 class CatalogFeed:
     """Follows the routing table and the server entries in the store.
@@ -52,6 +58,9 @@
         self._clock = clock
         self._retained_until: dict[base.ServerId, int] = {}
         self._withheld: dict[base.ServerId, catalog.ServerEntry] = {}
+        # Expected end of the warm-up that was published, and version of the
+        # row that was read last.
+        self._cold_until: dict[base.ServerId, tuple[int, int]] = {}
         self._routing = _follower.TableFollower(
             store=store,
             table=codec.routing_table,
@@ -111,6 +120,7 @@
             self._withheld.pop(server, None)
             if row.dropped:
                 entries.pop(server, None)
+                self._cold_until.pop(server, None)
                 continue
             try:
                 entry = self._codec.decode_server(row.key, row.value)
@@ -121,14 +131,46 @@
             # An entry in which only the remaining warm-up time has decreased
             # is not published. Otherwise each heartbeat of a server in its
             # warm-up would cause an update to all instances.
-            if not entry.differs_only_by_warm_up(entries.get(server)):
-                entries[server] = entry
+            entries[server] = self._choose_published(
+                entry, entries.get(server), row.version
+            )
         if is_whole:
             self._withhold_left(entries)
         self._retain_expired(entries)
         self._log_changes(entries)
         self._view.set_servers(entries)
 
+    def _choose_published(
+        self,
+        entry: catalog.ServerEntry,
+        published: catalog.ServerEntry | None,
+        version: int,
+    ) -> catalog.ServerEntry:
+        """Return an entry that was read, or the one published before.
+
+        A server may become cold again without a new start. Its remaining
+        time may then still be below the one that was published when it
+        started, so that it is compared with the expected end.
+        """
+        server = entry.server
+        until = self._clock.read_boottime() + entry.cold_ms
+        expected, known_version = self._cold_until.get(server, (until, None))
+        is_again = (
+            version != known_version
+            and until > expected + WARM_UP_TOLERANCE_MS
+        )
+        if entry.differs_only_by_warm_up(published) and not is_again:
+            self._cold_until[server] = min(until, expected), version
+            return published
+        if entry.cold_ms:
+            self._cold_until[server] = until, version
+        else:
+            self._cold_until.pop(server, None)
+        if is_again and entry == published:
+            # An equal entry would not be sent to the other instances.
+            return msgspec.structs.replace(entry, cold_ms=entry.cold_ms + 1)
+        return entry
+
     def _withhold_left(
         self, entries: dict[base.ServerId, catalog.ServerEntry]
     ) -> None:
--- a/tarragonhinge/forwarding/_directory.py
+++ b/tarragonhinge/forwarding/_directory.py
@@ -60,6 +60,13 @@
             self._absent_since.pop(name, None)
         self._peers.update(listed)
 
+    def get_rank(self) -> int:
+        """Return the position of this instance in the order of all ids.
+
+        Instances that follow no coordinator agree on it without a message.
+        """
+        return sum(name < self.own.instance for name in self._peers)
+
     def list_all(self) -> list[PeerInstance]:
         """Return the other instances."""
         now = self._clock.now()
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -11,6 +11,7 @@
 from tarragonhinge import catalog
 from tarragonhinge import events
 from tarragonhinge import forwarding
+from tarragonhinge.gateway import _cold_watch
 from tarragonhinge.gateway import _crash_guard
 from tarragonhinge.gateway import _detour
 from tarragonhinge.gateway import _metrics
@@ -69,6 +70,8 @@
         Limits that the servers name.
     permits : Permits
         Permits for requests to these servers.
+    cold_watch : ColdWatch
+        Recognizes servers that are cold.
     ledger : CrashLedger
         Crashes of servers, and the requests that are refused for them.
     guard : CrashGuard
@@ -111,11 +114,17 @@
             leaving=self.leaving,
             clock=clock,
         )
-        self.server_limits = limits.ServerLimits(log=log)
+        self.server_limits = limits.ServerLimits(
+            log=log, cold=limits.ColdServers(log=log, clock=clock)
+        )
+        self.cold_watch = _cold_watch.ColdWatch(
+            view=view, links=self.links, cold=self.server_limits.cold
+        )
         self.permits = limits.Permits(
             limits=self.server_limits,
             get_instances=self.fleet_size.get,
             clock=clock,
+            get_rank=lambda: self.directory.get_rank(),
         )
         self.ledger = quarantine.CrashLedger(log=log, clock=clock)
         self.metrics = _metrics.RequestMetrics()
@@ -136,6 +145,7 @@
             log=log,
             clock=clock,
             rng=rng,
+            cold_watch=self.cold_watch,
         )
         self.guard = _crash_guard.CrashGuard(
             view=view,
@@ -169,6 +179,7 @@
                 guard=self.guard,
                 leaving=self.leaving,
                 monitor=self.monitor,
+                cold_watch=self.cold_watch,
                 log=log,
                 clock=clock,
             ),
--- a/tarragonhinge/gateway/_path_monitor.py
+++ b/tarragonhinge/gateway/_path_monitor.py
@@ -15,6 +15,7 @@
 from tarragonhinge import catalog
 from tarragonhinge import events
 from tarragonhinge import forwarding
+from tarragonhinge.gateway import _cold_watch
 from tarragonhinge.gateway import _peer_reports
 from tarragonhinge import http1
 from tarragonhinge import limits
@@ -81,6 +82,8 @@
         This process's clock.
     rng : random.Random
         Chooses the servers and instances that are asked.
+    cold_watch : ColdWatch or None
+        Recognizes servers that have started again.
 
     Attributes
     ----------
@@ -98,7 +101,9 @@
         log: events.EventLog,
         clock: base.Clock,
         rng: random.Random,
+        cold_watch: _cold_watch.ColdWatch | None = None,
     ) -> None:
+        self._cold_watch = cold_watch
         self._view = view
         self._links = links
         self._directory = directory
@@ -153,8 +158,11 @@
 
     def record_connection(self, link: balancing.ServerLink) -> None:
         """Record an opened connection."""
+        was_refused = link.path.is_refused
         if link.path.record_connection():
             self._handle_opened(link)
+            if was_refused:
+                self._record_refusing(link)
 
     def record_response(self, link: balancing.ServerLink) -> None:
         """Record a response of a server."""
@@ -167,6 +175,14 @@
         """Record a connection that could not be opened."""
         if link.path.record_failure(is_refused=is_refused, began_at=began_at):
             self._handle_closed(link)
+        if link.path.is_refused:
+            self._record_refusing(link)
+
+    def _record_refusing(self, link: balancing.ServerLink) -> None:
+        if self._cold_watch is not None:
+            self._cold_watch.record_refusing(
+                link, closed_count=self.get_closed_count()
+            )
 
     def _handle_closed(self, link: balancing.ServerLink) -> None:
         self._closed[link.incarnation] = link
--- a/tarragonhinge/gateway/_reporter.py
+++ b/tarragonhinge/gateway/_reporter.py
@@ -4,6 +4,7 @@
 
 from tarragonhinge import balancing
 from tarragonhinge import base
+from tarragonhinge.gateway import _cold_watch
 from tarragonhinge import limits
 from tarragonhinge import relay
 
@@ -21,6 +22,8 @@
         Limits that the servers name.
     leaving : LeavingServers
         Servers that say that they leave.
+    cold_watch : ColdWatch or None
+        Recognizes servers that are cold.
     """
 
     def __init__(
@@ -30,11 +33,14 @@
         links: balancing.ServerLinks,
         server_limits: limits.ServerLimits,
         leaving: balancing.LeavingServers,
+        cold_watch: _cold_watch.ColdWatch | None = None,
     ) -> None:
         self._owners = owners
         self._links = links
         self._server_limits = server_limits
         self._leaving = leaving
+        self._cold_watch = cold_watch
+        self._cold = server_limits.cold
 
     def make_report(self) -> relay.Report:
         """Return the keys and service times recorded since the last report."""
@@ -68,16 +74,26 @@
             seen=loads,
             named_limits=self._server_limits.take_unreported(),
             leaving=self._leaving.take_unreported(),
+            cold=self._cold.take_unreported() if self._cold else [],
         )
 
     def report_again(self) -> None:
-        """Report the leaving servers to another coordinator, too."""
+        """Report leaving and cold servers to another coordinator, too."""
         self._leaving.report_again()
+        if self._cold:
+            self._cold.report_again()
 
     def apply_loads(self, loads: relay.Loads) -> None:
         """Record loads and limits that other instances have observed."""
         self._server_limits.apply(loads.named_limits)
         self._leaving.apply(loads.leaving)
+        if self._cold and loads.cold:
+            self._cold.apply(
+                report
+                for report in loads.cold
+                if self._cold_watch is None
+                or not self._cold_watch.is_contradicted(report)
+            )
         for load in loads.seen:
             link = self._links.find(load.server)
             if link is not None:
--- a/tarragonhinge/gateway/_retrier.py
+++ b/tarragonhinge/gateway/_retrier.py
@@ -287,6 +287,8 @@
                 _NotRunCause.MISDIRECTED,
                 # Another server is chosen, or another way.
                 _NotRunCause.UNREACHABLE,
+                # It is placed again, with a permit.
+                _NotRunCause.COLD,
             ):
                 return True
             if outcome.cause is _NotRunCause.REPLACED and job.key is not None:
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -5,6 +5,7 @@
 from tarragonhinge import balancing
 from tarragonhinge import base
 from tarragonhinge import events
+from tarragonhinge.gateway import _cold_watch
 from tarragonhinge.gateway import _crash_guard
 from tarragonhinge.gateway import _path_monitor
 from tarragonhinge import http1
@@ -43,6 +44,8 @@
         Servers that say that they leave, which learns from the responses.
     monitor : PathMonitor
         Observes whether the servers can be reached.
+    cold_watch : ColdWatch
+        Recognizes servers that have started again.
     log : EventLog
         Destination of log events.
     clock : Clock
@@ -58,6 +61,7 @@
         guard: _crash_guard.CrashGuard,
         leaving: balancing.LeavingServers,
         monitor: _path_monitor.PathMonitor,
+        cold_watch: _cold_watch.ColdWatch,
         log: events.EventLog,
         clock: base.Clock,
     ) -> None:
@@ -67,6 +71,7 @@
         self._guard = guard
         self._leaving = leaving
         self._monitor = monitor
+        self._cold_watch = cold_watch
         self._log = log
         self._clock = clock
 
@@ -131,6 +136,7 @@
     ) -> http1.HttpResponse | jobs.NotRun | jobs.OutcomeUnknown:
         """Return the response, or the reason why there is none."""
         began_at = self._clock.now()
+        self._cold_watch.check_connections(link)
         try:
             connection = await link.pool.acquire(
                 fresh=not job.is_idempotent, excluded=job.connections
@@ -160,6 +166,12 @@
         if self._guard.is_refused(job):
             link.pool.release(connection)
             return _make_unsent("the request crashes servers")
+        if (
+            job.permit != link.incarnation
+            and self._server_limits.find_cold(link.incarnation) is not None
+        ):
+            link.pool.release(connection)
+            return jobs.NotRun(cause=jobs.NotRunCause.COLD)
         job.sent_count += 1
         job.connections.append(connection)
         sent.set_result(None)
@@ -199,6 +211,7 @@
                     link.load.record_full()
                 else:
                     link.load.record_failed_attempt()
+                    link.pool.record_break()
                 self._guard.record_break(flight)
             return jobs.OutcomeUnknown(
                 cause=jobs.UnknownCause.BROKEN, detail=error.problem
--- a/tarragonhinge/http1/_pool.py
+++ b/tarragonhinge/http1/_pool.py
@@ -73,6 +73,11 @@
         self._idle: list[_server_connection.ServerConnection] = []
         self._open_count = 0
         self._is_closed = False
+        # Connections that the server has ended since the last response, the
+        # same when none was left, and time since which at least one is open.
+        self._lost_count = 0
+        self._all_lost_count = 0
+        self._open_since: int | None = None
         self.min_connect_ms: float | None = None
 
     async def acquire(
@@ -106,6 +111,8 @@
                 raise _make_error("the connection limit is reached")
             self._close_connection(self._idle.pop(0))
         self._open_count += 1
+        if self._open_count == 1:
+            self._open_since = None
         started_at = self._clock.now()
         try:
             stream = await _tcp_stream.connect(
@@ -121,6 +128,7 @@
             self._open_count -= 1
             raise
         self._record_connect_time(self._clock.now() - started_at)
+        self._record_opened()
         return _server_connection.ServerConnection(
             stream=stream, clock=self._clock
         )
@@ -164,6 +172,9 @@
             stream.close()
             return ListenerState.ACCEPTING
         self._open_count += 1
+        if self._open_count == 1:
+            self._open_since = None
+        self._record_opened()
         self.release(
             _server_connection.ServerConnection(
                 stream=stream, clock=self._clock
@@ -181,8 +192,36 @@
         if self._is_closed or not connection.is_reusable():
             self.discard(connection)
             return
+        self._lost_count = 0
         self._idle.append(connection)
 
+    def record_break(self) -> None:
+        """Record that the server has ended a connection unexpectedly."""
+        self._lost_count += 1
+        self._open_since = None
+
+    def take_lost(self) -> int:
+        """Return the number of connections that ended until none was left.
+
+        They count once; 0 if others were open.
+        """
+        self.prune()
+        lost_count, self._all_lost_count = self._all_lost_count, 0
+        return lost_count
+
+    def has_outlasted(self, duration_ms: int) -> bool:
+        """Return whether connections were open all the time until now."""
+        self.prune()
+        return (
+            self._open_count > 0
+            and self._open_since is not None
+            and self._clock.now() - self._open_since >= duration_ms
+        )
+
+    def _record_opened(self) -> None:
+        if self._open_since is None:
+            self._open_since = self._clock.now()
+
     def discard(self, connection: _server_connection.ServerConnection) -> None:
         """Close a connection that was acquired."""
         self._close_connection(connection)
@@ -191,6 +230,9 @@
         self, connection: _server_connection.ServerConnection
     ) -> None:
         self._open_count -= 1
+        if self._open_count == 0 and self._lost_count:
+            self._all_lost_count = self._lost_count
+            self._lost_count = 0
         connection.close()
 
     def prune(self) -> None:
@@ -204,6 +246,8 @@
             if connection.is_reusable() and idle_ms < limit_ms:
                 reusable.append(connection)
             else:
+                if connection.has_ended_early(FRESH_IDLE_LIMIT_MS):
+                    self.record_break()
                 self._close_connection(connection)
         self._idle = reusable
 
--- a/tarragonhinge/http1/_server_connection.py
+++ b/tarragonhinge/http1/_server_connection.py
@@ -1,5 +1,6 @@
 """Client side of an HTTP/1.1 connection to a backend server."""
 
+import asyncio
 from collections.abc import Callable
 
 import h11
@@ -67,6 +68,7 @@
         self._stream = stream
         self._clock = clock
         self.used_at = clock.now()
+        self._used_loop_time = asyncio.get_running_loop().time()
         self.keep_alive_ms: int | None = None
         self._has_response = False
 
@@ -74,6 +76,17 @@
         """Return whether the connection can be used for another request."""
         return self._stream.is_usable and not self._stream.unsent_bytes
 
+    def has_ended_early(self, idle_ms: int) -> bool:
+        """Return whether the server has ended it before it was idle so long.
+
+        Servers end connections that have been idle for long.
+        """
+        ended_at = self._stream.ended_at
+        return (
+            ended_at is not None
+            and (ended_at - self._used_loop_time) * base.MS_PER_S < idle_ms
+        )
+
     def close(self) -> None:
         """Close at once, so that the server stops handling the request."""
         self._stream.abort()
@@ -125,6 +138,7 @@
 
     def _record_use(self, response: _messages.HttpResponse) -> None:
         self.used_at = self._clock.now()
+        self._used_loop_time = asyncio.get_running_loop().time()
         for name, value in response.fields:
             if name == "keep-alive":
                 self.keep_alive_ms = _parse_keep_alive_ms(value)
--- a/tarragonhinge/http1/_tcp_stream.py
+++ b/tarragonhinge/http1/_tcp_stream.py
@@ -58,6 +58,8 @@
         self._is_read_paused = False
         self._is_closed = False
         self.is_ended = False
+        # Time of the event loop at which the peer ended the connection.
+        self.ended_at: float | None = None
         self.error: Exception | None = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -84,12 +86,15 @@
     def eof_received(self) -> bool:
         """Record that the peer sends no more; keep the sending side open."""
         self.is_ended = True
+        self.ended_at = asyncio.get_running_loop().time()
         self._wake_reader()
         return True
 
     def connection_lost(self, error: Exception | None) -> None:
         """Record the end of the connection."""
         self.is_ended = True
+        if self.ended_at is None and not self._is_closed:
+            self.ended_at = asyncio.get_running_loop().time()
         self.error = error
         self._wake_reader()
         if self._drain_waiter is not None and not self._drain_waiter.done():
--- a/tarragonhinge/jobs/_job.py
+++ b/tarragonhinge/jobs/_job.py
@@ -63,6 +63,8 @@
         last refused.
     is_forwarded : bool
         Whether another instance has forwarded the request to this one.
+    permit : Incarnation or None
+        Server for which its present placement has a permit.
     """
 
     request: http1.HttpRequest
@@ -87,6 +89,7 @@
     )
     refused_by_grant: tuple[base.ServerId, int] | None = None
     is_forwarded: bool = False
+    permit: limits.Incarnation | None = None
     _digest: quarantine.RequestDigest | None = None
 
     def count_attempts_left(self) -> int:
--- a/tarragonhinge/limits/_issuer.py
+++ b/tarragonhinge/limits/_issuer.py
@@ -26,12 +26,12 @@
     ) -> None:
         self.limits = limits
         self._clock = clock
-        self._pacers: dict[
-            _server_limits.Incarnation, tuple[float, _pacer.Pacer]
-        ] = {}
+        # By server, so that one which starts again while it is cold has the
+        # slots of one server, whichever start an instance knows of.
+        self._pacers: dict[base.ServerId, tuple[float, _pacer.Pacer]] = {}
         # A limit that was named before has permits of a former issuer.
         for limit in limits.list_all():
-            self._find_pacer((limit.server, limit.born_ms), limit.rate)
+            self._find_pacer(limit.server, limit.rate)
 
     def reserve(
         self,
@@ -39,6 +39,7 @@
         *,
         named_rate: float,
         max_wait_ms: int,
+        is_cold: bool = False,
     ) -> _pacer.Reservation:
         """Reserve a slot for a request.
 
@@ -50,17 +51,20 @@
             Limit that the instance knows of, which may be news here.
         max_wait_ms : int
             Longest time that the request can wait.
+        is_cold : bool
+            Whether the instance knows that the server is cold. The lowest
+            rate is kept then, since either may have news.
         """
-        rate = self.limits.find(incarnation)
+        rate = self.limits.find_lowest(incarnation)
         if rate is None:
             rate = named_rate
-        pacer = self._find_pacer(incarnation, rate)
+        elif is_cold:
+            rate = min(rate, named_rate)
+        pacer = self._find_pacer(incarnation[0], rate)
         return pacer.reserve(max_wait_ms=max_wait_ms)
 
-    def _find_pacer(
-        self, incarnation: _server_limits.Incarnation, rate: float
-    ) -> _pacer.Pacer:
-        known = self._pacers.get(incarnation)
+    def _find_pacer(self, server: base.ServerId, rate: float) -> _pacer.Pacer:
+        known = self._pacers.get(server)
         if known is None:
             pacer = _pacer.Pacer(clock=self._clock, rate=rate)
         else:
@@ -68,5 +72,5 @@
             if known_rate == rate:
                 return pacer
             pacer.set_rate(rate)
-        self._pacers[incarnation] = rate, pacer
+        self._pacers[server] = rate, pacer
         return pacer
--- a/tarragonhinge/limits/_permits.py
+++ b/tarragonhinge/limits/_permits.py
@@ -1,4 +1,4 @@
-"""Permits for requests to servers that name a limit."""
+"""Permits for requests to servers that name a limit or are cold."""
 
 import abc
 from collections.abc import Callable
@@ -6,6 +6,7 @@
 from tarragonhinge import base
 from tarragonhinge.limits import _pacer
 from tarragonhinge.limits import _server_limits
+from tarragonhinge.limits import _turn_pacer
 
 
 class PermitSource(abc.ABC):
@@ -18,6 +19,7 @@
         *,
         rate: float,
         max_wait_ms: int,
+        is_cold: bool = False,
     ) -> _pacer.Reservation | None:
         """Return the answer of the issuer; None if it does not answer."""
 
@@ -26,7 +28,8 @@
     """Asks for a permit before a request is sent to a limited server.
 
     One issuer, the coordinator, keeps the sum over all instances. While it
-    cannot be reached, each instance keeps an equal part of the limit.
+    cannot be reached, each instance keeps an equal part of the limit. For a
+    cold server, the rate is the lower of its limit and its cold rate.
 
     Parameters
     ----------
@@ -36,6 +39,8 @@
         Returns the number of instances.
     clock : Clock
         This process's clock.
+    get_rank : callable
+        Returns the position of this instance among them.
 
     Attributes
     ----------
@@ -51,11 +56,16 @@
         limits: _server_limits.ServerLimits,
         get_instances: Callable[[], int],
         clock: base.Clock,
+        get_rank: Callable[[], int] = lambda: 0,
     ) -> None:
         self.limits = limits
         self._get_instances = get_instances
         self._clock = clock
+        self._get_rank = get_rank
         self._own_pacers: dict[_server_limits.Incarnation, _pacer.Pacer] = {}
+        self._turn_pacers: dict[
+            base.ServerId, tuple[tuple[float, int, int], _turn_pacer.TurnPacer]
+        ] = {}
         # Time of the next slot and of the retry that the last refusal told.
         self._refused: dict[_server_limits.Incarnation, tuple[int, int]] = {}
         self.source: PermitSource | None = None
@@ -63,7 +73,7 @@
     async def acquire(
         self, incarnation: _server_limits.Incarnation, *, max_wait_ms: int
     ) -> _pacer.Reservation | None:
-        """Reserve a slot; return None if the server names no limit.
+        """Reserve a slot; return None if the server needs no permits.
 
         Parameters
         ----------
@@ -72,9 +82,11 @@
         max_wait_ms : int
             Longest time that the request can wait.
         """
-        rate = self.limits.find(incarnation)
+        is_cold = self.limits.find_cold(incarnation) is not None
+        rate = self.limits.find_lowest(incarnation)
         if rate is None:
             self._own_pacers.pop(incarnation, None)
+            self._turn_pacers.pop(incarnation[0], None)
             self._refused.pop(incarnation, None)
             return None
         now = self._clock.now()
@@ -88,11 +100,17 @@
         reservation = None
         if self.source is not None:
             reservation = await self.source.request_permit(
-                incarnation, rate=rate, max_wait_ms=max_wait_ms
+                incarnation,
+                rate=rate,
+                max_wait_ms=max_wait_ms,
+                is_cold=is_cold,
             )
+        if reservation is None and is_cold:
+            return self._take_own_turn(incarnation[0], rate, max_wait_ms)
         if reservation is None:
             return self._take_own_part(incarnation, rate, max_wait_ms)
         self._own_pacers.pop(incarnation, None)
+        self._turn_pacers.pop(incarnation[0], None)
         if not reservation.is_granted:
             now = self._clock.now()
             self._refused[incarnation] = (
@@ -115,3 +133,15 @@
         else:
             pacer.set_rate(part)
         return pacer.reserve(max_wait_ms=max_wait_ms)
+
+    def _take_own_turn(
+        self, server: base.ServerId, rate: float, max_wait_ms: int
+    ) -> _pacer.Reservation:
+        share = rate, max(1, self._get_instances()), self._get_rank()
+        known_share, pacer = self._turn_pacers.get(server, (None, None))
+        if pacer is None or known_share != share:
+            pacer = _turn_pacer.TurnPacer(
+                clock=self._clock, rate=rate, instances=share[1], rank=share[2]
+            )
+            self._turn_pacers[server] = share, pacer
+        return pacer.reserve(max_wait_ms=max_wait_ms)
--- a/tarragonhinge/limits/_server_limits.py
+++ b/tarragonhinge/limits/_server_limits.py
@@ -6,6 +6,7 @@
 
 from tarragonhinge import base
 from tarragonhinge import events
+from tarragonhinge.limits import _cold_servers
 
 #: Server and start time, which identify an incarnation.
 Incarnation = tuple[base.ServerId, int]
@@ -44,10 +45,23 @@
     ----------
     log : EventLog
         Destination of log events.
+    cold : ColdServers or None
+        Servers that are cold; None if no server is ever cold.
+
+    Attributes
+    ----------
+    cold : ColdServers or None
+        Servers that are cold; None if no server is ever cold.
     """
 
-    def __init__(self, *, log: events.EventLog) -> None:
+    def __init__(
+        self,
+        *,
+        log: events.EventLog,
+        cold: _cold_servers.ColdServers | None = None,
+    ) -> None:
         self._log = log
+        self.cold = cold
         self._rates: dict[Incarnation, float] = {}
         self._unreported: dict[Incarnation, float | None] = {}
 
@@ -58,6 +72,19 @@
         """
         return self._rates.get(incarnation)
 
+    def find_cold(self, incarnation: Incarnation) -> float | None:
+        """Return the rate of a server while it is cold, else None."""
+        return self.cold.find(incarnation) if self.cold is not None else None
+
+    def find_lowest(self, incarnation: Incarnation) -> float | None:
+        """Return the lower of the named limit and the cold rate, or None."""
+        rates = (self.find(incarnation), self.find_cold(incarnation))
+        return min((r for r in rates if r is not None), default=None)
+
+    def list_cold(self) -> list[_cold_servers.ColdServer]:
+        """Return all servers that are cold."""
+        return self.cold.list_all() if self.cold is not None else []
+
     def record_response(
         self, incarnation: Incarnation, rate: float | None
     ) -> None:
--- a/tarragonhinge/limits/tests/test_permits.py
+++ b/tarragonhinge/limits/tests/test_permits.py
@@ -20,12 +20,17 @@
         self.is_reachable = True
         self.asked = 0
 
-    async def request_permit(self, incarnation, *, rate, max_wait_ms):
+    async def request_permit(
+        self, incarnation, *, rate, max_wait_ms, is_cold=False
+    ):
         self.asked += 1
         if not self.is_reachable:
             return None
         return self.issuer.reserve(
-            incarnation, named_rate=rate, max_wait_ms=max_wait_ms
+            incarnation,
+            named_rate=rate,
+            max_wait_ms=max_wait_ms,
+            is_cold=is_cold,
         )
 
 
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -73,6 +73,7 @@
             links=self.gateway.links,
             server_limits=self.gateway.server_limits,
             leaving=self.gateway.leaving,
+            cold_watch=self.gateway.cold_watch,
         )
         self._member = coordination.Member(
             instance=options.instance,
--- a/tarragonhinge/relay/_hub.py
+++ b/tarragonhinge/relay/_hub.py
@@ -130,6 +130,9 @@
         self._has_new_peers = False
         self._pending_loads: dict[base.ServerId, int] = {}
         self._pending_limits: dict[limits.Incarnation, limits.NamedLimit] = {}
+        self._pending_cold: dict[
+            tuple[limits.Incarnation, limits.ColdSource], limits.ColdServer
+        ] = {}
         self._has_pending_loads = asyncio.Event()
         self._clock = clock
         self._subscribers: set[_Subscriber] = set()
@@ -210,13 +213,13 @@
             # Before the snapshot, with which the instance becomes ready.
             subscriber.send(_frames.encode_frame(evidence))
         subscriber.send(self._encode_snapshot())
-        named = self._issuer.limits.list_all()
-        if named:
-            subscriber.send(
-                _frames.encode_frame(
-                    _messages.Loads(seen=[], named_limits=named)
-                )
-            )
+        known = _messages.Loads(
+            seen=[],
+            named_limits=self._issuer.limits.list_all(),
+            cold=self._issuer.limits.list_cold(),
+        )
+        if known:
+            subscriber.send(_frames.encode_frame(known))
         self._subscribers.add(subscriber)
         self._record_peers()
         self._max_subscribers = max(
@@ -272,6 +275,7 @@
             (request.server, request.born_ms),
             named_rate=request.rate,
             max_wait_ms=request.max_wait_ms,
+            is_cold=request.is_cold,
         )
         return _messages.Permit(number=request.number, reservation=reservation)
 
@@ -336,7 +340,12 @@
             ((limit.server, limit.born_ms), limit)
             for limit in loads.named_limits
         )
-        if self._pending_loads or self._pending_limits:
+        for server in loads.cold:
+            name = (server.server, server.born_ms), server.source
+            # The later report of the same evidence comes last.
+            self._pending_cold.pop(name, None)
+            self._pending_cold[name] = server
+        if self._pending_loads or self._pending_limits or self._pending_cold:
             self._has_pending_loads.set()
 
     async def _send_evidence(self) -> None:
@@ -351,6 +360,7 @@
             self._has_pending_loads.clear()
             loads, self._pending_loads = self._pending_loads, {}
             named, self._pending_limits = self._pending_limits, {}
+            cold, self._pending_cold = self._pending_cold, {}
             self._send(
                 _messages.Loads(
                     seen=[
@@ -358,6 +368,7 @@
                         for server, total in loads.items()
                     ],
                     named_limits=list(named.values()),
+                    cold=list(cold.values()),
                 )
             )
 
--- a/tarragonhinge/relay/_messages.py
+++ b/tarragonhinge/relay/_messages.py
@@ -83,15 +83,20 @@
     leaving : list of Incarnation
         Servers that say in their responses that they leave. Other instances
         hear of them by the state of their entries.
+    cold : list of ColdServer
+        Servers that are cold, as their entries do not state.
     """
 
     seen: list[ObservedLoad]
     named_limits: list[limits.NamedLimit] = []
     leaving: list[limits.Incarnation] = []
+    cold: list[limits.ColdServer] = []
 
     def __bool__(self) -> bool:
         """Return whether there is anything to report."""
-        return bool(self.seen or self.named_limits or self.leaving)
+        return bool(
+            self.seen or self.named_limits or self.leaving or self.cold
+        )
 
 
 class PermitRequest(
@@ -111,6 +116,8 @@
         Its limit in requests per second, as the sender knows it.
     max_wait_ms : int
         Longest time that the request can wait.
+    is_cold : bool
+        Whether the sender knows that the server is cold.
     """
 
     number: int
@@ -118,6 +125,7 @@
     born_ms: int
     rate: float
     max_wait_ms: int
+    is_cold: bool = False
 
 
 class Permit(msgspec.Struct, frozen=True, kw_only=True, tag="permit"):
--- a/tarragonhinge/relay/_subscription.py
+++ b/tarragonhinge/relay/_subscription.py
@@ -200,6 +200,7 @@
         *,
         rate: float,
         max_wait_ms: int,
+        is_cold: bool = False,
     ) -> limits.Reservation | None:
         """Ask the coordinator; return None if it does not answer in time."""
         server, born_ms = incarnation
@@ -210,6 +211,7 @@
                 born_ms=born_ms,
                 rate=rate,
                 max_wait_ms=max_wait_ms,
+                is_cold=is_cold,
             )
         )
         return permit.reservation if permit is not None else None
