--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -19,6 +19,7 @@
 from tarragonhinge.events._process_events import RowIgnored
 from tarragonhinge.events._process_events import SegmentMoved
 from tarragonhinge.events._process_events import ServerAvoided
+from tarragonhinge.events._process_events import ServerCold
 from tarragonhinge.events._process_events import ServerCrashed
 from tarragonhinge.events._process_events import ServerSeen
 from tarragonhinge.events._process_events import Started
@@ -76,6 +77,7 @@
     "RowIgnored",
     "SegmentMoved",
     "ServerAvoided",
+    "ServerCold",
     "ServerCrashed",
     "ServerSeen",
     "Started",
--- a/tarragonhinge/gateway/_retrier.py
+++ b/tarragonhinge/gateway/_retrier.py
@@ -289,6 +289,8 @@
                 _NotRunCause.UNREACHABLE,
                 # Another server is chosen, or the request is refused.
                 _NotRunCause.INELIGIBLE,
+                # It is placed again, with a permit.
+                _NotRunCause.COLD,
             ):
                 return True
             if outcome.cause is _NotRunCause.REPLACED and job.key is not None:
--- a/tarragonhinge/jobs/_outcomes.py
+++ b/tarragonhinge/jobs/_outcomes.py
@@ -24,7 +24,8 @@
     does not own the key; REPLACED: another server listens at the address;
     UNSENT: the request was not sent; UNREACHABLE: it was not sent, since no
     connection could be opened; INELIGIBLE: it was not sent, since the server
-    no longer may get it.
+    no longer may get it; COLD: it was not sent, since the server has become
+    cold after the request was placed.
     """
 
     SHED = "shed"
@@ -33,6 +34,7 @@
     UNSENT = "unsent"
     UNREACHABLE = "unreachable"
     INELIGIBLE = "ineligible"
+    COLD = "cold"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
