Refuse requests that reached no server, and wait for room after a reset

Requests that no server had read ended with 502 or 504: a connection that had ended before anything was written, or that the server reset because it had too many of them, counted as sent; the end of a stop gave 504 to requests whose attempts had all been refused; another instance was given the whole time left, so that its refusal arrived after the origin had given up. An idempotent request that a full owner reset was placed again at once, was refused there, and ended with 502 although its caller had seconds left.

An exchange now fails as unsent if the socket took nothing. New connections to the servers of a service are observed for a round trip before a request is written, for 10 s after one of these servers has reset a new connection. An attempt to connect uses at most half of the time left. An idempotent request that may have run waits for room within its deadline, attempts and retry budget. A server that resets connections gets nothing above 0.75 of the load at which it was full. Holds for moving keys leave the service time before the deadline. Retry-After of an owner's refusal is the time until its queue lets a request be in time.

--- a/tarragonhinge/balancing/__init__.py
+++ b/tarragonhinge/balancing/__init__.py
@@ -1,5 +1,7 @@
 """Choice of the server for a request: load estimates, waiting, placement."""
 
+from tarragonhinge.balancing._accept_resets import AcceptResets
+from tarragonhinge.balancing._accept_resets import EARLY_RESET_MS
 from tarragonhinge.balancing._admission import RetryDetector
 from tarragonhinge.balancing._fleet_size import FleetSize
 from tarragonhinge.balancing._leaving_servers import LeavingServers
@@ -9,12 +11,16 @@
 from tarragonhinge.balancing._placement import RefusalReason
 from tarragonhinge.balancing._placer import Placement
 from tarragonhinge.balancing._placer import Placer
+from tarragonhinge.balancing._room_wait import compute_connect_timeout_ms
+from tarragonhinge.balancing._room_wait import compute_room_wait_ms
 from tarragonhinge.balancing._server_load import ServerLoad
 from tarragonhinge.balancing._server_preference import ServerPreference
 from tarragonhinge.balancing._splitter import TargetSplitter
 from tarragonhinge.balancing._view_waiter import ViewWaiter
 
 __all__ = [
+    "EARLY_RESET_MS",
+    "AcceptResets",
     "FleetSize",
     "LeavingServers",
     "OwnerFinder",
@@ -28,4 +34,6 @@
     "ServerPreference",
     "TargetSplitter",
     "ViewWaiter",
+    "compute_connect_timeout_ms",
+    "compute_room_wait_ms",
 ]
--- a/tarragonhinge/balancing/_links.py
+++ b/tarragonhinge/balancing/_links.py
@@ -230,6 +230,13 @@
         links = [self.find(entry.server) for entry in entries]
         return sorted(links, key=lambda link: link.distance.value != "zone")
 
+    def estimate_service_ms(
+        self, service: base.ServiceName, route: str
+    ) -> float:
+        """Return a route's service time at an average server; 0 if unknown."""
+        service_time = self._service_times.get(service)
+        return service_time.estimate_ms(route) if service_time else 0.0
+
     def get_work_ratio(self, service: base.ServiceName, route: str) -> float:
         """Return a route's service time relative to that of its service."""
         service_time = self._service_times.get(service)
--- a/tarragonhinge/balancing/_owner_finder.py
+++ b/tarragonhinge/balancing/_owner_finder.py
@@ -134,9 +134,18 @@
             return None
         return segment
 
-    async def wait_for_owner(self, job: jobs.Job) -> catalog.Segment | None:
+    async def wait_for_owner(
+        self, job: jobs.Job, *, service_ms: float = 0.0
+    ) -> catalog.Segment | None:
         """Wait until the segment of a request's key is served and return it.
 
+        Parameters
+        ----------
+        job : Job
+            The request.
+        service_ms : float
+            Expected service time, which the wait leaves before the deadline.
+
         Returns
         -------
         Segment or None
@@ -155,7 +164,9 @@
             )
         )
         limit_ms = HOLD_OBJECTIVE_FRACTION * job.route.objective_ms
-        ends_at = min(self._clock.now() + limit_ms, job.deadline_at)
+        ends_at = min(
+            self._clock.now() + limit_ms, job.deadline_at - service_ms
+        )
         while True:
             # The key may belong to another segment after a change of the
             # view, and the time for which it is unserved differs by segment.
--- a/tarragonhinge/balancing/_placer.py
+++ b/tarragonhinge/balancing/_placer.py
@@ -120,7 +120,9 @@
         if job.key is None:
             return await self._place_anywhere(job, place)
         while True:
-            segment = await self._owners.wait_for_owner(job)
+            segment = await self._owners.wait_for_owner(
+                job, service_ms=self.estimate_service_ms(job)
+            )
             if segment is None:
                 return jobs.Refused(
                     status=503,
@@ -215,6 +217,26 @@
             await self._clock.sleep(reservation.wait_ms)
         return reservation
 
+    def estimate_service_ms(self, job: jobs.Job) -> float:
+        """Return the service time of a request at an average server."""
+        return self._links.estimate_service_ms(
+            job.service.name, job.route.name
+        )
+
+    def compute_room_delay_ms(
+        self, job: jobs.Job, link: _links.ServerLink
+    ) -> int:
+        """Return when a request that a full server refused can return.
+
+        It would then meet its objective there.
+        """
+        candidate = link.make_candidate(route=job.route.name)
+        return _admission.compute_retry_after_ms(
+            expected_ms=candidate.compute_expected_ms(),
+            limit_ms=job.route.objective_ms,
+            rng=self._rng,
+        )
+
     def has_alternative(self, job: jobs.Job, link: _links.ServerLink) -> bool:
         """Return whether another server would be chosen for the request."""
         others = [
@@ -249,6 +271,8 @@
             left_ms=job.deadline_at - self._clock.now(),
             is_retry=job.is_caller_retry,
         )
+        if job.may_have_run:
+            limit_ms = min(limit_ms, float(job.route.objective_ms))
         return self._get_limit_fraction(job) * limit_ms
 
     @staticmethod
--- a/tarragonhinge/balancing/_server_load.py
+++ b/tarragonhinge/balancing/_server_load.py
@@ -57,6 +57,11 @@
 #: Time for which the number of requests at which a server was full is kept.
 FULL_LOAD_VALID_MS = 10_000
 
+#: Fraction of the load at which a server was full up to which it gets more
+#: requests. A reset leaves the outcome of a request unknown, and many
+#: instances that each see a few responses together overshoot.
+FULL_LOAD_FRACTION = 0.75
+
 #: Factor applied to the service time of a server that is warming up.
 COLD_SERVICE_TIME_FACTOR = 2.0
 
@@ -233,7 +238,7 @@
         if self._clock.now() >= self._full_load_until:
             return False
         total = self.in_flight + self.estimate_others_in_flight()
-        return total >= self._full_load
+        return total >= FULL_LOAD_FRACTION * self._full_load
 
     def is_cooling_down(self) -> bool:
         """Return whether the server is excluded after failed connections."""
--- a/tarragonhinge/forwarding/_client.py
+++ b/tarragonhinge/forwarding/_client.py
@@ -62,6 +62,7 @@
         request: http1.HttpRequest,
         call: _messages.ForwardedRequest,
         *,
+        timeout_ms: int,
         on_sent: Callable[[], None],
     ) -> tuple[_messages.ForwardedOutcome, http1.HttpResponse]:
         """Let another instance send a caller's request.
@@ -77,6 +78,8 @@
             The caller's request.
         call : ForwardedRequest
             Call that goes with it.
+        timeout_ms : int
+            Time for the connection and the response.
         on_sent : callable
             Called before the call is written to an open connection. From
             then on a server may run the request.
@@ -100,7 +103,7 @@
                 ),
                 body=request.body,
             ),
-            timeout_ms=call.deadline_ms,
+            timeout_ms=timeout_ms,
             on_sent=on_sent,
         )
         try:
@@ -138,15 +141,21 @@
         on_sent: Callable[[], None] = lambda: None,
     ) -> http1.HttpResponse:
         pool = self._get_pool(peer.address)
+        ends_at = self._clock.now() + timeout_ms
         try:
-            # A reset of an idle connection would leave the outcome unknown.
-            connection = await pool.acquire(fresh=True)
+            async with asyncio.timeout(timeout_ms / base.MS_PER_S):
+                # A reset of an idle connection would leave the outcome
+                # unknown.
+                connection = await pool.acquire(fresh=True)
+        except TimeoutError as error:
+            raise PeerError(problem="no connection", sent=False) from error
         except http1.ExchangeError as error:
             raise PeerError(problem=error.problem, sent=False) from error
         is_reusable = False
+        left_ms = max(1, ends_at - self._clock.now())
         on_sent()
         try:
-            async with asyncio.timeout(timeout_ms / base.MS_PER_S):
+            async with asyncio.timeout(left_ms / base.MS_PER_S):
                 response = await connection.exchange(
                     request, recognize=lambda _: True
                 )
@@ -155,7 +164,7 @@
         except TimeoutError as error:
             raise PeerError(problem="no response", sent=True) from error
         except http1.ExchangeError as error:
-            raise PeerError(problem=error.problem, sent=True) from error
+            raise PeerError(problem=error.problem, sent=error.sent) from error
         finally:
             if is_reusable:
                 pool.release(connection)
--- a/tarragonhinge/gateway/_detour.py
+++ b/tarragonhinge/gateway/_detour.py
@@ -34,8 +34,14 @@
 #: already forwarded to it.
 ZONE_COST, REGION_COST, REMOTE_COST = 0, 1, 4
 
+#: Time before the deadline at which another instance gives up: a new
+#: connection to it and the way there and back, within a region and between
+#: regions, where a round trip takes 40 ms.
+NEAR_RETURN_MS = 10
+REMOTE_RETURN_MS = 90
+
 #: Shortest time that is left before the deadline to forward a request.
-MIN_TIME_LEFT_MS = 30
+MIN_TIME_LEFT_MS = 120
 
 
 class Detour:
@@ -170,6 +176,16 @@
             return REGION_COST
         return REMOTE_COST
 
+    def _compute_return_ms(self, peer: forwarding.PeerInstance) -> int:
+        """Return the time that is kept for the way of a late refusal.
+
+        Without it, the refusal of a request that reached no server arrives
+        after this instance has given the request up as run.
+        """
+        if self._compute_cost(peer) == REMOTE_COST:
+            return REMOTE_RETURN_MS
+        return NEAR_RETURN_MS
+
     async def _forward(
         self,
         job: jobs.Job,
@@ -223,11 +239,15 @@
             origin=self._directory.own.instance,
             service=job.service,
             route=msgspec.structs.replace(job.route, max_attempts=attempts),
-            deadline_ms=left_ms,
+            deadline_ms=left_ms - self._compute_return_ms(peer),
             is_caller_retry=job.is_caller_retry,
         )
 
+        counted = 0
+
         def count_attempts() -> None:
+            nonlocal counted
+            counted = attempts
             job.sent_count += attempts
 
         began_at = self._clock.now()
@@ -236,7 +256,11 @@
         self._in_flight[peer.instance] += 1
         exchange = asyncio.create_task(
             self._client.send_request(
-                peer, job.request, call, on_sent=count_attempts
+                peer,
+                job.request,
+                call,
+                timeout_ms=left_ms,
+                on_sent=count_attempts,
             )
         )
         try:
@@ -245,12 +269,17 @@
             except asyncio.CancelledError as error:
                 # The outcome may have arrived in the same turn.
                 if not exchange.done():
+                    job.may_have_run = job.may_have_run or counted > 0
                     raise
                 cancellation = error
             outcome, response = exchange.result()
             name = outcome.reason or outcome.kind.value
         except forwarding.PeerError as error:
             name = "unknown" if error.sent else "unsent"
+            if error.sent:
+                job.may_have_run = True
+            else:
+                job.sent_count -= counted
             if self._clock.now() < job.deadline_at:
                 self._avoid(peer)
             if cancellation is not None:
@@ -327,7 +356,6 @@
         """Return the final response unless the request was not sent."""
         if not error.sent:
             return None
-        job.may_have_run = True
         is_late = self._clock.now() >= job.deadline_at
         cause = (
             jobs.UnknownCause.TIMEOUT if is_late else jobs.UnknownCause.BROKEN
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -387,9 +387,7 @@
             await asyncio.wait(job.attempts)
         if job.answer is not None:
             return job.answer
-        return jobs.Refused.for_ended_stop(
-            is_sent=job.sent_count > 0 or job.may_have_run
-        )
+        return jobs.Refused.for_ended_stop(is_sent=job.may_have_run)
 
     async def _wait_for_first_table(self) -> None:
         """Wait until a process that has just started has a routing table."""
--- a/tarragonhinge/gateway/_retrier.py
+++ b/tarragonhinge/gateway/_retrier.py
@@ -28,6 +28,10 @@
 #: a multiple of the attempts that its route allows.
 MAX_SENDS_PER_ATTEMPT = 2
 
+#: Shortest wait for room, so that a refusal without a delay is not repeated in
+#: the same turn of the event loop.
+MIN_ROOM_WAIT_MS = 50
+
 _NotRunCause = jobs.NotRunCause
 
 
@@ -102,6 +106,8 @@
                 return refused
             placement = await self._placer.place(job)
             if isinstance(placement, jobs.Refused):
+                if await self._wait_for_room(job, placement):
+                    continue
                 return await self._take_detour(job, failure, placement)
             if job.sent_count and not self._take_retry(job):
                 return jobs.make_final_response(
@@ -134,7 +140,39 @@
                     return jobs.Refused.for_quarantined(
                         is_sent=job.may_have_run
                     )
-                return jobs.make_final_response(job, outcome, None)
+                return jobs.make_final_response(
+                    job,
+                    outcome,
+                    None,
+                    room_ms=self._placer.compute_room_delay_ms(job, link),
+                )
+
+    async def _wait_for_room(
+        self, job: jobs.Job, refused: jobs.Refused
+    ) -> bool:
+        """Wait until a request that can't be refused any more is placed again.
+
+        A server may have run it, and another run does no harm.
+
+        Returns
+        -------
+        bool
+            False if the request can't be served in its time.
+        """
+        if not (job.may_have_run and job.is_idempotent):
+            return False
+        if refused.detour_servers:
+            return False
+        wait_ms = balancing.compute_room_wait_ms(
+            room_ms=max(refused.retry_after_ms, MIN_ROOM_WAIT_MS),
+            left_ms=job.deadline_at - self._clock.now(),
+            idle_ms=self._placer.estimate_service_ms(job),
+        )
+        if wait_ms is None:
+            return False
+        self._metrics.record_attempt("waited_for_room")
+        await self._clock.sleep(wait_ms)
+        return True
 
     async def _take_detour(
         self,
@@ -283,6 +321,10 @@
                 >= MAX_SENDS_PER_ATTEMPT * job.route.max_attempts
             ):
                 return False
+            if outcome.cause is _NotRunCause.CONNECTION_ENDED:
+                # The owner of a key may accept another connection, or is
+                # full and refuses the request in the next placement.
+                return job.unsent_count <= job.route.max_attempts
             if outcome.cause in (
                 _NotRunCause.MISDIRECTED,
                 # Another server is chosen, or another way.
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -22,9 +22,6 @@
 MIN_SILENCE_MS = 500
 MAX_SILENCE_MS = 800
 
-#: Time beyond the round trip within which a full server resets a connection.
-EARLY_RESET_MS = 5
-
 
 class Sender:
     """Sends requests and updates the load estimates from the responses.
@@ -47,6 +44,11 @@
         Destination of log events.
     clock : Clock
         This process's clock.
+
+    Attributes
+    ----------
+    accept_resets : AcceptResets
+        Services whose servers reset new connections.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         self._monitor = monitor
         self._log = log
         self._clock = clock
+        self.accept_resets = balancing.AcceptResets(clock=clock)
 
     def send(
         self,
@@ -113,6 +116,8 @@
         sent_at = self._clock.now()
         result = await self._exchange(job, link, flight, sent)
         slot.release()
+        if isinstance(result, jobs.OutcomeUnknown):
+            job.may_have_run = True
         if not isinstance(result, http1.HttpResponse):
             return result
         outcome = self._classify(job, link, result, sent_at)
@@ -130,21 +135,9 @@
         sent: asyncio.Future[None],
     ) -> http1.HttpResponse | jobs.NotRun | jobs.OutcomeUnknown:
         """Return the response, or the reason why there is none."""
-        began_at = self._clock.now()
-        try:
-            connection = await link.pool.acquire(
-                fresh=not job.is_idempotent, excluded=job.connections
-            )
-        except http1.UnreachableError as error:
-            self._monitor.record_failure(
-                link, is_refused=error.is_refused, began_at=began_at
-            )
-            return jobs.NotRun(
-                cause=jobs.NotRunCause.UNREACHABLE, detail=error.problem
-            )
-        except http1.ExchangeError as error:
-            link.load.record_unreachable()
-            return _make_unsent(error.problem)
+        connection = await self._connect(job, link)
+        if isinstance(connection, jobs.NotRun):
+            return connection
         left_ms = job.deadline_at - self._clock.now()
         if left_ms < MIN_TIME_LEFT_MS:
             link.pool.release(connection)
@@ -183,6 +176,7 @@
             except asyncio.CancelledError:
                 # The response may have arrived in the same turn.
                 if not exchange.done():
+                    job.may_have_run = True
                     raise
             if not exchange.done():
                 link.load.record_failed_attempt()
@@ -194,7 +188,12 @@
             )
             return response
         except http1.ExchangeError as error:
+            if not error.sent:
+                job.sent_count -= 1
+                return self._record_ended(job, link, connection)
             if not flight.is_aborted:
+                if error.is_reset and connection.is_new:
+                    self.accept_resets.record_reset(job.service.name)
                 if self._is_full(link, error, flight.sent_at):
                     link.load.record_full()
                 else:
@@ -211,6 +210,65 @@
             else:
                 link.pool.discard(connection)
 
+    async def _connect(
+        self, job: jobs.Job, link: balancing.ServerLink
+    ) -> http1.ServerConnection | jobs.NotRun:
+        """Return a connection on which the request was not sent so far."""
+        began_at = self._clock.now()
+        timeout_ms = balancing.compute_connect_timeout_ms(
+            job.deadline_at - began_at
+        )
+        try:
+            async with asyncio.timeout(timeout_ms / base.MS_PER_S):
+                connection = await link.pool.acquire(
+                    fresh=not job.is_idempotent, excluded=job.connections
+                )
+        except TimeoutError:
+            self._monitor.suspect(link, began_at)
+            return _make_unsent("no connection in time for the deadline")
+        except http1.UnreachableError as error:
+            self._monitor.record_failure(
+                link, is_refused=error.is_refused, began_at=began_at
+            )
+            return jobs.NotRun(
+                cause=jobs.NotRunCause.UNREACHABLE, detail=error.problem
+            )
+        except http1.ExchangeError as error:
+            link.load.record_unreachable()
+            return _make_unsent(error.problem)
+        observed_ms = self.accept_resets.compute_observation_ms(
+            job.service.name, round_trip_ms=link.get_round_trip_ms()
+        )
+        if not connection.is_new or not observed_ms:
+            return connection
+        try:
+            has_ended = await connection.ends_within(observed_ms)
+        except asyncio.CancelledError:
+            link.pool.discard(connection)
+            raise
+        if not has_ended:
+            return connection
+        outcome = self._record_ended(job, link, connection)
+        link.pool.discard(connection)
+        return outcome
+
+    def _record_ended(
+        self,
+        job: jobs.Job,
+        link: balancing.ServerLink,
+        connection: http1.ServerConnection,
+    ) -> jobs.NotRun:
+        """Record that a connection ended before the request was sent."""
+        job.unsent_count += 1
+        if connection.is_new:
+            # The server has more connections than it keeps.
+            self.accept_resets.record_unsent(job.service.name)
+            link.load.record_full()
+        return jobs.NotRun(
+            cause=jobs.NotRunCause.CONNECTION_ENDED,
+            detail="the connection ended before the request was sent",
+        )
+
     def _is_full(
         self,
         link: balancing.ServerLink,
@@ -227,7 +285,8 @@
         elapsed_ms = self._clock.now() - sent_at
         return (
             link.load.is_busy()
-            or elapsed_ms <= link.get_round_trip_ms() + EARLY_RESET_MS
+            or elapsed_ms
+            <= link.get_round_trip_ms() + balancing.EARLY_RESET_MS
         )
 
     def _compute_silence_ms(
--- a/tarragonhinge/gateway/tests/replay.py
+++ b/tarragonhinge/gateway/tests/replay.py
@@ -155,6 +155,8 @@
 
 
 class _Connection:
+    is_new = False
+
     def __init__(self, server, *, network_ms, clock):
         self._server = server
         self._network_ms = network_ms
--- a/tarragonhinge/http1/_server_connection.py
+++ b/tarragonhinge/http1/_server_connection.py
@@ -59,6 +59,8 @@
     keep_alive_ms : int or None
         Time for which the server keeps an idle connection open; None if the
         server has not stated it.
+    is_new : bool
+        Whether no response has arrived on it so far.
     """
 
     def __init__(
@@ -69,6 +71,11 @@
         self.used_at = clock.now()
         self.keep_alive_ms: int | None = None
         self._has_response = False
+        self.is_new = True
+
+    async def ends_within(self, time_ms: float) -> bool:
+        """Return whether the server ends the idle connection meanwhile."""
+        return await self._stream.wait_for_end(timeout_ms=time_ms)
 
     def is_reusable(self) -> bool:
         """Return whether the connection can be used for another request."""
@@ -89,11 +96,18 @@
         Raises
         ------
         ExchangeError
-            If no complete response arrived.
+            If no complete response arrived; `sent` is unset if the
+            connection had ended before anything was written.
         """
         events = _make_events(request)
         parser = _make_parser()
-        self._stream.write(b"".join(parser.send(event) for event in events))
+        data = b"".join(parser.send(event) for event in events)
+        if self._stream.is_ended or not self._stream.write(data):
+            raise _errors.ExchangeError(
+                problem="the connection had ended before the request was sent",
+                remedy="send it on another connection",
+                sent=False,
+            )
         unparsed = b""
         self._has_response = False
         for stale_count in range(STALE_RESPONSE_LIMIT + 1):
@@ -125,6 +139,7 @@
 
     def _record_use(self, response: _messages.HttpResponse) -> None:
         self.used_at = self._clock.now()
+        self.is_new = False
         for name, value in response.fields:
             if name == "keep-alive":
                 self.keep_alive_ms = _parse_keep_alive_ms(value)
--- a/tarragonhinge/http1/_tcp_stream.py
+++ b/tarragonhinge/http1/_tcp_stream.py
@@ -153,10 +153,36 @@
                 self._transport.resume_reading()
         return data
 
-    def write(self, data: bytes) -> None:
-        """Write bytes to the connection unless it is closing."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(data)
+    def write(self, data: bytes) -> bool:
+        """Write bytes to the connection unless it is closing.
+
+        Returns
+        -------
+        bool
+            False if the connection has ended and none of the bytes was
+            passed to the kernel, provided that the write buffer was empty.
+        """
+        if self._transport is None or self._transport.is_closing():
+            return False
+        # Without a buffer the transport writes to the socket at once, and
+        # closes if that fails.
+        self._transport.write(data)
+        return not self._transport.is_closing()
+
+    async def wait_for_end(self, *, timeout_ms: float) -> bool:
+        """Return whether the connection ends within some time.
+
+        Bytes that arrive meanwhile end the wait, too.
+        """
+        if not self._unread and not self.is_ended:
+            self._read_waiter = asyncio.get_running_loop().create_future()
+            try:
+                await asyncio.wait(
+                    [self._read_waiter], timeout=timeout_ms / base.MS_PER_S
+                )
+            finally:
+                self._read_waiter = None
+        return self.is_ended
 
     async def drain(self) -> None:
         """Wait until the written bytes are passed to the kernel."""
--- a/tarragonhinge/jobs/_job.py
+++ b/tarragonhinge/jobs/_job.py
@@ -35,6 +35,8 @@
         Events of the request.
     sent_count : int
         Number of times that the request was sent to a server.
+    unsent_count : int
+        Number of times that a connection ended before it was sent there.
     may_have_run : bool
         Whether a server may have run the request, although no valid response
         arrived.
@@ -73,6 +75,7 @@
     is_caller_retry: bool
     trace: events.Trace
     sent_count: int = 0
+    unsent_count: int = 0
     may_have_run: bool = False
     failed_servers: set[base.ServerId] = dataclasses.field(default_factory=set)
     silent_servers: set[base.ServerId] = dataclasses.field(default_factory=set)
--- a/tarragonhinge/jobs/_outcomes.py
+++ b/tarragonhinge/jobs/_outcomes.py
@@ -23,7 +23,8 @@
     SHED: the server was overloaded and refused it; MISDIRECTED: the server
     does not own the key; REPLACED: another server listens at the address;
     UNSENT: the request was not sent; UNREACHABLE: it was not sent, since no
-    connection could be opened.
+    connection could be opened; CONNECTION_ENDED: the server had ended the
+    connection before anything was written.
     """
 
     SHED = "shed"
@@ -31,6 +32,7 @@
     REPLACED = "replaced"
     UNSENT = "unsent"
     UNREACHABLE = "unreachable"
+    CONNECTION_ENDED = "connection_ended"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tarragonhinge/jobs/_refusals.py
+++ b/tarragonhinge/jobs/_refusals.py
@@ -110,6 +110,8 @@
     job: _job.Job,
     failure: _outcomes.AttemptOutcome | None,
     refused: Refused | None,
+    *,
+    room_ms: int = DEFAULT_RETRY_AFTER_MS,
 ) -> http1.HttpResponse | Refused:
     """Return the final response after the last attempt.
 
@@ -121,6 +123,8 @@
         Outcome of the last attempt, if there was one.
     refused : Refused or None
         Refusal of a further attempt, if there is one.
+    room_ms : int
+        Retry-After if no server has stated one.
     """
     if isinstance(failure, _outcomes.Answered):
         if failure.response.status not in _outcomes.NOT_RUN_STATUSES:
@@ -142,5 +146,5 @@
     return Refused(
         status=503,
         reason=get_outcome_name(failure),
-        retry_after_ms=wait_ms or DEFAULT_RETRY_AFTER_MS,
+        retry_after_ms=wait_ms or room_ms,
     )
--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -134,6 +134,8 @@
     limit : str or None
         Requests per second that it names in its responses; None for no
         limit.
+    connection_limit : int or None
+        Number of connections above which it resets new ones; None for any.
     work_s : float
         Duration of an execution, in seconds; a request overrides it by the
         parameter ``work`` of its target, in milliseconds.
@@ -163,6 +165,7 @@
         self.leaving: str | None = None
         self.wait: str | None = None
         self.limit: str | None = None
+        self.connection_limit: int | None = None
         self.request_arrived = asyncio.Event()
         self.work_allowed = asyncio.Event()
         self.work_allowed.set()
@@ -220,6 +223,12 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if (
+            self.connection_limit is not None
+            and len(self._tasks) >= self.connection_limit
+        ):
+            _reset_connection(writer)
+            return
         task = asyncio.current_task()
         self._tasks.add(task)
         try:
--- a/tarragonhinge/platform/tests/test_full_server.py
+++ b/tarragonhinge/platform/tests/test_full_server.py
@@ -81,3 +81,35 @@
         assert testbed.count_executions() == runs
 
     test_path._run(check, names=["i-1"], is_keyed=is_keyed)
+
+
+@pytest.mark.parametrize(
+    ("target", "is_keyed"),
+    [
+        (test_path.SAFE, False),
+        (test_path.UNSAFE, False),
+        (test_path.KEYED, True),
+    ],
+)
+def test_request_is_refused_if_new_connections_are_reset(target, is_keyed):
+    """Guards against 502 for requests that were never written."""
+
+    async def check(testbed):
+        [server] = testbed.servers
+        server.connection_limit = 0
+        testbed.gateway._retrier._sender.accept_resets.record_reset(
+            testbed.service
+        )
+        if is_keyed:
+            testbed.set_owner(server.name, 1)
+            server.own(0, 65_535)
+        response = await testbed.send(target, tarragonhinge_shard_key="7")
+        assert response.status == 503
+        assert float(dict(response.fields)["retry-after"]) > 0
+        assert server.received == []
+        server.connection_limit = None
+        await asyncio.sleep(_FINDING_S)
+        response = await testbed.send(target, tarragonhinge_shard_key="7")
+        assert response.status == 200
+
+    test_path._run(check, names=["i-1"], is_keyed=is_keyed)
