--- a/tarragonhinge/jobs/_outcomes.py
+++ b/tarragonhinge/jobs/_outcomes.py
@@ -25,7 +25,8 @@
     UNSENT: the request was not sent; UNREACHABLE: it was not sent, since no
     connection could be opened; INELIGIBLE: it was not sent, since the server
     no longer may get it; COLD: it was not sent, since the server has become
-    cold after the request was placed.
+    cold after the request was placed; CONNECTION_ENDED: the server had ended
+    the connection before anything was written.
     """
 
     SHED = "shed"
@@ -35,6 +36,7 @@
     UNREACHABLE = "unreachable"
     INELIGIBLE = "ineligible"
     COLD = "cold"
+    CONNECTION_ENDED = "connection_ended"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
