--- a/tarragonhinge/balancing/_eligibility.py
+++ b/tarragonhinge/balancing/_eligibility.py
@@ -96,14 +96,20 @@
     # allowed.
     if regions is not None and conditions.zones.get(entry.zone) not in regions:
         return Obstacle.REGION
-    since = conditions.evacuated_since.get(entry.zone)
-    if since is not None and not (
-        keyed and now - since < conditions.owner_grace_ms
+    if entry.zone in conditions.evacuated_since and not (
+        keyed and _is_in_grace(entry.zone, now, conditions)
     ):
         return Obstacle.EVACUATED
     return None
 
 
+def _is_in_grace(
+    zone: base.ZoneName, now: int, conditions: Conditions
+) -> bool:
+    since = conditions.evacuated_since[zone]
+    return now - since < conditions.owner_grace_ms
+
+
 def pick_reason(excluded: Mapping[Obstacle, int]) -> Obstacle:
     """Return why no server may get a request.
 
@@ -162,6 +168,10 @@
         """Time at which this instance heard of each evacuation in force."""
         return self._conditions.evacuated_since
 
+    def has_grace(self, zone: base.ZoneName) -> bool:
+        """Return whether owners of keys in an evacuated zone get requests."""
+        return _is_in_grace(zone, self._clock.now(), self._conditions)
+
     def _update(self, _: None) -> None:
         """Record new routes, and the time of a change of evacuations."""
         if self._view.table is not self._table:
@@ -254,7 +264,31 @@
         ready = self._links.list_ready(job.service.name)
         if not self.is_restricted(job):
             return ready, {}
-        regions, now = self.get_regions(job), self._clock.now()
+        return self._divide(ready, self.get_regions(job))
+
+    def count_ready(
+        self, route: catalog.Route, service: base.ServiceName
+    ) -> tuple[int, dict[Obstacle, int]]:
+        """Return how many ready servers may get a route's requests.
+
+        Returns
+        -------
+        tuple of int and dict
+            Number of these servers, and of the others by obstacle.
+        """
+        eligible, excluded = self._divide(
+            self._links.list_ready(service),
+            frozenset(route.allowed_regions) or None,
+        )
+        return len(eligible), excluded
+
+    def _divide(
+        self,
+        ready: list[_links.ServerLink],
+        regions: frozenset[base.RegionName] | None,
+    ) -> tuple[list[_links.ServerLink], dict[Obstacle, int]]:
+        """Return the eligible ones of ready servers, and count the others."""
+        now = self._clock.now()
         eligible = []
         excluded: dict[Obstacle, int] = {}
         for link in ready:
--- a/tarragonhinge/balancing/_links.py
+++ b/tarragonhinge/balancing/_links.py
@@ -230,6 +230,10 @@
         links = [self.find(entry.server) for entry in entries]
         return sorted(links, key=lambda link: link.distance.value != "zone")
 
+    def list_all(self) -> list[ServerLink]:
+        """Return the existing links."""
+        return list(self._links.values())
+
     def get_work_ratio(self, service: base.ServiceName, route: str) -> float:
         """Return a route's service time relative to that of its service."""
         service_time = self._service_times.get(service)
--- a/tarragonhinge/forwarding/_client.py
+++ b/tarragonhinge/forwarding/_client.py
@@ -79,7 +79,8 @@
             Call that goes with it.
         on_sent : callable
             Called before the call is written to an open connection. From
-            then on a server may run the request.
+            then on a server may run the request. It may raise `PeerError` to
+            keep the call from being written.
 
         Raises
         ------
@@ -144,8 +145,8 @@
         except http1.ExchangeError as error:
             raise PeerError(problem=error.problem, sent=False) from error
         is_reusable = False
-        on_sent()
         try:
+            on_sent()
             async with asyncio.timeout(timeout_ms / base.MS_PER_S):
                 response = await connection.exchange(
                     request, recognize=lambda _: True
--- a/tarragonhinge/gateway/__init__.py
+++ b/tarragonhinge/gateway/__init__.py
@@ -6,6 +6,7 @@
 from tarragonhinge.gateway._health import HealthServer
 from tarragonhinge.gateway._options import InstanceOptions
 from tarragonhinge.gateway._reporter import Reporter
+from tarragonhinge.gateway._state_report import StateReport
 
 __all__ = [
     "CallHandler",
@@ -14,4 +15,5 @@
     "HealthServer",
     "InstanceOptions",
     "Reporter",
+    "StateReport",
 ]
--- a/tarragonhinge/gateway/_detour.py
+++ b/tarragonhinge/gateway/_detour.py
@@ -256,6 +256,12 @@
         )
 
         def count_attempts() -> None:
+            # The connection may have taken a while to open.
+            if not self._may_get(peer, job):
+                raise forwarding.PeerError(
+                    problem="the instance may no longer get the request",
+                    sent=False,
+                )
             job.sent_count += attempts
 
         began_at = self._clock.now()
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -109,6 +109,14 @@
             metrics_address=base.Address(f"{host}:{METRICS_PORT}"),
             is_ready=self.is_ready,
             registry=self.gateway.metrics.registry,
+            describe=self.dump,
+        )
+        self._state_report = gateway.StateReport(
+            view=self._view,
+            links=self.gateway.links,
+            eligibility=self.gateway.eligibility,
+            zones=dict(options.zones),
+            clock=clock,
         )
         self._register_gauges()
         self._peers: asyncio.Server | None = None
@@ -174,12 +182,40 @@
             "Requests that are refused since they crash servers.",
             lambda: self.gateway.ledger.refused_count,
         )
+        watch(
+            "evacuated_zones",
+            "Zones whose servers are to get no requests.",
+            lambda: len(self._view.evacuated_zones),
+        )
+        watch(
+            "evacuated_in_flight",
+            "Requests of this instance at servers of these zones.",
+            self._state_report.count_in_flight,
+        )
+        watch(
+            "evacuated_segments",
+            "Segments of keys whose owners are in these zones.",
+            self._state_report.count_segments,
+        )
         watch(
             "log_lines_dropped",
             "Lines left out of the log since the start.",
             lambda: self.log.dropped,
         )
 
+    def dump(self) -> dict:
+        """Return the state on which this instance decides."""
+        table = self._view.table
+        return {
+            "instance": self._options.instance,
+            "zone": self._options.zone,
+            "ready": self.is_ready(),
+            "coordinates": self._member.is_coordinator,
+            "view_age_ms": self._member.get_view_age_ms(),
+            "table_version": table.version if table is not None else None,
+            **self._state_report.describe(),
+        }
+
     def is_ready(self) -> bool:
         """Return whether the instance should receive requests."""
         return (
