--- a/tarragonhinge/balancing/_eligibility.py
+++ b/tarragonhinge/balancing/_eligibility.py
@@ -21,6 +21,7 @@
 
 from tarragonhinge.balancing import _admission
 from tarragonhinge.balancing import _links
+from tarragonhinge.balancing import _view_waiter
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import jobs
@@ -160,6 +161,7 @@
         )
         self._table: catalog.RoutingTable | None = None
         self._regions: dict[str, frozenset[base.RegionName] | None] = {}
+        self._waiter = _view_waiter.ViewWaiter(view=view)
         self._update(None)
         view.changes.subscribe(self._update)
 
@@ -250,6 +252,16 @@
             conditions=self._conditions,
         )
 
+    async def wait(
+        self, job: jobs.Job, link: _links.ServerLink, *, wait_ms: int
+    ) -> None:
+        """Wait for a time, or until a server may no longer get a request."""
+        ends_at = self._clock.now() + wait_ms
+        while (left_ms := ends_at - self._clock.now()) > 0:
+            if self.find_obstacle(link, job) is not None:
+                return
+            await self._waiter.wait(timeout_ms=left_ms)
+
     def list_ready(
         self, job: jobs.Job
     ) -> tuple[list[_links.ServerLink], dict[Obstacle, int]]:
--- a/tarragonhinge/balancing/_placer.py
+++ b/tarragonhinge/balancing/_placer.py
@@ -217,7 +217,9 @@
             )
         )
         if reservation.is_granted and reservation.wait_ms:
-            await self._clock.sleep(reservation.wait_ms)
+            await self._eligibility.wait(
+                job, placement.link, wait_ms=reservation.wait_ms
+            )
         return reservation
 
     def has_alternative(self, job: jobs.Job, link: _links.ServerLink) -> bool:
--- a/tarragonhinge/coordination/tests/fleet.py
+++ b/tarragonhinge/coordination/tests/fleet.py
@@ -38,6 +38,10 @@
             ),
         )
 
+    def decode_evacuation(self, key):
+        prefix, _, zone = key.partition("/")
+        return base.ZoneName(zone) if prefix == "evacuate" else None
+
     def decode_server(self, key, value):
         if not value:
             raise base.CodecError(problem="empty", remedy="none")
--- a/tarragonhinge/gateway/tests/regional.py
+++ b/tarragonhinge/gateway/tests/regional.py
@@ -92,9 +92,11 @@
 
     def __init__(self):
         self.calls = []
+        self.opened = []
         self.connect_ms = 0
 
     async def send_request(self, peer, request, call, *, on_sent):
+        self.opened.append(peer.instance)
         await asyncio.sleep(self.connect_ms / 1_000)
         on_sent()
         self.calls.append((peer.instance, call.route.allowed_regions))
--- a/tarragonhinge/gateway/tests/test_regions.py
+++ b/tarragonhinge/gateway/tests/test_regions.py
@@ -114,6 +114,7 @@
     """
     servers = _servers(a1="ok", **({"b1": "ok"} if has_other else {}))
     near = servers["a1"]
+    background = []
 
     async def check(fixture):
         sent_before = 0
@@ -122,14 +123,10 @@
         elif case == "permit":
             limits = fixture.gateway.server_limits
             limits.record_response((base.ServerId("a1"), 1), 2.0)
-            if has_other:
-                servers["b1"].mode = "ok"
         elif case == "line":
             near.work_ms = 600
             await fixture.send(route="urgent")
-            blockers = [
-                asyncio.create_task(fixture.send()),
-            ]
+            background.append(asyncio.create_task(fixture.send()))
             await asyncio.sleep(0.01)
             sent_before = len(fixture.arrivals)
         else:
@@ -147,6 +144,8 @@
         else:
             assert (status, got_reason) == (503, reason)
             assert float(fixture.response["retry-after"]) > 0
+            # At once, or when the connection is open.
+            assert 50 <= elapsed_ms <= (100 if case == "connecting" else 80)
 
     regional.Regional(servers).run(check)
 
@@ -249,6 +248,7 @@
         status, _, _ = await fixture.send()
         called = [(expected, allowed)] if expected else []
         assert fixture.client.calls == called
+        assert fixture.client.opened == [peer for peer, _ in called]
         assert status == (200 if expected else 503)
 
     regional.Regional(_servers(b1="unreachable"), allowed=allowed).run(check)
--- a/tarragonhinge/relay/tests/test_relay.py
+++ b/tarragonhinge/relay/tests/test_relay.py
@@ -212,3 +212,65 @@
                 assert fixture.following.result() is expected
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("own", "known", "expected"),
+    [
+        (["za"], None, ["za"]),
+        (["za", "zb"], ["zc"], ["za", "zb"]),
+        ([], ["za"], []),
+        # The coordinator has not read them: the subscriber knows them from
+        # the former one. One of an older build never sends them either.
+        (None, ["za"], ["za"]),
+    ],
+)
+def test_evacuated_zones_are_relayed(own, known, expected):
+    """Guards against an instance that forgets an evacuation.
+
+    A snapshot replaces the set only if the coordinator knows it.
+    """
+
+    async def run():
+        async with _HubFixture() as fixture:
+            if own is not None:
+                fixture.view.set_evacuated_zones(own)
+            view = catalog.View()
+            if known is not None:
+                view.set_evacuated_zones(known)
+            seen = []
+            view.changes.subscribe(
+                lambda _: seen.append((view.table, view.knows_evacuations))
+            )
+            fixture.subscribe(view)
+            await _wait(lambda: _has_version(view, 1))
+            assert sorted(view.evacuated_zones) == expected
+            # No request is routed while the evacuations are unknown.
+            assert all(is_known for table, is_known in seen if table)
+            for zones in (["za"], ["za", "zb"], []):
+                fixture.view.set_evacuated_zones(zones)
+                await _wait(lambda z=zones: view.evacuated_zones == set(z))
+                fixture.view.set_table(
+                    _make_table(fixture.view.table.version + 1)
+                )
+                version = fixture.view.table.version
+                await _wait(lambda v=version: _has_version(view, v))
+                assert view.evacuated_zones == set(zones)
+
+    asyncio.run(run())
+
+
+def test_coordinator_sends_evacuations_once_it_knows_them():
+    """Its first read may show that there are none any more."""
+
+    async def run():
+        async with _HubFixture() as fixture:
+            view = catalog.View()
+            view.set_evacuated_zones(["za"])
+            fixture.subscribe(view)
+            await _wait(lambda: _has_version(view, 1))
+            assert view.evacuated_zones == {"za"}
+            fixture.view.set_evacuated_zones([])
+            await _wait(lambda: not view.evacuated_zones)
+
+    asyncio.run(run())
