--- a/tarragonhinge/gateway/tests/regional.py
+++ b/tarragonhinge/gateway/tests/regional.py
@@ -94,10 +94,13 @@
         self.calls = []
         self.opened = []
         self.connect_ms = 0
+        self.is_out_of_reach = False
 
     async def send_request(self, peer, request, call, *, on_sent):
         self.opened.append(peer.instance)
         await asyncio.sleep(self.connect_ms / 1_000)
+        if self.is_out_of_reach:
+            raise forwarding.PeerError(problem="refused", sent=False)
         on_sent()
         self.calls.append((peer.instance, call.route.allowed_regions))
         return forwarding.ForwardedOutcome(
--- a/tarragonhinge/gateway/tests/test_regions.py
+++ b/tarragonhinge/gateway/tests/test_regions.py
@@ -268,6 +268,20 @@
     regional.Regional(_servers(b1="unreachable")).run(check)
 
 
+def test_detour_ends_when_its_servers_become_ineligible():
+    async def check(fixture):
+        _add_peers(fixture, ["outside", "inside"])
+        fixture.client.is_out_of_reach = True
+        fixture.client.connect_ms = 100
+        request = asyncio.create_task(fixture.send())
+        await asyncio.sleep(0.05)
+        fixture.evacuate("b1")
+        status, _, _ = await request
+        assert (status, fixture.client.opened) == (503, ["outside"])
+
+    regional.Regional(_servers(b1="unreachable")).run(check)
+
+
 def _add_peers(fixture, names):
     fixture.gateway.directory.record(
         forwarding.PeerInstance(
--- a/tarragonhinge/relay/tests/test_relay.py
+++ b/tarragonhinge/relay/tests/test_relay.py
@@ -232,9 +232,10 @@
     """
 
     async def run():
-        async with _HubFixture() as fixture:
-            if own is not None:
-                fixture.view.set_evacuated_zones(own)
+        prepared = _HubFixture()
+        if own is not None:
+            prepared.view.set_evacuated_zones(own)
+        async with prepared as fixture:
             view = catalog.View()
             if known is not None:
                 view.set_evacuated_zones(known)
