--- a/tarragonhinge/balancing/_links.py
+++ b/tarragonhinge/balancing/_links.py
@@ -237,6 +237,10 @@
         service_time = self._service_times.get(service)
         return service_time.estimate_ms(route) if service_time else 0.0
 
+    def list_all(self) -> list[ServerLink]:
+        """Return the existing links."""
+        return list(self._links.values())
+
     def get_work_ratio(self, service: base.ServiceName, route: str) -> float:
         """Return a route's service time relative to that of its service."""
         service_time = self._service_times.get(service)
--- a/tarragonhinge/balancing/_placer.py
+++ b/tarragonhinge/balancing/_placer.py
@@ -222,7 +222,9 @@
         if reservation.is_granted:
             job.permit = placement.link.incarnation
         if reservation.is_granted and reservation.wait_ms:
-            await self._clock.sleep(reservation.wait_ms)
+            await self._eligibility.wait(
+                job, placement.link, wait_ms=reservation.wait_ms
+            )
         return reservation
 
     def estimate_service_ms(self, job: jobs.Job) -> float:
--- a/tarragonhinge/forwarding/_client.py
+++ b/tarragonhinge/forwarding/_client.py
@@ -82,7 +82,8 @@
             Time for the connection and the response.
         on_sent : callable
             Called before the call is written to an open connection. From
-            then on a server may run the request.
+            then on a server may run the request. It may raise `PeerError` to
+            keep the call from being written.
 
         Raises
         ------
@@ -153,8 +154,8 @@
             raise PeerError(problem=error.problem, sent=False) from error
         is_reusable = False
         left_ms = max(1, ends_at - self._clock.now())
-        on_sent()
         try:
+            on_sent()
             async with asyncio.timeout(left_ms / base.MS_PER_S):
                 response = await connection.exchange(
                     request, recognize=lambda _: True
--- a/tarragonhinge/gateway/_detour.py
+++ b/tarragonhinge/gateway/_detour.py
@@ -275,6 +275,12 @@
 
         def count_attempts() -> None:
             nonlocal counted
+            # The connection may have taken a while to open.
+            if not self._may_get(peer, job):
+                raise forwarding.PeerError(
+                    problem="the instance may no longer get the request",
+                    sent=False,
+                )
             counted = attempts
             job.sent_count += attempts
 
