Send requests to recorded holders without a coordinator

A holder is recorded, as moving, before it is granted its keys, and the record is not written again when it has them. An instance that lost its coordinator and read the record itself took nearly all keys for moving and refused their requests until it had a coordinator again. It now sends them to the recorded holder, which refuses what it does not own.

A record of an earlier era of the store no longer replaces what the instance knows: a segment whose keys were about to move when the store went away must still count as moving for a successor.

--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -8,6 +8,8 @@
 import math
 import random
 
+import msgspec
+
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge.coordination import _claim
@@ -584,23 +586,21 @@
                     )
                 )
                 continue
-            if self._knows_later_grants(base.ServiceName(row.key), record):
-                continue
-            self._view.set_owners(
-                base.ServiceName(row.key),
-                catalog.OwnerMap(segments=record.segments),
-            )
+            service = base.ServiceName(row.key)
+            if not self._knows_later_grants(service, record):
+                self._view.set_owners(service, _make_owner_map(record))
 
     def _knows_later_grants(
         self, service: base.ServiceName, record: ranges.RangeRecord
     ) -> bool:
-        """Return whether a record is older than the view.
+        """Return whether a record may be older than the view.
 
         The record goes back if the store comes back from an older copy.
         """
         owners = self._view.owners.get(service)
-        return owners is not None and any(
-            segment.fence >= record.next_fence for segment in owners.segments
+        return owners is not None and (
+            record.is_outdated(self._store.era)
+            or any(s.fence >= record.next_fence for s in owners.segments)
         )
 
     def _stop_standalone(self) -> None:
@@ -608,3 +608,19 @@
             self._standalone_task.cancel()
             self._standalone_task = None
             self._standalone_feed = None
+
+
+def _make_owner_map(record: ranges.RangeRecord) -> catalog.OwnerMap:
+    """Return the recorded holders as owners that serve their keys.
+
+    A holder is recorded before it is granted its keys, and the record does
+    not tell whether it has them since. Requests are sent to it, since it
+    refuses them if it has not.
+    """
+    held = catalog.SegmentState.HELD
+    return catalog.OwnerMap(
+        segments=[
+            msgspec.structs.replace(segment, state=held)
+            for segment in record.segments
+        ]
+    )
--- a/tarragonhinge/coordination/tests/test_member.py
+++ b/tarragonhinge/coordination/tests/test_member.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from tarragonhinge import catalog
 from tarragonhinge import coordination
 from tarragonhinge.coordination.tests import fleet
 
@@ -142,6 +143,38 @@
     _run(check)
 
 
+def test_recorded_owners_serve_their_keys_without_a_coordinator():
+    """Guards against keys that count as moving for as long as it is missing.
+
+    A holder is recorded before it is granted its keys, and the record is not
+    written again for that.
+    """
+
+    async def check(test_fleet):
+        for member in test_fleet.members:
+            member.store.faults.rejects_writes = True
+        async with test_fleet.run_silent_coordinator():
+            await test_fleet.wait(
+                lambda: not test_fleet.find_coordinators(),
+                "the change of the coordinator",
+            )
+            test_fleet.put_row("routes", "newest", b"2")
+            await test_fleet.wait(
+                lambda: _collect_table_versions(test_fleet) == {2},
+                "a version",
+            )
+            # The record is read in the same turn as the routes.
+            await asyncio.sleep(0.2)
+            states = {
+                segment.state
+                for member in test_fleet.members
+                for segment in member.view.owners[fleet.SERVICE].segments
+            }
+            assert states == {catalog.SegmentState.HELD}
+
+    _run(check)
+
+
 @pytest.mark.parametrize(
     ("led_ms", "waited_ms", "expected"),
     [(100, 1_000, False), (100, 11_000, True), (60_000, 0, True)],
