Assign keys in the regions that all routes to their service allow

If the routes that restrict a keyed service have regions in common, keys are owned by servers in these regions only, and keys of other servers move there like those of an evacuated zone (reason region_not_allowed). If the routes have no region in common, or no server is in one, keys may be owned anywhere, and restricted requests for them are refused.

Tests of evacuations: a zone that does not answer, no server left, a revoked evacuation, the region of the old owner, the order of the moves.

--- a/tarragonhinge/ranges/_evacuation.py
+++ b/tarragonhinge/ranges/_evacuation.py
@@ -17,6 +17,9 @@
 from tarragonhinge.ranges import _key_load
 from tarragonhinge.ranges import _lease
 
+#: Reasons that concern all servers of a zone or of a region.
+BATCHED_REASONS = frozenset({"zone_evacuated", "region_not_allowed"})
+
 #: Number of pieces into which a lease of a draining or lost server is split.
 DRAIN_PIECES = 3
 
@@ -50,20 +53,27 @@
     entry: catalog.ServerEntry | None
     reason: str
 
+    @property
+    def is_batched(self) -> bool:
+        """Whether it moves together with all keys of a zone or region."""
+        return self.reason in BATCHED_REASONS
+
 
 def choose_batch(
     leaving: Sequence[LeavingLease], profile: _key_load.LoadProfile
 ) -> list[LeavingLease]:
-    """Return the leases of an evacuated zone that start to move now.
+    """Return the leases that start to move now.
 
-    Those with the most requests come first.
+    Those of draining and lost servers start at once; of those of a whole zone
+    or region, the ones with the most requests come first.
     """
-    count = max(MIN_BATCH, math.ceil(BATCH_FRACTION * len(leaving)))
-    return sorted(
-        leaving,
+    batched = [item for item in leaving if item.is_batched]
+    batched.sort(
         key=lambda item: profile.sum_range(item.lease.first, item.lease.last),
         reverse=True,
-    )[:count]
+    )
+    count = max(MIN_BATCH, math.ceil(BATCH_FRACTION * len(batched)))
+    return [i for i in leaving if not i.is_batched] + batched[:count]
 
 
 def count_pieces(load: float, capacities: Sequence[float]) -> int:
--- a/tarragonhinge/ranges/_leader.py
+++ b/tarragonhinge/ranges/_leader.py
@@ -270,11 +270,7 @@
         if not movable:
             return
         balance = self._targets.get_balance()
-        zone_items = [i for i in movable if i.reason == "zone_evacuated"]
-        for item in [
-            *(i for i in movable if i.reason != "zone_evacuated"),
-            *_evacuation.choose_batch(zone_items, balance.profile),
-        ]:
+        for item in _evacuation.choose_batch(movable, balance.profile):
             self._start_evacuation(item, balance)
 
     def _list_leaving(self) -> list[_evacuation.LeavingLease]:
@@ -300,7 +296,7 @@
     ) -> None:
         lease, region = item.lease, None
         pieces = _evacuation.DRAIN_PIECES
-        if item.reason == "zone_evacuated":
+        if item.is_batched:
             region = self._targets.find_region(item.entry)
             pieces = _evacuation.count_pieces(
                 balance.profile.sum_range(lease.first, lease.last),
--- a/tarragonhinge/ranges/_targets.py
+++ b/tarragonhinge/ranges/_targets.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 
 from tarragonhinge import base
@@ -30,6 +31,28 @@
 BALANCE_MAX_AGE_MS = 100
 
 
+def find_common_regions(
+    routes: Iterable[catalog.Route], service: base.ServiceName
+) -> frozenset[base.RegionName]:
+    """Return the regions that all routes to a service allow.
+
+    Empty if each route allows all regions, or if the routes have no region in
+    common: a key may then be owned anywhere.
+
+    Examples
+    --------
+    >>> find_common_regions([], base.ServiceName("ledger"))
+    frozenset()
+    """
+    allowed = [
+        frozenset(route.allowed_regions)
+        for route in routes
+        if route.allowed_regions
+        and any(target.service == service for target in route.targets)
+    ]
+    return frozenset.intersection(*allowed) if allowed else frozenset()
+
+
 class Targets:
     """Servers that may hold keys of one service, with their loads.
 
@@ -73,6 +96,11 @@
         self._service_times = service_times
         self._find_rate_limit = find_rate_limit
         self._clock = clock
+        # Objects of the view that the entries were computed from; the view
+        # replaces them when they change.
+        self._entries_source: tuple[object, ...] = (None, None, None)
+        self._entries: list[catalog.ServerEntry] = []
+        self._regions: frozenset[base.RegionName] = frozenset()
         self._first_listed_at: dict[base.ServerId, int] = {}
         self._balance: _planner.Balance | None = None
         self._balance_made_at = 0
@@ -80,13 +108,33 @@
     def list_entries(self) -> list[catalog.ServerEntry]:
         """Return the servers that may get keys.
 
-        Servers in evacuated zones may not.
+        Servers in evacuated zones may not, nor may servers outside the
+        regions that all routes to the service allow, unless there are no
+        servers inside.
         """
-        return [
+        view = self._view
+        source = (view.servers, view.evacuated_zones, view.table)
+        if any(
+            new is not old
+            for new, old in zip(source, self._entries_source, strict=True)
+        ):
+            self._entries_source = source
+            self._entries = self._filter_entries()
+        return self._entries
+
+    def _filter_entries(self) -> list[catalog.ServerEntry]:
+        entries = [
             entry
             for entry in self._view.list_servers(self._service)
             if entry.zone not in self._view.evacuated_zones
         ]
+        self._regions = frozenset()
+        if self._view.table is not None:
+            self._regions = find_common_regions(
+                self._view.table.routes, self._service
+            )
+        allowed = [e for e in entries if self.find_region(e) in self._regions]
+        return allowed or entries
 
     def explain_leaving(self, entry: catalog.ServerEntry) -> str | None:
         """Return why a holder must give up its keys; None if it need not."""
@@ -97,6 +145,13 @@
             return "holder_leaves"
         if entry.zone in self._view.evacuated_zones:
             return "zone_evacuated"
+        others = self.list_entries()
+        if (
+            self.find_region(entry) not in self._regions
+            and others
+            and self.find_region(others[0]) in self._regions
+        ):
+            return "region_not_allowed"
         return None
 
     def may_hold(self, entry: catalog.ServerEntry) -> bool:
--- a/tarragonhinge/ranges/tests/test_evacuation.py
+++ b/tarragonhinge/ranges/tests/test_evacuation.py
@@ -16,6 +16,8 @@
 SERVERS = 77
 SEGMENTS_PER_SERVER = 5
 
+HELD = catalog.SegmentState.HELD
+
 #: Time in which the keys of a zone have to move; the users' bound is 5 s from
 #: the store's acknowledgement.
 LIMIT_MS = 2_500
@@ -75,19 +77,27 @@
             self.report()
             await self.service.run_for(500)
 
+    def list_segments(self, zone=None):
+        """Return the segments whose holders are in a zone, or all."""
+        view = self.service.view
+        return [
+            s
+            for s in view.owners[led_service.SERVICE].segments
+            if zone in (None, view.servers[s.server].zone)
+        ]
+
     def list_zones(self, first=0, last=catalog.KEY_COUNT - 1):
         """Return the zones of the holders of a key range."""
         view = self.service.view
         return {
             view.servers[s.server].zone
-            for s in view.owners[led_service.SERVICE].segments
+            for s in self.list_segments()
             if s.first <= last and s.last >= first
         }
 
     def check_served(self, *zones):
         assert self.list_zones() == set(zones)
-        segments = self.service.view.owners[led_service.SERVICE].segments
-        assert {s.state for s in segments} == {catalog.SegmentState.HELD}
+        assert {s.state for s in self.list_segments()} == {HELD}
         assert self.service.fleet.count_unowned_keys() == 0
         assert self.service.fleet.violations == []
 
@@ -128,3 +138,164 @@
         assert "a1" not in zones.list_zones()
 
     testing.run_manual(run())
+
+
+def test_keys_of_a_zone_that_does_not_answer_move_in_time():
+    """Guards against moves that start only after others have ended.
+
+    Each lasts until the grant has expired, since no server confirms a release:
+    a renewal (0.7 s without an answer) and 4.2 s.
+    """
+
+    async def run():
+        zones = _Zones()
+        await zones.start()
+        for server in zones.service.fleet.servers:
+            server.faults.is_silent = server.entry.zone == "a1"
+        zones.evacuate("a1")
+        await zones.run_for(5_500)
+        zones.check_served("a2", "b1")
+
+    testing.run_manual(run())
+
+
+def test_keys_stay_while_no_server_is_left():
+    """Guards against keys that are released although nobody can take them."""
+
+    async def run():
+        zones = _Zones(servers=12)
+        await zones.start()
+        zones.evacuate(*ZONES)
+        for _ in range(12):
+            await zones.run_for(500)
+            zones.check_served(*ZONES)
+        zones.evacuate("a1", "b1")
+        await zones.run_for(3_000)
+        zones.check_served("a2")
+
+    testing.run_manual(run())
+
+
+def test_revoked_evacuation_moves_no_further_keys():
+    """Guards against moves that go on after the zone has returned."""
+
+    async def run():
+        zones = _Zones()
+        await zones.start()
+        zones.evacuate("a1")
+        await zones.service.run_for(250)
+        zones.evacuate()
+        await zones.run_for(2_000)
+        zones.check_served(*ZONES)
+
+    testing.run_manual(run())
+
+
+@pytest.mark.parametrize(
+    ("rate", "expected"), [(120, {"a2"}), (900, {"a2", "b1"})]
+)
+def test_keys_stay_in_their_region_if_it_has_room(rate, expected):
+    """Guards against requests that cross regions without need."""
+
+    async def run():
+        zones = _Zones(servers=24, rate=rate)
+        await zones.start()
+        moved = zones.list_segments("a1")
+        zones.evacuate("a1")
+        await zones.service.run_for(1_500)
+        assert (
+            set().union(*(zones.list_zones(s.first, s.last) for s in moved))
+            == expected
+        )
+
+    testing.run_manual(run())
+
+
+def test_busiest_keys_move_first():
+    """Guards against busy keys that wait behind ones without requests."""
+
+    async def run():
+        zones = _Zones()
+        await zones.start()
+        busy = zones.list_segments("a1")[-3:]
+        zones.service.leader.record_keys([s.first for s in busy] * 20)
+        zones.evacuate("a1")
+        moving = []
+        while not moving:
+            await zones.service.run_for(50)
+            moving = [s for s in zones.list_segments() if s.state is not HELD]
+        assert len(moving) < 50
+        assert {s.first for s in busy} <= {s.first for s in moving}
+
+    testing.run_manual(run())
+
+
+def _make_table(version, *allowed):
+    """Return a table with a route to the service for each restriction."""
+    return catalog.RoutingTable(
+        version=base.TableVersion(version),
+        routes=tuple(
+            catalog.Route(
+                name=f"r{number}",
+                host="h",
+                prefix=f"/{number}/",
+                kind=catalog.RequestKind.IDEMPOTENT,
+                timeout_ms=1_000,
+                objective_ms=500,
+                priority=0,
+                max_attempts=2,
+                targets=(catalog.Target(service=led_service.SERVICE),),
+                allowed_regions=regions,
+            )
+            for number, regions in enumerate(allowed)
+        ),
+        services=(
+            catalog.Service(
+                name=led_service.SERVICE, max_connections=460, keyed=True
+            ),
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    ("allowed", "evacuated", "expected"),
+    [
+        ([()], [], {"a1", "a2", "b1"}),
+        ([("a",)], [], {"a1", "a2"}),
+        ([("a",), ()], [], {"a1", "a2"}),
+        ([("a", "b"), ("b", "c")], [], {"b1"}),
+        ([("a",), ("b",)], [], {"a1", "a2", "b1"}),
+        ([("c",)], [], {"a1", "a2", "b1"}),
+        ([("a",)], ["a1"], {"a2"}),
+        # No server is left in the region.
+        ([("b",)], ["b1"], {"a1", "a2"}),
+    ],
+)
+@pytest.mark.parametrize("is_initial", [True, False])
+def test_keys_are_owned_in_the_regions_that_all_routes_allow(
+    allowed, evacuated, expected, is_initial
+):
+    """Guards against owners to which no request for their keys may be sent."""
+
+    async def run():
+        zones = _Zones(servers=12)
+        view = zones.service.view
+        if is_initial:
+            zones.service.rows.rows.clear()
+            view.set_table(_make_table(1, *allowed))
+            zones.evacuate(*evacuated)
+        await zones.start()
+        view.set_table(_make_table(2, *allowed))
+        zones.evacuate(*evacuated)
+        await zones.run_for(3_000)
+        zones.check_served(*expected)
+        # Later moves keep to the regions, too.
+        zones.service.leader.record_keys(list(range(1_000, 1_040)) * 20)
+        await zones.run_for(2_000)
+        assert zones.list_zones() <= expected
+        view.set_table(_make_table(3, ()))
+        zones.evacuate()
+        await zones.run_for(1_000)
+        assert zones.service.fleet.violations == []
+
+    testing.run_manual(run())
