Keep the record of key ranges within the bound of a row

The store rejects a value of more than 65,536 bytes of base64 with a 4xx. This counted as an outage, so that the write was repeated forever and no key could move. A service with 126 servers and 5 segments each needs 87,120 bytes.

- The record is written in a compact form if the JSON form would take more than three quarters of the bound: 12,080 bytes for these 126 servers, 19 bytes a segment instead of 138.
Up to 71 servers with 5 segments each the record is the same as before.
Both forms are decoded.
- A rejected write is a result of its own.
It is logged once with row, size and bound, counted, and not repeated before there is another change; no move starts meanwhile.
From nine tenths of the bound on, no move adds segments.
- The stand-in stores enforce the platform's bounds of rows and calls.

The bound of the settings (platform.rowBytes) is read.

--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -88,6 +88,8 @@
         Upper bound of a grant's duration.
     zones : mapping
         Region of each availability zone.
+    row_bytes : int
+        Longest value of a row that the store accepts, in bytes of base64.
 
     Attributes
     ----------
@@ -116,6 +118,7 @@
         is_view_confirmed: bool,
         grant_limit_ms: int,
         zones: Mapping[base.ZoneName, base.RegionName],
+        row_bytes: int,
     ) -> None:
         self._leadership = leadership
         self._condition = condition
@@ -129,6 +132,7 @@
         self._is_view_confirmed = is_view_confirmed
         self._grant_limit_ms = grant_limit_ms
         self._zones = zones
+        self._row_bytes = row_bytes
         self._claimed_at = clock.read_boottime()
         self._feed = feeds.CatalogFeed(
             store=store, codec=codec, view=view, log=log, clock=clock
@@ -296,7 +300,7 @@
         )
         if isinstance(result, stores.Committed):
             self._leadership = leadership
-        elif isinstance(result, stores.Unavailable):
+        elif isinstance(result, stores.Unavailable | stores.Rejected):
             await self._clock.sleep(CLAIM_RETRY_MS)
 
     def _renew_condition(self, version: int, era: int) -> None:
@@ -420,6 +424,7 @@
                 service=service,
                 claim=self._condition,
                 first_era=self._leadership.first_era,
+                row_bytes=self._row_bytes,
                 clock=self._clock,
             ),
             view=self._view,
--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -100,6 +100,8 @@
         Upper bound of a grant's duration.
     zones : mapping
         Region of each availability zone.
+    row_bytes : int
+        Longest value of a row that the store accepts, in bytes of base64.
     """
 
     def __init__(
@@ -125,6 +127,7 @@
         link_mbps: float = math.inf,
         grant_limit_ms: int = 10_000,
         zones: Mapping[base.ZoneName, base.RegionName] | None = None,
+        row_bytes: int = 65_536,
     ) -> None:
         self._instance = instance
         self._incarnation = incarnation
@@ -145,6 +148,7 @@
         self._is_first_start = is_first_start
         self._grant_limit_ms = grant_limit_ms
         self._zones = zones or {}
+        self._row_bytes = row_bytes
         self._policy = _claim.ClaimPolicy(rng=self._rng, link_mbps=link_mbps)
         self._store_rtt_ms = 0
         self._claim_era = 0
@@ -493,6 +497,7 @@
             is_view_confirmed=self._confirmed_era == self._claim_era,
             grant_limit_ms=self._grant_limit_ms,
             zones=self._zones,
+            row_bytes=self._row_bytes,
         )
         self._coordinator = coordinator
         self._permits.source = coordinator
--- a/tarragonhinge/coordination/_refusal_keeper.py
+++ b/tarragonhinge/coordination/_refusal_keeper.py
@@ -112,7 +112,7 @@
             result = await self._store.write(
                 checks=[self._claim.check], puts=[put], era=self._era
             )
-            if not isinstance(result, stores.Committed):
+            if not isinstance(result, stores.Committed | stores.Rejected):
                 return False
             self._stored[put.key] = put.value
         return True
--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -27,6 +27,7 @@
 from tarragonhinge.events._process_events import TableInForce
 from tarragonhinge.events._process_events import TaskFailed
 from tarragonhinge.events._process_events import TrialGranted
+from tarragonhinge.events._process_events import WriteRejected
 from tarragonhinge.events._request_events import CrashWitnessed
 from tarragonhinge.events._request_events import Ended
 from tarragonhinge.events._request_events import Forwarded
@@ -86,4 +87,5 @@
     "Yielded",
     "format_timeline",
     "parse_lines",
+    "WriteRejected",
 ]
--- a/tarragonhinge/events/_process_events.py
+++ b/tarragonhinge/events/_process_events.py
@@ -124,6 +124,32 @@
     problem: str
 
 
+class WriteRejected(
+    _event.Event, frozen=True, kw_only=True, tag="write_rejected"
+):
+    """The store does not accept a row's content; it is not repeated as it is.
+
+    Logged once until the row is written.
+
+    Parameters
+    ----------
+    table, key : str
+        Table and key of the largest row of the write.
+    bytes : int
+        Length of its value in base64.
+    limit_bytes : int
+        Longest value that the store accepts.
+    problem : str
+        Reason that the store states.
+    """
+
+    table: str
+    key: str
+    bytes: int
+    limit_bytes: int
+    problem: str
+
+
 class RecordOutdated(
     _event.Event, frozen=True, kw_only=True, tag="record_outdated"
 ):
--- a/tarragonhinge/gateway/_options.py
+++ b/tarragonhinge/gateway/_options.py
@@ -44,6 +44,8 @@
     drain_ms, evacuate_ms : int
         Time after which a draining server, or one in an evacuated zone, must
         get no requests.
+    row_bytes : int
+        Longest value of a row that the store accepts, in bytes of base64.
     memory_bytes : int or None
         Memory that the process may use; None if it is not limited.
     max_descriptors : int or None
@@ -68,5 +70,6 @@
     retry_window_ms: int = 10_000
     drain_ms: int = 3_000
     evacuate_ms: int = 5_000
+    row_bytes: int = 65_536
     memory_bytes: int | None = None
     max_descriptors: int | None = None
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -56,7 +56,9 @@
         self._clock = clock
         self.log = log
         self._view = catalog.View()
-        self._store = _row_store.PlatformStore(address=options.store)
+        self._store = _row_store.PlatformStore(
+            address=options.store, row_bytes=options.row_bytes, log=log
+        )
         self.gateway = gateway.Gateway(
             options=options,
             view=self._view,
@@ -94,6 +96,7 @@
             link_mbps=options.link_mbps,
             grant_limit_ms=options.grant_limit_ms,
             zones=options.zones,
+            row_bytes=options.row_bytes,
         )
         self._caller_listener = gateway.CallerListener(
             address=options.callers, gateway=self.gateway
@@ -150,6 +153,11 @@
             "Calls to the platform's store since the start.",
             lambda: self._store.call_count,
         )
+        watch(
+            "store_writes_rejected",
+            "Writes that the platform's store does not accept as they are.",
+            lambda: self._store.rejected_count,
+        )
         watch(
             "server_crashes",
             "Crashes of servers that this instance has recognized.",
--- a/tarragonhinge/platform/_node_file.py
+++ b/tarragonhinge/platform/_node_file.py
@@ -156,6 +156,7 @@
         # Both in milliseconds.
         drain_ms=int(reader.read_number("bounds.drain", 3_000)),
         evacuate_ms=int(reader.read_number("bounds.evacuate", 5_000)),
+        row_bytes=int(reader.read_number("platform.rowBytes", 65_536)),
         memory_bytes=int(reader.read_number("limits.memoryMb", 0))
         * BYTES_PER_MB
         or None,
--- a/tarragonhinge/platform/_row_store.py
+++ b/tarragonhinge/platform/_row_store.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from tarragonhinge import base
+from tarragonhinge import events
 from tarragonhinge import stores
 
 _BASE_PATH = "/tarragonhinge"
@@ -26,6 +27,13 @@
 #: Statuses with which the store rejects a call without applying it.
 _NOT_APPLIED_STATUSES = frozenset({429, 503})
 
+#: Statuses of a write that the store never accepts, since a part of it is
+#: missing or too long.
+_REJECTED_STATUSES = frozenset({400, 413, 422})
+
+#: Largest part of the store's explanation that is logged, in characters.
+_MAX_PROBLEM_CHARS = 200
+
 
 class _Row(msgspec.Struct):
     key: str
@@ -62,10 +70,31 @@
     ----------
     address : Address
         Address on which the store listens.
+    row_bytes : int
+        Longest value of a row, in bytes of base64.
+    log : EventLog or None
+        Destination of log events; None for none.
+
+    Attributes
+    ----------
+    call_count : int
+        Number of calls.
+    rejected_count : int
+        Number of writes that the store rejected for their content.
     """
 
-    def __init__(self, *, address: base.Address) -> None:
+    def __init__(
+        self,
+        *,
+        address: base.Address,
+        row_bytes: int = 65_536,
+        log: events.EventLog | None = None,
+    ) -> None:
         super().__init__()
+        self._row_bytes = row_bytes
+        self._log = log
+        self._rejected_rows: set[tuple[str, str]] = set()
+        self.rejected_count = 0
         self._url = f"http://{address}{_BASE_PATH}"
         self._session: aiohttp.ClientSession | None = None
         self._decoder = msgspec.json.Decoder(_Rows, strict=False)
@@ -171,7 +200,7 @@
         checks: Sequence[stores.RowCheck],
         puts: Sequence[stores.RowPut],
         era: int,
-    ) -> stores.Committed | stores.Conflict | stores.Unavailable:
+    ) -> stores.TransactResult:
         """Write rows in one transaction if all checks hold."""
         if self.era != era:
             return stores.Unavailable()
@@ -214,7 +243,12 @@
                         not in (412, *_NOT_APPLIED_STATUSES)
                     )
                 if response.status == 200:
+                    self._rejected_rows.difference_update(
+                        (put.table, put.key) for put in puts
+                    )
                     return stores.Committed(version=_parse_version(content))
+                if response.status in _REJECTED_STATUSES:
+                    return self._record_rejection(puts, content)
                 if response.status == 412:
                     return stores.Conflict()
                 return stores.Unavailable(
@@ -230,6 +264,28 @@
         if self._session is not None:
             await self._session.close()
 
+    def _record_rejection(
+        self, puts: Sequence[stores.RowPut], content: bytes
+    ) -> stores.Rejected:
+        """Count a rejected write, and log it once until the row is written."""
+        self.rejected_count += 1
+        problem = content.decode(errors="replace")[:_MAX_PROBLEM_CHARS]
+        largest = max(puts, key=lambda put: len(put.value), default=None)
+        if largest is not None and self._log is not None:
+            row = largest.table, largest.key
+            if row not in self._rejected_rows:
+                self._rejected_rows.add(row)
+                self._log.write(
+                    events.WriteRejected(
+                        table=largest.table,
+                        key=largest.key,
+                        bytes=stores.compute_encoded_bytes(largest.value),
+                        limit_bytes=self._row_bytes,
+                        problem=problem,
+                    )
+                )
+        return stores.Rejected(problem=problem)
+
 
 def _make_row(table: str, row: _Row) -> stores.StoredRow:
     try:
--- a/tarragonhinge/platform/standins/_store.py
+++ b/tarragonhinge/platform/standins/_store.py
@@ -37,7 +37,10 @@
 
     def make_application(self) -> web.Application:
         """Return the web application that serves the calls."""
-        application = web.Application(middlewares=[self._inject_fault])
+        application = web.Application(
+            middlewares=[self._inject_fault],
+            client_max_size=testing.MAX_CALL_BYTES,
+        )
         application.router.add_get("/tarragonhinge/rows-get", self._get)
         application.router.add_get("/tarragonhinge/rows-feed", self._watch)
         application.router.add_post("/tarragonhinge/rows-tx", self._write)
@@ -118,6 +121,15 @@
             )
             for p in body["puts"]
         ]
+        drops = [(row["table"], row["key"]) for row in body["remove"]]
+        parts = [
+            row["part"]
+            for name in ("expectedRev", "puts", "remove")
+            for row in body[name]
+        ]
+        problem = self.rows.find_problem(checks, puts, drops, parts=parts)
+        if problem:
+            return web.json_response({"error": problem}, status=400)
         if self.mode == "late":
             task = asyncio.create_task(self._apply_late(checks, puts))
             self._late_writes.add(task)
--- a/tarragonhinge/platform/tests/test_codecs.py
+++ b/tarragonhinge/platform/tests/test_codecs.py
@@ -30,6 +30,7 @@
 bounds.retryRatio=0.2
 bounds.retrySlack=64
 platform.address=10.200.1.7:8541
+platform.rowBytes=32768
 something.new=later
 """
 
@@ -65,6 +66,7 @@
     assert options.peers == "10.1.0.34:7540"
     assert options.stop_ms == 6_000
     assert (options.drain_ms, options.evacuate_ms) == (2_500, 4_000)
+    assert options.row_bytes == 32_768
     assert options.memory_bytes == 160_000_000
     assert options.max_descriptors is None
     assert options.zones == {"centro-a": "centro", "sur-a": "sur"}
--- a/tarragonhinge/ranges/_leader.py
+++ b/tarragonhinge/ranges/_leader.py
@@ -302,6 +302,8 @@
                 balance.profile.sum_range(lease.first, lease.last),
                 list(balance.capacity.values()),
             )
+        if self._recorder.is_full:
+            pieces = 1
         lease.is_moving = True
         self._start_move(
             lease,
@@ -322,7 +324,7 @@
             the next check plans again.
         """
         self._load.decay()
-        if self._mover.active >= MAX_ACTIVE_MOVES:
+        if self._mover.active >= MAX_ACTIVE_MOVES or self._recorder.is_full:
             return True
         now = self._clock.read_boottime()
         pinned = {
--- a/tarragonhinge/ranges/_recorder.py
+++ b/tarragonhinge/ranges/_recorder.py
@@ -23,6 +23,10 @@
 #: Number of fencing tokens to skip if the record may lack the last ones.
 SKIPPED_FENCES = 10_000
 
+#: Size of the record, as a fraction of the bound of a row, from which no move
+#: adds segments. The rest is for moves that are in progress.
+FULL_ROW_FRACTION = 0.9
+
 
 class LeadershipLostError(base.TarragonhingeError):
     """Another instance has become the coordinator."""
@@ -48,6 +52,8 @@
         been lost.
     clock : Clock
         This process's clock.
+    row_bytes : int
+        Longest value of a row that the store accepts, in bytes of base64.
 
     Attributes
     ----------
@@ -66,12 +72,16 @@
         claim: stores.Claim,
         first_era: int | msgspec.UnsetType,
         clock: base.Clock,
+        row_bytes: int = _record.DEFAULT_ROW_BYTES,
     ) -> None:
         self._store = store
         self._service = service
         self._claim = claim
         self._first_era = first_era
         self._clock = clock
+        self._row_bytes = row_bytes
+        self._encoded_bytes = 0
+        self._is_rejected = False
         self._version = 0
         self._era = 0
         self._next_fence = 1
@@ -138,11 +148,19 @@
         self._next_fence += 1
         return fence
 
+    @property
+    def is_full(self) -> bool:
+        """Whether the record is too long for moves that add segments."""
+        return self._is_rejected or (
+            self._encoded_bytes >= FULL_ROW_FRACTION * self._row_bytes
+        )
+
     def check_writable(self) -> bool:
         """Return whether the store accepted a write recently.
 
         If it did not, a write that changes nothing is started, so that a
-        later call can return True. A move that starts while the store is
+        later call can return True. After a rejected write, only a change can
+        help. A move that starts while the store is
         unavailable would leave its keys released and unserved until the
         outage ends.
         """
@@ -152,7 +170,7 @@
             and now - self._written_at < RECENT_WRITE_MS
         ):
             return True
-        if not self._is_writing and not self._pending:
+        if not (self._is_writing or self._pending or self._is_rejected):
             self._pending.append(
                 ([], asyncio.get_running_loop().create_future())
             )
@@ -189,7 +207,9 @@
             changed = [s for segments, _ in batch for s in segments]
             self._is_writing = True
             try:
-                await self._write(self.owners.replace(changed))
+                self._is_rejected = not await self._write(
+                    self.owners.replace(changed)
+                )
             except LeadershipLostError as error:
                 for _, future in batch:
                     if not future.done():
@@ -197,15 +217,25 @@
                 raise
             finally:
                 self._is_writing = False
+            if self._is_rejected:
+                # It is written again together with the next change.
+                self._written_at = None
+                self._pending = batch + self._pending
+                continue
             self._written_at = self._clock.read_boottime()
             for _, future in batch:
                 if not future.done():
                     future.set_result(None)
 
-    async def _write(self, owners: catalog.OwnerMap) -> None:
+    async def _write(self, owners: catalog.OwnerMap) -> bool:
         """Write the record; read it back if the response was lost.
 
         Writes again in each era of the store that begins meanwhile.
+
+        Returns
+        -------
+        bool
+            False if the store rejects the record.
         """
         backoff_ms = RETRY_DELAY_MS
         while True:
@@ -218,8 +248,10 @@
                     next_fence=self._next_fence,
                     segments=list(owners.segments),
                     era=self._era or msgspec.UNSET,
-                )
+                ),
+                row_bytes=self._row_bytes,
             )
+            self._encoded_bytes = stores.compute_encoded_bytes(value)
             result = await self._store.write(
                 checks=[
                     self._claim.check,
@@ -236,9 +268,11 @@
                 ],
                 era=self._era,
             )
+            if isinstance(result, stores.Rejected):
+                return False
             if await self._is_written(result, value):
                 self.owners = owners
-                return
+                return True
             await self._clock.sleep(backoff_ms)
             backoff_ms = min(MAX_RETRY_DELAY_MS, 2 * backoff_ms)
 
--- a/tarragonhinge/ranges/tests/led_service.py
+++ b/tarragonhinge/ranges/tests/led_service.py
@@ -75,7 +75,10 @@
         self.rows.apply([], [put])
 
     def make_leader(self, **options):
-        """Write a claim and return a leader with its store and grants."""
+        """Write a claim and return a leader with its store and grants.
+
+        The leader's settings state the bound of a row that the store has now.
+        """
         self.term += 1
         row = self.rows.rows.get((CLAIM.table, CLAIM.key))
         self.rows.apply(
@@ -104,6 +107,7 @@
                 service=SERVICE,
                 claim=claim,
                 first_era=self.rows.era,
+                row_bytes=self.rows.row_bytes,
                 clock=self.clock,
             ),
             view=self.view,
--- /dev/null
+++ b/tarragonhinge/ranges/tests/test_record.py
@@ -0,0 +1,137 @@
+"""The record of key ranges fits into a row of the store."""
+
+import random
+import zlib
+
+import msgspec
+import pytest
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge import ranges
+from tarragonhinge.ranges.tests import led_service
+from tarragonhinge import stores
+from tarragonhinge import testing
+
+
+def _make_record(servers, *, per_server=5, era=3):
+    rng = random.Random(servers)
+    count = servers * per_server
+    starts = sorted(rng.sample(range(1, catalog.KEY_COUNT), count - 1))
+    bounds = [0, *starts, catalog.KEY_COUNT]
+    return ranges.RangeRecord(
+        term=base.Term(7),
+        next_fence=90_000,
+        era=era,
+        segments=[
+            catalog.Segment(
+                first=bounds[i],
+                last=bounds[i + 1] - 1,
+                server=base.ServerId(f"ledger-{rng.randrange(servers)}"),
+                born_ms=1_767_225_600_000 + rng.randrange(10**9),
+                fence=rng.randrange(90_000),
+                state=rng.choice(list(catalog.SegmentState)),
+            )
+            for i in range(count)
+        ],
+    )
+
+
+@pytest.mark.parametrize(
+    ("servers", "is_json"), [(1, True), (60, True), (77, False), (126, False)]
+)
+@pytest.mark.parametrize("era", [3, msgspec.UNSET])
+def test_record_of_either_form_is_decoded(servers, is_json, era):
+    """Guards against a record that older builds can't read without need."""
+    record = _make_record(servers, era=era)
+    value = ranges.encode_record(record)
+    assert (value == msgspec.json.encode(record)) == is_json
+    assert stores.compute_encoded_bytes(value) <= 0.75 * 65_536
+    assert ranges.decode_record(value) == record
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\x01",
+        b"\x01garbage",
+        b"\x01" + zlib.compress(b"\x95"),
+        b"\x01" + zlib.compress(msgspec.msgpack.encode([1, 2, 3])),
+        # Holder 1 of one, and content that expands beyond all bounds.
+        b"\x01"
+        + zlib.compress(
+            msgspec.msgpack.encode(
+                [1, 9, 1, [["s", 1]], [[0, 1, 1, 1, False]]]
+            )
+        ),
+        b"\x01" + zlib.compress(bytes(8 << 20)),
+        b"\x01"
+        + zlib.compress(msgspec.msgpack.encode([1, 9, 1, [], []]))[:-2],
+        b"\x02",
+    ],
+)
+def test_damaged_compact_record_is_an_error(value):
+    """Guards against a coordinator that ends over a damaged row."""
+    with pytest.raises(base.CodecError):
+        ranges.decode_record(value)
+
+
+def test_rejected_record_is_not_written_again_as_it_is():
+    """Guards against a record that is too long and written again forever.
+
+    No move starts meanwhile, which could not be recorded: the owners keep
+    their keys.
+    """
+
+    async def run():
+        service = led_service.LedService()
+        service.start_leader()
+        await service.run_for(3_000)
+        writes, write = [], service.store.write
+
+        async def count(**arguments):
+            writes.append(arguments["puts"])
+            return await write(**arguments)
+
+        service.store.write = count
+        service.rows.row_bytes = 10
+        entry = service.view.servers["s1"]
+        state = catalog.ServerState.DRAINING
+        service.put_entry(msgspec.structs.replace(entry, state=state))
+        await service.run_for(5_000)
+        assert len(writes) == 1
+        assert service.fleet.count_unowned_keys() == 0
+        # Any change writes it again.
+        service.rows.row_bytes = 65_536
+        service.leader.record_again()
+        await service.run_for(1_000)
+        assert not service.find_server("s1").list_held_ranges()
+        assert service.fleet.count_unowned_keys() == 0
+        assert service.fleet.violations == []
+
+    testing.run_manual(run())
+
+
+def test_full_record_gets_no_more_segments():
+    """Guards against keys whose new holder can't be recorded."""
+
+    async def run():
+        service = led_service.LedService(servers=8)
+        service.rows.row_bytes = 700
+        service.start_leader()
+        await service.run_for(3_000)
+        rng, counts = random.Random(1), []
+        for _ in range(60):
+            first = rng.randrange(60_000)
+            service.leader.record_keys(list(range(first, first + 40)) * 4)
+            await service.run_for(500)
+            counts.append(
+                len(service.view.owners[led_service.SERVICE].segments)
+            )
+        row = service.rows.rows[ranges.TABLE, led_service.SERVICE]
+        assert max(counts) > 100
+        assert stores.compute_encoded_bytes(row.value) <= 700
+        assert service.fleet.count_unowned_keys() == 0
+        assert service.fleet.violations == []
+
+    testing.run_manual(run())
--- a/tarragonhinge/stores/__init__.py
+++ b/tarragonhinge/stores/__init__.py
@@ -9,6 +9,7 @@
 from tarragonhinge.stores._memory import MemoryObjects
 from tarragonhinge.stores._memory import MemoryTable
 from tarragonhinge.stores._objects import ObjectClient
+from tarragonhinge.stores._row_store import compute_encoded_bytes
 from tarragonhinge.stores._row_store import HistoryLost
 from tarragonhinge.stores._row_store import RowCheck
 from tarragonhinge.stores._row_store import RowPut
@@ -21,6 +22,7 @@
 from tarragonhinge.stores._rows import Conflict
 from tarragonhinge.stores._rows import Put
 from tarragonhinge.stores._rows import ReadResult
+from tarragonhinge.stores._rows import Rejected
 from tarragonhinge.stores._rows import Row
 from tarragonhinge.stores._rows import Transaction
 from tarragonhinge.stores._rows import TransactResult
@@ -42,6 +44,7 @@
     "Put",
     "ReadRequest",
     "ReadResult",
+    "Rejected",
     "Row",
     "RowCheck",
     "RowPut",
@@ -53,5 +56,6 @@
     "Transaction",
     "Unavailable",
     "WatchResult",
+    "compute_encoded_bytes",
     "make_write_id",
 ]
--- a/tarragonhinge/stores/_row_store.py
+++ b/tarragonhinge/stores/_row_store.py
@@ -68,6 +68,17 @@
     value: bytes
 
 
+def compute_encoded_bytes(value: bytes) -> int:
+    """Return the length of a value in base64, to which the store's bound is.
+
+    Examples
+    --------
+    >>> compute_encoded_bytes(b"four")
+    8
+    """
+    return (len(value) + 2) // 3 * 4
+
+
 class HistoryLost(msgspec.Struct, frozen=True, kw_only=True):
     """The store does not have the changes since the requested version.
 
--- a/tarragonhinge/stores/_rows.py
+++ b/tarragonhinge/stores/_rows.py
@@ -89,5 +89,21 @@
     maybe_written: bool = False
 
 
-TransactResult = Committed | Conflict | Unavailable
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Rejected:
+    """The service never accepts the transaction; nothing was written.
+
+    Its content is at fault, for example a value that is too long, so that it
+    must not be repeated as it is.
+
+    Parameters
+    ----------
+    problem : str
+        Reason that the service states.
+    """
+
+    problem: str = ""
+
+
+TransactResult = Committed | Conflict | Rejected | Unavailable
 ReadResult = list[Row] | Unavailable
--- a/tarragonhinge/testing/__init__.py
+++ b/tarragonhinge/testing/__init__.py
@@ -32,6 +32,7 @@
 from tarragonhinge.testing._probe import Probe
 from tarragonhinge.testing._probe import ProbeEvent
 from tarragonhinge.testing._probe import Stage
+from tarragonhinge.testing._row_store import MAX_CALL_BYTES
 from tarragonhinge.testing._row_store import MemoryRows
 from tarragonhinge.testing._row_store import MemoryRowStore
 from tarragonhinge.testing._row_store import StoreFaults
@@ -47,6 +48,7 @@
     "KNOWN_NAMES",
     "FAULTS",
     "HEADER_ATTEMPT",
+    "MAX_CALL_BYTES",
     "OTHER_REGION",
     "RECOVERIES",
     "REGION",
--- a/tarragonhinge/testing/_row_store.py
+++ b/tarragonhinge/testing/_row_store.py
@@ -8,6 +8,19 @@
 from tarragonhinge import stores
 
 
+#: Longest table, part or key of a row, in bytes.
+MAX_NAME_BYTES = 200
+
+#: Largest number of rows that one call checks, writes and deletes together.
+MAX_CALL_ENTRIES = 100
+
+#: Longest call, in bytes.
+MAX_CALL_BYTES = 1 << 20
+
+#: Reason that the platform's store states for a write that it never accepts.
+REJECTION = "a table, key, version or value is missing or too long"
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class StoreFaults:
     """Faults of the store as one client sees them.
@@ -45,12 +58,15 @@
         Version of the last transaction.
     era : int
         Number of times that the rows were restored, plus one.
+    row_bytes : int
+        Longest value of a row, in bytes of base64.
     """
 
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], stores.StoredRow] = {}
         self.version = 0
         self.era = 1
+        self.row_bytes = 65_536
         self._changed = asyncio.Event()
 
     def copy(self) -> "MemoryRows":
@@ -72,6 +88,35 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def find_problem(
+        self,
+        checks: Sequence[stores.RowCheck],
+        puts: Sequence[stores.RowPut],
+        drops: Sequence[tuple[str, str]] = (),
+        *,
+        parts: Sequence[str] = (),
+    ) -> str:
+        """Return why a transaction is never accepted, or an empty text.
+
+        Parameters
+        ----------
+        checks, puts, drops : sequence
+            As for `apply`.
+        parts : sequence of str
+            Parts of the rows, which may be empty.
+        """
+        rows = [(entry.table, entry.key) for entry in (*checks, *puts)]
+        names = [name.encode() for row in (*rows, *drops) for name in row]
+        sizes = [stores.compute_encoded_bytes(put.value) for put in puts]
+        is_valid = (
+            all(0 < len(name) <= MAX_NAME_BYTES for name in names)
+            and all(len(part.encode()) <= MAX_NAME_BYTES for part in parts)
+            and max(sizes, default=0) <= self.row_bytes
+            and len(rows) + len(drops) <= MAX_CALL_ENTRIES
+            and sum(sizes) + sum(map(len, names)) <= MAX_CALL_BYTES
+        )
+        return "" if is_valid else REJECTION
+
     def apply(
         self,
         checks: Sequence[stores.RowCheck],
@@ -215,6 +260,9 @@
             return stores.Unavailable()
         if self.faults.rejects_writes:
             return stores.Unavailable()
+        problem = self._rows.find_problem(checks, puts)
+        if problem:
+            return stores.Rejected(problem=problem)
         if self.faults.loses_answers:
             if self.faults.late_ms:
                 task = asyncio.create_task(self._apply_late(checks, puts))
