--- a/tarragonhinge/ranges/_recorder.py
+++ b/tarragonhinge/ranges/_recorder.py
@@ -298,6 +298,10 @@
         if row is not None and row.value == value:
             self._version = row.version
             return True
+        if row is not None and self._is_own(row):
+            # A write whose response was lost was applied late.
+            self._version = row.version
+            return False
         if isinstance(result, stores.Conflict):
             raise LeadershipLostError(
                 problem=f"the record of {self._service} was changed by another"
@@ -305,3 +309,13 @@
                 remedy="step down and follow the new coordinator",
             )
         return False
+
+    def _is_own(self, row: stores.StoredRow) -> bool:
+        """Return whether an unexpected version was written in this term."""
+        if row.version == self._version:
+            return False
+        try:
+            record = _record.decode_record(row.value)
+        except base.CodecError:
+            return False
+        return record.term == self._claim.term
--- a/tarragonhinge/ranges/tests/test_record.py
+++ b/tarragonhinge/ranges/tests/test_record.py
@@ -135,3 +135,32 @@
         assert service.fleet.violations == []
 
     testing.run_manual(run())
+
+
+@pytest.mark.parametrize("late_ms", [200, 960, 1_000])
+@pytest.mark.parametrize("moment_ms", range(0, 220, 20))
+def test_own_write_that_is_applied_late_does_not_end_the_leadership(
+    moment_ms, late_ms
+):
+    """Guards against a coordinator that takes its own write for another's.
+
+    The record was written again meanwhile, with another next fencing token.
+    """
+
+    async def run():
+        service = led_service.LedService()
+        service.start_leader()
+        await service.run_for(3_000)
+        service.start_server("s1")
+        await service.run_for(moment_ms, step_ms=10)
+        service.store.faults.loses_answers = True
+        service.store.faults.late_ms = late_ms
+        await service.run_for(600)
+        service.store.faults.loses_answers = False
+        # The keys of another restarted holder get fencing tokens meanwhile.
+        service.start_server("s2")
+        await service.run_for(4_000)
+        assert service.fleet.count_unowned_keys() == 0
+        assert service.fleet.violations == []
+
+    testing.run_manual(run())
