Keep renewals of one holder from waiting for each other

The grants of a holder's leases use one connection, one after the other. If the holder fell silent, each renewal waited for the timeouts of those before it: with 16 leases, the last was sent 10 s later, and its grant expired as much later. A move waits for a renewal that is in progress, so that keys of a server that drained, or whose zone was evacuated, still counted as served by it 3 s later: this is a cause of requests to draining owners after the bound, where instances reach a server that the coordinator does not.

A grant waits for the connection for 350 ms at most, and has a response within 700 ms in all. One that was not sent extends no expiry. Grants to a holder whose last grant got no response, of whatever lease, expire no later than the ones before.

--- a/tarragonhinge/platform/_grants.py
+++ b/tarragonhinge/platform/_grants.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 
 import aiohttp
 import msgspec
@@ -120,22 +121,53 @@
         if grant.handover:
             body["handoff"] = grant.handover
         connection = self._connections.setdefault(holder, _OwnerConnection())
-        async with connection.lock:
+        unsent = ranges.GrantReply(
+            result=ranges.GrantResult.UNKNOWN, is_sent=False
+        )
+        ends_at = asyncio.get_running_loop().time() + (
+            ranges.GRANT_TIMEOUT_MS / base.MS_PER_S
+        )
+        try:
+            async with asyncio.timeout(
+                ranges.CONNECTION_WAIT_MS / base.MS_PER_S
+            ):
+                await connection.lock.acquire()
+        except TimeoutError:
+            return dataclasses.replace(unsent, connection_id=connection_id)
+        try:
             if connection_id is not None and not (
                 connection.is_open() and connection.current_id == connection_id
             ):
                 # The server may have restarted since it received the fencing
                 # token.
-                return ranges.GrantReply(result=ranges.GrantResult.UNKNOWN)
-            status = await self._send(connection, holder, body)
+                return unsent
+            status = await self._send(connection, holder, body, ends_at)
             open_id = connection.current_id if connection.is_open() else None
+        finally:
+            connection.lock.release()
         result = _RESULTS_BY_STATUS.get(status, ranges.GrantResult.UNKNOWN)
         return ranges.GrantReply(result=result, connection_id=open_id)
 
     async def _send(
-        self, connection: _OwnerConnection, holder: ranges.Holder, body: dict
+        self,
+        connection: _OwnerConnection,
+        holder: ranges.Holder,
+        body: dict,
+        ends_at: float,
     ) -> int:
-        """Send a grant; return the status, or 0 without a response."""
+        """Send a grant; return the status, or 0 without a response.
+
+        Parameters
+        ----------
+        connection : _OwnerConnection
+            Connection to the holder, opened if it is closed.
+        holder : Holder
+            The holder.
+        body : dict
+            Content of the call.
+        ends_at : float
+            Time of the event loop by which the response must arrive.
+        """
         keep_open = False
         began_at = self._clock.now()
         silence = asyncio.get_running_loop().call_later(
@@ -145,9 +177,7 @@
             began_at,
         )
         try:
-            async with asyncio.timeout(
-                ranges.GRANT_TIMEOUT_MS / base.MS_PER_S
-            ):
+            async with asyncio.timeout_at(ends_at):
                 if not connection.is_open():
                     connection.close()
                     stream = await http1.connect(
--- a/tarragonhinge/platform/tests/test_grants.py
+++ b/tarragonhinge/platform/tests/test_grants.py
@@ -85,3 +85,34 @@
         server.stop()
 
     asyncio.run(run())
+
+
+def test_grants_do_not_wait_long_for_each_other():
+    """Guards against renewals that queue behind ones without a reply.
+
+    A grant that is not sent must not count as one that may have arrived.
+    """
+
+    async def run():
+        server = await _RepeatingServer(repeats_in_use=True).start()
+        grants = _grants.PlatformGrants(clock=base.Clock())
+        # The connection is accepted, and no reply to a grant follows.
+        server.release_count = 1
+        replies = await asyncio.gather(
+            *(
+                grants.grant(
+                    server.holder,
+                    ranges.Grant(first=n, last=n, fence=n + 1, hold_ms=4_000),
+                    connection_id=None,
+                )
+                for n in range(6)
+            )
+        )
+        results = {reply.result for reply in replies}
+        assert results == {ranges.GrantResult.UNKNOWN}
+        assert [reply.is_sent for reply in replies] == [True] + 5 * [False]
+        assert server.release_count == 2
+        await grants.close()
+        server.stop()
+
+    asyncio.run(run())
--- a/tarragonhinge/ranges/__init__.py
+++ b/tarragonhinge/ranges/__init__.py
@@ -1,5 +1,6 @@
 """Assignment of key ranges to servers: plans, grants, renewals, moves."""
 
+from tarragonhinge.ranges._grants import CONNECTION_WAIT_MS
 from tarragonhinge.ranges._grants import ConnectionId
 from tarragonhinge.ranges._grants import Grant
 from tarragonhinge.ranges._grants import GrantClient
@@ -26,6 +27,7 @@
 
 __all__ = [
     "Balance",
+    "CONNECTION_WAIT_MS",
     "Capacity",
     "ConnectionId",
     "GRANT_TIMEOUT_MS",
--- a/tarragonhinge/ranges/_grants.py
+++ b/tarragonhinge/ranges/_grants.py
@@ -10,6 +10,10 @@
 #: Timeout of one call that sends a grant.
 TIMEOUT_MS = 700
 
+#: Longest wait for the connection to a holder while another grant uses it, as
+#: part of that timeout.
+CONNECTION_WAIT_MS = 350
+
 #: Id of a connection to a lease holder; each new connection gets a new one.
 ConnectionId = NewType("ConnectionId", int)
 
@@ -96,10 +100,13 @@
         Outcome of the grant.
     connection_id : ConnectionId or None
         Connection to the holder that stays open; None if it was closed.
+    is_sent : bool
+        Whether the grant may have been sent.
     """
 
     result: GrantResult
     connection_id: ConnectionId | None = None
+    is_sent: bool = True
 
 
 class GrantClient(abc.ABC):
@@ -126,6 +133,9 @@
     ) -> GrantReply:
         """Grant a key range or renew its grant.
 
+        A connection is used by one grant at a time; one that would wait for
+        it for longer than `CONNECTION_WAIT_MS` is not sent.
+
         Parameters
         ----------
         holder : Holder
--- a/tarragonhinge/ranges/_renewer.py
+++ b/tarragonhinge/ranges/_renewer.py
@@ -84,6 +84,8 @@
         self.hold_ms = hold_ms
         self.renewal_interval_ms = hold_ms // RENEWALS_PER_GRANT
         self._tasks: set[asyncio.Task] = set()
+        # Holders whose last grant got no response.
+        self._silent: set[tuple[base.ServerId, int]] = set()
 
     async def run(self) -> None:
         """Renew due grants until cancelled."""
@@ -156,10 +158,11 @@
         """Send one grant and extend the lease's expiry.
 
         The expiry is extended even without a response, since the grant may
-        have arrived.
+        have arrived, but not if it was not sent.
         """
         entry = self.find_holder(lease)
         if entry is None:
+            self._silent.discard((lease.server, lease.born_ms))
             return _grants.GrantResult.UNKNOWN
         lease.address = entry.address
         hold_ms = lease.granted_ms = self._compute_hold_ms(lease)
@@ -177,13 +180,18 @@
                 connection_id=lease.connection_id,
             )
         finally:
-            lease.record_grant(
-                arrived_by=self._clock.read_boottime(), hold_ms=hold_ms
-            )
             result = reply.result
-            lease.is_unanswered = result is _grants.GrantResult.UNKNOWN
             lease.connection_id = reply.connection_id
-        if result is not _grants.GrantResult.HELD:
+            if reply.is_sent:
+                lease.record_grant(
+                    arrived_by=self._clock.read_boottime(), hold_ms=hold_ms
+                )
+                lease.is_unanswered = result is _grants.GrantResult.UNKNOWN
+                if lease.is_unanswered:
+                    self._silent.add((lease.server, lease.born_ms))
+                else:
+                    self._silent.discard((lease.server, lease.born_ms))
+        if reply.is_sent and result is not _grants.GrantResult.HELD:
             self._log.write(
                 events.GrantFailed(
                     service=self._service,
@@ -199,12 +207,13 @@
     def _compute_hold_ms(self, lease: _lease.Lease) -> int:
         """Return the duration of the next grant in milliseconds.
 
-        A grant that is sent again after no response expires no later than
-        the previous one, except that it lasts `MIN_REPEATED_HOLD_MS` at
-        least. Otherwise each attempt to reach a server that does not respond
-        would delay the reassignment of its keys.
+        A grant to a holder that did not respond expires no later than the
+        previous one, except that it lasts `MIN_REPEATED_HOLD_MS` at least.
+        Otherwise each attempt to reach a server that does not respond would
+        delay the reassignment of its keys. This counts by holder, since the
+        grants of its leases are sent one after the other.
         """
-        if not lease.is_unanswered:
+        if (lease.server, lease.born_ms) not in self._silent:
             return self.hold_ms
         left_ms = lease.expires_at - self._clock.read_boottime()
         left_ms -= _grants.TIMEOUT_MS + _lease.GRANT_TRANSIT_MS
--- a/tarragonhinge/ranges/tests/test_leader.py
+++ b/tarragonhinge/ranges/tests/test_leader.py
@@ -132,6 +132,51 @@
     testing.run_manual(run())
 
 
+@pytest.mark.parametrize("moment_ms", range(0, 1_400, 200))
+def test_renewals_of_a_silent_server_do_not_wait_for_each_other(moment_ms):
+    """Guards against renewals that queue for the connection to a server.
+
+    Each waited for the timeout of the one before. Keys of a server that
+    drained meanwhile moved only after that, and the last grants expired 3 s
+    later than the first.
+    """
+
+    async def run():
+        service = led_service.LedService()
+        width = 1_024
+        entries = list(service.view.servers.values())
+        service.put_record(
+            [
+                catalog.Segment(
+                    first=width * i,
+                    last=width * (i + 1) - 1,
+                    server=entries[i % 4].server,
+                    born_ms=entries[i % 4].born_ms,
+                    fence=i + 1,
+                )
+                for i in range(64)
+            ],
+            next_fence=65,
+        )
+        await _start_and_wait(service)
+        await service.run_for(moment_ms)
+        service.find_server("s1").faults.is_silent = True
+        await service.run_for(2_600)
+        _drain(service, "s1")
+        await service.run_for(400)
+        assert not [
+            segment
+            for segment in service.view.owners[led_service.SERVICE].segments
+            if segment.server == "s1"
+            and segment.state is catalog.SegmentState.HELD
+        ]
+        await service.run_for(6_600 - 2_600 - 400)
+        assert service.fleet.count_unowned_keys() == 0
+        _assert_no_violations(service)
+
+    testing.run_manual(run())
+
+
 @pytest.mark.parametrize("moment_ms", range(0, 1_000, 50))
 def test_new_leader_completes_interrupted_moves(moment_ms):
     async def run():
--- a/tarragonhinge/testing/_key_servers.py
+++ b/tarragonhinge/testing/_key_servers.py
@@ -10,6 +10,8 @@
 #: Ratio of true time to time on the clock of a slow server.
 SLOW_CLOCK_RATIO = 1.02
 
+_UNSENT = ranges.GrantReply(result=ranges.GrantResult.UNKNOWN, is_sent=False)
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _HeldRange:
@@ -224,6 +226,8 @@
         self._clock = clock
         self._late_tasks: set[asyncio.Task] = set()
         self._connections: dict[base.Address, KeyServer] = {}
+        # A connection is used by one call at a time.
+        self._locks: dict[base.Address, asyncio.Lock] = {}
         self._connection_ids: dict[base.Address, int] = {}
         self.is_cut_off = False
         self.max_hold_ms = 0
@@ -257,10 +261,28 @@
 
         A grant for a connection that is no longer open is not sent.
         """
+        lock = self._locks.setdefault(holder.address, asyncio.Lock())
+        wait_s = ranges.CONNECTION_WAIT_MS / base.MS_PER_S
+        try:
+            async with asyncio.timeout(wait_s):
+                await lock.acquire()
+        except TimeoutError:
+            return dataclasses.replace(_UNSENT, connection_id=connection_id)
+        try:
+            return await self._send_alone(holder, grant, connection_id)
+        finally:
+            lock.release()
+
+    async def _send_alone(
+        self,
+        holder: ranges.Holder,
+        grant: ranges.Grant,
+        connection_id: ranges.ConnectionId | None,
+    ) -> ranges.GrantReply:
         if connection_id is not None and not self.is_connected(
             holder, connection_id
         ):
-            return ranges.GrantReply(result=ranges.GrantResult.UNKNOWN)
+            return _UNSENT
         result = await self._send(holder, grant)
         new_id = None
         if result is not ranges.GrantResult.UNKNOWN:
