--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -8,6 +8,8 @@
 import math
 import random
 
+import msgspec
+
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge.coordination import _claim
@@ -98,6 +100,8 @@
         Upper bound of a grant's duration.
     zones : mapping
         Region of each availability zone.
+    row_bytes : int
+        Longest value of a row that the store accepts, in bytes of base64.
     """
 
     def __init__(
@@ -123,6 +127,7 @@
         link_mbps: float = math.inf,
         grant_limit_ms: int = 10_000,
         zones: Mapping[base.ZoneName, base.RegionName] | None = None,
+        row_bytes: int = 65_536,
     ) -> None:
         self._instance = instance
         self._incarnation = incarnation
@@ -143,6 +148,7 @@
         self._is_first_start = is_first_start
         self._grant_limit_ms = grant_limit_ms
         self._zones = zones or {}
+        self._row_bytes = row_bytes
         self._policy = _claim.ClaimPolicy(rng=self._rng, link_mbps=link_mbps)
         self._store_rtt_ms = 0
         self._claim_era = 0
@@ -491,6 +497,7 @@
             is_view_confirmed=self._confirmed_era == self._claim_era,
             grant_limit_ms=self._grant_limit_ms,
             zones=self._zones,
+            row_bytes=self._row_bytes,
         )
         self._coordinator = coordinator
         self._permits.source = coordinator
@@ -584,23 +591,21 @@
                     )
                 )
                 continue
-            if self._knows_later_grants(base.ServiceName(row.key), record):
-                continue
-            self._view.set_owners(
-                base.ServiceName(row.key),
-                catalog.OwnerMap(segments=record.segments),
-            )
+            service = base.ServiceName(row.key)
+            if not self._knows_later_grants(service, record):
+                self._view.set_owners(service, _make_owner_map(record))
 
     def _knows_later_grants(
         self, service: base.ServiceName, record: ranges.RangeRecord
     ) -> bool:
-        """Return whether a record is older than the view.
+        """Return whether a record may be older than the view.
 
         The record goes back if the store comes back from an older copy.
         """
         owners = self._view.owners.get(service)
-        return owners is not None and any(
-            segment.fence >= record.next_fence for segment in owners.segments
+        return owners is not None and (
+            record.is_outdated(self._store.era)
+            or any(s.fence >= record.next_fence for s in owners.segments)
         )
 
     def _stop_standalone(self) -> None:
@@ -608,3 +613,19 @@
             self._standalone_task.cancel()
             self._standalone_task = None
             self._standalone_feed = None
+
+
+def _make_owner_map(record: ranges.RangeRecord) -> catalog.OwnerMap:
+    """Return the recorded holders as owners that serve their keys.
+
+    A holder is recorded before it is granted its keys, and the record does
+    not tell whether it has them since. Requests are sent to it, since it
+    refuses them if it has not.
+    """
+    held = catalog.SegmentState.HELD
+    return catalog.OwnerMap(
+        segments=[
+            msgspec.structs.replace(segment, state=held)
+            for segment in record.segments
+        ]
+    )
--- a/tarragonhinge/ranges/_leader.py
+++ b/tarragonhinge/ranges/_leader.py
@@ -270,11 +270,7 @@
         if not movable:
             return
         balance = self._targets.get_balance()
-        zone_items = [i for i in movable if i.reason == "zone_evacuated"]
-        for item in [
-            *(i for i in movable if i.reason != "zone_evacuated"),
-            *_evacuation.choose_batch(zone_items, balance.profile),
-        ]:
+        for item in _evacuation.choose_batch(movable, balance.profile):
             self._start_evacuation(item, balance)
 
     def _list_leaving(self) -> list[_evacuation.LeavingLease]:
@@ -300,12 +296,14 @@
     ) -> None:
         lease, region = item.lease, None
         pieces = _evacuation.DRAIN_PIECES
-        if item.reason == "zone_evacuated":
+        if item.is_batched:
             region = self._targets.find_region(item.entry)
             pieces = _evacuation.count_pieces(
                 balance.profile.sum_range(lease.first, lease.last),
                 list(balance.capacity.values()),
             )
+        if self._recorder.is_full:
+            pieces = 1
         lease.is_moving = True
         self._start_move(
             lease,
@@ -326,7 +324,7 @@
             the next check plans again.
         """
         self._load.decay()
-        if self._mover.active >= MAX_ACTIVE_MOVES:
+        if self._mover.active >= MAX_ACTIVE_MOVES or self._recorder.is_full:
             return True
         now = self._clock.read_boottime()
         pinned = {
