Recognize restarted and returned servers as cold, and ask returned ones

Cause: a connection that ended while idle told other instances nothing, so that those without recent traffic sent unlimited requests to a server that had restarted within 10 ms. Servers of a zone that is taken back count as cold for the whole warm-up, although some are warm.

Change: a connection that the server ends early counts as evidence for all instances; one broken exchange counts for this instance only.

--- a/tarragonhinge/gateway/_cold_watch.py
+++ b/tarragonhinge/gateway/_cold_watch.py
@@ -71,9 +71,11 @@
         returned, self._returned = self._returned, []
         return returned
 
-    def record_health(self, entry: catalog.ServerEntry, left_ms: int) -> None:
-        """Record for how long a server stays cold, as it states itself."""
-        self._record(entry, left_ms, _Source.HEALTH)
+    def shorten(self, entry: catalog.ServerEntry, left_ms: int) -> None:
+        """Record that a server states a shorter warm-up than is known."""
+        known_ms = self._cold.get_left_ms((entry.server, entry.born_ms))
+        if left_ms < known_ms:
+            self._record(entry, left_ms, _Source.HEALTH)
 
     def record_refusing(
         self, link: balancing.ServerLink, *, closed_count: int
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -14,6 +14,7 @@
 from tarragonhinge.gateway import _cold_watch
 from tarragonhinge.gateway import _crash_guard
 from tarragonhinge.gateway import _detour
+from tarragonhinge.gateway import _health_checker
 from tarragonhinge.gateway import _metrics
 from tarragonhinge.gateway import _options
 from tarragonhinge.gateway import _path_monitor
@@ -72,6 +73,8 @@
         Permits for requests to these servers.
     cold_watch : ColdWatch
         Recognizes servers that are cold.
+    health_checker : HealthChecker
+        Asks servers of a zone that is taken back.
     ledger : CrashLedger
         Crashes of servers, and the requests that are refused for them.
     guard : CrashGuard
@@ -120,6 +123,12 @@
         self.cold_watch = _cold_watch.ColdWatch(
             view=view, links=self.links, cold=self.server_limits.cold
         )
+        self.health_checker = _health_checker.HealthChecker(
+            dialect=dialect,
+            links=self.links,
+            cold_watch=self.cold_watch,
+            clock=clock,
+        )
         self.permits = limits.Permits(
             limits=self.server_limits,
             get_instances=self.fleet_size.get,
--- a/tarragonhinge/http1/_pool.py
+++ b/tarragonhinge/http1/_pool.py
@@ -24,6 +24,14 @@
 #: since a reset would leave its outcome unknown.
 FRESH_IDLE_LIMIT_MS = 1_000
 
+#: Fraction of the idle time up to which a connection is reused. One that the
+#: server ends before shows that its process has ended.
+EARLY_END_FRACTION = 0.5
+
+#: Number of broken exchanges that such a connection counts for, since a server
+#: that runs on may break off a single one.
+EARLY_END_WEIGHT = 2
+
 
 class ListenerState(enum.Enum):
     """Reaction of a server to an attempt to connect.
@@ -195,15 +203,15 @@
         self._lost_count = 0
         self._idle.append(connection)
 
-    def record_break(self) -> None:
+    def record_break(self, weight: int = 1) -> None:
         """Record that the server has ended a connection unexpectedly."""
-        self._lost_count += 1
+        self._lost_count += weight
         self._open_since = None
 
     def take_lost(self) -> int:
-        """Return the number of connections that ended until none was left.
+        """Return how many connections ended unexpectedly until none was left.
 
-        They count once; 0 if others were open.
+        They count once, by weight; 0 if others were open.
         """
         self.prune()
         lost_count, self._all_lost_count = self._all_lost_count, 0
@@ -246,8 +254,8 @@
             if connection.is_reusable() and idle_ms < limit_ms:
                 reusable.append(connection)
             else:
-                if connection.has_ended_early(FRESH_IDLE_LIMIT_MS):
-                    self.record_break()
+                if connection.has_ended_early(EARLY_END_FRACTION * limit_ms):
+                    self.record_break(EARLY_END_WEIGHT)
                 self._close_connection(connection)
         self._idle = reusable
 
--- a/tarragonhinge/http1/_server_connection.py
+++ b/tarragonhinge/http1/_server_connection.py
@@ -76,7 +76,7 @@
         """Return whether the connection can be used for another request."""
         return self._stream.is_usable and not self._stream.unsent_bytes
 
-    def has_ended_early(self, idle_ms: int) -> bool:
+    def has_ended_early(self, idle_ms: float) -> bool:
         """Return whether the server has ended it before it was idle so long.
 
         Servers end connections that have been idle for long.
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -201,6 +201,11 @@
         self._tasks = [
             asyncio.create_task(self._member.run()),
             asyncio.create_task(self._update_state()),
+            asyncio.create_task(
+                self.gateway.health_checker.run(
+                    lambda: self._member.is_coordinator
+                )
+            ),
         ]
         self.log.write(
             events.Started(
--- a/tarragonhinge/platform/standins/__init__.py
+++ b/tarragonhinge/platform/standins/__init__.py
@@ -5,10 +5,12 @@
 from tarragonhinge.platform.standins._network import Network
 from tarragonhinge.platform.standins._server import Execution
 from tarragonhinge.platform.standins._server import ExecutionState
+from tarragonhinge.platform.standins._server import HEALTH_PATH
 from tarragonhinge.platform.standins._server import StandInServer
 from tarragonhinge.platform.standins._store import StandInStore
 
 __all__ = [
+    "HEALTH_PATH",
     "CutForm",
     "Execution",
     "ExecutionState",
--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -12,6 +12,9 @@
 import time
 import urllib.parse
 
+#: Path of the health check.
+HEALTH_PATH = "/healthz"
+
 _CRLF = "\r\n"
 _NOT_EXECUTED = [("Tarragonhinge-Not-Executed", "1")]
 
@@ -134,6 +137,11 @@
     limit : str or None
         Requests per second that it names in its responses; None for no
         limit.
+    warm_up_ms : str or None
+        Time for which it stays cold, as its health responses state; None for
+        no field.
+    health_checks : list of str
+        Address from which each health check came.
     work_s : float
         Duration of an execution, in seconds; a request overrides it by the
         parameter ``work`` of its target, in milliseconds.
@@ -163,6 +171,8 @@
         self.leaving: str | None = None
         self.wait: str | None = None
         self.limit: str | None = None
+        self.warm_up_ms: str | None = None
+        self.health_checks: list[str] = []
         self.request_arrived = asyncio.Event()
         self.work_allowed = asyncio.Event()
         self.work_allowed.set()
@@ -245,8 +255,18 @@
         if target.endswith(("/grant", "/release")):
             self._handle_grant_or_release(target, json.loads(body), writer)
             return True
+        if target == HEALTH_PATH:
+            self._handle_health_check(writer)
+            return True
         return await self._handle_request(line, fields, body, reader, writer)
 
+    def _handle_health_check(self, writer: asyncio.StreamWriter) -> None:
+        self.health_checks.append(writer.get_extra_info("peername")[0])
+        fields = [("Tarragonhinge-Instance-Id", self.name)]
+        if self.warm_up_ms is not None:
+            fields.append(("Tarragonhinge-Warmup-Ms", self.warm_up_ms))
+        self._write_response(writer, 200, fields, "ok")
+
     async def _handle_request(
         self,
         line: str,
--- a/tarragonhinge/platform/tests/deployment.py
+++ b/tarragonhinge/platform/tests/deployment.py
@@ -82,7 +82,8 @@
         Network of each instance, by the instance's address.
     """
 
-    def __init__(self, *, instances, servers, is_keyed=False):
+    def __init__(self, *, instances, servers, is_keyed=False, service=None):
+        self._service = service or {}
         self._clock = base.Clock()
         self._is_keyed = is_keyed
         self.store = standins.StandInStore()
@@ -187,12 +188,13 @@
             while not check():
                 await self._clock.sleep(20)
 
-    def list_server(self, server, state="ready"):
+    def list_server(self, server, state="ready", *, cold_ms=0, zone="z"):
         """Write the entry of a server."""
         entry = {
             "service": "books",
             "address": server.address,
-            "zone": "z",
+            "zone": zone,
+            "warmupLeft": cold_ms,
             "slots": server.slots,
             "state": state,
             "born": server.born_ms,
@@ -273,6 +275,7 @@
             "name": "books",
             "maxConns": 100,
             "sharded": self._is_keyed,
+            **self._service,
         }
         unsafe = {**route, "name": "u", "prefix": "/u/", "kind": "unsafe"}
         config = {
