Limit requests to servers that have come up by their responses

Cause: after a start or an outage, the estimates of 66 instances say nothing about a server. Requests that waited for it overload it, or it fails again. A mean of latencies shows a processor taken by neighbours only when it is over.

Change: balancing._pace decides how many requests of all instances may be at the server, from the totals that responses state, latencies, the stated duration of work, refusals, resets and time-outs.

--- a/tarragonhinge/balancing/_links.py
+++ b/tarragonhinge/balancing/_links.py
@@ -6,6 +6,7 @@
 
 from tarragonhinge.balancing import _fleet_size
 from tarragonhinge.balancing import _leaving_servers
+from tarragonhinge.balancing import _pace
 from tarragonhinge.balancing import _path
 from tarragonhinge.balancing import _placement
 from tarragonhinge.balancing import _route_sizes
@@ -118,6 +119,7 @@
             is_out_of_reach=self.is_out_of_reach(fresh=fresh),
             wait_limit_ms=self._compute_wait_limit_ms(route, urgent),
             is_full=self.load.is_full(),
+            pace_wait_ms=self.load.estimate_pace_wait_ms(),
         )
 
     def _compute_wait_limit_ms(
@@ -181,6 +183,7 @@
         self._leaving = leaving
         self._clock = clock
         self._links: dict[base.ServerId, ServerLink] = {}
+        self._evacuated: frozenset[base.ZoneName] = frozenset()
         self._service_times: dict[
             base.ServiceName, _server_load.ServiceTime
         ] = {}
@@ -189,12 +192,19 @@
         view.changes.subscribe(self._prune)
 
     def _prune(self, _: None) -> None:
-        """Close the links to incarnations that are no longer listed."""
+        """Close the links to incarnations that are no longer listed.
+
+        Servers of a zone that is taken back begin with a low pace.
+        """
+        evacuated = self._view.evacuated_zones
         for server, link in list(self._links.items()):
             entry = self._view.servers.get(server)
             if not link.entry.is_same_incarnation(entry):
                 link.pool.close()
                 del self._links[server]
+            elif link.entry.zone in self._evacuated - evacuated:
+                link.load.restart_pace()
+        self._evacuated = evacuated
 
     def find(self, server: base.ServerId) -> ServerLink | None:
         """Return the link to a server, or None if there is no entry."""
@@ -250,6 +260,14 @@
             return not self._leaving.is_over(link.incarnation)
         return entry.state is catalog.ServerState.READY
 
+    def list_reported(self) -> list[ServerLink]:
+        """Return the existing links whose loads other instances need."""
+        paced = [
+            link for link in self._links.values() if link.load.pace is not None
+        ]
+        keyed = [link for link in self.list_keyed() if link.load.pace is None]
+        return keyed + paced
+
     def list_keyed(self) -> list[ServerLink]:
         """Return the existing links to servers of keyed services."""
         if self._view.table is None:
@@ -276,9 +294,14 @@
             ),
             clock=self._clock,
             get_sender_count=self._fleet_size.get if is_keyed else lambda: 1,
+            pace=_pace.ServerPace(slots=entry.slots)
+            if service and service.warm_up_ms
+            else None,
         )
         if entry.cold_ms:
             load.set_cold(entry.cold_ms)
+        if service and self._has_just_started(entry, service):
+            load.restart_pace()
         return ServerLink(
             entry=entry,
             distance=self._compute_distance(entry.zone),
@@ -295,6 +318,16 @@
             waits=self._waits,
         )
 
+    def _has_just_started(
+        self, entry: catalog.ServerEntry, service: catalog.Service
+    ) -> bool:
+        """Return whether a server has started while others were running.
+
+        An instance that has just started itself knows no server either.
+        """
+        age_ms = self._clock.read_wall_time() - entry.born_ms
+        return entry.cold_ms > 0 or 0 <= age_ms < service.warm_up_ms
+
     def _compute_distance(self, zone: base.ZoneName) -> _placement.Distance:
         if zone == self._zone:
             return _placement.Distance.ZONE
--- a/tarragonhinge/balancing/_placement.py
+++ b/tarragonhinge/balancing/_placement.py
@@ -73,6 +73,8 @@
         more urgent ones would wait behind it.
     is_full : bool
         Whether its queue is estimated to have no room.
+    pace_wait_ms : float
+        Time until its pace leaves room for another request.
     """
 
     server: base.ServerId
@@ -86,6 +88,7 @@
     is_out_of_reach: bool = False
     wait_limit_ms: float = math.inf
     is_full: bool = False
+    pace_wait_ms: float = 0.0
 
     def compute_idle_ms(self) -> float:
         """Return the expected latency of a request that need not wait."""
@@ -108,7 +111,8 @@
     """Reason why a request is refused without being sent.
 
     URGENT_FIRST: it would be in time, but more urgent ones would wait for too
-    long behind it.
+    long behind it. PACED: each server has come up lately, and has as many
+    requests as it can be trusted with.
     """
 
     NO_SERVER = "no_server"
@@ -116,6 +120,7 @@
     URGENT_FIRST = "urgent_first"
     UNREACHABLE = "unreachable"
     SERVER_WAIT = "server_wait"
+    PACED = "paced"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -129,7 +134,7 @@
     expected_ms, idle_ms : float
         Lowest expected latency, and the lowest one without a wait.
     wait_ms : int
-        Time until a server takes requests again, if they all ask to wait.
+        Time until a server takes requests again, if none takes any now.
     may_detour : bool
         Whether another instance may reach more of the servers.
     """
@@ -183,6 +188,16 @@
         if not (c.is_cooling_down or c.is_out_of_reach) and c.closed_ms <= 0
     ]
     may_detour = any(c.is_out_of_reach for c in candidates)
+    paced = [c for c in usable if c.pace_wait_ms > 0]
+    if paced and len(paced) == len(usable):
+        return Refusal(
+            reason=RefusalReason.PACED,
+            idle_ms=min(c.compute_idle_ms() for c in paced),
+            wait_ms=math.ceil(min(c.pace_wait_ms for c in paced)),
+            may_detour=may_detour,
+        )
+    if paced:
+        usable = [c for c in usable if c.pace_wait_ms <= 0]
     if not usable:
         waits_ms = [c.closed_ms for c in candidates if c.closed_ms > 0]
         if waits_ms:
--- a/tarragonhinge/balancing/_placer.py
+++ b/tarragonhinge/balancing/_placer.py
@@ -17,6 +17,12 @@
 from tarragonhinge import jobs
 from tarragonhinge import limits
 
+#: Refusals that a request may avoid if it waits here.
+_HELD_REASONS = (
+    _placement.RefusalReason.URGENT_FIRST,
+    _placement.RefusalReason.PACED,
+)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Placement:
@@ -39,7 +45,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Hold:
-    """A request that waits here, since more urgent ones go first.
+    """A request that waits here for room at its servers.
 
     Parameters
     ----------
@@ -314,7 +320,7 @@
         )
         if isinstance(decision, _placement.Choice):
             return self._make_placement(job, links, segment, decision)
-        if decision.reason is _placement.RefusalReason.URGENT_FIRST:
+        if decision.reason in _HELD_REASONS:
             left_ms = self._compute_hold_ms(job, decision)
             if left_ms > 0:
                 return _Hold(line=line, left_ms=left_ms)
--- a/tarragonhinge/balancing/_server_load.py
+++ b/tarragonhinge/balancing/_server_load.py
@@ -9,6 +9,8 @@
 import math
 
 from tarragonhinge import admission
+from tarragonhinge.balancing import _pace
+from tarragonhinge.balancing import _work_speed
 from tarragonhinge import base
 from tarragonhinge import jobs
 
@@ -125,9 +127,16 @@
     get_sender_count : callable
         Returns the number of instances assumed to send to the server at
         the same rate; 1 to assume no requests from other instances.
+    pace : ServerPace or None
+        Limit of the requests at the server after it has come up; None if it
+        needs none.
 
     Attributes
     ----------
+    pace : ServerPace or None
+        Limit of the requests at the server after it has come up.
+    work_speed : WorkSpeed
+        How long work takes on its machine now.
     in_flight : int
         Number of requests from this instance without a response so far.
     """
@@ -139,7 +148,10 @@
         service_time: ServiceTime,
         clock: base.Clock,
         get_sender_count: Callable[[], int] = lambda: 1,
+        pace: _pace.ServerPace | None = None,
     ) -> None:
+        self.pace = pace
+        self.work_speed = _work_speed.WorkSpeed()
         self._get_sender_count = get_sender_count
         self.slots = max(1, slots)
         self.in_flight = 0
@@ -214,6 +226,7 @@
         )
         if self._clock.now() < self._cold_until:
             slowness *= COLD_SERVICE_TIME_FACTOR
+        slowness *= self.work_speed.get_factor(self._clock.now())
         return slowness * self._service_time.estimate_ms(route)
 
     def estimate_wait_ms(self) -> float:
@@ -228,6 +241,35 @@
         total = self.in_flight + self.estimate_others_in_flight()
         return total > self.slots
 
+    def restart_pace(self) -> None:
+        """Limit requests again to a server that has come up."""
+        if self.pace is not None:
+            self.pace.restart(self._clock.now())
+
+    def get_pace_limit(self) -> float:
+        """Return how many requests may be at the server now."""
+        if self.pace is None:
+            return math.inf
+        return self.pace.get_limit(self._clock.now())
+
+    def estimate_pace_wait_ms(self) -> float:
+        """Return the time until the pace leaves room; 0 if it does now."""
+        limit = self.get_pace_limit()
+        if limit == math.inf:
+            return 0.0
+        total = self.in_flight + self.estimate_others_in_flight()
+        if total < limit:
+            return 0.0
+        running = min(self.slots, max(1.0, total))
+        return (total - limit + 1) * self.estimate_service_ms() / running
+
+    def _record_pace_failure(self) -> None:
+        if self.pace is not None:
+            self.pace.record_failure(
+                self._clock.now(),
+                total=self.in_flight + self.estimate_others_in_flight(),
+            )
+
     def is_full(self) -> bool:
         """Return whether one more request is estimated not to fit."""
         if self._clock.now() >= self._full_load_until:
@@ -272,6 +314,15 @@
             waiting = load.waiting
             self.slots = max(1, load.slots)
             self._record_reported_load(load)
+        if failed:
+            self._record_pace_failure()
+        elif self.pace is not None:
+            self.pace.record_response(
+                self._clock.now(),
+                latency_ms=latency_ms,
+                mean_ms=self._service_time.estimate_ms(route),
+                load=load,
+            )
         if waiting == 0 and not failed:
             self._record_service_time(latency_ms, route)
 
@@ -291,9 +342,17 @@
         load, self._unpublished_load = self._unpublished_load, None
         return load
 
-    def record_observed_load(self, total: int) -> None:
+    def record_observed_load(
+        self, total: int, work_percent: int = _work_speed.USUAL_PERCENT
+    ) -> None:
         """Record the load that another instance has observed."""
         self._update_others_in_flight(total)
+        now = self._clock.now()
+        self.work_speed.record(now, work_percent)
+        if self.pace is not None:
+            self.pace.record_report(
+                now, total=total, work_percent=work_percent
+            )
 
     def take_latencies(self) -> tuple[int, float]:
         """Return count and mean of the latencies since the last call."""
@@ -315,6 +374,10 @@
         error = abs(total - self.in_flight - self.estimate_others_in_flight())
         self._update_others_in_flight(total)
         is_busy = total >= load.slots
+        now = self._clock.now()
+        is_changed = self.work_speed.record(now, load.work_percent)
+        if is_changed or (self.pace is not None and self.pace.is_active(now)):
+            self._unpublished_load = total
         if is_busy != self._was_busy or (
             is_busy and error >= MIN_PUBLISHED_LOAD_ERROR
         ):
@@ -337,6 +400,7 @@
         its load, like a server that fails a part of them. Any other one is
         assumed to have no free slot for one service time.
         """
+        self._record_pace_failure()
         if load is not None:
             self._record_reported_load(load)
             if load.running + load.waiting < load.slots:
@@ -352,6 +416,7 @@
         It has as many requests as it can queue, and room for another one as
         soon as it has completed one. It is busy, and has not failed.
         """
+        self._record_pace_failure()
         total = self.in_flight + self.estimate_others_in_flight()
         most = self._full_load
         if self._clock.now() >= self._full_load_until:
@@ -366,6 +431,7 @@
 
     def record_failed_attempt(self) -> None:
         """Record an attempt without a valid response."""
+        self._record_pace_failure()
         self.health.record(failed=True)
 
     def record_crashed(self) -> None:
@@ -373,6 +439,7 @@
 
         Its entry is removed meanwhile, or states another start.
         """
+        self.restart_pace()
         self._cooldown_ms = MAX_COOLDOWN_MS
         self._cooldown_until = self._clock.now() + self._cooldown_ms
 
--- a/tarragonhinge/gateway/_path_monitor.py
+++ b/tarragonhinge/gateway/_path_monitor.py
@@ -209,6 +209,8 @@
                 self._watchers[watch.__name__] = self._start(watch())
 
     def _handle_opened(self, link: balancing.ServerLink) -> None:
+        if self._cold_watch is not None:
+            link.load.restart_pace()
         self._closed.pop(link.incarnation, None)
         self._log.write(
             events.PathChanged(
--- a/tarragonhinge/gateway/_reporter.py
+++ b/tarragonhinge/gateway/_reporter.py
@@ -64,11 +64,15 @@
     def make_loads(self) -> relay.Loads:
         """Return what responses have shown of servers since the last call."""
         loads = []
-        for link in self._links.list_keyed():
+        for link in self._links.list_reported():
             total = link.load.take_observed_load()
             if total is not None:
                 loads.append(
-                    relay.ObservedLoad(server=link.entry.server, total=total)
+                    relay.ObservedLoad(
+                        server=link.entry.server,
+                        total=total,
+                        work_percent=link.load.work_speed.percent,
+                    )
                 )
         return relay.Loads(
             seen=loads,
@@ -97,4 +101,4 @@
         for load in loads.seen:
             link = self._links.find(load.server)
             if link is not None:
-                link.load.record_observed_load(load.total)
+                link.load.record_observed_load(load.total, load.work_percent)
--- a/tarragonhinge/relay/_hub.py
+++ b/tarragonhinge/relay/_hub.py
@@ -128,7 +128,7 @@
         self._trial_issuer = trial_issuer
         self._directory = directory
         self._has_new_peers = False
-        self._pending_loads: dict[base.ServerId, int] = {}
+        self._pending_loads: dict[base.ServerId, _messages.ObservedLoad] = {}
         self._pending_limits: dict[limits.Incarnation, limits.NamedLimit] = {}
         self._pending_cold: dict[
             tuple[limits.Incarnation, limits.ColdSource], limits.ColdServer
@@ -333,9 +333,7 @@
 
     def forward_loads(self, loads: _messages.Loads) -> None:
         """Queue server loads and limits for all subscribers."""
-        self._pending_loads.update(
-            (load.server, load.total) for load in loads.seen
-        )
+        self._pending_loads.update((load.server, load) for load in loads.seen)
         self._pending_limits.update(
             ((limit.server, limit.born_ms), limit)
             for limit in loads.named_limits
@@ -363,10 +361,7 @@
             cold, self._pending_cold = self._pending_cold, {}
             self._send(
                 _messages.Loads(
-                    seen=[
-                        _messages.ObservedLoad(server=server, total=total)
-                        for server, total in loads.items()
-                    ],
+                    seen=list(loads.values()),
                     named_limits=list(named.values()),
                     cold=list(cold.values()),
                 )
--- a/tarragonhinge/relay/_messages.py
+++ b/tarragonhinge/relay/_messages.py
@@ -59,10 +59,21 @@
 
 
 class ObservedLoad(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Total number of running and waiting requests of a server."""
+    """Load of a server, as one of its responses stated it.
+
+    Parameters
+    ----------
+    server : ServerId
+        The server.
+    total : int
+        Number of its running and waiting requests.
+    work_percent : int
+        Duration of work on its machine; 100 is the usual one.
+    """
 
     server: base.ServerId
     total: int
+    work_percent: int = 100
 
 
 class Loads(
