--- a/tarragonhinge/balancing/_placer.py
+++ b/tarragonhinge/balancing/_placer.py
@@ -18,6 +18,12 @@
 from tarragonhinge import jobs
 from tarragonhinge import limits
 
+#: Refusals that a request may avoid if it waits here.
+_HELD_REASONS = (
+    _placement.RefusalReason.URGENT_FIRST,
+    _placement.RefusalReason.PACED,
+)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Placement:
@@ -40,7 +46,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Hold:
-    """A request that waits here, since more urgent ones go first.
+    """A request that waits here for room at its servers.
 
     Parameters
     ----------
@@ -371,7 +377,7 @@
         )
         if isinstance(decision, _placement.Choice):
             return self._make_placement(job, links, segment, decision)
-        if decision.reason is _placement.RefusalReason.URGENT_FIRST:
+        if decision.reason in _HELD_REASONS:
             left_ms = self._compute_hold_ms(job, decision)
             if left_ms > 0:
                 return _Hold(line=line, left_ms=left_ms)
