--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -137,6 +137,8 @@
     work_s : float
         Duration of an execution, in seconds; a request overrides it by the
         parameter ``work`` of its target, in milliseconds.
+    padding_bytes : int
+        Size of what the responses to executions have in addition.
     """
 
     def __init__(
@@ -167,6 +169,7 @@
         self.work_allowed = asyncio.Event()
         self.work_allowed.set()
         self.work_s = 0.0
+        self.padding_bytes = 0
         self.leases: list[tuple[int, int, int, float]] = []
         self.fences: list[tuple[int, int, int]] = []
         self.running = 0
@@ -376,7 +379,7 @@
             ("Tarragonhinge-Upstream-Seal", "3e.1"),
             ("Tarragonhinge-Upstream-Load", load),
         ]
-        body = f"{attempt} of {self.name}"
+        body = f"{attempt} of {self.name}" + "x" * self.padding_bytes
         if mode == "silent":
             await reader.read()
             return False
