Add an account of the memory that clients make the process hold

Cause: nothing bounds the sum of the bodies, responses and requests sent ahead that clients make an instance hold, so that a crowd of them ended a process.

Change: the package 'memory' counts them by kind, request and connection. Small requests may use all of the budget, large ones leave a twelfth to them, and requests sent ahead use half at most. What does not fit waits; while it waits, clients are closed that hold memory and would need more than 10 s to move it at their pace.

Result: the tests replay crowds on manual time; nothing uses the package yet.

--- /dev/null
+++ b/tarragonhinge/memory/tests/test_account.py
@@ -0,0 +1,133 @@
+"""Crowds of clients, replayed against the account without a network."""
+
+import asyncio
+
+import pytest
+
+from tarragonhinge import memory
+from tarragonhinge.testing import run_manual
+
+BUDGET_BYTES = 24_000_000
+LARGE_BYTES = 7_000_000
+SMALL_BYTES = 60_000
+
+
+class _Client:
+    """A client whose moves a test sets."""
+
+    def __init__(self, account, *, awaits_client=True):
+        self.moved = 0
+        self.is_closed = False
+        self.memory = memory.ClientMemory(
+            account=account,
+            connection_bytes=1_000,
+            get_moved=lambda: self.moved,
+            awaits_client=lambda: awaits_client,
+            close_stalled=self._close,
+        )
+        self.usage = self.memory.open_usage()
+
+    def _close(self, holding):
+        self.is_closed = True
+        self.memory.close()
+
+    async def receive(self, count):
+        await self.usage.grow(memory.Kind.REQUEST, count)
+
+
+def test_stalled_crowd_makes_room_for_others():
+    """Guards against unfinished bodies that keep all memory for ever."""
+
+    async def run():
+        account = memory.MemoryAccount(budget_bytes=BUDGET_BYTES)
+        crowd = [_Client(account) for _ in range(3)]
+        for client in crowd:
+            await client.receive(LARGE_BYTES)
+            client.moved = LARGE_BYTES
+        await asyncio.sleep(3)
+        await _Client(account).receive(LARGE_BYTES)
+        assert sum(client.is_closed for client in crowd) == 1
+
+    run_manual(run())
+
+
+@pytest.mark.parametrize("awaits_client", [False, True])
+def test_client_that_moves_or_waits_for_a_server_is_not_closed(awaits_client):
+    """Guards against closing a client whose request is being handled."""
+
+    async def run():
+        account = memory.MemoryAccount(budget_bytes=BUDGET_BYTES)
+        crowd = [
+            _Client(account, awaits_client=awaits_client) for _ in range(3)
+        ]
+        for client in crowd:
+            await client.receive(LARGE_BYTES)
+        task = asyncio.create_task(_Client(account).receive(LARGE_BYTES))
+        while not task.done():
+            await asyncio.sleep(0.05)
+            for client in crowd:
+                client.moved += awaits_client * 50_000
+        with pytest.raises(memory.FullError) as caught:
+            await task
+        assert caught.value.retry_after_ms > 0
+        assert not any(client.is_closed for client in crowd)
+        await _Client(account).receive(SMALL_BYTES)
+
+    run_manual(run())
+
+
+def test_memory_that_is_released_goes_to_the_request_that_waits():
+    """Guards against a lost wake-up, and memory that stays counted."""
+
+    async def run():
+        account = memory.MemoryAccount(budget_bytes=BUDGET_BYTES)
+        crowd = [_Client(account) for _ in range(3)]
+        for client in crowd:
+            await client.receive(LARGE_BYTES)
+        waiting, left = _Client(account), _Client(account)
+        tasks = [
+            asyncio.create_task(client.receive(LARGE_BYTES))
+            for client in (waiting, left)
+        ]
+        await asyncio.sleep(0.01)
+        tasks[1].cancel()
+        crowd[0].memory.close()
+        await tasks[0]
+        for client in (*crowd, waiting, left):
+            client.memory.close()
+            client.memory.close()
+        assert [account.get_used(kind) for kind in memory.Kind] == [0, 0, 0]
+
+    run_manual(run())
+
+
+def test_requests_sent_ahead_leave_room_for_the_first_ones():
+    """Guards against responses that wait behind one without memory."""
+
+    async def run():
+        account = memory.MemoryAccount(budget_bytes=BUDGET_BYTES)
+        client = _Client(account)
+        ahead = [client.memory.open_usage(is_ahead=True) for _ in range(3)]
+        kind = memory.Kind.RESPONSE
+        assert [usage.try_grow(kind, LARGE_BYTES) for usage in ahead] == [
+            True,
+            False,
+            False,
+        ]
+        await client.receive(LARGE_BYTES)
+        ahead[1].promote()
+        assert ahead[1].try_grow(kind, LARGE_BYTES)
+
+    run_manual(run())
+
+
+@pytest.mark.parametrize("memory_mb", [160, 552, None])
+def test_one_largest_body_fits_into_each_machine(memory_mb):
+    async def run():
+        budget_bytes = memory.compute_budget(
+            memory_mb and memory_mb * 1_000_000
+        )
+        account = memory.MemoryAccount(budget_bytes=budget_bytes)
+        await _Client(account).receive((64 << 20) + 200_000)
+
+    run_manual(run())
