Keep a body once, and count the memory of requests and responses

Cause: a body of 64 MB took an instance from 51 to 312 MB: the buffer of the reader, a copy in bytes, one joined with the head, and one in the transport. Nothing bounded the sum of bodies and unread responses.

Change: a large body stays in the buffer in which it was received and is written in parts of 64 KB, each after the one before has left the transport. Connections receive into one common buffer and stop to read at 64 KB. A response that does not fit stays in the network until the deadline of its request. A connection whose server has responded before the end of the body is closed. One instance sends at most 32 MB of bodies to a server at a time. The account takes the place of '_body_memory'.

--- a/tarragonhinge/forwarding/_client.py
+++ b/tarragonhinge/forwarding/_client.py
@@ -99,6 +99,7 @@
                     call,
                 ),
                 body=request.body,
+                usage=request.usage,
             ),
             timeout_ms=call.deadline_ms,
             on_sent=on_sent,
--- a/tarragonhinge/forwarding/_messages.py
+++ b/tarragonhinge/forwarding/_messages.py
@@ -177,6 +177,7 @@
         target=request.target,
         fields=fields,
         body=request.body,
+        usage=request.usage,
     )
 
 
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -111,7 +111,13 @@
         sent: asyncio.Future[None],
     ) -> jobs.AttemptOutcome:
         sent_at = self._clock.now()
-        result = await self._exchange(job, link, flight, sent)
+        body_bytes = len(job.request.body)
+        if not link.pool.reserve_body(body_bytes):
+            return _make_unsent("the server holds too many bytes")
+        try:
+            result = await self._exchange(job, link, flight, sent)
+        finally:
+            link.pool.release_body(body_bytes)
         slot.release()
         if not isinstance(result, http1.HttpResponse):
             return result
@@ -282,6 +288,7 @@
                 ),
             ],
             body=job.request.body,
+            usage=job.request.usage,
         )
 
     def _classify(
--- a/tarragonhinge/http1/__init__.py
+++ b/tarragonhinge/http1/__init__.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 connections to callers and to backend servers."""
 
 from tarragonhinge.http1._caller_connection import CallerConnection
+from tarragonhinge.http1._caller_connection import CONNECTION_BYTES
 from tarragonhinge.http1._caller_connection import CONNECTION_CLOSED
 from tarragonhinge.http1._caller_connection import DISCONNECTED
 from tarragonhinge.http1._errors import ExchangeError
@@ -19,6 +20,7 @@
 from tarragonhinge.http1._tcp_stream import TcpStream
 
 __all__ = [
+    "CONNECTION_BYTES",
     "CONNECTION_CLOSED",
     "DISCONNECTED",
     "CallerConnection",
--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -13,9 +13,9 @@
 from tarragonhinge import catalog
 from tarragonhinge.http1 import _exchange
 from tarragonhinge.http1 import _messages
-from tarragonhinge.http1 import _parser_turns
-from tarragonhinge.http1 import _read_deadline
+from tarragonhinge.http1 import _request_reader
 from tarragonhinge.http1 import _tcp_stream
+from tarragonhinge import memory
 
 #: Largest number of pipelined requests of one connection.
 PIPELINE_LIMIT = 16
@@ -25,6 +25,13 @@
 DISCONNECTED = "disconnected"
 CONNECTION_CLOSED = "connection_closed"
 
+#: Memory of a connection: its objects, the parsers' buffers and what is read
+#: ahead.
+CONNECTION_BYTES = 49_152
+
+#: Size up to which a response is written at once.
+SMALL_RESPONSE_BYTES = 1 << 16
+
 #: Interval at which a connection that waits for responses checks whether its
 #: caller has disconnected.
 END_CHECK_MS = 100
@@ -35,6 +42,13 @@
 
 Handler = Callable[[_messages.HttpRequest], Awaitable[_messages.HttpResponse]]
 
+#: Memory of connections whose process names no account.
+_UNBOUNDED = memory.MemoryAccount(budget_bytes=memory.compute_budget(None))
+
+
+def _make_refusal(retry_after_ms: int) -> _messages.HttpResponse:
+    return _messages.HttpResponse(status=503, fields=[])
+
 
 class _State(enum.Enum):
     """Whether requests are started."""
@@ -45,20 +59,6 @@
     CLOSING = "closing"
 
 
-class _ReadEndedError(Exception):
-    """No more requests can be read.
-
-    Parameters
-    ----------
-    status : int or None
-        Status of the final response; None if the caller has disconnected.
-    """
-
-    def __init__(self, status: int | None) -> None:
-        super().__init__(status)
-        self.status = status
-
-
 class CallerConnection:
     """Reads pipelined requests and writes the responses in order.
 
@@ -83,6 +83,14 @@
     is_stopping : callable
         Returns whether the instance is stopping.  The last response then
         closes the connection.
+    account : MemoryAccount
+        Memory of all connections.
+    make_refusal : callable
+        Returns the response to a request for which there is no memory,
+        given the time in milliseconds after which the caller may retry.
+    record_stall : callable
+        Called with the address of the caller and what it held, if its
+        connection is closed since memory is short.
     """
 
     def __init__(
@@ -93,15 +101,19 @@
         is_concurrent: Callable[[_messages.HttpRequest], bool],
         get_limits: Callable[[], catalog.CallerLimits],
         is_stopping: Callable[[], bool],
+        account: memory.MemoryAccount = _UNBOUNDED,
+        make_refusal: Callable[[int], _messages.HttpResponse] = _make_refusal,
+        record_stall: Callable[[str, memory.Holding], None] = (
+            lambda peer, holding: None
+        ),
     ) -> None:
         self._stream = stream
         self._handle = handle
         self._is_concurrent = is_concurrent
         self._get_limits = get_limits
         self._is_stopping = is_stopping
-        self._unparsed = b""
-        self._is_receiving = False
-        self._answered_at = 0.0
+        self._make_refusal = make_refusal
+        self._record_stall = record_stall
         self._queue: collections.deque[_exchange.Exchange] = (
             collections.deque()
         )
@@ -109,6 +121,25 @@
         self._has_room = asyncio.Event()
         self._state = _State.OPEN
         self._tasks: set[asyncio.Task] = set()
+        self._memory = memory.ClientMemory(
+            account=account,
+            connection_bytes=CONNECTION_BYTES,
+            get_moved=lambda: stream.moved_bytes,
+            awaits_client=self._awaits_client,
+            close_stalled=self._close_stalled,
+        )
+        self._reader = _request_reader.RequestReader(
+            stream=stream,
+            client=self._memory,
+            has_pending=lambda: bool(self._queue),
+            wait_for_pending=lambda: self._wait_for_responses(0),
+            write=self._write_interim,
+        )
+
+    @property
+    def answered_at(self) -> float:
+        """Time of the event loop at which the last response was sent."""
+        return self._reader.answered_at
 
     @property
     def is_idle(self) -> bool:
@@ -121,7 +152,38 @@
             return False
         if self._state is _State.CLOSING:
             return True
-        return not self._is_receiving and not self._stream.has_unread
+        return not self._reader.is_receiving and not self._stream.has_unread
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether it is closed, or will be with its last response."""
+        return self._state is _State.CLOSING
+
+    @property
+    def peer(self) -> str:
+        """Address of the caller."""
+        return self._stream.peer
+
+    @property
+    def is_incomplete(self) -> bool:
+        """Whether it waits for the rest of its only request."""
+        return not self._queue and self._reader.is_receiving
+
+    def _awaits_client(self) -> bool:
+        """Return whether the next move is the caller's."""
+        if self._stream.unsent_bytes:
+            return True
+        return not self._queue and self._reader.awaits_body
+
+    def _close_stalled(self, holding: memory.Holding) -> None:
+        """Close the connection, since its caller holds memory."""
+        self._record_stall(self._stream.peer, holding)
+        self.abort()
+
+    def abort(self) -> None:
+        """Close the connection at once; unsent responses are lost."""
+        self._state = _State.CLOSING
+        self._stream.abort()
 
     def close(self) -> None:
         """Close the connection unless it is closing already."""
@@ -156,6 +218,7 @@
             writer.cancel()
             self._stream.close()
             await asyncio.wait(tasks)
+            self._memory.close()
 
     def _cancel_handlers(self, cause: str) -> None:
         for task in self._tasks:
@@ -165,11 +228,11 @@
         """Read until the caller disconnects."""
         try:
             await self._read_requests()
-        except _ReadEndedError as end:
+        except _request_reader.ReadEndedError as end:
             if end.status is None:
                 return
             if self._state is _State.OPEN:
-                self._reject(end.status)
+                self._reject(end)
         while await self._stream.read():
             pass
 
@@ -180,7 +243,7 @@
             parser = h11.Connection(
                 h11.SERVER, max_incomplete_event_size=limits.header_bytes
             )
-            request = await self._read_request(parser, limits)
+            request = await self._reader.read(parser, limits)
             if self._queue and self._is_stopping():
                 # The response to an earlier request closes the connection.
                 self._state = _State.CLOSING
@@ -203,7 +266,10 @@
         future: asyncio.Future = asyncio.get_running_loop().create_future()
         self._queue.append(
             _exchange.Exchange(
-                parser=parser, response=future, method=request.method
+                parser=parser,
+                response=future,
+                method=request.method,
+                usage=request.usage,
             )
         )
         task = asyncio.create_task(
@@ -245,98 +311,25 @@
             asyncio.get_running_loop().call_exception_handler(
                 {"message": "handling a request failed", "exception": error}
             )
+        # The request is not sent any more.
+        request.usage.release(memory.Kind.REQUEST)
         if not future.done():
             future.set_result(response)
 
-    async def _read_request(
-        self, parser: h11.Connection, limits: catalog.CallerLimits
-    ) -> _messages.HttpRequest:
-        """Return the next complete request."""
-        if self._unparsed:
-            parser.receive_data(self._unparsed)
-        head: h11.Request | None = None
-        body = bytearray()
-        event_count = 0
-        deadline = _read_deadline.ReadDeadline(
-            limits=limits, has_started=self._is_receiving
-        )
-        while True:
-            try:
-                event = parser.next_event()
-            except h11.RemoteProtocolError as error:
-                raise _ReadEndedError(error.error_status_hint) from error
-            event_count += 1
-            await _parser_turns.PARSER_TURNS.give_way(event_count)
-            if event is h11.NEED_DATA:
-                if parser.they_are_waiting_for_100_continue:
-                    await self._wait_for_responses(0)
-                    self._write_continue(parser)
-                data = await self._read_bytes(deadline, head is not None)
-                if not data and not self._is_receiving:
-                    raise _ReadEndedError(None)
-                self._is_receiving = True
-                deadline.start()
-                parser.receive_data(data)
-            elif isinstance(event, h11.Request):
-                # The parser limits only a head that arrives in several reads.
-                if _count_head_bytes(event) > limits.header_bytes:
-                    raise _ReadEndedError(431)
-                if event.method == b"CONNECT":
-                    # A success would turn the connection into a tunnel.
-                    raise _ReadEndedError(501)
-                head = event
-            elif isinstance(event, h11.Data):
-                body += event.data
-                if len(body) > limits.body_bytes:
-                    raise _ReadEndedError(413)
-            elif isinstance(event, h11.EndOfMessage):
-                break
-            else:
-                raise _ReadEndedError(None)
-        trailing, _ = parser.trailing_data
-        self._unparsed = bytes(trailing)
-        self._is_receiving = bool(trailing)
-        return _messages.HttpRequest(
-            method=head.method.decode("latin-1"),
-            target=head.target.decode("latin-1"),
-            fields=_messages.decode_fields(head.headers),
-            body=bytes(body),
-        )
-
-    def _write_continue(self, parser: h11.Connection) -> None:
-        """Let the caller send the body."""
-        interim = h11.InformationalResponse(status_code=100, headers=[])
-        data = parser.send(interim)
+    def _write_interim(self, data: bytes) -> None:
         if self._state is _State.OPEN:
             self._stream.write(data)
 
-    async def _read_bytes(
-        self, deadline: _read_deadline.ReadDeadline, has_head: bool
-    ) -> bytes:
-        timeout_ms = deadline.compute_timeout_ms(has_head=has_head)
-        while True:
-            try:
-                async with asyncio.timeout(timeout_ms / base.MS_PER_S):
-                    return await self._stream.read()
-            except TimeoutError:
-                if (
-                    self._queue
-                    or self._stream.has_unread
-                    or self._stream.unsent_bytes
-                ):
-                    continue
-                if deadline.has_started:
-                    raise _ReadEndedError(408) from None
-                timeout_ms = deadline.compute_idle_ms(self._answered_at)
-                if timeout_ms <= 0:
-                    raise _ReadEndedError(None) from None
-
-    def _reject(self, status: int) -> None:
+    def _reject(self, end: _request_reader.ReadEndedError) -> None:
         """Queue an error response behind the pending responses."""
         self._state = _State.CLOSING
+        if end.status == 503:
+            response = self._make_refusal(end.retry_after_ms)
+        else:
+            response = _messages.HttpResponse(status=end.status, fields=[])
         parser = h11.Connection(h11.SERVER)
         future: asyncio.Future = asyncio.get_running_loop().create_future()
-        future.set_result(_messages.HttpResponse(status=status, fields=[]))
+        future.set_result(response)
         self._queue.append(_exchange.Exchange(parser=parser, response=future))
         self._changed.set()
 
@@ -346,33 +339,38 @@
             while not self._queue:
                 self._changed.clear()
                 await self._changed.wait()
-            exchange = self._queue[0]
-            await asyncio.wait([exchange.response])
-            if exchange.response.cancelled():
-                return
-            response = exchange.response.result()
-            is_last = len(self._queue) == 1
-            if response.closes or (is_last and self._is_stopping()):
-                self._state = _State.CLOSING
-            data, keep_open = _exchange.encode_response(
-                exchange,
-                response,
-                closes=response.closes
-                or (is_last and self._state is _State.CLOSING),
-            )
-            self._stream.write(data)
-            self._queue.popleft()
-            self._has_room.set()
-            if not keep_open:
-                self._state = _State.CLOSING
-                self._cancel_handlers(CONNECTION_CLOSED)
-            await self._stream.drain()
-            self._answered_at = asyncio.get_running_loop().time()
-            if not keep_open:
+            if not await self._write_response(self._queue[0]):
                 return
 
-
-def _count_head_bytes(head: h11.Request) -> int:
-    """Return the size of a request's head, without delimiters."""
-    size = len(head.method) + len(head.target)
-    return size + sum(len(name) + len(value) for name, value in head.headers)
+    async def _write_response(self, exchange: _exchange.Exchange) -> bool:
+        """Write one response; return whether to keep the connection."""
+        if exchange.usage is not None:
+            exchange.usage.promote()
+        await asyncio.wait([exchange.response])
+        if exchange.response.cancelled():
+            return False
+        response = exchange.response.result()
+        is_last = len(self._queue) == 1
+        if response.closes or (is_last and self._is_stopping()):
+            self._state = _State.CLOSING
+        head, body, keep_open = _exchange.encode_response(
+            exchange,
+            response,
+            closes=response.closes
+            or (is_last and self._state is _State.CLOSING),
+        )
+        if len(body) <= SMALL_RESPONSE_BYTES:
+            self._stream.write(head + body)
+        else:
+            self._stream.write(head)
+            await self._stream.write_body(body)
+        self._queue.popleft()
+        self._has_room.set()
+        if not keep_open:
+            self._state = _State.CLOSING
+            self._cancel_handlers(CONNECTION_CLOSED)
+        await self._stream.drain()
+        if exchange.usage is not None:
+            exchange.usage.close()
+        self._reader.answered_at = asyncio.get_running_loop().time()
+        return keep_open
--- a/tarragonhinge/http1/_messages.py
+++ b/tarragonhinge/http1/_messages.py
@@ -2,6 +2,12 @@
 
 import dataclasses
 
+from tarragonhinge import memory
+
+#: Size from which a body is kept in the buffer in which it was received; a
+#: copy in bytes takes the memory twice for a moment.
+KEPT_BODY_BYTES = 1 << 16
+
 #: Header fields in the order of arrival, names in lower case.
 FieldList = list[tuple[str, str]]
 
@@ -16,14 +22,20 @@
         Method and target as sent by the caller.
     fields : list
         Header fields.
-    body : bytes
-        The body, without its framing.
+    body : bytes or bytearray
+        The body, without its framing. It is not changed any more.
+    usage : Usage or None
+        Counts the memory of the request and its response; None for requests
+        of this process.
     """
 
     method: str
     target: str
     fields: FieldList
-    body: bytes = b""
+    body: bytes | bytearray = b""
+    usage: memory.Usage | None = dataclasses.field(
+        default=None, compare=False, repr=False
+    )
 
     def find(self, name: str) -> str | None:
         """Return the value of the first field with a name, or None.
@@ -46,18 +58,23 @@
         Status code.
     fields : list
         Header fields.
-    body : bytes
-        The body, without its framing.
+    body : bytes or bytearray
+        The body, without its framing. It is not changed any more.
     closes : bool
         Whether the connection is closed after the response.
     """
 
     status: int
     fields: FieldList
-    body: bytes = b""
+    body: bytes | bytearray = b""
     closes: bool = False
 
 
+def freeze_body(body: bytearray) -> bytes | bytearray:
+    """Return a received body, without a copy if it is large."""
+    return bytes(body) if len(body) < KEPT_BODY_BYTES else body
+
+
 def combine_fields(fields: FieldList) -> dict[str, str]:
     """Return the fields by name; repeated ones as one list (RFC 9110).
 
--- a/tarragonhinge/http1/_pool.py
+++ b/tarragonhinge/http1/_pool.py
@@ -25,6 +25,12 @@
 FRESH_IDLE_LIMIT_MS = 1_000
 
 
+#: Bytes of bodies that one instance sends to one server at a time; a server
+#: that holds more than its memory crashes. A single body may be larger.
+#: Uploads of 360 KB, 30 at a server, take a third.
+OUTSTANDING_LIMIT_BYTES = 32 << 20
+
+
 class ListenerState(enum.Enum):
     """Reaction of a server to an attempt to connect.
 
@@ -73,6 +79,7 @@
         self._idle: list[_server_connection.ServerConnection] = []
         self._open_count = 0
         self._is_closed = False
+        self._outstanding_bytes = 0
         self.min_connect_ms: float | None = None
 
     async def acquire(
@@ -125,6 +132,24 @@
             stream=stream, clock=self._clock
         )
 
+    def reserve_body(self, count: int) -> bool:
+        """Count the body of a request, unless the server holds too much.
+
+        Parameters
+        ----------
+        count : int
+            Size of the body; `release_body` gets it at the end of the request.
+        """
+        total = self._outstanding_bytes + count
+        if 0 < count < total and total > OUTSTANDING_LIMIT_BYTES:
+            return False
+        self._outstanding_bytes = total
+        return True
+
+    def release_body(self, count: int) -> None:
+        """Stop to count the body of a request."""
+        self._outstanding_bytes -= count
+
     def _find_idle(
         self,
         *,
--- a/tarragonhinge/http1/_server_connection.py
+++ b/tarragonhinge/http1/_server_connection.py
@@ -1,19 +1,24 @@
 """Client side of an HTTP/1.1 connection to a backend server."""
 
+import asyncio
 from collections.abc import Callable
 
 import h11
 
 from tarragonhinge import base
-from tarragonhinge.http1 import _body_memory
 from tarragonhinge.http1 import _errors
 from tarragonhinge.http1 import _messages
 from tarragonhinge.http1 import _parser_turns
+from tarragonhinge.http1 import _response_memory
 from tarragonhinge.http1 import _tcp_stream
+from tarragonhinge import memory
 
 #: Largest number of responses to earlier requests that are skipped.
 STALE_RESPONSE_LIMIT = 3
 
+#: Size up to which the body of a request is written with its head.
+SMALL_BODY_BYTES = 1 << 16
+
 #: Largest body of a response; a larger one fails the exchange.
 RESPONSE_LIMIT_BYTES = 16 << 20
 
@@ -93,16 +98,49 @@
         """
         events = _make_events(request)
         parser = _make_parser()
-        self._stream.write(b"".join(parser.send(event) for event in events))
-        unparsed = b""
+        parts = _encode(parser, events)
         self._has_response = False
+        if len(request.body) <= SMALL_BODY_BYTES:
+            self._stream.write(b"".join(parts))
+            return await self._read_own_response(
+                request, events, parser, recognize
+            )
+        self._stream.write(parts[0])
+        writer = asyncio.create_task(self._stream.write_body(request.body))
+        try:
+            response = await self._read_own_response(
+                request, events, parser, recognize
+            )
+            if not writer.done():
+                # The rest of the body is not sent, and the server would take
+                # the next request for it.
+                return _mark_closing(response)
+            return response
+        finally:
+            writer.cancel()
+
+    async def _read_own_response(
+        self,
+        request: _messages.HttpRequest,
+        events: list[h11.Event],
+        parser: h11.Connection,
+        recognize: ResponseMatcher,
+    ) -> _messages.HttpResponse:
+        """Return the response that `recognize` accepts."""
+        unparsed = b""
         for stale_count in range(STALE_RESPONSE_LIMIT + 1):
             if stale_count:
                 parser = _make_parser()
-                for event in events:
-                    parser.send(event)
-            response, unparsed = await self._read_response(parser, unparsed)
-            if recognize(response.fields):
+                _encode(parser, events)
+            room = _response_memory.ResponseMemory(request.usage)
+            try:
+                response, unparsed = await self._read_response(
+                    parser, unparsed, room
+                )
+                room.is_kept = recognize(response.fields)
+            finally:
+                room.close()
+            if room.is_kept:
                 # No request was sent to which later bytes could belong.
                 closes = response.closes or bool(unparsed) or bool(stale_count)
                 self._record_use(response)
@@ -130,7 +168,10 @@
                 self.keep_alive_ms = _parse_keep_alive_ms(value)
 
     async def _read_response(
-        self, parser: h11.Connection, unparsed: bytes
+        self,
+        parser: h11.Connection,
+        unparsed: bytes,
+        room: _response_memory.ResponseMemory,
     ) -> tuple[_messages.HttpResponse, bytes]:
         """Return one response and the bytes that follow it."""
         if unparsed:
@@ -162,11 +203,9 @@
                     body += event.data
                     part_count += 1
                     _check_part_count(part_count, body_bytes=len(body))
-                    has_room = _body_memory.BODY_MEMORY.add(
-                        len(event.data), body_bytes=len(body)
-                    )
-                    if len(body) > RESPONSE_LIMIT_BYTES or not has_room:
+                    if len(body) > RESPONSE_LIMIT_BYTES:
                         raise _make_error("the response body is too large")
+                    await room.grow(head, len(body))
                 elif isinstance(event, h11.EndOfMessage):
                     break
                 elif isinstance(event, h11.ConnectionClosed):
@@ -175,8 +214,8 @@
                     )
         except h11.RemoteProtocolError as error:
             raise _make_error(f"invalid response: {error}") from error
-        finally:
-            _body_memory.BODY_MEMORY.release(len(body))
+        except memory.FullError as error:
+            raise _make_error("no memory for the response body") from error
         if head is None:
             raise _make_error("no response")
         trailing, _ = parser.trailing_data
@@ -184,7 +223,7 @@
             _messages.HttpResponse(
                 status=head.status_code,
                 fields=_messages.decode_fields(head.headers),
-                body=bytes(body),
+                body=_messages.freeze_body(body),
                 closes=parser.their_state is not h11.DONE
                 or self._stream.is_ended,
             ),
@@ -227,6 +266,16 @@
     return events
 
 
+def _encode(
+    parser: h11.Connection, events: list[h11.Event]
+) -> list[bytes | bytearray]:
+    """Return the encoded head and, if there is one, the body as it is."""
+    parts = [parser.send(events[0])]
+    for event in events[1:]:
+        parts += parser.send_with_data_passthrough(event)
+    return parts
+
+
 def _make_error(
     problem: str, *, is_reset: bool = False
 ) -> _errors.ExchangeError:
--- a/tarragonhinge/http1/_tcp_stream.py
+++ b/tarragonhinge/http1/_tcp_stream.py
@@ -6,8 +6,21 @@
 
 from tarragonhinge import base
 
-#: Number of unread bytes above which reading from the socket is paused.
-READ_BUFFER_LIMIT_BYTES = 1 << 18
+#: Number of unread bytes from which reading from the socket is paused. The
+#: rest stays in the network.
+READ_BUFFER_LIMIT_BYTES = 1 << 16
+
+#: The same for connections to servers, of which a request that waits for
+#: memory keeps one open.
+SERVER_READ_BUFFER_BYTES = 1 << 15
+
+#: Buffer into which all connections receive, one after the other; what was
+#: received is taken out at once.
+_RECEIVED = memoryview(bytearray(READ_BUFFER_LIMIT_BYTES))
+
+#: Size of the parts in which a large body is written. The transport copies
+#: what the kernel does not take at once.
+WRITE_PART_BYTES = 1 << 16
 
 #: Longest time for which sent bytes may stay unacknowledged.
 ACK_TIMEOUT_MS = 2_000
@@ -38,18 +51,28 @@
         )
 
 
-class TcpStream(asyncio.Protocol):
+class TcpStream(asyncio.BufferedProtocol):
     """One TCP connection.
 
+    Parameters
+    ----------
+    read_limit_bytes : int
+        Number of unread bytes from which reading is paused.
+
     Attributes
     ----------
+    received_bytes, written_bytes : int
+        Number of bytes that were received and written.
     is_ended : bool
         Whether the peer has closed its side or the connection has failed.
     error : Exception or None
         Error that ended the connection, if any.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, read_limit_bytes: int = READ_BUFFER_LIMIT_BYTES
+    ) -> None:
+        self._read_limit_bytes = read_limit_bytes
         self._transport: asyncio.Transport | None = None
         self._unread = bytearray()
         self._read_waiter: asyncio.Future[None] | None = None
@@ -57,6 +80,8 @@
         self._is_write_paused = False
         self._is_read_paused = False
         self._is_closed = False
+        self.received_bytes = 0
+        self.written_bytes = 0
         self.is_ended = False
         self.error: Exception | None = None
 
@@ -70,11 +95,21 @@
         if self._is_closed:
             transport.close()
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return a buffer for the next bytes."""
+        room = self._read_limit_bytes - len(self._unread)
+        return _RECEIVED[: max(1, room)]
+
+    def buffer_updated(self, count: int) -> None:
+        """Take received bytes out of the common buffer."""
+        self.data_received(bytes(_RECEIVED[:count]))
+
     def data_received(self, data: bytes) -> None:
         """Buffer received bytes; pause reading if there are too many."""
+        self.received_bytes += len(data)
         self._unread += data
         if (
-            len(self._unread) > READ_BUFFER_LIMIT_BYTES
+            len(self._unread) >= self._read_limit_bytes
             and not self._is_read_paused
         ):
             self._is_read_paused = True
@@ -124,6 +159,24 @@
         """Whether bytes have arrived that are not read yet."""
         return bool(self._unread)
 
+    @property
+    def moved_bytes(self) -> int:
+        """Number of bytes that were received or passed to the kernel."""
+        return self.received_bytes + self.written_bytes - self.unsent_bytes
+
+    @property
+    def is_closing(self) -> bool:
+        """Whether written bytes are dropped."""
+        return self._transport is None or self._transport.is_closing()
+
+    @property
+    def peer(self) -> str:
+        """Address of the peer; empty if it is not known."""
+        if self._transport is None:
+            return ""
+        address = self._transport.get_extra_info("peername")
+        return f"{address[0]}:{address[1]}" if address else ""
+
     @property
     def unsent_bytes(self) -> int:
         """Number of written bytes that are not yet passed to the kernel."""
@@ -145,19 +198,37 @@
                 await self._read_waiter
             finally:
                 self._read_waiter = None
-        data = bytes(self._unread[:limit])
-        del self._unread[:limit]
+        if limit is None or len(self._unread) <= limit:
+            data = bytes(self._unread)
+            self._unread.clear()
+        else:
+            data = bytes(self._unread[:limit])
+            del self._unread[:limit]
         if self._is_read_paused and not self._unread:
             self._is_read_paused = False
             with contextlib.suppress(RuntimeError):
                 self._transport.resume_reading()
         return data
 
-    def write(self, data: bytes) -> None:
+    def write(self, data: bytes | memoryview) -> None:
         """Write bytes to the connection unless it is closing."""
         if self._transport is not None and not self._transport.is_closing():
+            self.written_bytes += len(data)
             self._transport.write(data)
 
+    async def write_body(self, body: bytes | bytearray) -> None:
+        """Write a large body in parts, without a copy of it.
+
+        Each part is passed to the kernel before the next one is written;
+        the last one may be left in the write buffer.
+        """
+        view = memoryview(body)
+        for start in range(0, len(view), WRITE_PART_BYTES):
+            await self.drain()
+            if self.is_closing:
+                return
+            self.write(view[start : start + WRITE_PART_BYTES])
+
     async def drain(self) -> None:
         """Wait until the written bytes are passed to the kernel."""
         while self._is_write_paused and self.error is None:
@@ -199,7 +270,9 @@
     try:
         async with asyncio.timeout(timeout_ms / base.MS_PER_S):
             _, stream = await loop.create_connection(
-                TcpStream, host, int(port)
+                lambda: TcpStream(read_limit_bytes=SERVER_READ_BUFFER_BYTES),
+                host,
+                int(port),
             )
     except TimeoutError as error:
         raise OSError(f"connecting to {address} timed out") from error
--- /dev/null
+++ b/tarragonhinge/http1/tests/test_memory.py
@@ -0,0 +1,108 @@
+"""Large messages: what is refused, and what may follow on a connection."""
+
+import asyncio
+
+import pytest
+
+from tarragonhinge import base
+from tarragonhinge import catalog
+from tarragonhinge import http1
+from tarragonhinge.http1.tests import caller_side
+from tarragonhinge import memory
+from tarragonhinge.testing import run_manual
+
+BODY_BYTES = 4_000_000
+
+
+def _make_site(budget_bytes, handled):
+    async def handle(request):
+        handled.append(len(request.body))
+        return http1.HttpResponse(status=200, fields=[])
+
+    account = memory.MemoryAccount(budget_bytes=budget_bytes)
+    stream = http1.TcpStream()
+    connection = http1.CallerConnection(
+        stream=stream,
+        handle=handle,
+        is_concurrent=lambda request: False,
+        get_limits=lambda: catalog.CallerLimits(body_bytes=BODY_BYTES),
+        is_stopping=lambda: False,
+        account=account,
+    )
+    transport = caller_side.FakeTransport(stream)
+    stream.connection_made(transport)
+    return account, transport, connection
+
+
+@pytest.mark.parametrize(
+    ("budget_bytes", "length", "status"),
+    [
+        (1_000_000, BODY_BYTES, 503),
+        (10_000_000, BODY_BYTES + 1, 413),
+        (10_000_000, BODY_BYTES, 200),
+    ],
+)
+def test_body_that_does_not_fit_is_refused_at_its_head(
+    budget_bytes, length, status
+):
+    """Guards against a rest of a body that is taken for a request."""
+    hidden = b"GET /hidden HTTP/1.1\r\nHost: a\r\n\r\n"
+
+    async def run():
+        handled = []
+        account, transport, connection = _make_site(budget_bytes, handled)
+        task = asyncio.create_task(connection.run())
+        head = f"POST /1 HTTP/1.1\r\nHost: a\r\nContent-Length: {length}"
+        transport.stream.data_received(head.encode() + b"\r\n\r\n" + hidden)
+        if status == 200:
+            transport.stream.data_received(b"b" * (length - len(hidden)))
+        await asyncio.sleep(5)
+        lines = transport.received.split(b"\r\n")
+        assert lines[0].split()[1] == str(status).encode()
+        assert transport.received.count(b"HTTP/1.1") == 1
+        assert task.done() is (status != 200)
+        assert handled == ([length] if status == 200 else [])
+        transport.abort()
+        await task
+        assert [account.get_used(kind) for kind in memory.Kind] == [0, 0, 0]
+
+    run_manual(run())
+
+
+@pytest.mark.parametrize("reads_rest", [False, True])
+def test_early_response_of_a_server_that_has_not_read_the_body(reads_rest):
+    """Guards against a next request within the rest of the body."""
+    received = bytearray()
+
+    async def serve(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+        if reads_rest:
+            received.extend(await reader.read())
+
+    async def run():
+        server = await asyncio.start_server(
+            serve, "127.0.0.1", 0, limit=65_536
+        )
+        host, port = server.sockets[0].getsockname()[:2]
+        stream = await http1.connect(
+            base.Address(f"{host}:{port}"), timeout_ms=5_000
+        )
+        connection = http1.ServerConnection(stream=stream, clock=base.Clock())
+        request = http1.HttpRequest(
+            method="POST",
+            target="/a",
+            fields=[("host", "h")],
+            body=bytearray(b"b" * (32 << 20)),
+        )
+        response = await connection.exchange(
+            request, recognize=lambda fields: True
+        )
+        assert response.body == b"ok"
+        assert response.closes
+        connection.close()
+        server.close()
+        await asyncio.sleep(0)
+        assert bytes(received).count(b"b") == len(received)
+
+    asyncio.run(run())
