Bound memory and connections of an instance by those of its machine

Cause: 'limits.memoryMb' and 'limits.maxFds' were read and not used.

Refusals carry the reason 'memory' and Retry-After, also to other instances. Gauges show the account, 'client_closed' each closed client.

--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -3,6 +3,7 @@
 from tarragonhinge.events._event import Event
 from tarragonhinge.events._event import RequestEvent
 from tarragonhinge.events._log import EventLog
+from tarragonhinge.events._process_events import ClientClosed
 from tarragonhinge.events._process_events import DependencyChanged
 from tarragonhinge.events._process_events import GrantFailed
 from tarragonhinge.events._process_events import LeadershipChanged
@@ -44,6 +45,7 @@
 from tarragonhinge.events._trace import Trace
 
 __all__ = [
+    "ClientClosed",
     "CrashWitnessed",
     "DependencyChanged",
     "Ended",
--- a/tarragonhinge/events/_process_events.py
+++ b/tarragonhinge/events/_process_events.py
@@ -329,6 +329,30 @@
     for_ms: int
 
 
+class ClientClosed(
+    _event.Event, frozen=True, kw_only=True, tag="client_closed"
+):
+    """The connection of a client is closed, since something is short.
+
+    Parameters
+    ----------
+    peer : str
+        Address of the client.
+    reason : str
+        What is short: ``memory`` or ``descriptors``.
+    held_bytes, moved_bytes : int
+        Memory that the client held, and bytes that it sent and read.
+    window_ms : int
+        Time in which it did so.
+    """
+
+    peer: str
+    reason: str
+    held_bytes: int = 0
+    moved_bytes: int = 0
+    window_ms: int = 0
+
+
 class PathChanged(_event.Event, frozen=True, kw_only=True, tag="path_changed"):
     """A server is out of reach of this instance, or in reach again.
 
--- a/tarragonhinge/gateway/_call_handler.py
+++ b/tarragonhinge/gateway/_call_handler.py
@@ -6,7 +6,9 @@
 from tarragonhinge import events
 from tarragonhinge import forwarding
 from tarragonhinge.gateway import _gateway
+from tarragonhinge.gateway import _responses
 from tarragonhinge import http1
+from tarragonhinge import jobs
 
 
 class CallHandler:
@@ -41,6 +43,20 @@
                 status=200, fields=[], body=msgspec.json.encode(report)
             )
         response, outcome = await self._gateway.handle_forwarded(request, call)
+        return self._add_outcome(response, outcome)
+
+    def refuse_for_memory(self, retry_after_ms: int) -> http1.HttpResponse:
+        """Return the response to a call for which there is no memory."""
+        refused = jobs.Refused.for_full_memory(retry_after_ms)
+        return self._add_outcome(
+            _responses.make_response(refused),
+            _responses.describe_outcome(refused, None),
+        )
+
+    @staticmethod
+    def _add_outcome(
+        response: http1.HttpResponse, outcome: forwarding.ForwardedOutcome
+    ) -> http1.HttpResponse:
         return http1.HttpResponse(
             status=response.status,
             fields=forwarding.add_outcome(response.fields, outcome),
--- a/tarragonhinge/gateway/_caller_listener.py
+++ b/tarragonhinge/gateway/_caller_listener.py
@@ -1,18 +1,25 @@
 """Listener for connections of callers."""
 
 import asyncio
+import functools
+import socket
 
 import msgspec
 
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge.gateway import _call_handler
+from tarragonhinge.gateway import _connection_limit
 from tarragonhinge.gateway import _gateway
 from tarragonhinge import http1
 
 #: Maximum number of connections that wait to be accepted.
 LISTEN_BACKLOG = 2_048
 
+#: Number of connections that are accepted in one turn of the event loop. The
+#: connections that make room for them are closed in the next turn.
+ACCEPT_BATCH = 16
+
 #: Additional size of a request's header that another instance forwards.
 CALL_HEADER_BYTES = 16_384
 
@@ -44,9 +51,14 @@
         self._gateway = gateway
         self._handle = gateway.handle
         self._get_limits = gateway.get_limits
+        self._make_refusal = gateway.refuse_for_memory
+        fraction = _connection_limit.CALLER_FRACTION
         if calls is not None:
+            fraction = _connection_limit.CALL_FRACTION
             self._handle = calls.handle
+            self._make_refusal = calls.refuse_for_memory
             self._get_limits = self._compute_call_limits
+        self._limit = gateway.compute_connection_limit(fraction)
         self._server: asyncio.Server | None = None
         self._is_stopped = False
         self._connections: dict[http1.CallerConnection, asyncio.Task] = {}
@@ -55,15 +67,20 @@
         """Start to listen."""
         host, port = http1.split_address(self._address)
         loop = asyncio.get_running_loop()
+        sock = socket.create_server((host, port), backlog=LISTEN_BACKLOG)
         self._server = await loop.create_server(
-            self._accept, host, port, backlog=LISTEN_BACKLOG
+            self._accept, sock=sock, backlog=ACCEPT_BATCH
         )
+        # The event loop has set its number of connections at once.
+        sock.listen(LISTEN_BACKLOG)
 
     def _accept(self) -> http1.TcpStream:
         if self._is_stopped:
             # asyncio closes the socket.  It can't make a transport for a
             # closed server, but would leave the socket open.
             raise ConnectionAbortedError("the listener is closed")
+        if len(self._connections) >= self._limit:
+            self._make_room()
         stream = http1.TcpStream()
         connection = http1.CallerConnection(
             stream=stream,
@@ -71,12 +88,40 @@
             is_concurrent=self._gateway.is_concurrent,
             get_limits=self._get_limits,
             is_stopping=lambda: self._gateway.shutdown.has_begun,
+            account=self._gateway.memory,
+            make_refusal=self._make_refusal,
+            record_stall=functools.partial(
+                self._gateway.record_closed_client, "memory"
+            ),
         )
         task = asyncio.create_task(connection.run())
         self._connections[connection] = task
         task.add_done_callback(lambda _: self._connections.pop(connection))
         return stream
 
+    def _make_room(self) -> None:
+        """Close a connection for a new one.
+
+        Raises
+        ------
+        ConnectionAbortedError
+            If all have complete requests; the new one is closed.
+        """
+        chosen = _connection_limit.choose_connection(
+            _connection_limit.ConnectionState(
+                connection=connection,
+                is_idle=connection.is_idle,
+                is_incomplete=connection.is_incomplete,
+                since=connection.answered_at,
+            )
+            for connection in self._connections
+            if not connection.is_closing
+        )
+        if chosen is None:
+            raise ConnectionAbortedError("too many connections")
+        self._gateway.record_closed_client("descriptors", chosen.peer)
+        chosen.abort()
+
     def _compute_call_limits(self) -> catalog.CallerLimits:
         """Return limits that admit each request that a caller may send.
 
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -11,6 +11,7 @@
 from tarragonhinge import catalog
 from tarragonhinge import events
 from tarragonhinge import forwarding
+from tarragonhinge.gateway import _connection_limit
 from tarragonhinge.gateway import _crash_guard
 from tarragonhinge.gateway import _detour
 from tarragonhinge.gateway import _metrics
@@ -23,6 +24,7 @@
 from tarragonhinge import http1
 from tarragonhinge import jobs
 from tarragonhinge import limits
+from tarragonhinge import memory
 from tarragonhinge import quarantine
 from tarragonhinge import servers
 
@@ -79,6 +81,10 @@
         Finds out which servers can be reached.
     metrics : RequestMetrics
         Metrics of the requests.
+    memory : MemoryAccount
+        Memory of all connections.
+    closed_clients : Counter
+        Number of clients whose connections were closed, by reason.
     shutdown : Shutdown
         Graceful stop of the instance.
     """
@@ -119,6 +125,10 @@
         )
         self.ledger = quarantine.CrashLedger(log=log, clock=clock)
         self.metrics = _metrics.RequestMetrics()
+        self.memory = memory.MemoryAccount(
+            budget_bytes=memory.compute_budget(options.memory_bytes)
+        )
+        self.closed_clients: collections.Counter[str] = collections.Counter()
         self.directory = forwarding.PeerDirectory(
             own=forwarding.PeerInstance(
                 instance=options.instance,
@@ -221,6 +231,56 @@
         self.monitor.close()
         self._forwarding_client.close()
 
+    def compute_connection_limit(self, fraction: float) -> int:
+        """Return the largest number of connections to a listener.
+
+        Parameters
+        ----------
+        fraction : float
+            Part of the descriptors for sockets.
+        """
+        return _connection_limit.compute_limit(
+            max_descriptors=self._options.max_descriptors,
+            budget_bytes=self.memory.budget_bytes,
+            fraction=fraction,
+        )
+
+    def refuse_for_memory(self, retry_after_ms: int) -> http1.HttpResponse:
+        """Return the response to a request for which there is no memory."""
+        refused = jobs.Refused.for_full_memory(retry_after_ms)
+        self.metrics.record(
+            outcome="refused", reason=refused.reason, elapsed_ms=0
+        )
+        return _responses.make_response(refused)
+
+    def record_closed_client(
+        self, reason: str, peer: str, holding: memory.Holding | None = None
+    ) -> None:
+        """Record that a client's connection is closed.
+
+        Parameters
+        ----------
+        reason : str
+            ``memory`` or ``descriptors``.
+        peer : str
+            Address of the client.
+        holding : Holding or None
+            What it held.
+        """
+        self.closed_clients[reason] += 1
+        if holding is None:
+            self._log.write(events.ClientClosed(peer=peer, reason=reason))
+            return
+        self._log.write(
+            events.ClientClosed(
+                peer=peer,
+                reason=reason,
+                held_bytes=holding.held_bytes,
+                moved_bytes=holding.moved_bytes,
+                window_ms=round(holding.window_ms),
+            )
+        )
+
     def is_concurrent(self, request: http1.HttpRequest) -> bool:
         """Return whether a request may run concurrently with earlier ones.
 
--- a/tarragonhinge/gateway/tests/test_caller_listener.py
+++ b/tarragonhinge/gateway/tests/test_caller_listener.py
@@ -11,6 +11,7 @@
 from tarragonhinge import catalog
 from tarragonhinge.gateway import _caller_listener
 from tarragonhinge import http1
+from tarragonhinge import memory
 
 REQUEST = b"GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"
 
@@ -26,6 +27,10 @@
         is_concurrent=lambda request: True,
         get_limits=catalog.CallerLimits,
         shutdown=types.SimpleNamespace(has_begun=True),
+        memory=memory.MemoryAccount(budget_bytes=memory.compute_budget(None)),
+        refuse_for_memory=None,
+        record_closed_client=None,
+        compute_connection_limit=lambda fraction: 100,
     )
 
 
--- a/tarragonhinge/jobs/_refusals.py
+++ b/tarragonhinge/jobs/_refusals.py
@@ -81,6 +81,11 @@
             retry_after_ms=QUARANTINE_RETRY_AFTER_MS,
         )
 
+    @classmethod
+    def for_full_memory(cls, retry_after_ms: int) -> "Refused":
+        """Return the refusal of a request for which there is no memory."""
+        return cls(status=503, reason="memory", retry_after_ms=retry_after_ms)
+
     @classmethod
     def for_ended_stop(cls, *, is_sent: bool) -> "Refused":
         """Return the response to a request that the stop aborts."""
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -1,6 +1,7 @@
 """An instance of the router on the platform."""
 
 import asyncio
+import functools
 import pathlib
 import signal
 import uuid
@@ -10,6 +11,7 @@
 from tarragonhinge import coordination
 from tarragonhinge import events
 from tarragonhinge import gateway
+from tarragonhinge import memory
 from tarragonhinge.platform import _codec
 from tarragonhinge.platform import _dialect
 from tarragonhinge.platform import _errors
@@ -32,6 +34,14 @@
 RESPONSE_CHECK_MS = 10
 
 
+#: Help texts of the gauges of the account of memory.
+_MEMORY_GAUGES = {
+    memory.Kind.CONNECTION: "Memory of open connections.",
+    memory.Kind.REQUEST: "Memory of requests until their response.",
+    memory.Kind.RESPONSE: "Memory of responses until clients read them.",
+}
+
+
 class PlatformInstance:
     """One instance with all its components.
 
@@ -174,6 +184,26 @@
             "Requests that are refused since they crash servers.",
             lambda: self.gateway.ledger.refused_count,
         )
+        account = self.gateway.memory
+        watch(
+            "memory_budget_bytes",
+            "Memory for connections, requests and responses.",
+            lambda: account.budget_bytes,
+        )
+        for kind, help_ in _MEMORY_GAUGES.items():
+            watch(
+                f"memory_{kind.value}_bytes",
+                help_,
+                functools.partial(account.get_used, kind),
+            )
+        for reason in ("memory", "descriptors"):
+            watch(
+                f"clients_closed_for_{reason}",
+                f"Connections of clients closed for lack of {reason}.",
+                functools.partial(
+                    self.gateway.closed_clients.__getitem__, reason
+                ),
+            )
         watch(
             "log_lines_dropped",
             "Lines left out of the log since the start.",
@@ -296,6 +326,7 @@
         If the settings file is missing or invalid.
     """
     options = _node_file.load_node_file(path)
+    memory.tune_allocator()
     clock = base.Clock()
     log = events.EventLog(instance=options.instance, clock=clock)
     instance = PlatformInstance(options=options, log=log, clock=clock)
