Move keys only from servers at which requests wait for long

Keys left a server from a utilization of 0.55 on, whatever its number of slots.

The threshold is the utilization at which the wait for a slot reaches 0.43 service times (Erlang C): 0.55 for 2 slots, as before, 0.73 for 4, 0.8 for 6.

--- a/tarragonhinge/ranges/_planner.py
+++ b/tarragonhinge/ranges/_planner.py
@@ -5,19 +5,26 @@
 speed. Small pieces around the hot keys move from the server with the
 highest utilization to the one with the lowest. A piece carries about the
 excess load and contains as few other keys as possible. Nothing moves while
-no server is busy.
+no server is busy: the requests for keys that move wait until the running ones
+have ended, which costs them more than a short wait for a slot.
 """
 
 from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
+import functools
 
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge.ranges import _key_load
 
-#: Utilization from which keys are moved away from a server.
-BUSY_UTILIZATION = 0.55
+#: Mean wait for a slot, as a multiple of the service time, from which keys are
+#: moved away from a server. While they move, they are unserved for about one
+#: service time.
+BUSY_WAIT_RATIO = 0.43
+
+#: Precision of the utilization that corresponds to this wait.
+UTILIZATION_STEP = 0.01
 
 #: Smallest difference in utilization between source and target for which
 #: keys are moved.
@@ -62,10 +69,13 @@
         Id of the server.
     requests_per_s : float
         Highest request rate that the server can process.
+    slots : int
+        Number of requests that it processes concurrently.
     """
 
     server: base.ServerId
     requests_per_s: float
+    slots: int = 2
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -88,6 +98,32 @@
     target: base.ServerId
 
 
+@functools.cache
+def compute_busy_utilization(slots: int) -> float:
+    """Return the utilization at which requests wait for `BUSY_WAIT_RATIO`.
+
+    The more slots a server has, the later its requests begin to wait
+    (Erlang C).
+
+    Examples
+    --------
+    >>> [round(compute_busy_utilization(slots), 2) for slots in (1, 2, 4, 6)]
+    [0.31, 0.55, 0.73, 0.8]
+    """
+    utilization = UTILIZATION_STEP
+    while utilization < 1.0 - UTILIZATION_STEP:
+        load = slots * utilization
+        # Erlang B by its recursion, from which Erlang C follows.
+        blocking = 1.0
+        for count in range(1, slots + 1):
+            blocking = load * blocking / (count + load * blocking)
+        waiting = blocking / (1 - utilization * (1 - blocking))
+        if waiting / (slots * (1 - utilization)) >= BUSY_WAIT_RATIO:
+            break
+        utilization += UTILIZATION_STEP
+    return utilization
+
+
 def divide_evenly(
     capacities: Sequence[Capacity],
 ) -> list[tuple[int, int, base.ServerId]]:
@@ -156,6 +192,8 @@
     ----------
     capacity : dict
         Requests per second that each server can process.
+    busy_utilization : dict
+        Utilization of each server from which its requests wait for long.
     demand : dict
         Requests per second for the keys of each server.
     ranges_by_server : dict
@@ -171,6 +209,9 @@
     ) -> None:
         self.profile = profile
         self.capacity = {c.server: c.requests_per_s for c in capacities}
+        self.busy_utilization = {
+            c.server: compute_busy_utilization(c.slots) for c in capacities
+        }
         self.demand = dict.fromkeys(self.capacity, 0.0)
         self.ranges_by_server: dict[base.ServerId, list[tuple[int, int]]] = {
             server: [] for server in self.capacity
@@ -301,7 +342,7 @@
     for source in balance.list_busiest():
         utilization = balance.get_utilization(source)
         if (
-            utilization < BUSY_UTILIZATION
+            utilization < balance.busy_utilization[source]
             or utilization - mean < MIN_UTILIZATION_GAP / 2
         ):
             return None
@@ -337,7 +378,7 @@
             continue
         if (
             balance.profile.sum_range(key, key)
-            < BUSY_UTILIZATION * balance.capacity[source]
+            < balance.busy_utilization[source] * balance.capacity[source]
         ):
             continue
         sides = [(first, key - 1), (key + 1, last)]
--- a/tarragonhinge/ranges/_targets.py
+++ b/tarragonhinge/ranges/_targets.py
@@ -180,7 +180,9 @@
                 requests_per_s = min(requests_per_s, rate_limit)
             capacities.append(
                 _planner.Capacity(
-                    server=entry.server, requests_per_s=requests_per_s
+                    server=entry.server,
+                    requests_per_s=requests_per_s,
+                    slots=entry.slots,
                 )
             )
         return capacities
@@ -257,7 +259,7 @@
         candidates = answering or others
         if region is not None:
             room = max(
-                _planner.BUSY_UTILIZATION,
+                max(balance.busy_utilization.values()),
                 min(map(compute_utilization, candidates))
                 + ROOM_UTILIZATION_GAP,
             )
--- a/tarragonhinge/ranges/tests/test_planner.py
+++ b/tarragonhinge/ranges/tests/test_planner.py
@@ -12,11 +12,13 @@
 SERVERS = 16
 
 
-def _make_balance(rates, requests_per_s=None, held=None):
+def _make_balance(rates, requests_per_s=None, held=None, slots=2):
     names = [base.ServerId(f"s{n}") for n in range(SERVERS)]
     capacities = [
         ranges.Capacity(
-            server=name, requests_per_s=(requests_per_s or {}).get(name, 10.0)
+            server=name,
+            requests_per_s=(requests_per_s or {}).get(name, 10.0),
+            slots=slots,
         )
         for name in names
     ]
@@ -76,6 +78,19 @@
     assert ranges.plan_moves(balance) == []
 
 
+@pytest.mark.parametrize(
+    ("slots", "demand", "moves"),
+    [(2, 3.5, False), (2, 5.5, True), (6, 5.5, False), (6, 8.0, True)],
+)
+def test_keys_stay_while_no_request_waits_for_long(slots, demand, moves):
+    """While they move, their requests wait for longer than for a slot."""
+    rates = _spread_evenly(20.0, list(range(0, 65_536, 100)))
+    for key in range(28_150, 28_190):
+        rates[key] = rates.get(key, 0.0) + demand / 40
+    balance = _make_balance(rates, slots=slots)
+    assert bool(ranges.plan_moves(balance)) == moves
+
+
 def test_a_saturating_key_does_not_hide_other_busy_servers():
     rates = _make_clustered_rates(40.0, seed=2)
     rates[28_148] = 25.0
