--- a/tarragonhinge/gateway/tests/regional.py
+++ b/tarragonhinge/gateway/tests/regional.py
@@ -29,6 +29,7 @@
     """
 
     min_connect_ms = 1
+    is_new = False
 
     def __init__(self, zone, *, mode="ok"):
         self.zone = zone
@@ -44,6 +45,15 @@
 
     discard = release
 
+    def reserve_body(self, count):
+        return True
+
+    def release_body(self, count):
+        """Do nothing; bodies are not limited."""
+
+    def record_break(self):
+        """Do nothing; the server is not cold."""
+
     def close(self):
         """Do nothing; the exchange is cancelled."""
 
@@ -81,7 +91,7 @@
         self.connect_ms = 0
         self.is_out_of_reach = False
 
-    async def send_request(self, peer, request, call, *, on_sent):
+    async def send_request(self, peer, request, call, *, timeout_ms, on_sent):
         self.opened.append(peer.instance)
         await asyncio.sleep(self.connect_ms / 1_000)
         if self.is_out_of_reach:
--- a/tarragonhinge/gateway/tests/replay.py
+++ b/tarragonhinge/gateway/tests/replay.py
@@ -218,6 +218,15 @@
     def discard(self, connection):
         pass
 
+    def reserve_body(self, count):
+        return True
+
+    def release_body(self, count):
+        pass
+
+    def record_break(self):
+        pass
+
     def close(self):
         pass
 
