Show the moves of evacuated keys in logs and metrics

keys_evacuated tells when the keys of a zone begin to move and when they have, and gauges at the coordinator show how many segments move, how many have not left yet, and the length of the record of keys.

--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -179,6 +179,10 @@
         """Term of the claim."""
         return self._leadership.term
 
+    def list_leaders(self) -> list[ranges.RangeLeader]:
+        """Return the leaders of the keyed services."""
+        return list(self._leaders.values())
+
     def _get_proof_age(self) -> base.Millis:
         if not self._condition.is_current(self._store):
             return base.Millis(_authority.AUTHORITY_MS)
--- a/tarragonhinge/coordination/_member.py
+++ b/tarragonhinge/coordination/_member.py
@@ -178,6 +178,12 @@
             self._fleet_size = self._subscription.fleet_size
         return self._fleet_size
 
+    def list_leaders(self) -> list[ranges.RangeLeader]:
+        """Return the leaders of the keyed services if it coordinates."""
+        if self._coordinator is None:
+            return []
+        return self._coordinator.list_leaders()
+
     def get_view_age_ms(self) -> int | None:
         """Return an upper bound of the view's age in milliseconds.
 
--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -5,6 +5,7 @@
 from tarragonhinge.events._log import EventLog
 from tarragonhinge.events._process_events import DependencyChanged
 from tarragonhinge.events._process_events import GrantFailed
+from tarragonhinge.events._process_events import KeysEvacuated
 from tarragonhinge.events._process_events import LeadershipChanged
 from tarragonhinge.events._process_events import LimitNamed
 from tarragonhinge.events._process_events import LinesDropped
@@ -53,6 +54,7 @@
     "Forwarded",
     "GrantFailed",
     "Held",
+    "KeysEvacuated",
     "LeadershipChanged",
     "LimitNamed",
     "Limited",
--- a/tarragonhinge/events/_process_events.py
+++ b/tarragonhinge/events/_process_events.py
@@ -283,6 +283,29 @@
     reason: str
 
 
+class KeysEvacuated(
+    _event.Event, frozen=True, kw_only=True, tag="keys_evacuated"
+):
+    """The keys of a service begin to leave zones or regions, or have left.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    zones : list of str
+        Evacuated zones; empty if keys leave regions that routes do not allow.
+    left : int
+        Number of segments that have not moved yet.
+    elapsed_ms : int
+        Time since the first of them began to move.
+    """
+
+    service: str
+    zones: list[str]
+    left: int
+    elapsed_ms: int
+
+
 class Planned(_event.Event, frozen=True, kw_only=True, tag="planned"):
     """The loads of the servers were compared and moves were planned.
 
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -158,6 +158,24 @@
             "Writes that the platform's store does not accept as they are.",
             lambda: self._store.rejected_count,
         )
+        leaders = self._member.list_leaders
+        watch(
+            "segments_moving",
+            "Segments of keys that move; at the coordinator.",
+            lambda: sum(leader.count_moving() for leader in leaders()),
+        )
+        watch(
+            "segments_evacuated",
+            "Segments that have to leave a zone or region yet; at the"
+            " coordinator.",
+            lambda: sum(leader.evacuated_count for leader in leaders()),
+        )
+        watch(
+            "key_record_bytes",
+            "Length of the longest record of keys, in bytes of base64; at the"
+            " coordinator.",
+            lambda: max((one.record_bytes for one in leaders()), default=0),
+        )
         watch(
             "server_crashes",
             "Crashes of servers that this instance has recognized.",
--- a/tarragonhinge/ranges/_evacuation.py
+++ b/tarragonhinge/ranges/_evacuation.py
@@ -9,11 +9,15 @@
 moves have to start within half a second.
 """
 
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 import math
 
+from tarragonhinge import base
 from tarragonhinge import catalog
+from tarragonhinge import events
 from tarragonhinge.ranges import _key_load
 from tarragonhinge.ranges import _lease
 
@@ -91,3 +95,70 @@
     mean = sum(capacities) / len(capacities)
     pieces = math.ceil(load / (WHOLE_LEASE_LOAD_RATIO * mean))
     return max(1, min(DRAIN_PIECES, pieces))
+
+
+class Progress:
+    """Logs when the keys of zones or regions begin to move, and have moved.
+
+    Parameters
+    ----------
+    service : ServiceName
+        Service that the keys belong to.
+    view : View
+        Source of the evacuated zones.
+    log : EventLog
+        Destination of log events.
+    clock : Clock
+        This process's clock.
+
+    Attributes
+    ----------
+    left : int
+        Number of leases that have not moved yet.
+    """
+
+    def __init__(
+        self,
+        *,
+        service: base.ServiceName,
+        view: catalog.View,
+        log: events.EventLog,
+        clock: base.Clock,
+    ) -> None:
+        self._service = service
+        self._view = view
+        self._log = log
+        self._clock = clock
+        self._began_at: int | None = None
+        self._moving = 0
+        self.left = 0
+
+    def record(self, leaving: Sequence[LeavingLease]) -> None:
+        """Record the leases that have to leave and do not move yet."""
+        waiting = sum(item.is_batched for item in leaving)
+        self.left = waiting + self._moving
+        now = self._clock.now()
+        if self._began_at is None and self.left:
+            self._began_at = now
+            self._write(0)
+        elif self._began_at is not None and not self.left:
+            self._write(now - self._began_at)
+            self._began_at = None
+
+    async def follow(self, move: Callable[[], Awaitable[None]]) -> None:
+        """Move a lease that leaves a zone or region."""
+        self._moving += 1
+        try:
+            await move()
+        finally:
+            self._moving -= 1
+
+    def _write(self, elapsed_ms: int) -> None:
+        self._log.write(
+            events.KeysEvacuated(
+                service=self._service,
+                zones=sorted(self._view.evacuated_zones),
+                left=self.left,
+                elapsed_ms=elapsed_ms,
+            )
+        )
--- a/tarragonhinge/ranges/_leader.py
+++ b/tarragonhinge/ranges/_leader.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import functools
 
 from tarragonhinge import base
 from tarragonhinge import catalog
@@ -143,10 +144,27 @@
             log=log,
             clock=clock,
         )
+        self._progress = _evacuation.Progress(
+            service=service, view=view, log=log, clock=clock
+        )
         self._planned_at = 0
         self._merged_at = 0
         self._group: asyncio.TaskGroup | None = None
 
+    @property
+    def evacuated_count(self) -> int:
+        """Number of segments that have to leave a zone or region yet."""
+        return self._progress.left
+
+    @property
+    def record_bytes(self) -> int:
+        """Length of the last record written, in bytes of base64."""
+        return self._recorder.encoded_bytes
+
+    def count_moving(self) -> int:
+        """Return the number of segments that move."""
+        return sum(lease.is_moving for lease in self._lease_map.leases)
+
     def record_keys(self, keys: Sequence[int]) -> None:
         """Count the requests that an instance reported, one for each key."""
         self._load.add(keys)
@@ -258,6 +276,7 @@
         These drain, are no longer listed, or are in an evacuated zone.
         """
         leaving = self._list_leaving()
+        self._progress.record(leaving)
         if not leaving:
             return
         movable = leaving
@@ -305,7 +324,8 @@
         if self._recorder.is_full:
             pieces = 1
         lease.is_moving = True
-        self._start_move(
+        move = functools.partial(
+            self._mover.move,
             lease,
             _planner.divide_by_load(
                 lease.first, lease.last, balance.profile, pieces=pieces
@@ -313,6 +333,9 @@
             lambda piece: self._targets.choose(piece, region=region),
             reason=item.reason,
         )
+        self._group.create_task(
+            self._progress.follow(move) if item.is_batched else move()
+        )
 
     def _rebalance(self) -> bool:
         """Start moves that balance the load.
@@ -363,13 +386,15 @@
         for lease, planned in moves_by_lease.items():
             targets = {move.first: move.target for move in planned}
             lease.is_moving = True
-            self._start_move(
-                lease,
-                [(move.first, move.last) for move in planned],
-                lambda piece, targets=targets: self._choose_planned_target(
-                    piece, targets
-                ),
-                reason="balance",
+            self._group.create_task(
+                self._mover.move(
+                    lease,
+                    [(move.first, move.last) for move in planned],
+                    lambda piece, targets=targets: self._choose_planned_target(
+                        piece, targets
+                    ),
+                    reason="balance",
+                )
             )
         return True
 
@@ -393,18 +418,6 @@
             return entry
         return self._targets.choose(lease)
 
-    def _start_move(
-        self,
-        lease: _lease.Lease,
-        pieces: list[tuple[int, int]],
-        choose_target: _mover.TargetChooser,
-        *,
-        reason: str,
-    ) -> None:
-        self._group.create_task(
-            self._mover.move(lease, pieces, choose_target, reason=reason)
-        )
-
     def _merge(self) -> None:
         """Merge adjacent leases of the same holder to reduce renewals."""
         for left, right in self._lease_map.list_mergeable():
--- a/tarragonhinge/ranges/_recorder.py
+++ b/tarragonhinge/ranges/_recorder.py
@@ -59,6 +59,8 @@
     ----------
     owners : OwnerMap
         Lease holders as last recorded.
+    encoded_bytes : int
+        Length of the last record written, in bytes of base64.
     is_outdated : bool
         Whether the record that was loaded, or is missing, may lack changes,
         since the store had come back from an older copy.
@@ -80,7 +82,7 @@
         self._first_era = first_era
         self._clock = clock
         self._row_bytes = row_bytes
-        self._encoded_bytes = 0
+        self.encoded_bytes = 0
         self._is_rejected = False
         self._version = 0
         self._era = 0
@@ -152,7 +154,7 @@
     def is_full(self) -> bool:
         """Whether the record is too long for moves that add segments."""
         return self._is_rejected or (
-            self._encoded_bytes >= FULL_ROW_FRACTION * self._row_bytes
+            self.encoded_bytes >= FULL_ROW_FRACTION * self._row_bytes
         )
 
     def check_writable(self) -> bool:
@@ -251,7 +253,7 @@
                 ),
                 row_bytes=self._row_bytes,
             )
-            self._encoded_bytes = stores.compute_encoded_bytes(value)
+            self.encoded_bytes = stores.compute_encoded_bytes(value)
             result = await self._store.write(
                 checks=[
                     self._claim.check,
--- a/tarragonhinge/ranges/tests/test_evacuation.py
+++ b/tarragonhinge/ranges/tests/test_evacuation.py
@@ -120,6 +120,7 @@
             server.faults.work_ms = WORK_MS
         zones.evacuate("a1")
         await service.run_for(400)
+        assert service.leader.evacuated_count > 0
         if fault == "second_zone":
             zones.evacuate("a1", "b1")
         elif fault == "store":
@@ -130,6 +131,7 @@
             await service.stop_leader()
             service.start_leader(zones=REGIONS)
         await zones.run_for(LIMIT_MS)
+        assert service.leader.evacuated_count == 0
         zones.check_served(
             *({"a2"} if fault == "second_zone" else {"a2", "b1"})
         )
