--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -7,6 +7,7 @@
 from tarragonhinge.events._process_events import DependencyChanged
 from tarragonhinge.events._process_events import EvacuationChanged
 from tarragonhinge.events._process_events import GrantFailed
+from tarragonhinge.events._process_events import KeysEvacuated
 from tarragonhinge.events._process_events import LeadershipChanged
 from tarragonhinge.events._process_events import LimitNamed
 from tarragonhinge.events._process_events import LinesDropped
@@ -60,6 +61,7 @@
     "Forwarded",
     "GrantFailed",
     "Held",
+    "KeysEvacuated",
     "LeadershipChanged",
     "LimitNamed",
     "Limited",
