Spread the first requests of all instances to a server that has come up

Cause: before any report, each of 66 instances knows only its own requests at such a server, so that two from each filled its queue at once.

Change: an instance leaves the first requests to others for a random time of at most 1.2 s, until a report arrives. Waits for slots of cold servers are bounded, since slots of former coordinators come in addition. Coldness and pace are exported by server, 64 at most.

--- a/tarragonhinge/balancing/_links.py
+++ b/tarragonhinge/balancing/_links.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 import dataclasses
 import math
+import random
 
 from tarragonhinge.balancing import _fleet_size
 from tarragonhinge.balancing import _leaving_servers
@@ -159,6 +160,8 @@
         Servers that say that they leave.
     clock : Clock
         This process's clock.
+    rng : random.Random or None
+        Spreads the first requests to servers that have come up.
 
     Attributes
     ----------
@@ -175,7 +178,9 @@
         fleet_size: _fleet_size.FleetSize,
         leaving: _leaving_servers.LeavingServers,
         clock: base.Clock,
+        rng: random.Random | None = None,
     ) -> None:
+        self._rng = rng or random.Random()
         self._view = view
         self._zone = zone
         self._zones = zones
@@ -268,6 +273,15 @@
         keyed = [link for link in self.list_keyed() if link.load.pace is None]
         return keyed + paced
 
+    def list_pace_limits(self) -> dict[base.ServerId, float]:
+        """Return the limits of the servers that have one now."""
+        limits_by_server = {
+            server: link.load.get_pace_limit()
+            for server, link in self._links.items()
+            if link.load.pace is not None
+        }
+        return {s: n for s, n in limits_by_server.items() if n < math.inf}
+
     def list_keyed(self) -> list[ServerLink]:
         """Return the existing links to servers of keyed services."""
         if self._view.table is None:
@@ -297,6 +311,8 @@
             pace=_pace.ServerPace(slots=entry.slots)
             if service and service.warm_up_ms
             else None,
+            get_fleet_size=self._fleet_size.get,
+            rng=self._rng,
         )
         if entry.cold_ms:
             load.set_cold(entry.cold_ms)
@@ -326,7 +342,7 @@
         An instance that has just started itself knows no server either.
         """
         age_ms = self._clock.read_wall_time() - entry.born_ms
-        return entry.cold_ms > 0 or 0 <= age_ms < service.warm_up_ms
+        return entry.cold_ms > 0 or age_ms < service.warm_up_ms
 
     def _compute_distance(self, zone: base.ZoneName) -> _placement.Distance:
         if zone == self._zone:
--- a/tarragonhinge/balancing/_pace.py
+++ b/tarragonhinge/balancing/_pace.py
@@ -37,6 +37,11 @@
 #: Factor applied to the limit after a failure.
 FAILURE_FACTOR = 0.5
 
+#: Longest time for which an instance leaves the first requests to others, so
+#: that those of a large fleet do not arrive together. A server carries its
+#: share 2 s after it could.
+MAX_TRIAL_DELAY_MS = 1_200
+
 #: Time without a failure after which the server needs no limit.
 PACED_MS = 5_000
 
@@ -66,6 +71,7 @@
         self._slots = max(1, slots)
         self._paced_until = -1
         self._limit = math.inf
+        self._trial_at = 0.0
         self._updated_at = 0
         self._good_until = 0
         self._is_proved = False
@@ -78,11 +84,21 @@
         """Return whether the server may have a limit."""
         return now < self._paced_until
 
-    def restart(self, now: int) -> None:
-        """Begin again, since the server has come up or is reached again."""
+    def restart(self, now: int, *, trial_delay_ms: float = 0.0) -> None:
+        """Begin again, since the server has come up or is reached again.
+
+        Parameters
+        ----------
+        now : int
+            Present time.
+        trial_delay_ms : float
+            Time for which the first requests are left to other instances,
+            whose number at the server is not known before a report.
+        """
         if not IS_ENABLED:
             return
         self._paced_until = now + PACED_MS
+        self._trial_at = now + min(trial_delay_ms, MAX_TRIAL_DELAY_MS)
         self._limit = max(1.0, START_FRACTION * self._slots)
         self._updated_at = now
         self._good_until = now
@@ -91,6 +107,33 @@
         self._count = 0
         self._work_until = now
 
+    def compute_trial_delay_ms(
+        self, mean_ms: float, *, instances: int, draw: float
+    ) -> float:
+        """Return for how long an instance leaves first requests to others.
+
+        All of them together then send as many in the time of one request as
+        the server may have at first.
+
+        Parameters
+        ----------
+        mean_ms : float
+            Mean latency over all servers.
+        instances : int
+            Number of instances.
+        draw : float
+            Random number from 0 to 1.
+        """
+        at_first = max(1.0, START_FRACTION * self._slots)
+        spread_ms = mean_ms * max(0.0, instances - at_first) / at_first
+        return draw * min(MAX_TRIAL_DELAY_MS, spread_ms)
+
+    def get_trial_wait_ms(self, now: int) -> float:
+        """Return the time until this instance may send its first request."""
+        if not self.is_active(now):
+            return 0.0
+        return max(0.0, self._trial_at - now)
+
     def get_limit(self, now: int) -> float:
         """Return how many requests may be in flight at the server.
 
@@ -155,6 +198,7 @@
         if not self.is_active(now):
             return
         self._grow(now)
+        self._trial_at = now
         self._work = max(1.0, work_percent / 100)
         self._work_until = now + WORK_VALID_MS
         ceiling = self._compute_ceiling(now)
--- a/tarragonhinge/balancing/_server_load.py
+++ b/tarragonhinge/balancing/_server_load.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Callable
 import math
+import random
 
 from tarragonhinge import admission
 from tarragonhinge.balancing import _pace
@@ -130,6 +131,10 @@
     pace : ServerPace or None
         Limit of the requests at the server after it has come up; None if it
         needs none.
+    get_fleet_size : callable
+        Returns the number of instances, which learn of that at once.
+    rng : random.Random or None
+        Spreads the first requests of the instances.
 
     Attributes
     ----------
@@ -149,7 +154,11 @@
         clock: base.Clock,
         get_sender_count: Callable[[], int] = lambda: 1,
         pace: _pace.ServerPace | None = None,
+        get_fleet_size: Callable[[], int] = lambda: 1,
+        rng: random.Random | None = None,
     ) -> None:
+        self._get_fleet_size = get_fleet_size
+        self._rng = rng or random.Random()
         self.pace = pace
         self.work_speed = _work_speed.WorkSpeed()
         self._get_sender_count = get_sender_count
@@ -244,7 +253,12 @@
     def restart_pace(self) -> None:
         """Limit requests again to a server that has come up."""
         if self.pace is not None:
-            self.pace.restart(self._clock.now())
+            delay_ms = self.pace.compute_trial_delay_ms(
+                self._service_time.mean_ms,
+                instances=self._get_fleet_size(),
+                draw=self._rng.random(),
+            )
+            self.pace.restart(self._clock.now(), trial_delay_ms=delay_ms)
 
     def get_pace_limit(self) -> float:
         """Return how many requests may be at the server now."""
@@ -257,6 +271,9 @@
         limit = self.get_pace_limit()
         if limit == math.inf:
             return 0.0
+        trial_wait_ms = self.pace.get_trial_wait_ms(self._clock.now())
+        if trial_wait_ms:
+            return trial_wait_ms
         total = self.in_flight + self.estimate_others_in_flight()
         if total < limit:
             return 0.0
--- a/tarragonhinge/gateway/_cold_watch.py
+++ b/tarragonhinge/gateway/_cold_watch.py
@@ -11,8 +11,9 @@
 from tarragonhinge import limits
 
 #: Number of servers, as a fraction of all and at least, that may be out of
-#: reach of this instance without being taken for a fault of its own links.
-OWN_FAULT_FRACTION = 0.25
+#: reach of this instance without being taken for a fault of its own links. A
+#: zone that is cut off holds a sixth of them.
+OWN_FAULT_FRACTION = 0.1
 OWN_FAULT_SERVERS = 2
 
 #: Longest time from the end of a server's process until another instance's
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -116,6 +116,7 @@
             fleet_size=self.fleet_size,
             leaving=self.leaving,
             clock=clock,
+            rng=rng,
         )
         self.server_limits = limits.ServerLimits(
             log=log, cold=limits.ColdServers(log=log, clock=clock)
--- a/tarragonhinge/gateway/_metrics.py
+++ b/tarragonhinge/gateway/_metrics.py
@@ -1,12 +1,46 @@
 """Counters and latency histograms of requests."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Mapping
 
 import prometheus_client
+from prometheus_client import core
+from prometheus_client import registry as prometheus_registry
 
 #: Upper bounds of the buckets of the latency histogram, in seconds.
 LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1.2, 1.6, 2.5, 5.0, 10.0)
 
+#: Largest number of servers in the samples of one metric.
+MAX_SERVER_SAMPLES = 64
+
+
+class _ServerGauge(prometheus_registry.Collector):
+    """Gauge by server whose values are read on each scrape."""
+
+    def __init__(
+        self, name: str, help_: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        self._name = name
+        self._help = help_
+        self._read = read
+
+    def collect(self) -> Iterator[core.GaugeMetricFamily]:
+        """Return the gauge with the present values."""
+        gauge = core.GaugeMetricFamily(
+            self._name, self._help, labels=["server"]
+        )
+        values = sorted(self._read().items())
+        for server, value in values[:MAX_SERVER_SAMPLES]:
+            gauge.add_metric([server], value)
+        yield gauge
+
+    def describe(self) -> list[core.GaugeMetricFamily]:
+        """Return the gauge without values, which need a running loop."""
+        return [
+            core.GaugeMetricFamily(self._name, self._help, labels=["server"])
+        ]
+
 
 class RequestMetrics:
     """Request metrics of one instance.
@@ -58,6 +92,14 @@
         )
         gauge.set_function(read)
 
+    def watch_servers(
+        self, name: str, help_: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Add a gauge by server whose values are read on each scrape."""
+        self.registry.register(
+            _ServerGauge(f"tarragonhinge_gateway_{name}", help_, read)
+        )
+
     def record(self, *, outcome: str, reason: str, elapsed_ms: int) -> None:
         """Record a completed request."""
         self._requests.labels(outcome=outcome, reason=reason).inc()
--- a/tarragonhinge/gateway/tests/replay.py
+++ b/tarragonhinge/gateway/tests/replay.py
@@ -79,6 +79,8 @@
         refusing requests.
     shed_share : float
         Share of the requests that it refuses whatever its load.
+    born_ms : int
+        Wall-clock time of its start.
 
     Attributes
     ----------
@@ -86,6 +88,8 @@
         Requests that it has begun, in order.
     resets_sent : int
         Number of connections that it has reset.
+    most : int
+        Largest number of requests that it has had at a time.
     """
 
     def __init__(
@@ -97,8 +101,11 @@
         slowness=1.0,
         resets=False,
         shed_share=0.0,
+        born_ms=1,
     ):
         self.name = name
+        self.born_ms = born_ms
+        self.most = 0
         self.slots = slots
         self.queue = queue
         self.slowness = slowness
@@ -125,6 +132,7 @@
                 return False
             turn = asyncio.get_running_loop().create_future()
             self._waiting.append(turn)
+            self.most = max(self.most, self._running + len(self._waiting))
             try:
                 await turn
             except asyncio.CancelledError:
@@ -259,6 +267,8 @@
         Whether the first server owns all keys of the service.
     retry_slack : int
         Retries in a window beyond their share of the requests.
+    warm_up_ms : int
+        Time for which a server of the service is cold after its start.
     """
 
     def __init__(
@@ -270,6 +280,7 @@
         network_ms=1,
         keyed=False,
         retry_slack=100,
+        warm_up_ms=0,
     ):
         self.clock = testing.ManualClock()
         self.servers = {f"{s.name}:1": s for s in servers}
@@ -277,6 +288,7 @@
         self.answers = []
         self._network_ms = network_ms
         self._keyed = keyed
+        self._warm_up_ms = warm_up_ms
         self._retry_slack = retry_slack
         self._count = 0
         self.gateways = []
@@ -295,7 +307,10 @@
             routes=tuple(self.routes.values()),
             services=(
                 catalog.Service(
-                    name=SERVICE, max_connections=400, keyed=self._keyed
+                    name=SERVICE,
+                    max_connections=400,
+                    keyed=self._keyed,
+                    warm_up_ms=self._warm_up_ms,
                 ),
             ),
         )
@@ -306,7 +321,7 @@
                 address=base.Address(address),
                 zone=base.ZoneName("z"),
                 slots=server.slots,
-                born_ms=1,
+                born_ms=server.born_ms,
             )
             for address, server in self.servers.items()
         )
--- a/tarragonhinge/limits/_cold_servers.py
+++ b/tarragonhinge/limits/_cold_servers.py
@@ -193,6 +193,15 @@
             if until > now
         ]
 
+    def list_left_s(self) -> dict[base.ServerId, float]:
+        """Return the seconds for which each cold server stays cold."""
+        now = self._clock.now()
+        return {
+            server: (known.get_end() - now) / base.MS_PER_S
+            for server, known in self._known.items()
+            if known.get_end() > now
+        }
+
     def apply(self, reports: Iterable[ColdServer]) -> None:
         """Record what other instances report."""
         for report in reports:
--- a/tarragonhinge/limits/_permits.py
+++ b/tarragonhinge/limits/_permits.py
@@ -8,6 +8,10 @@
 from tarragonhinge.limits import _server_limits
 from tarragonhinge.limits import _turn_pacer
 
+#: Longest wait for a slot at a cold server. Former coordinators have issued
+#: slots that far ahead, beside those of the present one.
+MAX_COLD_WAIT_MS = 1_000
+
 
 class PermitSource(abc.ABC):
     """Issuer of the permits of all instances, as one instance reaches it."""
@@ -89,6 +93,8 @@
             self._turn_pacers.pop(incarnation[0], None)
             self._refused.pop(incarnation, None)
             return None
+        if is_cold:
+            max_wait_ms = min(max_wait_ms, MAX_COLD_WAIT_MS)
         now = self._clock.now()
         start_at, retry_at = self._refused.get(incarnation, (now, now))
         if start_at - now > max_wait_ms:
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -175,6 +175,16 @@
             "Requests that are refused since they crash servers.",
             lambda: self.gateway.ledger.refused_count,
         )
+        self.gateway.metrics.watch_servers(
+            "server_cold_seconds",
+            "Time for which a server stays cold.",
+            self.gateway.server_limits.cold.list_left_s,
+        )
+        self.gateway.metrics.watch_servers(
+            "server_pace_requests",
+            "Requests that a server that has come up may have now.",
+            self.gateway.links.list_pace_limits,
+        )
         watch(
             "log_lines_dropped",
             "Lines left out of the log since the start.",
