--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -124,6 +124,7 @@
             fleet_size=self.fleet_size,
             leaving=self.leaving,
             clock=clock,
+            rng=rng,
         )
         self.eligibility = balancing.Eligibility(
             links=self.links,
