Prefer a near subset of the servers in fleets whose connections go cold

In a fleet of 66 instances, each instance saw 0.1 requests per second and server, while connections serve requests that are not idempotent for 1 s after their last use. Half of the requests opened a connection. Further ones were opened to try servers that owed a response behind a known queue, and a second time after each reset. Connections that a server keeps for 10 s were reused for 7 s.

An instance with less than a request in 3 s per server and service prefers a few servers, near ones first, ranked by rendezvous hashing; those among them to which it has a connection go first, and more servers are used as soon as these have no free slot. Instances with more requests choose as before. Connections are reused up to 0.8 s before the end of the stated keep-alive time; after a reset of an idle connection, the server gets new ones for 30 s from 0.8 of that idle time on. A known queue and long work postpone the trial of a silent server. A server that keeps a connection open for 200 ms after a reset is not tried again.

--- a/tarragonhinge/balancing/_placer.py
+++ b/tarragonhinge/balancing/_placer.py
@@ -6,6 +6,7 @@
 
 from tarragonhinge.balancing import _admission
 from tarragonhinge.balancing import _links
+from tarragonhinge.balancing import _near_subset
 from tarragonhinge.balancing import _owner_finder
 from tarragonhinge.balancing import _placement
 from tarragonhinge.balancing import _server_preference
@@ -70,6 +71,13 @@
         This process's clock.
     rng : random.Random
         Source of jitter for the delays before retries.
+    instance : InstanceId
+        This instance.
+
+    Attributes
+    ----------
+    subsets : NearSubsets
+        Servers that this instance uses first.
     """
 
     def __init__(
@@ -81,6 +89,7 @@
         preference: _server_preference.ServerPreference,
         clock: base.Clock,
         rng: random.Random,
+        instance: base.InstanceId,
     ) -> None:
         self._links = links
         self._owners = owners
@@ -90,6 +99,7 @@
         self._rng = rng
         self._urgent_routes = _urgent_routes.UrgentRoutes(clock=clock)
         self._lines = _waiting_line.WaitingLines(rng=rng)
+        self.subsets = _near_subset.NearSubsets(instance=instance, clock=clock)
 
     async def place(self, job: jobs.Job) -> Placement | jobs.Refused:
         """Return the server for the next attempt, or a refusal.
@@ -118,6 +128,8 @@
     ) -> Placement | jobs.Refused | _Hold:
         """Return the result of placement at the present loads."""
         if job.key is None:
+            if place is None:
+                self.subsets.record(job.service.name)
             return await self._place_anywhere(job, place)
         while True:
             segment = await self._owners.wait_for_owner(
@@ -160,12 +172,50 @@
         """Choose a server, if possible without suspects of a crash."""
         links = self._list_ready(job)
         preferred = self._preference.list_preferred(job, links)
-        if len(preferred) < len(links):
-            placement = await self._place_among(job, preferred, place)
-            if isinstance(placement, Placement):
-                return placement
+        near = self._find_near(job, preferred)
+        for group in (near, preferred):
+            if group and len(group) < len(links):
+                placement = await self._place_among(job, group, place)
+                if isinstance(placement, Placement):
+                    return placement
         return await self._place_among(job, links, place)
 
+    def _find_near(
+        self, job: jobs.Job, links: list[_links.ServerLink]
+    ) -> list[_links.ServerLink]:
+        """Return the preferred servers that have room; none if it uses all."""
+        limit_ms = self._compute_latency_limit(job)
+        service_ms = self.estimate_service_ms(job)
+        max_wait_ms = _near_subset.MAX_WAIT_FRACTION * job.route.objective_ms
+        is_active = False
+        for subset in self.subsets.list_growing(
+            job.service.name,
+            links,
+            traffic_bytes=self._links.route_sizes.get_bytes(job.route.name),
+            service_ms=service_ms,
+        ):
+            is_active = True
+            group = [
+                link
+                for link in subset
+                if link.load.estimate_wait_ms() <= max_wait_ms
+            ]
+            connected = [
+                link
+                for link in group
+                if link.pool.has_idle(fresh=not job.is_idempotent)
+            ]
+            for near in (connected, group):
+                choice = self._decide(job, near, limit_ms)
+                if (
+                    isinstance(choice, _placement.Choice)
+                    and choice.expected_ms <= job.route.objective_ms
+                ):
+                    self.subsets.used += 1
+                    return near
+        self.subsets.exceeded += is_active
+        return []
+
     async def _place_among(
         self,
         job: jobs.Job,
--- a/tarragonhinge/gateway/_crash_guard.py
+++ b/tarragonhinge/gateway/_crash_guard.py
@@ -306,6 +306,9 @@
         accepted_count = 0
         for delay_ms in PROBE_DELAYS_MS:
             await self._clock.sleep(delay_ms)
+            if accepted_count and link.pool.has_idle(fresh=False):
+                # The kernel closes the connections of a process that ends.
+                break
             state = await self._monitor.probe(link)
             if state is http1.ListenerState.REFUSING:
                 if await self._monitor.confirm_end(link):
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -154,6 +154,7 @@
             preference=self.guard,
             clock=clock,
             rng=rng,
+            instance=options.instance,
         )
         self.shutdown = _shutdown.Shutdown(
             kill_after_ms=options.stop_ms, clock=clock
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -22,6 +22,10 @@
 MIN_SILENCE_MS = 500
 MAX_SILENCE_MS = 800
 
+#: Multiple of the service time that replaces the upper bound if it is larger,
+#: as on slow servers, where each request would open another connection.
+SLOW_SERVICE_FACTOR = 1.5
+
 
 class Sender:
     """Sends requests and updates the load estimates from the responses.
@@ -194,6 +198,10 @@
             if not flight.is_aborted:
                 if error.is_reset and connection.is_new:
                     self.accept_resets.record_reset(job.service.name)
+                elif error.is_reset and not link.load.is_busy():
+                    link.pool.record_forgotten(
+                        idle_ms=flight.sent_at - connection.used_at
+                    )
                 if self._is_full(link, error, flight.sent_at):
                     link.load.record_full()
                 else:
@@ -293,13 +301,15 @@
         self, job: jobs.Job, link: balancing.ServerLink
     ) -> float:
         """Return the time without a response that is unusual."""
-        expected_ms = (
-            link.get_round_trip_ms()
-            + link.load.estimate_wait_ms()
-            + link.load.estimate_service_ms(job.route.name)
-        )
+        wait_ms = link.load.estimate_wait_ms()
+        service_ms = link.load.estimate_service_ms(job.route.name)
+        expected_ms = link.get_round_trip_ms() + wait_ms + service_ms
         silence_ms = SILENCE_LATENCY_FACTOR * expected_ms
-        return min(MAX_SILENCE_MS, max(MIN_SILENCE_MS, silence_ms))
+        # A queue that is known, and long work, are not unusual.
+        max_ms = wait_ms + max(
+            MAX_SILENCE_MS, SLOW_SERVICE_FACTOR * service_ms
+        )
+        return min(max_ms, max(MIN_SILENCE_MS, silence_ms))
 
     def _matches_attempt(self, job: jobs.Job, fields: http1.FieldList) -> bool:
         """Return whether a response may belong to this attempt.
--- a/tarragonhinge/gateway/tests/replay.py
+++ b/tarragonhinge/gateway/tests/replay.py
@@ -8,7 +8,9 @@
 import asyncio
 import collections
 import contextlib
+import contextvars
 import dataclasses
+import math
 import random
 import unittest.mock
 
@@ -27,6 +29,10 @@
 MAX_RETRY_WAIT_FRACTION = 1 / 3
 
 CALLER_RETRIES = 2
+
+#: Availability zone of the instance that handles a request.
+_ZONE = contextvars.ContextVar("zone", default="z")
+
 SERVICE = base.ServiceName("desk")
 
 
@@ -79,13 +85,21 @@
         refusing requests.
     shed_share : float
         Share of the requests that it refuses whatever its load.
+    zone : str
+        Its availability zone.
+    keep_alive_ms : int or None
+        Time for which it states to keep an idle connection.
+    forgets_after_ms : float
+        Idle time after which it resets a connection that is used again.
 
     Attributes
     ----------
     started : list of str
         Requests that it has begun, in order.
     resets_sent : int
-        Number of connections that it has reset.
+        Number of connections that it has reset since it was full.
+    opened, forgotten : int
+        Number of connections opened, and of those that it has forgotten.
     """
 
     def __init__(
@@ -97,6 +111,9 @@
         slowness=1.0,
         resets=False,
         shed_share=0.0,
+        zone="z",
+        keep_alive_ms=None,
+        forgets_after_ms=math.inf,
     ):
         self.name = name
         self.slots = slots
@@ -105,6 +122,11 @@
         self.resets = resets
         self.shed_share = shed_share
         self._rng = random.Random(name)
+        self.zone = base.ZoneName(zone)
+        self.keep_alive_ms = keep_alive_ms
+        self.forgets_after_ms = forgets_after_ms
+        self.opened = self.forgotten = 0
+        self.busy_ms = 0
         self.started = []
         self.resets_sent = 0
         self._running = 0
@@ -134,6 +156,7 @@
         else:
             self._running += 1
         self.started.append(attempt)
+        self.busy_ms += round(work_ms * self.slowness)
         try:
             await clock.sleep(round(work_ms * self.slowness))
         finally:
@@ -155,31 +178,41 @@
 
 
 class _Connection:
-    is_new = False
-
     def __init__(self, server, *, network_ms, clock):
         self._server = server
         self._network_ms = network_ms
         self._clock = clock
+        self.used_at = clock.now()
+        self.keep_alive_ms = server.keep_alive_ms
+        self.is_new = True
+
+    def is_reusable(self):
+        return True
+
+    async def ends_within(self, time_ms):
+        await self._clock.sleep(round(time_ms))
+        return False
 
     def close(self):
         """Do nothing; the exchange is cancelled."""
 
     async def exchange(self, request, *, recognize):
         fields = dict(request.fields)
+        idle_ms = self._clock.now() - self.used_at
         await self._clock.sleep(self._network_ms)
+        if not self.is_new and idle_ms > self._server.forgets_after_ms:
+            self._server.forgotten += 1
+            await self._clock.sleep(self._network_ms)
+            raise _make_reset()
         has_run = await self._server.run(
             fields["attempt"], int(fields["work"]), clock=self._clock
         )
         await self._clock.sleep(self._network_ms)
         if not has_run and self._server.resets and self._server.is_full:
             self._server.resets_sent += 1
-            raise http1.ExchangeError(
-                problem="the connection was reset",
-                remedy="",
-                sent=True,
-                is_reset=True,
-            )
+            raise _make_reset()
+        self.used_at = self._clock.now()
+        self.is_new = False
         answer = [
             ("attempt", fields["attempt"]),
             ("load", self._server.describe_load()),
@@ -191,36 +224,30 @@
         )
 
 
-class _Pool:
-    """Connections to a replayed server, of any number."""
+def _make_reset():
+    return http1.ExchangeError(
+        problem="the connection was reset",
+        remedy="",
+        sent=True,
+        is_reset=True,
+    )
 
-    def __init__(self, server, *, network_ms, clock):
+
+class _Pool(http1.ConnectionPool):
+    """Connections to a replayed server."""
+
+    def __init__(self, server, *, network_ms, **options):
+        super().__init__(**options)
         self._server = server
         self._network_ms = network_ms
-        self._clock = clock
-        self.min_connect_ms = 2 * network_ms
 
-    async def acquire(self, *, fresh, excluded=()):
+    async def _open(self, *, timeout_ms):
+        self._server.opened += 1
+        await self._clock.sleep(2 * self._network_ms)
         return _Connection(
             self._server, network_ms=self._network_ms, clock=self._clock
         )
 
-    async def probe(self, *, timeout_ms=0):
-        await self._clock.sleep(2 * self._network_ms)
-        return http1.ListenerState.ACCEPTING
-
-    def has_idle(self, *, fresh):
-        return True
-
-    def release(self, connection):
-        pass
-
-    def discard(self, connection):
-        pass
-
-    def close(self):
-        pass
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Answer:
@@ -259,8 +286,14 @@
         Network delay to a server, one way.
     keyed : bool
         Whether the first server owns all keys of the service.
+    divided : bool
+        Whether each server owns an equal part of the keys instead.
     retry_slack : int
         Retries in a window beyond their share of the requests.
+    regions : dict
+        Region of each availability zone, in turn those of the instances.
+    far_ms : int
+        Network delay to a server in another region, one way.
     """
 
     def __init__(
@@ -271,25 +304,46 @@
         instances=4,
         network_ms=1,
         keyed=False,
+        divided=False,
         retry_slack=100,
+        regions=None,
+        far_ms=20,
     ):
         self.clock = testing.ManualClock()
         self.servers = {f"{s.name}:1": s for s in servers}
         self.routes = {route.name: route for route in routes}
         self.answers = []
         self._network_ms = network_ms
-        self._keyed = keyed
+        self._keyed = keyed or divided
+        self._divided = divided
         self._retry_slack = retry_slack
+        self._regions = {
+            base.ZoneName(zone): base.RegionName(region)
+            for zone, region in (regions or {"z": "r"}).items()
+        }
+        self._far_ms = far_ms
         self._count = 0
         self.gateways = []
         self._instances = instances
 
-    def _make_pool(self, *, address, clock, limit):
-        return _Pool(
-            self.servers[address],
-            network_ms=self._network_ms,
-            clock=self.clock,
-        )
+    def _get_zone(self, number):
+        zones = list(self._regions)
+        return zones[number % len(zones)]
+
+    def _make_pool_class(self):
+        def make_pool(*, address, **options):
+            server = self.servers[address]
+            # Pools are made while their instance starts or places a request.
+            own = self._regions[_ZONE.get()]
+            is_far = self._regions[server.zone] != own
+            return _Pool(
+                server,
+                network_ms=self._far_ms if is_far else self._network_ms,
+                address=address,
+                **options,
+            )
+
+        return make_pool
 
     def _start(self):
         table = catalog.RoutingTable(
@@ -306,7 +360,7 @@
                 server=base.ServerId(server.name),
                 service=SERVICE,
                 address=base.Address(address),
-                zone=base.ZoneName("z"),
+                zone=server.zone,
                 slots=server.slots,
                 born_ms=1,
             )
@@ -315,12 +369,13 @@
         for number in range(self._instances):
             view = catalog.View()
             here = base.Address("127.0.0.1:1")
+            zone = self._get_zone(number)
             instance = gateway.Gateway(
                 options=gateway.InstanceOptions(
                     instance=base.InstanceId(f"e{number}"),
-                    zone=base.ZoneName("z"),
-                    region=base.RegionName("r"),
-                    zones={base.ZoneName("z"): base.RegionName("r")},
+                    zone=zone,
+                    region=self._regions[zone],
+                    zones=self._regions,
                     callers=here,
                     health=here,
                     peers=here,
@@ -338,16 +393,25 @@
             view.set_table(table)
             view.set_servers(entries)
             if self._keyed:
-                owner = next(iter(entries))
-                segment = catalog.Segment(
-                    first=0,
-                    last=catalog.KEY_COUNT - 1,
-                    server=owner,
-                    born_ms=1,
-                    fence=1,
-                    state=catalog.SegmentState.HELD,
-                )
-                view.set_owners(SERVICE, catalog.OwnerMap(segments=[segment]))
+                owners = list(entries) if self._divided else list(entries)[:1]
+                ends = [
+                    catalog.KEY_COUNT * (number + 1) // len(owners)
+                    for number in range(len(owners))
+                ]
+                segments = [
+                    catalog.Segment(
+                        first=first,
+                        last=end - 1,
+                        server=owner,
+                        born_ms=1,
+                        fence=1,
+                        state=catalog.SegmentState.HELD,
+                    )
+                    for owner, first, end in zip(
+                        owners, [0, *ends], ends, strict=False
+                    )
+                ]
+                view.set_owners(SERVICE, catalog.OwnerMap(segments=segments))
             self.gateways.append(instance)
 
     async def _relay_loads(self):
@@ -364,19 +428,23 @@
             await self.clock.sleep(RELAY_INTERVAL_MS)
             for reporter in reporters:
                 loads = reporter.make_loads()
-                for other in reporters:
+                for number, other in enumerate(reporters):
                     if other is not reporter and loads:
+                        _ZONE.set(self._get_zone(number))
                         other.apply_loads(loads)
 
     async def _call(self, route, work_ms, deadline_ms, rng):
         """Send a request as a caller does, until it has an answer."""
         began_at = self.clock.now()
+        key = rng.randrange(catalog.KEY_COUNT) if self._divided else 1
         attempts = 0
         while attempts <= CALLER_RETRIES:
             attempts += 1
             self._count += 1
             left_ms = deadline_ms - (self.clock.now() - began_at)
-            response = await rng.choice(self.gateways).handle(
+            number = rng.randrange(len(self.gateways))
+            _ZONE.set(self._get_zone(number))
+            response = await self.gateways[number].handle(
                 http1.HttpRequest(
                     method="GET",
                     target=f"/{route.name}/",
@@ -385,7 +453,7 @@
                         ("attempt", f"{route.name}-{self._count}"),
                         ("deadline", str(left_ms)),
                         ("work", str(round(work_ms))),
-                        ("key", "1"),
+                        ("key", str(key)),
                     ],
                 )
             )
@@ -430,7 +498,7 @@
 
         async def play():
             with unittest.mock.patch.object(
-                http1, "ConnectionPool", self._make_pool
+                http1, "ConnectionPool", self._make_pool_class()
             ):
                 self._start()
                 relay = asyncio.create_task(self._relay_loads())
--- a/tarragonhinge/http1/_pool.py
+++ b/tarragonhinge/http1/_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Collection
 import enum
+import math
 
 from tarragonhinge import base
 from tarragonhinge.http1 import _errors
@@ -20,6 +21,18 @@
 #: reused, so that the server does not close it first.
 KEEP_ALIVE_FRACTION = 0.7
 
+#: Time before the end of the server's keep-alive time up to which a connection
+#: is reused, if that is later: several round trips between regions, and delays
+#: of the server's timer.
+KEEP_ALIVE_MARGIN_MS = 800
+
+#: Time for which connections to a server are not reused after the idle time
+#: at which it has forgotten one, fraction of that idle time, and shortest idle
+#: time that counts. A server under load forgets all of them alike.
+FORGOTTEN_VALID_MS = 30_000
+FORGOTTEN_FRACTION = 0.8
+MIN_FORGOTTEN_MS = 250
+
 #: Idle time after which a connection is not used for a non-idempotent request,
 #: since a reset would leave its outcome unknown.
 FRESH_IDLE_LIMIT_MS = 1_000
@@ -56,6 +69,8 @@
     min_connect_ms : float or None
         Shortest time in which a connection was opened; None if there was
         none yet.
+    opened_count : int
+        Number of attempts to open a connection.
     """
 
     def __init__(
@@ -74,6 +89,9 @@
         self._open_count = 0
         self._is_closed = False
         self.min_connect_ms: float | None = None
+        self.opened_count = 0
+        self._forgotten_idle_ms = math.inf
+        self._forgotten_until = 0
 
     async def acquire(
         self,
@@ -108,9 +126,7 @@
         self._open_count += 1
         started_at = self._clock.now()
         try:
-            stream = await _tcp_stream.connect(
-                self._address, timeout_ms=self._connect_timeout_ms
-            )
+            connection = await self._open(timeout_ms=self._connect_timeout_ms)
         except OSError as error:
             self._open_count -= 1
             raise _errors.UnreachableError(
@@ -121,6 +137,15 @@
             self._open_count -= 1
             raise
         self._record_connect_time(self._clock.now() - started_at)
+        return connection
+
+    async def _open(
+        self, *, timeout_ms: int
+    ) -> _server_connection.ServerConnection:
+        self.opened_count += 1
+        stream = await _tcp_stream.connect(
+            self._address, timeout_ms=timeout_ms
+        )
         return _server_connection.ServerConnection(
             stream=stream, clock=self._clock
         )
@@ -153,22 +178,16 @@
         A connection that is opened serves the next request.
         """
         try:
-            stream = await _tcp_stream.connect(
-                self._address, timeout_ms=timeout_ms
-            )
+            connection = await self._open(timeout_ms=timeout_ms)
         except ConnectionRefusedError:
             return ListenerState.REFUSING
         except OSError:
             return ListenerState.SILENT
         if self._open_count >= self._limit:
-            stream.close()
+            connection.close()
             return ListenerState.ACCEPTING
         self._open_count += 1
-        self.release(
-            _server_connection.ServerConnection(
-                stream=stream, clock=self._clock
-            )
-        )
+        self.release(connection)
         return ListenerState.ACCEPTING
 
     def _record_connect_time(self, elapsed_ms: int) -> None:
@@ -198,15 +217,37 @@
         reusable = []
         for connection in self._idle:
             idle_ms = self._clock.now() - connection.used_at
-            limit_ms = IDLE_LIMIT_MS
-            if connection.keep_alive_ms is not None:
-                limit_ms = connection.keep_alive_ms * KEEP_ALIVE_FRACTION
+            limit_ms = self._compute_idle_limit_ms(connection)
             if connection.is_reusable() and idle_ms < limit_ms:
                 reusable.append(connection)
             else:
                 self._close_connection(connection)
         self._idle = reusable
 
+    def _compute_idle_limit_ms(
+        self, connection: _server_connection.ServerConnection
+    ) -> float:
+        limit_ms = IDLE_LIMIT_MS
+        if connection.keep_alive_ms is not None:
+            limit_ms = max(
+                connection.keep_alive_ms * KEEP_ALIVE_FRACTION,
+                connection.keep_alive_ms - KEEP_ALIVE_MARGIN_MS,
+            )
+        if self._clock.now() < self._forgotten_until:
+            limit_ms = min(limit_ms, self._forgotten_idle_ms)
+        return limit_ms
+
+    def record_forgotten(self, *, idle_ms: float) -> None:
+        """Record that the server has reset a connection that was idle."""
+        if idle_ms < MIN_FORGOTTEN_MS:
+            return
+        if self._clock.now() >= self._forgotten_until:
+            self._forgotten_idle_ms = math.inf
+        self._forgotten_idle_ms = min(
+            self._forgotten_idle_ms, FORGOTTEN_FRACTION * idle_ms
+        )
+        self._forgotten_until = self._clock.now() + FORGOTTEN_VALID_MS
+
     def close(self) -> None:
         """Close idle connections; others are closed on their release."""
         self._is_closed = True
