Take a status that HTTP does not define for no response

Statuses of 600 and more reached callers, signature and body included, as the parser accepts any three digits. They are invalid (RFC 9110, 15): the exchange fails, the connection is closed, and the caller gets a 502, which promises nothing, unless an idempotent request is answered by another server. Statuses below 100 already failed in the parser.

--- a/tarragonhinge/http1/_server_connection.py
+++ b/tarragonhinge/http1/_server_connection.py
@@ -32,6 +32,10 @@
 #: Largest number of interim responses before the final one.
 INTERIM_RESPONSE_LIMIT = 32
 
+#: Largest status that HTTP defines (RFC 9110, 15). The parser rejects those
+#: below 100, and interim ones are no final response.
+LAST_STATUS = 599
+
 #: Largest number of digits of a timeout.
 NUMBER_LIMIT_DIGITS = 9
 
@@ -157,6 +161,7 @@
                     if interim_count > INTERIM_RESPONSE_LIMIT:
                         raise _make_error("too many interim responses")
                 elif isinstance(event, h11.Response):
+                    _check_status(event.status_code)
                     head = event
                 elif isinstance(event, h11.Data):
                     body += event.data
@@ -192,6 +197,19 @@
         )
 
 
+def _check_status(status: int) -> None:
+    """Fail an exchange whose final status HTTP does not define.
+
+    Raises
+    ------
+    ExchangeError
+        If the status has no class, so that a caller could not tell whether
+        the request succeeded.
+    """
+    if status > LAST_STATUS:
+        raise _make_error(f"HTTP does not define the status {status}")
+
+
 def _check_part_count(part_count: int, *, body_bytes: int) -> None:
     """Fail an exchange whose response takes too much time to parse.
 
--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -24,6 +24,14 @@
 #: Modes in which a request that was executed is answered properly.
 _ANSWERING_MODES = frozenset({"ok", "error", "busy_error"})
 
+#: Status of a response by mode; 200 in any other mode.
+_STATUSES_BY_MODE = {
+    "error": "500",
+    "busy_error": "503",
+    "undefined": "999",
+    "zero": "000",
+}
+
 
 class ExecutionState(enum.Enum):
     """State of an execution.
@@ -96,7 +104,8 @@
         response to another attempt comes first), ``unsealed`` (response
         without a seal), ``foreign`` (response to another attempt only),
         ``error`` (status 500), ``busy_error`` (status 503 without the field
-        that denies the execution), ``silent`` (executed, no response).
+        that denies the execution), ``undefined`` (status 999), ``zero``
+        (status 000), ``silent`` (executed, no response).
     next_modes : list of str
         Modes of the next requests; once empty, `mode` applies.
     executed, abandoned : list of str
@@ -393,14 +402,14 @@
             fields[0] = ("Tarragonhinge-Request-Attempt-Id", "old")
         if mode == "unsealed":
             del fields[1]
-        status = {"error": 500, "busy_error": 503}.get(mode, 200)
+        status = _STATUSES_BY_MODE.get(mode, "200")
         self._write_response(writer, status, fields, body)
         return mode != "foreign"
 
     def _write_response(
         self,
         writer: asyncio.StreamWriter,
-        status: int,
+        status: int | str,
         fields: list[tuple[str, str]],
         body: str,
         *,
--- a/tarragonhinge/platform/tests/test_forwarding.py
+++ b/tarragonhinge/platform/tests/test_forwarding.py
@@ -116,6 +116,10 @@
         ("cut", "/x/", 2, 502),
         ("cut", "/u/", 1, 502),
         ("unsealed", "/x/", 2, 502),
+        # A status that HTTP does not define was passed on to the caller.
+        ("undefined", "/x/", 2, 502),
+        ("undefined", "/u/", 1, 502),
+        ("zero", "/u/", 1, 502),
         ("reset", "/u/", 1, 502),
     ],
 )
--- a/tarragonhinge/platform/tests/test_path.py
+++ b/tarragonhinge/platform/tests/test_path.py
@@ -194,6 +194,11 @@
         (SAFE, ["stray"], 200, 1),
         (SAFE, ["error"], 200, 2),
         (SAFE, ["busy_error"], 200, 2),
+        # A status that HTTP does not define was passed on to the caller.
+        (SAFE, ["undefined"], 200, 2),
+        (SAFE, ["zero"], 200, 2),
+        (UNSAFE, ["undefined"], 502, 1),
+        (UNSAFE, ["zero"], 502, 1),
         (UNSAFE, ["ok"], 200, 1),
         (UNSAFE, ["shed"], 200, 1),
         (UNSAFE, ["cut"], 502, 1),
