Check a configuration of the platform before it is sent

'tarragonhinge table check NEW [--against CURRENT]' decodes a configuration as instances do and reports errors, entries that never take effect, limits that contradict each other, and what differs from the version in force, with what becomes stricter.

--- a/tarragonhinge/cli/_table.py
+++ b/tarragonhinge/cli/_table.py
@@ -16,7 +16,17 @@
 
 #: Decorator that keeps arguments as text; fire would parse "a,b" as a tuple.
 _verbatim = decorators.SetParseFn(
-    str, "address", "token_file", "reason", "who", "edit_id"
+    str,
+    "address",
+    "token_file",
+    "reason",
+    "who",
+    "edit_id",
+    "new",
+    "against",
+    "settings",
+    "servers",
+    "format",
 )
 
 
@@ -44,12 +54,33 @@
     @_verbatim
     def check(
         self,
-        address: str,
+        new: str = "",
+        against: str = "",
+        settings: str = "",
+        servers: str = "",
+        format: str = "text",  # noqa: A002
+        address: str = "",
         token_file: str = "",
         allow_stranding: bool = False,
         allow_over_limit: bool = False,
     ) -> None:
-        """Check an edited table without storing it."""
+        """Check a table without storing it.
+
+        With ``--address``, the operators' table is read from standard input
+        and checked by an instance. Otherwise ``NEW`` is a file with a
+        configuration of the platform, which is read from standard input if no
+        file is given. No network is used, and the exit status is 1 if there is
+        any finding.
+        """
+        if not address:
+            _check_configuration(
+                new=new,
+                against=against,
+                settings=settings,
+                servers=servers,
+                output_format=format,
+            )
+            return
         query = _make_override_flags(allow_stranding, allow_over_limit)
         edit_response = _send(
             address, token_file, "POST", "/table/check", query=query
@@ -158,6 +189,14 @@
                 print(f"{label}: {', '.join(names)}")
 
 
+def _check_configuration(*, new: str, **options: str) -> None:
+    """Check a configuration of the platform and exit with the result."""
+    from tarragonhinge.cli import _check
+
+    path = new or _check.STANDARD_INPUT
+    sys.exit(_check.check_configuration(new=path, **options))
+
+
 def _format_edit(edit: configuration.EditSummary) -> str:
     accepted_at = datetime.datetime.fromtimestamp(
         edit.at_ms / base.MS_PER_S, tz=datetime.UTC
