--- a/tarragonhinge/gateway/tests/replay.py
+++ b/tarragonhinge/gateway/tests/replay.py
@@ -197,6 +197,9 @@
     def is_reusable(self):
         return True
 
+    def has_ended_early(self, idle_ms):
+        return False
+
     async def ends_within(self, time_ms):
         await self._clock.sleep(round(time_ms))
         return False
--- a/tarragonhinge/http1/tests/test_pool.py
+++ b/tarragonhinge/http1/tests/test_pool.py
@@ -12,6 +12,9 @@
         self.used_at = clock.now()
         self.keep_alive_ms = keep_alive_ms
 
+    def has_ended_early(self, idle_ms):
+        return False
+
     def is_reusable(self):
         return True
 
