--- a/tarragonhinge/ranges/tests/led_service.py
+++ b/tarragonhinge/ranges/tests/led_service.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+import msgspec
+
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import ranges
@@ -54,6 +56,29 @@
         entries.pop(name, None)
         self.view.set_servers(entries)
 
+    def drain(self, name):
+        state = catalog.ServerState.DRAINING
+        entry = self.view.servers[name]
+        self.put_entry(msgspec.structs.replace(entry, state=state))
+
+    def put_segments(self, count):
+        """Store a record in which the servers own segments in turn."""
+        entries = list(self.view.servers.values())
+        bounds = [i * catalog.KEY_COUNT // count for i in range(count + 1)]
+        self.put_record(
+            [
+                catalog.Segment(
+                    first=bounds[i],
+                    last=bounds[i + 1] - 1,
+                    server=entries[i % len(entries)].server,
+                    born_ms=entries[i % len(entries)].born_ms,
+                    fence=i + 1,
+                )
+                for i in range(count)
+            ],
+            next_fence=count + 1,
+        )
+
     def find_server(self, name):
         return next(
             s for s in reversed(self.fleet.servers) if s.entry.server == name
