--- a/tarragonhinge/ranges/tests/test_leader.py
+++ b/tarragonhinge/ranges/tests/test_leader.py
@@ -271,3 +271,29 @@
         _assert_no_violations(service)
 
     testing.run_manual(run())
+
+
+def test_cold_owner_has_fewer_keys_until_it_is_warm():
+    """Guards against a cold server that owns as many keys as a warm one."""
+
+    async def run():
+        service = led_service.LedService()
+        cold_rates = {"s1": 1.5}
+        service.start_leader(
+            find_rate_limit=lambda entry: cold_rates.get(entry.server)
+        )
+        keys = list(range(0, 65_536, 5_461))
+
+        async def run_and_count():
+            for _ in range(20):
+                service.leader.record_keys(keys)
+                await service.run_for(500)
+            owners = service.view.owners[led_service.SERVICE]
+            return sum(owners.find(key).server == "s1" for key in keys)
+
+        assert await run_and_count() <= 1
+        cold_rates.clear()
+        assert await run_and_count() >= 2
+        _assert_no_violations(service)
+
+    testing.run_manual(run())
