Count only answered connections as evidence of a restart

Cause: a server that has more connections than it accepts may end a new one before any response, for example one that was opened to try the path. That counted as the end of its process, for all instances.

Change: only a connection that has carried a response counts.

--- a/tarragonhinge/http1/_server_connection.py
+++ b/tarragonhinge/http1/_server_connection.py
@@ -68,7 +68,8 @@
         self._stream = stream
         self._clock = clock
         self.used_at = clock.now()
-        self._used_loop_time = asyncio.get_running_loop().time()
+        # Time of the event loop at which the last response arrived.
+        self._answered_at: float | None = None
         self.keep_alive_ms: int | None = None
         self._has_response = False
 
@@ -79,12 +80,14 @@
     def has_ended_early(self, idle_ms: float) -> bool:
         """Return whether the server has ended it before it was idle so long.
 
-        Servers end connections that have been idle for long.
+        Servers end connections that have been idle for long, and those beyond
+        their number before any response.
         """
         ended_at = self._stream.ended_at
         return (
             ended_at is not None
-            and (ended_at - self._used_loop_time) * base.MS_PER_S < idle_ms
+            and self._answered_at is not None
+            and (ended_at - self._answered_at) * base.MS_PER_S < idle_ms
         )
 
     def close(self) -> None:
@@ -138,7 +141,7 @@
 
     def _record_use(self, response: _messages.HttpResponse) -> None:
         self.used_at = self._clock.now()
-        self._used_loop_time = asyncio.get_running_loop().time()
+        self._answered_at = asyncio.get_running_loop().time()
         for name, value in response.fields:
             if name == "keep-alive":
                 self.keep_alive_ms = _parse_keep_alive_ms(value)
