Ignore reports from before a failure, and keep health checks running

Cause: loads that other instances had sent before a reset arrived after it and raised the pace again. A health path that can't be sent would have ended the health checks of all servers.

Change: reports raise the pace again 300 ms after a failure. An error of one health check is logged.

--- a/tarragonhinge/balancing/_pace.py
+++ b/tarragonhinge/balancing/_pace.py
@@ -42,6 +42,10 @@
 #: share 2 s after it could.
 MAX_TRIAL_DELAY_MS = 1_200
 
+#: Time after a failure for which reports let the limit not grow. Those that
+#: other instances have sent before it arrive meanwhile.
+FAILURE_HOLD_MS = 300
+
 #: Time without a failure after which the server needs no limit.
 PACED_MS = 5_000
 
@@ -74,6 +78,7 @@
         self._trial_at = 0.0
         self._updated_at = 0
         self._good_until = 0
+        self._held_until = 0
         self._is_proved = False
         self._slowness = 1.0
         self._count = 0
@@ -206,6 +211,8 @@
             self._limit = min(self._limit, ceiling)
             self._good_until = now
             return
+        if now < self._held_until:
+            return
         self._good_until = now + EVIDENCE_MS
         self._limit = max(self._limit, TOTAL_HEADROOM_FACTOR * total + 1)
         if min(self._limit, ceiling) >= LATENCY_FACTOR * self._slots:
@@ -227,6 +234,7 @@
         limit = min(self._limit, max(total, 1.0))
         self._limit = max(1.0, FAILURE_FACTOR * limit)
         self._good_until = now
+        self._held_until = now + FAILURE_HOLD_MS
         self._is_proved = False
         self._paced_until = now + PACED_MS
 
--- a/tarragonhinge/balancing/tests/test_pace.py
+++ b/tarragonhinge/balancing/tests/test_pace.py
@@ -36,12 +36,15 @@
 class _Server:
     """Runs requests, and reports what it states to instances in turn."""
 
-    def __init__(self, *, get_speed, instances, resets=(), offers=True):
+    def __init__(
+        self, *, get_speed, instances, resets=(), offers=True, states_work=True
+    ):
         rng = random.Random(3)
         self.paces = [_pace.ServerPace(slots=SLOTS) for _ in range(instances)]
         self._get_speed = get_speed
         self._resets = resets
         self._offers = offers
+        self._states_work = states_work
         self._rng = rng
         self._stated_speed = 1.0
         self._running = []
@@ -62,7 +65,9 @@
             running=len(self._running),
             waiting=len(self._queue),
             slots=SLOTS,
-            work_percent=round(100 / self._get_speed(now)),
+            work_percent=round(100 / self._get_speed(now))
+            if self._states_work
+            else 100,
         )
         self._stated_speed = 100 / load.work_percent
         pace.record_response(
@@ -153,17 +158,9 @@
 @pytest.mark.parametrize("factor", [1, 2, 4, 8])
 def test_server_that_is_slower_than_it_states_gets_less(factor):
     """Guards against a health check that states a warm server falsely."""
-    server = _Server(get_speed=lambda _: 1 / factor, instances=1)
-    for pace in server.paces:
-        record = pace.record_response
-
-        def state_usual_work(now, *, load, record=record, **latencies):
-            load = jobs.ReportedLoad(
-                running=load.running, waiting=load.waiting, slots=load.slots
-            )
-            record(now, load=load, **latencies)
-
-        pace.record_response = state_usual_work
+    server = _Server(
+        get_speed=lambda _: 1 / factor, instances=1, states_work=False
+    )
     server.play(for_ms=4_900)
     most = max(total for at, total in server.totals if at >= 4_000)
     assert most <= max(SLOTS / 2, 2.6 * SLOTS / factor)
@@ -186,3 +183,13 @@
     pace.restart(0)
     pace.record_report(10, total=8)
     assert pace.get_limit(10) == 11
+
+
+def test_report_from_before_a_failure_does_not_raise_the_limit():
+    """Guards against loads of other instances that arrive after a reset."""
+    pace = _pace.ServerPace(slots=SLOTS)
+    pace.restart(0)
+    pace.record_report(10, total=8)
+    pace.record_failure(20, total=8)
+    pace.record_report(100, total=12)
+    assert pace.get_limit(100) <= 4
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -128,6 +128,7 @@
             dialect=dialect,
             links=self.links,
             cold_watch=self.cold_watch,
+            log=log,
             clock=clock,
         )
         self.permits = limits.Permits(
--- a/tarragonhinge/gateway/_health_checker.py
+++ b/tarragonhinge/gateway/_health_checker.py
@@ -10,6 +10,7 @@
 from tarragonhinge import balancing
 from tarragonhinge import base
 from tarragonhinge import catalog
+from tarragonhinge import events
 from tarragonhinge.gateway import _cold_watch
 from tarragonhinge import http1
 from tarragonhinge import jobs
@@ -35,6 +36,8 @@
         Links to the servers.
     cold_watch : ColdWatch
         Names the servers to ask, and learns what they state.
+    log : EventLog
+        Destination of log events.
     clock : Clock
         This process's clock.
     """
@@ -45,11 +48,13 @@
         dialect: jobs.Dialect,
         links: balancing.ServerLinks,
         cold_watch: _cold_watch.ColdWatch,
+        log: events.EventLog,
         clock: base.Clock,
     ) -> None:
         self._dialect = dialect
         self._links = links
         self._cold_watch = cold_watch
+        self._log = log
         self._clock = clock
         self._slots = asyncio.Semaphore(CONCURRENT_CHECKS)
 
@@ -67,8 +72,15 @@
         service = self._cold_watch.find_limited_service(entry)
         if service is None or not service.health_path:
             return
-        async with self._slots:
-            left_ms = await self._ask(entry, service.health_path)
+        try:
+            async with self._slots:
+                left_ms = await self._ask(entry, service.health_path)
+        except Exception as error:
+            # A path that can't be sent must not end the checks of others.
+            self._log.write(
+                events.TaskFailed(task="health_check", problem=repr(error))
+            )
+            return
         if left_ms is not None:
             self._cold_watch.shorten(entry, left_ms)
 
