--- a/tarragonhinge/platform/tests/hostile_clients.py
+++ b/tarragonhinge/platform/tests/hostile_clients.py
@@ -81,8 +81,12 @@
         )
         ready = asyncio.Event()
         self._log = asyncio.create_task(self._read_log(ready))
-        async with asyncio.timeout(TIMEOUT_S):
-            await ready.wait()
+        try:
+            async with asyncio.timeout(TIMEOUT_S):
+                await ready.wait()
+        except TimeoutError:
+            await self.__aexit__()
+            raise
         return self
 
     async def __aexit__(self, *_):
