Bound the work of a flood of connections and of many waiting requests

Cause: each new connection at the bound looked at all others to close one, and each release of memory tried all requests that wait; both grow with the square of the crowd. A process without a limit of descriptors got 16 connections.

Change: a 64th of the connections is closed at once; a release tries 64 waiting requests; without a limit only memory bounds the connections.

--- a/tarragonhinge/gateway/_caller_listener.py
+++ b/tarragonhinge/gateway/_caller_listener.py
@@ -62,6 +62,8 @@
         self._server: asyncio.Server | None = None
         self._is_stopped = False
         self._connections: dict[http1.CallerConnection, asyncio.Task] = {}
+        # Those that have made room for others and have not ended yet.
+        self._closed: set[http1.CallerConnection] = set()
 
     async def start(self) -> None:
         """Start to listen."""
@@ -80,7 +82,7 @@
             # asyncio closes the socket.  It can't make a transport for a
             # closed server, but would leave the socket open.
             raise ConnectionAbortedError("the listener is closed")
-        if len(self._connections) >= self._limit:
+        if len(self._connections) - len(self._closed) >= self._limit:
             self._make_room()
         stream = http1.TcpStream()
         connection = http1.CallerConnection(
@@ -97,31 +99,40 @@
         )
         task = asyncio.create_task(connection.run())
         self._connections[connection] = task
-        task.add_done_callback(lambda _: self._connections.pop(connection))
+        task.add_done_callback(lambda _: self._discard(connection))
         return stream
 
     def _make_room(self) -> None:
-        """Close a connection for a new one.
+        """Close connections for new ones.
 
         Raises
         ------
         ConnectionAbortedError
             If all have complete requests; the new one is closed.
         """
-        chosen = _connection_limit.choose_connection(
-            _connection_limit.ConnectionState(
-                connection=connection,
-                is_idle=connection.is_idle,
-                is_incomplete=connection.is_incomplete,
-                since=connection.answered_at,
-            )
-            for connection in self._connections
-            if not connection.is_closing
+        chosen = _connection_limit.choose_connections(
+            (
+                _connection_limit.ConnectionState(
+                    connection=connection,
+                    is_idle=connection.is_idle,
+                    is_incomplete=connection.is_incomplete,
+                    since=connection.answered_at,
+                )
+                for connection in self._connections
+                if not connection.is_closing
+            ),
+            max(1, int(self._limit * _connection_limit.CLOSED_FRACTION)),
         )
-        if chosen is None:
+        if not chosen:
             raise ConnectionAbortedError("too many connections")
-        self._gateway.record_closed_client("descriptors", chosen.peer)
-        chosen.abort()
+        for connection in chosen:
+            self._gateway.record_closed_client("descriptors", connection.peer)
+            connection.abort()
+        self._closed.update(chosen)
+
+    def _discard(self, connection: http1.CallerConnection) -> None:
+        del self._connections[connection]
+        self._closed.discard(connection)
 
     def _compute_call_limits(self) -> catalog.CallerLimits:
         """Return limits that admit each request that a caller may send.
--- a/tarragonhinge/gateway/_connection_limit.py
+++ b/tarragonhinge/gateway/_connection_limit.py
@@ -6,6 +6,8 @@
 
 from collections.abc import Iterable
 import dataclasses
+import heapq
+import math
 import resource
 from typing import Generic
 from typing import TypeVar
@@ -23,6 +25,10 @@
 #: Part of the memory for clients that connections without requests may take.
 MEMORY_FRACTION = 1 / 4
 
+#: Part of the connections that are closed at once: looking for them takes time
+#: with all of them, which a flood of connections must not multiply.
+CLOSED_FRACTION = 1 / 64
+
 #: Smallest number of connections.
 MIN_CONNECTIONS = 16
 
@@ -51,14 +57,14 @@
     since: float
 
 
-def choose_connection(
-    states: Iterable[ConnectionState[Connection]],
-) -> Connection | None:
-    """Return the connection that makes room for a new one.
+def choose_connections(
+    states: Iterable[ConnectionState[Connection]], count: int
+) -> list[Connection]:
+    """Return up to `count` connections that make room for new ones.
 
-    This is the one that has been idle for the longest time; without idle
-    ones, the one that has sent an incomplete request for the longest time.
-    A request that is complete is never cut off.
+    These are the ones that have been idle for the longest time, and then those
+    that have sent an incomplete request for the longest time. A request that
+    is complete is never cut off.
 
     Examples
     --------
@@ -69,17 +75,16 @@
     ...     since=since,
     ... )
     >>> busy, part = make("a", False, False, 1), make("b", False, True, 2)
-    >>> choose_connection([busy, part, make("c", True, False, 3)])
-    'c'
-    >>> choose_connection([busy, part])
-    'b'
-    >>> choose_connection([busy])
+    >>> choose_connections([busy, part, make("c", True, False, 3)], 1)
+    ['c']
+    >>> choose_connections([busy, part], 2)
+    ['b']
     """
-    closable = [s for s in states if s.is_idle or s.is_incomplete]
-    chosen = min(
-        closable, key=lambda s: (not s.is_idle, s.since), default=None
+    closable = (s for s in states if s.is_idle or s.is_incomplete)
+    chosen = heapq.nsmallest(
+        count, closable, key=lambda s: (not s.is_idle, s.since)
     )
-    return chosen.connection if chosen is not None else None
+    return [state.connection for state in chosen]
 
 
 def compute_limit(
@@ -105,6 +110,8 @@
     """
     if max_descriptors is None:
         max_descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+        if max_descriptors == resource.RLIM_INFINITY:
+            max_descriptors = math.inf
     by_descriptors = (max_descriptors - FILE_DESCRIPTORS) * fraction
     by_memory = budget_bytes * MEMORY_FRACTION / http1.CONNECTION_BYTES
     return max(MIN_CONNECTIONS, int(min(by_descriptors, by_memory)))
--- a/tarragonhinge/memory/_account.py
+++ b/tarragonhinge/memory/_account.py
@@ -26,6 +26,9 @@
 #: Interval at which stalled clients are looked for while requests wait.
 CHECK_INTERVAL_MS = 100
 
+#: Number of waiting requests that are tried whenever memory is released.
+MAX_TRIES = 64
+
 #: Bounds of the time after which a refused client is asked to return, and the
 #: weight of the latest request in its mean.
 MIN_RETRY_AFTER_MS = 500
@@ -333,11 +336,9 @@
 
     def serve_waiting(self) -> None:
         """Let the requests continue for which there is room now."""
-        for entry in list(self._waiting):
+        for entry in self._waiting[:MAX_TRIES]:
             usage, kind, count, granted = entry
-            if granted.done():
-                continue
-            if usage.try_grow(kind, count):
+            if not granted.done() and usage.try_grow(kind, count):
                 self._waiting.remove(entry)
                 granted.set_result(None)
 
