Test that a new connection takes the place of the longest idle one

Change: the fake gateway of the listener's tests serves connections again, since its new members were no functions and each connection failed at its start, so that these tests saw only closed ones since. Further tests: bodies on their way to one server.

--- a/tarragonhinge/gateway/tests/test_caller_listener.py
+++ b/tarragonhinge/gateway/tests/test_caller_listener.py
@@ -28,8 +28,8 @@
         get_limits=catalog.CallerLimits,
         shutdown=types.SimpleNamespace(has_begun=True),
         memory=memory.MemoryAccount(budget_bytes=memory.compute_budget(None)),
-        refuse_for_memory=None,
-        record_closed_client=None,
+        refuse_for_memory=lambda retry_after_ms: None,
+        record_closed_client=lambda *arguments: None,
         compute_connection_limit=lambda fraction: 100,
     )
 
@@ -66,3 +66,32 @@
         await listener.stop()
 
     asyncio.run(run())
+
+
+def test_new_connection_takes_the_place_of_the_longest_idle_one():
+    """Guards against idle connections that take all descriptors."""
+
+    async def run():
+        address = _find_address()
+        gateway = _make_gateway()
+        gateway.shutdown.has_begun = False
+        gateway.compute_connection_limit = lambda fraction: 2
+        listener = _caller_listener.CallerListener(
+            address=address, gateway=gateway
+        )
+        await listener.start()
+        streams = []
+        for _ in range(3):
+            streams.append(
+                await asyncio.open_connection(*http1.split_address(address))
+            )
+            await asyncio.sleep(0.05)
+        for reader, writer in streams[1:]:
+            writer.write(REQUEST)
+            assert (await reader.readline()).startswith(b"HTTP/1.1 200")
+        assert await streams[0][0].read() == b""
+        for _, writer in streams:
+            writer.close()
+        await listener.stop()
+
+    asyncio.run(run())
--- a/tarragonhinge/http1/tests/test_memory.py
+++ b/tarragonhinge/http1/tests/test_memory.py
@@ -144,3 +144,15 @@
         del request.body[:]
 
     asyncio.run(run())
+
+
+def test_bodies_on_their_way_to_one_server_are_bounded():
+    """Guards against a server that crashes since it holds too much."""
+    pool = http1.ConnectionPool(
+        address=base.Address("127.0.0.1:1"), clock=base.Clock(), limit=8
+    )
+    assert pool.reserve_body(64 << 20)
+    assert not pool.reserve_body(1)
+    assert pool.reserve_body(0)
+    pool.release_body(64 << 20)
+    assert [pool.reserve_body(20 << 20) for _ in range(2)] == [True, False]
