Let another instance serve what one has no memory for

Cause: a refusal for memory concerns only the instance that refuses; the origin of a forwarded request took it for the final response.

Change: the reason counts as transferable, so that the origin asks another instance. Nothing was sent to a server, and no attempt is counted.

--- a/tarragonhinge/gateway/tests/test_caller_listener.py
+++ b/tarragonhinge/gateway/tests/test_caller_listener.py
@@ -9,6 +9,9 @@
 
 from tarragonhinge import base
 from tarragonhinge import catalog
+from tarragonhinge import forwarding
+from tarragonhinge.forwarding import _messages
+from tarragonhinge.gateway import _call_handler
 from tarragonhinge.gateway import _caller_listener
 from tarragonhinge import http1
 from tarragonhinge import memory
@@ -95,3 +98,16 @@
         await listener.stop()
 
     asyncio.run(run())
+
+
+def test_refusal_for_memory_tells_another_instance_that_nothing_ran():
+    """Guards against a 502 for a request that has reached no server."""
+    calls = _call_handler.CallHandler(gateway=None, log=None)
+    outcome, response = _messages.read_outcome(calls.refuse_for_memory(700))
+    assert (response.status, dict(response.fields)["retry-after"]) == (
+        503,
+        "0.700",
+    )
+    assert outcome.kind is forwarding.OutcomeKind.REFUSED
+    assert outcome.is_transferable
+    assert outcome.sent_count == 0
--- a/tarragonhinge/jobs/_refusals.py
+++ b/tarragonhinge/jobs/_refusals.py
@@ -23,7 +23,9 @@
 QUARANTINE_RETRY_AFTER_MS = 30_000
 
 #: Reasons of refusals that concern only the refusing instance.
-TRANSFERABLE_REASONS = frozenset({"unreachable", "stopping", "no_table"})
+TRANSFERABLE_REASONS = frozenset(
+    {"unreachable", "stopping", "no_table", "memory"}
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
