Give keys to an underused server before requests wait elsewhere

After keys leave a server only where requests wait, one that had become cold and lost most of its keys stayed nearly idle: 7 requests in 4 s instead of the 18 that platform/tests/test_cold_server.py asks for. A server below a third of the mean utilization now gets keys from a utilization of 0.55 on.

--- a/tarragonhinge/ranges/_planner.py
+++ b/tarragonhinge/ranges/_planner.py
@@ -23,6 +23,11 @@
 #: service time.
 BUSY_WAIT_RATIO = 0.43
 
+#: Utilization of a server, relative to the mean, up to which it gets keys from
+#: a server at `SPARE_SOURCE_UTILIZATION`: it has returned, or has become warm.
+UNDERUSED_RATIO = 1 / 3
+SPARE_SOURCE_UTILIZATION = 0.55
+
 #: Precision of the utilization that corresponds to this wait.
 UTILIZATION_STEP = 0.01
 
@@ -341,12 +346,15 @@
     mean = balance.get_mean_utilization()
     for source in balance.list_busiest():
         utilization = balance.get_utilization(source)
+        target = balance.find_least_utilized()
+        busy_utilization = balance.busy_utilization[source]
+        if balance.get_utilization(target) < UNDERUSED_RATIO * mean:
+            busy_utilization = min(busy_utilization, SPARE_SOURCE_UTILIZATION)
         if (
-            utilization < balance.busy_utilization[source]
+            utilization < busy_utilization
             or utilization - mean < MIN_UTILIZATION_GAP / 2
         ):
             return None
-        target = balance.find_least_utilized()
         if utilization - balance.get_utilization(target) < MIN_UTILIZATION_GAP:
             return None
         wanted_load = min(
--- a/tarragonhinge/ranges/tests/test_planner.py
+++ b/tarragonhinge/ranges/tests/test_planner.py
@@ -91,6 +91,21 @@
     assert bool(ranges.plan_moves(balance)) == moves
 
 
+@pytest.mark.parametrize("idle_rate", [0.3, 2.0])
+def test_an_underused_server_gets_keys_before_requests_wait(idle_rate):
+    """A server that has become warm again was left with few keys."""
+    rates = _spread_evenly(96.0, list(range(4_096, 65_536, 100)))
+    for key in range(10_000, 10_020):
+        rates[key] = rates.get(key, 0.0) + 0.05
+    rates[5] = idle_rate
+    balance = _make_balance(rates, slots=6)
+    is_underused = (
+        balance.get_utilization("s0")
+        < _planner.UNDERUSED_RATIO * balance.get_mean_utilization()
+    )
+    assert bool(ranges.plan_moves(balance)) == is_underused
+
+
 def test_a_saturating_key_does_not_hide_other_busy_servers():
     rates = _make_clustered_rates(40.0, seed=2)
     rates[28_148] = 25.0
