--- a/tarragonhinge/balancing/_links.py
+++ b/tarragonhinge/balancing/_links.py
@@ -3,9 +3,11 @@
 from collections.abc import Sequence
 import dataclasses
 import math
+import random
 
 from tarragonhinge.balancing import _fleet_size
 from tarragonhinge.balancing import _leaving_servers
+from tarragonhinge.balancing import _pace
 from tarragonhinge.balancing import _path
 from tarragonhinge.balancing import _placement
 from tarragonhinge.balancing import _route_sizes
@@ -118,6 +120,7 @@
             is_out_of_reach=self.is_out_of_reach(fresh=fresh),
             wait_limit_ms=self._compute_wait_limit_ms(route, urgent),
             is_full=self.load.is_full(),
+            pace_wait_ms=self.load.estimate_pace_wait_ms(),
         )
 
     def _compute_wait_limit_ms(
@@ -157,6 +160,8 @@
         Servers that say that they leave.
     clock : Clock
         This process's clock.
+    rng : random.Random or None
+        Spreads the first requests to servers that have come up.
 
     Attributes
     ----------
@@ -173,7 +178,9 @@
         fleet_size: _fleet_size.FleetSize,
         leaving: _leaving_servers.LeavingServers,
         clock: base.Clock,
+        rng: random.Random | None = None,
     ) -> None:
+        self._rng = rng or random.Random()
         self._view = view
         self._zone = zone
         self._zones = zones
@@ -181,6 +188,7 @@
         self._leaving = leaving
         self._clock = clock
         self._links: dict[base.ServerId, ServerLink] = {}
+        self._evacuated: frozenset[base.ZoneName] = frozenset()
         self._service_times: dict[
             base.ServiceName, _server_load.ServiceTime
         ] = {}
@@ -189,12 +197,19 @@
         view.changes.subscribe(self._prune)
 
     def _prune(self, _: None) -> None:
-        """Close the links to incarnations that are no longer listed."""
+        """Close the links to incarnations that are no longer listed.
+
+        Servers of a zone that is taken back begin with a low pace.
+        """
+        evacuated = self._view.evacuated_zones
         for server, link in list(self._links.items()):
             entry = self._view.servers.get(server)
             if not link.entry.is_same_incarnation(entry):
                 link.pool.close()
                 del self._links[server]
+            elif link.entry.zone in self._evacuated - evacuated:
+                link.load.restart_pace()
+        self._evacuated = evacuated
 
     def find(self, server: base.ServerId) -> ServerLink | None:
         """Return the link to a server, or None if there is no entry."""
@@ -230,6 +245,17 @@
         links = [self.find(entry.server) for entry in entries]
         return sorted(links, key=lambda link: link.distance.value != "zone")
 
+    def estimate_service_ms(
+        self, service: base.ServiceName, route: str
+    ) -> float:
+        """Return a route's service time at an average server; 0 if unknown."""
+        service_time = self._service_times.get(service)
+        return service_time.estimate_ms(route) if service_time else 0.0
+
+    def list_all(self) -> list[ServerLink]:
+        """Return the existing links."""
+        return list(self._links.values())
+
     def get_work_ratio(self, service: base.ServiceName, route: str) -> float:
         """Return a route's service time relative to that of its service."""
         service_time = self._service_times.get(service)
@@ -250,6 +276,23 @@
             return not self._leaving.is_over(link.incarnation)
         return entry.state is catalog.ServerState.READY
 
+    def list_reported(self) -> list[ServerLink]:
+        """Return the existing links whose loads other instances need."""
+        paced = [
+            link for link in self._links.values() if link.load.pace is not None
+        ]
+        keyed = [link for link in self.list_keyed() if link.load.pace is None]
+        return keyed + paced
+
+    def list_pace_limits(self) -> dict[base.ServerId, float]:
+        """Return the limits of the servers that have one now."""
+        limits_by_server = {
+            server: link.load.get_pace_limit()
+            for server, link in self._links.items()
+            if link.load.pace is not None
+        }
+        return {s: n for s, n in limits_by_server.items() if n < math.inf}
+
     def list_keyed(self) -> list[ServerLink]:
         """Return the existing links to servers of keyed services."""
         if self._view.table is None:
@@ -276,9 +319,16 @@
             ),
             clock=self._clock,
             get_sender_count=self._fleet_size.get if is_keyed else lambda: 1,
+            pace=_pace.ServerPace(slots=entry.slots)
+            if service and service.warm_up_ms
+            else None,
+            get_fleet_size=self._fleet_size.get,
+            rng=self._rng,
         )
         if entry.cold_ms:
             load.set_cold(entry.cold_ms)
+        if service and self._has_just_started(entry, service):
+            load.restart_pace()
         return ServerLink(
             entry=entry,
             distance=self._compute_distance(entry.zone),
@@ -295,6 +345,16 @@
             waits=self._waits,
         )
 
+    def _has_just_started(
+        self, entry: catalog.ServerEntry, service: catalog.Service
+    ) -> bool:
+        """Return whether a server has started while others were running.
+
+        An instance that has just started itself knows no server either.
+        """
+        age_ms = self._clock.read_wall_time() - entry.born_ms
+        return entry.cold_ms > 0 or age_ms < service.warm_up_ms
+
     def _compute_distance(self, zone: base.ZoneName) -> _placement.Distance:
         if zone == self._zone:
             return _placement.Distance.ZONE
--- a/tarragonhinge/balancing/_placer.py
+++ b/tarragonhinge/balancing/_placer.py
@@ -5,7 +5,9 @@
 import random
 
 from tarragonhinge.balancing import _admission
+from tarragonhinge.balancing import _eligibility
 from tarragonhinge.balancing import _links
+from tarragonhinge.balancing import _near_subset
 from tarragonhinge.balancing import _owner_finder
 from tarragonhinge.balancing import _placement
 from tarragonhinge.balancing import _server_preference
@@ -17,6 +19,12 @@
 from tarragonhinge import jobs
 from tarragonhinge import limits
 
+#: Refusals that a request may avoid if it waits here.
+_HELD_REASONS = (
+    _placement.RefusalReason.URGENT_FIRST,
+    _placement.RefusalReason.PACED,
+)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Placement:
@@ -39,7 +47,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Hold:
-    """A request that waits here, since more urgent ones go first.
+    """A request that waits here for room at its servers.
 
     Parameters
     ----------
@@ -64,12 +72,21 @@
         Finds the owners of keys.
     permits : Permits
         Permits for requests to servers that name a limit.
+    eligibility : Eligibility
+        Decides which servers may get a request at all.
     preference : ServerPreference
         Keeps requests apart that should not share a server.
     clock : Clock
         This process's clock.
     rng : random.Random
         Source of jitter for the delays before retries.
+    instance : InstanceId
+        This instance.
+
+    Attributes
+    ----------
+    subsets : NearSubsets
+        Servers that this instance uses first.
     """
 
     def __init__(
@@ -78,18 +95,22 @@
         links: _links.ServerLinks,
         owners: _owner_finder.OwnerFinder,
         permits: limits.Permits,
+        eligibility: _eligibility.Eligibility,
         preference: _server_preference.ServerPreference,
         clock: base.Clock,
         rng: random.Random,
+        instance: base.InstanceId,
     ) -> None:
         self._links = links
         self._owners = owners
         self._permits = permits
+        self._eligibility = eligibility
         self._preference = preference
         self._clock = clock
         self._rng = rng
         self._urgent_routes = _urgent_routes.UrgentRoutes(clock=clock)
         self._lines = _waiting_line.WaitingLines(rng=rng)
+        self.subsets = _near_subset.NearSubsets(instance=instance, clock=clock)
 
     async def place(self, job: jobs.Job) -> Placement | jobs.Refused:
         """Return the server for the next attempt, or a refusal.
@@ -118,9 +139,13 @@
     ) -> Placement | jobs.Refused | _Hold:
         """Return the result of placement at the present loads."""
         if job.key is None:
+            if place is None:
+                self.subsets.record(job.service.name)
             return await self._place_anywhere(job, place)
         while True:
-            segment = await self._owners.wait_for_owner(job)
+            segment = await self._owners.wait_for_owner(
+                job, service_ms=self.estimate_service_ms(job)
+            )
             if segment is None:
                 return jobs.Refused(
                     status=503,
@@ -128,18 +153,10 @@
                     retry_after_ms=self._owners.compute_retry_after_ms(job),
                 )
             link = self._links.find(segment.server)
-            if link and not self._links.accepts_work(link, keyed=True):
-                self._trace_rejection(
-                    job,
-                    [link],
-                    reason="server_leaving",
-                    limit_ms=self._compute_latency_limit(job),
-                )
-                return jobs.Refused(
-                    status=503,
-                    reason="server_leaving",
-                    retry_after_ms=self._owners.compute_retry_after_ms(job),
-                )
+            if link:
+                obstacle = self._eligibility.find_obstacle(link, job)
+                if obstacle is not None:
+                    return self._refuse_ineligible(job, [link], obstacle)
             placement = self._choose(
                 job, [link] if link else [], segment, place
             )
@@ -156,14 +173,60 @@
         self, job: jobs.Job, place: _waiting_line.Place | None
     ) -> Placement | jobs.Refused | _Hold:
         """Choose a server, if possible without suspects of a crash."""
-        links = self._list_ready(job)
+        eligible, excluded = self._eligibility.list_ready(job)
+        if excluded and place is None:
+            self._trace_excluded(job, excluded)
+        if excluded and not eligible:
+            links = self._links.list_ready(job.service.name)
+            return self._refuse_ineligible(
+                job, links, _eligibility.pick_reason(excluded)
+            )
+        links = self._omit_tried(job, eligible)
         preferred = self._preference.list_preferred(job, links)
-        if len(preferred) < len(links):
-            placement = await self._place_among(job, preferred, place)
-            if isinstance(placement, Placement):
-                return placement
+        near = self._find_near(job, preferred)
+        for group in (near, preferred):
+            if group and len(group) < len(links):
+                placement = await self._place_among(job, group, place)
+                if isinstance(placement, Placement):
+                    return placement
         return await self._place_among(job, links, place)
 
+    def _find_near(
+        self, job: jobs.Job, links: list[_links.ServerLink]
+    ) -> list[_links.ServerLink]:
+        """Return the preferred servers that have room; none if it uses all."""
+        limit_ms = self._compute_latency_limit(job)
+        service_ms = self.estimate_service_ms(job)
+        max_wait_ms = _near_subset.MAX_WAIT_FRACTION * job.route.objective_ms
+        is_active = False
+        for subset in self.subsets.list_growing(
+            job.service.name,
+            links,
+            traffic_bytes=self._links.route_sizes.get_bytes(job.route.name),
+            service_ms=service_ms,
+        ):
+            is_active = True
+            group = [
+                link
+                for link in subset
+                if link.load.estimate_wait_ms() <= max_wait_ms
+            ]
+            connected = [
+                link
+                for link in group
+                if link.pool.has_idle(fresh=not job.is_idempotent)
+            ]
+            for near in (connected, group):
+                choice = self._decide(job, near, limit_ms)
+                if (
+                    isinstance(choice, _placement.Choice)
+                    and choice.expected_ms <= job.route.objective_ms
+                ):
+                    self.subsets.used += 1
+                    return near
+        self.subsets.exceeded += is_active
+        return []
+
     async def _place_among(
         self,
         job: jobs.Job,
@@ -194,6 +257,7 @@
         self, job: jobs.Job, placement: Placement, *, may_wait: bool
     ) -> limits.Reservation:
         """Reserve a slot at a server that names a limit, and wait for it."""
+        job.permit = None
         max_wait_ms = 0
         if may_wait:
             limit_ms = self._compute_latency_limit(job)
@@ -211,29 +275,79 @@
                 wait_ms=reservation.wait_ms,
             )
         )
+        if reservation.is_granted:
+            job.permit = placement.link.incarnation
         if reservation.is_granted and reservation.wait_ms:
-            await self._clock.sleep(reservation.wait_ms)
+            await self._eligibility.wait(
+                job, placement.link, wait_ms=reservation.wait_ms
+            )
         return reservation
 
+    def estimate_service_ms(self, job: jobs.Job) -> float:
+        """Return the service time of a request at an average server."""
+        return self._links.estimate_service_ms(
+            job.service.name, job.route.name
+        )
+
+    def compute_room_delay_ms(
+        self, job: jobs.Job, link: _links.ServerLink
+    ) -> int:
+        """Return when a request that a full server refused can return.
+
+        It would then meet its objective there.
+        """
+        candidate = link.make_candidate(route=job.route.name)
+        return _admission.compute_retry_after_ms(
+            expected_ms=candidate.compute_expected_ms(),
+            limit_ms=job.route.objective_ms,
+            rng=self._rng,
+        )
+
     def has_alternative(self, job: jobs.Job, link: _links.ServerLink) -> bool:
         """Return whether another server would be chosen for the request."""
         others = [
             other
-            for other in self._links.list_ready(job.service.name)
+            for other in self._eligibility.list_ready(job)[0]
             if other is not link
             and other.entry.server not in job.failed_servers
         ]
         decision = self._decide(job, others, self._compute_latency_limit(job))
         return isinstance(decision, _placement.Choice)
 
-    def _list_ready(self, job: jobs.Job) -> list[_links.ServerLink]:
-        """Return the ready servers at which no attempt has failed, or all.
+    def _refuse_ineligible(
+        self,
+        job: jobs.Job,
+        links: list[_links.ServerLink],
+        obstacle: _eligibility.Obstacle,
+    ) -> jobs.Refused:
+        """Refuse a request that no server may get at present."""
+        self._trace_rejection(
+            job,
+            links,
+            reason=obstacle.value,
+            limit_ms=self._compute_latency_limit(job),
+        )
+        if obstacle is _eligibility.Obstacle.STATE:
+            retry_after_ms = self._owners.compute_retry_after_ms(job)
+        else:
+            retry_after_ms = self._eligibility.compute_retry_after_ms(
+                obstacle, links
+            )
+        return jobs.Refused(
+            status=503, reason=obstacle.value, retry_after_ms=retry_after_ms
+        )
+
+    @staticmethod
+    def _omit_tried(
+        job: jobs.Job, links: list[_links.ServerLink]
+    ) -> list[_links.ServerLink]:
+        """Return the servers at which no attempt has failed, or all.
 
         Servers that may still respond to the request are left out.
         """
         ready = [
             link
-            for link in self._links.list_ready(job.service.name)
+            for link in links
             if link.entry.server not in job.silent_servers
         ]
         untried = [
@@ -249,6 +363,8 @@
             left_ms=job.deadline_at - self._clock.now(),
             is_retry=job.is_caller_retry,
         )
+        if job.may_have_run:
+            limit_ms = min(limit_ms, float(job.route.objective_ms))
         return self._get_limit_fraction(job) * limit_ms
 
     @staticmethod
@@ -311,7 +427,7 @@
         )
         if isinstance(decision, _placement.Choice):
             return self._make_placement(job, links, segment, decision)
-        if decision.reason is _placement.RefusalReason.URGENT_FIRST:
+        if decision.reason in _HELD_REASONS:
             left_ms = self._compute_hold_ms(job, decision)
             if left_ms > 0:
                 return _Hold(line=line, left_ms=left_ms)
@@ -407,6 +523,17 @@
             rng=self._rng,
         )
 
+    @staticmethod
+    def _trace_excluded(
+        job: jobs.Job, excluded: dict[_eligibility.Obstacle, int]
+    ) -> None:
+        job.trace.add(
+            events.Excluded(
+                request=job.metadata.attempt,
+                servers={o.value: count for o, count in excluded.items()},
+            )
+        )
+
     def _trace_rejection(
         self,
         job: jobs.Job,
--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import struct
 
@@ -85,6 +86,10 @@
         come back from a copy.
     grant_limit_ms : int
         Upper bound of a grant's duration.
+    zones : mapping
+        Region of each availability zone.
+    row_bytes : int
+        Longest value of a row that the store accepts, in bytes of base64.
 
     Attributes
     ----------
@@ -112,6 +117,8 @@
         clock: base.Clock,
         is_view_confirmed: bool,
         grant_limit_ms: int,
+        zones: Mapping[base.ZoneName, base.RegionName],
+        row_bytes: int,
     ) -> None:
         self._leadership = leadership
         self._condition = condition
@@ -124,6 +131,8 @@
         self._clock = clock
         self._is_view_confirmed = is_view_confirmed
         self._grant_limit_ms = grant_limit_ms
+        self._zones = zones
+        self._row_bytes = row_bytes
         self._claimed_at = clock.read_boottime()
         self._feed = feeds.CatalogFeed(
             store=store, codec=codec, view=view, log=log, clock=clock
@@ -170,6 +179,10 @@
         """Term of the claim."""
         return self._leadership.term
 
+    def list_leaders(self) -> list[ranges.RangeLeader]:
+        """Return the leaders of the keyed services."""
+        return list(self._leaders.values())
+
     def _get_proof_age(self) -> base.Millis:
         if not self._condition.is_current(self._store):
             return base.Millis(_authority.AUTHORITY_MS)
@@ -184,10 +197,14 @@
         *,
         rate: float,
         max_wait_ms: int,
+        is_cold: bool = False,
     ) -> limits.Reservation:
         """Issue a permit to this instance itself."""
         return self._issuer.reserve(
-            incarnation, named_rate=rate, max_wait_ms=max_wait_ms
+            incarnation,
+            named_rate=rate,
+            max_wait_ms=max_wait_ms,
+            is_cold=is_cold,
         )
 
     async def request_trial(
@@ -197,7 +214,7 @@
         return self._trial_issuer.issue(digest, version)
 
     def _find_rate_limit(self, entry: catalog.ServerEntry) -> float | None:
-        return self._issuer.limits.find((entry.server, entry.born_ms))
+        return self._issuer.limits.find_lowest((entry.server, entry.born_ms))
 
     def get_store_age(self) -> int:
         """Return the time since the store last responded, in milliseconds."""
@@ -291,7 +308,7 @@
         )
         if isinstance(result, stores.Committed):
             self._leadership = leadership
-        elif isinstance(result, stores.Unavailable):
+        elif isinstance(result, stores.Unavailable | stores.Rejected):
             await self._clock.sleep(CLAIM_RETRY_MS)
 
     def _renew_condition(self, version: int, era: int) -> None:
@@ -415,11 +432,13 @@
                 service=service,
                 claim=self._condition,
                 first_era=self._leadership.first_era,
+                row_bytes=self._row_bytes,
                 clock=self._clock,
             ),
             view=self._view,
             grants=self._grants,
             get_store_age=self.get_store_age,
+            zones=self._zones,
             find_rate_limit=self._find_rate_limit,
             may_renew=self._authority.may_act,
             is_view_confirmed=self._is_view_confirmed,
--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -3,8 +3,11 @@
 from tarragonhinge.events._event import Event
 from tarragonhinge.events._event import RequestEvent
 from tarragonhinge.events._log import EventLog
+from tarragonhinge.events._process_events import ClientClosed
 from tarragonhinge.events._process_events import DependencyChanged
+from tarragonhinge.events._process_events import EvacuationChanged
 from tarragonhinge.events._process_events import GrantFailed
+from tarragonhinge.events._process_events import KeysEvacuated
 from tarragonhinge.events._process_events import LeadershipChanged
 from tarragonhinge.events._process_events import LimitNamed
 from tarragonhinge.events._process_events import LinesDropped
@@ -18,6 +21,7 @@
 from tarragonhinge.events._process_events import RowIgnored
 from tarragonhinge.events._process_events import SegmentMoved
 from tarragonhinge.events._process_events import ServerAvoided
+from tarragonhinge.events._process_events import ServerCold
 from tarragonhinge.events._process_events import ServerCrashed
 from tarragonhinge.events._process_events import ServerSeen
 from tarragonhinge.events._process_events import Started
@@ -27,8 +31,10 @@
 from tarragonhinge.events._process_events import TableInForce
 from tarragonhinge.events._process_events import TaskFailed
 from tarragonhinge.events._process_events import TrialGranted
+from tarragonhinge.events._process_events import WriteRejected
 from tarragonhinge.events._request_events import CrashWitnessed
 from tarragonhinge.events._request_events import Ended
+from tarragonhinge.events._request_events import Excluded
 from tarragonhinge.events._request_events import Forwarded
 from tarragonhinge.events._request_events import Held
 from tarragonhinge.events._request_events import Limited
@@ -44,14 +50,18 @@
 from tarragonhinge.events._trace import Trace
 
 __all__ = [
+    "ClientClosed",
     "CrashWitnessed",
     "DependencyChanged",
     "Ended",
+    "EvacuationChanged",
     "Event",
     "EventLog",
+    "Excluded",
     "Forwarded",
     "GrantFailed",
     "Held",
+    "KeysEvacuated",
     "LeadershipChanged",
     "LimitNamed",
     "Limited",
@@ -72,6 +82,7 @@
     "RowIgnored",
     "SegmentMoved",
     "ServerAvoided",
+    "ServerCold",
     "ServerCrashed",
     "ServerSeen",
     "Started",
@@ -86,4 +97,5 @@
     "Yielded",
     "format_timeline",
     "parse_lines",
+    "WriteRejected",
 ]
--- a/tarragonhinge/events/_process_events.py
+++ b/tarragonhinge/events/_process_events.py
@@ -89,6 +89,23 @@
     source: str
 
 
+class EvacuationChanged(
+    _event.Event, frozen=True, kw_only=True, tag="evacuation"
+):
+    """The operator has evacuated zones, or ended an evacuation.
+
+    Parameters
+    ----------
+    zones : list of str
+        All zones whose servers are to get no requests.
+    source : str
+        Where this instance heard of it: ``store`` or ``coordinator``.
+    """
+
+    zones: list[str]
+    source: str
+
+
 class ServerSeen(_event.Event, frozen=True, kw_only=True, tag="server_seen"):
     """A backend server was added, changed or removed.
 
@@ -124,6 +141,32 @@
     problem: str
 
 
+class WriteRejected(
+    _event.Event, frozen=True, kw_only=True, tag="write_rejected"
+):
+    """The store does not accept a row's content; it is not repeated as it is.
+
+    Logged once until the row is written.
+
+    Parameters
+    ----------
+    table, key : str
+        Table and key of the largest row of the write.
+    bytes : int
+        Length of its value in base64.
+    limit_bytes : int
+        Longest value that the store accepts.
+    problem : str
+        Reason that the store states.
+    """
+
+    table: str
+    key: str
+    bytes: int
+    limit_bytes: int
+    problem: str
+
+
 class RecordOutdated(
     _event.Event, frozen=True, kw_only=True, tag="record_outdated"
 ):
@@ -202,6 +245,27 @@
     source: str
 
 
+class ServerCold(_event.Event, frozen=True, kw_only=True, tag="server_cold"):
+    """A server counts as cold from now on, or no longer.
+
+    Parameters
+    ----------
+    server : str
+        Id of the server.
+    for_ms : int
+        Time for which it counts as cold; 0 if evidence has ended it.
+    rate : float
+        Requests per second that it gets meanwhile from all instances.
+    source : str
+        Evidence: ``entry``, ``health``, ``evacuation`` or ``path``.
+    """
+
+    server: str
+    for_ms: int
+    rate: float
+    source: str
+
+
 class LeadershipChanged(
     _event.Event, frozen=True, kw_only=True, tag="leadership"
 ):
@@ -257,6 +321,29 @@
     reason: str
 
 
+class KeysEvacuated(
+    _event.Event, frozen=True, kw_only=True, tag="keys_evacuated"
+):
+    """The keys of a service begin to leave zones or regions, or have left.
+
+    Parameters
+    ----------
+    service : str
+        Name of the service.
+    zones : list of str
+        Evacuated zones; empty if keys leave regions that routes do not allow.
+    left : int
+        Number of segments that have not moved yet.
+    elapsed_ms : int
+        Time since the first of them began to move.
+    """
+
+    service: str
+    zones: list[str]
+    left: int
+    elapsed_ms: int
+
+
 class Planned(_event.Event, frozen=True, kw_only=True, tag="planned"):
     """The loads of the servers were compared and moves were planned.
 
@@ -329,6 +416,30 @@
     for_ms: int
 
 
+class ClientClosed(
+    _event.Event, frozen=True, kw_only=True, tag="client_closed"
+):
+    """The connection of a client is closed, since something is short.
+
+    Parameters
+    ----------
+    peer : str
+        Address of the client.
+    reason : str
+        What is short: ``memory`` or ``descriptors``.
+    held_bytes, moved_bytes : int
+        Memory that the client held, and bytes that it sent and read.
+    window_ms : int
+        Time in which it did so.
+    """
+
+    peer: str
+    reason: str
+    held_bytes: int = 0
+    moved_bytes: int = 0
+    window_ms: int = 0
+
+
 class PathChanged(_event.Event, frozen=True, kw_only=True, tag="path_changed"):
     """A server is out of reach of this instance, or in reach again.
 
--- a/tarragonhinge/forwarding/_directory.py
+++ b/tarragonhinge/forwarding/_directory.py
@@ -22,11 +22,15 @@
         Address on which it accepts requests of other instances.
     zone : ZoneName
         Its availability zone.
+    heeds_regions : bool
+        Whether its build heeds the allowed regions of a route, and
+        evacuations; older builds do not send the field.
     """
 
     instance: base.InstanceId
     address: base.Address
     zone: base.ZoneName
+    heeds_regions: bool = False
 
 
 class PeerDirectory:
@@ -60,6 +64,13 @@
             self._absent_since.pop(name, None)
         self._peers.update(listed)
 
+    def get_rank(self) -> int:
+        """Return the position of this instance in the order of all ids.
+
+        Instances that follow no coordinator agree on it without a message.
+        """
+        return sum(name < self.own.instance for name in self._peers)
+
     def list_all(self) -> list[PeerInstance]:
         """Return the other instances."""
         now = self._clock.now()
--- a/tarragonhinge/gateway/_detour.py
+++ b/tarragonhinge/gateway/_detour.py
@@ -34,8 +34,14 @@
 #: already forwarded to it.
 ZONE_COST, REGION_COST, REMOTE_COST = 0, 1, 4
 
+#: Time before the deadline at which another instance gives up: a new
+#: connection to it and the way there and back, within a region and between
+#: regions, where a round trip takes 40 ms.
+NEAR_RETURN_MS = 10
+REMOTE_RETURN_MS = 90
+
 #: Shortest time that is left before the deadline to forward a request.
-MIN_TIME_LEFT_MS = 30
+MIN_TIME_LEFT_MS = 120
 
 
 class Detour:
@@ -53,6 +59,8 @@
         Sends requests to them.
     reports : PeerReports
         Which servers they reach.
+    eligibility : Eligibility
+        Decides which servers may get a request at all.
     guard : CrashGuard
         Keeps suspects of crashes from being sent again.
     zones : mapping
@@ -73,6 +81,7 @@
         directory: forwarding.PeerDirectory,
         client: forwarding.ForwardingClient,
         reports: _peer_reports.PeerReports,
+        eligibility: balancing.Eligibility,
         guard: _crash_guard.CrashGuard,
         zones: dict[base.ZoneName, base.RegionName],
         metrics: _metrics.RequestMetrics,
@@ -84,6 +93,7 @@
         self._directory = directory
         self._client = client
         self._reports = reports
+        self._eligibility = eligibility
         self._guard = guard
         self._zones = zones
         self._metrics = metrics
@@ -121,7 +131,10 @@
         while len(tried) < MAX_PEERS and not job.is_forwarded:
             left_ms = job.deadline_at - self._clock.now()
             attempts = job.count_attempts_left()
-            peer = self._choose(servers, tried)
+            servers = self._eligibility.select(servers, job)
+            if not servers:
+                return None
+            peer = self._choose(job, servers, tried)
             if peer is None or left_ms < MIN_TIME_LEFT_MS or attempts <= 0:
                 return None
             tried.add(peer.instance)
@@ -136,6 +149,7 @@
 
     def _choose(
         self,
+        job: jobs.Job,
         servers: Collection[limits.Incarnation],
         tried: Collection[base.InstanceId],
     ) -> forwarding.PeerInstance | None:
@@ -151,6 +165,7 @@
             if peer.instance not in tried
             and self._avoided_until.get(peer.instance, 0) <= now
             and self._reports.may_reach(peer.instance, servers)
+            and self._may_get(peer, job)
         ]
         self._rng.shuffle(peers)
         return min(
@@ -162,6 +177,19 @@
             default=None,
         )
 
+    def _may_get(self, peer: forwarding.PeerInstance, job: jobs.Job) -> bool:
+        """Return whether an instance may get a request.
+
+        Its body may not leave the allowed regions, and an instance of a build
+        that does not know them would send it anywhere.
+        """
+        if not self._eligibility.is_restricted(job):
+            return True
+        if not peer.heeds_regions:
+            return False
+        regions = self._eligibility.get_regions(job)
+        return regions is None or self._zones.get(peer.zone) in regions
+
     def _compute_cost(self, peer: forwarding.PeerInstance) -> int:
         own = self._directory.own.zone
         if peer.zone == own:
@@ -170,6 +198,16 @@
             return REGION_COST
         return REMOTE_COST
 
+    def _compute_return_ms(self, peer: forwarding.PeerInstance) -> int:
+        """Return the time that is kept for the way of a late refusal.
+
+        Without it, the refusal of a request that reached no server arrives
+        after this instance has given the request up as run.
+        """
+        if self._compute_cost(peer) == REMOTE_COST:
+            return REMOTE_RETURN_MS
+        return NEAR_RETURN_MS
+
     async def _forward(
         self,
         job: jobs.Job,
@@ -222,12 +260,28 @@
         call = forwarding.ForwardedRequest(
             origin=self._directory.own.instance,
             service=job.service,
-            route=msgspec.structs.replace(job.route, max_attempts=attempts),
-            deadline_ms=left_ms,
+            route=msgspec.structs.replace(
+                job.route,
+                max_attempts=attempts,
+                allowed_regions=tuple(
+                    sorted(self._eligibility.get_regions(job) or ())
+                ),
+            ),
+            deadline_ms=left_ms - self._compute_return_ms(peer),
             is_caller_retry=job.is_caller_retry,
         )
 
+        counted = 0
+
         def count_attempts() -> None:
+            nonlocal counted
+            # The connection may have taken a while to open.
+            if not self._may_get(peer, job):
+                raise forwarding.PeerError(
+                    problem="the instance may no longer get the request",
+                    sent=False,
+                )
+            counted = attempts
             job.sent_count += attempts
 
         began_at = self._clock.now()
@@ -236,7 +290,11 @@
         self._in_flight[peer.instance] += 1
         exchange = asyncio.create_task(
             self._client.send_request(
-                peer, job.request, call, on_sent=count_attempts
+                peer,
+                job.request,
+                call,
+                timeout_ms=left_ms,
+                on_sent=count_attempts,
             )
         )
         try:
@@ -245,12 +303,17 @@
             except asyncio.CancelledError as error:
                 # The outcome may have arrived in the same turn.
                 if not exchange.done():
+                    job.may_have_run = job.may_have_run or counted > 0
                     raise
                 cancellation = error
             outcome, response = exchange.result()
             name = outcome.reason or outcome.kind.value
         except forwarding.PeerError as error:
             name = "unknown" if error.sent else "unsent"
+            if error.sent:
+                job.may_have_run = True
+            else:
+                job.sent_count -= counted
             if self._clock.now() < job.deadline_at:
                 self._avoid(peer)
             if cancellation is not None:
@@ -327,7 +390,6 @@
         """Return the final response unless the request was not sent."""
         if not error.sent:
             return None
-        job.may_have_run = True
         is_late = self._clock.now() >= job.deadline_at
         cause = (
             jobs.UnknownCause.TIMEOUT if is_late else jobs.UnknownCause.BROKEN
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -11,8 +11,11 @@
 from tarragonhinge import catalog
 from tarragonhinge import events
 from tarragonhinge import forwarding
+from tarragonhinge.gateway import _cold_watch
+from tarragonhinge.gateway import _connection_limit
 from tarragonhinge.gateway import _crash_guard
 from tarragonhinge.gateway import _detour
+from tarragonhinge.gateway import _health_checker
 from tarragonhinge.gateway import _metrics
 from tarragonhinge.gateway import _options
 from tarragonhinge.gateway import _path_monitor
@@ -23,6 +26,7 @@
 from tarragonhinge import http1
 from tarragonhinge import jobs
 from tarragonhinge import limits
+from tarragonhinge import memory
 from tarragonhinge import quarantine
 from tarragonhinge import servers
 
@@ -60,15 +64,21 @@
     fleet_size : FleetSize
         Number of instances that share the retry budget.
     leaving : LeavingServers
-        Servers that say that they leave.
+        Servers that leave.
     links : ServerLinks
         Links to the backend servers.
     owners : OwnerFinder
         Finds the owners of keys.
+    eligibility : Eligibility
+        Decides which servers may get a request at all.
     server_limits : ServerLimits
         Limits that the servers name.
     permits : Permits
         Permits for requests to these servers.
+    cold_watch : ColdWatch
+        Recognizes servers that are cold.
+    health_checker : HealthChecker
+        Asks servers of a zone that is taken back.
     ledger : CrashLedger
         Crashes of servers, and the requests that are refused for them.
     guard : CrashGuard
@@ -79,6 +89,10 @@
         Finds out which servers can be reached.
     metrics : RequestMetrics
         Metrics of the requests.
+    memory : MemoryAccount
+        Memory of all connections.
+    closed_clients : Counter
+        Number of clients whose connections were closed, by reason.
     shutdown : Shutdown
         Graceful stop of the instance.
     """
@@ -101,7 +115,7 @@
         rng = rng or random.Random()
         self.fleet_size = balancing.FleetSize(clock=clock)
         self.leaving = balancing.LeavingServers(
-            view=view, log=log, clock=clock
+            view=view, drain_ms=options.drain_ms, log=log, clock=clock
         )
         self.links = balancing.ServerLinks(
             view=view,
@@ -110,20 +124,46 @@
             fleet_size=self.fleet_size,
             leaving=self.leaving,
             clock=clock,
+            rng=rng,
+        )
+        self.eligibility = balancing.Eligibility(
+            links=self.links,
+            view=view,
+            zones=dict(options.zones),
+            evacuate_ms=options.evacuate_ms,
+            clock=clock,
+        )
+        self.server_limits = limits.ServerLimits(
+            log=log, cold=limits.ColdServers(log=log, clock=clock)
+        )
+        self.cold_watch = _cold_watch.ColdWatch(
+            view=view, links=self.links, cold=self.server_limits.cold
+        )
+        self.health_checker = _health_checker.HealthChecker(
+            dialect=dialect,
+            links=self.links,
+            cold_watch=self.cold_watch,
+            log=log,
+            clock=clock,
         )
-        self.server_limits = limits.ServerLimits(log=log)
         self.permits = limits.Permits(
             limits=self.server_limits,
             get_instances=self.fleet_size.get,
             clock=clock,
+            get_rank=lambda: self.directory.get_rank(),
         )
         self.ledger = quarantine.CrashLedger(log=log, clock=clock)
         self.metrics = _metrics.RequestMetrics()
+        self.memory = memory.MemoryAccount(
+            budget_bytes=memory.compute_budget(options.memory_bytes)
+        )
+        self.closed_clients: collections.Counter[str] = collections.Counter()
         self.directory = forwarding.PeerDirectory(
             own=forwarding.PeerInstance(
                 instance=options.instance,
                 address=options.forwarding,
                 zone=options.zone,
+                heeds_regions=True,
             ),
             clock=clock,
         )
@@ -136,6 +176,7 @@
             log=log,
             clock=clock,
             rng=rng,
+            cold_watch=self.cold_watch,
         )
         self.guard = _crash_guard.CrashGuard(
             view=view,
@@ -151,9 +192,11 @@
             links=self.links,
             owners=self.owners,
             permits=self.permits,
+            eligibility=self.eligibility,
             preference=self.guard,
             clock=clock,
             rng=rng,
+            instance=options.instance,
         )
         self.shutdown = _shutdown.Shutdown(
             kill_after_ms=options.stop_ms, clock=clock
@@ -165,10 +208,12 @@
             sender=_sender.Sender(
                 dialect=dialect,
                 links=self.links,
+                eligibility=self.eligibility,
                 server_limits=self.server_limits,
                 guard=self.guard,
                 leaving=self.leaving,
                 monitor=self.monitor,
+                cold_watch=self.cold_watch,
                 log=log,
                 clock=clock,
             ),
@@ -178,6 +223,7 @@
                 directory=self.directory,
                 client=self._forwarding_client,
                 reports=self.monitor.reports,
+                eligibility=self.eligibility,
                 guard=self.guard,
                 zones=dict(options.zones),
                 metrics=self.metrics,
@@ -221,6 +267,56 @@
         self.monitor.close()
         self._forwarding_client.close()
 
+    def compute_connection_limit(self, fraction: float) -> int:
+        """Return the largest number of connections to a listener.
+
+        Parameters
+        ----------
+        fraction : float
+            Part of the descriptors for sockets.
+        """
+        return _connection_limit.compute_limit(
+            max_descriptors=self._options.max_descriptors,
+            budget_bytes=self.memory.budget_bytes,
+            fraction=fraction,
+        )
+
+    def refuse_for_memory(self, retry_after_ms: int) -> http1.HttpResponse:
+        """Return the response to a request for which there is no memory."""
+        refused = jobs.Refused.for_full_memory(retry_after_ms)
+        self.metrics.record(
+            outcome="refused", reason=refused.reason, elapsed_ms=0
+        )
+        return _responses.make_response(refused)
+
+    def record_closed_client(
+        self, reason: str, peer: str, holding: memory.Holding | None = None
+    ) -> None:
+        """Record that a client's connection is closed.
+
+        Parameters
+        ----------
+        reason : str
+            ``memory`` or ``descriptors``.
+        peer : str
+            Address of the client.
+        holding : Holding or None
+            What it held.
+        """
+        self.closed_clients[reason] += 1
+        if holding is None:
+            self._log.write(events.ClientClosed(peer=peer, reason=reason))
+            return
+        self._log.write(
+            events.ClientClosed(
+                peer=peer,
+                reason=reason,
+                held_bytes=holding.held_bytes,
+                moved_bytes=holding.moved_bytes,
+                window_ms=round(holding.window_ms),
+            )
+        )
+
     def is_concurrent(self, request: http1.HttpRequest) -> bool:
         """Return whether a request may run concurrently with earlier ones.
 
@@ -387,9 +483,7 @@
             await asyncio.wait(job.attempts)
         if job.answer is not None:
             return job.answer
-        return jobs.Refused.for_ended_stop(
-            is_sent=job.sent_count > 0 or job.may_have_run
-        )
+        return jobs.Refused.for_ended_stop(is_sent=job.may_have_run)
 
     async def _wait_for_first_table(self) -> None:
         """Wait until a process that has just started has a routing table."""
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -5,6 +5,7 @@
 from tarragonhinge import balancing
 from tarragonhinge import base
 from tarragonhinge import events
+from tarragonhinge.gateway import _cold_watch
 from tarragonhinge.gateway import _crash_guard
 from tarragonhinge.gateway import _path_monitor
 from tarragonhinge import http1
@@ -22,8 +23,9 @@
 MIN_SILENCE_MS = 500
 MAX_SILENCE_MS = 800
 
-#: Time beyond the round trip within which a full server resets a connection.
-EARLY_RESET_MS = 5
+#: Multiple of the service time that replaces the upper bound if it is larger,
+#: as on slow servers, where each request would open another connection.
+SLOW_SERVICE_FACTOR = 1.5
 
 
 class Sender:
@@ -35,6 +37,8 @@
         Codec for the header fields of the platform.
     links : ServerLinks
         Links to the servers.
+    eligibility : Eligibility
+        Decides which servers may get a request at all.
     server_limits : ServerLimits
         Limits that the servers name, which learns from the responses.
     guard : CrashGuard
@@ -43,10 +47,17 @@
         Servers that say that they leave, which learns from the responses.
     monitor : PathMonitor
         Observes whether the servers can be reached.
+    cold_watch : ColdWatch
+        Recognizes servers that have started again.
     log : EventLog
         Destination of log events.
     clock : Clock
         This process's clock.
+
+    Attributes
+    ----------
+    accept_resets : AcceptResets
+        Services whose servers reset new connections.
     """
 
     def __init__(
@@ -54,21 +65,26 @@
         *,
         dialect: jobs.Dialect,
         links: balancing.ServerLinks,
+        eligibility: balancing.Eligibility,
         server_limits: limits.ServerLimits,
         guard: _crash_guard.CrashGuard,
         leaving: balancing.LeavingServers,
         monitor: _path_monitor.PathMonitor,
+        cold_watch: _cold_watch.ColdWatch,
         log: events.EventLog,
         clock: base.Clock,
     ) -> None:
         self._dialect = dialect
         self._links = links
+        self._eligibility = eligibility
         self._server_limits = server_limits
         self._guard = guard
         self._leaving = leaving
         self._monitor = monitor
+        self._cold_watch = cold_watch
         self._log = log
         self._clock = clock
+        self.accept_resets = balancing.AcceptResets(clock=clock)
 
     def send(
         self,
@@ -111,8 +127,16 @@
         sent: asyncio.Future[None],
     ) -> jobs.AttemptOutcome:
         sent_at = self._clock.now()
-        result = await self._exchange(job, link, flight, sent)
+        body_bytes = len(job.request.body)
+        if not link.pool.reserve_body(body_bytes):
+            return _make_unsent("the server holds too many bytes")
+        try:
+            result = await self._exchange(job, link, flight, sent)
+        finally:
+            link.pool.release_body(body_bytes)
         slot.release()
+        if isinstance(result, jobs.OutcomeUnknown):
+            job.may_have_run = True
         if not isinstance(result, http1.HttpResponse):
             return result
         outcome = self._classify(job, link, result, sent_at)
@@ -130,29 +154,18 @@
         sent: asyncio.Future[None],
     ) -> http1.HttpResponse | jobs.NotRun | jobs.OutcomeUnknown:
         """Return the response, or the reason why there is none."""
-        began_at = self._clock.now()
-        try:
-            connection = await link.pool.acquire(
-                fresh=not job.is_idempotent, excluded=job.connections
-            )
-        except http1.UnreachableError as error:
-            self._monitor.record_failure(
-                link, is_refused=error.is_refused, began_at=began_at
-            )
-            return jobs.NotRun(
-                cause=jobs.NotRunCause.UNREACHABLE, detail=error.problem
-            )
-        except http1.ExchangeError as error:
-            link.load.record_unreachable()
-            return _make_unsent(error.problem)
+        connection = await self._connect(job, link)
+        if isinstance(connection, jobs.NotRun):
+            return connection
         left_ms = job.deadline_at - self._clock.now()
         if left_ms < MIN_TIME_LEFT_MS:
             link.pool.release(connection)
             return _make_unsent("too little time left before the deadline")
-        if not self._links.accepts_work(link, keyed=job.key is not None):
-            # The server began to drain while the connection was opened.
+        obstacle = self._eligibility.find_obstacle(link, job)
+        if obstacle is not None:
+            # It has changed while the connection was opened.
             link.pool.release(connection)
-            return _make_unsent("the server is draining or gone")
+            return _make_ineligible(obstacle)
         wait_ms = link.get_wait_ms()
         if wait_ms:
             link.pool.release(connection)
@@ -160,6 +173,12 @@
         if self._guard.is_refused(job):
             link.pool.release(connection)
             return _make_unsent("the request crashes servers")
+        if (
+            job.permit != link.incarnation
+            and self._server_limits.find_cold(link.incarnation) is not None
+        ):
+            link.pool.release(connection)
+            return jobs.NotRun(cause=jobs.NotRunCause.COLD)
         job.sent_count += 1
         job.connections.append(connection)
         sent.set_result(None)
@@ -183,6 +202,7 @@
             except asyncio.CancelledError:
                 # The response may have arrived in the same turn.
                 if not exchange.done():
+                    job.may_have_run = True
                     raise
             if not exchange.done():
                 link.load.record_failed_attempt()
@@ -194,11 +214,21 @@
             )
             return response
         except http1.ExchangeError as error:
+            if not error.sent:
+                job.sent_count -= 1
+                return self._record_ended(job, link, connection)
             if not flight.is_aborted:
+                if error.is_reset and connection.is_new:
+                    self.accept_resets.record_reset(job.service.name)
+                elif error.is_reset and not link.load.is_busy():
+                    link.pool.record_forgotten(
+                        idle_ms=flight.sent_at - connection.used_at
+                    )
                 if self._is_full(link, error, flight.sent_at):
                     link.load.record_full()
                 else:
                     link.load.record_failed_attempt()
+                    link.pool.record_break()
                 self._guard.record_break(flight)
             return jobs.OutcomeUnknown(
                 cause=jobs.UnknownCause.BROKEN, detail=error.problem
@@ -211,6 +241,66 @@
             else:
                 link.pool.discard(connection)
 
+    async def _connect(
+        self, job: jobs.Job, link: balancing.ServerLink
+    ) -> http1.ServerConnection | jobs.NotRun:
+        """Return a connection on which the request was not sent so far."""
+        began_at = self._clock.now()
+        self._cold_watch.check_connections(link)
+        timeout_ms = balancing.compute_connect_timeout_ms(
+            job.deadline_at - began_at
+        )
+        try:
+            async with asyncio.timeout(timeout_ms / base.MS_PER_S):
+                connection = await link.pool.acquire(
+                    fresh=not job.is_idempotent, excluded=job.connections
+                )
+        except TimeoutError:
+            self._monitor.suspect(link, began_at)
+            return _make_unsent("no connection in time for the deadline")
+        except http1.UnreachableError as error:
+            self._monitor.record_failure(
+                link, is_refused=error.is_refused, began_at=began_at
+            )
+            return jobs.NotRun(
+                cause=jobs.NotRunCause.UNREACHABLE, detail=error.problem
+            )
+        except http1.ExchangeError as error:
+            link.load.record_unreachable()
+            return _make_unsent(error.problem)
+        observed_ms = self.accept_resets.compute_observation_ms(
+            job.service.name, round_trip_ms=link.get_round_trip_ms()
+        )
+        if not connection.is_new or not observed_ms:
+            return connection
+        try:
+            has_ended = await connection.ends_within(observed_ms)
+        except asyncio.CancelledError:
+            link.pool.discard(connection)
+            raise
+        if not has_ended:
+            return connection
+        outcome = self._record_ended(job, link, connection)
+        link.pool.discard(connection)
+        return outcome
+
+    def _record_ended(
+        self,
+        job: jobs.Job,
+        link: balancing.ServerLink,
+        connection: http1.ServerConnection,
+    ) -> jobs.NotRun:
+        """Record that a connection ended before the request was sent."""
+        job.unsent_count += 1
+        if connection.is_new:
+            # The server has more connections than it keeps.
+            self.accept_resets.record_unsent(job.service.name)
+            link.load.record_full()
+        return jobs.NotRun(
+            cause=jobs.NotRunCause.CONNECTION_ENDED,
+            detail="the connection ended before the request was sent",
+        )
+
     def _is_full(
         self,
         link: balancing.ServerLink,
@@ -227,20 +317,23 @@
         elapsed_ms = self._clock.now() - sent_at
         return (
             link.load.is_busy()
-            or elapsed_ms <= link.get_round_trip_ms() + EARLY_RESET_MS
+            or elapsed_ms
+            <= link.get_round_trip_ms() + balancing.EARLY_RESET_MS
         )
 
     def _compute_silence_ms(
         self, job: jobs.Job, link: balancing.ServerLink
     ) -> float:
         """Return the time without a response that is unusual."""
-        expected_ms = (
-            link.get_round_trip_ms()
-            + link.load.estimate_wait_ms()
-            + link.load.estimate_service_ms(job.route.name)
-        )
+        wait_ms = link.load.estimate_wait_ms()
+        service_ms = link.load.estimate_service_ms(job.route.name)
+        expected_ms = link.get_round_trip_ms() + wait_ms + service_ms
         silence_ms = SILENCE_LATENCY_FACTOR * expected_ms
-        return min(MAX_SILENCE_MS, max(MIN_SILENCE_MS, silence_ms))
+        # A queue that is known, and long work, are not unusual.
+        max_ms = wait_ms + max(
+            MAX_SILENCE_MS, SLOW_SERVICE_FACTOR * service_ms
+        )
+        return min(max_ms, max(MIN_SILENCE_MS, silence_ms))
 
     def _matches_attempt(self, job: jobs.Job, fields: http1.FieldList) -> bool:
         """Return whether a response may belong to this attempt.
@@ -282,6 +375,7 @@
                 ),
             ],
             body=job.request.body,
+            usage=job.request.usage,
         )
 
     def _classify(
@@ -383,6 +477,14 @@
             self._load = None
 
 
+def _make_ineligible(obstacle: balancing.Obstacle) -> jobs.NotRun:
+    if obstacle is balancing.Obstacle.STATE:
+        return _make_unsent("the server is draining or gone")
+    return jobs.NotRun(
+        cause=jobs.NotRunCause.INELIGIBLE, detail=obstacle.value
+    )
+
+
 def _make_unsent(detail: str, *, wait_ms: int = 0) -> jobs.NotRun:
     return jobs.NotRun(
         cause=jobs.NotRunCause.UNSENT, detail=detail, wait_ms=wait_ms
--- a/tarragonhinge/http1/_pool.py
+++ b/tarragonhinge/http1/_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Collection
 import enum
+import math
 
 from tarragonhinge import base
 from tarragonhinge.http1 import _errors
@@ -20,10 +21,36 @@
 #: reused, so that the server does not close it first.
 KEEP_ALIVE_FRACTION = 0.7
 
+#: Time before the end of the server's keep-alive time up to which a connection
+#: is reused, if that is later: several round trips between regions, and delays
+#: of the server's timer.
+KEEP_ALIVE_MARGIN_MS = 800
+
+#: Time for which connections to a server are not reused after the idle time
+#: at which it has forgotten one, fraction of that idle time, and shortest idle
+#: time that counts. A server under load forgets all of them alike.
+FORGOTTEN_VALID_MS = 30_000
+FORGOTTEN_FRACTION = 0.8
+MIN_FORGOTTEN_MS = 250
+
 #: Idle time after which a connection is not used for a non-idempotent request,
 #: since a reset would leave its outcome unknown.
 FRESH_IDLE_LIMIT_MS = 1_000
 
+#: Fraction of the idle time up to which a connection is reused. One that the
+#: server ends before shows that its process has ended.
+EARLY_END_FRACTION = 0.5
+
+#: Number of broken exchanges that such a connection counts for, since a server
+#: that runs on may break off a single one.
+EARLY_END_WEIGHT = 2
+
+
+#: Bytes of bodies that one instance sends to one server at a time; a server
+#: that holds more than its memory crashes. A single body may be larger.
+#: Uploads of 360 KB, 30 at a server, take a third.
+OUTSTANDING_LIMIT_BYTES = 32 << 20
+
 
 class ListenerState(enum.Enum):
     """Reaction of a server to an attempt to connect.
@@ -56,6 +83,8 @@
     min_connect_ms : float or None
         Shortest time in which a connection was opened; None if there was
         none yet.
+    opened_count : int
+        Number of attempts to open a connection.
     """
 
     def __init__(
@@ -73,7 +102,16 @@
         self._idle: list[_server_connection.ServerConnection] = []
         self._open_count = 0
         self._is_closed = False
+        # Connections that the server has ended since the last response, the
+        # same when none was left, and time since which at least one is open.
+        self._lost_count = 0
+        self._all_lost_count = 0
+        self._open_since: int | None = None
+        self._outstanding_bytes = 0
         self.min_connect_ms: float | None = None
+        self.opened_count = 0
+        self._forgotten_idle_ms = math.inf
+        self._forgotten_until = 0
 
     async def acquire(
         self,
@@ -106,11 +144,11 @@
                 raise _make_error("the connection limit is reached")
             self._close_connection(self._idle.pop(0))
         self._open_count += 1
+        if self._open_count == 1:
+            self._open_since = None
         started_at = self._clock.now()
         try:
-            stream = await _tcp_stream.connect(
-                self._address, timeout_ms=self._connect_timeout_ms
-            )
+            connection = await self._open(timeout_ms=self._connect_timeout_ms)
         except OSError as error:
             self._open_count -= 1
             raise _errors.UnreachableError(
@@ -121,10 +159,38 @@
             self._open_count -= 1
             raise
         self._record_connect_time(self._clock.now() - started_at)
+        self._record_opened()
+        return connection
+
+    async def _open(
+        self, *, timeout_ms: int
+    ) -> _server_connection.ServerConnection:
+        self.opened_count += 1
+        stream = await _tcp_stream.connect(
+            self._address, timeout_ms=timeout_ms
+        )
         return _server_connection.ServerConnection(
             stream=stream, clock=self._clock
         )
 
+    def reserve_body(self, count: int) -> bool:
+        """Count the body of a request, unless the server holds too much.
+
+        Parameters
+        ----------
+        count : int
+            Size of the body; `release_body` gets it at the end of the request.
+        """
+        total = self._outstanding_bytes + count
+        if 0 < count < total and total > OUTSTANDING_LIMIT_BYTES:
+            return False
+        self._outstanding_bytes = total
+        return True
+
+    def release_body(self, count: int) -> None:
+        """Stop to count the body of a request."""
+        self._outstanding_bytes -= count
+
     def _find_idle(
         self,
         *,
@@ -153,22 +219,19 @@
         A connection that is opened serves the next request.
         """
         try:
-            stream = await _tcp_stream.connect(
-                self._address, timeout_ms=timeout_ms
-            )
+            connection = await self._open(timeout_ms=timeout_ms)
         except ConnectionRefusedError:
             return ListenerState.REFUSING
         except OSError:
             return ListenerState.SILENT
         if self._open_count >= self._limit:
-            stream.close()
+            connection.close()
             return ListenerState.ACCEPTING
         self._open_count += 1
-        self.release(
-            _server_connection.ServerConnection(
-                stream=stream, clock=self._clock
-            )
-        )
+        if self._open_count == 1:
+            self._open_since = None
+        self._record_opened()
+        self.release(connection)
         return ListenerState.ACCEPTING
 
     def _record_connect_time(self, elapsed_ms: int) -> None:
@@ -181,8 +244,36 @@
         if self._is_closed or not connection.is_reusable():
             self.discard(connection)
             return
+        self._lost_count = 0
         self._idle.append(connection)
 
+    def record_break(self, weight: int = 1) -> None:
+        """Record that the server has ended a connection unexpectedly."""
+        self._lost_count += weight
+        self._open_since = None
+
+    def take_lost(self) -> int:
+        """Return how many connections ended unexpectedly until none was left.
+
+        They count once, by weight; 0 if others were open.
+        """
+        self.prune()
+        lost_count, self._all_lost_count = self._all_lost_count, 0
+        return lost_count
+
+    def has_outlasted(self, duration_ms: int) -> bool:
+        """Return whether connections were open all the time until now."""
+        self.prune()
+        return (
+            self._open_count > 0
+            and self._open_since is not None
+            and self._clock.now() - self._open_since >= duration_ms
+        )
+
+    def _record_opened(self) -> None:
+        if self._open_since is None:
+            self._open_since = self._clock.now()
+
     def discard(self, connection: _server_connection.ServerConnection) -> None:
         """Close a connection that was acquired."""
         self._close_connection(connection)
@@ -191,6 +282,9 @@
         self, connection: _server_connection.ServerConnection
     ) -> None:
         self._open_count -= 1
+        if self._open_count == 0 and self._lost_count:
+            self._all_lost_count = self._lost_count
+            self._lost_count = 0
         connection.close()
 
     def prune(self) -> None:
@@ -198,15 +292,39 @@
         reusable = []
         for connection in self._idle:
             idle_ms = self._clock.now() - connection.used_at
-            limit_ms = IDLE_LIMIT_MS
-            if connection.keep_alive_ms is not None:
-                limit_ms = connection.keep_alive_ms * KEEP_ALIVE_FRACTION
+            limit_ms = self._compute_idle_limit_ms(connection)
             if connection.is_reusable() and idle_ms < limit_ms:
                 reusable.append(connection)
             else:
+                if connection.has_ended_early(EARLY_END_FRACTION * limit_ms):
+                    self.record_break(EARLY_END_WEIGHT)
                 self._close_connection(connection)
         self._idle = reusable
 
+    def _compute_idle_limit_ms(
+        self, connection: _server_connection.ServerConnection
+    ) -> float:
+        limit_ms = IDLE_LIMIT_MS
+        if connection.keep_alive_ms is not None:
+            limit_ms = max(
+                connection.keep_alive_ms * KEEP_ALIVE_FRACTION,
+                connection.keep_alive_ms - KEEP_ALIVE_MARGIN_MS,
+            )
+        if self._clock.now() < self._forgotten_until:
+            limit_ms = min(limit_ms, self._forgotten_idle_ms)
+        return limit_ms
+
+    def record_forgotten(self, *, idle_ms: float) -> None:
+        """Record that the server has reset a connection that was idle."""
+        if idle_ms < MIN_FORGOTTEN_MS:
+            return
+        if self._clock.now() >= self._forgotten_until:
+            self._forgotten_idle_ms = math.inf
+        self._forgotten_idle_ms = min(
+            self._forgotten_idle_ms, FORGOTTEN_FRACTION * idle_ms
+        )
+        self._forgotten_until = self._clock.now() + FORGOTTEN_VALID_MS
+
     def close(self) -> None:
         """Close idle connections; others are closed on their release."""
         self._is_closed = True
--- a/tarragonhinge/http1/_server_connection.py
+++ b/tarragonhinge/http1/_server_connection.py
@@ -1,19 +1,24 @@
 """Client side of an HTTP/1.1 connection to a backend server."""
 
+import asyncio
 from collections.abc import Callable
 
 import h11
 
 from tarragonhinge import base
-from tarragonhinge.http1 import _body_memory
 from tarragonhinge.http1 import _errors
 from tarragonhinge.http1 import _messages
 from tarragonhinge.http1 import _parser_turns
+from tarragonhinge.http1 import _response_memory
 from tarragonhinge.http1 import _tcp_stream
+from tarragonhinge import memory
 
 #: Largest number of responses to earlier requests that are skipped.
 STALE_RESPONSE_LIMIT = 3
 
+#: Size up to which the body of a request is written with its head.
+SMALL_BODY_BYTES = 1 << 16
+
 #: Largest body of a response; a larger one fails the exchange.
 RESPONSE_LIMIT_BYTES = 16 << 20
 
@@ -32,6 +37,10 @@
 #: Largest number of interim responses before the final one.
 INTERIM_RESPONSE_LIMIT = 32
 
+#: Largest status that HTTP defines (RFC 9110, 15). The parser rejects those
+#: below 100, and interim ones are no final response.
+LAST_STATUS = 599
+
 #: Largest number of digits of a timeout.
 NUMBER_LIMIT_DIGITS = 9
 
@@ -59,6 +68,8 @@
     keep_alive_ms : int or None
         Time for which the server keeps an idle connection open; None if the
         server has not stated it.
+    is_new : bool
+        Whether no response has arrived on it so far.
     """
 
     def __init__(
@@ -67,13 +78,33 @@
         self._stream = stream
         self._clock = clock
         self.used_at = clock.now()
+        # Time of the event loop at which the last response arrived.
+        self._answered_at: float | None = None
         self.keep_alive_ms: int | None = None
         self._has_response = False
+        self.is_new = True
+
+    async def ends_within(self, time_ms: float) -> bool:
+        """Return whether the server ends the idle connection meanwhile."""
+        return await self._stream.wait_for_end(timeout_ms=time_ms)
 
     def is_reusable(self) -> bool:
         """Return whether the connection can be used for another request."""
         return self._stream.is_usable and not self._stream.unsent_bytes
 
+    def has_ended_early(self, idle_ms: float) -> bool:
+        """Return whether the server has ended it before it was idle so long.
+
+        Servers end connections that have been idle for long, and those beyond
+        their number before any response.
+        """
+        ended_at = self._stream.ended_at
+        return (
+            ended_at is not None
+            and self._answered_at is not None
+            and (ended_at - self._answered_at) * base.MS_PER_S < idle_ms
+        )
+
     def close(self) -> None:
         """Close at once, so that the server stops handling the request."""
         self._stream.abort()
@@ -89,20 +120,60 @@
         Raises
         ------
         ExchangeError
-            If no complete response arrived.
+            If no complete response arrived; `sent` is unset if the
+            connection had ended before anything was written.
         """
         events = _make_events(request)
         parser = _make_parser()
-        self._stream.write(b"".join(parser.send(event) for event in events))
-        unparsed = b""
+        parts = _encode(parser, events)
+        is_small = len(request.body) <= SMALL_BODY_BYTES
+        first = b"".join(parts) if is_small else parts[0]
+        if self._stream.is_ended or not self._stream.write(first):
+            raise _errors.ExchangeError(
+                problem="the connection had ended before the request was sent",
+                remedy="send it on another connection",
+                sent=False,
+            )
         self._has_response = False
+        if is_small:
+            return await self._read_own_response(
+                request, events, parser, recognize
+            )
+        writer = asyncio.create_task(self._stream.write_body(request.body))
+        try:
+            response = await self._read_own_response(
+                request, events, parser, recognize
+            )
+            if not writer.done():
+                # The rest of the body is not sent, and the server would take
+                # the next request for it.
+                return _mark_closing(response)
+            return response
+        finally:
+            writer.cancel()
+
+    async def _read_own_response(
+        self,
+        request: _messages.HttpRequest,
+        events: list[h11.Event],
+        parser: h11.Connection,
+        recognize: ResponseMatcher,
+    ) -> _messages.HttpResponse:
+        """Return the response that `recognize` accepts."""
+        unparsed = b""
         for stale_count in range(STALE_RESPONSE_LIMIT + 1):
             if stale_count:
                 parser = _make_parser()
-                for event in events:
-                    parser.send(event)
-            response, unparsed = await self._read_response(parser, unparsed)
-            if recognize(response.fields):
+                _encode(parser, events)
+            room = _response_memory.ResponseMemory(request.usage)
+            try:
+                response, unparsed = await self._read_response(
+                    parser, unparsed, room
+                )
+                room.is_kept = recognize(response.fields)
+            finally:
+                room.close()
+            if room.is_kept:
                 # No request was sent to which later bytes could belong.
                 closes = response.closes or bool(unparsed) or bool(stale_count)
                 self._record_use(response)
@@ -125,12 +196,17 @@
 
     def _record_use(self, response: _messages.HttpResponse) -> None:
         self.used_at = self._clock.now()
+        self._answered_at = asyncio.get_running_loop().time()
+        self.is_new = False
         for name, value in response.fields:
             if name == "keep-alive":
                 self.keep_alive_ms = _parse_keep_alive_ms(value)
 
     async def _read_response(
-        self, parser: h11.Connection, unparsed: bytes
+        self,
+        parser: h11.Connection,
+        unparsed: bytes,
+        room: _response_memory.ResponseMemory,
     ) -> tuple[_messages.HttpResponse, bytes]:
         """Return one response and the bytes that follow it."""
         if unparsed:
@@ -157,16 +233,15 @@
                     if interim_count > INTERIM_RESPONSE_LIMIT:
                         raise _make_error("too many interim responses")
                 elif isinstance(event, h11.Response):
+                    _check_status(event.status_code)
                     head = event
                 elif isinstance(event, h11.Data):
                     body += event.data
                     part_count += 1
                     _check_part_count(part_count, body_bytes=len(body))
-                    has_room = _body_memory.BODY_MEMORY.add(
-                        len(event.data), body_bytes=len(body)
-                    )
-                    if len(body) > RESPONSE_LIMIT_BYTES or not has_room:
+                    if len(body) > RESPONSE_LIMIT_BYTES:
                         raise _make_error("the response body is too large")
+                    await room.grow(head, len(body))
                 elif isinstance(event, h11.EndOfMessage):
                     break
                 elif isinstance(event, h11.ConnectionClosed):
@@ -175,8 +250,8 @@
                     )
         except h11.RemoteProtocolError as error:
             raise _make_error(f"invalid response: {error}") from error
-        finally:
-            _body_memory.BODY_MEMORY.release(len(body))
+        except memory.FullError as error:
+            raise _make_error("no memory for the response body") from error
         if head is None:
             raise _make_error("no response")
         trailing, _ = parser.trailing_data
@@ -184,7 +259,7 @@
             _messages.HttpResponse(
                 status=head.status_code,
                 fields=_messages.decode_fields(head.headers),
-                body=bytes(body),
+                body=_messages.freeze_body(body),
                 closes=parser.their_state is not h11.DONE
                 or self._stream.is_ended,
             ),
@@ -192,6 +267,19 @@
         )
 
 
+def _check_status(status: int) -> None:
+    """Fail an exchange whose final status HTTP does not define.
+
+    Raises
+    ------
+    ExchangeError
+        If the status has no class, so that a caller could not tell whether
+        the request succeeded.
+    """
+    if status > LAST_STATUS:
+        raise _make_error(f"HTTP does not define the status {status}")
+
+
 def _check_part_count(part_count: int, *, body_bytes: int) -> None:
     """Fail an exchange whose response takes too much time to parse.
 
@@ -227,6 +315,16 @@
     return events
 
 
+def _encode(
+    parser: h11.Connection, events: list[h11.Event]
+) -> list[bytes | bytearray]:
+    """Return the encoded head and, if there is one, the body as it is."""
+    parts = [parser.send(events[0])]
+    for event in events[1:]:
+        parts += parser.send_with_data_passthrough(event)
+    return parts
+
+
 def _make_error(
     problem: str, *, is_reset: bool = False
 ) -> _errors.ExchangeError:
--- a/tarragonhinge/jobs/_job.py
+++ b/tarragonhinge/jobs/_job.py
@@ -35,6 +35,8 @@
         Events of the request.
     sent_count : int
         Number of times that the request was sent to a server.
+    unsent_count : int
+        Number of times that a connection ended before it was sent there.
     may_have_run : bool
         Whether a server may have run the request, although no valid response
         arrived.
@@ -63,6 +65,8 @@
         last refused.
     is_forwarded : bool
         Whether another instance has forwarded the request to this one.
+    permit : Incarnation or None
+        Server for which its present placement has a permit.
     """
 
     request: http1.HttpRequest
@@ -73,6 +77,7 @@
     is_caller_retry: bool
     trace: events.Trace
     sent_count: int = 0
+    unsent_count: int = 0
     may_have_run: bool = False
     failed_servers: set[base.ServerId] = dataclasses.field(default_factory=set)
     silent_servers: set[base.ServerId] = dataclasses.field(default_factory=set)
@@ -87,6 +92,7 @@
     )
     refused_by_grant: tuple[base.ServerId, int] | None = None
     is_forwarded: bool = False
+    permit: limits.Incarnation | None = None
     _digest: quarantine.RequestDigest | None = None
 
     def count_attempts_left(self) -> int:
--- a/tarragonhinge/jobs/_outcomes.py
+++ b/tarragonhinge/jobs/_outcomes.py
@@ -23,7 +23,10 @@
     SHED: the server was overloaded and refused it; MISDIRECTED: the server
     does not own the key; REPLACED: another server listens at the address;
     UNSENT: the request was not sent; UNREACHABLE: it was not sent, since no
-    connection could be opened.
+    connection could be opened; INELIGIBLE: it was not sent, since the server
+    no longer may get it; COLD: it was not sent, since the server has become
+    cold after the request was placed; CONNECTION_ENDED: the server had ended
+    the connection before anything was written.
     """
 
     SHED = "shed"
@@ -31,6 +34,9 @@
     REPLACED = "replaced"
     UNSENT = "unsent"
     UNREACHABLE = "unreachable"
+    INELIGIBLE = "ineligible"
+    COLD = "cold"
+    CONNECTION_ENDED = "connection_ended"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tarragonhinge/jobs/_refusals.py
+++ b/tarragonhinge/jobs/_refusals.py
@@ -23,7 +23,9 @@
 QUARANTINE_RETRY_AFTER_MS = 30_000
 
 #: Reasons of refusals that concern only the refusing instance.
-TRANSFERABLE_REASONS = frozenset({"unreachable", "stopping", "no_table"})
+TRANSFERABLE_REASONS = frozenset(
+    {"unreachable", "stopping", "no_table", "memory"}
+)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -81,6 +83,11 @@
             retry_after_ms=QUARANTINE_RETRY_AFTER_MS,
         )
 
+    @classmethod
+    def for_full_memory(cls, retry_after_ms: int) -> "Refused":
+        """Return the refusal of a request for which there is no memory."""
+        return cls(status=503, reason="memory", retry_after_ms=retry_after_ms)
+
     @classmethod
     def for_ended_stop(cls, *, is_sent: bool) -> "Refused":
         """Return the response to a request that the stop aborts."""
@@ -110,6 +117,8 @@
     job: _job.Job,
     failure: _outcomes.AttemptOutcome | None,
     refused: Refused | None,
+    *,
+    room_ms: int = DEFAULT_RETRY_AFTER_MS,
 ) -> http1.HttpResponse | Refused:
     """Return the final response after the last attempt.
 
@@ -121,6 +130,8 @@
         Outcome of the last attempt, if there was one.
     refused : Refused or None
         Refusal of a further attempt, if there is one.
+    room_ms : int
+        Retry-After if no server has stated one.
     """
     if isinstance(failure, _outcomes.Answered):
         if failure.response.status not in _outcomes.NOT_RUN_STATUSES:
@@ -142,5 +153,5 @@
     return Refused(
         status=503,
         reason=get_outcome_name(failure),
-        retry_after_ms=wait_ms or DEFAULT_RETRY_AFTER_MS,
+        retry_after_ms=wait_ms or room_ms,
     )
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -1,6 +1,7 @@
 """An instance of the router on the platform."""
 
 import asyncio
+import functools
 import pathlib
 import signal
 import uuid
@@ -10,6 +11,7 @@
 from tarragonhinge import coordination
 from tarragonhinge import events
 from tarragonhinge import gateway
+from tarragonhinge import memory
 from tarragonhinge.platform import _codec
 from tarragonhinge.platform import _dialect
 from tarragonhinge.platform import _errors
@@ -32,6 +34,14 @@
 RESPONSE_CHECK_MS = 10
 
 
+#: Help texts of the gauges of the account of memory.
+_MEMORY_GAUGES = {
+    memory.Kind.CONNECTION: "Memory of open connections.",
+    memory.Kind.REQUEST: "Memory of requests until their response.",
+    memory.Kind.RESPONSE: "Memory of responses until clients read them.",
+}
+
+
 class PlatformInstance:
     """One instance with all its components.
 
@@ -56,7 +66,9 @@
         self._clock = clock
         self.log = log
         self._view = catalog.View()
-        self._store = _row_store.PlatformStore(address=options.store)
+        self._store = _row_store.PlatformStore(
+            address=options.store, row_bytes=options.row_bytes, log=log
+        )
         self.gateway = gateway.Gateway(
             options=options,
             view=self._view,
@@ -73,6 +85,7 @@
             links=self.gateway.links,
             server_limits=self.gateway.server_limits,
             leaving=self.gateway.leaving,
+            cold_watch=self.gateway.cold_watch,
         )
         self._member = coordination.Member(
             instance=options.instance,
@@ -93,6 +106,8 @@
             is_first_start=options.is_first_start,
             link_mbps=options.link_mbps,
             grant_limit_ms=options.grant_limit_ms,
+            zones=options.zones,
+            row_bytes=options.row_bytes,
         )
         self._caller_listener = gateway.CallerListener(
             address=options.callers, gateway=self.gateway
@@ -109,6 +124,14 @@
             metrics_address=base.Address(f"{host}:{METRICS_PORT}"),
             is_ready=self.is_ready,
             registry=self.gateway.metrics.registry,
+            describe=self.dump,
+        )
+        self._state_report = gateway.StateReport(
+            view=self._view,
+            links=self.gateway.links,
+            eligibility=self.gateway.eligibility,
+            zones=dict(options.zones),
+            clock=clock,
         )
         self._register_gauges()
         self._peers: asyncio.Server | None = None
@@ -149,6 +172,29 @@
             "Calls to the platform's store since the start.",
             lambda: self._store.call_count,
         )
+        watch(
+            "store_writes_rejected",
+            "Writes that the platform's store does not accept as they are.",
+            lambda: self._store.rejected_count,
+        )
+        leaders = self._member.list_leaders
+        watch(
+            "segments_moving",
+            "Segments of keys that move; at the coordinator.",
+            lambda: sum(leader.count_moving() for leader in leaders()),
+        )
+        watch(
+            "segments_evacuated",
+            "Segments that have to leave a zone or region yet; at the"
+            " coordinator.",
+            lambda: sum(leader.evacuated_count for leader in leaders()),
+        )
+        watch(
+            "key_record_bytes",
+            "Length of the longest record of keys, in bytes of base64; at the"
+            " coordinator.",
+            lambda: max((one.record_bytes for one in leaders()), default=0),
+        )
         watch(
             "server_crashes",
             "Crashes of servers that this instance has recognized.",
@@ -174,12 +220,70 @@
             "Requests that are refused since they crash servers.",
             lambda: self.gateway.ledger.refused_count,
         )
+        account = self.gateway.memory
+        watch(
+            "memory_budget_bytes",
+            "Memory for connections, requests and responses.",
+            lambda: account.budget_bytes,
+        )
+        for kind, help_ in _MEMORY_GAUGES.items():
+            watch(
+                f"memory_{kind.value}_bytes",
+                help_,
+                functools.partial(account.get_used, kind),
+            )
+        for reason in ("memory", "descriptors"):
+            watch(
+                f"clients_closed_for_{reason}",
+                f"Connections of clients closed for lack of {reason}.",
+                functools.partial(
+                    self.gateway.closed_clients.__getitem__, reason
+                ),
+            )
+        watch(
+            "evacuated_zones",
+            "Zones whose servers are to get no requests.",
+            lambda: len(self._view.evacuated_zones),
+        )
+        watch(
+            "evacuated_in_flight",
+            "Requests of this instance at servers of these zones.",
+            self._state_report.count_in_flight,
+        )
+        watch(
+            "evacuated_segments",
+            "Segments of keys whose owners are in these zones.",
+            self._state_report.count_segments,
+        )
+        self.gateway.metrics.watch_servers(
+            "server_cold_seconds",
+            "Time for which a server stays cold.",
+            self.gateway.server_limits.cold.list_left_s,
+        )
+        self.gateway.metrics.watch_servers(
+            "server_pace_requests",
+            "Requests that a server that has come up may have now.",
+            self.gateway.links.list_pace_limits,
+        )
         watch(
             "log_lines_dropped",
             "Lines left out of the log since the start.",
             lambda: self.log.dropped,
         )
 
+    def dump(self) -> dict:
+        """Return the state on which this instance decides."""
+        table = self._view.table
+        return {
+            "instance": self._options.instance,
+            "zone": self._options.zone,
+            "ready": self.is_ready(),
+            "coordinates": self._member.is_coordinator,
+            "view_age_ms": self._member.get_view_age_ms(),
+            "table_version": table.version if table is not None else None,
+            **self._state_report.describe(),
+        }
+
     def is_ready(self) -> bool:
         """Return whether the instance should receive requests."""
         return (
@@ -200,6 +304,11 @@
         self._tasks = [
             asyncio.create_task(self._member.run()),
             asyncio.create_task(self._update_state()),
+            asyncio.create_task(
+                self.gateway.health_checker.run(
+                    lambda: self._member.is_coordinator
+                )
+            ),
         ]
         self.log.write(
             events.Started(
@@ -296,6 +405,7 @@
         If the settings file is missing or invalid.
     """
     options = _node_file.load_node_file(path)
+    memory.tune_allocator()
     clock = base.Clock()
     log = events.EventLog(instance=options.instance, clock=clock)
     instance = PlatformInstance(options=options, log=log, clock=clock)
--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -12,6 +12,9 @@
 import time
 import urllib.parse
 
+#: Path of the health check.
+HEALTH_PATH = "/healthz"
+
 _CRLF = "\r\n"
 _NOT_EXECUTED = [("Tarragonhinge-Not-Executed", "1")]
 
@@ -24,6 +27,14 @@
 #: Modes in which a request that was executed is answered properly.
 _ANSWERING_MODES = frozenset({"ok", "error", "busy_error"})
 
+#: Status of a response by mode; 200 in any other mode.
+_STATUSES_BY_MODE = {
+    "error": "500",
+    "busy_error": "503",
+    "undefined": "999",
+    "zero": "000",
+}
+
 
 class ExecutionState(enum.Enum):
     """State of an execution.
@@ -96,7 +107,8 @@
         response to another attempt comes first), ``unsealed`` (response
         without a seal), ``foreign`` (response to another attempt only),
         ``error`` (status 500), ``busy_error`` (status 503 without the field
-        that denies the execution), ``silent`` (executed, no response).
+        that denies the execution), ``undefined`` (status 999), ``zero``
+        (status 000), ``silent`` (executed, no response).
     next_modes : list of str
         Modes of the next requests; once empty, `mode` applies.
     executed, abandoned : list of str
@@ -134,9 +146,18 @@
     limit : str or None
         Requests per second that it names in its responses; None for no
         limit.
+    connection_limit : int or None
+        Number of connections above which it resets new ones; None for any.
+    warm_up_ms : str or None
+        Time for which it stays cold, as its health responses state; None for
+        no field.
+    health_checks : list of str
+        Address from which each health check came.
     work_s : float
         Duration of an execution, in seconds; a request overrides it by the
         parameter ``work`` of its target, in milliseconds.
+    padding_bytes : int
+        Size of what the responses to executions have in addition.
     """
 
     def __init__(
@@ -163,10 +184,14 @@
         self.leaving: str | None = None
         self.wait: str | None = None
         self.limit: str | None = None
+        self.connection_limit: int | None = None
+        self.warm_up_ms: str | None = None
+        self.health_checks: list[str] = []
         self.request_arrived = asyncio.Event()
         self.work_allowed = asyncio.Event()
         self.work_allowed.set()
         self.work_s = 0.0
+        self.padding_bytes = 0
         self.leases: list[tuple[int, int, int, float]] = []
         self.fences: list[tuple[int, int, int]] = []
         self.running = 0
@@ -220,6 +245,12 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if (
+            self.connection_limit is not None
+            and len(self._tasks) >= self.connection_limit
+        ):
+            _reset_connection(writer)
+            return
         task = asyncio.current_task()
         self._tasks.add(task)
         try:
@@ -245,8 +276,18 @@
         if target.endswith(("/grant", "/release")):
             self._handle_grant_or_release(target, json.loads(body), writer)
             return True
+        if target == HEALTH_PATH:
+            self._handle_health_check(writer)
+            return True
         return await self._handle_request(line, fields, body, reader, writer)
 
+    def _handle_health_check(self, writer: asyncio.StreamWriter) -> None:
+        self.health_checks.append(writer.get_extra_info("peername")[0])
+        fields = [("Tarragonhinge-Instance-Id", self.name)]
+        if self.warm_up_ms is not None:
+            fields.append(("Tarragonhinge-Warmup-Ms", self.warm_up_ms))
+        self._write_response(writer, 200, fields, "ok")
+
     async def _handle_request(
         self,
         line: str,
@@ -376,7 +417,7 @@
             ("Tarragonhinge-Upstream-Seal", "3e.1"),
             ("Tarragonhinge-Upstream-Load", load),
         ]
-        body = f"{attempt} of {self.name}"
+        body = f"{attempt} of {self.name}" + "x" * self.padding_bytes
         if mode == "silent":
             await reader.read()
             return False
@@ -393,14 +434,14 @@
             fields[0] = ("Tarragonhinge-Request-Attempt-Id", "old")
         if mode == "unsealed":
             del fields[1]
-        status = {"error": 500, "busy_error": 503}.get(mode, 200)
+        status = _STATUSES_BY_MODE.get(mode, "200")
         self._write_response(writer, status, fields, body)
         return mode != "foreign"
 
     def _write_response(
         self,
         writer: asyncio.StreamWriter,
-        status: int,
+        status: int | str,
         fields: list[tuple[str, str]],
         body: str,
         *,
--- a/tarragonhinge/ranges/tests/led_service.py
+++ b/tarragonhinge/ranges/tests/led_service.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+import msgspec
+
 from tarragonhinge import base
 from tarragonhinge import catalog
 from tarragonhinge import ranges
@@ -17,7 +19,7 @@
 class LedService:
     """Simulated servers, an in-memory store and at most one leader."""
 
-    def __init__(self, *, servers=4):
+    def __init__(self, *, servers=4, zones=("z",), slots=2):
         self.clock = testing.ManualClock()
         self.rows = testing.MemoryRows()
         self.fleet = testing.KeyFleet(clock=self.clock)
@@ -27,6 +29,8 @@
         self.task = None
         self.term = 0
         self._last_born_ms = 0
+        self._zones = zones
+        self._slots = slots
         for number in range(servers):
             self.start_server(f"s{number}")
 
@@ -36,8 +40,8 @@
             server=base.ServerId(name),
             service=SERVICE,
             address=base.Address(address or f"10.0.0.{name[1:]}:80"),
-            zone=base.ZoneName("z"),
-            slots=2,
+            zone=base.ZoneName(self._zones[int(name[1:]) % len(self._zones)]),
+            slots=self._slots,
             born_ms=self._last_born_ms,
         )
         self.fleet.start(entry)
@@ -52,6 +56,29 @@
         entries.pop(name, None)
         self.view.set_servers(entries)
 
+    def drain(self, name):
+        state = catalog.ServerState.DRAINING
+        entry = self.view.servers[name]
+        self.put_entry(msgspec.structs.replace(entry, state=state))
+
+    def put_segments(self, count):
+        """Store a record in which the servers own segments in turn."""
+        entries = list(self.view.servers.values())
+        bounds = [i * catalog.KEY_COUNT // count for i in range(count + 1)]
+        self.put_record(
+            [
+                catalog.Segment(
+                    first=bounds[i],
+                    last=bounds[i + 1] - 1,
+                    server=entries[i % len(entries)].server,
+                    born_ms=entries[i % len(entries)].born_ms,
+                    fence=i + 1,
+                )
+                for i in range(count)
+            ],
+            next_fence=count + 1,
+        )
+
     def find_server(self, name):
         return next(
             s for s in reversed(self.fleet.servers) if s.entry.server == name
@@ -73,7 +100,10 @@
         self.rows.apply([], [put])
 
     def make_leader(self, **options):
-        """Write a claim and return a leader with its store and grants."""
+        """Write a claim and return a leader with its store and grants.
+
+        The leader's settings state the bound of a row that the store has now.
+        """
         self.term += 1
         row = self.rows.rows.get((CLAIM.table, CLAIM.key))
         self.rows.apply(
@@ -102,6 +132,7 @@
                 service=SERVICE,
                 claim=claim,
                 first_era=self.rows.era,
+                row_bytes=self.rows.row_bytes,
                 clock=self.clock,
             ),
             view=self.view,
--- a/tarragonhinge/ranges/tests/test_leader.py
+++ b/tarragonhinge/ranges/tests/test_leader.py
@@ -132,6 +132,37 @@
     testing.run_manual(run())
 
 
+@pytest.mark.parametrize("moment_ms", range(0, 1_400, 200))
+def test_renewals_of_a_silent_server_do_not_wait_for_each_other(moment_ms):
+    """Guards against renewals that queue for the connection to a server.
+
+    Each waited for the timeout of the one before. Keys of a server that
+    drained meanwhile moved only after that, and the last grants expired 3 s
+    later than the first.
+    """
+
+    async def run():
+        service = led_service.LedService()
+        service.put_segments(64)
+        await _start_and_wait(service)
+        await service.run_for(moment_ms)
+        service.find_server("s1").faults.is_silent = True
+        await service.run_for(2_600)
+        service.drain("s1")
+        await service.run_for(400)
+        assert not [
+            segment
+            for segment in service.view.owners[led_service.SERVICE].segments
+            if segment.server == "s1"
+            and segment.state is catalog.SegmentState.HELD
+        ]
+        await service.run_for(6_600 - 2_600 - 400)
+        assert service.fleet.count_unowned_keys() == 0
+        _assert_no_violations(service)
+
+    testing.run_manual(run())
+
+
 @pytest.mark.parametrize("moment_ms", range(0, 1_000, 50))
 def test_new_leader_completes_interrupted_moves(moment_ms):
     async def run():
@@ -201,6 +232,61 @@
     testing.run_manual(run())
 
 
+@pytest.mark.parametrize("outage_ms", range(1_000, 4_000, 500))
+def test_draining_server_loses_its_keys_soon_after_an_outage(outage_ms):
+    """Guards against a drain that waits for the retry of a failed write.
+
+    The store takes the entry of a server that drains as soon as it is back,
+    but the coordinator tried to write only up to 1 s later.
+    """
+
+    async def run():
+        service = led_service.LedService()
+        await _start_and_wait(service)
+        service.store.faults.rejects_writes = True
+        service.drain("s0")
+        await service.run_for(outage_ms)
+        assert service.fleet.count_unowned_keys() == 0
+        service.store.faults.rejects_writes = False
+        service.drain("s1")
+        await service.run_for(700)
+        assert service.fleet.count_unowned_keys() == 0
+        assert not service.find_server("s1").list_held_ranges()
+        _assert_no_violations(service)
+
+    testing.run_manual(run())
+
+
+@pytest.mark.parametrize("cause", ["drain", "evacuation"])
+def test_new_holder_that_leaves_is_replaced_at_once(cause):
+    """Guards against grants to a new holder that may not keep its keys.
+
+    A draining server may refuse them, and each grant without an answer made
+    the keys wait for longer.
+    """
+
+    async def run():
+        service = led_service.LedService(servers=3, zones=("z", "z", "y"))
+        await _start_and_wait(service)
+        # The only server that is chosen, since it has no load.
+        service.leader.record_keys([0, 30_000] * 200)
+        new = service.start_server("s5")
+        service.find_server("s5").faults.rejects_grants = True
+        service.drain("s0")
+        await service.run_for(300)
+        if cause == "drain":
+            service.drain("s5")
+        else:
+            service.view.set_evacuated_zones([new.zone])
+        await service.run_for(400)
+        owners = service.view.owners[led_service.SERVICE]
+        assert owners.find(0).server != "s5"
+        assert service.fleet.count_unowned_keys() == 0
+        _assert_no_violations(service)
+
+    testing.run_manual(run())
+
+
 def test_recorded_adjacent_leases_are_merged_and_renewed():
     """Guards against a renewal during a merge, which stopped all renewals."""
 
@@ -271,3 +357,29 @@
         _assert_no_violations(service)
 
     testing.run_manual(run())
+
+
+def test_cold_owner_has_fewer_keys_until_it_is_warm():
+    """Guards against a cold server that owns as many keys as a warm one."""
+
+    async def run():
+        service = led_service.LedService()
+        cold_rates = {"s1": 1.5}
+        service.start_leader(
+            find_rate_limit=lambda entry: cold_rates.get(entry.server)
+        )
+        keys = list(range(0, 65_536, 5_461))
+
+        async def run_and_count():
+            for _ in range(20):
+                service.leader.record_keys(keys)
+                await service.run_for(500)
+            owners = service.view.owners[led_service.SERVICE]
+            return sum(owners.find(key).server == "s1" for key in keys)
+
+        assert await run_and_count() <= 1
+        cold_rates.clear()
+        assert await run_and_count() >= 2
+        _assert_no_violations(service)
+
+    testing.run_manual(run())
--- a/tarragonhinge/relay/_hub.py
+++ b/tarragonhinge/relay/_hub.py
@@ -128,8 +128,11 @@
         self._trial_issuer = trial_issuer
         self._directory = directory
         self._has_new_peers = False
-        self._pending_loads: dict[base.ServerId, int] = {}
+        self._pending_loads: dict[base.ServerId, _messages.ObservedLoad] = {}
         self._pending_limits: dict[limits.Incarnation, limits.NamedLimit] = {}
+        self._pending_cold: dict[
+            tuple[limits.Incarnation, limits.ColdSource], limits.ColdServer
+        ] = {}
         self._has_pending_loads = asyncio.Event()
         self._clock = clock
         self._subscribers: set[_Subscriber] = set()
@@ -137,6 +140,7 @@
         self._sent_table = view.table
         self._sent_servers = dict(view.servers)
         self._sent_owners = dict(view.owners)
+        self._sent_zones = self._get_evacuated_zones()
         self._table_sent_at = 0
         self._snapshot_frame: bytes | None = None
         self._changed = asyncio.Event()
@@ -210,13 +214,13 @@
             # Before the snapshot, with which the instance becomes ready.
             subscriber.send(_frames.encode_frame(evidence))
         subscriber.send(self._encode_snapshot())
-        named = self._issuer.limits.list_all()
-        if named:
-            subscriber.send(
-                _frames.encode_frame(
-                    _messages.Loads(seen=[], named_limits=named)
-                )
-            )
+        known = _messages.Loads(
+            seen=[],
+            named_limits=self._issuer.limits.list_all(),
+            cold=self._issuer.limits.list_cold(),
+        )
+        if known:
+            subscriber.send(_frames.encode_frame(known))
         self._subscribers.add(subscriber)
         self._record_peers()
         self._max_subscribers = max(
@@ -272,6 +276,7 @@
             (request.server, request.born_ms),
             named_rate=request.rate,
             max_wait_ms=request.max_wait_ms,
+            is_cold=request.is_cold,
         )
         return _messages.Permit(number=request.number, reservation=reservation)
 
@@ -308,8 +313,21 @@
                 name: list(owners.segments)
                 for name, owners in self._sent_owners.items()
             },
+            evacuated_zones=self._sent_zones,
         )
 
+    def _get_evacuated_zones(
+        self,
+    ) -> list[base.ZoneName] | msgspec.UnsetType:
+        """Return the evacuated zones; unset before they are known here.
+
+        A coordinator that has just started may not have read them, while its
+        subscribers know them from the former one.
+        """
+        if not self._view.knows_evacuations:
+            return msgspec.UNSET
+        return sorted(self._view.evacuated_zones)
+
     async def _send_heartbeats(self) -> None:
         """Send heartbeats regularly and when the store fails or recovers."""
         while True:
@@ -329,14 +347,17 @@
 
     def forward_loads(self, loads: _messages.Loads) -> None:
         """Queue server loads and limits for all subscribers."""
-        self._pending_loads.update(
-            (load.server, load.total) for load in loads.seen
-        )
+        self._pending_loads.update((load.server, load) for load in loads.seen)
         self._pending_limits.update(
             ((limit.server, limit.born_ms), limit)
             for limit in loads.named_limits
         )
-        if self._pending_loads or self._pending_limits:
+        for server in loads.cold:
+            name = (server.server, server.born_ms), server.source
+            # The later report of the same evidence comes last.
+            self._pending_cold.pop(name, None)
+            self._pending_cold[name] = server
+        if self._pending_loads or self._pending_limits or self._pending_cold:
             self._has_pending_loads.set()
 
     async def _send_evidence(self) -> None:
@@ -351,13 +372,12 @@
             self._has_pending_loads.clear()
             loads, self._pending_loads = self._pending_loads, {}
             named, self._pending_limits = self._pending_limits, {}
+            cold, self._pending_cold = self._pending_cold, {}
             self._send(
                 _messages.Loads(
-                    seen=[
-                        _messages.ObservedLoad(server=server, total=total)
-                        for server, total in loads.items()
-                    ],
+                    seen=list(loads.values()),
                     named_limits=list(named.values()),
+                    cold=list(cold.values()),
                 )
             )
 
@@ -393,10 +413,17 @@
             changed = [s for s in owners.segments if s not in sent]
             if changed:
                 segments[name] = changed
+        zones = self._get_evacuated_zones()
+        if zones == self._sent_zones:
+            zones = msgspec.UNSET
+        else:
+            self._sent_zones = zones
         self._sent_servers = dict(view.servers)
         self._sent_owners = dict(view.owners)
         self._snapshot_frame = None
-        if not (table or delta or servers or removed or segments):
+        if zones is msgspec.UNSET and not (
+            table or delta or servers or removed or segments
+        ):
             return None
         return _messages.Update(
             table=table,
@@ -404,6 +431,7 @@
             servers=servers,
             gone=removed,
             segments=segments,
+            evacuated_zones=zones,
         )
 
     def _pick_table_change(
--- a/tarragonhinge/relay/tests/test_relay.py
+++ b/tarragonhinge/relay/tests/test_relay.py
@@ -212,3 +212,43 @@
                 assert fixture.following.result() is expected
 
     asyncio.run(run())
+
+
+@pytest.mark.parametrize(
+    ("own", "known", "expected"),
+    [
+        (["za"], None, ["za"]),
+        (["za", "zb"], ["zc"], ["za", "zb"]),
+        ([], ["za"], []),
+        # The coordinator has not read them: the subscriber knows them from
+        # the former one. One of an older build never sends them either.
+        (None, ["za"], ["za"]),
+    ],
+)
+def test_evacuated_zones_are_relayed(own, known, expected):
+    """Guards against an instance that forgets or misses an evacuation."""
+
+    async def run():
+        prepared = _HubFixture()
+        view = catalog.View()
+        for receiver, zones in ((prepared.view, own), (view, known)):
+            if zones is not None:
+                receiver.set_evacuated_zones(zones)
+        seen = []
+        view.changes.subscribe(
+            lambda _: seen.append(view.table is None or view.knows_evacuations)
+        )
+        async with prepared as fixture:
+            fixture.subscribe(view)
+            await _wait(lambda: _has_version(view, 1))
+            assert sorted(view.evacuated_zones) == expected
+            # No request is routed while the evacuations are unknown.
+            assert all(seen)
+            for version, zones in enumerate(([], ["za"], ["za", "zb"], []), 2):
+                fixture.view.set_evacuated_zones(zones)
+                await _wait(lambda z=zones: view.evacuated_zones == set(z))
+                fixture.view.set_table(_make_table(version))
+                await _wait(lambda v=version: _has_version(view, v))
+                assert view.evacuated_zones == set(zones)
+
+    asyncio.run(run())
--- a/tarragonhinge/testing/_key_servers.py
+++ b/tarragonhinge/testing/_key_servers.py
@@ -10,6 +10,8 @@
 #: Ratio of true time to time on the clock of a slow server.
 SLOW_CLOCK_RATIO = 1.02
 
+_UNSENT = ranges.GrantReply(result=ranges.GrantResult.UNKNOWN, is_sent=False)
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _HeldRange:
@@ -34,9 +36,12 @@
         server that applies and answers them at once.
     work_ms : int
         Time that requests in flight still take after a release.
+    rejects_grants : bool
+        Whether grants are neither accepted nor fenced.
     """
 
     is_silent: bool = False
+    rejects_grants: bool = False
     late_ms: int = 0
     work_ms: int = 0
 
@@ -221,6 +226,8 @@
         self._clock = clock
         self._late_tasks: set[asyncio.Task] = set()
         self._connections: dict[base.Address, KeyServer] = {}
+        # A connection is used by one call at a time.
+        self._locks: dict[base.Address, asyncio.Lock] = {}
         self._connection_ids: dict[base.Address, int] = {}
         self.is_cut_off = False
         self.max_hold_ms = 0
@@ -254,10 +261,28 @@
 
         A grant for a connection that is no longer open is not sent.
         """
+        lock = self._locks.setdefault(holder.address, asyncio.Lock())
+        wait_s = ranges.CONNECTION_WAIT_MS / base.MS_PER_S
+        try:
+            async with asyncio.timeout(wait_s):
+                await lock.acquire()
+        except TimeoutError:
+            return dataclasses.replace(_UNSENT, connection_id=connection_id)
+        try:
+            return await self._send_alone(holder, grant, connection_id)
+        finally:
+            lock.release()
+
+    async def _send_alone(
+        self,
+        holder: ranges.Holder,
+        grant: ranges.Grant,
+        connection_id: ranges.ConnectionId | None,
+    ) -> ranges.GrantReply:
         if connection_id is not None and not self.is_connected(
             holder, connection_id
         ):
-            return ranges.GrantReply(result=ranges.GrantResult.UNKNOWN)
+            return _UNSENT
         result = await self._send(holder, grant)
         new_id = None
         if result is not ranges.GrantResult.UNKNOWN:
@@ -284,6 +309,8 @@
                 self._connection_ids.get(holder.address, 0) + 1
             )
         self._connections[holder.address] = server
+        if server.faults.rejects_grants:
+            return ranges.GrantResult.UNKNOWN
         result = server.apply_grant(grant, arrived_at=self._clock.now())
         if result is ranges.GrantResult.HELD:
             self._fleet.check_grant(server, grant)
