Shorten standing queues, and let urgent requests go first there

Requests were admitted up to twice their objective. Under sustained overload of an owner of keys, its queue stayed that long: as many requests were served as with a short queue, but nearly all of them late. Less urgent requests with a longer objective took the places that the urgent ones left, and callers that came back after 0.15 s took those of new requests.

Less urgent requests wait at the instance until a report names a free slot; also then while a more urgent route is sent less often. A route that is sent less than 0.4 times as often as all goes like an urgent one, so that none starves.

--- a/tarragonhinge/balancing/_admission.py
+++ b/tarragonhinge/balancing/_admission.py
@@ -20,6 +20,15 @@
 #: multiple of its latency objective.
 RETRY_OBJECTIVE_FACTOR = 2.3
 
+#: Maximum expected latencies at a server whose queue stands, as multiples of
+#: the objective.
+STANDING_NEW_FACTOR = 0.6
+STANDING_RETRY_FACTOR = 0.33
+
+#: Bounds of the delay before a retry in that case, as multiples of the
+#: objective: after the first refusal, and after a further one.
+STANDING_DELAYS = ((0.3, 1.5), (1.0, 2.5))
+
 #: Latency up to which a request waits at this instance for more urgent ones,
 #: as a multiple of its objective, and the same for a retry by the caller. One
 #: that waits for longer is late, and keeps servers from others.
@@ -98,6 +107,21 @@
     return min(factor * objective_ms, USABLE_DEADLINE_FRACTION * left_ms)
 
 
+def compute_standing_limit_ms(*, objective_ms: float, is_retry: bool) -> float:
+    """Return the highest expected latency to admit in a standing queue.
+
+    Parameters
+    ----------
+    objective_ms : float
+        Latency objective of the route.
+    is_retry : bool
+        Whether the caller retries after a refusal.
+    """
+    if is_retry:
+        return STANDING_RETRY_FACTOR * objective_ms
+    return STANDING_NEW_FACTOR * objective_ms
+
+
 def compute_hold_ms(
     *,
     objective_ms: float,
@@ -155,6 +179,29 @@
     return int(min(MAX_RETRY_AFTER_MS, delay_ms))
 
 
+def compute_standing_delay_ms(
+    *, objective_ms: float, is_retry: bool, rng: random.Random
+) -> int:
+    """Return the delay before a retry of a request that a queue excluded.
+
+    Callers are spread over the time in which a burst ends, since the queue has
+    room for one after the other. One that comes back again is late in any
+    case, and is given a better chance to be served at all.
+
+    Parameters
+    ----------
+    objective_ms : float
+        Latency objective of the route.
+    is_retry : bool
+        Whether the caller retries after a refusal.
+    rng : random.Random
+        Source of the spread.
+    """
+    shortest, longest = STANDING_DELAYS[is_retry]
+    delay_ms = objective_ms * rng.uniform(shortest, longest)
+    return int(min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, delay_ms)))
+
+
 def compute_return_delay_ms(wait_ms: int, *, rng: random.Random) -> int:
     """Return the delay after which a caller finds a server that waits.
 
--- a/tarragonhinge/balancing/_links.py
+++ b/tarragonhinge/balancing/_links.py
@@ -118,6 +118,8 @@
             is_out_of_reach=self.is_out_of_reach(fresh=fresh),
             wait_limit_ms=self._compute_wait_limit_ms(route, urgent),
             is_full=self.load.is_full(),
+            standing_wait_ms=self.load.estimate_standing_wait_ms(),
+            contention=self.load.get_contention(),
         )
 
     def _compute_wait_limit_ms(
--- a/tarragonhinge/balancing/_placement.py
+++ b/tarragonhinge/balancing/_placement.py
@@ -14,6 +14,7 @@
 import enum
 import math
 
+from tarragonhinge.balancing import _standing_queue
 from tarragonhinge import base
 
 #: Cost of sending a thousand bytes to another region or availability zone and
@@ -73,6 +74,10 @@
         more urgent ones would wait behind it.
     is_full : bool
         Whether its queue is estimated to have no room.
+    standing_wait_ms : float
+        Queueing time that has lasted for some time.
+    contention : Contention
+        Whether less urgent requests wait for a free slot.
     """
 
     server: base.ServerId
@@ -86,6 +91,8 @@
     is_out_of_reach: bool = False
     wait_limit_ms: float = math.inf
     is_full: bool = False
+    standing_wait_ms: float = 0.0
+    contention: _standing_queue.Contention = _standing_queue.Contention.NONE
 
     def compute_idle_ms(self) -> float:
         """Return the expected latency of a request that need not wait."""
@@ -128,6 +135,8 @@
         Reason of the refusal.
     expected_ms, idle_ms : float
         Lowest expected latency, and the lowest one without a wait.
+    limit_ms : float
+        Highest expected latency at which a server would have been chosen.
     wait_ms : int
         Time until a server takes requests again, if they all ask to wait.
     may_detour : bool
@@ -137,6 +146,7 @@
     reason: RefusalReason
     expected_ms: float = 0.0
     idle_ms: float = 0.0
+    limit_ms: float = math.inf
     wait_ms: int = 0
     may_detour: bool = False
 
@@ -146,6 +156,7 @@
     *,
     objective_ms: float,
     limit_ms: float,
+    standing_limit_ms: float = math.inf,
     admits_idle: bool = True,
     traffic_bytes: float = DEFAULT_BYTES,
 ) -> Choice | Refusal:
@@ -164,6 +175,8 @@
         Latency objective of the route.
     limit_ms : float
         Highest expected latency at which the request is admitted.
+    standing_limit_ms : float
+        The same for a server with a queue that stands beyond the objective.
     admits_idle : bool
         Whether a server with a free slot may exceed the limit; set if the
         deadline leaves at least the latency objective.
@@ -199,12 +212,20 @@
         success_ratio = max(MIN_SUCCESS_RATIO, 1 - candidate.error_ratio)
         return candidate.compute_expected_ms() / success_ratio + penalty_ms
 
+    def get_limit_ms(candidate: Candidate) -> float:
+        return _standing_queue.compute_limit_ms(
+            limit_ms=limit_ms,
+            standing_limit_ms=standing_limit_ms,
+            standing_wait_ms=candidate.standing_wait_ms,
+            spare_ms=objective_ms - candidate.compute_idle_ms(),
+        )
+
     timely = [
         c
         for c in usable
         if not c.is_full
         and (
-            c.compute_expected_ms() <= limit_ms
+            c.compute_expected_ms() <= get_limit_ms(c)
             or (admits_idle and c.wait_ms <= 0)
         )
     ]
@@ -216,6 +237,7 @@
             else RefusalReason.OVERLOAD,
             expected_ms=min(c.compute_expected_ms() for c in usable),
             idle_ms=min(c.compute_idle_ms() for c in usable),
+            limit_ms=max(map(get_limit_ms, usable)),
             may_detour=may_detour,
         )
     in_time = [
--- a/tarragonhinge/balancing/_placer.py
+++ b/tarragonhinge/balancing/_placer.py
@@ -9,6 +9,7 @@
 from tarragonhinge.balancing import _near_subset
 from tarragonhinge.balancing import _owner_finder
 from tarragonhinge.balancing import _placement
+from tarragonhinge.balancing import _route_shares
 from tarragonhinge.balancing import _server_preference
 from tarragonhinge.balancing import _urgent_routes
 from tarragonhinge.balancing import _waiting_line
@@ -98,6 +99,7 @@
         self._clock = clock
         self._rng = rng
         self._urgent_routes = _urgent_routes.UrgentRoutes(clock=clock)
+        self._shares = _route_shares.RouteShares(clock=clock)
         self._lines = _waiting_line.WaitingLines(rng=rng)
         self.subsets = _near_subset.NearSubsets(instance=instance, clock=clock)
 
@@ -107,6 +109,15 @@
         A request that would make more urgent ones late waits here meanwhile.
         """
         self._urgent_routes.record(job.service.name, job.route)
+        result = await self._place_in_order(job)
+        self._shares.record(
+            job.service.name,
+            job.route.name,
+            was_sent=isinstance(result, Placement),
+        )
+        return result
+
+    async def _place_in_order(self, job: jobs.Job) -> Placement | jobs.Refused:
         result = await self._place_once(job)
         if not isinstance(result, _Hold):
             return result
@@ -356,10 +367,25 @@
                 dataclasses.replace(c, wait_limit_ms=-math.inf)
                 for c in candidates
             ]
+        elif urgent and any(c.contention.value for c in candidates):
+            contention = self._shares.get_yielding(
+                job.service.name, job.route.name, urgent
+            )
+            candidates = [
+                dataclasses.replace(c, wait_limit_ms=-math.inf)
+                if c.contention in contention
+                else c
+                for c in candidates
+            ]
         return _placement.place(
             candidates,
             objective_ms=job.route.objective_ms,
             limit_ms=limit_ms,
+            standing_limit_ms=self._get_limit_fraction(job)
+            * _admission.compute_standing_limit_ms(
+                objective_ms=job.route.objective_ms,
+                is_retry=job.is_caller_retry,
+            ),
             traffic_bytes=self._links.route_sizes.get_bytes(job.route.name),
             admits_idle=(
                 limit_ms
@@ -424,7 +450,7 @@
             status=503,
             reason=refusal.reason.value,
             retry_after_ms=self._compute_retry_after_ms(
-                refusal, links, limit_ms
+                job, refusal, links, limit_ms
             ),
             detour_servers=tuple(
                 link.incarnation
@@ -462,6 +488,7 @@
 
     def _compute_retry_after_ms(
         self,
+        job: jobs.Job,
         refusal: _placement.Refusal,
         links: list[_links.ServerLink],
         limit_ms: float,
@@ -475,6 +502,12 @@
             closed_ms
         ):
             return _admission.compute_outage_delay_ms(max(closed_ms))
+        if refusal.limit_ms < limit_ms:
+            return _admission.compute_standing_delay_ms(
+                objective_ms=job.route.objective_ms,
+                is_retry=job.is_caller_retry,
+                rng=self._rng,
+            )
         return _admission.compute_retry_after_ms(
             expected_ms=refusal.expected_ms,
             limit_ms=limit_ms,
--- a/tarragonhinge/balancing/_server_load.py
+++ b/tarragonhinge/balancing/_server_load.py
@@ -9,6 +9,7 @@
 import math
 
 from tarragonhinge import admission
+from tarragonhinge.balancing import _standing_queue
 from tarragonhinge import base
 from tarragonhinge import jobs
 
@@ -166,6 +167,7 @@
         self._was_busy = False
         self._full_load = 0
         self._full_load_until = 0
+        self._standing = _standing_queue.StandingQueue(clock=clock)
 
     def set_cold(self, cold_ms: int) -> None:
         """Set the time for which the server is still warming up."""
@@ -228,6 +230,15 @@
         wait_ms = ahead * self.estimate_service_ms() / self.slots
         return max(wait_ms, self._assumed_full_until - self._clock.now())
 
+    def estimate_standing_wait_ms(self) -> float:
+        """Return the wait for a slot that lasted for the last second."""
+        ahead = self._standing.get_waiting(self.slots)
+        return ahead * self.estimate_service_ms() / self.slots
+
+    def get_contention(self) -> _standing_queue.Contention:
+        """Return whether less urgent requests wait for a free slot."""
+        return self._standing.get_contention(self.slots)
+
     def is_busy(self) -> bool:
         """Return whether requests are estimated to wait at the server."""
         total = self.in_flight + self.estimate_others_in_flight()
@@ -327,6 +338,7 @@
         self._was_busy = is_busy
 
     def _update_others_in_flight(self, total: int) -> None:
+        self._standing.record(total)
         self._others_in_flight = max(0.0, total - self.in_flight)
         if self._reported_at is None:
             self._mean_others_in_flight = self._others_in_flight
