Keep the place of callers that come back in the waiting line

A caller that came back after a refusal joined the line of its priority as the last one, so that new callers passed it each time.

The line is ordered by priority and by the time of the caller's first attempt, which its shorter deadline tells. Callers that come back to another instance keep their place there as far as that instance has seen the usual deadline of the route. Order between instances is not kept: no message carries it.

The test fails without the change. Tests of balancing, gateway and jobs pass.

--- a/tarragonhinge/balancing/_admission.py
+++ b/tarragonhinge/balancing/_admission.py
@@ -77,6 +77,19 @@
         self._longest_ms = max(self._longest_ms, deadline_ms)
         return deadline_ms < RETRY_DEADLINE_FRACTION * self._longest_ms
 
+    def compute_elapsed_ms(self, deadline_ms: int) -> int:
+        """Return the time since the first attempt of a caller that retries.
+
+        Examples
+        --------
+        >>> detector = RetryDetector()
+        >>> [detector.is_retry(ms) for ms in (5_000, 4_200)]
+        [False, True]
+        >>> detector.compute_elapsed_ms(4_200)
+        800
+        """
+        return max(0, self._longest_ms - deadline_ms)
+
 
 def compute_latency_limit_ms(
     *, objective_ms: float, left_ms: float, is_retry: bool
--- a/tarragonhinge/balancing/_placer.py
+++ b/tarragonhinge/balancing/_placer.py
@@ -121,7 +121,9 @@
         result = await self._place_once(job)
         if not isinstance(result, _Hold):
             return result
-        with self._lines.join(result.line, job.route.priority) as place:
+        with self._lines.join(
+            result.line, job.route.priority, first_at=job.first_at
+        ) as place:
             began_at = self._clock.now()
             while isinstance(result, _Hold):
                 await self._lines.wait(timeout_ms=result.left_ms)
@@ -407,7 +409,9 @@
             job,
             links,
             limit_ms,
-            goes_first=self._lines.goes_first(line, job.route.priority, place),
+            goes_first=self._lines.goes_first(
+                line, job.route.priority, place, first_at=job.first_at
+            ),
         )
         if isinstance(decision, _placement.Choice):
             return self._make_placement(job, links, segment, decision)
--- a/tarragonhinge/balancing/_waiting_line.py
+++ b/tarragonhinge/balancing/_waiting_line.py
@@ -2,7 +2,9 @@
 
 They wait here, and not in a server's queue, where more urgent requests could
 not pass them. The most urgent one goes first, and of equally urgent ones the
-one that came first.
+one whose caller came first. A caller that comes back after a refusal keeps its
+place as far as its shorter deadline tells how long ago it came; otherwise
+those who have been refused would be passed by new ones again and again.
 """
 
 import asyncio
@@ -24,8 +26,9 @@
 #: key.
 LineName = tuple[base.ServiceName, base.ServerId | None]
 
-#: Priority and arrival number of a request in its line.
-Place = tuple[int, float]
+#: Priority of a request in its line, time of its caller's first attempt, and
+#: arrival number.
+Place = tuple[int, float, float]
 
 
 class WaitingLines:
@@ -43,7 +46,12 @@
         self._lines: dict[LineName, list[Place]] = {}
 
     def goes_first(
-        self, name: LineName, priority: int, place: Place | None
+        self,
+        name: LineName,
+        priority: int,
+        place: Place | None,
+        *,
+        first_at: float = math.inf,
     ) -> bool:
         """Return whether a request goes before all others of a line.
 
@@ -55,14 +63,19 @@
             Priority of the request's route.
         place : tuple or None
             Its place, as from `join`; None if it has not joined.
+        first_at : float
+            Time of its caller's first attempt.
         """
         line = self._lines.get(name)
-        return not line or (place or (priority, math.inf)) <= line[0]
+        own = place or (priority, first_at, math.inf)
+        return not line or own <= line[0]
 
     @contextlib.contextmanager
-    def join(self, name: LineName, priority: int) -> Iterator[Place]:
+    def join(
+        self, name: LineName, priority: int, *, first_at: float = 0.0
+    ) -> Iterator[Place]:
         """Put a request in a line, and yield its place there."""
-        place = (priority, next(self._numbers))
+        place = (priority, first_at, next(self._numbers))
         line = self._lines.setdefault(name, [])
         bisect.insort(line, place)
         try:
--- a/tarragonhinge/balancing/tests/test_urgent_routes.py
+++ b/tarragonhinge/balancing/tests/test_urgent_routes.py
@@ -141,3 +141,20 @@
         assert lines.goes_first(line, 2, None)
 
     testing.run_manual(check())
+
+
+def test_caller_that_comes_back_goes_before_new_ones():
+    """Guards against callers that are refused again and again."""
+
+    async def check():
+        lines = _waiting_line.WaitingLines(rng=random.Random(1))
+        line = (replay.SERVICE, None)
+        with lines.join(line, 2, first_at=500) as new:
+            assert lines.goes_first(line, 2, new)
+            assert not lines.goes_first(line, 2, None, first_at=501)
+            assert lines.goes_first(line, 2, None, first_at=100)
+            with lines.join(line, 2, first_at=100) as returned:
+                assert lines.goes_first(line, 2, returned)
+                assert not lines.goes_first(line, 2, new)
+
+    testing.run_manual(check())
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -424,15 +424,17 @@
         deadline_ms = route.timeout_ms
         if metadata.deadline_ms is not None:
             deadline_ms = metadata.deadline_ms
+        detector = self._retry_detectors[route.name]
+        is_retry = detector.is_retry(deadline_ms)
+        elapsed_ms = detector.compute_elapsed_ms(deadline_ms)
         job = jobs.Job(
             request=request,
             metadata=metadata,
             route=route,
             service=service,
             deadline_at=began_at + min(deadline_ms, route.timeout_ms),
-            is_caller_retry=self._retry_detectors[route.name].is_retry(
-                deadline_ms
-            ),
+            is_caller_retry=is_retry,
+            first_at=began_at - (elapsed_ms if is_retry else 0),
             trace=trace,
         )
         self._trace_received(job, deadline_ms)
--- a/tarragonhinge/jobs/_job.py
+++ b/tarragonhinge/jobs/_job.py
@@ -31,6 +31,8 @@
     is_caller_retry : bool
         Whether the request is assumed to be a retry by the caller after a
         refusal.
+    first_at : int
+        Time of the caller's first attempt, as far as it is known.
     trace : Trace
         Events of the request.
     sent_count : int
@@ -74,6 +76,7 @@
     deadline_at: int
     is_caller_retry: bool
     trace: events.Trace
+    first_at: int = 0
     sent_count: int = 0
     unsent_count: int = 0
     may_have_run: bool = False
