--- a/tarragonhinge/balancing/_links.py
+++ b/tarragonhinge/balancing/_links.py
@@ -259,6 +259,15 @@
             return not self._leaving.is_over(link.incarnation)
         return entry.state is catalog.ServerState.READY
 
+    def count_standing(self) -> int:
+        """Return the number of servers whose queues stand."""
+        links = self._links.values()
+        return sum(link.load.estimate_standing_wait_ms() > 0 for link in links)
+
+    def count_opened(self) -> int:
+        """Return the number of attempts to connect to the listed servers."""
+        return sum(link.pool.opened_count for link in self._links.values())
+
     def list_keyed(self) -> list[ServerLink]:
         """Return the existing links to servers of keyed services."""
         if self._view.table is None:
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -79,6 +79,8 @@
         Finds out which servers can be reached.
     metrics : RequestMetrics
         Metrics of the requests.
+    subsets : NearSubsets
+        Servers that this instance uses first.
     shutdown : Shutdown
         Graceful stop of the instance.
     """
@@ -156,6 +158,7 @@
             rng=rng,
             instance=options.instance,
         )
+        self.subsets = self._placer.subsets
         self.shutdown = _shutdown.Shutdown(
             kill_after_ms=options.stop_ms, clock=clock
         )
@@ -199,6 +202,16 @@
             collections.defaultdict(balancing.RetryDetector)
         )
 
+    @property
+    def room_waits(self) -> int:
+        """Number of waits of requests for room after a reset."""
+        return self._retrier.room_waits
+
+    @property
+    def early_resets(self) -> int:
+        """Number of new connections reset before a request was written."""
+        return self._retrier.early_resets
+
     @property
     def in_flight(self) -> int:
         """Number of requests without a final response so far."""
--- a/tarragonhinge/gateway/_retrier.py
+++ b/tarragonhinge/gateway/_retrier.py
@@ -60,6 +60,11 @@
         Destination of log events.
     clock : Clock
         This process's clock.
+
+    Attributes
+    ----------
+    room_waits : int
+        Number of waits of requests for room after a reset.
     """
 
     def __init__(
@@ -86,10 +91,16 @@
         self._metrics = metrics
         self._log = log
         self._clock = clock
+        self.room_waits = 0
         self._retry_budgets: dict[
             base.ServiceName, _retry_budget.RetryBudget
         ] = {}
 
+    @property
+    def early_resets(self) -> int:
+        """Number of new connections reset before a request was written."""
+        return self._sender.accept_resets.count
+
     async def run(self, job: jobs.Job) -> http1.HttpResponse | jobs.Refused:
         """Send the request to servers until there is a final response."""
         if not job.is_forwarded:
@@ -170,7 +181,7 @@
         )
         if wait_ms is None:
             return False
-        self._metrics.record_attempt("waited_for_room")
+        self.room_waits += 1
         await self._clock.sleep(wait_ms)
         return True
 
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -169,6 +169,36 @@
             "Time since which any of them is out of reach; 0 if none is.",
             lambda: self.gateway.monitor.get_closed_ms() / base.MS_PER_S,
         )
+        watch(
+            "connections_opened",
+            "Attempts to connect to the servers that are listed now.",
+            self.gateway.links.count_opened,
+        )
+        watch(
+            "subset_requests",
+            "Requests placed at servers of a subset, since the start.",
+            lambda: self.gateway.subsets.used,
+        )
+        watch(
+            "subset_exceeded",
+            "Requests for which no subset had room, since the start.",
+            lambda: self.gateway.subsets.exceeded,
+        )
+        watch(
+            "standing_queues",
+            "Servers whose queues stand, so that fewer requests are admitted.",
+            self.gateway.links.count_standing,
+        )
+        watch(
+            "room_waits",
+            "Waits for room after a reset, since the start.",
+            lambda: self.gateway.room_waits,
+        )
+        watch(
+            "early_resets",
+            "New connections reset before a request was written.",
+            lambda: self.gateway.early_resets,
+        )
         watch(
             "quarantined_requests",
             "Requests that are refused since they crash servers.",
