--- a/tarragonhinge/balancing/_links.py
+++ b/tarragonhinge/balancing/_links.py
@@ -121,6 +121,8 @@
             wait_limit_ms=self._compute_wait_limit_ms(route, urgent),
             is_full=self.load.is_full(),
             pace_wait_ms=self.load.estimate_pace_wait_ms(),
+            standing_wait_ms=self.load.estimate_standing_wait_ms(),
+            contention=self.load.get_contention(),
         )
 
     def _compute_wait_limit_ms(
@@ -293,6 +295,15 @@
         }
         return {s: n for s, n in limits_by_server.items() if n < math.inf}
 
+    def count_standing(self) -> int:
+        """Return the number of servers whose queues stand."""
+        links = self._links.values()
+        return sum(link.load.estimate_standing_wait_ms() > 0 for link in links)
+
+    def count_opened(self) -> int:
+        """Return the number of attempts to connect to the listed servers."""
+        return sum(link.pool.opened_count for link in self._links.values())
+
     def list_keyed(self) -> list[ServerLink]:
         """Return the existing links to servers of keyed services."""
         if self._view.table is None:
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -93,6 +93,8 @@
         Memory of all connections.
     closed_clients : Counter
         Number of clients whose connections were closed, by reason.
+    subsets : NearSubsets
+        Servers that this instance uses first.
     shutdown : Shutdown
         Graceful stop of the instance.
     """
@@ -198,6 +200,7 @@
             rng=rng,
             instance=options.instance,
         )
+        self.subsets = self._placer.subsets
         self.shutdown = _shutdown.Shutdown(
             kill_after_ms=options.stop_ms, clock=clock
         )
@@ -244,6 +247,16 @@
             collections.defaultdict(balancing.RetryDetector)
         )
 
+    @property
+    def room_waits(self) -> int:
+        """Number of waits of requests for room after a reset."""
+        return self._retrier.room_waits
+
+    @property
+    def early_resets(self) -> int:
+        """Number of new connections reset before a request was written."""
+        return self._retrier.early_resets
+
     @property
     def in_flight(self) -> int:
         """Number of requests without a final response so far."""
@@ -519,15 +532,17 @@
         deadline_ms = route.timeout_ms
         if metadata.deadline_ms is not None:
             deadline_ms = metadata.deadline_ms
+        detector = self._retry_detectors[route.name]
+        is_retry = detector.is_retry(deadline_ms)
+        elapsed_ms = detector.compute_elapsed_ms(deadline_ms)
         job = jobs.Job(
             request=request,
             metadata=metadata,
             route=route,
             service=service,
             deadline_at=began_at + min(deadline_ms, route.timeout_ms),
-            is_caller_retry=self._retry_detectors[route.name].is_retry(
-                deadline_ms
-            ),
+            is_caller_retry=is_retry,
+            first_at=began_at - (elapsed_ms if is_retry else 0),
             trace=trace,
         )
         self._trace_received(job, deadline_ms)
