--- a/tarragonhinge/balancing/_standing_queue.py
+++ b/tarragonhinge/balancing/_standing_queue.py
@@ -6,7 +6,7 @@
 as many requests as with a short queue, but all of them late. A burst that ends
 soon is different: its queue drains, and what was admitted is served.
 
-A queue stands if the reported loads of the last second were all long enough to
+A queue stands if the reported loads of `WINDOW_MS` were all long enough to
 make a request late. New requests are then admitted only as far as they are
 estimated to be in time; nobody is served less often, and most are in time.
 """
@@ -57,7 +57,7 @@
 
 
 class StandingQueue:
-    """Shortest reported load of a server within the last second.
+    """Shortest reported load of a server within `WINDOW_MS`.
 
     Parameters
     ----------
