Keep the recorded form of messages between instances

Fields with their default value are omitted now, and the duration of work on busy machines travels beside the loads, only where it is not the usual one. Older instances ignore the new fields.

--- a/tarragonhinge/catalog/_route.py
+++ b/tarragonhinge/catalog/_route.py
@@ -21,7 +21,7 @@
     weight: float = 1.0
 
 
-class Route(msgspec.Struct, frozen=True, kw_only=True):
+class Route(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Rule for the requests of one host whose path has a prefix.
 
     Parameters
--- a/tarragonhinge/catalog/_service.py
+++ b/tarragonhinge/catalog/_service.py
@@ -5,7 +5,7 @@
 from tarragonhinge import base
 
 
-class Service(msgspec.Struct, frozen=True, kw_only=True):
+class Service(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """A group of backend servers that serve the same requests.
 
     Parameters
--- a/tarragonhinge/gateway/_reporter.py
+++ b/tarragonhinge/gateway/_reporter.py
@@ -8,6 +8,9 @@
 from tarragonhinge import limits
 from tarragonhinge import relay
 
+#: Duration of work that counts as usual.
+USUAL_WORK_PERCENT = 100
+
 
 class Reporter(relay.Exchange):
     """Reports requested keys, service times and loads of servers.
@@ -64,21 +67,20 @@
     def make_loads(self) -> relay.Loads:
         """Return what responses have shown of servers since the last call."""
         loads = []
+        work_percents = {}
         for link in self._links.list_reported():
             total = link.load.take_observed_load()
             if total is not None:
-                loads.append(
-                    relay.ObservedLoad(
-                        server=link.entry.server,
-                        total=total,
-                        work_percent=link.load.work_speed.percent,
-                    )
-                )
+                server = link.entry.server
+                loads.append(relay.ObservedLoad(server=server, total=total))
+                if link.load.work_speed.percent != USUAL_WORK_PERCENT:
+                    work_percents[server] = link.load.work_speed.percent
         return relay.Loads(
             seen=loads,
             named_limits=self._server_limits.take_unreported(),
             leaving=self._leaving.take_unreported(),
             cold=self._cold.take_unreported() if self._cold else [],
+            work_percents=work_percents,
         )
 
     def report_again(self) -> None:
@@ -101,4 +103,7 @@
         for load in loads.seen:
             link = self._links.find(load.server)
             if link is not None:
-                link.load.record_observed_load(load.total, load.work_percent)
+                link.load.record_observed_load(
+                    load.total,
+                    loads.work_percents.get(load.server, USUAL_WORK_PERCENT),
+                )
--- a/tarragonhinge/relay/_hub.py
+++ b/tarragonhinge/relay/_hub.py
@@ -129,6 +129,7 @@
         self._directory = directory
         self._has_new_peers = False
         self._pending_loads: dict[base.ServerId, _messages.ObservedLoad] = {}
+        self._pending_work: dict[base.ServerId, int] = {}
         self._pending_limits: dict[limits.Incarnation, limits.NamedLimit] = {}
         self._pending_cold: dict[
             tuple[limits.Incarnation, limits.ColdSource], limits.ColdServer
@@ -347,7 +348,10 @@
 
     def forward_loads(self, loads: _messages.Loads) -> None:
         """Queue server loads and limits for all subscribers."""
-        self._pending_loads.update((load.server, load) for load in loads.seen)
+        for load in loads.seen:
+            self._pending_loads[load.server] = load
+            self._pending_work.pop(load.server, None)
+        self._pending_work.update(loads.work_percents)
         self._pending_limits.update(
             ((limit.server, limit.born_ms), limit)
             for limit in loads.named_limits
@@ -371,11 +375,13 @@
             await self._clock.sleep(LOAD_BATCH_MS)
             self._has_pending_loads.clear()
             loads, self._pending_loads = self._pending_loads, {}
+            work, self._pending_work = self._pending_work, {}
             named, self._pending_limits = self._pending_limits, {}
             cold, self._pending_cold = self._pending_cold, {}
             self._send(
                 _messages.Loads(
                     seen=list(loads.values()),
+                    work_percents=work,
                     named_limits=list(named.values()),
                     cold=list(cold.values()),
                 )
--- a/tarragonhinge/relay/_messages.py
+++ b/tarragonhinge/relay/_messages.py
@@ -67,13 +67,10 @@
         The server.
     total : int
         Number of its running and waiting requests.
-    work_percent : int
-        Duration of work on its machine; 100 is the usual one.
     """
 
     server: base.ServerId
     total: int
-    work_percent: int = 100
 
 
 class Loads(
@@ -96,12 +93,16 @@
         hear of them by the state of their entries.
     cold : list of ColdServer
         Servers that are cold, as their entries do not state.
+    work_percents : dict
+        Duration of work on the machines of servers in `seen` where it is not
+        the usual one, which is 100.
     """
 
     seen: list[ObservedLoad]
     named_limits: list[limits.NamedLimit] = []
     leaving: list[limits.Incarnation] = []
     cold: list[limits.ColdServer] = []
+    work_percents: dict[base.ServerId, int] = {}
 
     def __bool__(self) -> bool:
         """Return whether there is anything to report."""
