Publish loads only where other instances need them

Each change of the duration of work on a busy machine was published, and the loads of all servers of services with a warm-up time. Loads are published for owners of keys, and for other servers only while their pace is limited; a load has to differ by half of the slots.

--- a/tarragonhinge/balancing/_links.py
+++ b/tarragonhinge/balancing/_links.py
@@ -280,11 +280,17 @@
 
     def list_reported(self) -> list[ServerLink]:
         """Return the existing links whose loads other instances need."""
+        now = self._clock.now()
+        keyed = self.list_keyed()
         paced = [
-            link for link in self._links.values() if link.load.pace is not None
+            link
+            for link in self._links.values()
+            if link.load.pace is not None and link.load.pace.is_active(now)
+        ]
+        is_keyed = {link.entry.server for link in keyed}
+        return keyed + [
+            link for link in paced if link.entry.server not in is_keyed
         ]
-        keyed = [link for link in self.list_keyed() if link.load.pace is None]
-        return keyed + paced
 
     def list_pace_limits(self) -> dict[base.ServerId, float]:
         """Return the limits of the servers that have one now."""
--- a/tarragonhinge/balancing/_server_load.py
+++ b/tarragonhinge/balancing/_server_load.py
@@ -39,6 +39,11 @@
 #: which the load is published to other instances.
 MIN_PUBLISHED_LOAD_ERROR = 2
 
+#: The same as a fraction of the slots: half a service time. The loads of
+#: servers with many slots vary by more requests, and each one that is
+#: published goes to all instances.
+PUBLISHED_SLOT_FRACTION = 0.5
+
 #: Time constant of the decay of a reported load to its mean.
 REPORT_DECAY_MS = 500.0
 
@@ -408,11 +413,15 @@
         self._update_others_in_flight(total)
         is_busy = total >= load.slots
         now = self._clock.now()
-        is_changed = self.work_speed.record(now, load.work_percent)
-        if is_changed or (self.pace is not None and self.pace.is_active(now)):
+        self.work_speed.record(now, load.work_percent)
+        if self.pace is not None and self.pace.is_active(now):
             self._unpublished_load = total
         if is_busy != self._was_busy or (
-            is_busy and error >= MIN_PUBLISHED_LOAD_ERROR
+            is_busy
+            and error
+            >= max(
+                MIN_PUBLISHED_LOAD_ERROR, load.slots * PUBLISHED_SLOT_FRACTION
+            )
         ):
             self._unpublished_load = total
         self._was_busy = is_busy
--- a/tarragonhinge/balancing/_work_speed.py
+++ b/tarragonhinge/balancing/_work_speed.py
@@ -17,9 +17,6 @@
 #: Weight of a new report in the mean, to which latencies refer.
 MEAN_WEIGHT = 0.05
 
-#: Ratio of two reports from which other instances are told of the change.
-PUBLISHED_RATIO = 1.5
-
 
 class WorkSpeed:
     """Factor of a server's service time, from its load reports."""
@@ -29,8 +26,8 @@
         self._mean = float(USUAL_PERCENT)
         self._reported_at: int | None = None
 
-    def record(self, now: int, percent: int) -> bool:
-        """Record a report; return whether it differs much from the last.
+    def record(self, now: int, percent: int) -> None:
+        """Record a report.
 
         Parameters
         ----------
@@ -40,14 +37,11 @@
             Stated duration of work.
         """
         percent = max(1, percent)
-        previous, self.percent = self.percent, percent
+        self.percent = percent
         if self._reported_at is None and percent == USUAL_PERCENT:
-            return False
+            return
         self._reported_at = now
         self._mean += MEAN_WEIGHT * (percent - self._mean)
-        return (
-            max(previous, percent) / min(previous, percent) >= PUBLISHED_RATIO
-        )
 
     def get_factor(self, now: int) -> float:
         """Return the present duration of work relative to its mean."""
