Show what ended requests and waiting connections leave behind

Cause: not mended here. The account of memory bounds what is counted; what the process holds goes beyond it. The crowds of test_hostile_clients stay connected, so that they don't meet this.

Change: crowds by the way in which a request ends (answered, refused by this instance or a server, deadline, broken off, cancelled by a client that leaves with a reset or in order), responses unread, connections that wait beside uploads at work, and requests sent ahead that take descriptors. The stand-in of a server can leave bodies unread.

--- a/tarragonhinge/platform/standins/_server.py
+++ b/tarragonhinge/platform/standins/_server.py
@@ -158,6 +158,8 @@
         parameter ``work`` of its target, in milliseconds.
     padding_bytes : int
         Size of what the responses to executions have in addition.
+    reads_bodies : bool
+        Whether it reads the bodies of requests; otherwise it never answers.
     """
 
     def __init__(
@@ -192,6 +194,7 @@
         self.work_allowed.set()
         self.work_s = 0.0
         self.padding_bytes = 0
+        self.reads_bodies = True
         self.leases: list[tuple[int, int, int, float]] = []
         self.fences: list[tuple[int, int, int]] = []
         self.running = 0
@@ -271,6 +274,9 @@
         line, *field_lines = head.decode("latin-1").split(_CRLF)
         parts = (text.partition(": ") for text in field_lines)
         fields = {name.lower(): value for name, _, value in parts if name}
+        if not self.reads_bodies:
+            # Cancelled when the server stops.
+            await asyncio.get_running_loop().create_future()
         body = await reader.readexactly(int(fields.get("content-length", 0)))
         target = line.split(" ")[1]
         if target.endswith(("/grant", "/release")):
--- a/tarragonhinge/platform/tests/hostile_clients.py
+++ b/tarragonhinge/platform/tests/hostile_clients.py
@@ -5,6 +5,8 @@
 import contextlib
 import json
 import pathlib
+import socket
+import struct
 import sys
 
 from tarragonhinge import base
@@ -20,6 +22,11 @@
 SERVER_COUNT = 4
 BYTES_PER_MB = 1_000_000
 
+#: Interval at which open descriptors are counted, in seconds.
+COUNT_INTERVAL_S = 0.02
+
+PART = b"b" * 65_536
+
 NODE = """\
 node=e1
 ip={ip}
@@ -44,6 +51,8 @@
         The servers.
     events : list of dict
         Events that the process has logged.
+    most_descriptors : int
+        Largest number of open descriptors that was counted.
     """
 
     def __init__(self, path, *, ip, memory_mb, max_body_bytes, fds=1_024):
@@ -58,6 +67,7 @@
             for number in range(SERVER_COUNT)
         ]
         self.events = []
+        self.most_descriptors = 0
         self._clients = []
 
     async def __aenter__(self):
@@ -81,12 +91,14 @@
         )
         ready = asyncio.Event()
         self._log = asyncio.create_task(self._read_log(ready))
+        self._watch = self._log
         try:
             async with asyncio.timeout(TIMEOUT_S):
                 await ready.wait()
         except TimeoutError:
             await self.__aexit__()
             raise
+        self._watch = asyncio.create_task(self._watch_descriptors())
         return self
 
     async def __aexit__(self, *_):
@@ -96,6 +108,7 @@
             self._process.kill()
             await self._process.wait()
         self._log.cancel()
+        self._watch.cancel()
         for server in self.servers:
             await server.stop()
         await self._runner.cleanup()
@@ -154,16 +167,24 @@
         folder = pathlib.Path(f"/proc/{self._process.pid}/fd")
         return len(list(folder.iterdir()))
 
+    async def _watch_descriptors(self):
+        while self.is_running():
+            with contextlib.suppress(OSError):
+                self.most_descriptors = max(
+                    self.most_descriptors, self.count_descriptors()
+                )
+            await asyncio.sleep(COUNT_INTERVAL_S)
+
     async def connect(self):
         """Open a client's connection, which stays open until the end."""
         reader, writer = await asyncio.open_connection(self.ip, 8100)
         self._clients.append(writer)
         return reader, writer
 
-    async def run_crowd(self, clients):
+    async def run_crowd(self, clients, *, limit_s=CROWD_S):
         """Run clients until all are done, or all that can send have sent."""
         tasks = [asyncio.create_task(client) for client in clients]
-        await asyncio.wait(tasks, timeout=CROWD_S)
+        await asyncio.wait(tasks, timeout=limit_s)
         for task in tasks:
             task.cancel()
         results = await asyncio.gather(*tasks, return_exceptions=True)
@@ -203,6 +224,44 @@
                 await asyncio.sleep(0.1)
 
 
+async def send_upload(
+    writer, byte_count, *fields, target="/upload/1", is_chunked=False
+):
+    """Send a request with a body, whole."""
+    length = f"Content-Length: {byte_count}"
+    framing = "Transfer-Encoding: chunked" if is_chunked else length
+    writer.write(make_head("POST", target, framing, *fields))
+    while byte_count:
+        part = PART[:byte_count]
+        byte_count -= len(part)
+        if is_chunked:
+            writer.write(b"%x\r\n%b\r\n" % (len(part), part))
+        else:
+            writer.write(part)
+        await writer.drain()
+    if is_chunked:
+        writer.write(b"0\r\n\r\n")
+
+
+async def read_response(reader):
+    """Return the head of a response whose body is read, too."""
+    head = (await reader.readuntil(b"\r\n\r\n")).lower()
+    _, _, rest = head.partition(b"content-length: ")
+    await reader.readexactly(int(rest.split(b"\r\n")[0]))
+    return head
+
+
+def leave(writer, *, resets):
+    """Close a connection, with a reset or with an orderly end."""
+    if resets:
+        writer.get_extra_info("socket").setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+        writer.transport.abort()
+    else:
+        writer.close()
+
+
 def make_head(method, target, *fields, closes=False):
     lines = [
         f"{method} {target} HTTP/1.1",
