Cut the tracebacks that hold a request whose exchange broke off

Seen: requests to servers that reset a connection, cut a response, or send an invalid one stayed in memory until the interpreter's collector ran, which counts objects and not bytes.

Cause: two cycles of references. The task of an exchange holds its error, its traceback refers to the frame of Sender._exchange, and that frame held the task. The parser's errors refer to themselves by way of their traceback, which began in a frame with the body.

Change: the frame drops the task; the error is passed on without the parser's traceback, on both sides of the instance.

Evidence: test_ended_requests counts what belongs to requests while the collector is off. Without Sender's change 4 of its cases fail (reset, cut, invalid and foreign response), without that of ServerConnection 3, without that of RequestReader 1 (invalid chunk); with all, each of the 10 holds.

--- a/tarragonhinge/gateway/_detour.py
+++ b/tarragonhinge/gateway/_detour.py
@@ -321,6 +321,8 @@
             return error
         finally:
             exchange.cancel()
+            # The traceback of its error refers to this frame.
+            del exchange
             self._in_flight[peer.instance] -= 1
             self._metrics.record_forwarded(peer.instance, name)
             job.trace.add(
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -236,6 +236,8 @@
         finally:
             silence.cancel()
             exchange.cancel()
+            # The traceback of its error refers to this frame.
+            del exchange
             if is_reusable:
                 link.pool.release(connection)
             else:
--- a/tarragonhinge/http1/_request_reader.py
+++ b/tarragonhinge/http1/_request_reader.py
@@ -119,7 +119,11 @@
             try:
                 event = parser.next_event()
             except h11.RemoteProtocolError as error:
-                raise ReadEndedError(error.error_status_hint) from error
+                # The parser's traceback refers to the error itself, and to
+                # this frame.
+                raise ReadEndedError(
+                    error.error_status_hint
+                ) from error.with_traceback(None)
             event_count += 1
             await _parser_turns.PARSER_TURNS.give_way(event_count)
             if event is h11.NEED_DATA:
--- a/tarragonhinge/http1/_server_connection.py
+++ b/tarragonhinge/http1/_server_connection.py
@@ -249,7 +249,11 @@
                         "the connection was closed without a response"
                     )
         except h11.RemoteProtocolError as error:
-            raise _make_error(f"invalid response: {error}") from error
+            # The parser's traceback refers to the error itself, and to this
+            # frame.
+            raise _make_error(
+                f"invalid response: {error}"
+            ) from error.with_traceback(None)
         except memory.FullError as error:
             raise _make_error("no memory for the response body") from error
         if head is None:
