Empty a connection of a caller when it has ended

Seen: clients that send requests ahead, read nothing and leave took a process over its memory again and again, while the account was within its bound.

Cause: a CallerConnection refers to itself by way of its callbacks. After its end it stayed with its queue of exchanges, the responses in it, and unread bytes, until the collector ran; the account counted none of it.

Change: at its end the connection drops its queue, what the reader keeps, and the unread bytes of its stream.

--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -217,6 +217,10 @@
             writer.cancel()
             self._stream.close()
             await asyncio.wait(tasks)
+            # The connection refers to itself, so that only the collector
+            # frees it.
+            self._queue.clear()
+            self._reader.discard()
             self._memory.close()
 
     def _cancel_handlers(self, cause: str) -> None:
--- a/tarragonhinge/http1/_request_reader.py
+++ b/tarragonhinge/http1/_request_reader.py
@@ -178,6 +178,11 @@
             usage=usage,
         )
 
+    def discard(self) -> None:
+        """Drop what is not read yet, since nothing reads it any more."""
+        self._unparsed = b""
+        self._stream.discard()
+
     async def _count(self, usage: memory.Usage, count: int) -> None:
         """Count memory of a request; wait while there is none.
 
--- a/tarragonhinge/http1/_tcp_stream.py
+++ b/tarragonhinge/http1/_tcp_stream.py
@@ -203,6 +203,10 @@
                 self._transport.resume_reading()
         return data
 
+    def discard(self) -> None:
+        """Drop the unread bytes."""
+        self._unread.clear()
+
     def write(self, data: bytes | memoryview) -> bool:
         """Write bytes to the connection unless it is closing.
 
--- a/tarragonhinge/platform/tests/test_ended_requests.py
+++ b/tarragonhinge/platform/tests/test_ended_requests.py
@@ -50,6 +50,21 @@
     return reader, writer
 
 
+async def _leave_within_body(site, *, resets):
+    _, writer = await _send("POST", byte_count=100)
+    await asyncio.sleep(SETTLE_S)
+    hostile_clients.leave(writer, resets=resets)
+
+
+async def _leave_unread(site, *, resets):
+    for server in site.servers:
+        server.padding_bytes = RESPONSE_BYTES
+    _, writer = await _send(count=6)
+    writer.transport.pause_reading()
+    await asyncio.sleep(SETTLE_S)
+    hostile_clients.leave(writer, resets=resets)
+
+
 async def _read_and_leave(site, mode="ok", *fields):
     for server in site.servers:
         server.mode = mode
@@ -100,6 +115,12 @@
         site, "hang", "Tarragonhinge-Deadline-Ms: 200"
     ),
     "invalid-chunk": _send_invalid_chunk,
+    "left-within-body": lambda site: _leave_within_body(site, resets=True),
+    "left-orderly-within-body": lambda site: _leave_within_body(
+        site, resets=False
+    ),
+    "left-unread": lambda site: _leave_unread(site, resets=True),
+    "left-orderly-unread": lambda site: _leave_unread(site, resets=False),
     "forwarded-lost": _lose_other_instance,
 }
 
