Empty a body's buffer when it is no longer counted

Seen: the faults before this one had the same form: bytes that count as free are held by a reference that somebody left. The next one would end a process again.

Cause: counting and holding were apart. The account counted numbers; the bodies were freed when the last reference went.

Change: a body is a memory.Buffer that belongs to its Usage. Releasing the kind, or closing the usage, empties it. Nothing keeps a view of a body: a part that is written is copied, 64 KB at most, and a body that is emptied meanwhile ends its connection. Small bodies are buffers, too, in place of a copy.

--- a/tarragonhinge/http1/_messages.py
+++ b/tarragonhinge/http1/_messages.py
@@ -4,10 +4,6 @@
 
 from tarragonhinge import memory
 
-#: Size from which a body is kept in the buffer in which it was received; a
-#: copy in bytes takes the memory twice for a moment.
-KEPT_BODY_BYTES = 1 << 16
-
 #: Header fields in the order of arrival, names in lower case.
 FieldList = list[tuple[str, str]]
 
@@ -23,7 +19,8 @@
     fields : list
         Header fields.
     body : bytes or bytearray
-        The body, without its framing. It is not changed any more.
+        The body, without its framing. It is not changed any more, but
+        emptied once `usage` does not count it.
     usage : Usage or None
         Counts the memory of the request and its response; None for requests
         of this process.
@@ -59,7 +56,8 @@
     fields : list
         Header fields.
     body : bytes or bytearray
-        The body, without its framing. It is not changed any more.
+        The body, without its framing. It is not changed any more, but
+        emptied once the usage of its request is closed.
     closes : bool
         Whether the connection is closed after the response.
     """
@@ -70,11 +68,6 @@
     closes: bool = False
 
 
-def freeze_body(body: bytearray) -> bytes | bytearray:
-    """Return a received body, without a copy if it is large."""
-    return bytes(body) if len(body) < KEPT_BODY_BYTES else body
-
-
 def combine_fields(fields: FieldList) -> dict[str, str]:
     """Return the fields by name; repeated ones as one list (RFC 9110).
 
--- a/tarragonhinge/http1/_request_reader.py
+++ b/tarragonhinge/http1/_request_reader.py
@@ -114,7 +114,7 @@
         )
         head: h11.Request | None = None
         usage: memory.Usage | None = None
-        body = bytearray()
+        body: memory.Buffer | None = None
         counted_bytes = event_count = 0
         while True:
             try:
@@ -148,6 +148,7 @@
                 if usage is not None:
                     usage.close()
                 usage = self._client.open_usage(is_ahead=self._has_pending())
+                body = usage.make_buffer(memory.Kind.REQUEST)
                 await self._count(
                     usage,
                     STATE_BYTES + HEAD_COPIES * head_bytes + counted_bytes,
@@ -170,7 +171,7 @@
             method=head.method.decode("latin-1"),
             target=head.target.decode("latin-1"),
             fields=_messages.decode_fields(head.headers),
-            body=_messages.freeze_body(body),
+            body=body,
             usage=usage,
         )
 
--- a/tarragonhinge/http1/_response_memory.py
+++ b/tarragonhinge/http1/_response_memory.py
@@ -25,6 +25,8 @@
 
     Attributes
     ----------
+    body : bytearray
+        The body that is received.
     is_kept : bool
         Whether `close` leaves the body counted, since it goes to the caller.
     """
@@ -34,8 +36,11 @@
         self._client: memory.ClientMemory | None = None
         self._counted = 0
         self.is_kept = False
+        self.body = bytearray()
         if usage is None:
             self._counted = UNCOUNTED_BYTES
+        else:
+            self.body = usage.make_buffer(memory.Kind.RESPONSE)
 
     async def grow(self, head: h11.Response | None, received: int) -> None:
         """Count a body of which a number of bytes has been received.
@@ -79,11 +84,13 @@
         self._counted = 0
 
     def close(self) -> None:
-        """Stop to count a body that is not kept."""
+        """Drop a body that is not kept, and stop to count it."""
         if self._client is not None:
             self._client.close()
         elif not self.is_kept and self._usage is not None:
             self._usage.release(memory.Kind.RESPONSE, self._counted)
+        if not self.is_kept:
+            self.body.clear()
 
 
 def _read_length(head: h11.Response | None) -> int | None:
--- a/tarragonhinge/http1/_server_connection.py
+++ b/tarragonhinge/http1/_server_connection.py
@@ -214,7 +214,7 @@
         if unparsed:
             parser.receive_data(unparsed)
         head: h11.Response | None = None
-        body = bytearray()
+        body = room.body
         interim_count = part_count = event_count = 0
         try:
             while True:
@@ -267,7 +267,7 @@
             _messages.HttpResponse(
                 status=head.status_code,
                 fields=_messages.decode_fields(head.headers),
-                body=_messages.freeze_body(body),
+                body=body,
                 closes=parser.their_state is not h11.DONE
                 or self._stream.is_ended,
             ),
--- a/tarragonhinge/http1/_tcp_stream.py
+++ b/tarragonhinge/http1/_tcp_stream.py
@@ -276,17 +276,23 @@
         return self.is_ended
 
     async def write_body(self, body: bytes | bytearray) -> None:
-        """Write a large body in parts, without a copy of it.
+        """Write a large body in parts, each of which is copied.
 
         Each part is passed to the kernel before the next one is written;
-        the last one may be left in the write buffer.
+        the last one may be left in the write buffer. If the body is emptied
+        meanwhile, the connection ends, since the peer expects the rest.
         """
-        with memoryview(body) as view:
-            for start in range(0, len(view), WRITE_PART_BYTES):
-                await self.drain()
-                if self.is_closing:
-                    return
-                self.write(view[start : start + WRITE_PART_BYTES])
+        byte_count = len(body)
+        for start in range(0, byte_count, WRITE_PART_BYTES):
+            await self.drain()
+            if self.is_closing:
+                return
+            if len(body) != byte_count:
+                self.abort()
+                return
+            with memoryview(body) as view:
+                part = bytes(view[start : start + WRITE_PART_BYTES])
+            self.write(part)
 
     async def drain(self) -> None:
         """Wait until the written bytes are passed to the kernel."""
--- a/tarragonhinge/http1/tests/test_memory.py
+++ b/tarragonhinge/http1/tests/test_memory.py
@@ -156,3 +156,23 @@
     assert pool.reserve_body(0)
     pool.release_body(64 << 20)
     assert [pool.reserve_body(20 << 20) for _ in range(2)] == [True, False]
+
+
+def test_body_that_is_emptied_ends_its_connection():
+    """Guards against a next request that a server takes for the rest."""
+
+    async def run():
+        stream = http1.TcpStream()
+        transport = caller_side.FakeTransport(stream)
+        stream.connection_made(transport)
+        transport.is_slow = True
+        body = bytearray(200_000)
+        writer = asyncio.create_task(stream.write_body(body))
+        await asyncio.sleep(0)
+        body.clear()
+        transport.flush()
+        await writer
+        assert transport.is_closing()
+        assert len(transport.received) < 200_000
+
+    run_manual(run())
--- a/tarragonhinge/memory/__init__.py
+++ b/tarragonhinge/memory/__init__.py
@@ -8,11 +8,13 @@
 from tarragonhinge.memory._account import Usage
 from tarragonhinge.memory._allocator import tune_allocator
 from tarragonhinge.memory._budget import compute_budget
+from tarragonhinge.memory._buffer import Buffer
 from tarragonhinge.memory._choice import choose_clients
 from tarragonhinge.memory._choice import Holding
 
 __all__ = [
     "SMALL_BYTES",
+    "Buffer",
     "ClientMemory",
     "FullError",
     "Holding",
--- a/tarragonhinge/memory/_account.py
+++ b/tarragonhinge/memory/_account.py
@@ -6,6 +6,7 @@
 import enum
 
 from tarragonhinge import base
+from tarragonhinge.memory import _buffer
 from tarragonhinge.memory import _choice
 
 #: Size up to which a request may use the reserve: a body of 64 KB, its head,
@@ -77,17 +78,31 @@
         Whether the client has sent the request ahead of a response.
     """
 
-    __slots__ = ("_by_kind", "_client", "_opened_at", "is_ahead", "total")
+    __slots__ = (
+        "_buffers",
+        "_by_kind",
+        "_client",
+        "_opened_at",
+        "is_ahead",
+        "total",
+    )
 
     def __init__(
         self, *, client: "ClientMemory", is_ahead: bool, opened_at: float
     ) -> None:
         self._client: ClientMemory | None = client
         self._by_kind = dict.fromkeys(Kind, 0)
+        self._buffers: list[tuple[Kind, _buffer.Buffer]] = []
         self._opened_at = opened_at
         self.is_ahead = is_ahead
         self.total = 0
 
+    def make_buffer(self, kind: Kind) -> _buffer.Buffer:
+        """Return a buffer that is emptied when the kind is released."""
+        buffer = _buffer.Buffer()
+        self._buffers.append((kind, buffer))
+        return buffer
+
     def try_grow(self, kind: Kind, count: int) -> bool:
         """Count bytes if there is room for them."""
         client = self._client
@@ -126,17 +141,32 @@
                 self._client.account.serve_waiting()
 
     def release(self, kind: Kind, count: int | None = None) -> None:
-        """Stop to count bytes; all of the kind if no number is given."""
+        """Stop to count bytes.
+
+        Parameters
+        ----------
+        kind : Kind
+            Kind of the bytes.
+        count : int or None
+            Number of bytes; None for all of the kind, whose buffers are
+            emptied.
+        """
         client = self._client
         if client is None:
             return
         if count is None:
             count = self._by_kind[kind]
+            self._empty_buffers(kind)
         if count:
             self._by_kind[kind] -= count
             self.total -= count
             client.remove(kind, count)
 
+    def _empty_buffers(self, kind: Kind) -> None:
+        for buffer_kind, buffer in self._buffers:
+            if buffer_kind is kind:
+                buffer.clear()
+
     def close(self) -> None:
         """Stop to count anything; later calls have no effect."""
         client = self._client
@@ -146,6 +176,7 @@
             client.account.record_hold(self._opened_at)
         for kind in Kind:
             self.release(kind)
+        self._buffers.clear()
         self._client = None
         client.discard(self)
 
--- a/tarragonhinge/memory/tests/test_account.py
+++ b/tarragonhinge/memory/tests/test_account.py
@@ -131,3 +131,30 @@
         await _Client(account).receive((64 << 20) + 200_000)
 
     run_manual(run())
+
+
+@pytest.mark.parametrize(
+    ("end", "left"),
+    [
+        (lambda client: client.usage.release(memory.Kind.REQUEST), [0, 5]),
+        (lambda client: client.usage.release(memory.Kind.RESPONSE), [5, 0]),
+        (lambda client: client.usage.release(memory.Kind.REQUEST, 1), [5, 5]),
+        (lambda client: client.usage.close(), [0, 0]),
+        (lambda client: client.memory.close(), [0, 0]),
+    ],
+)
+def test_buffers_hold_nothing_that_is_not_counted(end, left):
+    """Guards against references that keep bytes which count as free."""
+
+    async def run():
+        account = memory.MemoryAccount(budget_bytes=BUDGET_BYTES)
+        client = _Client(account)
+        buffers = []
+        for kind in (memory.Kind.REQUEST, memory.Kind.RESPONSE):
+            assert client.usage.try_grow(kind, 5)
+            buffers.append(client.usage.make_buffer(kind))
+            buffers[-1] += b"bytes"
+        end(client)
+        assert [len(buffer) for buffer in buffers] == left
+
+    run_manual(run())
