Bound the connections to servers by their sum

Seen: 640 requests sent ahead on 40 connections made a process open 119 descriptors, where its machine leaves 100 for sockets. Beyond them, a caller is not accepted, and a server counts as out of reach.

Cause: each pool bounds its own connections, 24 to a server at most. Nothing bounded all pools together; a quarter of the descriptors was only left over.

Change: pools share a ConnectionBudget, a quarter of the descriptors. A connection beyond it takes the place of the one that has been idle for the longest time, of whichever pool; with none idle, the request is refused at once as not run (`connections`), without a mark against the server, and another instance may take it. An eighth is for health checks and queries of other instances. Other instances' connections may take three sixteenths in place of a quarter, so that a sixteenth is left to control traffic.

--- a/tarragonhinge/balancing/_links.py
+++ b/tarragonhinge/balancing/_links.py
@@ -164,6 +164,8 @@
         This process's clock.
     rng : random.Random or None
         Spreads the first requests to servers that have come up.
+    budget : ConnectionBudget or None
+        Bound on the connections to all servers; unbounded if None.
 
     Attributes
     ----------
@@ -181,8 +183,10 @@
         leaving: _leaving_servers.LeavingServers,
         clock: base.Clock,
         rng: random.Random | None = None,
+        budget: http1.ConnectionBudget | None = None,
     ) -> None:
         self._rng = rng or random.Random()
+        self._budget = budget
         self._view = view
         self._zone = zone
         self._zones = zones
@@ -356,6 +360,7 @@
                     MAX_CONNECTIONS_PER_SERVER,
                     int(max_connections * INSTANCE_CONNECTION_FRACTION),
                 ),
+                budget=self._budget,
             ),
             load=load,
             path=_path.Path(clock=self._clock),
--- a/tarragonhinge/forwarding/_client.py
+++ b/tarragonhinge/forwarding/_client.py
@@ -50,10 +50,18 @@
     ----------
     clock : Clock
         This process's clock.
+    budget : ConnectionBudget or None
+        Bound on the connections of all pools; unbounded if None.
     """
 
-    def __init__(self, *, clock: base.Clock) -> None:
+    def __init__(
+        self,
+        *,
+        clock: base.Clock,
+        budget: http1.ConnectionBudget | None = None,
+    ) -> None:
         self._clock = clock
+        self._budget = budget
         self._pools: dict[base.Address, http1.ConnectionPool] = {}
 
     async def send_request(
@@ -126,6 +134,7 @@
                     fields=_messages.add_call([("host", peer.address)], query),
                 ),
                 timeout_ms=QUERY_TIMEOUT_MS,
+                uses_reserve=True,
             )
             report = _report_decoder.decode(response.body)
         except (PeerError, *base.DECODE_ERRORS):
@@ -141,6 +150,7 @@
         *,
         timeout_ms: int,
         on_sent: Callable[[], None] = lambda: None,
+        uses_reserve: bool = False,
     ) -> http1.HttpResponse:
         pool = self._get_pool(peer.address)
         ends_at = self._clock.now() + timeout_ms
@@ -148,7 +158,9 @@
             async with asyncio.timeout(timeout_ms / base.MS_PER_S):
                 # A reset of an idle connection would leave the outcome
                 # unknown.
-                connection = await pool.acquire(fresh=True)
+                connection = await pool.acquire(
+                    fresh=True, uses_reserve=uses_reserve
+                )
         except TimeoutError as error:
             raise PeerError(problem="no connection", sent=False) from error
         except http1.ExchangeError as error:
@@ -181,6 +193,7 @@
                 clock=self._clock,
                 limit=MAX_CONNECTIONS,
                 connect_timeout_ms=CONNECT_TIMEOUT_MS,
+                budget=self._budget,
             )
             self._pools[address] = pool
         return pool
--- a/tarragonhinge/gateway/_connection_limit.py
+++ b/tarragonhinge/gateway/_connection_limit.py
@@ -17,10 +17,12 @@
 #: Descriptors of a machine that files may take.
 FILE_DESCRIPTORS = 200
 
-#: Parts of the other descriptors for connections of callers and of other
-#: instances. The rest is for connections to servers and to other instances.
+#: Parts of the other descriptors: for connections of callers, for those of
+#: other instances that forward requests, and for those to servers and to other
+#: instances. The rest is for control traffic.
 CALLER_FRACTION = 1 / 2
-CALL_FRACTION = 1 / 4
+CALL_FRACTION = 3 / 16
+SERVER_FRACTION = 1 / 4
 
 #: Part of the memory for clients that connections without requests may take.
 MEMORY_FRACTION = 1 / 2
@@ -108,10 +110,31 @@
     ... )
     719
     """
+    by_descriptors = _count_socket_descriptors(max_descriptors) * fraction
+    by_memory = budget_bytes * MEMORY_FRACTION / http1.CONNECTION_BYTES
+    return max(MIN_CONNECTIONS, int(min(by_descriptors, by_memory)))
+
+
+def compute_server_limit(max_descriptors: int | None) -> float:
+    """Return the largest number of connections to servers and instances.
+
+    Parameters
+    ----------
+    max_descriptors : int or None
+        Descriptors of the machine; those of the process if None.
+
+    Examples
+    --------
+    >>> compute_server_limit(1_638)
+    359
+    """
+    limit = _count_socket_descriptors(max_descriptors) * SERVER_FRACTION
+    return limit if limit == math.inf else max(MIN_CONNECTIONS, int(limit))
+
+
+def _count_socket_descriptors(max_descriptors: int | None) -> float:
     if max_descriptors is None:
         max_descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
         if max_descriptors == resource.RLIM_INFINITY:
-            max_descriptors = math.inf
-    by_descriptors = (max_descriptors - FILE_DESCRIPTORS) * fraction
-    by_memory = budget_bytes * MEMORY_FRACTION / http1.CONNECTION_BYTES
-    return max(MIN_CONNECTIONS, int(min(by_descriptors, by_memory)))
+            return math.inf
+    return max_descriptors - FILE_DESCRIPTORS
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -91,6 +91,8 @@
         Metrics of the requests.
     memory : MemoryAccount
         Memory of all connections.
+    connection_budget : ConnectionBudget
+        Bound on the connections to servers and to other instances.
     closed_clients : Counter
         Number of clients whose connections were closed, by reason.
     subsets : NearSubsets
@@ -119,6 +121,11 @@
         self.leaving = balancing.LeavingServers(
             view=view, drain_ms=options.drain_ms, log=log, clock=clock
         )
+        self.connection_budget = http1.ConnectionBudget(
+            limit=_connection_limit.compute_server_limit(
+                options.max_descriptors
+            )
+        )
         self.links = balancing.ServerLinks(
             view=view,
             zone=options.zone,
@@ -127,6 +134,7 @@
             leaving=self.leaving,
             clock=clock,
             rng=rng,
+            budget=self.connection_budget,
         )
         self.eligibility = balancing.Eligibility(
             links=self.links,
@@ -169,7 +177,9 @@
             ),
             clock=clock,
         )
-        self._forwarding_client = forwarding.ForwardingClient(clock=clock)
+        self._forwarding_client = forwarding.ForwardingClient(
+            clock=clock, budget=self.connection_budget
+        )
         self.monitor = _path_monitor.PathMonitor(
             view=view,
             links=self.links,
--- a/tarragonhinge/gateway/_health_checker.py
+++ b/tarragonhinge/gateway/_health_checker.py
@@ -93,7 +93,9 @@
         is_reusable = False
         try:
             async with asyncio.timeout(TIMEOUT_MS / base.MS_PER_S):
-                connection = await link.pool.acquire(fresh=True)
+                connection = await link.pool.acquire(
+                    fresh=True, uses_reserve=True
+                )
                 response = await connection.exchange(
                     http1.HttpRequest(
                         method="GET",
--- a/tarragonhinge/gateway/_retrier.py
+++ b/tarragonhinge/gateway/_retrier.py
@@ -332,6 +332,9 @@
                 >= MAX_SENDS_PER_ATTEMPT * job.route.max_attempts
             ):
                 return False
+            if outcome.cause is _NotRunCause.CONNECTIONS:
+                # No other server can get it either.
+                return False
             if outcome.cause is _NotRunCause.CONNECTION_ENDED:
                 # The owner of a key may accept another connection, or is
                 # full and refuses the request in the next placement.
--- a/tarragonhinge/gateway/_sender.py
+++ b/tarragonhinge/gateway/_sender.py
@@ -267,6 +267,10 @@
             return jobs.NotRun(
                 cause=jobs.NotRunCause.UNREACHABLE, detail=error.problem
             )
+        except http1.ConnectionBudgetError as error:
+            return jobs.NotRun(
+                cause=jobs.NotRunCause.CONNECTIONS, detail=error.problem
+            )
         except http1.ExchangeError as error:
             link.load.record_unreachable()
             return _make_unsent(error.problem)
--- a/tarragonhinge/http1/__init__.py
+++ b/tarragonhinge/http1/__init__.py
@@ -4,6 +4,8 @@
 from tarragonhinge.http1._caller_connection import CONNECTION_BYTES
 from tarragonhinge.http1._caller_connection import CONNECTION_CLOSED
 from tarragonhinge.http1._caller_connection import DISCONNECTED
+from tarragonhinge.http1._connection_budget import ConnectionBudget
+from tarragonhinge.http1._errors import ConnectionBudgetError
 from tarragonhinge.http1._errors import ExchangeError
 from tarragonhinge.http1._errors import UnreachableError
 from tarragonhinge.http1._listen import listen
@@ -24,6 +26,8 @@
     "CONNECTION_CLOSED",
     "DISCONNECTED",
     "CallerConnection",
+    "ConnectionBudget",
+    "ConnectionBudgetError",
     "ConnectionPool",
     "ExchangeError",
     "FieldList",
--- a/tarragonhinge/http1/_errors.py
+++ b/tarragonhinge/http1/_errors.py
@@ -29,6 +29,17 @@
         self.is_reset = is_reset
 
 
+class ConnectionBudgetError(ExchangeError):
+    """All connections that the process may open are in use."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            problem="all connections to servers are in use",
+            remedy="send it again once others have been answered",
+            sent=False,
+        )
+
+
 class UnreachableError(ExchangeError):
     """No connection could be opened, so that nothing was sent.
 
--- a/tarragonhinge/http1/_pool.py
+++ b/tarragonhinge/http1/_pool.py
@@ -6,6 +6,7 @@
 import math
 
 from tarragonhinge import base
+from tarragonhinge.http1 import _connection_budget
 from tarragonhinge.http1 import _errors
 from tarragonhinge.http1 import _server_connection
 from tarragonhinge.http1 import _tcp_stream
@@ -77,6 +78,8 @@
         Maximum number of open connections.
     connect_timeout_ms : int
         Timeout for opening a connection.
+    budget : ConnectionBudget or None
+        Bound on the connections of all pools; unbounded if None.
 
     Attributes
     ----------
@@ -94,7 +97,9 @@
         clock: base.Clock,
         limit: int,
         connect_timeout_ms: int = CONNECT_TIMEOUT_MS,
+        budget: _connection_budget.ConnectionBudget | None = None,
     ) -> None:
+        self._budget = budget or _connection_budget.ConnectionBudget()
         self._address = address
         self._connect_timeout_ms = connect_timeout_ms
         self._clock = clock
@@ -118,6 +123,7 @@
         *,
         fresh: bool,
         excluded: Collection[_server_connection.ServerConnection] = (),
+        uses_reserve: bool = False,
     ) -> _server_connection.ServerConnection:
         """Return an idle connection or open a new one.
 
@@ -128,21 +134,27 @@
             `FRESH_IDLE_LIMIT_MS` or are new; set for non-idempotent requests.
         excluded : collection of ServerConnection
             Connections that are not returned.
+        uses_reserve : bool
+            Whether the connection is for control traffic.
 
         Raises
         ------
         ExchangeError
             If no connection can be opened; the request was not sent.
-            `UnreachableError` if the server did not accept one.
+            `UnreachableError` if the server did not accept one,
+            `ConnectionBudgetError` if all pools have too many.
         """
         connection = self._find_idle(fresh=fresh, excluded=excluded)
         if connection is not None:
             self._idle.remove(connection)
+            self._budget.remove_idle(connection)
             return connection
         if self._open_count >= self._limit:
             if not self._idle:
                 raise _make_error("the connection limit is reached")
             self._close_connection(self._idle.pop(0))
+        if not self._budget.take(uses_reserve=uses_reserve):
+            raise _errors.ConnectionBudgetError
         self._open_count += 1
         if self._open_count == 1:
             self._open_since = None
@@ -151,12 +163,14 @@
             connection = await self._open(timeout_ms=self._connect_timeout_ms)
         except OSError as error:
             self._open_count -= 1
+            self._budget.give_back()
             raise _errors.UnreachableError(
                 problem=f"cannot open a connection: {error}",
                 is_refused=isinstance(error, ConnectionRefusedError),
             ) from error
         except asyncio.CancelledError:
             self._open_count -= 1
+            self._budget.give_back()
             raise
         self._record_connect_time(self._clock.now() - started_at)
         self._record_opened()
@@ -224,7 +238,9 @@
             return ListenerState.REFUSING
         except OSError:
             return ListenerState.SILENT
-        if self._open_count >= self._limit:
+        if self._open_count >= self._limit or not self._budget.take(
+            uses_reserve=True
+        ):
             connection.close()
             return ListenerState.ACCEPTING
         self._open_count += 1
@@ -246,6 +262,14 @@
             return
         self._lost_count = 0
         self._idle.append(connection)
+        self._budget.add_idle(connection, self)
+
+    def drop_idle(
+        self, connection: _server_connection.ServerConnection
+    ) -> None:
+        """Close an idle connection, which makes room for another pool."""
+        self._idle.remove(connection)
+        self._close_connection(connection)
 
     def record_break(self, weight: int = 1) -> None:
         """Record that the server has ended a connection unexpectedly."""
@@ -282,6 +306,7 @@
         self, connection: _server_connection.ServerConnection
     ) -> None:
         self._open_count -= 1
+        self._budget.give_back(connection)
         if self._open_count == 0 and self._lost_count:
             self._all_lost_count = self._lost_count
             self._lost_count = 0
--- a/tarragonhinge/http1/tests/test_pool.py
+++ b/tarragonhinge/http1/tests/test_pool.py
@@ -90,3 +90,40 @@
         later_ms=later_ms,
     )
     assert is_reused is expected
+
+
+@pytest.mark.parametrize(
+    ("idle", "uses_reserve", "is_opened"),
+    [(0, False, False), (0, True, True), (1, False, True), (7, False, True)],
+)
+def test_pools_share_a_budget(idle, uses_reserve, is_opened):
+    """Guards against connections to many servers that take all descriptors."""
+
+    async def run():
+        clock = testing.ManualClock()
+        budget = http1.ConnectionBudget(limit=8)
+        pools = [
+            _Pool(
+                address=base.Address(f"h:{number}"),
+                clock=clock,
+                limit=8,
+                budget=budget,
+            )
+            for number in range(8)
+        ]
+        connections = [await pool.acquire(fresh=True) for pool in pools[:7]]
+        for pool, connection in zip(pools[:idle], connections, strict=False):
+            pool.release(connection)
+        if is_opened:
+            await pools[7].acquire(fresh=True, uses_reserve=uses_reserve)
+            # The one that has been idle for the longest time made room.
+            assert not pools[0].has_idle(fresh=True)
+            assert sum(p.has_idle(fresh=True) for p in pools) == max(
+                0, idle - 1
+            )
+        else:
+            with pytest.raises(http1.ConnectionBudgetError):
+                await pools[7].acquire(fresh=True)
+        assert budget.open_count == 7 + uses_reserve
+
+    testing.run_manual(run())
--- a/tarragonhinge/jobs/_outcomes.py
+++ b/tarragonhinge/jobs/_outcomes.py
@@ -26,7 +26,8 @@
     connection could be opened; INELIGIBLE: it was not sent, since the server
     no longer may get it; COLD: it was not sent, since the server has become
     cold after the request was placed; CONNECTION_ENDED: the server had ended
-    the connection before anything was written.
+    the connection before anything was written; CONNECTIONS: it was not sent,
+    since all connections of this instance are in use.
     """
 
     SHED = "shed"
@@ -37,6 +38,7 @@
     INELIGIBLE = "ineligible"
     COLD = "cold"
     CONNECTION_ENDED = "connection_ended"
+    CONNECTIONS = "connections"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/tarragonhinge/jobs/_refusals.py
+++ b/tarragonhinge/jobs/_refusals.py
@@ -24,7 +24,7 @@
 
 #: Reasons of refusals that concern only the refusing instance.
 TRANSFERABLE_REASONS = frozenset(
-    {"unreachable", "stopping", "no_table", "memory"}
+    {"unreachable", "stopping", "no_table", "memory", "connections"}
 )
 
 
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -250,6 +250,11 @@
             "Requests that are refused since they crash servers.",
             lambda: self.gateway.ledger.refused_count,
         )
+        watch(
+            "connections_open",
+            "Open connections to servers and to other instances.",
+            lambda: self.gateway.connection_budget.open_count,
+        )
         account = self.gateway.memory
         watch(
             "memory_budget_bytes",
