Let resident memory correct the budget for clients

Seen: in each fault of this series the account was within its bound while the process outgrew its memory. What nobody thought of, such as gaps of the heap or a library's buffers, would do the same again.

Cause: the budget rested on estimates alone.

Change: resident memory, read every 250 ms and before a large request, less the 68 MB of the process and what is counted, is missing from the budget. Small requests keep the reserve, so that ordinary callers are answered. Two gauges show resident and uncounted memory; a line `memory_short` says when more than a quarter of the budget is missing, and when less than an eighth is.

Evidence: test_what_is_resident_corrects_the_budget.

--- a/tarragonhinge/events/__init__.py
+++ b/tarragonhinge/events/__init__.py
@@ -11,6 +11,7 @@
 from tarragonhinge.events._process_events import LeadershipChanged
 from tarragonhinge.events._process_events import LimitNamed
 from tarragonhinge.events._process_events import LinesDropped
+from tarragonhinge.events._process_events import MemoryShort
 from tarragonhinge.events._process_events import PathChanged
 from tarragonhinge.events._process_events import Planned
 from tarragonhinge.events._process_events import QuarantineLifted
@@ -72,6 +73,7 @@
     "Planned",
     "QuarantineLifted",
     "Quarantined",
+    "MemoryShort",
     "Readiness",
     "Received",
     "Rejected",
--- a/tarragonhinge/events/_process_events.py
+++ b/tarragonhinge/events/_process_events.py
@@ -440,6 +440,25 @@
     window_ms: int = 0
 
 
+class MemoryShort(_event.Event, frozen=True, kw_only=True, tag="memory_short"):
+    """Much more is resident than the account counts, or no longer so.
+
+    Parameters
+    ----------
+    short : bool
+        Whether it is so now.
+    resident_bytes, counted_bytes : int
+        Memory that the process holds, and what it counts for clients.
+    uncounted_bytes : int
+        Memory that is missing from the budget.
+    """
+
+    short: bool
+    resident_bytes: int
+    counted_bytes: int
+    uncounted_bytes: int
+
+
 class PathChanged(_event.Event, frozen=True, kw_only=True, tag="path_changed"):
     """A server is out of reach of this instance, or in reach again.
 
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -164,8 +164,10 @@
         )
         self.ledger = quarantine.CrashLedger(log=log, clock=clock)
         self.metrics = _metrics.RequestMetrics()
+        self._resident_memory = memory.ResidentMemory()
         self.memory = memory.MemoryAccount(
-            budget_bytes=memory.compute_budget(options.memory_bytes)
+            budget_bytes=memory.compute_budget(options.memory_bytes),
+            read_resident=self._resident_memory.read_bytes,
         )
         self.closed_clients: collections.Counter[str] = collections.Counter()
         self.directory = forwarding.PeerDirectory(
@@ -289,6 +291,7 @@
         """End the attempts to reach servers, and close idle connections."""
         self.monitor.close()
         self._forwarding_client.close()
+        self._resident_memory.close()
 
     def compute_connection_limit(self, fraction: float) -> int:
         """Return the largest number of connections to a listener.
--- a/tarragonhinge/memory/__init__.py
+++ b/tarragonhinge/memory/__init__.py
@@ -11,6 +11,7 @@
 from tarragonhinge.memory._buffer import Buffer
 from tarragonhinge.memory._choice import choose_clients
 from tarragonhinge.memory._choice import Holding
+from tarragonhinge.memory._resident import ResidentMemory
 
 __all__ = [
     "SMALL_BYTES",
@@ -20,6 +21,7 @@
     "Holding",
     "Kind",
     "MemoryAccount",
+    "ResidentMemory",
     "Usage",
     "choose_clients",
     "compute_budget",
--- a/tarragonhinge/memory/_account.py
+++ b/tarragonhinge/memory/_account.py
@@ -4,8 +4,10 @@
 import collections
 from collections.abc import Callable
 import enum
+import math
 
 from tarragonhinge import base
+from tarragonhinge.memory import _budget
 from tarragonhinge.memory import _buffer
 from tarragonhinge.memory import _choice
 
@@ -20,6 +22,14 @@
 #: Part of the budget for requests that are sent ahead on their connection.
 AHEAD_FRACTION = 1 / 2
 
+#: Parts of the budget that may be missing from it before memory counts as
+#: short, and until it no longer does.
+SHORT_FRACTION = 1 / 4
+RELIEVED_FRACTION = 1 / 8
+
+#: Age from which resident memory is read again before a large request.
+READ_INTERVAL_MS = 20
+
 #: Longest wait for memory. It exceeds the time after which a stalled client
 #: is closed, so that its memory goes to the requests that wait.
 WAIT_MS = 1_500
@@ -298,15 +308,35 @@
     ----------
     budget_bytes : int
         Largest number of bytes to hold.
+    read_resident : callable
+        Returns the resident memory of the process, in bytes; None if it is
+        not known.
 
     Attributes
     ----------
+    resident_bytes : int
+        Memory that the process held when it was last read; 0 before.
+    uncounted_bytes : int
+        Part of it that the account does not explain, which is missing from
+        the budget.
+    is_short : bool
+        Whether much is missing.
     holders : set of ClientMemory
         Clients that hold memory for requests.
     """
 
-    def __init__(self, *, budget_bytes: int) -> None:
+    def __init__(
+        self,
+        *,
+        budget_bytes: int,
+        read_resident: Callable[[], int | None] = lambda: None,
+    ) -> None:
         self.budget_bytes = budget_bytes
+        self._read_resident = read_resident
+        self._read_at = -math.inf
+        self.resident_bytes = 0
+        self.uncounted_bytes = 0
+        self.is_short = False
         self.holders: set[ClientMemory] = set()
         self._used = 0
         self._by_kind: collections.Counter[Kind] = collections.Counter()
@@ -325,11 +355,45 @@
         if count < 0 and self._waiting:
             self.serve_waiting()
 
+    @property
+    def used_bytes(self) -> int:
+        """Number of bytes that are counted."""
+        return self._used
+
+    def read_resident(self) -> None:
+        """Correct the budget by what the process holds.
+
+        What is counted but not received yet hides as much that is held but
+        not counted, until it is received.
+        """
+        self._read_at = asyncio.get_running_loop().time()
+        resident_bytes = self._read_resident()
+        if resident_bytes is None:
+            return
+        self.resident_bytes = resident_bytes
+        explained = _budget.PROCESS_BYTES + self._used
+        before = self.uncounted_bytes
+        self.uncounted_bytes = max(0, resident_bytes - explained)
+        fraction = RELIEVED_FRACTION if self.is_short else SHORT_FRACTION
+        self.is_short = self.uncounted_bytes > self.budget_bytes * fraction
+        if self.uncounted_bytes < before and self._waiting:
+            asyncio.get_running_loop().call_soon(self.serve_waiting)
+
     def has_room(self, usage: Usage, count: int) -> bool:
-        """Return whether a request may use more bytes."""
-        limit = float(self.budget_bytes)
+        """Return whether a request may use more bytes.
+
+        Memory that is not counted leaves the reserve to small requests.
+        """
+        if count > SMALL_BYTES:
+            age = asyncio.get_running_loop().time() - self._read_at
+            if age * base.MS_PER_S >= READ_INTERVAL_MS:
+                self.read_resident()
+        reserve = self.budget_bytes * RESERVE_FRACTION
+        limit = self.budget_bytes - self.uncounted_bytes
         if usage.total + count > SMALL_BYTES:
-            limit -= self.budget_bytes * RESERVE_FRACTION
+            limit -= reserve
+        else:
+            limit = max(reserve, limit)
         if usage.is_ahead:
             limit = min(limit, self.budget_bytes * AHEAD_FRACTION)
         return self._used + count <= limit
--- a/tarragonhinge/memory/tests/test_account.py
+++ b/tarragonhinge/memory/tests/test_account.py
@@ -158,3 +158,69 @@
         assert [len(buffer) for buffer in buffers] == left
 
     run_manual(run())
+
+
+@pytest.mark.parametrize(
+    ("resident_bytes", "large_bytes", "small_count", "is_short"),
+    [
+        (68_000_000, 22_000_000, 149, False),
+        (72_000_000, 18_000_000, 124, False),
+        (80_000_000, 10_000_000, 74, True),
+        (89_000_000, 1_000_000, 18, True),
+        (300_000_000, 0, 12, True),
+    ],
+)
+def test_what_is_resident_corrects_the_budget(
+    resident_bytes, large_bytes, small_count, is_short
+):
+    """Guards against memory that nothing counts.
+
+    Small requests keep the reserve.
+    """
+
+    async def run():
+        sizes = [resident_bytes]
+        account = memory.MemoryAccount(
+            budget_bytes=BUDGET_BYTES, read_resident=lambda: sizes[-1]
+        )
+        account.read_resident()
+        assert account.is_short is is_short
+        client = _Client(account)
+        fits = [
+            client.usage.try_grow(memory.Kind.REQUEST, count)
+            for count in (
+                large_bytes + 200_000,
+                max(170_000, large_bytes - 2_000),
+            )
+        ]
+        assert fits == [False, large_bytes > 0]
+        client.usage.close()
+        crowd = [client.memory.open_usage() for _ in range(small_count + 1)]
+        fits = [u.try_grow(memory.Kind.REQUEST, 160_000) for u in crowd]
+        assert fits == [True] * small_count + [False]
+        # What is counted and resident is explained.
+        sizes.append(68_000_000 + account.used_bytes)
+        account.read_resident()
+        assert account.uncounted_bytes == 0
+        assert not account.is_short
+
+    run_manual(run())
+
+
+def test_waiting_requests_continue_once_memory_is_given_back():
+    """Guards against requests that wait although there is room again."""
+
+    async def run():
+        sizes = [300_000_000]
+        account = memory.MemoryAccount(
+            budget_bytes=BUDGET_BYTES, read_resident=lambda: sizes[-1]
+        )
+        client = _Client(account)
+        waiting = asyncio.create_task(client.receive(LARGE_BYTES))
+        await asyncio.sleep(0.1)
+        assert not waiting.done()
+        sizes.append(68_000_000)
+        account.read_resident()
+        await waiting
+
+    run_manual(run())
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import itertools
 import pathlib
 import signal
 import uuid
@@ -29,6 +30,9 @@
 #: all requests have ended.
 UPDATE_INTERVAL_MS = 50
 
+#: Number of updates of readiness after which resident memory is read.
+UPDATES_PER_READING = 5
+
 #: Interval at which the end of a stop checks whether all responses are
 #: written.
 RESPONSE_CHECK_MS = 10
@@ -137,6 +141,7 @@
         self._peers: asyncio.Server | None = None
         self._tasks: list[asyncio.Task] = []
         self._was_ready = False
+        self._was_short = False
 
     def _register_gauges(self) -> None:
         """Register the gauges that are evaluated on each scrape."""
@@ -261,6 +266,16 @@
             "Memory for connections, requests and responses.",
             lambda: account.budget_bytes,
         )
+        watch(
+            "memory_resident_bytes",
+            "Memory that the process holds.",
+            lambda: account.resident_bytes,
+        )
+        watch(
+            "memory_uncounted_bytes",
+            "Part of it that is missing from the budget.",
+            lambda: account.uncounted_bytes,
+        )
         for kind, help_ in _MEMORY_GAUGES.items():
             watch(
                 f"memory_{kind.value}_bytes",
@@ -353,8 +368,10 @@
         )
 
     async def _update_state(self) -> None:
-        """Update the fleet size and log changes of readiness."""
-        while True:
+        """Update fleet size and budget, and log changes of readiness."""
+        for number in itertools.count():
+            if number % UPDATES_PER_READING == 0:
+                self._observe_memory()
             if self._member.fleet_size is not None:
                 self.gateway.fleet_size.record(self._member.fleet_size)
             ready = self.is_ready()
@@ -367,6 +384,22 @@
                 )
             await self._clock.sleep(UPDATE_INTERVAL_MS)
 
+    def _observe_memory(self) -> None:
+        """Correct the budget by the resident memory, and log a shortage."""
+        account = self.gateway.memory
+        account.read_resident()
+        is_short = account.is_short
+        if is_short != self._was_short:
+            self._was_short = is_short
+            self.log.write(
+                events.MemoryShort(
+                    short=is_short,
+                    resident_bytes=account.resident_bytes,
+                    counted_bytes=account.used_bytes,
+                    uncounted_bytes=account.uncounted_bytes,
+                )
+            )
+
     def _explain_readiness(self) -> str:
         if self.gateway.shutdown.has_begun:
             return "stopping"
