--- a/tarragonhinge/platform/tests/test_forwarding.py
+++ b/tarragonhinge/platform/tests/test_forwarding.py
@@ -353,7 +353,7 @@
         in_flight = gateway._retrier._detour._in_flight
 
         class SlowPool:
-            async def acquire(self, *, fresh):
+            async def acquire(self, *, fresh, uses_reserve):
                 await asyncio.sleep(2)
                 raise http1.ExchangeError(problem="", remedy="", sent=False)
 
