Leave connections to servers to others beside requests sent ahead

Seen: four clients with 16 requests each, sent ahead, whose work takes long, used all connections to all four servers. Everyone else got 503 until their deadlines passed, and the refusal said `unreachable` or `unsent`, although all servers were in reach.

Cause: each request sent ahead on a connection is started at once, 16 of them, and nothing bounded their number over all connections. A server to which all allowed connections were in use was chosen all the same; the failure counted as one of the server.

Change: AheadGate lets requests sent ahead have half of the connections to the servers of their service, and of all the process may open; another one waits until it is the first of its connection, or one has ended. A server whose connections are all in use counts as full, so that a refusal says `overload`.

Evidence: test_ordinary_request_beside_requests_sent_ahead failed for 4 and for 16 clients: the answer came after the requests ahead were given up. Now it comes while they run.

--- a/tarragonhinge/balancing/_links.py
+++ b/tarragonhinge/balancing/_links.py
@@ -119,7 +119,7 @@
             closed_ms=self.get_wait_ms(),
             is_out_of_reach=self.is_out_of_reach(fresh=fresh),
             wait_limit_ms=self._compute_wait_limit_ms(route, urgent),
-            is_full=self.load.is_full(),
+            is_full=self.load.is_full() or self.pool.is_full,
             pace_wait_ms=self.load.estimate_pace_wait_ms(),
             standing_wait_ms=self.load.estimate_standing_wait_ms(),
             contention=self.load.get_contention(),
@@ -251,6 +251,10 @@
         links = [self.find(entry.server) for entry in entries]
         return sorted(links, key=lambda link: link.distance.value != "zone")
 
+    def list_pool_limits(self, service: base.ServiceName) -> list[int]:
+        """Return the number of connections allowed to each ready server."""
+        return [link.pool.limit for link in self.list_ready(service)]
+
     def estimate_service_ms(
         self, service: base.ServiceName, route: str
     ) -> float:
--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -11,6 +11,7 @@
 from tarragonhinge import catalog
 from tarragonhinge import events
 from tarragonhinge import forwarding
+from tarragonhinge.gateway import _ahead_gate
 from tarragonhinge.gateway import _cold_watch
 from tarragonhinge.gateway import _connection_limit
 from tarragonhinge.gateway import _crash_guard
@@ -121,11 +122,10 @@
         self.leaving = balancing.LeavingServers(
             view=view, drain_ms=options.drain_ms, log=log, clock=clock
         )
-        self.connection_budget = http1.ConnectionBudget(
-            limit=_connection_limit.compute_server_limit(
-                options.max_descriptors
-            )
+        connection_limit = _connection_limit.compute_server_limit(
+            options.max_descriptors
         )
+        self.connection_budget = http1.ConnectionBudget(limit=connection_limit)
         self.links = balancing.ServerLinks(
             view=view,
             zone=options.zone,
@@ -216,6 +216,9 @@
         self.shutdown = _shutdown.Shutdown(
             kill_after_ms=options.stop_ms, clock=clock
         )
+        self._ahead_gate = _ahead_gate.AheadGate(
+            links=self.links, budget=connection_limit, clock=clock
+        )
         self._handlers: set[asyncio.Task] = set()
         self._retrier = _retrier.Retrier(
             options=options,
@@ -476,7 +479,8 @@
             if self._admits(job):
                 if not job.is_forwarded:
                     self._record_key(job)
-                result = await self._retrier.run(job)
+                async with self._ahead_gate.enter(job):
+                    result = await self._retrier.run(job)
             else:
                 result = jobs.Refused.for_stopping_instance()
         except asyncio.CancelledError as error:
--- a/tarragonhinge/gateway/tests/regional.py
+++ b/tarragonhinge/gateway/tests/regional.py
@@ -38,6 +38,9 @@
         self.zone = zone
         self.mode = mode
 
+    limit = 24
+    is_full = False
+
     def has_idle(self, *, fresh):
         return False
 
--- a/tarragonhinge/http1/_pool.py
+++ b/tarragonhinge/http1/_pool.py
@@ -118,6 +118,16 @@
         self._forgotten_idle_ms = math.inf
         self._forgotten_until = 0
 
+    @property
+    def limit(self) -> int:
+        """Maximum number of open connections."""
+        return self._limit
+
+    @property
+    def is_full(self) -> bool:
+        """Whether all connections that may be open are in use."""
+        return self._open_count >= self._limit and not self._idle
+
     async def acquire(
         self,
         *,
--- a/tarragonhinge/memory/_account.py
+++ b/tarragonhinge/memory/_account.py
@@ -92,6 +92,7 @@
         "_buffers",
         "_by_kind",
         "_client",
+        "_handle_promotion",
         "_opened_at",
         "is_ahead",
         "total",
@@ -104,6 +105,7 @@
         self._by_kind = dict.fromkeys(Kind, 0)
         self._buffers: list[tuple[Kind, _buffer.Buffer]] = []
         self._opened_at = opened_at
+        self._handle_promotion: Callable[[], None] | None = None
         self.is_ahead = is_ahead
         self.total = 0
 
@@ -147,9 +149,21 @@
         """Record that the request is the first of its connection now."""
         if self.is_ahead:
             self.is_ahead = False
+            if self._handle_promotion is not None:
+                self._handle_promotion()
             if self._client is not None:
                 self._client.account.serve_waiting()
 
+    def set_promotion_handler(self, handle: Callable[[], None] | None) -> None:
+        """Name what is called when the request is promoted.
+
+        Parameters
+        ----------
+        handle : callable or None
+            Takes the place of the one before.
+        """
+        self._handle_promotion = handle
+
     def release(self, kind: Kind, count: int | None = None) -> None:
         """Stop to count bytes.
 
