Close connections to owners of keys that are gone

Cause: PlatformGrants closes a connection when the next grant to the same server and address finds it ended. A server that is gone gets none, and the half that this process keeps stays open.

Change: at most once a second, a grant to any owner closes the connections that others have ended.

--- a/tarragonhinge/platform/_grants.py
+++ b/tarragonhinge/platform/_grants.py
@@ -25,6 +25,10 @@
 SILENCE_MS = 250
 
 
+#: Interval at which connections that owners have ended are closed.
+END_CHECK_MS = 1_000
+
+
 #: Largest part of the response to a release that is read, in bytes.
 RELEASE_BODY_BYTES = 4_096
 
@@ -88,6 +92,7 @@
         self._clock = clock
         self._report_silence = report_silence
         self._connections: dict[ranges.Holder, _OwnerConnection] = {}
+        self._checked_at = clock.now()
         self._session: aiohttp.ClientSession | None = None
 
     def is_connected(
@@ -111,6 +116,7 @@
         connection_id: ranges.ConnectionId | None,
     ) -> ranges.GrantReply:
         """Grant a key range or renew its grant."""
+        self._close_ended()
         body = {
             "from": grant.first,
             "to": grant.last,
@@ -148,6 +154,20 @@
         result = _RESULTS_BY_STATUS.get(status, ranges.GrantResult.UNKNOWN)
         return ranges.GrantReply(result=result, connection_id=open_id)
 
+    def _close_ended(self) -> None:
+        """Close the connections to owners that have ended theirs.
+
+        An owner that is gone gets no further grant on its connection, which
+        would keep its descriptor.
+        """
+        now = self._clock.now()
+        if now - self._checked_at < END_CHECK_MS:
+            return
+        self._checked_at = now
+        for connection in self._connections.values():
+            if not (connection.lock.locked() or connection.is_open()):
+                connection.close()
+
     async def _send(
         self,
         connection: _OwnerConnection,
--- a/tarragonhinge/platform/tests/test_grants.py
+++ b/tarragonhinge/platform/tests/test_grants.py
@@ -1,11 +1,13 @@
 """Orders to backend servers take only their own replies for confirmations."""
 
 import asyncio
+import os
 
 import pytest
 
 from tarragonhinge import base
 from tarragonhinge.platform import _grants
+from tarragonhinge.platform import standins
 from tarragonhinge import ranges
 
 RELEASED = (
@@ -116,3 +118,49 @@
         server.stop()
 
     asyncio.run(run())
+
+
+class _SteppedClock(base.Clock):
+    """Clock that a test moves on."""
+
+    now_ms = 0
+
+    def now(self):
+        return self.now_ms
+
+
+def test_connections_to_owners_that_are_gone_are_closed():
+    """Guards against a descriptor that each owner leaves behind."""
+    owner_count = 20
+
+    async def run():
+        clock = _SteppedClock()
+        grants = _grants.PlatformGrants(clock=clock)
+
+        async def grant(name, fence):
+            server = standins.StandInServer(name, is_keyed=True)
+            await server.start()
+            holder = ranges.Holder(
+                server=base.ServerId(name),
+                address=base.Address(server.address),
+            )
+            await grants.grant(
+                holder,
+                ranges.Grant(first=0, last=9, fence=fence, hold_ms=1_000),
+                connection_id=None,
+            )
+            return server
+
+        before = len(os.listdir("/proc/self/fd"))
+        for number in range(owner_count):
+            await (await grant(f"i-{number}", number)).stop()
+        await asyncio.sleep(0.2)
+        clock.now_ms += _grants.END_CHECK_MS
+        last = await grant("last", owner_count)
+        await asyncio.sleep(0.2)
+        # The last owner's listener, and both ends of its connection.
+        assert len(os.listdir("/proc/self/fd")) <= before + 3
+        await grants.close()
+        await last.stop()
+
+    asyncio.run(run())
