Show what the kernel holds for a process that does not read

Seen, not mended: the users' platform counts bytes that have been received and not read as memory of the process. 1,200 connections whose requests wait, or are sent ahead, hold 240 and 232 MB with them on a machine with 160 MB, while resident memory stays below 125 MB. The ordinary request afterwards is answered.

--- a/tarragonhinge/platform/tests/hostile_clients.py
+++ b/tarragonhinge/platform/tests/hostile_clients.py
@@ -4,6 +4,7 @@
 import collections
 import contextlib
 import json
+import os
 import pathlib
 import socket
 import struct
@@ -22,7 +23,10 @@
 SERVER_COUNT = 4
 BYTES_PER_MB = 1_000_000
 
-#: Interval at which open descriptors are counted, in seconds.
+#: State of a listening socket in ``/proc/net/tcp``.
+LISTENING = "0A"
+
+#: Interval at which descriptors and memory are counted, in seconds.
 COUNT_INTERVAL_S = 0.02
 
 PART = b"b" * 65_536
@@ -53,6 +57,9 @@
         Events that the process has logged.
     most_descriptors : int
         Largest number of open descriptors that was counted.
+    most_bytes : int
+        Largest sum of resident memory and of what the kernel has received
+        from clients and the process has not read.
     """
 
     def __init__(self, path, *, ip, memory_mb, max_body_bytes, fds=1_024):
@@ -68,6 +75,7 @@
         ]
         self.events = []
         self.most_descriptors = 0
+        self.most_bytes = 0
         self._clients = []
 
     async def __aenter__(self):
@@ -98,7 +106,7 @@
         except TimeoutError:
             await self.__aexit__()
             raise
-        self._watch = asyncio.create_task(self._watch_descriptors())
+        self._watch = asyncio.create_task(self._watch_process())
         return self
 
     async def __aexit__(self, *_):
@@ -167,14 +175,31 @@
         folder = pathlib.Path(f"/proc/{self._process.pid}/fd")
         return len(list(folder.iterdir()))
 
-    async def _watch_descriptors(self):
+    async def _watch_process(self):
         while self.is_running():
             with contextlib.suppress(OSError):
                 self.most_descriptors = max(
                     self.most_descriptors, self.count_descriptors()
                 )
+                self.most_bytes = max(
+                    self.most_bytes, self._read_bytes() + self._count_unread()
+                )
             await asyncio.sleep(COUNT_INTERVAL_S)
 
+    def _read_bytes(self):
+        sizes = pathlib.Path(f"/proc/{self._process.pid}/statm").read_text()
+        return int(sizes.split()[1]) * os.sysconf("SC_PAGESIZE")
+
+    def _count_unread(self):
+        local = f"{socket.inet_aton(self.ip)[::-1].hex().upper()}:{8100:04X}"
+        lines = pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]
+        rows = [line.split() for line in lines]
+        return sum(
+            int(row[4].partition(":")[2], 16)
+            for row in rows
+            if row[1] == local and row[3] != LISTENING
+        )
+
     async def connect(self):
         """Open a client's connection, which stays open until the end."""
         reader, writer = await asyncio.open_connection(self.ip, 8100)
--- a/tarragonhinge/platform/tests/test_released_memory.py
+++ b/tarragonhinge/platform/tests/test_released_memory.py
@@ -34,6 +34,9 @@
 WORKING_UPLOADS, WAITING_CONNECTIONS = 7, 1_200
 WAITING_BODY_BYTES, SMALL_BODY_BYTES = 200_000, 60_000
 
+#: Field that makes the head of a request long.
+LONG_FIELD = "X-Padding: " + "p" * 4_000
+
 #: Descriptors of the machine, and how many of them files may take.
 MAX_DESCRIPTORS = 300
 RESERVED_DESCRIPTORS = 200
@@ -246,6 +249,47 @@
     asyncio.run(run())
 
 
+async def _send_long_ahead(instance):
+    reader, writer = await instance.connect()
+    writer.transport.pause_reading()
+    request = hostile_clients.make_head("GET", "/safe/1", LONG_FIELD)
+    writer.write(request * 4 * AHEAD_REQUESTS)
+    await writer.drain()
+    await reader.read(1)
+
+
+@pytest.mark.parametrize(
+    ("send", "host"), [(_stop_short, 21), (_send_long_ahead, 22)]
+)
+def test_bytes_that_are_not_read_are_bounded(tmp_path, send, host):
+    """Guards against what the kernel has received for the process.
+
+    The platform counts it as memory of the process.
+    """
+
+    async def run():
+        async with hostile_clients.InstanceProcess(
+            tmp_path,
+            ip=f"127.98.11.{host}",
+            memory_mb=LARGER_MEMORY_MB,
+            max_body_bytes=MAX_BODY_BYTES,
+            fds=4_096,
+        ) as instance:
+            for server in instance.servers:
+                server.work_allowed.clear()
+            await instance.run_crowd(
+                [send(instance) for _ in range(WAITING_CONNECTIONS)]
+            )
+            _restore(instance.servers)
+            assert await instance.ask_until_answered()
+            assert instance.is_running()
+            assert instance.most_bytes <= (
+                LARGER_MEMORY_MB * hostile_clients.BYTES_PER_MB
+            )
+
+    asyncio.run(run())
+
+
 async def _send_ahead(instance):
     _, writer = await instance.connect()
     writer.transport.pause_reading()
