Say what a stream does with bytes after its end

The comment on the end of a caller's connection named a cycle that is gone, and a dropped receive called the method that drops it. No change of behaviour; the 240 tests of http1 pass.

--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -222,8 +222,7 @@
             writer.cancel()
             self._stream.close()
             await asyncio.wait(tasks)
-            # The connection refers to itself, so that only the collector
-            # frees it.
+            # The listener may refer to the connection for another turn.
             self._queue.clear()
             self._reader.discard()
             self._memory.close()
--- a/tarragonhinge/http1/_tcp_stream.py
+++ b/tarragonhinge/http1/_tcp_stream.py
@@ -99,12 +99,14 @@
 
     def buffer_updated(self, count: int) -> None:
         """Take received bytes out of the common buffer."""
-        self.data_received(
-            b"" if self._is_discarding else bytes(_RECEIVED[:count])
-        )
+        if not self._is_discarding:
+            self.data_received(bytes(_RECEIVED[:count]))
 
     def data_received(self, data: bytes) -> None:
-        """Buffer received bytes; pause reading if nothing reads them."""
+        """Buffer received bytes, and pause reading if nothing reads them.
+
+        They are dropped after `discard`.
+        """
         if self._is_discarding:
             return
         self.received_bytes += len(data)
