Deliver a response that is ready when a stop ends

Found by reading: since a request is dropped after its cancelled attempts have ended, the end of a stop could cancel this wait, of a turn or two, and with it a response that a server had given.

--- a/tarragonhinge/gateway/_gateway.py
+++ b/tarragonhinge/gateway/_gateway.py
@@ -520,10 +520,17 @@
         return jobs.Refused.for_ended_stop(is_sent=job.may_have_run)
 
     async def _close_job(self, job: jobs.Job) -> None:
-        """Drop a request once its cancelled attempts have ended."""
+        """Drop a request once its cancelled attempts have ended.
+
+        The end of a stop does not cancel a response that is ready.
+        """
         try:
             if job.attempts:
                 await asyncio.wait(job.attempts)
+        except asyncio.CancelledError as error:
+            if STOP_ENDED not in error.args:
+                raise
+            asyncio.current_task().uncancel()
         finally:
             self.guard.close(job)
 
