Show what the kernel holds for connections that nothing reads

Cause: what the kernel has received and the process not read is memory of the process on the users' platform. Two tests show it for new connections.

The fixture counts unread bytes of the connections to servers, too, so that the bound is stricter for the tests that use it.

--- a/tarragonhinge/platform/tests/hostile_clients.py
+++ b/tarragonhinge/platform/tests/hostile_clients.py
@@ -59,7 +59,7 @@
         Largest number of open descriptors that was counted.
     most_bytes : int
         Largest sum of resident memory and of what the kernel has received
-        from clients and the process has not read.
+        from clients and servers and the process has not read.
     """
 
     def __init__(self, path, *, ip, memory_mb, max_body_bytes, fds=1_024):
@@ -191,13 +191,15 @@
         return int(sizes.split()[1]) * os.sysconf("SC_PAGESIZE")
 
     def _count_unread(self):
-        local = f"{socket.inet_aton(self.ip)[::-1].hex().upper()}:{8100:04X}"
+        """Return what the kernel has received and the process not read."""
+        front = _encode_address(f"{self.ip}:8100")
+        servers = {_encode_address(server.address) for server in self.servers}
         lines = pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]
         rows = [line.split() for line in lines]
         return sum(
             int(row[4].partition(":")[2], 16)
             for row in rows
-            if row[1] == local and row[3] != LISTENING
+            if row[3] != LISTENING and (row[1] == front or row[2] in servers)
         )
 
     async def connect(self):
@@ -249,6 +251,13 @@
                 await asyncio.sleep(0.1)
 
 
+def _encode_address(address):
+    """Return an address as ``/proc/net/tcp`` shows it."""
+    host, _, port = address.rpartition(":")
+    number = int.from_bytes(socket.inet_aton(host), sys.byteorder)
+    return f"{number:08X}:{int(port):04X}"
+
+
 async def send_upload(
     writer, byte_count, *fields, target="/upload/1", is_chunked=False
 ):
