Begin callers' connections with a small receive window

What callers saw: on the users' platform a process ends that exceeds its memory, and what the kernel has received for it counts. 1,200 connections that wait for memory or for responses brought a machine with 160 MB to 237.5 and 228.1 MB, and all requests there would have ended with it.

Cause: Linux begins each connection with a receive buffer of 128 KB, which fills while nothing reads it.

Change: the listener has a buffer for a window of 16 KB, which its connections inherit. A size that is set bounds the window for ever, as the scale of the window is agreed on when a connection opens; so the listener takes the setting back (SO_BUF_LOCK, Linux 5.14) and keeps the size. The window opens to 128 KB when a body of more than 64 KB is read, for which there is memory then, and the kernel enlarges it from there.

Trials that set the small size again on open connections were given up: the kernel drops what was on its way, so that second uploads of 360 KB took 260 ms, and 2 MB up to 12 s with large segments.

--- a/tarragonhinge/gateway/_caller_listener.py
+++ b/tarragonhinge/gateway/_caller_listener.py
@@ -71,6 +71,7 @@
         loop = asyncio.get_running_loop()
         family = socket.AF_INET6 if ":" in host else socket.AF_INET
         sock = socket.create_server((host, port), family=family)
+        http1.limit_first_windows(sock)
         self._server = await loop.create_server(
             self._accept, sock=sock, backlog=ACCEPT_BATCH
         )
--- a/tarragonhinge/http1/__init__.py
+++ b/tarragonhinge/http1/__init__.py
@@ -16,6 +16,7 @@
 from tarragonhinge.http1._messages import HttpResponse
 from tarragonhinge.http1._pool import ConnectionPool
 from tarragonhinge.http1._pool import ListenerState
+from tarragonhinge.http1._receive_buffer import limit_first_windows
 from tarragonhinge.http1._server_connection import ServerConnection
 from tarragonhinge.http1._tcp_stream import configure_socket
 from tarragonhinge.http1._tcp_stream import connect
@@ -40,6 +41,7 @@
     "combine_fields",
     "configure_socket",
     "connect",
+    "limit_first_windows",
     "listen",
     "split_address",
 ]
--- a/tarragonhinge/http1/_request_reader.py
+++ b/tarragonhinge/http1/_request_reader.py
@@ -11,6 +11,7 @@
 from tarragonhinge.http1 import _messages
 from tarragonhinge.http1 import _parser_turns
 from tarragonhinge.http1 import _read_deadline
+from tarragonhinge.http1 import _receive_buffer
 from tarragonhinge.http1 import _tcp_stream
 from tarragonhinge import memory
 
@@ -153,6 +154,8 @@
                     usage,
                     STATE_BYTES + HEAD_COPIES * head_bytes + counted_bytes,
                 )
+                if counted_bytes > _receive_buffer.LARGE_BODY_BYTES:
+                    self._stream.expect_body()
             elif isinstance(event, h11.Data):
                 body += event.data
                 if len(body) > limits.body_bytes:
@@ -161,6 +164,8 @@
                     growth = len(body) - counted_bytes + GROWTH_BYTES
                     await self._count(usage, growth)
                     counted_bytes += growth
+                    if counted_bytes > _receive_buffer.LARGE_BODY_BYTES:
+                        self._stream.expect_body()
             elif isinstance(event, h11.EndOfMessage):
                 break
             else:
--- a/tarragonhinge/http1/_tcp_stream.py
+++ b/tarragonhinge/http1/_tcp_stream.py
@@ -5,6 +5,7 @@
 import socket
 
 from tarragonhinge import base
+from tarragonhinge.http1 import _receive_buffer
 
 #: Largest number of bytes that are received at once.
 READ_BUFFER_LIMIT_BYTES = 1 << 15
@@ -73,6 +74,7 @@
         self._is_read_paused = False
         self._is_discarding = False
         self._is_closed = False
+        self._socket: socket.socket | None = None
         self.received_bytes = 0
         self.written_bytes = 0
         self.is_ended = False
@@ -87,6 +89,7 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             configure_socket(sock)
+            self._socket = sock
         if self._is_closed:
             transport.close()
 
@@ -120,6 +123,11 @@
             self._transport.pause_reading()
         self._wake_reader()
 
+    def expect_body(self) -> None:
+        """Open the window for a large body for which there is memory."""
+        if self._socket is not None:
+            _receive_buffer.enlarge(self._socket)
+
     def eof_received(self) -> bool:
         """Record that the peer sends no more; keep the sending side open."""
         self.is_ended = True
