Receive little from a client whose request was refused

What callers saw: as before, a process that exceeds its memory: 212.0 MB on a machine with 100 MB, as 400 clients sent bodies of 8 MB behind small ones.

Cause: a connection is read on for up to 1 s after its last response, so that its client sees the response. As the rest of a body is read quickly, the kernel enlarges the receive buffer meanwhile: 30 to 700 KB were seen for each of 200 such connections, all of it bytes that are dropped.

What the kernel drops beyond it would be dropped anyway.

--- a/tarragonhinge/http1/_receive_buffer.py
+++ b/tarragonhinge/http1/_receive_buffer.py
@@ -41,6 +41,18 @@
             _set_size(sock, BODY_BUFFER_BYTES // 2)
 
 
+def limit(sock: socket.socket) -> None:
+    """Close the window but for a small rest, for good.
+
+    The kernel drops what a sender sends within the larger window that it was
+    allowed before.
+    """
+    with contextlib.suppress(OSError):
+        sock.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, FIRST_WINDOW_BYTES
+        )
+
+
 def read_size(sock: socket.socket) -> int:
     """Return the size of the buffer in bytes; 0 if it is not known."""
     try:
--- a/tarragonhinge/http1/_tcp_stream.py
+++ b/tarragonhinge/http1/_tcp_stream.py
@@ -237,7 +237,12 @@
                 self._transport.resume_reading()
 
     def discard(self) -> None:
-        """Drop the unread bytes, and from now on what is received."""
+        """Drop the unread bytes, and from now on what is received.
+
+        What is dropped is received slowly, so that the kernel holds little.
+        """
+        if self._socket is not None and not self._is_discarding:
+            _receive_buffer.limit(self._socket)
         self._is_discarding = True
         self._unread.clear()
         self._resume_reading()
