Count large receive buffers, and what they hold

Cause: the kernel keeps the buffer that it has enlarged for an upload. Any number of idle connections can be filled with some hundred KB each before the process reads a byte, and nothing counts these.

Change: the size of a buffer above 64 KB counts when a request was received there. Large requests get what the buffers leave; a connection whose buffer has no room ends with its last response, and idle ones are closed while a request waits for memory. While reading is paused, what the kernel holds is missing from the budget for requests; not for responses, for which it may wait. A gauge shows it.

--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -129,9 +129,14 @@
             account=account,
             connection_bytes=CONNECTION_BYTES,
             get_moved=lambda: stream.moved_bytes,
+            get_unread=stream.count_unread,
             awaits_client=lambda: own._awaits_client(),
             close_stalled=lambda holding: own._close_stalled(holding),
         )
+        stream.watch_buffer(
+            report_size=lambda count: own._memory.set_window(count),
+            report_pause=lambda is_paused: own._memory.set_paused(is_paused),
+        )
         self._reader = _request_reader.RequestReader(
             stream=stream,
             client=self._memory,
@@ -177,7 +182,7 @@
         """Return whether the next move is the caller's."""
         if self._stream.unsent_bytes:
             return True
-        return not self._queue and self._reader.awaits_client
+        return not self._queue and (self._reader.awaits_client or self.is_idle)
 
     def _close_stalled(self, holding: memory.Holding) -> None:
         """Close the connection, since its caller holds memory."""
@@ -358,6 +363,13 @@
             if not await self._write_response(self._queue[0]):
                 return
 
+    def _is_to_end(self) -> bool:
+        """Return whether the last response that is due closes it.
+
+        A large receive buffer stays, and takes what nothing reads.
+        """
+        return self._is_stopping() or not self._memory.may_keep_window
+
     async def _write_response(self, exchange: _exchange.Exchange) -> bool:
         """Write one response; return whether to keep the connection."""
         if exchange.usage is not None:
@@ -367,7 +379,7 @@
             return False
         response = exchange.response.result()
         is_last = len(self._queue) == 1
-        if response.closes or (is_last and self._is_stopping()):
+        if response.closes or (is_last and self._is_to_end()):
             self._state = _State.CLOSING
         head, body, keep_open = _exchange.encode_response(
             exchange,
--- a/tarragonhinge/http1/_receive_buffer.py
+++ b/tarragonhinge/http1/_receive_buffer.py
@@ -6,8 +6,11 @@
 """
 
 import contextlib
+import fcntl
 import functools
 import socket
+import struct
+import termios
 
 #: Window with which a connection begins. It takes the first flight of a
 #: sender (RFC 6928).
@@ -24,6 +27,9 @@
 _SO_BUF_LOCK = 72
 
 
+_COUNT = struct.Struct("i")
+
+
 def limit_first_windows(listener: socket.socket) -> None:
     """Start the connections of a listener with a small window.
 
@@ -61,6 +67,17 @@
         return 0
 
 
+def count_unread(sock: socket.socket) -> int:
+    """Return the number of bytes that are received and not read."""
+    try:
+        count = fcntl.ioctl(
+            sock.fileno(), termios.FIONREAD, bytes(_COUNT.size)
+        )
+    except (OSError, ValueError):
+        return 0
+    return _COUNT.unpack(count)[0]
+
+
 def _set_size(sock: socket.socket, window_bytes: int) -> None:
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, window_bytes)
     sock.setsockopt(socket.SOL_SOCKET, _SO_BUF_LOCK, 0)
--- a/tarragonhinge/http1/_request_reader.py
+++ b/tarragonhinge/http1/_request_reader.py
@@ -170,6 +170,7 @@
                 break
             else:
                 raise ReadEndedError(None)
+        self._stream.check_buffer()
         self._unparsed = bytes(parser.trailing_data[0])
         self.is_receiving = bool(self._unparsed)
         return _messages.HttpRequest(
--- a/tarragonhinge/http1/_tcp_stream.py
+++ b/tarragonhinge/http1/_tcp_stream.py
@@ -1,6 +1,7 @@
 """TCP stream that exposes its unread bytes and its end."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import socket
 
@@ -22,6 +23,10 @@
 #: what the kernel does not take at once.
 WRITE_PART_BYTES = 1 << 16
 
+#: Number of received bytes after which the size of the receive buffer is read
+#: again; the kernel enlarges it as a connection is read.
+CHECKED_BYTES = 1 << 16
+
 #: Longest time for which sent bytes may stay unacknowledged.
 ACK_TIMEOUT_MS = 2_000
 
@@ -51,6 +56,10 @@
         )
 
 
+def _ignore(report: int) -> None:
+    """Take a report that nothing needs."""
+
+
 class TcpStream(asyncio.BufferedProtocol):
     """One TCP connection.
 
@@ -75,6 +84,10 @@
         self._is_discarding = False
         self._is_closed = False
         self._socket: socket.socket | None = None
+        self._report_size: Callable[[int], None] = _ignore
+        self._report_pause: Callable[[bool], None] = _ignore
+        # Number of received bytes when the receive buffer was last looked at.
+        self._checked_bytes = 0
         self.received_bytes = 0
         self.written_bytes = 0
         self.is_ended = False
@@ -121,13 +134,45 @@
         ):
             self._is_read_paused = True
             self._transport.pause_reading()
+            self._report_pause(True)
         self._wake_reader()
 
+    def watch_buffer(
+        self,
+        *,
+        report_size: Callable[[int], None],
+        report_pause: Callable[[bool], None],
+    ) -> None:
+        """Report on the receive buffer that the kernel has for it.
+
+        Parameters
+        ----------
+        report_size : callable
+            Called by `check_buffer` with its size in bytes.
+        report_pause : callable
+            Called with whether reading is paused when that changes.
+        """
+        self._report_size = report_size
+        self._report_pause = report_pause
+
     def expect_body(self) -> None:
         """Open the window for a large body for which there is memory."""
         if self._socket is not None:
             _receive_buffer.enlarge(self._socket)
 
+    def count_unread(self) -> int:
+        """Return the number of bytes that the kernel holds for it."""
+        if self._socket is None:
+            return 0
+        return _receive_buffer.count_unread(self._socket)
+
+    def check_buffer(self) -> None:
+        """Report the size of the receive buffer if it may have changed."""
+        is_due = self.received_bytes - self._checked_bytes >= CHECKED_BYTES
+        if is_due and self._socket is not None:
+            self._checked_bytes = self.received_bytes
+            self._report_size(_receive_buffer.read_size(self._socket))
+
     def eof_received(self) -> bool:
         """Record that the peer sends no more; keep the sending side open."""
         self.is_ended = True
@@ -235,6 +280,7 @@
             self._is_read_paused = False
             with contextlib.suppress(RuntimeError):
                 self._transport.resume_reading()
+            self._report_pause(False)
 
     def discard(self) -> None:
         """Drop the unread bytes, and from now on what is received.
@@ -246,6 +292,7 @@
         self._is_discarding = True
         self._unread.clear()
         self._resume_reading()
+        self._report_size, self._report_pause = _ignore, _ignore
 
     async def discard_rest(self) -> None:
         """Receive and drop bytes until the peer has closed its side."""
--- a/tarragonhinge/http1/tests/caller_side.py
+++ b/tarragonhinge/http1/tests/caller_side.py
@@ -4,6 +4,7 @@
 
 from tarragonhinge import catalog
 from tarragonhinge import http1
+from tarragonhinge import memory
 
 #: Number of turns of the event loop in which all that can run has run.
 SETTLE_TURNS = 30
@@ -82,7 +83,7 @@
 class CallerSide:
     """A caller's connection whose requests wait for a gate per target."""
 
-    def __init__(self, *, is_connected=True):
+    def __init__(self, *, is_connected=True, account=None):
         self.handled = []
         self.cancelled = []
         self.arrived = asyncio.Event()
@@ -97,6 +98,7 @@
             is_concurrent=self.is_concurrent,
             get_limits=lambda: LIMITS,
             is_stopping=lambda: self.is_stopping,
+            account=account or memory.MemoryAccount(budget_bytes=1 << 30),
         )
         if is_connected:
             stream.connection_made(self.transport)
--- a/tarragonhinge/memory/_account.py
+++ b/tarragonhinge/memory/_account.py
@@ -22,6 +22,9 @@
 #: Part of the budget for requests that are sent ahead on their connection.
 AHEAD_FRACTION = 1 / 2
 
+#: Size up to which the receive buffer of a connection does not count.
+SMALL_WINDOW_BYTES = 65_536
+
 #: Parts of the budget that may be missing from it before memory counts as
 #: short, and until it no longer does.
 SHORT_FRACTION = 1 / 4
@@ -109,6 +112,11 @@
         self.is_ahead = is_ahead
         self.total = 0
 
+    @property
+    def window_bytes(self) -> int:
+        """Size of the large receive buffer of its own connection."""
+        return 0 if self._client is None else self._client.window_bytes
+
     def make_buffer(self, kind: Kind) -> _buffer.Buffer:
         """Return a buffer that is emptied when the kind is released."""
         buffer = _buffer.Buffer()
@@ -120,7 +128,7 @@
         client = self._client
         if client is None:
             return False
-        if not client.account.has_room(self, count):
+        if not client.account.has_room(self, kind, count):
             return False
         self._by_kind[kind] += count
         self.total += count
@@ -220,11 +228,16 @@
         Returns whether the next move is the client's.
     close_stalled : callable
         Closes the connection, since the client holds memory and moves little.
+    get_unread : callable
+        Returns the number of bytes that the kernel has received and this
+        process not read.
 
     Attributes
     ----------
     held_bytes : int
         Memory of its requests and responses.
+    window_bytes : int
+        Size of its receive buffer in the kernel, if that is large; or 0.
     """
 
     def __init__(
@@ -235,17 +248,21 @@
         get_moved: Callable[[], int],
         awaits_client: Callable[[], bool],
         close_stalled: Callable[[_choice.Holding], None],
+        get_unread: Callable[[], int] = lambda: 0,
     ) -> None:
         self.account = account
         self.held_bytes = 0
         self._connection_bytes = connection_bytes
         self._get_moved = get_moved
+        self._get_unread = get_unread
         self._awaits_client = awaits_client
         self._close_stalled = close_stalled
         self._usages: set[Usage] = set()
         self._since = 0.0
         self._moved_before = 0
         self._is_closing = False
+        self._unread_bytes = 0
+        self.window_bytes = 0
         account.count(Kind.CONNECTION, connection_bytes)
 
     def open_usage(self, *, is_ahead: bool = False) -> Usage:
@@ -266,8 +283,7 @@
         """Count bytes of a request."""
         before = self.held_bytes
         self.held_bytes += count
-        if not before:
-            self.account.holders.add(self)
+        self._update_holder()
         if before <= SMALL_BYTES < self.held_bytes or not before:
             self._restart_window()
         self.account.count(kind, count)
@@ -275,10 +291,49 @@
     def remove(self, kind: Kind, count: int) -> None:
         """Stop to count bytes of a request."""
         self.held_bytes -= count
-        if not self.held_bytes:
-            self.account.holders.discard(self)
+        self._update_holder()
         self.account.count(kind, -count)
 
+    def set_paused(self, is_paused: bool) -> None:
+        """Record whether nothing reads the connection."""
+        if is_paused:
+            self.account.paused.add(self)
+            self.update_unread()
+        else:
+            self.account.paused.discard(self)
+            self._set_unread(0)
+
+    def update_unread(self) -> None:
+        """Count what the kernel holds of a connection that is not read."""
+        self._set_unread(self._get_unread())
+
+    def _set_unread(self, count: int) -> None:
+        before, self._unread_bytes = self._unread_bytes, count
+        self.account.count_unread(count - before)
+
+    def set_window(self, count: int) -> None:
+        """Record the size of its receive buffer in the kernel.
+
+        The client can fill it at any time.
+        """
+        count = count if count > SMALL_WINDOW_BYTES else 0
+        before, self.window_bytes = self.window_bytes, count
+        if before != count:
+            self._restart_window()
+        self._update_holder()
+        self.account.count_window(count - before)
+
+    @property
+    def may_keep_window(self) -> bool:
+        """Whether the connection may stay open with its receive buffer."""
+        return not self.window_bytes or self.account.has_window_room
+
+    def _update_holder(self) -> None:
+        if self.held_bytes or self.window_bytes:
+            self.account.holders.add(self)
+        else:
+            self.account.holders.discard(self)
+
     def _restart_window(self) -> None:
         self._since = asyncio.get_running_loop().time()
         self._moved_before = self._get_moved()
@@ -288,7 +343,7 @@
         moved = self._get_moved()
         holding = _choice.Holding(
             client=self,
-            held_bytes=self.held_bytes,
+            held_bytes=self.held_bytes + self.window_bytes,
             window_ms=(now - self._since) * base.MS_PER_S,
             moved_bytes=moved - self._moved_before,
             awaits_client=not self._is_closing and self._awaits_client(),
@@ -307,6 +362,8 @@
         """Release everything when the connection has ended."""
         for usage in list(self._usages):
             usage.close()
+        self.set_paused(False)
+        self.set_window(0)
         self.account.count(Kind.CONNECTION, -self._connection_bytes)
         self._connection_bytes = 0
 
@@ -335,8 +392,15 @@
         the budget.
     is_short : bool
         Whether much is missing.
+    unread_bytes : int
+        What the kernel holds for clients that are not read, which is missing
+        from the budget for requests.
+    window_bytes : int
+        Size of the large receive buffers of open connections.
     holders : set of ClientMemory
-        Clients that hold memory for requests.
+        Clients that hold memory for requests or a large receive buffer.
+    paused : set of ClientMemory
+        Clients whose connections are not read.
     """
 
     def __init__(
@@ -351,7 +415,10 @@
         self.resident_bytes = 0
         self.uncounted_bytes = 0
         self.is_short = False
+        self.unread_bytes = 0
+        self.window_bytes = 0
         self.holders: set[ClientMemory] = set()
+        self.paused: set[ClientMemory] = set()
         self._used = 0
         self._by_kind: collections.Counter[Kind] = collections.Counter()
         self._waiting: list[tuple[Usage, Kind, int, asyncio.Future]] = []
@@ -381,6 +448,8 @@
         not counted, until it is received.
         """
         self._read_at = asyncio.get_running_loop().time()
+        for client in self.paused:
+            client.update_unread()
         resident_bytes = self._read_resident()
         if resident_bytes is None:
             return
@@ -393,10 +462,32 @@
         if self.uncounted_bytes < before and self._waiting:
             asyncio.get_running_loop().call_soon(self.serve_waiting)
 
-    def has_room(self, usage: Usage, count: int) -> bool:
+    def count_unread(self, count: int) -> None:
+        """Count what the kernel holds, or stop to count it if negative."""
+        self.unread_bytes += count
+        if count < 0 and self._waiting:
+            self.serve_waiting()
+
+    def count_window(self, count: int) -> None:
+        """Count a large receive buffer, or stop to count it if negative."""
+        self.window_bytes += count
+        if count < 0 and self._waiting:
+            self.serve_waiting()
+
+    @property
+    def has_window_room(self) -> bool:
+        """Whether all large receive buffers may be filled now."""
+        reserve = self.budget_bytes * RESERVE_FRACTION
+        held_bytes = self._used + self.unread_bytes + self.window_bytes
+        return held_bytes <= self.budget_bytes - reserve
+
+    def has_room(self, usage: Usage, kind: Kind, count: int) -> bool:
         """Return whether a request may use more bytes.
 
-        Memory that is not counted leaves the reserve to small requests.
+        Memory that is not counted leaves the reserve to small requests.  What
+        the kernel holds does not keep a response from being received, since
+        it may wait for just this response.  Large receive buffers, which can
+        be filled at any time, concern large requests.
         """
         if count > SMALL_BYTES:
             age = asyncio.get_running_loop().time() - self._read_at
@@ -404,8 +495,12 @@
                 self.read_resident()
         reserve = self.budget_bytes * RESERVE_FRACTION
         limit = self.budget_bytes - self.uncounted_bytes
+        if kind is not Kind.RESPONSE:
+            limit -= self.unread_bytes
         if usage.total + count > SMALL_BYTES:
             limit -= reserve
+            if kind is not Kind.RESPONSE:
+                limit -= self.window_bytes - usage.window_bytes
         else:
             limit = max(reserve, limit)
         if usage.is_ahead:
--- a/tarragonhinge/memory/tests/test_account.py
+++ b/tarragonhinge/memory/tests/test_account.py
@@ -16,7 +16,7 @@
     """A client whose moves a test sets."""
 
     def __init__(self, account, *, awaits_client=True):
-        self.moved = 0
+        self.moved = self.unread = 0
         self.is_closed = False
         self.memory = memory.ClientMemory(
             account=account,
@@ -24,6 +24,7 @@
             get_moved=lambda: self.moved,
             awaits_client=lambda: awaits_client,
             close_stalled=self._close,
+            get_unread=lambda: self.unread,
         )
         self.usage = self.memory.open_usage()
 
@@ -224,3 +225,41 @@
         await waiting
 
     run_manual(run())
+
+
+@pytest.mark.parametrize(
+    ("kind", "is_granted"),
+    [(memory.Kind.REQUEST, False), (memory.Kind.RESPONSE, True)],
+)
+def test_unread_bytes_leave_less_to_requests(kind, is_granted):
+    """Guards against a response that waits for what waits for itself."""
+
+    async def run():
+        account = memory.MemoryAccount(budget_bytes=BUDGET_BYTES)
+        client = _Client(account)
+        client.unread = BUDGET_BYTES - LARGE_BYTES
+        client.memory.set_paused(True)
+        assert client.usage.try_grow(kind, LARGE_BYTES) is is_granted
+        client.memory.close()
+        assert account.unread_bytes == 0
+        assert _Client(account).usage.try_grow(kind, LARGE_BYTES)
+
+    run_manual(run())
+
+
+@pytest.mark.parametrize("is_own", [False, True])
+def test_idle_client_with_a_large_window_makes_room(is_own):
+    """Guards against receive buffers that can be filled beside a body."""
+
+    async def run():
+        account = memory.MemoryAccount(budget_bytes=BUDGET_BYTES)
+        idle = _Client(account)
+        idle.memory.set_window(BUDGET_BYTES - LARGE_BYTES)
+        client = idle if is_own else _Client(account)
+        assert client.usage.try_grow(memory.Kind.REQUEST, SMALL_BYTES)
+        await client.receive(LARGE_BYTES)
+        assert idle.is_closed is not is_own
+        idle.memory.close()
+        assert account.window_bytes == 0
+
+    run_manual(run())
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -276,6 +276,11 @@
             "Part of it that is missing from the budget.",
             lambda: account.uncounted_bytes,
         )
+        watch(
+            "memory_unread_bytes",
+            "What the kernel holds for clients that are not read.",
+            lambda: account.unread_bytes,
+        )
         for kind, help_ in _MEMORY_GAUGES.items():
             watch(
                 f"memory_{kind.value}_bytes",
