Name the lack of connections as the reason where it is the reason

What callers saw: requests that this instance can only pass on to another one were refused as `unreachable` while its connections were used up, and for 1 s afterwards even when some were free again.

Cause: a call to another instance that gets no connection here looked like one that the other instance did not take. So each instance that was asked was avoided for a second, and the next one was asked, in vain.

Change: the error says that the lack is local. No instance is avoided, no further one is asked, and the refusal says `connections`. It is true that nothing ran: the call was not sent.

Evidence: test_lack_of_connections_is_no_fault_of_another_instance fails without the change in the detour ('unreachable' in place of 'connections') and holds with it.

--- a/tarragonhinge/forwarding/_client.py
+++ b/tarragonhinge/forwarding/_client.py
@@ -34,13 +34,19 @@
         As for `TarragonhingeError`.
     sent : bool
         Whether it may have received the call.
+    is_local : bool
+        Whether this instance lacks connections, so that no other instance
+        would get the call either.
     """
 
-    def __init__(self, *, problem: str, sent: bool) -> None:
+    def __init__(
+        self, *, problem: str, sent: bool, is_local: bool = False
+    ) -> None:
         super().__init__(
             problem=problem, remedy="see the log of the other instance"
         )
         self.sent = sent
+        self.is_local = is_local
 
 
 class ForwardingClient:
@@ -164,7 +170,11 @@
         except TimeoutError as error:
             raise PeerError(problem="no connection", sent=False) from error
         except http1.ExchangeError as error:
-            raise PeerError(problem=error.problem, sent=False) from error
+            raise PeerError(
+                problem=error.problem,
+                sent=False,
+                is_local=isinstance(error, http1.ConnectionBudgetError),
+            ) from error
         is_reusable = False
         left_ms = max(1, ends_at - self._clock.now())
         try:
--- a/tarragonhinge/gateway/_detour.py
+++ b/tarragonhinge/gateway/_detour.py
@@ -314,7 +314,7 @@
                 job.may_have_run = True
             else:
                 job.sent_count -= counted
-            if self._clock.now() < job.deadline_at:
+            if self._clock.now() < job.deadline_at and not error.is_local:
                 self._avoid(peer)
             if cancellation is not None:
                 raise cancellation from error
@@ -389,7 +389,9 @@
     def _handle_error(
         self, job: jobs.Job, error: forwarding.PeerError
     ) -> jobs.Refused | None:
-        """Return the final response unless the request was not sent."""
+        """Return the final response unless another instance may get it."""
+        if error.is_local:
+            return jobs.Refused.for_lack_of_connections()
         if not error.sent:
             return None
         is_late = self._clock.now() >= job.deadline_at
--- a/tarragonhinge/gateway/tests/regional.py
+++ b/tarragonhinge/gateway/tests/regional.py
@@ -92,13 +92,15 @@
         self.calls = []
         self.opened = []
         self.connect_ms = 0
-        self.is_out_of_reach = False
+        self.is_out_of_reach = self.lacks_connections = False
 
     async def send_request(self, peer, request, call, *, on_sent, **_):
         self.opened.append(peer.instance)
         await asyncio.sleep(self.connect_ms / 1_000)
-        if self.is_out_of_reach:
-            raise forwarding.PeerError(problem="refused", sent=False)
+        if self.is_out_of_reach or self.lacks_connections:
+            raise forwarding.PeerError(
+                problem="refused", sent=False, is_local=self.lacks_connections
+            )
         on_sent()
         self.calls.append((peer.instance, call.route.allowed_regions))
         outcome = forwarding.ForwardedOutcome(
--- a/tarragonhinge/gateway/tests/test_regions.py
+++ b/tarragonhinge/gateway/tests/test_regions.py
@@ -241,6 +241,29 @@
     _run("b1:unreachable", check)
 
 
+@pytest.mark.parametrize(
+    ("failure", "reason", "opened", "status"),
+    [
+        ("lacks_connections", "connections", 1, 200),
+        ("is_out_of_reach", "unreachable", 2, 503),
+    ],
+)
+def test_lack_of_connections_is_no_fault_of_another_instance(
+    failure, reason, opened, status
+):
+    """Guards against an instance that is avoided for a lack at this one."""
+
+    async def check(fixture):
+        _add_peers(fixture, "a2 b2")
+        setattr(fixture.client, failure, True)
+        assert (await fixture.send())[:2] == (503, reason)
+        assert len(fixture.client.opened) == opened
+        setattr(fixture.client, failure, False)
+        assert (await fixture.send())[0] == status
+
+    _run("b1:unreachable", check)
+
+
 @pytest.mark.parametrize(
     ("sent", "own", "arrivals"),
     [
--- a/tarragonhinge/jobs/_refusals.py
+++ b/tarragonhinge/jobs/_refusals.py
@@ -83,6 +83,15 @@
             retry_after_ms=QUARANTINE_RETRY_AFTER_MS,
         )
 
+    @classmethod
+    def for_lack_of_connections(cls) -> "Refused":
+        """Return the refusal of a request that can't be sent from here."""
+        return cls(
+            status=503,
+            reason=_outcomes.NotRunCause.CONNECTIONS.value,
+            retry_after_ms=DEFAULT_RETRY_AFTER_MS,
+        )
+
     @classmethod
     def for_full_memory(cls, retry_after_ms: int) -> "Refused":
         """Return the refusal of a request for which there is no memory."""
