--- a/tarragonhinge/http1/_receive_buffer.py
+++ b/tarragonhinge/http1/_receive_buffer.py
@@ -12,9 +12,8 @@
 import struct
 import termios
 
-#: Window with which a connection begins. It takes most requests without a body,
-#: and half of what a sender may send at first (RFC 6928). The connections that
-#: are not accepted yet have it, too.
+#: Window with which a connection begins, and which it has before it is
+#: accepted. It takes half of what a sender may send at first (RFC 6928).
 FIRST_WINDOW_BYTES = 8_192
 
 #: Size from which a body opens the window, and receive buffer with which it
