--- a/tarragonhinge/http1/_caller_connection.py
+++ b/tarragonhinge/http1/_caller_connection.py
@@ -363,10 +363,11 @@
             if not await self._write_response(self._queue[0]):
                 return
 
-    def _is_to_end(self) -> bool:
+    def _closes_with_last(self) -> bool:
         """Return whether the last response that is due closes it.
 
-        A large receive buffer stays, and takes what nothing reads.
+        There may be no room for its receive buffer, which the kernel keeps as
+        large as the last body has made it.
         """
         return self._is_stopping() or not self._memory.may_keep_window
 
@@ -379,7 +380,7 @@
             return False
         response = exchange.response.result()
         is_last = len(self._queue) == 1
-        if response.closes or (is_last and self._is_to_end()):
+        if response.closes or (is_last and self._closes_with_last()):
             self._state = _State.CLOSING
         head, body, keep_open = _exchange.encode_response(
             exchange,
--- a/tarragonhinge/http1/_receive_buffer.py
+++ b/tarragonhinge/http1/_receive_buffer.py
@@ -47,10 +47,10 @@
 
 
 def limit(sock: socket.socket) -> None:
-    """Close the window but for a small rest, for good.
+    """Let the kernel receive only a small window from now on.
 
-    The kernel drops what a sender sends within the larger window that it was
-    allowed before.
+    It drops what the sender still sends within a larger window that it was
+    offered before.
     """
     with contextlib.suppress(OSError):
         sock.setsockopt(
--- a/tarragonhinge/platform/_instance.py
+++ b/tarragonhinge/platform/_instance.py
@@ -281,6 +281,11 @@
             "What the kernel holds for clients that are not read.",
             lambda: account.unread_bytes,
         )
+        watch(
+            "memory_window_bytes",
+            "Receive buffers of more than 64 KB of clients' connections.",
+            lambda: account.window_bytes,
+        )
         for kind, help_ in _MEMORY_GAUGES.items():
             watch(
                 f"memory_{kind.value}_bytes",
