Give the tests of unread bytes addresses of their own

The crowd new-connections listened on 127.98.12.4, as a case of test_shared_room does. The first three crowds met no other case. The crowds and bounds stay; 127.98.14 is used by no other test.

--- a/tarragonhinge/platform/tests/test_unread_bytes.py
+++ b/tarragonhinge/platform/tests/test_unread_bytes.py
@@ -129,7 +129,7 @@
     async def run():
         async with hostile_clients.InstanceProcess(
             tmp_path,
-            ip=f"127.98.12.{list(CROWDS).index(name) + 1}",
+            ip=f"127.98.14.{list(CROWDS).index(name) + 1}",
             memory_mb=memory_mb,
             max_body_bytes=MAX_BODY_BYTES,
             fds=MAX_DESCRIPTORS,
