Confirm no view by a coordinator that waits for former grants

What callers saw: two servers that hold the same keys after two takeovers in a row (shown by a test, not seen otherwise).

Change: a heartbeat confirms the view only once all range leaders have adopted their holders.

--- a/tarragonhinge/coordination/_coordinator.py
+++ b/tarragonhinge/coordination/_coordinator.py
@@ -162,7 +162,7 @@
             is_store_failing=lambda: self._claim_follower.is_failing,
             handle_report=self._handle_report,
             handle_loads=exchange.apply_loads,
-            knows_holders=lambda: True,
+            knows_holders=self._knows_holders,
             issuer=self._issuer,
             ledger=ledger,
             trial_issuer=self._trial_issuer,
@@ -214,6 +214,14 @@
         """Issue a trial to this instance itself."""
         return self._trial_issuer.issue(digest, version)
 
+    def _knows_holders(self) -> bool:
+        """Return whether the view names the only holder of each key."""
+        table = self._view.table
+        return table is not None and all(
+            name in self._leaders and self._leaders[name].knows_holders
+            for name in table.list_keyed()
+        )
+
     def _find_rate_limit(self, entry: catalog.ServerEntry) -> float | None:
         return self._issuer.limits.find_lowest((entry.server, entry.born_ms))
 
--- a/tarragonhinge/coordination/tests/fleet.py
+++ b/tarragonhinge/coordination/tests/fleet.py
@@ -73,7 +73,9 @@
 class FleetMember:
     """One instance of the fleet with its listener."""
 
-    def __init__(self, fleet, number, *, is_first_start=True):
+    def __init__(
+        self, fleet, number, *, is_first_start=True, is_cut_off=False
+    ):
         self.fleet = fleet
         self.is_first_start = is_first_start
         self.number = number
@@ -86,7 +88,7 @@
             fleet=fleet.servers, clock=fleet.clock
         )
         self.task = None
-        self.is_cut_off = False
+        self.is_cut_off = is_cut_off
 
     async def start(self):
         """Join the fleet."""
@@ -227,10 +229,13 @@
             self.rows.rows.get((_leadership.TABLE, _leadership.KEY))
         )
 
-    async def join(self):
-        """Start another instance."""
-        member = FleetMember(self, 100, is_first_start=False)
+    async def join(self, number=100, *, is_cut_off=False):
+        """Start another instance and return it."""
+        member = FleetMember(
+            self, number, is_first_start=False, is_cut_off=is_cut_off
+        )
         self.members.append(await member.start())
+        return member
 
     async def restore(self, copied):
         """Let the store go away and come back from a copy."""
--- a/tarragonhinge/coordination/tests/test_restored_store.py
+++ b/tarragonhinge/coordination/tests/test_restored_store.py
@@ -201,6 +201,39 @@
     _run(check)
 
 
+# Guards against two holders of a key after two takeovers in a row: the first
+# successor still waited for former grants, and its heartbeats confirmed the
+# owners that the second one had from it, which came from the copy.
+def test_successor_that_waits_for_grants_confirms_no_view():
+    async def check(test_fleet):
+        copied = test_fleet.rows.copy()
+        del copied.rows[_leadership.TABLE, _leadership.KEY]
+        await _move_keys(test_fleet)
+        for member in test_fleet.members:
+            member.store.faults.is_down = True
+        test_fleet.rows.restore(copied)
+        # Reads the record before it claims, since it claims late.
+        first = await test_fleet.join(100, is_cut_off=True)
+        await test_fleet.wait(lambda: first.leads, "the first takeover")
+        first.is_cut_off = False
+        second = await test_fleet.join(101)
+        await test_fleet.wait(
+            lambda: fleet.SERVICE in second.view.owners, "the owners"
+        )
+        # Longer than the interval of heartbeats.
+        await asyncio.sleep(0.6)
+        await test_fleet.crash(first)
+        await test_fleet.wait(lambda: second.leads, "the second takeover")
+        for member in test_fleet.members:
+            member.store.faults.is_down = False
+        await test_fleet.wait(
+            lambda: test_fleet.is_settled() and _is_recorded(test_fleet),
+            "the end of the former grants",
+        )
+
+    _run(check)
+
+
 def test_claim_gets_a_higher_term_than_any_seen():
     """Also if the store has gone back to a claim of a lower term."""
 
--- a/tarragonhinge/ranges/_leader.py
+++ b/tarragonhinge/ranges/_leader.py
@@ -79,6 +79,12 @@
         This process's clock.
     grant_limit_ms : int
         Upper bound of a grant's duration.
+
+    Attributes
+    ----------
+    knows_holders : bool
+        Whether the published owner map names the only server that may hold a
+        key. Before, it is what this instance knew as a follower.
     """
 
     def __init__(
@@ -150,6 +156,7 @@
         self._planned_at = 0
         self._merged_at = 0
         self._group: asyncio.TaskGroup | None = None
+        self.knows_holders = False
 
     @property
     def evacuated_count(self) -> int:
@@ -212,6 +219,7 @@
             expires_at=expires_at,
             now=self._clock.read_boottime(),
         )
+        self.knows_holders = True
         async with asyncio.TaskGroup() as group:
             self._group = group
             group.create_task(self._recorder.run())
