Skip fencing tokens for each restore since a record was written

Cause: after a restore, a successor skips 10,000 tokens of the record that it finds. After a second restore from a copy of the same record, the next one skips the same ones, which the first has used since.

Change: it skips as many for each era since the record was written.

Measured: ranges/tests/test_restored_fences.py fails in 4 of 6 cases without the change (2 and 3 restores) and holds with it; 150 of 150 walks hold.

--- a/tarragonhinge/ranges/_recorder.py
+++ b/tarragonhinge/ranges/_recorder.py
@@ -20,7 +20,8 @@
 #: writable.
 RECENT_WRITE_MS = 250
 
-#: Number of fencing tokens to skip if the record may lack the last ones.
+#: Number of fencing tokens to skip, for each restore of the store since the
+#: record was written, if it may lack the last ones.
 SKIPPED_FENCES = 10_000
 
 #: Size of the record, as a fraction of the bound of a row, from which no move
@@ -97,7 +98,9 @@
     async def load(self) -> None:
         """Read the record; retry until the store answers."""
         row = await self._read_row()
-        record = _record.RangeRecord(term=self._claim.term)
+        record = _record.RangeRecord(
+            term=self._claim.term, era=self._first_era
+        )
         if row is None:
             self.is_outdated = self._first_era != self._era
         else:
@@ -110,7 +113,16 @@
             self._next_fence = record.next_fence
             self.owners = catalog.OwnerMap(segments=record.segments)
         if self.is_outdated:
-            self._next_fence += SKIPPED_FENCES
+            self._skip_lost_fences(record)
+
+    def _skip_lost_fences(self, record: _record.RangeRecord) -> None:
+        """Skip the fencing tokens that the record may lack.
+
+        A former coordinator may have skipped tokens of the same record in an
+        earlier era, and used the next ones.
+        """
+        restores = max(1, self._era - (record.era or 0))
+        self._next_fence += restores * SKIPPED_FENCES
 
     async def _read_row(self) -> stores.StoredRow | None:
         """Read the record's row, its version and the era.
