Take no view in place of a damaged record

What callers saw: two servers that hold the same keys (shown by a test, not seen otherwise), after another writer has damaged the record of a service.

Cause: a record that can't be decoded counts as lost by a restore. A confirmed view then takes its place, since no holder can be recorded between a restore and the next claim. But the damaged record may be of the current era, in which holders were recorded after the view was confirmed.

Change: a successor that finds such a record waits for the former grants.

Measured: test_view_does_not_replace_a_damaged_record fails without the change and holds with it.

--- a/tarragonhinge/ranges/_leader.py
+++ b/tarragonhinge/ranges/_leader.py
@@ -232,6 +232,9 @@
         """Return why the view may not name the holders, or an empty text."""
         if not self._is_view_confirmed:
             return "unconfirmed"
+        if self._recorder.is_damaged:
+            # It may name holders that were recorded after the confirmation.
+            return "damaged_record"
         return "" if known.segments else "no_owners"
 
     def record_again(self) -> None:
--- a/tarragonhinge/ranges/_recorder.py
+++ b/tarragonhinge/ranges/_recorder.py
@@ -65,6 +65,9 @@
     is_outdated : bool
         Whether the record that was loaded, or is missing, may lack changes,
         since the store had come back from an older copy.
+    is_damaged : bool
+        Whether the record that was loaded can't be decoded. It may be of the
+        current era.
     """
 
     def __init__(
@@ -94,6 +97,7 @@
         self._is_writing = False
         self.owners = catalog.OwnerMap()
         self.is_outdated = False
+        self.is_damaged = False
 
     async def load(self) -> None:
         """Read the record; retry until the store answers."""
@@ -109,7 +113,7 @@
                 self.is_outdated = record.is_outdated(self._era)
             except base.CodecError:
                 # What a damaged record held is lost as by a restore.
-                self.is_outdated = True
+                self.is_outdated = self.is_damaged = True
             self._next_fence = record.next_fence
             self.owners = catalog.OwnerMap(segments=record.segments)
         if self.is_outdated:
--- a/tarragonhinge/ranges/tests/test_interrupted_moves.py
+++ b/tarragonhinge/ranges/tests/test_interrupted_moves.py
@@ -8,7 +8,9 @@
 
 import pytest
 
+from tarragonhinge import ranges
 from tarragonhinge.ranges.tests import led_service
+from tarragonhinge import stores
 from tarragonhinge import testing
 
 #: Keys that receive all requests before the restore.
@@ -112,3 +114,26 @@
         assert restore.service.fleet.count_unowned_keys() == 0
 
     testing.run_manual(run())
+
+
+# Guards against two holders of a key after a record that can't be decoded: the
+# view was confirmed in the same era, but lacked the moves since.
+def test_view_does_not_replace_a_damaged_record():
+    async def run():
+        service = led_service.LedService()
+        service.start_leader()
+        await service.run_for(3_000)
+        followed = service.view.owners[led_service.SERVICE]
+        service.drain("s1")
+        await service.run_for(1_000)
+        put = stores.RowPut(
+            table=ranges.TABLE, key=led_service.SERVICE, value=b"{"
+        )
+        service.rows.apply([], [put])
+        former = service.take_over(owners=followed, is_view_confirmed=True)
+        await led_service.stop(former)
+        await service.run_for(CHECKED_MS)
+        assert service.fleet.violations == []
+        assert service.fleet.count_unowned_keys() == 0
+
+    testing.run_manual(run())
