Walk at random through restores of the store

Change: a second set of walks, in which the store also comes back from copies up to 8 s old, answers of new holders are lost, and successors take over with a confirmed view or one as old as the copy, while the former leader runs on. The draws of the first set stay as they were.

They fail without the publication before the grant, without the wait for former grants, and without the skipped tokens (a test each).

--- a/tarragonhinge/ranges/tests/test_walks.py
+++ b/tarragonhinge/ranges/tests/test_walks.py
@@ -5,6 +5,7 @@
 a faulty store. ``RANGE_WALKS`` sets the number of random walks.
 """
 
+import asyncio
 import os
 import random
 import unittest.mock
@@ -12,6 +13,7 @@
 import pytest
 
 from tarragonhinge import base
+from tarragonhinge.ranges import _leader
 from tarragonhinge.ranges import _lease
 from tarragonhinge.ranges import _mover
 from tarragonhinge.ranges import _recorder
@@ -34,6 +36,15 @@
 #: change the walks of all seeds.
 EVENTS = base.Registry(kind="event of a walk")
 
+#: Further events of the walks with restores of the store.
+RESTORES = base.Registry(kind="restore in a walk")
+
+#: Time for which a coordinator acts after the store's last response.
+AUTHORITY_MS = 3_000
+
+#: Largest age of the copy from which the store comes back.
+MAX_COPY_AGE_MS = 8_000
+
 
 class _Walk:
     """One random sequence of faults of servers, store and leader."""
@@ -44,6 +55,10 @@
         self.started_count = 5
         self.silent_since = {}
 
+    async def start_event(self):
+        """Let one random event happen."""
+        await EVENTS.find(self.rng.choice(sorted(EVENTS.names())))(self)
+
     def pick_server(self):
         """Return a random server that runs and has an entry."""
         names = sorted(self.service.view.servers)
@@ -53,8 +68,7 @@
         self.service.start_leader()
         await self.service.run_for(3_000)
         for _ in range(STEPS):
-            name = self.rng.choice(sorted(EVENTS.names()))
-            await EVENTS.find(name)(self)
+            await self.start_event()
             first = self.rng.choice([1_000, 1_000, 40_000])
             self.service.leader.record_keys(range(first, first + 30))
             await self.service.run_for(self.rng.randrange(100, 1_500))
@@ -81,6 +95,85 @@
         assert self.service.fleet.count_unowned_keys() == 0
 
 
+class _RestoredWalk(_Walk):
+    """A walk in which the store also comes back from older copies."""
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        # Time, rows and published owners of the last seconds.
+        self._copies = []
+        self._former_ends = []
+
+    async def start_event(self):
+        self._make_copy()
+        registry = self.rng.choice([EVENTS, EVENTS, EVENTS, RESTORES])
+        name = self.rng.choice(sorted(registry.names()))
+        await registry.find(name)(self)
+
+    def _make_copy(self):
+        now = self.service.clock.now()
+        owners = self.service.view.owners[led_service.SERVICE]
+        self._copies.append((now, self.service.rows.copy(), owners))
+        while now - self._copies[0][0] > MAX_COPY_AGE_MS:
+            del self._copies[0]
+
+    async def restore(self):
+        """Let the store return, but not for the leader.
+
+        Returns
+        -------
+        OwnerMap
+            Owners that were published when the copy was made.
+        """
+        self.service.store.faults.is_down = True
+        await self.service.run_for(self.rng.choice([0, 300, 1_000]))
+        _, rows, owners = self.rng.choice(self._copies)
+        self._copies.clear()
+        self.service.rows.restore(rows)
+        await self.service.run_for(self.rng.choice([0, 200, 700]))
+        return owners
+
+    def take_over(self, **options):
+        """Start a successor; the former leader acts for a while."""
+        former = self.service.take_over(**options)
+        acts_ms = self.rng.randrange(AUTHORITY_MS - 1_700)
+        self._former_ends.append(
+            asyncio.create_task(self._stop_later(former, acts_ms))
+        )
+
+    async def _stop_later(self, former, delay_ms):
+        await self.service.clock.sleep(delay_ms)
+        await led_service.stop(former)
+
+    async def end_faults(self):
+        await asyncio.gather(*self._former_ends)
+        await super().end_faults()
+
+
+@RESTORES.register("answers of new holders are lost")
+async def _lose_handover_answers(walk):
+    servers = walk.service.fleet.servers
+    for server in servers:
+        server.faults.loses_answers = walk.rng.random() < 0.7
+    await walk.service.run_for(walk.rng.choice([100, 300, 900]))
+    if walk.rng.random() < 0.5:
+        await _return_to_confirmed_view(walk)
+    for server in servers:
+        server.faults.loses_answers = False
+
+
+@RESTORES.register("store returns, and the leader confirms the view")
+async def _return_to_confirmed_view(walk):
+    await walk.restore()
+    walk.take_over(is_view_confirmed=walk.service.leader.knows_holders)
+
+
+@RESTORES.register("store returns, and the view is as old as the copy")
+async def _return_to_old_view(walk):
+    owners = await walk.restore()
+    walk.take_over(owners=owners)
+
+
 @EVENTS.register("server falls silent")
 async def _make_silent(walk):
     server = walk.pick_server()
@@ -174,6 +267,14 @@
     testing.run_manual(run())
 
 
+@pytest.mark.parametrize("seed", range(WALKS))
+def test_keys_have_one_holder_after_restores(seed):
+    async def run():
+        await _RestoredWalk(seed).run()
+
+    testing.run_manual(run())
+
+
 async def _do_nothing(*_):
     """Stand in for a safeguard that waits or writes."""
     return
@@ -196,8 +297,29 @@
     of a grant's expiry.
     """
 
+    _assert_walks_fail(_Walk, owner, name, replacement)
+
+
+@pytest.mark.parametrize(
+    ("owner", "name", "replacement"),
+    [
+        (_mover.Mover, "_publish_holder", lambda _: None),
+        (_leader.RangeLeader, "_find_view_problem", lambda *_: ""),
+        (_recorder, "SKIPPED_FENCES", 0),
+    ],
+)
+def test_restored_walks_fail_without_a_safeguard(owner, name, replacement):
+    """The walks with restores detect a violation without a safeguard.
+
+    The safeguards are the publication of a holder before its grant, the wait
+    for former grants, and the fencing tokens that are skipped.
+    """
+    _assert_walks_fail(_RestoredWalk, owner, name, replacement)
+
+
+def _assert_walks_fail(walk_type, owner, name, replacement):
     async def run(seed):
-        await _Walk(seed).run()
+        await walk_type(seed).run()
 
     with unittest.mock.patch.object(owner, name, replacement):
         for seed in range(WALKS):
