Watch a table from the version of its first page on

Cause: pages are read one after the other, each as of its moment, and the watch began after the version of the last one. A change to a row of an earlier page between the two was never read, by no instance.

Change: stores.RowStore.read joins the pages for all stores and returns the version of the first one, so that the watch returns all changes since. The stand-ins of the store have pages, and rows change between them in tests; the soak has pages of four rows.

--- a/tarragonhinge/platform/_row_store.py
+++ b/tarragonhinge/platform/_row_store.py
@@ -143,24 +143,21 @@
             return int(text)
         return self.era
 
-    async def read(self, table: str) -> stores.Snapshot | stores.Unavailable:
-        """Read all rows of a table, page by page."""
-        rows: list[stores.StoredRow] = []
+    async def _read_page(
+        self, table: str, start: str
+    ) -> stores.Page | stores.Unavailable:
         query = {"table": table, "part": ""}
-        era: int | None = None
-        while True:
-            page = await self._get("rows-get", query)
-            if not isinstance(page, _Page) or era not in (None, page.era):
-                return stores.Unavailable()
-            era = page.era
-            content = page.rows
-            rows.extend(_make_row(table, row) for row in content.rows)
-            if not content.has_more or not content.rows:
-                return stores.Snapshot(
-                    rows=tuple(rows), version=content.ver, era=era
-                )
-            # Smallest possible key after the last key of this page.
-            query["from"] = content.rows[-1].key + "\x00"
+        if start:
+            query["from"] = start
+        page = await self._get("rows-get", query)
+        if not isinstance(page, _Page):
+            return stores.Unavailable()
+        return stores.Page(
+            rows=tuple(_make_row(table, row) for row in page.rows.rows),
+            version=page.rows.ver,
+            era=page.era,
+            has_more=page.rows.has_more,
+        )
 
     async def watch(
         self, table: str, *, after: int, era: int, wait_ms: int
--- a/tarragonhinge/platform/soak/_testbed.py
+++ b/tarragonhinge/platform/soak/_testbed.py
@@ -28,6 +28,9 @@
 #: Services of the servers that are started first.
 _SERVICES = ("keys",) * 4 + ("books",) * 2 + ("archive",) * 2
 
+#: Number of rows of a page of the store, so that long tables have several.
+PAGE_ROWS = 4
+
 #: Number of concurrent requests that a server reports as its capacity.
 _SLOTS = 16
 
@@ -82,6 +85,7 @@
         self._size = size
         self._folder = folder
         self.store = standins.StandInStore()
+        self.store.rows.page_rows = PAGE_ROWS
         self.servers: list[standins.StandInServer] = []
         self.proxies: dict[str, _proxy.Proxy] = {}
         self.services: dict[str, str] = {}
--- a/tarragonhinge/platform/standins/_store.py
+++ b/tarragonhinge/platform/standins/_store.py
@@ -91,12 +91,18 @@
 
     async def _get(self, request: web.Request) -> web.Response:
         table = request.query["table"]
-        rows = [r for r in self.rows.list_rows(table) if not r.dropped]
-        return self._make_response(sorted(rows, key=lambda row: row.key))
+        rows, has_more = self.rows.list_page(
+            table,
+            first=request.query.get("from", ""),
+            end=request.query.get("to"),
+        )
+        response = self._make_response(rows, has_more=has_more)
+        self.rows.after_page(table, has_more)
+        return response
 
     async def _watch(self, request: web.Request) -> web.Response:
         table, after = request.query["table"], int(request.query["after"])
-        if after > self.rows.version:
+        if not self.rows.kept_from <= after <= self.rows.version:
             return web.json_response({"error": "gone"}, status=410)
         wait_ms = min(int(request.query["waitMs"]), _WAIT_LIMIT_MS)
         ends_at = time.monotonic() + wait_ms / base.MS_PER_S
@@ -147,7 +153,9 @@
         await asyncio.sleep(1.5)
         self.rows.apply(checks, puts)
 
-    def _make_response(self, rows: list[stores.StoredRow]) -> web.Response:
+    def _make_response(
+        self, rows: list[stores.StoredRow], *, has_more: bool = False
+    ) -> web.Response:
         return web.json_response(
             {
                 "rows": [
@@ -163,7 +171,7 @@
                 ],
                 "ver": self.rows.version,
                 "now": int(time.monotonic() * base.MS_PER_S),
-                "hasMore": False,
+                "hasMore": has_more,
             }
         )
 
--- a/tarragonhinge/stores/__init__.py
+++ b/tarragonhinge/stores/__init__.py
@@ -11,6 +11,7 @@
 from tarragonhinge.stores._objects import ObjectClient
 from tarragonhinge.stores._row_store import compute_encoded_bytes
 from tarragonhinge.stores._row_store import HistoryLost
+from tarragonhinge.stores._row_store import Page
 from tarragonhinge.stores._row_store import RowCheck
 from tarragonhinge.stores._row_store import RowPut
 from tarragonhinge.stores._row_store import RowStore
@@ -41,6 +42,7 @@
     "MemoryObjects",
     "MemoryTable",
     "ObjectClient",
+    "Page",
     "Put",
     "ReadRequest",
     "ReadResult",
--- a/tarragonhinge/stores/_row_store.py
+++ b/tarragonhinge/stores/_row_store.py
@@ -34,15 +34,39 @@
     dropped: bool = False
 
 
+class Page(msgspec.Struct, frozen=True, kw_only=True):
+    """Rows of a table with adjacent keys, as of a single moment.
+
+    Parameters
+    ----------
+    rows : tuple of StoredRow
+        The rows, in ascending order of their keys.
+    version : int
+        Latest version of the store at that moment.
+    era : int
+        Era of the store in which the version was given out.
+    has_more : bool
+        Whether the table has rows with greater keys.
+    """
+
+    rows: tuple[StoredRow, ...]
+    version: int
+    era: int = 0
+    has_more: bool = False
+
+
 class Snapshot(msgspec.Struct, frozen=True, kw_only=True):
-    """All rows of a table, or only the changed ones, as of one version.
+    """All rows of a table, or only the changed ones.
+
+    Together with all changes after its version, the rows are a state of the
+    table. A row may already include some of these changes.
 
     Parameters
     ----------
     rows : tuple of StoredRow
         The rows.
     version : int
-        Latest version that the rows include.
+        Version up to which the rows include all changes.
     era : int
         Era of the store in which the version was given out.
     """
@@ -133,9 +157,45 @@
             self._era_changed = asyncio.Event()
         return True
 
-    @abc.abstractmethod
     async def read(self, table: str) -> Snapshot | _rows.Unavailable:
-        """Return all rows of a table."""
+        """Return all rows of a table, page by page.
+
+        The version is that of the first page. A row may be changed, added or
+        removed after its page was read; such a change is later than the
+        first page, so that a watch from there on returns it.
+        """
+        pages: list[Page] = []
+        start = ""
+        while True:
+            page = await self._read_page(table, start)
+            if not isinstance(page, Page):
+                return page
+            pages.append(page)
+            if page.era != pages[0].era:
+                return _rows.Unavailable()
+            if not page.has_more or not page.rows:
+                break
+            # Smallest possible key after the last one of this page.
+            start = page.rows[-1].key + "\x00"
+        return Snapshot(
+            rows=tuple(row for page in pages for row in page.rows),
+            version=pages[0].version,
+            era=pages[0].era,
+        )
+
+    @abc.abstractmethod
+    async def _read_page(
+        self, table: str, start: str
+    ) -> Page | _rows.Unavailable:
+        """Return a page of a table's rows.
+
+        Parameters
+        ----------
+        table : str
+            Name of the table.
+        start : str
+            Smallest key of the page.
+        """
 
     @abc.abstractmethod
     async def watch(
--- a/tarragonhinge/testing/_row_store.py
+++ b/tarragonhinge/testing/_row_store.py
@@ -1,6 +1,7 @@
 """In-memory row store with the faults of the platform's store."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 
@@ -17,6 +18,10 @@
 #: Longest call, in bytes.
 MAX_CALL_BYTES = 1 << 20
 
+#: Largest number of rows of a page, and bound of its length in bytes.
+PAGE_ROWS = 500
+PAGE_BYTES = 1_000_000
+
 #: Reason that the platform's store states for a write that it never accepts.
 REJECTION = "a table, key, version or value is missing or too long"
 
@@ -60,9 +65,19 @@
         Number of times that the rows were restored, plus one.
     row_bytes : int
         Longest value of a row, in bytes of base64.
+    page_rows : int
+        Largest number of rows of a page.
+    kept_from : int
+        Version from which changes are kept; earlier ones can't be watched.
+    after_page : callable
+        Called with the table and whether more pages follow, once a page has
+        been read. Rows may be changed there.
     """
 
     def __init__(self) -> None:
+        self.page_rows = PAGE_ROWS
+        self.kept_from = 0
+        self.after_page: Callable[[str, bool], None] = lambda *_: None
         self.rows: dict[tuple[str, str], stores.StoredRow] = {}
         self.version = 0
         self.era = 1
@@ -169,6 +184,37 @@
             if row.table == table and row.version > after
         )
 
+    def list_page(
+        self, table: str, *, first: str = "", end: str | None = None
+    ) -> tuple[list[stores.StoredRow], bool]:
+        """Return a page of a table's rows, and whether more rows follow.
+
+        Parameters
+        ----------
+        table : str
+            Name of the table.
+        first : str
+            Smallest key of the page.
+        end : str or None
+            Key at which the rows end, exclusive; None for the last one.
+        """
+        rows = [
+            row
+            for row in sorted(
+                self.list_rows(table), key=lambda row: row.key.encode()
+            )
+            if not row.dropped
+            and first.encode() <= row.key.encode()
+            and (end is None or row.key.encode() < end.encode())
+        ]
+        page, size = [], 0
+        for row in rows[: self.page_rows]:
+            size += stores.compute_encoded_bytes(row.value)
+            if page and size > PAGE_BYTES:
+                break
+            page.append(row)
+        return page, len(page) < len(rows)
+
     async def wait_change(self, wait_ms: int) -> None:
         """Return after the next transaction, or after `wait_ms`."""
         try:
@@ -212,14 +258,20 @@
         self._record_era(self._rows.era)
         return True
 
-    async def read(self, table: str) -> stores.Snapshot | stores.Unavailable:
-        """Return all rows of a table."""
+    async def _read_page(
+        self, table: str, start: str
+    ) -> stores.Page | stores.Unavailable:
         if not await self._reach():
             return stores.Unavailable()
-        rows = [r for r in self._rows.list_rows(table) if not r.dropped]
-        return stores.Snapshot(
-            rows=tuple(rows), version=self._rows.version, era=self.era
+        rows, has_more = self._rows.list_page(table, first=start)
+        page = stores.Page(
+            rows=tuple(rows),
+            version=self._rows.version,
+            era=self.era,
+            has_more=has_more,
         )
+        self._rows.after_page(table, has_more)
+        return page
 
     async def watch(
         self, table: str, *, after: int, era: int, wait_ms: int
@@ -230,7 +282,10 @@
         """
         if not await self._reach():
             return stores.Unavailable()
-        if after > self._rows.version or self.era != era:
+        if (
+            not self._rows.kept_from <= after <= self._rows.version
+            or self.era != era
+        ):
             return stores.HistoryLost()
         ends_at = self._clock.now() + wait_ms
         while not (rows := self._rows.list_rows(table, after=after)):
