Pause before a table is read again whose history is too short

What callers saw: nothing; a store that keeps less history than a read takes would be read without end and without a pause, and reads have a price.

Cause: a follower reads the table again at once whenever the store has lost the history, also right after a read.

Change: it pauses for 50 ms if no watch has returned since the last read.

--- a/tarragonhinge/feeds/_follower.py
+++ b/tarragonhinge/feeds/_follower.py
@@ -18,6 +18,10 @@
 RETRY_BASE_MS = 100
 RETRY_CAP_MS = 800
 
+#: Pause before a table is read again if the watch after the last read found no
+#: history either. In this case each read is as recent as a watch would be.
+REREAD_DELAY_MS = 50
+
 #: Time since the store's last response after which the store counts as
 #: unreachable.
 STORE_LOST_AFTER_MS = 1_000
@@ -30,7 +34,10 @@
     """Reads a table once, then watches it for changes.
 
     The table is read again if the store no longer has the history since
-    the last version received, or has come back from an older copy.
+    the last version received, or has come back from an older copy. If the
+    store keeps its history for less time than the reading takes, each read
+    is followed by another one after a pause, and the rows are as recent as
+    the last read.
 
     Parameters
     ----------
@@ -87,6 +94,8 @@
         self._version: int | None = None
         self.era: int | None = None
         self._failures = 0
+        # Whether the last watch found no history.
+        self._is_history_short = False
         self._is_lost = False
         self.last_response_at: int | None = None
         self.recovered_at: int | None = None
@@ -115,14 +124,23 @@
                 continue
             self._record_response()
             if isinstance(result, stores.HistoryLost):
-                self._version = None
+                await self._read_again()
                 continue
             is_whole = self._version is None
+            if not is_whole:
+                self._is_history_short = False
             self._version = result.version
             self._record_era(result.era)
             if result.rows or is_whole:
                 self._handle_rows(result.rows, is_whole)
 
+    async def _read_again(self) -> None:
+        """Let the table be read again, at once only for the first time."""
+        self._version = None
+        if self._is_history_short:
+            await self._clock.sleep(REREAD_DELAY_MS)
+        self._is_history_short = True
+
     async def _fetch(self) -> stores.WatchResult:
         if self._version is None:
             return await self._store.read(self._table)
--- a/tarragonhinge/feeds/tests/test_pages.py
+++ b/tarragonhinge/feeds/tests/test_pages.py
@@ -4,6 +4,7 @@
 
 import hypothesis
 from hypothesis import strategies
+import pytest
 
 from tarragonhinge import feeds
 from tarragonhinge.stores import RowPut
@@ -34,12 +35,18 @@
         self.rows.page_rows = PAGE_ROWS
         self.rows.after_page = self._write_some
         self.followed = {}
+        self.page_count = 0
+        self.keeps_history = True
         self._writes_by_page = list(writes_by_page)
 
     def _write_some(self, _table, _has_more):
+        self.page_count += 1
         if self._writes_by_page:
             for key, is_removed in self._writes_by_page.pop(0):
                 self.write(key, is_removed=is_removed)
+        if not self.keeps_history:
+            self.write(KEYS)
+            self.rows.kept_from = self.rows.version
 
     def write(self, key, *, is_removed=False):
         """Write or remove a row; its value is the version."""
@@ -99,3 +106,22 @@
         assert table.followed == table.list_stored()
 
     testing.run_manual(run())
+
+
+# Guards against a follower that reads a table without end and without a pause.
+@pytest.mark.parametrize("keeps_history", [True, False])
+def test_history_shorter_than_the_read(keeps_history):
+    async def run():
+        table = _FollowedRows([])
+        table.keeps_history = keeps_history
+        for key in range(KEYS):
+            table.write(key)
+        await table.follow(10_000)
+        pages = -(-(KEYS + 1) // PAGE_ROWS)
+        # A read takes 20 ms here, and the pause follows it.
+        assert table.page_count <= pages * 10_000 / 70
+        table.keeps_history = True
+        await table.follow(SETTLED_MS)
+        assert table.followed == table.list_stored()
+
+    testing.run_manual(run())
