--- a/tarragonhinge/relay/_hub.py
+++ b/tarragonhinge/relay/_hub.py
@@ -339,7 +339,8 @@
         while True:
             # A heartbeat confirms the changes up to now, so that none may
             # wait to be sent after it.
-            self._send_update()
+            if self._changed.is_set():
+                self._send_update()
             heartbeat = self._make_heartbeat()
             if self._has_new_peers:
                 self._has_new_peers = False
