Test endless answers to grants, and stops late in their grace

Answers to callers' requests had tests; those to grants and releases had none, and late requests only at one moment and on a route that may be repeated.

Change: ten forms of endless answers to 8 grants and releases at a time, and stops at three moments for both kinds of routes. No change of the product.

--- a/tarragonhinge/http1/tests/test_endless_response.py
+++ b/tarragonhinge/http1/tests/test_endless_response.py
@@ -1,7 +1,6 @@
 """Bytes without end from a server fail its exchange, within bounds."""
 
 import asyncio
-import contextlib
 import itertools
 import tracemalloc
 
@@ -9,6 +8,7 @@
 
 from tarragonhinge import base
 from tarragonhinge import http1
+from tarragonhinge.http1.tests import endless_server
 from tarragonhinge.http1.tests import parser_events
 
 #: Number of connections that receive bytes without end at the same time.
@@ -22,36 +22,11 @@
 EVENTS_PER_TURN = 1_000
 EVENTS_PER_RESPONSE = 50_000
 
-PIECE = b"x" * 65_536
-CHUNK = b"10000\r\n" + PIECE + b"\r\n"
-OK = b"HTTP/1.1 200 OK\r\n"
+OK, PIECE = endless_server.OK, endless_server.PIECE
 
 
-class _EndlessServer:
-    """Sends a beginning, then a part over and over until it is closed."""
-
-    def __init__(self, beginning, part):
-        self._beginning = beginning
-        self._part = part
-
-    async def _serve(self, reader, writer):
-        with contextlib.suppress(OSError, EOFError):
-            await reader.readuntil(b"\r\n\r\n")
-            writer.write(self._beginning)
-            while self._part:
-                writer.write(self._part)
-                await writer.drain()
-            await reader.read()
-        writer.close()
-
-    async def __aenter__(self):
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        self.address = base.Address(f"{host}:{port}")
-        return self
-
-    async def __aexit__(self, *_):
-        self._server.close()
+class _EndlessServer(endless_server.EndlessServer):
+    """Endless server, and a client that calls it."""
 
     async def exchange(self):
         stream = await http1.connect(self.address, timeout_ms=5_000)
@@ -67,35 +42,7 @@
             connection.close()
 
 
-@pytest.mark.parametrize(
-    ("beginning", "part"),
-    [
-        pytest.param(b"", b"x" * 1_000, id="no answer"),
-        pytest.param(b"HTTP/1.1 200 ", b"x" * 1_000, id="status line"),
-        pytest.param(OK, b"a: b\r\n" * 100, id="fields"),
-        pytest.param(OK + b"a: ", b"x" * 1_000, id="one field"),
-        pytest.param(
-            b"", b"HTTP/1.1 100 Continue\r\n\r\n", id="interim responses"
-        ),
-        pytest.param(OK + b"\r\n", PIECE, id="body until close"),
-        pytest.param(
-            OK + b"Transfer-Encoding: chunked\r\n\r\n", CHUNK, id="chunks"
-        ),
-        pytest.param(
-            OK + b"Transfer-Encoding: chunked\r\n\r\n5;",
-            b"x" * 1_000,
-            id="chunk extension",
-        ),
-        pytest.param(
-            OK + b"Transfer-Encoding: chunked\r\n\r\n",
-            b"1\r\nx\r\n" * 2_000,
-            id="chunks of one byte",
-        ),
-        pytest.param(
-            OK + b"Content-Length: 99999999999\r\n\r\n", PIECE, id="length"
-        ),
-    ],
-)
+@pytest.mark.parametrize(("beginning", "part"), endless_server.FORMS)
 def test_bytes_without_end_fail_the_exchange(beginning, part):
     async def run():
         async with _EndlessServer(beginning, part) as server:
--- a/tarragonhinge/platform/tests/test_stop.py
+++ b/tarragonhinge/platform/tests/test_stop.py
@@ -64,7 +64,7 @@
         self._now_ms += duration_ms
 
 
-def _write_rows(store, server):
+def _write_rows(store, server, kind):
     """Write a route with a timeout of 5 s and the entry of its server."""
     entry = {
         "service": "books",
@@ -79,7 +79,7 @@
         "name": "r",
         "host": "h.example",
         "prefix": "/x/",
-        "kind": "safe",
+        "kind": kind,
         "timeout": 5000,
         "goalLatency": 1500,
         "service": "books",
@@ -103,13 +103,16 @@
 class _Testbed:
     """An instance, its store and one server, which works until allowed."""
 
+    def __init__(self, kind="safe"):
+        self._kind = kind
+
     async def __aenter__(self):
         ip = f"{SUBNET}.{next(ADDRESS_NUMBERS)}"
         self.clock = _SteppedClock()
         self.store = standins.StandInStore()
         self.server = await standins.StandInServer().start(ip)
         self.server.work_allowed.clear()
-        _write_rows(self.store, self.server)
+        _write_rows(self.store, self.server, self._kind)
         self.runner = await http1.listen(
             self.store.make_application(), base.Address(f"{ip}:8000")
         )
@@ -137,14 +140,16 @@
         await self.runner.cleanup()
 
 
-def test_stop_does_not_cut_off_request_that_it_cannot_wait_for():
+@pytest.mark.parametrize("kind", ["safe", "unsafe"])
+@pytest.mark.parametrize("late_ms", [LATE_MS, 4_000, 5_600])
+def test_stop_does_not_cut_off_request_that_it_cannot_wait_for(late_ms, kind):
     """Guards against requests that are passed on late and then cut off."""
 
     async def run():
-        async with _Testbed() as testbed:
+        async with _Testbed(kind) as testbed:
             testbed.writer.write(REQUEST[:20])
             await testbed.writer.drain()
-            await testbed.stop_until(LATE_MS)
+            await testbed.stop_until(late_ms)
             testbed.writer.write(REQUEST[20:])
             response = asyncio.create_task(testbed.reader.read())
             arrival = asyncio.create_task(
