Take only a holder's own answer for the confirmation of a release

A server that answered a release with a redirect made the coordinator ask another one, whose 200 counted as the holder's confirmation, so that keys could get two holders. A chunk extension without end was read until the timeout.

Cause: releases used a general HTTP client, for a new connection each, while requests and grants use http1, which bounds what it reads.

Change: releases use http1 over a connection of their own. An answer that does not end confirms nothing any more.

--- a/tarragonhinge/platform/_grants.py
+++ b/tarragonhinge/platform/_grants.py
@@ -4,15 +4,13 @@
 from collections.abc import Callable
 import dataclasses
 
-import aiohttp
 import msgspec
 
 from tarragonhinge import base
 from tarragonhinge import http1
 from tarragonhinge import ranges
 
-_TRANSPORT_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
-_HANDOVER_HEADER = "Tarragonhinge-Duty-Handover"
+_HANDOVER_FIELD = "tarragonhinge-duty-handover"
 # A server with another id that listens at the address refuses the call.
 _EXPECTED_SERVER_HEADER = "Tarragonhinge-Expect-Instance"
 
@@ -29,10 +27,6 @@
 END_CHECK_MS = 1_000
 
 
-#: Largest part of the response to a release that is read, in bytes.
-RELEASE_BODY_BYTES = 4_096
-
-
 _RESULTS_BY_STATUS = {
     200: ranges.GrantResult.HELD,
     409: ranges.GrantResult.FENCED,
@@ -93,7 +87,6 @@
         self._report_silence = report_silence
         self._connections: dict[ranges.Holder, _OwnerConnection] = {}
         self._checked_at = clock.now()
-        self._session: aiohttp.ClientSession | None = None
 
     def is_connected(
         self, holder: ranges.Holder, connection_id: ranges.ConnectionId
@@ -209,16 +202,7 @@
                         )
                     )
                 response = await connection.http_connection.exchange(
-                    http1.HttpRequest(
-                        method="POST",
-                        target="/tarragonhinge/grant",
-                        fields=[
-                            ("host", holder.address),
-                            ("content-type", "application/json"),
-                            (_EXPECTED_SERVER_HEADER, holder.server),
-                        ],
-                        body=msgspec.json.encode(body),
-                    ),
+                    _make_request(holder, "/tarragonhinge/grant", body),
                     recognize=lambda _: True,
                 )
             keep_open = not response.closes
@@ -231,16 +215,6 @@
             if not keep_open:
                 connection.close()
 
-    def _get_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = aiohttp.ClientSession(
-                # A reply has no id. On a connection that was used before, a
-                # late second copy of its last reply would confirm a release.
-                connector=aiohttp.TCPConnector(limit=0, force_close=True),
-                skip_auto_headers=["User-Agent", "Accept", "Accept-Encoding"],
-            )
-        return self._session
-
     async def release(
         self,
         holder: ranges.Holder,
@@ -263,32 +237,62 @@
             "to": release.last,
             "fence": release.fence,
         }
-        timeout = aiohttp.ClientTimeout(total=timeout_ms / base.MS_PER_S)
         try:
-            async with self._get_session().post(
-                f"http://{holder.address}/tarragonhinge/release",
-                data=msgspec.json.encode(body),
-                headers={
-                    "Content-Type": "application/json",
-                    _EXPECTED_SERVER_HEADER: holder.server,
-                },
-                timeout=timeout,
-            ) as response:
-                # The body says nothing; one without end is not read.
-                await response.content.read(RELEASE_BODY_BYTES)
-                if response.status == 421:
-                    # Another server uses the address, so the owner's process
-                    # has ended.
-                    return ""
-                if response.status != 200:
-                    return None
-                return response.headers.get(_HANDOVER_HEADER, "")
-        except _TRANSPORT_ERRORS:
+            async with asyncio.timeout(timeout_ms / base.MS_PER_S):
+                response = await self._exchange_alone(
+                    holder, "/tarragonhinge/release", body
+                )
+        except (TimeoutError, OSError, http1.ExchangeError):
+            return None
+        if response.status == 421:
+            # Another server uses the address, so the owner's process has
+            # ended.
+            return ""
+        if response.status != 200:
             return None
+        return _find_handover(response)
+
+    async def _exchange_alone(
+        self, holder: ranges.Holder, target: str, body: dict
+    ) -> http1.HttpResponse:
+        """Send a call over a connection of its own.
+
+        A reply has no id. On a connection that was used before, a late second
+        copy of its last reply would confirm a release.
+        """
+        stream = await http1.connect(
+            holder.address, timeout_ms=CONNECT_TIMEOUT_MS
+        )
+        connection = http1.ServerConnection(stream=stream, clock=self._clock)
+        try:
+            return await connection.exchange(
+                _make_request(holder, target, body), recognize=lambda _: True
+            )
+        finally:
+            connection.close()
 
     async def close(self) -> None:
         """Close all connections."""
         for connection in self._connections.values():
             connection.close()
-        if self._session is not None:
-            await self._session.close()
+
+
+def _make_request(
+    holder: ranges.Holder, target: str, body: dict
+) -> http1.HttpRequest:
+    return http1.HttpRequest(
+        method="POST",
+        target=target,
+        fields=[
+            ("host", holder.address),
+            ("content-type", "application/json"),
+            (_EXPECTED_SERVER_HEADER, holder.server),
+        ],
+        body=msgspec.json.encode(body),
+    )
+
+
+def _find_handover(response: http1.HttpResponse) -> str:
+    """Return the handover token of a release, or an empty text."""
+    values = (v for name, v in response.fields if name == _HANDOVER_FIELD)
+    return next(values, "")
--- a/tarragonhinge/platform/tests/test_grants.py
+++ b/tarragonhinge/platform/tests/test_grants.py
@@ -89,6 +89,56 @@
     asyncio.run(run())
 
 
+class _ForwardingServer:
+    """Replies to a release with the address of a server that confirms it."""
+
+    async def start(self):
+        self._servers = [
+            await asyncio.start_server(serve, "127.0.0.1", 0)
+            for serve in (self._redirect, self._confirm)
+        ]
+        ports = [s.sockets[0].getsockname()[1] for s in self._servers]
+        self.holder = ranges.Holder(
+            server=base.ServerId("i-1"),
+            address=base.Address(f"127.0.0.1:{ports[0]}"),
+        )
+        self._location = f"http://127.0.0.1:{ports[1]}/".encode()
+        return self
+
+    def stop(self):
+        for server in self._servers:
+            server.close()
+
+    async def _redirect(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(
+            b"HTTP/1.1 307 Temporary Redirect\r\nLocation: "
+            + self._location
+            + b"\r\nContent-Length: 0\r\n\r\n"
+        )
+
+    async def _confirm(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(RELEASED)
+
+
+# Guards against a release that the holder has not confirmed: the client asked
+# the server that its reply referred to.
+def test_reply_of_another_server_does_not_confirm_a_release():
+    async def run():
+        server = await _ForwardingServer().start()
+        grants = _grants.PlatformGrants(clock=base.Clock())
+        release = ranges.Release(first=0, last=9, fence=2)
+        confirmed = await grants.release(
+            server.holder, release, timeout_ms=500
+        )
+        assert confirmed is None
+        await grants.close()
+        server.stop()
+
+    asyncio.run(run())
+
+
 def test_grants_do_not_wait_long_for_each_other():
     """Guards against renewals that queue behind ones without a reply.
 
