--- a/tarragonhinge/platform/_grants.py
+++ b/tarragonhinge/platform/_grants.py
@@ -239,7 +239,7 @@
         }
         try:
             async with asyncio.timeout(timeout_ms / base.MS_PER_S):
-                response = await self._exchange_alone(
+                response = await self._exchange_on_new_connection(
                     holder, "/tarragonhinge/release", body
                 )
         except (TimeoutError, OSError, http1.ExchangeError):
@@ -252,7 +252,7 @@
             return None
         return _find_handover(response)
 
-    async def _exchange_alone(
+    async def _exchange_on_new_connection(
         self, holder: ranges.Holder, target: str, body: dict
     ) -> http1.HttpResponse:
         """Send a call over a connection of its own.
