Leave the field of known holders out of older builds' heartbeats

Change: the field is unset unless the sender knows of it, like the other fields that were added. The test of tables in pages listens on an address of its process.

--- a/tarragonhinge/platform/tests/test_paged_table.py
+++ b/tarragonhinge/platform/tests/test_paged_table.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import os
 
 import pytest
 
@@ -14,7 +15,8 @@
 from tarragonhinge.platform import standins
 from tarragonhinge import testing
 
-ADDRESS = base.Address("127.97.1.1:8000")
+#: Address of this process.
+ADDRESS = base.Address(f"127.89.{os.getpid() % 256}.1:8000")
 TIMEOUT_S = 20
 
 #: Servers of the table, of which a page has three.
@@ -75,7 +77,7 @@
     def put_server(self, number, *, port=8000, state="ready"):
         entry = {
             "service": "books",
-            "address": f"127.97.1.2:{port + number}",
+            "address": f"127.89.0.2:{port + number}",
             "zone": "za",
             "slots": 2,
             "state": state,
--- a/tarragonhinge/relay/_messages.py
+++ b/tarragonhinge/relay/_messages.py
@@ -234,10 +234,10 @@
         Whether the coordinator's last call to the store failed.
     fleet_size : int
         Number of instances: the subscribers and the coordinator.
-    knows_holders : bool
+    knows_holders : bool or UnsetType
         Whether the updates sent so far name the only server that may hold a
-        key. False from older builds, which grant keys to servers that they
-        have not published yet.
+        key; unset by older builds, which grant keys to servers that they have
+        not published yet.
     peers : list of PeerInstance or UnsetType
         All instances that accept requests of others; unset if they have not
         changed since the last heartbeat.
@@ -247,7 +247,7 @@
     store_age_ms: int
     is_store_failing: bool = False
     fleet_size: int
-    knows_holders: bool = False
+    knows_holders: bool | msgspec.UnsetType = msgspec.UNSET
     peers: list[forwarding.PeerInstance] | msgspec.UnsetType = msgspec.UNSET
 
 
