--- a/tarragonhinge/platform/tests/test_endless_answers.py
+++ b/tarragonhinge/platform/tests/test_endless_answers.py
@@ -10,16 +10,17 @@
 from tarragonhinge.platform import _grants
 from tarragonhinge import ranges
 
-#: Number of calls at the same time, each to a server of its own.
+#: Number of calls at the same time, each over a connection of its own.
 CALLS = 8
 
 #: Half of the memory of a small instance, which has 200 MB.
 LIMIT_BYTES = 100_000_000
 
-#: Timeout of a release, which no answer is to outlast.
+#: Timeout of a release.
 RELEASE_TIMEOUT_MS = 3_000
 
-#: Most that is read of one answer, in bytes, with room for buffers.
+#: Most that a server sends of one answer, in bytes: twice the largest body
+#: that is read, with room for buffers.
 ANSWER_BYTES = 32_000_000
 
 
